--- /dev/null
+++ b/src/libs/base/RendezvousHash.h
@@ -0,0 +1,15 @@
+/// \file
+/// Rendezvous (highest random weight) hashing over names.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace banyanpick {
+
+/// The weight of \p Candidate for \p Key: the same on every host. The
+/// candidate with the highest weight is chosen (Thaler and Ravishankar, 1998).
+std::uint64_t rendezvousWeight(std::string_view Key,
+                               std::string_view Candidate);
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/base/StrongId.h
@@ -0,0 +1,90 @@
+/// \file
+/// Identifiers that the compiler keeps apart.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace banyanpick {
+
+/// A value of type \p Rep that only compares with others of the same \p Tag.
+template <class Tag, class Rep> struct StrongId {
+  Rep Value{};
+
+  StrongId() = default;
+  explicit StrongId(Rep Value) : Value(std::move(Value)) {}
+
+  auto operator<=>(const StrongId &) const = default;
+};
+
+/// Name of an entry host, unique in the deployment, from its settings.
+using HostId = StrongId<struct HostTag, std::string>;
+/// Name of an upstream (model engine or plain service), from the host list.
+using UpstreamId = StrongId<struct UpstreamTag, std::string>;
+/// Name of a data centre.
+using ZoneId = StrongId<struct ZoneTag, std::string>;
+/// Name of a team, the customer of an operator.
+using TeamId = StrongId<struct TeamTag, std::string>;
+/// Name of a request class in the catalogue.
+using ClassId = StrongId<struct ClassTag, std::string>;
+/// Name of a model in the catalogue.
+using ModelId = StrongId<struct ModelTag, std::string>;
+/// Name of an owner of catalogue entries.
+using OwnerId = StrongId<struct OwnerTag, std::string>;
+/// One caller's request on one entry host; assigned by its traffic thread.
+using RequestId = StrongId<struct RequestTag, std::uint64_t>;
+/// One life of a process: random, drawn at start, never used again.
+using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
+/// The caller's key of a non-idempotent operation; a UUIDv7.
+using OperationKey = StrongId<struct OperationTag, std::string>;
+/// Content fingerprint of a request, equal for equal content.
+using Fingerprint = StrongId<struct FingerprintTag, std::uint64_t>;
+/// Identity of a prompt block, chained over all blocks before it.
+using BlockHash = std::uint64_t;
+/// Position of a record in the platform's log.
+using LogOffset = std::uint64_t;
+
+/// A number unique over all hosts and their lives: who made it, and the how
+/// manieth of its maker it is.
+template <class Tag> struct MadeId {
+  Incarnation Maker;
+  std::uint64_t Sequence = 0;
+
+  auto operator<=>(const MadeId &) const = default;
+};
+
+/// One try of a request on one upstream; echoed in each chunk of its answer.
+using AttemptId = MadeId<struct AttemptTag>;
+/// One record appended to the log; found again by it when an answer is lost.
+using RecordId = MadeId<struct RecordTag>;
+/// Memory held on one engine for a group of engines.
+using HoldId = MadeId<struct HoldTag>;
+/// One order to an engine.
+using OrderId = MadeId<struct OrderTag>;
+/// One change set of an operator; made by the command line.
+using ChangeId = StrongId<struct ChangeTag, std::string>;
+
+/// Combines hash values (the golden-ratio mix used by Boost).
+inline std::size_t combineHashes(std::size_t First, std::size_t Second) {
+  return First ^ (Second + 0x9e3779b97f4a7c15ULL + (First << 6) + (First >> 2));
+}
+
+} // namespace banyanpick
+
+template <class Tag, class Rep>
+struct std::hash<banyanpick::StrongId<Tag, Rep>> {
+  std::size_t operator()(const banyanpick::StrongId<Tag, Rep> &Id) const {
+    return std::hash<Rep>()(Id.Value);
+  }
+};
+
+template <class Tag> struct std::hash<banyanpick::MadeId<Tag>> {
+  std::size_t operator()(const banyanpick::MadeId<Tag> &Id) const {
+    return banyanpick::combineHashes(
+        std::hash<banyanpick::Incarnation>()(Id.Maker),
+        std::hash<std::uint64_t>()(Id.Sequence));
+  }
+};
--- /dev/null
+++ b/src/libs/catalogue/Fold.cpp
@@ -0,0 +1,94 @@
+#include "catalogue/Fold.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// The body of type \p Body under \p Key, or null.
+template <class Body>
+const Body *find(const EntryMap &Entries, EntryKind Kind,
+                 const std::string &Name) {
+  const auto Found = Entries.find(EntryKey{Kind, Name});
+  if (Found == Entries.end())
+    return nullptr;
+  return std::get_if<Body>(&Found->second.Body);
+}
+
+LogOffset versionInForce(const EntryMap &Entries, const EntryKey &Key) {
+  const auto Found = Entries.find(Key);
+  return Found == Entries.end() ? 0 : Found->second.Version;
+}
+
+std::optional<ChangeRefused> conflictOf(const EntryMap &Entries,
+                                        const Change &Wanted,
+                                        const OwnerId &Author) {
+  const auto Found = Entries.find(Wanted.Key);
+  const LogOffset InForce = versionInForce(Entries, Wanted.Key);
+  if (Found != Entries.end() && Found->second.Owner != Author)
+    return ChangeRefused{text(Wanted.Key) + " belongs to owner " +
+                         Found->second.Owner.Value +
+                         "; ask that owner to change it"};
+  if (InForce != Wanted.BaseVersion)
+    return ChangeRefused{
+        text(Wanted.Key) + " was changed " +
+        (Found == Entries.end()
+             ? std::string("(removed)")
+             : "by owner " + Found->second.Owner.Value) +
+        " at version " + std::to_string(InForce) + ", not " +
+        std::to_string(Wanted.BaseVersion) +
+        "; look at the difference with 'banyanpick diff' and apply again"};
+  return std::nullopt;
+}
+
+} // namespace
+
+ChangeVerdict Catalogue::fold(const ChangeSet &Set, LogOffset Offset) {
+  this->passOver(Offset);
+  const auto Known = this->Verdicts.find(Set.Id);
+  if (Known != this->Verdicts.end())
+    return Known->second;
+  for (const Change &Wanted : Set.Changes) {
+    const auto Conflict = conflictOf(this->Entries, Wanted, Set.Author);
+    if (!Conflict)
+      continue;
+    this->Verdicts.emplace(Set.Id, *Conflict);
+    return *Conflict;
+  }
+  for (const Change &Wanted : Set.Changes) {
+    if (Wanted.Body)
+      this->Entries[Wanted.Key] = Entry{Wanted.Owner, *Wanted.Body, Offset};
+    else
+      this->Entries.erase(Wanted.Key);
+  }
+  this->Verdicts.emplace(Set.Id, ChangeAccepted{Offset});
+  return ChangeAccepted{Offset};
+}
+
+void Catalogue::restore(EntryMap Restored, LogOffset AtOffset) {
+  this->Entries = std::move(Restored);
+  this->Offset = AtOffset;
+}
+
+void Catalogue::passOver(LogOffset AtOffset) {
+  this->Offset = std::max(this->Offset, AtOffset);
+}
+
+const TeamEntry *Catalogue::team(const TeamId &Team) const {
+  return find<TeamEntry>(this->Entries, EntryKind::Team, Team.Value);
+}
+
+const ClassEntry *Catalogue::classOf(const ClassId &Class) const {
+  return find<ClassEntry>(this->Entries, EntryKind::Class, Class.Value);
+}
+
+const ModelEntry *Catalogue::model(const ModelId &Model) const {
+  return find<ModelEntry>(this->Entries, EntryKind::Model, Model.Value);
+}
+
+const OwnerEntry *Catalogue::owner(const OwnerId &Owner) const {
+  return find<OwnerEntry>(this->Entries, EntryKind::Owner, Owner.Value);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/ini/IniText.h
@@ -0,0 +1,35 @@
+/// \file
+/// INI text read by inih, with the line of each value.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace banyanpick {
+
+/// One `key = value` with the section it stands in.
+struct IniValue {
+  int Line = 0;
+  std::string Section;
+  std::string Key;
+  std::string Value;
+};
+
+/// A line that could not be read.
+struct IniProblem {
+  int Line = 0;
+  std::string Message; ///< What is wrong, and the remedy.
+};
+
+/// Everything read from one text.
+struct IniText {
+  std::vector<IniValue> Values;
+  std::vector<IniProblem> Problems;
+};
+
+/// Reads all values; malformed or overlong lines become problems.
+IniText readIni(std::string_view Text);
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/kernel/Operator.h
@@ -0,0 +1,115 @@
+/// \file
+/// What operators ask of an entry host, and what it answers.
+#pragma once
+
+#include "base/StrongId.h"
+#include "base/Time.h"
+#include "catalogue/Fold.h"
+#include "kernel/PeerMessage.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace banyanpick {
+
+using OperatorQuestionId = StrongId<struct OperatorQuestionTag, std::uint64_t>;
+
+/// Apply a change set; the author is proved by the key given with it.
+struct ApplyChanges {
+  ChangeSet Set;
+};
+/// The verdict on an earlier change set, by its id.
+struct AskVerdict {
+  ChangeId Id;
+};
+struct ShowCatalogue {};
+struct ShowHistory {
+  LogOffset FromOffset = 0;
+};
+struct ShowStatus {};
+/// Let a quarantined fingerprint run again on this deployment.
+struct ReleaseQuarantine {
+  Fingerprint Content;
+};
+
+using OperatorQuestion =
+    std::variant<ApplyChanges, AskVerdict, ShowCatalogue, ShowHistory,
+                 ShowStatus, ReleaseQuarantine>;
+
+/// One entry host as another one sees it.
+struct HostStatus {
+  HostId Host;
+  ZoneId Zone;
+  MemberState State = MemberState::Alive;
+  bool Ready = false;
+  LogOffset InForce = 0;
+  Duration HeardAgo{};
+};
+
+struct UpstreamStatus {
+  UpstreamId Id;
+  UpstreamKind Kind = UpstreamKind::Engine;
+  ZoneId Zone;
+  std::string State; ///< live, leaving, dead, unknown.
+  std::uint64_t QueuedPrefillTokens = 0;
+  std::uint64_t FreeMemoryTokens = 0;
+  std::uint64_t MemoryTokens = 0;
+  std::uint32_t Running = 0;
+  Duration ReportAge{};
+};
+
+struct QuarantineStatus {
+  Fingerprint Content;
+  std::uint32_t Crashes = 0;
+  Time Until{};
+};
+
+struct StatusReport {
+  HostId Host;
+  bool Ready = false;
+  bool Current = false; ///< Known to be current with the log.
+  bool Leaving = false;
+  LogOffset InForce = 0;
+  std::uint64_t InvariantsBroken = 0;
+  std::vector<HostStatus> Hosts;
+  std::vector<UpstreamStatus> Upstreams;
+  std::vector<QuarantineStatus> Quarantined;
+};
+
+/// What is in force.
+struct CatalogueShown {
+  LogOffset AtOffset = 0;
+  EntryMap Entries;
+};
+
+struct HistoryItem {
+  LogOffset Offset = 0;
+  ChangeSet Set;
+  ChangeVerdict Verdict;
+};
+struct HistoryShown {
+  std::vector<HistoryItem> Items;
+};
+
+/// Accepted and read back from the log.
+struct ChangesAccepted {
+  LogOffset Offset = 0;
+};
+struct ChangesRejected {
+  std::string Message;
+};
+/// Not known yet; ask with AskVerdict.
+struct VerdictPending {
+  std::string Message;
+};
+struct OperatorRefused {
+  std::string Message; ///< Tells nothing about keys.
+};
+struct Done {};
+
+using OperatorAnswer =
+    std::variant<CatalogueShown, HistoryShown, ChangesAccepted, ChangesRejected,
+                 VerdictPending, OperatorRefused, StatusReport, Done>;
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/kernel/PeerMessage.h
@@ -0,0 +1,172 @@
+/// \file
+/// What entry hosts tell each other. Everything here may be lost, repeated or
+/// late; nothing that must last depends on it.
+#pragma once
+
+#include "base/StrongId.h"
+#include "base/Time.h"
+#include "kernel/LogRecord.h"
+#include "kernel/Upstream.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace banyanpick {
+
+enum class MemberState { Alive, Suspect, Dead, Leaving };
+
+/// What somebody says of a member; the higher incarnation and the worse state
+/// win.
+struct MemberRumour {
+  HostId Host;
+  Incarnation Life;
+  std::uint64_t Version = 0; ///< Raised by the member to refute a suspicion.
+  MemberState State = MemberState::Alive;
+
+  bool operator==(const MemberRumour &) const = default;
+};
+
+/// "I live, and this is how far I am."
+struct Heartbeat {
+  std::uint64_t Sequence = 0;
+  bool Acknowledges = false; ///< An answer to a heartbeat; asks for none.
+  ZoneId Zone;
+  std::uint64_t Version = 0;
+  bool Leaving = false;
+  bool Ready = false;
+  LogOffset InForce = 0; ///< Catalogue offset in force on the sender.
+  Time LogConfirmedAt{}; ///< When the sender last knew that it was current.
+  std::vector<MemberRumour> Rumours;
+
+  bool operator==(const Heartbeat &) const = default;
+};
+
+/// Work that the sender has outstanding on engines, as of now.
+struct WorkSent {
+  struct Item {
+    UpstreamId Engine;
+    std::uint64_t PrefillTokens = 0;
+    std::uint32_t Requests = 0;
+
+    bool operator==(const Item &) const = default;
+  };
+  std::vector<Item> Items;
+
+  bool operator==(const WorkSent &) const = default;
+};
+
+/// How much each team used on the sender since the last one, and wants.
+struct TeamUsage {
+  struct Item {
+    TeamId Team;
+    double ServiceTokens = 0; ///< Work done for the team, in token units.
+    double DemandRequests = 0; ///< Requests a second asked for.
+    double DemandTokens = 0;   ///< Tokens a second asked for.
+    std::uint32_t Concurrent = 0;
+
+    bool operator==(const Item &) const = default;
+  };
+  std::uint64_t Epoch = 0;
+  std::vector<Item> Items;
+
+  bool operator==(const TeamUsage &) const = default;
+};
+
+/// A part of a team's limit that the sender gave up before sending this.
+struct LimitShare {
+  TeamId Team;
+  std::uint64_t Transfer = 0; ///< Counts the transfers of the sender's life.
+  double Fraction = 0; ///< Share of the whole limit that moves.
+  Time ValidFrom{};
+
+  bool operator==(const LimitShare &) const = default;
+};
+
+/// Records of the log passed on, for those cut off from it.
+struct RecordsRelayed {
+  std::vector<StoredRecord> Records; ///< Contiguous from FirstOffset.
+  LogOffset FirstOffset = 0;
+  LogOffset NextOffset = 0;
+
+  bool operator==(const RecordsRelayed &) const = default;
+};
+
+/// "Send me the records from here on."
+struct RecordsAsked {
+  LogOffset FromOffset = 0;
+
+  bool operator==(const RecordsAsked &) const = default;
+};
+
+/// The catalogue's whole canonical text, for a host whose log has lost its
+/// start.
+struct CatalogueRelayed {
+  LogOffset AtOffset = 0;
+  std::string Text;
+
+  bool operator==(const CatalogueRelayed &) const = default;
+};
+
+/// A fingerprint seen to crash upstreams, ahead of the log.
+struct QuarantineNotice {
+  Fingerprint Content;
+  std::uint32_t Crashes = 0;
+  Time Until{};
+
+  bool operator==(const QuarantineNotice &) const = default;
+};
+
+/// An upstream leaves, or died; known from its own word or by experience.
+struct UpstreamNotice {
+  UpstreamId Upstream;
+  Incarnation Life;
+  bool Leaving = false;
+  bool Dead = false;
+
+  bool operator==(const UpstreamNotice &) const = default;
+};
+
+/// A load report passed on to those that do not poll the engine themselves.
+struct LoadRelayed {
+  LoadReport Report;
+
+  bool operator==(const LoadRelayed &) const = default;
+};
+
+/// A stream that the receiver shall go on serving.
+struct StreamHandover {
+  std::string ResumeToken;
+  TeamId Team;
+  ClassId Class;
+  AttemptId Attempt;
+  UpstreamId Upstream;
+  std::uint64_t NextIndex = 0;
+  Time Deadline{};
+
+  bool operator==(const StreamHandover &) const = default;
+};
+
+/// "I serve that stream now."
+struct HandoverTaken {
+  std::string ResumeToken;
+
+  bool operator==(const HandoverTaken &) const = default;
+};
+
+using PeerMessageBody =
+    std::variant<Heartbeat, WorkSent, TeamUsage, LimitShare, RecordsRelayed,
+                 RecordsAsked, CatalogueRelayed, QuarantineNotice,
+                 UpstreamNotice, LoadRelayed, StreamHandover, HandoverTaken>;
+
+/// A message with its sender.
+struct PeerMessage {
+  HostId From;
+  Incarnation FromLife;
+  PeerMessageBody Body;
+
+  bool operator==(const PeerMessage &) const = default;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/settings/Settings.cpp
@@ -0,0 +1,146 @@
+#include "settings/Settings.h"
+
+#include "base/Error.h"
+#include "ini/IniText.h"
+#include "settings/SettingValue.h"
+
+#include <algorithm>
+#include <set>
+
+namespace banyanpick {
+
+namespace {
+
+using Place = std::pair<std::string, std::string>;
+
+std::string placeText(std::string_view Section, std::string_view Key) {
+  return "[" + std::string(Section) + "] " + std::string(Key);
+}
+
+/// Fills the settings from INI values, collecting what is wrong.
+struct Reading {
+  Settings &Values;
+  std::vector<SettingsProblem> &Problems;
+  std::set<Place> Seen;
+
+  void take(const IniValue &Given) {
+    if (!this->Seen.insert({Given.Section, Given.Key}).second) {
+      this->Problems.push_back(
+          {Given.Line, Given.Section, Given.Key,
+           "is given twice; remove one of the two lines"});
+      return;
+    }
+    const std::string Problem =
+        this->Values.set(Given.Section, Given.Key, Given.Value);
+    if (!Problem.empty())
+      this->Problems.push_back(
+          {Given.Line, Given.Section, Given.Key, Problem});
+  }
+};
+
+} // namespace
+
+Settings
+Settings::defaults(std::span<const SettingDeclaration> Declarations) {
+  Settings Result;
+  Result.Declared.assign(Declarations.begin(), Declarations.end());
+  for (const SettingDeclaration &Each : Declarations)
+    Result.Values[Place(Each.Section, Each.Key)] = Each.Default;
+  return Result;
+}
+
+std::string Settings::set(std::string_view Section, std::string_view Key,
+                          std::string_view Value) {
+  const SettingDeclaration *Declaration = this->declaration(Section, Key);
+  if (!Declaration)
+    return "is not a setting; remove the line or see docs/SETTINGS.md";
+  std::string Problem = problemWith(*Declaration, Value);
+  if (Problem.empty())
+    this->Values[Place(Section, Key)] = std::string(Value);
+  return Problem;
+}
+
+std::string Settings::text(std::string_view Section,
+                           std::string_view Key) const {
+  const auto Found =
+      this->Values.find(Place(std::string(Section), std::string(Key)));
+  if (Found == this->Values.end())
+    throw Error(ErrorKind::Internal,
+                placeText(Section, Key) + " is read but not declared",
+                "declare the setting in the plug-in that reads it");
+  return Found->second;
+}
+
+std::uint64_t Settings::whole(std::string_view Section,
+                              std::string_view Key) const {
+  return static_cast<std::uint64_t>(
+      parseNumber(SettingKind::Whole,
+                  this->raw(Section, Key, SettingKind::Whole))
+          .value_or(0));
+}
+
+double Settings::fraction(std::string_view Section,
+                          std::string_view Key) const {
+  return parseNumber(SettingKind::Fraction,
+                     this->raw(Section, Key, SettingKind::Fraction))
+      .value_or(0);
+}
+
+Duration Settings::span(std::string_view Section, std::string_view Key) const {
+  return Duration(static_cast<Duration::rep>(
+      parseNumber(SettingKind::Span, this->raw(Section, Key, SettingKind::Span))
+          .value_or(0)));
+}
+
+std::uint64_t Settings::size(std::string_view Section,
+                             std::string_view Key) const {
+  return static_cast<std::uint64_t>(
+      parseNumber(SettingKind::Size, this->raw(Section, Key, SettingKind::Size))
+          .value_or(0));
+}
+
+bool Settings::flag(std::string_view Section, std::string_view Key) const {
+  return this->raw(Section, Key, SettingKind::Flag) == "true";
+}
+
+const SettingDeclaration *Settings::declaration(std::string_view Section,
+                                                std::string_view Key) const {
+  const auto Found =
+      std::find_if(this->Declared.begin(), this->Declared.end(),
+                   [&](const SettingDeclaration &Each) {
+                     return Each.Section == Section && Each.Key == Key;
+                   });
+  return Found == this->Declared.end() ? nullptr : &*Found;
+}
+
+const std::string &Settings::raw(std::string_view Section, std::string_view Key,
+                                 SettingKind Kind) const {
+  const SettingDeclaration *Declaration = this->declaration(Section, Key);
+  if (!Declaration || Declaration->Kind != Kind)
+    throw Error(ErrorKind::Internal,
+                placeText(Section, Key) +
+                    " is read but not declared with this kind",
+                "declare the setting in the plug-in that reads it");
+  return this->Values.find(Place(std::string(Section), std::string(Key)))
+      ->second;
+}
+
+Settings readSettings(std::string_view Text,
+                      std::span<const SettingDeclaration> Declarations,
+                      std::vector<SettingsProblem> &Problems) {
+  Settings Result = Settings::defaults(Declarations);
+  Reading Into{Result, Problems, {}};
+  const IniText Ini = readIni(Text);
+  for (const IniProblem &Each : Ini.Problems)
+    Problems.push_back({Each.Line, "", "", Each.Message});
+  for (const IniValue &Each : Ini.Values)
+    Into.take(Each);
+  for (const SettingDeclaration &Each : Declarations) {
+    if (Each.Required && !Into.Seen.contains({Each.Section, Each.Key}))
+      Problems.push_back({0, Each.Section, Each.Key,
+                          "is missing; give " + allowedValues(Each)});
+  }
+  return Result;
+}
+
+} // namespace banyanpick
