--- a/src/libs/base/Error.h
+++ b/src/libs/base/Error.h
@@ -10,11 +10,11 @@
 
 /// What a caller of a throwing function may tell apart.
 enum class ErrorKind {
-  BadInput,     ///< What was given is malformed; mend it and give it again.
-  NotAllowed,   ///< The key given does not permit this.
-  Conflict,     ///< Somebody else changed the same thing first.
-  Unavailable,  ///< Something outside does not answer; try again later.
-  Internal,     ///< An invariant does not hold; report it.
+  BadInput,    ///< What was given is malformed; mend it and give it again.
+  NotAllowed,  ///< The key given does not permit this.
+  Conflict,    ///< Somebody else changed the same thing first.
+  Unavailable, ///< Something outside does not answer; try again later.
+  Internal,    ///< An invariant does not hold; report it.
 };
 
 /// The kind's name as it stands in logs and answers.
--- a/src/libs/base/LogEvent.h
+++ b/src/libs/base/LogEvent.h
@@ -48,8 +48,8 @@
     return this->with(Key, std::string_view(Value));
   }
   template <class Number>
-  requires std::is_arithmetic_v<Number>
-  LogEventBuilder &with(std::string_view Key, Number Value) {
+  requires std::is_arithmetic_v<Number> LogEventBuilder &
+  with(std::string_view Key, Number Value) {
     return this->with(Key, std::string_view(std::to_string(Value)));
   }
 
--- a/src/libs/catalogue/Entry.h
+++ b/src/libs/catalogue/Entry.h
@@ -32,11 +32,11 @@
 /// A customer: who may send, which classes, and how much.
 struct TeamEntry {
   KeyDigest Key;
-  double Weight = 1.0;                   ///< Share under contention.
-  std::uint32_t RequestsPerMinute = 0;   ///< 0 means no limit.
-  std::uint64_t TokensPerMinute = 0;     ///< Prompt and output; 0: no limit.
-  std::uint32_t Concurrent = 0;          ///< Requests at once; 0: no limit.
-  std::vector<ClassId> Classes;          ///< Classes the team may use.
+  double Weight = 1.0;                 ///< Share under contention.
+  std::uint32_t RequestsPerMinute = 0; ///< 0 means no limit.
+  std::uint64_t TokensPerMinute = 0;   ///< Prompt and output; 0: no limit.
+  std::uint32_t Concurrent = 0;        ///< Requests at once; 0: no limit.
+  std::vector<ClassId> Classes;        ///< Classes the team may use.
 
   bool operator==(const TeamEntry &) const = default;
 };
@@ -47,9 +47,9 @@
 /// A kind of request with its promise.
 struct ClassEntry {
   TargetKind Target = TargetKind::Model;
-  std::string TargetName;              ///< Model or application service name.
-  std::uint64_t MaxPromptTokens = 0;   ///< Longer prompts are refused.
-  std::uint64_t MaxOutputTokens = 0;   ///< Upper bound of an answer.
+  std::string TargetName;            ///< Model or application service name.
+  std::uint64_t MaxPromptTokens = 0; ///< Longer prompts are refused.
+  std::uint64_t MaxOutputTokens = 0; ///< Upper bound of an answer.
   /// Promise: the first token within Base + PerThousandTokens * prompt / 1000.
   Duration FirstTokenBase{};
   Duration FirstTokenPerThousandTokens{};
@@ -57,16 +57,16 @@
   /// each output token allowed, plus AnswerBase.
   Duration AnswerBase{};
   Duration AnswerPerToken{};
-  std::uint32_t Urgency = 5;           ///< 0 is the least, 9 the most urgent.
-  bool Idempotent = true;              ///< false: runs at most once, claimed.
+  std::uint32_t Urgency = 5; ///< 0 is the least, 9 the most urgent.
+  bool Idempotent = true;    ///< false: runs at most once, claimed.
 
   bool operator==(const ClassEntry &) const = default;
 };
 
 /// A model that engines load.
 struct ModelEntry {
-  std::string Weights;             ///< Name in the weight store.
-  std::uint64_t WeightBytes = 0;   ///< Size, for the weight store's budget.
+  std::string Weights;              ///< Name in the weight store.
+  std::uint64_t WeightBytes = 0;    ///< Size, for the weight store's budget.
   std::uint32_t MinimumEngines = 0; ///< Engines that must have it loaded.
   std::uint32_t MaximumEngines = 0; ///< 0 means no bound.
 
@@ -101,8 +101,8 @@
 /// A change of one entry, written against a version of it.
 struct Change {
   EntryKey Key;
-  LogOffset BaseVersion = 0; ///< 0: the entry did not exist.
-  OwnerId Owner;             ///< The owner the entry shall have.
+  LogOffset BaseVersion = 0;     ///< 0: the entry did not exist.
+  OwnerId Owner;                 ///< The owner the entry shall have.
   std::optional<EntryBody> Body; ///< Absent: the entry is removed.
 
   bool operator==(const Change &) const = default;
--- a/src/libs/catalogue/Fold.cpp
+++ b/src/libs/catalogue/Fold.cpp
@@ -33,9 +33,8 @@
   if (InForce != Wanted.BaseVersion)
     return ChangeRefused{
         text(Wanted.Key) + " was changed " +
-        (Found == Entries.end()
-             ? std::string("(removed)")
-             : "by owner " + Found->second.Owner.Value) +
+        (Found == Entries.end() ? std::string("(removed)")
+                                : "by owner " + Found->second.Owner.Value) +
         " at version " + std::to_string(InForce) + ", not " +
         std::to_string(Wanted.BaseVersion) +
         "; look at the difference with 'banyanpick diff' and apply again"};
--- a/src/libs/catalogue/KeyDigest.cpp
+++ b/src/libs/catalogue/KeyDigest.cpp
@@ -3,8 +3,8 @@
 #include "base/Error.h"
 
 #include <array>
-#include <span>
 #include <sodium.h>
+#include <span>
 
 namespace banyanpick {
 
@@ -21,9 +21,8 @@
 bool decodeHex(std::string_view Digits, std::span<unsigned char> Into) {
   std::size_t Length = 0;
   const char *End = nullptr;
-  const int Result =
-      sodium_hex2bin(Into.data(), Into.size(), Digits.data(), Digits.size(),
-                     nullptr, &Length, &End);
+  const int Result = sodium_hex2bin(Into.data(), Into.size(), Digits.data(),
+                                    Digits.size(), nullptr, &Length, &End);
   return Result == 0 && Length == Into.size() &&
          End == Digits.data() + Digits.size();
 }
--- a/src/libs/ini/IniText.cpp
+++ b/src/libs/ini/IniText.cpp
@@ -34,8 +34,7 @@
   }
 
   void take(const char *Section, const char *Key, const char *Value) {
-    this->Into.Values.push_back(
-        {this->Line, Section, Key, Value ? Value : ""});
+    this->Into.Values.push_back({this->Line, Section, Key, Value ? Value : ""});
   }
 
 private:
--- a/src/libs/kernel/Answer.h
+++ b/src/libs/kernel/Answer.h
@@ -12,17 +12,17 @@
 
 /// Why a request was not run.
 enum class RefusalReason {
-  NotReady,         ///< This host does not know the catalogue yet.
-  Leaving,          ///< This host is stopping; ask for another.
-  NotCurrent,       ///< This host is cut off and can't know the catalogue.
-  NotAllowed,       ///< Key wrong or class not the team's.
-  BadRequest,       ///< Exceeds its class or lacks something.
-  OverLimit,        ///< The team's own limit is used up.
-  Overloaded,       ///< Can't end within its promise.
-  NoUpstream,       ///< Nothing serves its target now.
-  Quarantined,      ///< This content crashed upstreams.
-  LogUnavailable,   ///< A claim can't be recorded now.
-  KeyTooOld,        ///< The operation key is older than claims are kept.
+  NotReady,       ///< This host does not know the catalogue yet.
+  Leaving,        ///< This host is stopping; ask for another.
+  NotCurrent,     ///< This host is cut off and can't know the catalogue.
+  NotAllowed,     ///< Key wrong or class not the team's.
+  BadRequest,     ///< Exceeds its class or lacks something.
+  OverLimit,      ///< The team's own limit is used up.
+  Overloaded,     ///< Can't end within its promise.
+  NoUpstream,     ///< Nothing serves its target now.
+  Quarantined,    ///< This content crashed upstreams.
+  LogUnavailable, ///< A claim can't be recorded now.
+  KeyTooOld,      ///< The operation key is older than claims are kept.
 };
 
 /// The kind's name as it stands in answers and logs.
--- a/src/libs/kernel/Event.h
+++ b/src/libs/kernel/Event.h
@@ -39,8 +39,8 @@
 /// A caller asks which entry hosts to use.
 struct ResolveAsked {
   ResolveQuestionId Id;
-  TeamId Team;   ///< May be empty.
-  ZoneId Zone;   ///< Nearest to the caller; may be empty.
+  TeamId Team; ///< May be empty.
+  ZoneId Zone; ///< Nearest to the caller; may be empty.
 };
 
 // --- upstreams
--- a/src/libs/kernel/Kernel.cpp
+++ b/src/libs/kernel/Kernel.cpp
@@ -48,7 +48,8 @@
   for (const auto &Each : this->Plugins)
     Each->checkInvariants(this->Monitor, Now);
   for (const std::string &Broken : this->Monitor.takeBroken()) {
-    Out.log(logEvent(events::InvariantBroken).with("invariant", Broken).build());
+    Out.log(
+        logEvent(events::InvariantBroken).with("invariant", Broken).build());
     Out.count("invariants_broken", Broken);
   }
 }
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -61,7 +61,7 @@
 struct TeamUsage {
   struct Item {
     TeamId Team;
-    double ServiceTokens = 0; ///< Work done for the team, in token units.
+    double ServiceTokens = 0;  ///< Work done for the team, in token units.
     double DemandRequests = 0; ///< Requests a second asked for.
     double DemandTokens = 0;   ///< Tokens a second asked for.
     std::uint32_t Concurrent = 0;
@@ -78,7 +78,7 @@
 struct LimitShare {
   TeamId Team;
   std::uint64_t Transfer = 0; ///< Counts the transfers of the sender's life.
-  double Fraction = 0; ///< Share of the whole limit that moves.
+  double Fraction = 0;        ///< Share of the whole limit that moves.
   Time ValidFrom{};
 
   bool operator==(const LimitShare &) const = default;
--- a/src/libs/kernel/Request.h
+++ b/src/libs/kernel/Request.h
@@ -18,11 +18,14 @@
 
 namespace banyanpick {
 
+/// Prompt tokens that one BlockHash stands for.
+inline constexpr std::uint64_t PromptBlockTokens = 1024;
+
 /// What a caller sent, measured by the traffic thread. The content itself
 /// stays with the traffic thread.
 struct RequestHead {
   RequestId Id;
-  std::string TeamKey;     ///< `team.secret`; never logged.
+  std::string TeamKey; ///< `team.secret`; never logged.
   ClassId Class;
   std::uint64_t PromptTokens = 0;
   std::uint64_t MaxOutputTokens = 0; ///< 0: as many as the class allows.
@@ -43,8 +46,8 @@
   ClassEntry Class;
   double TeamWeight = 1.0;
   Time ArrivedAt{};
-  Time FirstTokenBy{}; ///< Promise for the first token.
-  Time Deadline{};     ///< Promise for the whole answer.
+  Time FirstTokenBy{};            ///< Promise for the first token.
+  Time Deadline{};                ///< Promise for the whole answer.
   std::uint64_t OutputTokens = 0; ///< Bound on the answer.
 
   const RequestId &id() const { return this->Head.Id; }
@@ -60,8 +63,13 @@
 
 /// The upstream said that it refused before starting.
 struct AttemptRefused {
-  enum class Why { Busy, Leaving, NoModel, NoMemory, Other } Reason =
-      Why::Other;
+  enum class Why {
+    Busy,
+    Leaving,
+    NoModel,
+    NoMemory,
+    Other
+  } Reason = Why::Other;
 
   bool operator==(const AttemptRefused &) const = default;
 };
@@ -98,11 +106,11 @@
   UpstreamId Upstream;
   Incarnation UpstreamLife;
   Time SentAt{};
-  std::uint64_t StartIndex = 0;    ///< Chunk it starts at.
-  std::uint64_t NextIndex = 0;     ///< Chunk expected next.
+  std::uint64_t StartIndex = 0;     ///< Chunk it starts at.
+  std::uint64_t NextIndex = 0;      ///< Chunk expected next.
   std::uint64_t UncachedTokens = 0; ///< Prefill expected.
   std::uint32_t Priority = 0;
-  std::vector<UpstreamId> Group;   ///< Engines holding memory beside it.
+  std::vector<UpstreamId> Group; ///< Engines holding memory beside it.
 };
 
 /// What keeps an upstream from being chosen for this try.
@@ -114,16 +122,16 @@
 /// The upstream chosen, with why.
 struct Selected {
   UpstreamId Upstream;
-  std::uint32_t Priority = 0;       ///< Engine priority; higher goes first.
+  std::uint32_t Priority = 0; ///< Engine priority; higher goes first.
   std::uint64_t UncachedTokens = 0;
-  Duration PredictedFirstToken{};   ///< From now.
-  std::vector<UpstreamId> Group;    ///< More engines that must hold memory.
+  Duration PredictedFirstToken{};    ///< From now.
+  std::vector<UpstreamId> Group;     ///< More engines that must hold memory.
   std::uint64_t GroupTokensEach = 0; ///< Memory each of them must hold.
 };
 
 /// Nothing can take it now; it waits, or is refused.
 struct NothingFits {
-  bool Ever = false;   ///< true: nothing that lives could ever take it.
+  bool Ever = false;     ///< true: nothing that lives could ever take it.
   Duration RetryAfter{}; ///< When to look again.
 };
 
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -54,8 +54,7 @@
 class MembershipObserver {
 public:
   virtual ~MembershipObserver() = default;
-  virtual void memberChanged(const Member &Changed, Time Now,
-                             Actions &Out) = 0;
+  virtual void memberChanged(const Member &Changed, Time Now, Actions &Out) = 0;
 };
 
 enum class UpstreamState { Unknown, Live, Leaving, Dead };
@@ -64,14 +63,14 @@
 struct Upstream {
   UpstreamListing Listing;
   UpstreamState State = UpstreamState::Unknown;
-  LoadReport Report;       ///< The last; empty Id when none came.
-  Time ReportAt{};         ///< When the last report was taken in.
+  LoadReport Report; ///< The last; empty Id when none came.
+  Time ReportAt{};   ///< When the last report was taken in.
   /// Work this host sent that the last report may not show yet.
   std::uint64_t UnreportedPrefillTokens = 0;
   std::uint32_t OutstandingHere = 0; ///< Attempts of this host running there.
   std::uint64_t OutstandingTokensHere = 0; ///< Prompt and output bounds.
-  std::uint64_t PeerPrefillTokens = 0; ///< What peers say they sent lately.
-  std::uint32_t PeerRequests = 0;      ///< Attempts of peers running there.
+  std::uint64_t PeerPrefillTokens = 0;     ///< What peers say they sent lately.
+  std::uint32_t PeerRequests = 0;          ///< Attempts of peers running there.
 };
 
 /// Who the upstreams are and how they are doing.
--- a/src/libs/kernel/Upstream.h
+++ b/src/libs/kernel/Upstream.h
@@ -29,8 +29,8 @@
   UpstreamKind Kind = UpstreamKind::Engine;
   Address At;
   ZoneId Zone;
-  std::string Application;      ///< Service name, when an application engine.
-  bool ChecksFencing = false;   ///< Refuses orders with an old fencing number.
+  std::string Application;    ///< Service name, when an application engine.
+  bool ChecksFencing = false; ///< Refuses orders with an old fencing number.
   bool Leaving = false;
 
   bool operator==(const UpstreamListing &) const = default;
@@ -52,11 +52,11 @@
 /// Memory an engine holds for somebody, as the engine reports it.
 struct HoldReport {
   HoldKind Kind = HoldKind::Stream;
-  std::uint64_t OwnerLife = 0;  ///< Incarnation of the entry host.
-  std::uint64_t Sequence = 0;   ///< With OwnerLife: AttemptId or HoldId.
-  std::string OwnerHost;        ///< Name of the entry host.
-  std::uint64_t Tokens = 0;     ///< Memory taken, in tokens.
-  Time Deadline{};              ///< When the owner itself wanted it gone.
+  std::uint64_t OwnerLife = 0; ///< Incarnation of the entry host.
+  std::uint64_t Sequence = 0;  ///< With OwnerLife: AttemptId or HoldId.
+  std::string OwnerHost;       ///< Name of the entry host.
+  std::uint64_t Tokens = 0;    ///< Memory taken, in tokens.
+  Time Deadline{};             ///< When the owner itself wanted it gone.
 
   bool operator==(const HoldReport &) const = default;
 };
@@ -67,15 +67,15 @@
   Incarnation Life;
   Time MeasuredAt{};
   bool Leaving = false;
-  std::uint32_t Running = 0;               ///< Requests in the batch.
-  std::uint32_t Queued = 0;                ///< Requests waiting.
-  std::uint64_t QueuedPrefillTokens = 0;   ///< Prefill still to do.
-  std::uint64_t MemoryTokens = 0;          ///< KV memory in all.
-  std::uint64_t FreeMemoryTokens = 0;      ///< Not held by anything running.
-  double PrefillTokensPerSecond = 0;       ///< Measured by the engine.
-  double DecodeTokensPerSecond = 0;        ///< Per running request, measured.
-  LogOffset HighestFencing = 0;            ///< Highest order number seen.
-  std::vector<ModelId> Models;             ///< Loaded now.
+  std::uint32_t Running = 0;             ///< Requests in the batch.
+  std::uint32_t Queued = 0;              ///< Requests waiting.
+  std::uint64_t QueuedPrefillTokens = 0; ///< Prefill still to do.
+  std::uint64_t MemoryTokens = 0;        ///< KV memory in all.
+  std::uint64_t FreeMemoryTokens = 0;    ///< Not held by anything running.
+  double PrefillTokensPerSecond = 0;     ///< Measured by the engine.
+  double DecodeTokensPerSecond = 0;      ///< Per running request, measured.
+  LogOffset HighestFencing = 0;          ///< Highest order number seen.
+  std::vector<ModelId> Models;           ///< Loaded now.
   std::vector<HoldReport> Holds;
 
   bool operator==(const LoadReport &) const = default;
--- a/src/libs/settings/SettingValue.cpp
+++ b/src/libs/settings/SettingValue.cpp
@@ -16,11 +16,8 @@
   double Factor;
 };
 
-constexpr std::array<Unit, 5> SpanUnits{{{"us", 1},
-                                         {"ms", 1e3},
-                                         {"s", 1e6},
-                                         {"min", 60e6},
-                                         {"h", 3600e6}}};
+constexpr std::array<Unit, 5> SpanUnits{
+    {{"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"min", 60e6}, {"h", 3600e6}}};
 constexpr std::array<Unit, 4> SizeUnits{
     {{"", 1}, {"KB", 1024}, {"MB", 1024 * 1024}, {"GB", 1024.0 * 1024 * 1024}}};
 
@@ -48,9 +45,9 @@
   const char *End = Text.data() + Text.size();
   const auto [Rest, Failure] =
       std::from_chars(Text.data() + Colon + 1, End, Port);
-  const bool IpNumber = Text.substr(0, Colon).find_first_not_of(
-                            "0123456789abcdefABCDEF.:[]") ==
-                        std::string_view::npos;
+  const bool IpNumber =
+      Text.substr(0, Colon).find_first_not_of("0123456789abcdefABCDEF.:[]") ==
+      std::string_view::npos;
   return Failure == std::errc() && Rest == End && Port <= 65535 && IpNumber;
 }
 
--- a/src/libs/settings/Settings.cpp
+++ b/src/libs/settings/Settings.cpp
@@ -25,23 +25,20 @@
 
   void take(const IniValue &Given) {
     if (!this->Seen.insert({Given.Section, Given.Key}).second) {
-      this->Problems.push_back(
-          {Given.Line, Given.Section, Given.Key,
-           "is given twice; remove one of the two lines"});
+      this->Problems.push_back({Given.Line, Given.Section, Given.Key,
+                                "is given twice; remove one of the two lines"});
       return;
     }
     const std::string Problem =
         this->Values.set(Given.Section, Given.Key, Given.Value);
     if (!Problem.empty())
-      this->Problems.push_back(
-          {Given.Line, Given.Section, Given.Key, Problem});
+      this->Problems.push_back({Given.Line, Given.Section, Given.Key, Problem});
   }
 };
 
 } // namespace
 
-Settings
-Settings::defaults(std::span<const SettingDeclaration> Declarations) {
+Settings Settings::defaults(std::span<const SettingDeclaration> Declarations) {
   Settings Result;
   Result.Declared.assign(Declarations.begin(), Declarations.end());
   for (const SettingDeclaration &Each : Declarations)
