Add the life cycle of requests

Cause: a request must come from arrival over admission, claim, queue and tries to exactly one final answer. Ruled out: one large class; the parts (reception, dispatch, ends of tries, ends of requests) are apart and share a table. Change: plug-in requests; AdmissionGate::reconsider ends at once what waits and can't keep its promise any more.

--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -102,6 +102,11 @@
 public:
   virtual ~AdmissionGate() = default;
   virtual std::optional<NotRun> check(const Request &Asked, Time Now) = 0;
+  /// Asked again while an admitted request waits and has not started: a
+  /// refusal ends it at once.
+  virtual std::optional<NotRun> reconsider(const Request &, Time) {
+    return std::nullopt;
+  }
 };
 
 /// Told of each step in the life of admitted requests.
@@ -261,6 +266,10 @@
   virtual const Attempt *attemptOf(const RequestId &Id) const = 0;
   /// The request an attempt of this host belongs to while it is live, or null.
   virtual const Request *owner(const AttemptId &Id) const = 0;
+  /// The resume token of a streamed request; empty when it has none.
+  virtual std::string resumeToken(const RequestId &Id) const = 0;
+  /// The first chunk not yet known to be delivered.
+  virtual std::uint64_t nextIndex(const RequestId &Id) const = 0;
   /// Ends the request here without an answer or a cancel: a peer serves it.
   virtual void handOver(const RequestId &Id, const Address &To, Time Now,
                         Actions &Out) = 0;
--- /dev/null
+++ b/src/plugins/requests/AttemptEnding.h
@@ -0,0 +1,36 @@
+/// \file
+/// What follows from the end of a try: the answer, another try, or giving up.
+#pragma once
+
+#include "plugins/requests/Dispatcher.h"
+
+namespace banyanpick {
+
+class AttemptEnding {
+public:
+  AttemptEnding(RequestServices &Uses, RunningRequests &Table,
+                RequestEnding &Ending, Dispatcher &Dispatching)
+      : Uses(Uses), Table(Table), Ending(Ending), Dispatching(Dispatching) {}
+
+  /// Tries that are not live (late, cancelled, another life's) are counted
+  /// and ignored.
+  void progressed(const AttemptProgressed &Progress, Time Now, Actions &Out);
+  void ended(const AttemptEnded &End, Time Now, Actions &Out);
+
+private:
+  void complete(RunningRequest &Of, const AttemptComplete &End, Time Now,
+                Actions &Out);
+  void notStarted(RunningRequest &Of, bool FirstTry, Time Now, Actions &Out);
+  void broken(RunningRequest &Of, Time Now, Actions &Out);
+  void failed(RunningRequest &Of, const AttemptFailed &End, Time Now,
+              Actions &Out);
+  void retryOrGiveUp(RunningRequest &Of, std::string_view Why, Time Now,
+                     Actions &Out);
+
+  RequestServices &Uses;
+  RunningRequests &Table;
+  RequestEnding &Ending;
+  Dispatcher &Dispatching;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/requests/Dispatcher.h
@@ -0,0 +1,52 @@
+/// \file
+/// Takes waiting requests to upstreams.
+#pragma once
+
+#include "plugins/requests/RequestEnding.h"
+
+namespace banyanpick {
+
+class Dispatcher {
+public:
+  Dispatcher(RequestServices &Uses, RunningRequests &Table,
+             RequestEnding &Ending)
+      : Uses(Uses), Table(Table), Ending(Ending) {}
+
+  /// Puts the request in the queue; it is tried by the next sweep.
+  void enqueue(RunningRequest &Of, Time Now);
+
+  /// Tries waiting requests, those most entitled first, and ends those that
+  /// can't keep their promise any more.
+  void sweep(Time Now, Actions &Out);
+
+  /// The group of engines for a request was decided; \p Holds is empty when
+  /// it could not be had.
+  void groupDecided(const RequestId &Id, std::span<const HoldId> Holds,
+                    Time Now, Actions &Out);
+
+  /// Attaches to the running attempt of a stream that a peer handed over.
+  void attach(RunningRequest &Of, const StreamHandover &Stream, Time Now,
+              Actions &Out);
+
+  /// When the next sweep is due at the latest.
+  Time nextSweep() const;
+
+private:
+  void tryOne(RunningRequest &Of, Time Now, Actions &Out);
+  void takeSelected(RunningRequest &Of, const Selected &Choice, Time Now,
+                    Actions &Out);
+  void keepWaiting(RunningRequest &Of, const NothingFits &Reason, Time Now,
+                   Actions &Out);
+  void dispatch(RunningRequest &Of, const Selected &Choice,
+                std::span<const HoldId> Holds, Time Now, Actions &Out);
+  void start(RunningRequest &Of, Attempt Try, DispatchAttempt Wanted, Time Now,
+             Actions &Out);
+
+  RequestServices &Uses;
+  RunningRequests &Table;
+  RequestEnding &Ending;
+  std::uint64_t AttemptsMade = 0;
+  Time SweptAt{};
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/requests/Reception.h
@@ -0,0 +1,37 @@
+/// \file
+/// Takes in requests, callers that come back, and streams of peers.
+#pragma once
+
+#include "plugins/requests/Dispatcher.h"
+
+namespace banyanpick {
+
+class Reception {
+public:
+  Reception(RequestServices &Uses, RunningRequests &Table,
+            RequestEnding &Ending, Dispatcher &Dispatching);
+
+  /// Admits the request or answers it with a refusal at once.
+  void arrived(const RequestArrived &Arrival, Time Now, Actions &Out);
+  /// A stream waits for its caller for a while; everything else is given up,
+  /// but for a non-idempotent call that may have started.
+  void callerGone(const CallerGone &Gone, Time Now, Actions &Out);
+  void resumeAsked(const ResumeAsked &Asked, Time Now, Actions &Out);
+  /// Serves a peer's stream from its running attempt.
+  void adopt(const StreamHandover &Stream, Time Now, Actions &Out);
+
+private:
+  std::optional<NotRun> refusalOf(const Request &Asked, Time Now);
+  void admit(Request Asked, Time Now, Actions &Out);
+  std::string makeResumeToken();
+
+  RequestServices &Uses;
+  RunningRequests &Table;
+  RequestEnding &Ending;
+  Dispatcher &Dispatching;
+  std::string TokenSecret;
+  std::uint64_t TokensMade = 0;
+  std::uint64_t Adoptions = 0;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/requests/RequestEnding.cpp
@@ -0,0 +1,117 @@
+#include "plugins/requests/RequestEnding.h"
+
+#include "base/EventNumbers.h"
+#include "base/Visitor.h"
+
+namespace banyanpick {
+
+namespace {
+
+constexpr std::string_view ReadTheOutcome =
+    "ask the service itself; the operation is never run again";
+
+/// The answer to a request that is given up now: as much as is known of
+/// whether it ran.
+FinalAnswer answerWhenGivenUp(const RunningRequest &Of, std::string_view Why,
+                              Duration ComeBackAfter) {
+  if (!Of.MayHaveRun)
+    return NotRun{RefusalReason::Overloaded, ComeBackAfter,
+                  std::string(Why) + "; ask again after the time given"};
+  if (Of.Asked.Class.Idempotent)
+    return FailedAnswer{std::string(Why) + "; ask again after the time given",
+                        ComeBackAfter};
+  return OutcomeUnknown{std::string(Why) + "; " + std::string(ReadTheOutcome),
+                        ComeBackAfter};
+}
+
+} // namespace
+
+std::string_view kindName(const FinalAnswer &Answer) {
+  return match(
+      Answer, [](const WholeAnswer &) { return "whole"; },
+      [](const NotRun &) { return "not-run"; },
+      [](const FailedAnswer &) { return "failed"; },
+      [](const OutcomeUnknown &) { return "outcome-unknown"; },
+      [](const InProgress &) { return "in-progress"; });
+}
+
+void RequestEnding::refuse(const RequestId &Id, const ClassId &Class,
+                           const NotRun &Refusal, Actions &Out) const {
+  Out.add(AnswerRequest{Id, Refusal});
+  Out.count("requests_refused", name(Refusal.Reason));
+  Out.log(logEvent(events::RequestRefused)
+              .with("request", Id.Value)
+              .with("class", Class.Value)
+              .with("reason", name(Refusal.Reason))
+              .with("come_back_after_us", Refusal.ComeBackAfter.count())
+              .build());
+}
+
+void RequestEnding::conclude(const RequestId &Id, const FinalAnswer &Answer,
+                             Time Now, Actions &Out) {
+  const RunningRequest *Found = this->Table.find(Id);
+  if (!Found)
+    return;
+  const RunningRequest Ended = *Found;
+  this->Uses.Queue.remove(Id);
+  this->cancelRunning(Ended, Now, Out);
+  this->Uses.Groups.release(Id, Now, Out);
+  this->Table.remove(Id);
+  Out.add(AnswerRequest{Id, Answer});
+  Out.count("requests_ended", kindName(Answer));
+  Out.log(logEvent(events::RequestEnded)
+              .with("request", Id.Value)
+              .with("team", Ended.Asked.Team.Value)
+              .with("class", Ended.Asked.Head.Class.Value)
+              .with("answer", kindName(Answer))
+              .with("tries", Ended.Tries)
+              .with("took_us", (Now - Ended.Asked.ArrivedAt).count())
+              .build());
+  this->notifyEnded(Ended.Asked, Answer, Now, Out);
+}
+
+void RequestEnding::giveUp(const RequestId &Id, std::string_view Why, Time Now,
+                           Actions &Out) {
+  const RunningRequest *Found = this->Table.find(Id);
+  if (!Found)
+    return;
+  const bool Claimed = !Found->Asked.Class.Idempotent;
+  if (Claimed && Found->MayHaveRun)
+    this->Uses.Claims.finish(Found->Asked, OutcomeRecord::Kind::Unknown, "",
+                             Now, Out);
+  else if (Claimed)
+    this->Uses.Claims.abandon(Found->Asked, Now, Out);
+  this->conclude(Id, answerWhenGivenUp(*Found, Why, this->Uses.comeBackAfter()),
+                 Now, Out);
+}
+
+void RequestEnding::release(const RequestId &Id, Time Now, Actions &Out) {
+  const RunningRequest *Found = this->Table.find(Id);
+  if (!Found)
+    return;
+  const Request Asked = Found->Asked;
+  this->Uses.Queue.remove(Id);
+  this->Table.remove(Id);
+  this->notifyEnded(Asked, FailedAnswer{"handed over to a peer", {}}, Now, Out);
+}
+
+void RequestEnding::notifyEnded(const Request &Asked, const FinalAnswer &Answer,
+                                Time Now, Actions &Out) {
+  for (RequestObserver *Each : this->Uses.Observers.all())
+    Each->ended(Asked, Answer, Now, Out);
+}
+
+void RequestEnding::cancelRunning(const RunningRequest &Of, Time Now,
+                                  Actions &Out) {
+  const Attempt *Running = Of.attempt();
+  if (!Running)
+    return;
+  this->Uses.Canceller.cancel(Running->Id, Running->Upstream, Of.Asked.Deadline,
+                              Now, Out);
+  // The observers' books are closed as if the try had been cut here.
+  for (RequestObserver *Each : this->Uses.Observers.all())
+    Each->attemptEnded(Of.Asked, *Running, AttemptBroken{Of.NextIndex, false},
+                       Now, Out);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/requests/RequestsPlugin.cpp
@@ -0,0 +1,134 @@
+#include "plugins/requests/RequestsPlugin.h"
+
+#include "base/Visitor.h"
+#include "kernel/PluginRegistry.h"
+
+namespace banyanpick {
+
+namespace {
+
+const PluginRegistration
+    Registration({"requests",
+                  {"catalogue", "claims", "fairness", "fleet", "groups",
+                   "quarantine", "reclaim", "retry", "routing"},
+                  RequestsSettings::declarations,
+                  []() -> std::unique_ptr<Plugin> {
+                    return std::make_unique<RequestsPlugin>();
+                  }});
+
+} // namespace
+
+void RequestsPlugin::initialize(PluginContext &Context) {
+  this->Uses = std::make_unique<RequestServices>(Context);
+  this->Ending = std::make_unique<RequestEnding>(*this->Uses, this->Table);
+  this->Dispatching =
+      std::make_unique<Dispatcher>(*this->Uses, this->Table, *this->Ending);
+  this->Attempts = std::make_unique<AttemptEnding>(
+      *this->Uses, this->Table, *this->Ending, *this->Dispatching);
+  this->Receiving = std::make_unique<Reception>(
+      *this->Uses, this->Table, *this->Ending, *this->Dispatching);
+  Context.services().provide<RequestTable>(*this);
+  Context.services().list<ClaimObserver>().add(*this);
+  Context.services().list<GroupObserver>().add(*this);
+}
+
+void RequestsPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  this->endDue(Now, Out);
+  match(
+      What,
+      [&](const RequestArrived &Is) { this->Receiving->arrived(Is, Now, Out); },
+      [&](const CallerGone &Is) { this->Receiving->callerGone(Is, Now, Out); },
+      [&](const ResumeAsked &Is) {
+        this->Receiving->resumeAsked(Is, Now, Out);
+      },
+      [&](const AttemptProgressed &Is) {
+        this->Attempts->progressed(Is, Now, Out);
+      },
+      [&](const AttemptEnded &Is) { this->Attempts->ended(Is, Now, Out); },
+      [](const auto &) {});
+  // Arrivals are tried at once; whatever else changed is seen by the sweep
+  // that comes soon after, so that a burst of reports costs one sweep.
+  const bool Freed = std::holds_alternative<RequestArrived>(What) ||
+                     std::holds_alternative<AttemptEnded>(What) ||
+                     std::holds_alternative<LogRead>(What);
+  if (this->Uses->Queue.size() != 0 &&
+      (Freed || Now >= this->Dispatching->nextSweep()))
+    this->Dispatching->sweep(Now, Out);
+}
+
+Time RequestsPlugin::nextWake() const {
+  return std::min(this->Table.nextDue(), this->Dispatching->nextSweep());
+}
+
+void RequestsPlugin::checkInvariants(InvariantMonitor &Monitor,
+                                     Time Now) const {
+  Monitor.require(this->Table.nextDue() > Now,
+                  "no admitted request outlives its deadline");
+}
+
+const Request *RequestsPlugin::find(const RequestId &Id) const {
+  const RunningRequest *Found = this->Table.find(Id);
+  return Found ? &Found->Asked : nullptr;
+}
+
+const Attempt *RequestsPlugin::attemptOf(const RequestId &Id) const {
+  const RunningRequest *Found = this->Table.find(Id);
+  return Found ? Found->attempt() : nullptr;
+}
+
+const Request *RequestsPlugin::owner(const AttemptId &Id) const {
+  const RunningRequest *Found = this->Table.findByAttempt(Id);
+  return Found ? &Found->Asked : nullptr;
+}
+
+std::string RequestsPlugin::resumeToken(const RequestId &Id) const {
+  const RunningRequest *Found = this->Table.find(Id);
+  return Found ? Found->ResumeToken : std::string();
+}
+
+std::uint64_t RequestsPlugin::nextIndex(const RequestId &Id) const {
+  const RunningRequest *Found = this->Table.find(Id);
+  return Found ? Found->NextIndex : 0;
+}
+
+void RequestsPlugin::handOver(const RequestId &Id, const Address &To, Time Now,
+                              Actions &Out) {
+  const RunningRequest *Found = this->Table.find(Id);
+  if (!Found)
+    return;
+  Out.add(RedirectCaller{Id, To, Found->ResumeToken});
+  Out.count("streams_handed_over");
+  this->Ending->release(Id, Now, Out);
+}
+
+void RequestsPlugin::adopt(const StreamHandover &Stream, Time Now,
+                           Actions &Out) {
+  this->Receiving->adopt(Stream, Now, Out);
+}
+
+void RequestsPlugin::claimDecided(const RequestId &Id,
+                                  const ClaimVerdict &Verdict, Time Now,
+                                  Actions &Out) {
+  RunningRequest *Found = this->Table.find(Id);
+  if (!Found || !std::holds_alternative<AwaitingClaim>(Found->Phase))
+    return;
+  match(
+      Verdict,
+      [&](const ClaimGranted &) { this->Dispatching->enqueue(*Found, Now); },
+      [&](const ClaimDenied &Denied) {
+        this->Ending->conclude(Id, Denied.Answer, Now, Out);
+      });
+}
+
+void RequestsPlugin::groupDecided(const RequestId &Id,
+                                  std::span<const HoldId> Holds, Time Now,
+                                  Actions &Out) {
+  this->Dispatching->groupDecided(Id, Holds, Now, Out);
+}
+
+void RequestsPlugin::endDue(Time Now, Actions &Out) {
+  for (const RequestId &Id : this->Table.due(Now))
+    this->Ending->giveUp(Id, "its promised time is over", Now, Out);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/requests/RunningRequests.cpp
@@ -0,0 +1,103 @@
+#include "plugins/requests/RunningRequests.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// When the request ends at the latest.
+Time limitOf(const RunningRequest &Of) {
+  return std::min(Of.Asked.Deadline, Of.AbandonedAt.value_or(Never));
+}
+
+} // namespace
+
+RunningRequest &RunningRequests::add(RunningRequest Admitted) {
+  const RequestId Id = Admitted.Asked.id();
+  this->Limits.emplace(limitOf(Admitted), Id);
+  if (!Admitted.ResumeToken.empty())
+    this->Tokens.emplace(Admitted.ResumeToken, Id);
+  return this->Requests.emplace(Id, std::move(Admitted)).first->second;
+}
+
+void RunningRequests::remove(const RequestId &Id) {
+  const auto Found = this->Requests.find(Id);
+  if (Found == this->Requests.end())
+    return;
+  RunningRequest &Removed = Found->second;
+  if (const Attempt *Running = Removed.attempt())
+    this->Attempts.erase(Running->Id);
+  this->Tokens.erase(Removed.ResumeToken);
+  this->Limits.erase({limitOf(Removed), Id});
+  this->Requests.erase(Found);
+}
+
+RunningRequest *RunningRequests::find(const RequestId &Id) {
+  const auto Found = this->Requests.find(Id);
+  return Found == this->Requests.end() ? nullptr : &Found->second;
+}
+
+const RunningRequest *RunningRequests::find(const RequestId &Id) const {
+  const auto Found = this->Requests.find(Id);
+  return Found == this->Requests.end() ? nullptr : &Found->second;
+}
+
+RunningRequest *RunningRequests::findByAttempt(const AttemptId &Id) {
+  const auto Found = this->Attempts.find(Id);
+  return Found == this->Attempts.end() ? nullptr : this->find(Found->second);
+}
+
+const RunningRequest *
+RunningRequests::findByAttempt(const AttemptId &Id) const {
+  const auto Found = this->Attempts.find(Id);
+  return Found == this->Attempts.end() ? nullptr : this->find(Found->second);
+}
+
+RunningRequest *RunningRequests::findByToken(const std::string &ResumeToken) {
+  const auto Found = this->Tokens.find(ResumeToken);
+  return Found == this->Tokens.end() ? nullptr : this->find(Found->second);
+}
+
+void RunningRequests::setAttempt(RunningRequest &Of, Attempt Started) {
+  const AttemptId Id = Started.Id;
+  this->setPhase(Of, OnUpstream{std::move(Started)});
+  this->Attempts.emplace(Id, Of.Asked.id());
+}
+
+void RunningRequests::setPhase(RunningRequest &Of, RequestPhase Phase) {
+  if (const Attempt *Running = Of.attempt())
+    this->Attempts.erase(Running->Id);
+  Of.Phase = std::move(Phase);
+}
+
+void RunningRequests::setAbandonedAt(RunningRequest &Of,
+                                     std::optional<Time> When) {
+  this->Limits.erase({limitOf(Of), Of.Asked.id()});
+  Of.AbandonedAt = When;
+  this->Limits.emplace(limitOf(Of), Of.Asked.id());
+}
+
+std::vector<RequestId> RunningRequests::due(Time Now) const {
+  std::vector<RequestId> Result;
+  for (const auto &[When, Id] : this->Limits) {
+    if (When > Now)
+      break;
+    Result.push_back(Id);
+  }
+  return Result;
+}
+
+Time RunningRequests::nextDue() const {
+  return this->Limits.empty() ? Never : this->Limits.begin()->first;
+}
+
+std::vector<RequestId> RunningRequests::ids() const {
+  std::vector<RequestId> Result;
+  Result.reserve(this->Requests.size());
+  for (const auto &[Id, Running] : this->Requests)
+    Result.push_back(Id);
+  return Result;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/requests/RunningRequests.h
@@ -0,0 +1,51 @@
+/// \file
+/// All admitted requests of this host, found by id, attempt, resume token and
+/// time limit.
+#pragma once
+
+#include "plugins/requests/RunningRequest.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace banyanpick {
+
+class RunningRequests {
+public:
+  /// References stay valid until the request is removed.
+  RunningRequest &add(RunningRequest Admitted);
+  void remove(const RequestId &Id);
+
+  RunningRequest *find(const RequestId &Id);
+  const RunningRequest *find(const RequestId &Id) const;
+  RunningRequest *findByAttempt(const AttemptId &Id);
+  const RunningRequest *findByAttempt(const AttemptId &Id) const;
+  RunningRequest *findByToken(const std::string &ResumeToken);
+
+  /// The request now runs as this attempt; forgets an earlier one.
+  void setAttempt(RunningRequest &Of, Attempt Started);
+  /// The request runs nowhere and is in this phase.
+  void setPhase(RunningRequest &Of, RequestPhase Phase);
+  /// Nobody is connected; gives up at \p When. Nothing: somebody is.
+  void setAbandonedAt(RunningRequest &Of, std::optional<Time> When);
+
+  /// The requests whose deadline or abandonment has come, earliest first.
+  std::vector<RequestId> due(Time Now) const;
+  /// The earliest deadline or abandonment.
+  Time nextDue() const;
+
+  std::size_t size() const { return this->Requests.size(); }
+  std::vector<RequestId> ids() const;
+
+private:
+  using Limit = std::pair<Time, RequestId>;
+
+  std::map<RequestId, RunningRequest> Requests;
+  std::unordered_map<AttemptId, RequestId> Attempts;
+  std::unordered_map<std::string, RequestId> Tokens;
+  std::set<Limit> Limits;
+};
+
+} // namespace banyanpick
