--- a/src/plugins/requests/Dispatcher.cpp
+++ b/src/plugins/requests/Dispatcher.cpp
@@ -62,7 +62,7 @@
   }
   if (Reason.Ever) {
     this->Ending.giveUp(Of.Asked.id(), "no upstream that lives can take it",
-                        Now, Out);
+                        Now, Out, RefusalReason::NoUpstream);
     return;
   }
   if (Of.MayHaveRun)
--- a/src/plugins/requests/RequestEnding.cpp
+++ b/src/plugins/requests/RequestEnding.cpp
@@ -13,9 +13,9 @@
 /// The answer to a request that is given up now: as much as is known of
 /// whether it ran.
 FinalAnswer answerWhenGivenUp(const RunningRequest &Of, std::string_view Why,
-                              Duration ComeBackAfter) {
+                              RefusalReason Reason, Duration ComeBackAfter) {
   if (!Of.MayHaveRun)
-    return NotRun{RefusalReason::Overloaded, ComeBackAfter,
+    return NotRun{Reason, ComeBackAfter,
                   std::string(Why) + "; ask again after the time given"};
   if (Of.Asked.Class.Idempotent)
     return FailedAnswer{std::string(Why) + "; ask again after the time given",
@@ -71,7 +71,7 @@
 }
 
 void RequestEnding::giveUp(const RequestId &Id, std::string_view Why, Time Now,
-                           Actions &Out) {
+                           Actions &Out, RefusalReason Reason) {
   const RunningRequest *Found = this->Table.find(Id);
   if (!Found)
     return;
@@ -81,8 +81,9 @@
                              Now, Out);
   else if (Claimed)
     this->Uses.Claims.abandon(Found->Asked, Now, Out);
-  this->conclude(Id, answerWhenGivenUp(*Found, Why, this->Uses.comeBackAfter()),
-                 Now, Out);
+  this->conclude(
+      Id, answerWhenGivenUp(*Found, Why, Reason, this->Uses.comeBackAfter()),
+      Now, Out);
 }
 
 void RequestEnding::release(const RequestId &Id, Time Now, Actions &Out) {
--- a/src/plugins/requests/RequestEnding.h
+++ b/src/plugins/requests/RequestEnding.h
@@ -22,8 +22,9 @@
                 Actions &Out);
 
   /// Ends a request whose time is over, or whose caller is gone for good.
-  void giveUp(const RequestId &Id, std::string_view Why, Time Now,
-              Actions &Out);
+  /// \p Reason is told when it surely did not run.
+  void giveUp(const RequestId &Id, std::string_view Why, Time Now, Actions &Out,
+              RefusalReason Reason = RefusalReason::Overloaded);
 
   /// Forgets a request that a peer serves from here on; nothing is cancelled.
   void release(const RequestId &Id, Time Now, Actions &Out);
