--- /dev/null
+++ b/tests/auto/fakes/EngineModelTest.cpp
@@ -0,0 +1,115 @@
+/// \file
+/// The modelled engine keeps its promises: whole answers in order, priorities,
+/// bounded memory that always comes back, and fencing.
+#include "fakes/EngineModel.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace banyanpick {
+namespace {
+
+constexpr Time Start = Time(seconds(1000));
+
+EngineJob job(std::uint64_t Sequence, std::uint64_t Prompt,
+              std::uint64_t Output, std::uint32_t Priority = 0) {
+  EngineJob Job;
+  Job.Attempt = AttemptId{Incarnation(7), Sequence};
+  Job.Owner = "host-1";
+  Job.PromptTokens = Prompt;
+  Job.OutputTokens = Output;
+  Job.Priority = Priority;
+  return Job;
+}
+
+/// The moment at which each attempt gave its first chunk.
+std::map<std::uint64_t, Time> firstChunks(EngineModel &Engine) {
+  std::map<std::uint64_t, Time> Firsts;
+  while (Engine.nextStep() != Never) {
+    const Time Step = Engine.nextStep();
+    for (const EngineModel::Output &Each : Engine.advance(Step))
+      Firsts.emplace(Each.Attempt.Sequence, Step);
+  }
+  return Firsts;
+}
+
+TEST(EngineModel, PrefillsAtItsSpeedAndUrgentWorkOvertakes) {
+  EngineModel Engine({});
+  Engine.submit(job(1, 200'000, 1), Start);
+  Engine.submit(job(2, 1'000, 1, 9), Start);
+  const auto Firsts = firstChunks(Engine);
+  // The urgent one waits for the chunk that was running already.
+  EXPECT_LT(inSeconds(Firsts.at(2) - Start), 0.1);
+  EXPECT_NEAR(inSeconds(Firsts.at(1) - Start), 4.02, 0.01);
+}
+
+TEST(EngineModel, SkipsCachedPrefixAndPublishesLate) {
+  EngineModel Engine({});
+  EngineJob First = job(1, 4096, 1);
+  First.Blocks = {11, 12, 13, 14};
+  Engine.submit(First, Start);
+  const Time Done = firstChunks(Engine).at(1);
+  EXPECT_TRUE(Engine.cacheEventsAfter(0, Done).empty());
+  EXPECT_EQ(Engine.cacheEventsAfter(0, Done + seconds(1)).size(), 4U);
+  First.Attempt.Sequence = 2;
+  Engine.submit(First, Done);
+  firstChunks(Engine);
+  EXPECT_EQ(Engine.prefilledTokens(), 4097U);
+}
+
+TEST(EngineModel, RefusesOldFencingOnlyWhenItChecks) {
+  EngineModel Checking({});
+  EXPECT_EQ(Checking.order(5, LoadModel{}), OrderResult::Accepted);
+  EXPECT_EQ(Checking.order(4, LoadModel{}), OrderResult::RefusedFencing);
+  EngineShape Shape;
+  Shape.ChecksFencing = false;
+  EngineModel Ignoring(Shape);
+  EXPECT_EQ(Ignoring.order(5, LoadModel{}), OrderResult::Accepted);
+  EXPECT_EQ(Ignoring.order(4, LoadModel{}), OrderResult::Accepted);
+}
+
+TEST(EngineModel, DropsJobsAtTheirDeadlineAndCountsTheWaste) {
+  EngineModel Engine({});
+  EngineJob Long = job(1, 200'000, 1);
+  Long.Deadline = Start + seconds(1);
+  Engine.submit(Long, Start);
+  EXPECT_TRUE(firstChunks(Engine).empty());
+  EXPECT_EQ(Engine.heldTokens(), 0U);
+  EXPECT_GT(Engine.wastedPrefillTokens(), 40'000U);
+}
+
+RC_GTEST_PROP(EngineModel, GivesEachChunkOnceAndLosesNoMemory, ()) {
+  EngineModel Engine({});
+  std::map<std::uint64_t, std::uint64_t> Wanted;
+  std::map<std::uint64_t, std::uint64_t> Next;
+  const auto Take = [&Next](std::span<const EngineModel::Output> Given) {
+    for (const EngineModel::Output &Each : Given) {
+      RC_ASSERT(Each.FirstIndex == Next[Each.Attempt.Sequence]);
+      Next[Each.Attempt.Sequence] += Each.Count;
+    }
+  };
+  Time Now = Start;
+  for (std::uint64_t Sequence = 1; Sequence <= 60; ++Sequence) {
+    Now += milliseconds(*rc::gen::inRange(0, 200));
+    Take(Engine.advance(Now));
+    const auto Prompt = *rc::gen::inRange<std::uint64_t>(1, 390'000);
+    const auto Output = *rc::gen::inRange<std::uint64_t>(1, 50);
+    const auto Priority = *rc::gen::inRange<std::uint32_t>(0, 9);
+    Engine.submit(job(Sequence, Prompt, Output, Priority), Now);
+    Wanted[Sequence] = Output;
+    if (*rc::gen::inRange(0, 4) == 0) {
+      Engine.cancel(AttemptId{Incarnation(7), Sequence}, Now);
+      Wanted.erase(Sequence);
+    }
+    RC_ASSERT(Engine.heldTokens() <= Engine.shape().MemoryTokens);
+  }
+  while (Engine.nextStep() != Never)
+    Take(Engine.advance(Engine.nextStep()));
+  for (const auto &[Sequence, Count] : Wanted)
+    RC_ASSERT(Next[Sequence] == Count);
+  RC_ASSERT(Engine.heldTokens() == 0U);
+}
+
+} // namespace
+} // namespace banyanpick
--- a/tests/fakes/EngineModel.h
+++ b/tests/fakes/EngineModel.h
@@ -4,6 +4,7 @@
 /// deployment, the benchmarks and the engine stand-in process.
 #pragma once
 
+#include "fakes/PrefixCacheModel.h"
 #include "kernel/Action.h"
 #include "kernel/Upstream.h"
 
@@ -44,12 +45,17 @@
   bool HasGroup = false; ///< Others hold the memory beyond its own.
 };
 
-/// The engine itself.
+/// The engine itself. A job takes memory for prompt and whole output when it
+/// enters the batch; one with a group takes at most half of the memory. Jobs
+/// wait by priority, then arrival. In a step each job past its prefill gives
+/// one chunk, and the prefill chunk goes to the highest priorities. Jobs end
+/// at their deadline; group holds stay until they are released.
 class EngineModel {
 public:
   explicit EngineModel(EngineShape Shape);
 
   enum class Submitted { Accepted, Busy, NoMemory, Leaving };
+  /// Call advance() for the same time first.
   Submitted submit(const EngineJob &Job, Time Now);
   /// Drops the job and frees its memory; true also when it is unknown.
   bool cancel(const AttemptId &Attempt, Time Now);
@@ -81,11 +87,53 @@
 
   const EngineShape &shape() const { return this->Shape; }
   /// Memory held by anything at all; 0 when nothing leaks.
-  std::uint64_t heldTokens() const;
+  std::uint64_t heldTokens() const { return this->Held; }
+  /// Prefill done in all, in tokens.
+  std::uint64_t prefilledTokens() const { return this->Prefilled; }
+  /// Prefill done for jobs that left before their end, in tokens.
+  std::uint64_t wastedPrefillTokens() const { return this->Wasted; }
 
 private:
+  /// A job with what is left of it.
+  struct Task {
+    EngineJob Job;
+    std::uint64_t Prefill = 0;     ///< Tokens still to prefill.
+    std::uint64_t PrefillDone = 0; ///< Tokens prefilled here.
+    std::uint64_t NextIndex = 0;   ///< Next chunk to give.
+    std::uint64_t Memory = 0;      ///< Tokens taken.
+    std::uint64_t StepPrefill = 0; ///< Prefilled in the running step.
+    bool StepDecodes = false;      ///< Gives a chunk in the running step.
+  };
+  struct GroupMemory {
+    std::string Owner;
+    std::uint64_t Tokens = 0;
+    Time Deadline{};
+  };
+
+  std::uint64_t memoryNeeded(const EngineJob &Job) const;
+  void take(std::uint64_t Tokens, Time Now);
+  void admitWaiting(Time Now);
+  void startStep(Time Now);
+  Duration planStep();
+  void finishStep(Time Now, std::vector<Output> &Out);
+  void measureStep(Duration Length);
+  void dropExpired(Time Now);
+  void leave(const Task &Gone, bool Whole, Time Now);
+
   EngineShape Shape;
   bool Leaving = false;
+  std::deque<Task> Waiting; ///< By priority, then arrival.
+  std::vector<Task> Batch;
+  std::map<HoldId, GroupMemory> Holds;
+  PrefixCacheModel Cache;
+  std::uint64_t Held = 0;
+  Time StepBegan{};
+  Time StepEnds = Never;
+  double MeasuredPrefill = 0; ///< Tokens a second.
+  double MeasuredDecode = 0;  ///< Tokens a second of one job.
+  LogOffset HighestFencing = 0;
+  std::uint64_t Prefilled = 0;
+  std::uint64_t Wasted = 0;
 };
 
 } // namespace banyanpick
