--- /dev/null
+++ b/tests/standins/HttpServer.h
@@ -0,0 +1,59 @@
+/// \file
+/// A small blocking HTTP server for stand-ins: one thread a connection.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace banyanpick::standins {
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+
+/// Splits `ip:port`; throws Error(BadInput) when it is malformed.
+boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view Text);
+
+/// One request and the way to answer it.
+class Exchange {
+public:
+  Exchange(boost::asio::ip::tcp::socket &Socket, HttpRequest Request)
+      : Socket(Socket), Request(std::move(Request)) {}
+
+  boost::beast::http::verb method() const { return this->Request.method(); }
+  /// The path's segments: `/v1/load` gives `v1` and `load`.
+  std::vector<std::string> path() const;
+  /// A number of the query, or \p Otherwise.
+  std::uint64_t queryNumber(std::string_view Name,
+                            std::uint64_t Otherwise) const;
+  std::string header(std::string_view Name) const;
+  const std::string &body() const { return this->Request.body(); }
+
+  void answer(unsigned Status, const nlohmann::json &Body);
+  /// Starts a stream of server-sent events.
+  void beginEvents();
+  /// Sends events already formatted; throws when the peer is gone.
+  void sendEvents(const std::string &Formatted);
+  void endEvents();
+  /// Ends the connection without an answer.
+  void hangUp() { this->KeepsAlive = false; }
+
+  bool keepsAlive() const { return this->KeepsAlive; }
+
+private:
+  boost::asio::ip::tcp::socket &Socket;
+  HttpRequest Request;
+  bool KeepsAlive = true;
+};
+
+using Handler = std::function<void(Exchange &)>;
+
+/// Serves \p Handle at \p Listen, `ip:port`, until the process ends.
+[[noreturn]] void serveHttp(std::string_view Listen, const Handler &Handle);
+
+} // namespace banyanpick::standins
--- /dev/null
+++ b/tests/standins/StandinPlatform.cpp
@@ -0,0 +1,138 @@
+/// \file
+/// Stand-in for the platform: the append-only log and the host list.
+#include "standins/HttpServer.h"
+#include "standins/PlatformLog.h"
+#include "standins/WireText.h"
+
+#include <fstream>
+#include <gflags/gflags.h>
+#include <mutex>
+#include <sodium.h>
+#include <thread>
+
+DEFINE_string(listen, "127.0.0.1:7200", "address to serve, ip:port");
+DEFINE_uint64(retain_records, 0, "records kept; 0 keeps all");
+DEFINE_string(hosts, "", "file with the first host list, as GET /hosts gives");
+
+namespace banyanpick::standins {
+
+namespace {
+
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+constexpr std::uint64_t LongestWaitMs = 30'000;
+
+std::string toBase64(const std::string &Bytes) {
+  constexpr int Variant = sodium_base64_VARIANT_ORIGINAL;
+  std::string Text(sodium_base64_encoded_len(Bytes.size(), Variant), '\0');
+  sodium_bin2base64(Text.data(), Text.size(),
+                    reinterpret_cast<const unsigned char *>(Bytes.data()),
+                    Bytes.size(), Variant);
+  Text.pop_back(); // The terminator that libsodium counts in.
+  return Text;
+}
+
+class Platform {
+public:
+  Platform(std::uint64_t RetainRecords, json Hosts)
+      : Log(RetainRecords), Hosts(std::move(Hosts)) {}
+
+  void handle(Exchange &Each) {
+    const auto Path = Each.path();
+    const std::string First = Path.empty() ? "" : Path[0];
+    if (First == "log" && Each.method() == http::verb::post)
+      return this->append(Each);
+    if (First == "log")
+      return this->read(Each);
+    if (First == "hosts")
+      return this->listHosts(Each);
+    if (First == "admin" && Path.size() == 2)
+      return this->configure(Each, Path[1]);
+    Each.answer(404, {{"error", {{"message", "no such path"}}}});
+  }
+
+private:
+  /// Delays as asked for; true when the log is down and said so.
+  bool refused(Exchange &Each) {
+    const LogFaults Faults = this->Log.faults();
+    std::this_thread::sleep_for(Faults.Delay);
+    if (!Faults.Down)
+      return false;
+    Each.answer(503, {{"error", {{"message", "the log is down"}}}});
+    return true;
+  }
+
+  void append(Exchange &Each) {
+    if (this->refused(Each))
+      return;
+    const LogOffset Offset = this->Log.append(Each.body());
+    if (this->Log.losesThisAnswer())
+      return Each.hangUp();
+    Each.answer(200, {{"offset", Offset}});
+  }
+
+  void read(Exchange &Each) {
+    if (this->refused(Each))
+      return;
+    const std::uint64_t WaitMs =
+        std::min(Each.queryNumber("wait_ms", 0), LongestWaitMs);
+    const LogSlice Slice =
+        this->Log.read(Each.queryNumber("from", 1), milliseconds(WaitMs));
+    json Records = json::array();
+    for (std::size_t I = 0; I < Slice.Records.size(); ++I)
+      Records.push_back({{"offset", Slice.FirstOffset + I},
+                         {"bytes", toBase64(Slice.Records[I])}});
+    if (this->Log.faults().Down)
+      return Each.hangUp();
+    Each.answer(200, {{"start", Slice.Start},
+                      {"end", Slice.End},
+                      {"records", std::move(Records)}});
+  }
+
+  void listHosts(Exchange &Each) {
+    json Shown;
+    {
+      const std::lock_guard Lock(this->HostsGuard);
+      Shown = this->Hosts;
+    }
+    Each.answer(200, Shown);
+  }
+
+  /// `/admin/log {"down", "lose_answers", "delay_ms"}`, each off when absent;
+  /// `/admin/hosts` with a whole new host list.
+  void configure(Exchange &Each, const std::string &What) {
+    const json Wanted = json::parse(Each.body());
+    if (What == "log")
+      this->Log.setFaults(
+          {Wanted.value("down", false),
+           Wanted.value<std::uint64_t>("lose_answers", 0),
+           milliseconds(Wanted.value<std::int64_t>("delay_ms", 0))});
+    if (What == "hosts") {
+      const std::lock_guard Lock(this->HostsGuard);
+      this->Hosts = Wanted;
+    }
+    Each.answer(200, json::object());
+  }
+
+  PlatformLog Log;
+  std::mutex HostsGuard;
+  json Hosts;
+};
+
+json readHosts(const std::string &File) {
+  if (File.empty())
+    return {{"hosts", json::array()}, {"upstreams", json::array()}};
+  std::ifstream In(File);
+  return json::parse(In);
+}
+
+} // namespace
+} // namespace banyanpick::standins
+
+int main(int Count, char **Values) {
+  gflags::ParseCommandLineFlags(&Count, &Values, true);
+  using namespace banyanpick::standins;
+  Platform Service(FLAGS_retain_records, readHosts(FLAGS_hosts));
+  serveHttp(FLAGS_listen, [&](Exchange &Each) { Service.handle(Each); });
+}
