Choose a team's entry hosts by rendezvous hash, sized by its limits

Cause: resolve and the split of a team's limits must agree on which entry hosts serve the team, without a store. Weighed: all hosts for all teams (shares of small limits become too small to use, and usage is told to every host); a plain top K by weight (may put all into one zone). Taken: ranked by weight inside each zone, one zone after another, and as many as the declared limits need, three at least. Property tests: the order of the given hosts does not matter, a lost host moves no other.

--- /dev/null
+++ b/tests/auto/limits/TeamHostsTest.cpp
@@ -0,0 +1,69 @@
+/// \file
+/// The choice of a team's entry hosts.
+#include <gtest/gtest.h>
+// GoogleTest comes before its RapidCheck adapter.
+#include <rapidcheck/gtest.h>
+
+#include "kernel/TeamHosts.h"
+
+#include <algorithm>
+#include <set>
+
+namespace banyanpick {
+namespace {
+
+std::vector<TeamHostCandidate> hosts(std::size_t Count, std::size_t Zones) {
+  std::vector<TeamHostCandidate> Result;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Result.push_back({HostId("host-" + std::to_string(Index)),
+                      ZoneId("zone-" + std::to_string(Index % Zones))});
+  return Result;
+}
+
+TEST(TeamHostsTest, SmallTeamGetsOneHostInEachOfThreeZones) {
+  TeamEntry Limits;
+  Limits.RequestsPerMinute = 10;
+  const auto Chosen = teamHosts(TeamId("house-1"), Limits, hosts(9, 3));
+  ASSERT_EQ(Chosen.size(), 3u);
+  std::set<int> Zones;
+  for (const HostId &Each : Chosen)
+    Zones.insert(std::stoi(Each.Value.substr(5)) % 3);
+  EXPECT_EQ(Zones.size(), 3u);
+}
+
+TEST(TeamHostsTest, HostsFollowTheLargestLimit) {
+  TeamEntry Limits;
+  EXPECT_EQ(teamHostCount(Limits, 320), 320u);
+  Limits.RequestsPerMinute = 3000;
+  EXPECT_EQ(teamHostCount(Limits, 320), 10u);
+  Limits.Concurrent = 640;
+  EXPECT_EQ(teamHostCount(Limits, 320), 20u);
+  EXPECT_EQ(teamHostCount(Limits, 2), 2u);
+}
+
+RC_GTEST_PROP(TeamHostsTest, OrderOfHostsDoesNotMatter, ()) {
+  auto Known = hosts(*rc::gen::inRange<std::size_t>(0, 30), 4);
+  TeamEntry Limits;
+  Limits.RequestsPerMinute = *rc::gen::inRange(1, 5000);
+  const TeamId Team(*rc::gen::nonEmpty<std::string>());
+  const auto Before = teamHosts(Team, Limits, Known);
+  std::reverse(Known.begin(), Known.end());
+  RC_ASSERT(teamHosts(Team, Limits, Known) == Before);
+}
+
+RC_GTEST_PROP(TeamHostsTest, LostHostIsReplacedWithoutMovingTheOthers, ()) {
+  auto Known = hosts(*rc::gen::inRange<std::size_t>(5, 30), 1);
+  TeamEntry Limits;
+  Limits.RequestsPerMinute = *rc::gen::inRange(1, 1200);
+  const TeamId Team(*rc::gen::nonEmpty<std::string>());
+  auto Before = teamHosts(Team, Limits, Known);
+  const HostId Lost = Before[*rc::gen::inRange<std::size_t>(0, Before.size())];
+  std::erase_if(Known, [&](const auto &Each) { return Each.Host == Lost; });
+  std::erase(Before, Lost);
+  const auto After = teamHosts(Team, Limits, Known);
+  for (const HostId &Kept : Before)
+    RC_ASSERT(std::find(After.begin(), After.end(), Kept) != After.end());
+}
+
+} // namespace
+} // namespace banyanpick
