Add a stand-in for a model engine

Cause: processes need engines that batch, hold memory and die. A chunk's text is made of its index and the prompt's hash, so that callers can verify answers.

--- /dev/null
+++ b/tests/standins/EngineService.h
@@ -0,0 +1,58 @@
+/// \file
+/// A model engine as a service: the modelled engine run in real time, with the
+/// streams it gives.
+#pragma once
+
+#include "fakes/EngineModel.h"
+#include "standins/HttpServer.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace banyanpick::standins {
+
+/// The text of chunk \p Index of the answer to a prompt, so that a caller can
+/// tell its own answer, whole and in order.
+std::string chunkText(std::uint64_t Index, std::uint64_t PromptHash);
+std::uint64_t hashOfPrompt(std::string_view Prompt);
+
+class EngineService {
+public:
+  explicit EngineService(EngineShape Shape);
+
+  void handle(Exchange &Each);
+  /// Runs the modelled engine in real time; never returns.
+  [[noreturn]] void runSteps();
+
+private:
+  /// One try with the chunks that came out of it so far.
+  struct Stream {
+    std::uint64_t PromptHash = 0;
+    std::uint64_t Produced = 0; ///< Chunks before this index came out.
+    Time Deadline{};
+    bool Ended = false;
+    bool Dropped = false; ///< Cancelled, or past its deadline.
+  };
+
+  void complete(Exchange &Each);
+  EngineModel::Submitted submit(const EngineJob &Job, std::uint64_t Hash);
+  void follow(Exchange &Each, const AttemptId &Attempt, std::uint64_t From);
+  void streams(Exchange &Each, const std::string &Name);
+  void holds(Exchange &Each, const std::string &Name);
+  void orders(Exchange &Each);
+  void giveLoad(Exchange &Each);
+  void giveCacheEvents(Exchange &Each);
+  void configure(Exchange &Each);
+  bool hasModel(const ModelId &Model);
+  void takeOutputs(Time Now);
+  void dropExpired(Time Now);
+
+  std::mutex Guard;
+  std::condition_variable Changed;
+  EngineModel Model;
+  std::map<AttemptId, Stream> Streams;
+};
+
+} // namespace banyanpick::standins
