Let records of outcomes name the claim they end

A release whose append got no answer may be repeated and appear late in the log. Matched by key and owner alone it would free a later claim of the same owner, which may be running. The record now names the claim.

Beside it, small additions that plug-ins of the log need: whether a service is provided at all, taking a record back before it was sent, and the moment at which a host last knew that it had all of the log. Heartbeats must carry that moment, not the time of sending: else two hosts cut off from the log would confirm each other for good.

--- a/src/libs/kernel/LogRecord.h
+++ b/src/libs/kernel/LogRecord.h
@@ -42,6 +42,9 @@
   /// upstream may have run it.
   enum class Kind { Done, Failed, Unknown, Released } Ended = Kind::Unknown;
   std::string Result;
+  /// Sequence of the RecordId of the claim that it ends; its maker is
+  /// OwnerLife. A late copy of a release can't end a later claim.
+  std::uint64_t ClaimSequence = 0;
 
   bool operator==(const OutcomeRecord &) const = default;
 };
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -22,6 +22,11 @@
   virtual bool isReady() const = 0;
   /// Whether this host can know that its catalogue is current.
   virtual bool isCurrent(Time Now) const = 0;
+  /// When this host last knew that it had everything the log held, from the
+  /// log itself or from a peer that had read it; what heartbeats tell peers.
+  /// Never later than a real reading of the log, so hosts that are all cut
+  /// off can't confirm each other.
+  virtual Time confirmedAt() const { return Time{}; }
 };
 
 /// One entry host as membership sees it.
@@ -170,6 +175,9 @@
   virtual ~LogWriter() = default;
   /// The id by which LogObserver::appendSettled() names the record.
   virtual RecordId append(LogRecordBody Body, Time Now, Actions &Out) = 0;
+  /// Stops trying to append the record. True: it never reached the log and
+  /// never will; appendSettled() is then not called.
+  virtual bool withdraw(const RecordId &) { return false; }
   /// Whether the log answered lately.
   virtual bool isReachable(Time Now) const = 0;
 };
@@ -312,6 +320,14 @@
     return *static_cast<Interface *>(Found->second);
   }
 
+  /// The provider, or null when there is none.
+  template <class Interface> Interface *find() const {
+    const auto Found = this->Single.find(std::type_index(typeid(Interface)));
+    if (Found == this->Single.end())
+      return nullptr;
+    return static_cast<Interface *>(Found->second);
+  }
+
   /// The list of all that were added for the interface; created when empty.
   template <class Interface> ServiceList<Interface> &list() {
     auto &Slot = this->Lists[std::type_index(typeid(Interface))];
