Let engines report their prefill backlog by priority

Cause: an urgent request overtakes long prefill on an engine, so the total backlog says nothing of its own wait. Ruled out: guessing it from the memory of running streams; a long prompt that is nearly prefilled looks like one that has not begun.

--- a/src/libs/kernel/Upstream.h
+++ b/src/libs/kernel/Upstream.h
@@ -61,6 +61,14 @@
   bool operator==(const HoldReport &) const = default;
 };
 
+/// Prefill that an engine has still to do at one priority.
+struct PriorityBacklog {
+  std::uint32_t Priority = 0;
+  std::uint64_t PrefillTokens = 0;
+
+  bool operator==(const PriorityBacklog &) const = default;
+};
+
 /// What an upstream says of itself; lags behind the truth.
 struct LoadReport {
   UpstreamId Id;
@@ -77,6 +85,8 @@
   LogOffset HighestFencing = 0;          ///< Highest order number seen.
   std::vector<ModelId> Models;           ///< Loaded now.
   std::vector<HoldReport> Holds;
+  /// QueuedPrefillTokens by priority; empty when the engine does not tell.
+  std::vector<PriorityBacklog> Backlog;
 
   bool operator==(const LoadReport &) const = default;
 };
--- a/tests/fakes/EngineModel.cpp
+++ b/tests/fakes/EngineModel.cpp
@@ -11,6 +11,18 @@
 /// Jobs that may wait before the engine says that it is busy.
 constexpr std::size_t MaximumWaiting = 512;
 
+/// Adds the task's prefill to the backlog of its priority.
+void addBacklog(std::vector<PriorityBacklog> &Backlog, std::uint32_t Priority,
+                std::uint64_t Tokens) {
+  for (PriorityBacklog &Each : Backlog) {
+    if (Each.Priority != Priority)
+      continue;
+    Each.PrefillTokens += Tokens;
+    return;
+  }
+  Backlog.push_back({Priority, Tokens});
+}
+
 /// Weight of the newest step in the measured speeds.
 constexpr double SpeedSmoothing = 0.05;
 
@@ -99,10 +111,14 @@
   Report.DecodeTokensPerSecond = this->MeasuredDecode;
   Report.HighestFencing = this->HighestFencing;
   Report.Models = this->Shape.Models;
-  for (const Task &Each : this->Waiting)
+  for (const Task &Each : this->Waiting) {
     Report.QueuedPrefillTokens += Each.Prefill;
+    addBacklog(Report.Backlog, Each.Job.Priority, Each.Prefill);
+  }
   for (const Task &Each : this->Batch) {
     Report.QueuedPrefillTokens += Each.Prefill;
+    if (Each.Prefill > 0)
+      addBacklog(Report.Backlog, Each.Job.Priority, Each.Prefill);
     Report.Holds.push_back(streamHold(Each.Job, Each.Memory));
   }
   for (const auto &[Id, Memory] : this->Holds)
