Let usage name its queue and limit shares their split

Cause: usage told without its queue would charge a team's short work for its long work elsewhere, and a share given under one membership must not count under another. Two fields are added; shares become cumulative, so that a lost transfer is made good by the next one.

--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -65,6 +65,9 @@
     double DemandRequests = 0; ///< Requests a second asked for.
     double DemandTokens = 0;   ///< Tokens a second asked for.
     std::uint32_t Concurrent = 0;
+    /// Which of the sender's queues did the work: a hash of what the queue is
+    /// for, the same on every host.
+    std::uint32_t Lane = 0;
 
     bool operator==(const Item &) const = default;
   };
@@ -74,12 +77,15 @@
   bool operator==(const TeamUsage &) const = default;
 };
 
-/// A part of a team's limit that the sender gave up before sending this.
+/// A part of a team's limit that the sender gave up before sending this. It
+/// is cumulative: a repeat changes nothing and a later one makes good a loss.
 struct LimitShare {
   TeamId Team;
   std::uint64_t Transfer = 0; ///< Counts the transfers of the sender's life.
-  double Fraction = 0;        ///< Share of the whole limit that moves.
+  double Fraction = 0; ///< Share of the whole limit given to the receiver, in
+                       ///< all since the view began.
   Time ValidFrom{};
+  std::uint64_t View = 0; ///< Hash of the split that the share is a part of.
 
   bool operator==(const LimitShare &) const = default;
 };
