--- a/src/libs/catalogue/EntryFields.h
+++ b/src/libs/catalogue/EntryFields.h
@@ -19,6 +19,7 @@
   double Minimum = 0;
   double Maximum = 1e15;
   bool Required = false; ///< Has no default in the INI form.
+  bool IsSize = false;   ///< Bytes; may be written with a unit.
 };
 
 /// The two members that together say what a class runs on; written
@@ -129,7 +130,8 @@
                    .Required = true},
         Of.Weights);
   Visit(EntryField{.Name = "weight_bytes",
-                   .Help = "Size of the weights, such as 140GB."},
+                   .Help = "Size of the weights, such as 140GB.",
+                   .IsSize = true},
         Of.WeightBytes);
   Visit(EntryField{.Name = "minimum_engines",
                    .Help = "Engines that must have it loaded.",
--- /dev/null
+++ b/src/libs/catalogue/EntryReferences.h
@@ -0,0 +1,16 @@
+/// \file
+/// Whether everything that entries name is declared.
+#pragma once
+
+#include "catalogue/EntryCheck.h"
+
+namespace banyanpick {
+
+/// What \p Of names that is neither in \p File nor in \p InForce: its owner,
+/// a team's classes, a class's model. Application services are known to the
+/// host list only and not looked for.
+std::vector<EntryProblem> missingReferences(const Entry &Of,
+                                            const EntryMap &File,
+                                            const EntryMap &InForce);
+
+} // namespace banyanpick
--- a/src/libs/ini/IniText.cpp
+++ b/src/libs/ini/IniText.cpp
@@ -1,5 +1,7 @@
 #include "ini/IniText.h"
 
+#include "base/Text.h"
+
 #include <algorithm>
 #include <cstring>
 #include <ini.h>
@@ -8,6 +10,10 @@
 
 namespace {
 
+/// inih cuts longer section names off without a word.
+constexpr std::size_t LongestSection = 49;
+constexpr std::string_view Blanks = " \t";
+
 /// Hands the text to inih line by line and counts the lines, which inih as
 /// Debian builds it does not tell.
 class LineSource {
@@ -16,25 +22,34 @@
 
   /// The contract of fgets.
   char *next(char *Buffer, int Capacity) {
+    this->complainUnlessTaken();
     if (this->Rest.empty())
       return nullptr;
     ++this->Line;
     const std::string_view Current = this->takeLine();
-    const bool Fits = Current.size() + 2 <= static_cast<std::size_t>(Capacity);
-    if (!Fits)
-      this->Into.Problems.push_back(
-          {this->Line, "is longer than " + std::to_string(Capacity - 2) +
-                           " characters; break it into several lines, each "
-                           "after the first with a leading blank"});
-    const std::string_view Given = Fits ? Current : std::string_view("");
+    const bool Usable =
+        this->check(Current, static_cast<std::size_t>(Capacity));
+    const std::string_view Given = Usable ? Current : std::string_view("");
+    this->Continues = !Given.empty() && Blanks.find(Given[0]) != Blanks.npos;
+    this->Expected = this->expectsValue(trimmed(Given));
     std::memcpy(Buffer, Given.data(), Given.size());
     Buffer[Given.size()] = '\n';
     Buffer[Given.size() + 1] = '\0';
     return Buffer;
   }
 
-  void take(const char *Section, const char *Key, const char *Value) {
-    this->Into.Values.push_back({this->Line, Section, Key, Value ? Value : ""});
+  void take(std::string_view Section, std::string_view Key,
+            std::string_view Value) {
+    this->Expected = false;
+    auto &Values = this->Into.Values;
+    const bool Joins = this->Continues && !Values.empty() &&
+                       Values.back().Section == Section &&
+                       Values.back().Key == Key;
+    if (Joins)
+      Values.back().Value += " " + std::string(Value);
+    else
+      Values.push_back({this->Line, std::string(Section), std::string(Key),
+                        std::string(Value)});
   }
 
 private:
@@ -45,9 +60,54 @@
     return Current;
   }
 
+  /// Whether inih may see the line; adds what is wrong with it.
+  bool check(std::string_view Current, std::size_t Capacity) {
+    if (Current.size() + 2 > Capacity) {
+      this->complain("is longer than " + std::to_string(Capacity - 2) +
+                     " characters; break it into several lines, each after "
+                     "the first with a leading blank");
+      return false;
+    }
+    if (Current.find('\0') != std::string_view::npos) {
+      this->complain("holds a zero byte; remove it");
+      return false;
+    }
+    return true;
+  }
+
+  /// Whether inih must find a value in the line; notes sections.
+  bool expectsValue(std::string_view Text) {
+    if (Text.empty() || Text[0] == ';' || Text[0] == '#')
+      return false;
+    const std::size_t End = Text.find(']');
+    if (Text[0] != '[' || End == std::string_view::npos)
+      return true;
+    const std::string_view Name = Text.substr(1, End - 1);
+    if (Name.size() > LongestSection)
+      this->complain("names a section longer than " +
+                     std::to_string(LongestSection) +
+                     " characters; shorten the name");
+    this->Into.Sections.push_back({this->Line, std::string(Name)});
+    return false;
+  }
+
+  /// inih tells only the first line that it can't read.
+  void complainUnlessTaken() {
+    if (this->Expected)
+      this->complain("is neither [section], comment nor key = value; mend or "
+                     "remove the line");
+    this->Expected = false;
+  }
+
+  void complain(std::string Message) {
+    this->Into.Problems.push_back({this->Line, std::move(Message)});
+  }
+
   std::string_view Rest;
   IniText &Into;
   int Line = 0;
+  bool Continues = false;
+  bool Expected = false;
 };
 
 char *readLine(char *Buffer, int Capacity, void *Source) {
@@ -56,7 +116,7 @@
 
 int takeValue(void *Source, const char *Section, const char *Key,
               const char *Value) {
-  static_cast<LineSource *>(Source)->take(Section, Key, Value);
+  static_cast<LineSource *>(Source)->take(Section, Key, Value ? Value : "");
   return 1;
 }
 
@@ -65,12 +125,7 @@
 IniText readIni(std::string_view Text) {
   IniText Result;
   LineSource Source(Text, Result);
-  const int FirstBadLine =
-      ini_parse_stream(readLine, &Source, takeValue, &Source);
-  if (FirstBadLine > 0)
-    Result.Problems.push_back(
-        {FirstBadLine, "is neither [section], comment nor key = value; mend "
-                       "or remove the line"});
+  ini_parse_stream(readLine, &Source, takeValue, &Source);
   return Result;
 }
 
--- a/src/libs/ini/IniText.h
+++ b/src/libs/ini/IniText.h
@@ -23,13 +23,22 @@
   std::string Message; ///< What is wrong, and the remedy.
 };
 
+/// A section's header. A section without values has nothing but this.
+struct IniSection {
+  int Line = 0;
+  std::string Name;
+};
+
 /// Everything read from one text.
 struct IniText {
+  std::vector<IniSection> Sections;
   std::vector<IniValue> Values;
   std::vector<IniProblem> Problems;
 };
 
-/// Reads all values; malformed or overlong lines become problems.
+/// Reads all values; malformed or overlong lines become problems. A line that
+/// begins with a blank goes on with the value of the line before it, joined by
+/// one blank.
 IniText readIni(std::string_view Text);
 
 } // namespace banyanpick
