--- /dev/null
+++ b/tests/auto/logging/LineLogTest.cpp
@@ -0,0 +1,53 @@
+#include "logging/LineLog.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace banyanpick {
+namespace {
+
+const Time Noon = Time(seconds(1'764'676'800) + Duration(42));
+
+std::string lineWith(std::string_view Key, std::string_view Value) {
+  return formatLogLine(LogEventBuilder(LogLevel::Info, 202, "request routed")
+                           .with(Key, Value)
+                           .build(),
+                       Noon);
+}
+
+TEST(LineLog, WritesTimeLevelNumberMessageAndFields) {
+  EXPECT_EQ(lineWith("upstream", "e1"), "2025-12-02T12:00:00.000042Z info 202 "
+                                        "\"request routed\" upstream=e1");
+}
+
+TEST(LineLog, QuotesAndEscapesValues) {
+  EXPECT_TRUE(lineWith("a", "b c").ends_with(" a=\"b c\""));
+  EXPECT_TRUE(lineWith("a", "").ends_with(" a=\"\""));
+  EXPECT_TRUE(lineWith("a", "b\"\n").ends_with(" a=\"b\\\"\\x0a\""));
+}
+
+TEST(LineLog, NeverShowsAKey) {
+  for (const char *Name : {"key", "team_key", "authorization", "prompt"})
+    EXPECT_TRUE(lineWith(Name, "secret").ends_with("=***"));
+}
+
+RC_GTEST_PROP(LineLog, KeepsAnyValueOnOneBoundedLine,
+              (const std::string &Value)) {
+  const std::string Line = lineWith("a", Value + std::string(5000, 'x'));
+  RC_ASSERT(Line.find('\n') == std::string::npos);
+  RC_ASSERT(Line.size() < 8200u);
+}
+
+TEST(LineLog, LeavesOutWhatIsBelowTheLevel) {
+  Settings Values = Settings::defaults(loggingSettings());
+  ASSERT_EQ(Values.set("logging", "level", "warning"), "");
+  configureLog(Values);
+  testing::internal::CaptureStderr();
+  writeLogLine(LogEventBuilder(LogLevel::Info, 1, "quiet").build(), Noon);
+  writeLogLine(LogEventBuilder(LogLevel::Error, 2, "loud").build(), Noon);
+  const std::string Written = testing::internal::GetCapturedStderr();
+  EXPECT_EQ(Written, "2025-12-02T12:00:00.000042Z error 2 \"loud\"\n");
+}
+
+} // namespace
+} // namespace banyanpick
