Add the demonstration's caller

Cause: whole, own and once can only be judged from the caller's side. Change: demo_caller asks which host to use, sends a fixed mix of streams, whole answers and confirmations, resumes cut streams, obeys come-back times, and holds what it was told against the application's own counts.

--- /dev/null
+++ b/tests/standins/Caller.cpp
@@ -0,0 +1,216 @@
+#include "standins/Caller.h"
+
+#include "standins/ChunkText.h"
+#include "standins/WireText.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace banyanpick::standins {
+
+namespace {
+
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+/// Times a request is sent before its last refusal is taken as its answer.
+constexpr std::uint32_t MaximumTries = 12;
+
+/// Silence after which a connection is given up; longer than any promise.
+constexpr Duration Patience = seconds(20);
+
+/// Pause before another host is tried when none could be reached.
+constexpr milliseconds ReconnectPause(100);
+constexpr milliseconds LongestPause(3'000);
+
+void pauseFor(std::int64_t Milliseconds) {
+  std::this_thread::sleep_for(
+      std::clamp(milliseconds(Milliseconds), ReconnectPause, LongestPause));
+}
+
+std::string wholeText(std::uint64_t Count, std::uint64_t Hash) {
+  std::string Text;
+  for (std::uint64_t I = 0; I < Count; ++I)
+    Text += chunkText(I, Hash);
+  return Text;
+}
+
+HttpQuestion completion(const WorkItem &Item, const std::string &Prompt,
+                        std::vector<HttpHeader> Headers) {
+  const json Body{{"class", Item.Class},
+                  {"prompt", Prompt},
+                  {"max_tokens", Item.OutputTokens},
+                  {"stream", Item.Kind == WorkKind::Streamed}};
+  return {http::verb::post, "/v1/completions", Body.dump(), std::move(Headers)};
+}
+
+} // namespace
+
+WorkResult Caller::run(const WorkItem &Item) {
+  const std::string Prompt = promptOf(Item);
+  return Item.Kind == WorkKind::Streamed ? this->runStreamed(Item, Prompt)
+                                         : this->runWhole(Item, Prompt);
+}
+
+std::vector<HttpHeader> Caller::headers() const {
+  return {{"Authorization", "Bearer " + this->Team.Key},
+          {"Content-Type", "application/json"}};
+}
+
+HttpReply Caller::ask(const HttpQuestion &Question, std::size_t Turn,
+                      const PartReader &OnPart) {
+  const auto Addresses = this->Hosts.hosts(this->Team.Name);
+  for (std::size_t I = 0; I < Addresses.size(); ++I) {
+    const std::string &Address = Addresses[(Turn + I) % Addresses.size()];
+    HttpReply Reply = askHttp(Address, Question, Patience, OnPart);
+    if (Reply.Ended != HttpReply::End::NotConnected)
+      return Reply;
+  }
+  this->Hosts.forget();
+  std::this_thread::sleep_for(ReconnectPause);
+  return {};
+}
+
+bool Caller::settles(const json &Answer, WorkResult &Result) const {
+  Result.LastAnswer = Answer.dump();
+  const std::string Kind = Answer.value("answer", "");
+  const auto ComeBack = Answer.value<std::int64_t>("come_back_after_ms", 0);
+  Result.MayHaveRun = Result.MayHaveRun || Kind != "not-run";
+  if (Kind == "whole") {
+    Result.Ended =
+        Result.Incomplete ? WorkResult::End::Lost : WorkResult::End::Whole;
+    return true;
+  }
+  Result.Ended =
+      Kind == "not-run" ? WorkResult::End::Refused : WorkResult::End::Failed;
+  if (Kind == "outcome-unknown" || (ComeBack == 0 && Kind != "in-progress"))
+    return true;
+  pauseFor(ComeBack);
+  return false;
+}
+
+WorkResult Caller::askUntilSettled(const AskOnce &Ask, std::size_t FirstTurn) {
+  WorkResult Result;
+  std::size_t Turn = FirstTurn;
+  for (; Result.Tries < MaximumTries; ++Result.Tries) {
+    const json Answer = Ask(Turn, Result);
+    if (Answer.is_object() && Answer.contains("answer")) {
+      if (this->settles(Answer, Result))
+        return Result;
+      continue;
+    }
+    ++Turn;
+    this->Hosts.forget();
+  }
+  return Result;
+}
+
+void Caller::takeEvent(const ServerEvent &Event, std::uint64_t Hash,
+                       Received &Stream, WorkResult &Result) const {
+  if (!Event.Data.is_object())
+    return;
+  if (Event.Name == "accepted") {
+    Stream.Token = Event.Data.value("resume_token", "");
+  } else if (Event.Name == "end") {
+    Stream.Final = Event.Data;
+  } else if (Event.Name == "redirect") {
+    Stream.Token = Event.Data.value("resume_token", "");
+    Stream.Redirect = Event.Data.value("host", "");
+  } else if (Event.Name.empty()) {
+    const auto Index = Event.Data.value<std::uint64_t>("index", 0);
+    if (Event.Data.value("text", "") != chunkText(Index, Hash))
+      Result.Crossed = true;
+    if (Index < Stream.Next)
+      Result.Doubled = true;
+    if (Result.FirstTokenAfter == Duration())
+      Result.FirstTokenAfter = wallNow() - Stream.Began;
+    // A gap keeps Next behind the count of the end mark.
+    if (Index == Stream.Next)
+      ++Stream.Next;
+  }
+}
+
+HttpReply Caller::askStream(const HttpQuestion &Fresh, std::uint64_t Hash,
+                            std::size_t Turn, Received &Stream,
+                            WorkResult &Result) {
+  EventReader Reader([&](const ServerEvent &Event) {
+    this->takeEvent(Event, Hash, Stream, Result);
+  });
+  const auto OnPart = [&](std::string_view Part) { Reader.take(Part); };
+  if (Stream.Token.empty())
+    return this->ask(Fresh, Turn, OnPart);
+  ++Result.Resumed;
+  const HttpQuestion Resume{
+      http::verb::get,
+      fmt::format("/v1/resume?token={}&index={}", Stream.Token, Stream.Next),
+      {},
+      this->headers()};
+  const std::string Redirect = std::exchange(Stream.Redirect, "");
+  return Redirect.empty() ? this->ask(Resume, Turn, OnPart)
+                          : askHttp(Redirect, Resume, Patience, OnPart);
+}
+
+WorkResult Caller::runStreamed(const WorkItem &Item,
+                               const std::string &Prompt) {
+  const std::uint64_t Hash = hashOfPrompt(Prompt);
+  const HttpQuestion Fresh = completion(Item, Prompt, this->headers());
+  Received Stream(wallNow());
+  const auto Ask = [&](std::size_t Turn, WorkResult &Result) {
+    const bool Resuming = !Stream.Token.empty();
+    const HttpReply Reply = this->askStream(Fresh, Hash, Turn, Stream, Result);
+    json Answer = std::exchange(Stream.Final, json());
+    if (!Answer.is_object() && Reply.isComplete() && Reply.Status != 200)
+      Answer = Reply.parsed();
+    const bool Whole =
+        Answer.is_object() && Answer.value("answer", "") == "whole";
+    Result.Incomplete =
+        Whole && Answer.value<std::uint64_t>("count", 0) != Stream.Next;
+    // A host that is gone took its stream along: ask anew.
+    const bool Unknown = Resuming && Reply.Status == 404;
+    Result.Restarted += Unknown ? 1 : 0;
+    if (Unknown || (Answer.is_object() && !Whole))
+      Stream = Received(Stream.Began);
+    return Answer;
+  };
+  return this->askUntilSettled(Ask, 0);
+}
+
+WorkResult Caller::runWhole(const WorkItem &Item, const std::string &Prompt) {
+  const std::uint64_t Hash = hashOfPrompt(Prompt);
+  const HttpQuestion Question = completion(Item, Prompt, this->headers());
+  const auto Ask = [&](std::size_t Turn, WorkResult &Result) {
+    const HttpReply Reply = this->ask(Question, Turn);
+    json Answer = Reply.isComplete() ? Reply.parsed() : json();
+    if (Answer.is_object() && Answer.value("answer", "") == "whole")
+      Result.Crossed = Answer.value("text", "") !=
+                       wholeText(Answer.value<std::uint64_t>("count", 0), Hash);
+    return Answer;
+  };
+  return this->askUntilSettled(Ask, 0);
+}
+
+WorkResult Caller::confirm(const WorkItem &Item, const std::string &Key,
+                           std::size_t Skipped) {
+  const json Body{{"class", Item.Class},
+                  {"operation_key", Key},
+                  {"body", {{"lot", Item.Number}}}};
+  const HttpQuestion Question{http::verb::post, "/v1/calls", Body.dump(),
+                              this->headers()};
+  const auto Ask = [&](std::size_t Turn, WorkResult &Result) {
+    const HttpReply Reply = this->ask(Question, Turn);
+    if (Reply.Ended == HttpReply::End::Broken)
+      Result.MayHaveRun = true;
+    json Answer = Reply.isComplete() ? Reply.parsed() : json();
+    if (Answer.is_object() && Answer.value("answer", "") == "whole") {
+      const json Run = Answer.value("result", json::object());
+      Result.Crossed = !Run.is_object() || Run.value("key", "") != Key ||
+                       Run.value("body", json::object()) != Body["body"];
+    }
+    return Answer;
+  };
+  WorkResult Result = this->askUntilSettled(Ask, Skipped);
+  Result.Key = Key;
+  return Result;
+}
+
+} // namespace banyanpick::standins
--- /dev/null
+++ b/tests/standins/DemoCaller.cpp
@@ -0,0 +1,170 @@
+/// \file
+/// The demonstration's caller: sends a fixed mix, verifies every answer and
+/// the application's own counts, and prints one line.
+#include "standins/Caller.h"
+#include "standins/WireText.h"
+
+#include <atomic>
+#include <gflags/gflags.h>
+#include <random>
+#include <sstream>
+#include <thread>
+
+DEFINE_string(hosts, "", "entry hosts to ask first, ip:port with commas");
+DEFINE_string(zone, "", "the caller's data centre");
+DEFINE_string(teams, "", "keys of the teams, team.secret with commas");
+DEFINE_string(application, "", "address of the application stand-in");
+DEFINE_uint64(count, 300, "requests to send");
+DEFINE_uint64(seed, 1, "seed of the mix");
+DEFINE_uint64(span_ms, 20'000, "time over which the requests start");
+DEFINE_uint64(callers, 48, "requests at once at most");
+DEFINE_bool(verbose, false, "print a line for each request");
+
+namespace banyanpick::standins {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration CountsPatience = seconds(5);
+
+std::vector<std::string> split(const std::string &Text) {
+  std::vector<std::string> Parts;
+  std::istringstream In(Text);
+  for (std::string Part; std::getline(In, Part, ',');)
+    Parts.push_back(Part);
+  return Parts;
+}
+
+std::vector<CallerTeam> teamsFromFlags() {
+  std::vector<CallerTeam> Teams;
+  for (const std::string &Key : split(FLAGS_teams))
+    Teams.push_back({Key.substr(0, Key.find('.')), Key});
+  return Teams;
+}
+
+/// The better of two answers to the same confirmation.
+WorkResult combine(const WorkResult &First, const WorkResult &Second) {
+  WorkResult Result = First.Ended <= Second.Ended ? First : Second;
+  Result.Crossed = First.Crossed || Second.Crossed;
+  Result.MayHaveRun = First.MayHaveRun || Second.MayHaveRun;
+  Result.Tries = First.Tries + Second.Tries;
+  return Result;
+}
+
+WorkResult runConfirmation(Caller &Each, const WorkItem &Item) {
+  static std::atomic<std::uint64_t> Draws{std::random_device()()};
+  const std::string Key =
+      makeOperationKey(wallNow(), std::mt19937_64(Draws.fetch_add(1))());
+  WorkResult Other;
+  std::thread Beside;
+  if (Item.SentTwice)
+    Beside = std::thread([&] { Other = Each.confirm(Item, Key, 1); });
+  WorkResult Result = Each.confirm(Item, Key, 0);
+  if (Item.SentTwice) {
+    Beside.join();
+    return combine(Result, Other);
+  }
+  if (Item.SentAgain)
+    return combine(Result, Each.confirm(Item, Key, 1));
+  return Result;
+}
+
+/// Holds the application's own counts against what callers were told.
+void checkRuns(std::vector<WorkResult> &Results, const json &Counts) {
+  for (WorkResult &Each : Results) {
+    if (Each.Key.empty())
+      continue;
+    const auto Runs = Counts.value<std::uint64_t>(Each.Key, 0);
+    if (Runs > 1)
+      Each.Doubled = true;
+    if (Runs == 0 && Each.Ended == WorkResult::End::Whole)
+      Each.Ended = WorkResult::End::Lost;
+    // Every answer said that it did not run, and it did.
+    if (Runs > 0 && !Each.MayHaveRun)
+      Each.Ended = WorkResult::End::Lost;
+  }
+}
+
+std::vector<WorkResult> runAll(const std::vector<WorkItem> &Items) {
+  const auto Teams = teamsFromFlags();
+  Resolver Hosts(split(FLAGS_hosts), FLAGS_zone);
+  std::vector<WorkResult> Results(Items.size());
+  std::atomic<std::size_t> NextItem{0};
+  const auto Began = std::chrono::steady_clock::now();
+  const auto Work = [&] {
+    for (std::size_t I = NextItem++; I < Items.size(); I = NextItem++) {
+      const WorkItem &Item = Items[I];
+      std::this_thread::sleep_until(Began + Item.StartAfter);
+      Caller Each(Hosts, Teams.at(Item.Team));
+      Results[I] = Item.Kind == WorkKind::Confirmation
+                       ? runConfirmation(Each, Item)
+                       : Each.run(Item);
+    }
+  };
+  std::vector<std::thread> Callers;
+  for (std::uint64_t I = 0; I < FLAGS_callers; ++I)
+    Callers.emplace_back(Work);
+  for (std::thread &Each : Callers)
+    Each.join();
+  return Results;
+}
+
+void printResult(const WorkItem &Item, const WorkResult &Result) {
+  constexpr std::array Ends{"whole", "refused", "failed", "lost"};
+  fmt::print(stderr,
+             "{} {} {} tokens: {}{}{}, {} tries, {} resumed, {} restarted, "
+             "first token {} ms {}\n",
+             Item.Number, Item.Class, Item.PromptTokens,
+             Ends[static_cast<std::size_t>(Result.Ended)],
+             Result.Doubled ? " doubled" : "", Result.Crossed ? " crossed" : "",
+             Result.Tries + 1, Result.Resumed, Result.Restarted,
+             Result.FirstTokenAfter.count() / 1000,
+             Result.LastAnswer.substr(0, 200));
+}
+
+int report(const std::vector<WorkItem> &Items,
+           const std::vector<WorkResult> &Results) {
+  std::array<std::uint64_t, 4> Ends{};
+  std::uint64_t Doubled = 0;
+  std::uint64_t Crossed = 0;
+  for (std::size_t I = 0; I < Items.size(); ++I) {
+    const WorkResult &Each = Results[I];
+    ++Ends[static_cast<std::size_t>(Each.Ended)];
+    Doubled += Each.Doubled ? 1 : 0;
+    Crossed += Each.Crossed ? 1 : 0;
+    const bool Plain =
+        Each.Ended == WorkResult::End::Whole && !Each.Doubled && !Each.Crossed;
+    if (!Plain || FLAGS_verbose)
+      printResult(Items[I], Each);
+  }
+  fmt::print("demo: sent={} whole={} refused={} failed={} lost={} doubled={} "
+             "crossed={}\n",
+             Items.size(), Ends[0], Ends[1], Ends[2], Ends[3], Doubled,
+             Crossed);
+  const bool Enough = Ends[0] * 100 >= Items.size() * 95;
+  return Ends[3] == 0 && Doubled == 0 && Crossed == 0 && Enough ? 0 : 1;
+}
+
+int runDemo() {
+  const auto Items =
+      makeWorkload(FLAGS_seed, FLAGS_count, split(FLAGS_teams).size(),
+                   milliseconds(FLAGS_span_ms));
+  auto Results = runAll(Items);
+  const HttpReply Counts =
+      askHttp(FLAGS_application, {.Target = "/counts"}, CountsPatience);
+  if (!Counts.isComplete()) {
+    fmt::print(stderr, "the application's counts can't be read\n");
+    return 1;
+  }
+  checkRuns(Results, Counts.parsed());
+  return report(Items, Results);
+}
+
+} // namespace
+} // namespace banyanpick::standins
+
+int main(int Count, char **Values) {
+  gflags::ParseCommandLineFlags(&Count, &Values, true);
+  return banyanpick::standins::runDemo();
+}
--- a/tests/standins/EngineService.cpp
+++ b/tests/standins/EngineService.cpp
@@ -1,6 +1,7 @@
 #include "standins/EngineService.h"
 
 #include "base/Error.h"
+#include "standins/ChunkText.h"
 #include "standins/WireText.h"
 
 #include <algorithm>
@@ -119,14 +120,6 @@
 
 } // namespace
 
-std::string chunkText(std::uint64_t Index, std::uint64_t PromptHash) {
-  return fmt::format("w{}:{:x} ", Index, PromptHash);
-}
-
-std::uint64_t hashOfPrompt(std::string_view Prompt) {
-  return XXH64(Prompt.data(), Prompt.size(), 0);
-}
-
 EngineService::EngineService(EngineShape Shape) : Model(std::move(Shape)) {}
 
 void EngineService::handle(Exchange &Each) {
--- a/tests/standins/EngineService.h
+++ b/tests/standins/EngineService.h
@@ -13,11 +13,6 @@
 
 namespace banyanpick::standins {
 
-/// The text of chunk \p Index of the answer to a prompt, so that a caller can
-/// tell its own answer, whole and in order.
-std::string chunkText(std::uint64_t Index, std::uint64_t PromptHash);
-std::uint64_t hashOfPrompt(std::string_view Prompt);
-
 class EngineService {
 public:
   explicit EngineService(EngineShape Shape);
--- /dev/null
+++ b/tests/standins/HttpClient.cpp
@@ -0,0 +1,133 @@
+#include "standins/HttpClient.h"
+
+#include "standins/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace banyanpick::standins {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr unsigned HttpVersion = 11;
+constexpr std::uint64_t MaximumBodyBytes = 64 * 1024 * 1024;
+
+/// One connection whose steps each have a timeout.
+class Connection {
+public:
+  explicit Connection(Duration Patience) : Patience(Patience) {}
+
+  beast::error_code connect(const std::string &Address) {
+    const auto Endpoint = parseEndpoint(Address);
+    return this->step([&](auto Done) {
+      this->Stream.async_connect(Endpoint, std::move(Done));
+    });
+  }
+
+  beast::error_code send(const HttpQuestion &Question,
+                         const std::string &Address) {
+    http::request<http::string_body> Request(Question.Method, Question.Target,
+                                             HttpVersion);
+    Request.set(http::field::host, Address);
+    Request.set(http::field::connection, "close");
+    for (const HttpHeader &Each : Question.Headers)
+      Request.set(Each.Name, Each.Value);
+    Request.body() = Question.Body;
+    Request.prepare_payload();
+    return this->step([&](auto Done) {
+      http::async_write(this->Stream, Request, std::move(Done));
+    });
+  }
+
+  /// Reads the reply part by part; what came stands in \p Reply.
+  beast::error_code receive(HttpReply &Reply, const PartReader &OnPart) {
+    http::response_parser<http::string_body> Parser;
+    Parser.eager(true);
+    Parser.body_limit(MaximumBodyBytes);
+    beast::flat_buffer Buffer;
+    beast::error_code Failure;
+    while (!Failure && !Parser.is_done()) {
+      Failure = this->step([&](auto Done) {
+        http::async_read_some(this->Stream, Buffer, Parser, std::move(Done));
+      });
+      if (!Parser.is_header_done())
+        continue;
+      Reply.Status = Parser.get().result_int();
+      const std::string &Body = Parser.get().body();
+      if (OnPart && Body.size() > Reply.Body.size())
+        OnPart(std::string_view(Body).substr(Reply.Body.size()));
+      Reply.Body.append(Body, Reply.Body.size());
+    }
+    return Parser.is_done() ? beast::error_code() : Failure;
+  }
+
+private:
+  /// Runs one asynchronous step to its end or its timeout.
+  template <class Begin> beast::error_code step(Begin Start) {
+    beast::error_code Result;
+    this->Stream.expires_after(this->Patience);
+    Start(
+        [&Result](beast::error_code Failure, auto &&...) { Result = Failure; });
+    this->Io.restart();
+    this->Io.run();
+    return Result;
+  }
+
+  Duration Patience;
+  asio::io_context Io;
+  beast::tcp_stream Stream{this->Io};
+};
+
+} // namespace
+
+nlohmann::json HttpReply::parsed() const {
+  return nlohmann::json::parse(this->Body, nullptr, false);
+}
+
+HttpReply askHttp(const std::string &Address, const HttpQuestion &Question,
+                  Duration Patience, const PartReader &OnPart) {
+  HttpReply Reply;
+  Connection Line(Patience);
+  if (Line.connect(Address))
+    return Reply;
+  Reply.Ended = HttpReply::End::Broken;
+  // A server that refuses early may stop reading; its reply is still read.
+  const beast::error_code NotSent = Line.send(Question, Address);
+  const beast::error_code NotRead = Line.receive(Reply, OnPart);
+  const bool Answered = !NotRead && (!NotSent || Reply.Status != 0);
+  if (Answered)
+    Reply.Ended = HttpReply::End::Complete;
+  return Reply;
+}
+
+void EventReader::take(std::string_view Part) {
+  this->Rest += Part;
+  for (;;) {
+    const std::size_t End = this->Rest.find("\n\n");
+    if (End == std::string::npos)
+      return;
+    ServerEvent Event;
+    std::string_view Lines = std::string_view(this->Rest).substr(0, End);
+    while (!Lines.empty()) {
+      const std::string_view Line = Lines.substr(0, Lines.find('\n'));
+      Lines.remove_prefix(std::min(Line.size() + 1, Lines.size()));
+      const std::size_t Colon = Line.find(": ");
+      if (Colon == std::string_view::npos)
+        continue;
+      if (Line.substr(0, Colon) == "event")
+        Event.Name = Line.substr(Colon + 2);
+      if (Line.substr(0, Colon) == "data")
+        Event.Data =
+            nlohmann::json::parse(Line.substr(Colon + 2), nullptr, false);
+    }
+    this->Rest.erase(0, End + 2);
+    this->OnEvent(Event);
+  }
+}
+
+} // namespace banyanpick::standins
--- /dev/null
+++ b/tests/standins/Workload.cpp
@@ -0,0 +1,102 @@
+#include "standins/Workload.h"
+
+#include "base/Random.h"
+#include "standins/WireText.h"
+
+#include <algorithm>
+#include <array>
+
+namespace banyanpick::standins {
+
+namespace {
+
+constexpr std::uint64_t BytesPerToken = 4;
+
+/// Prompts up to this length are sent under the class for short ones.
+constexpr std::uint64_t LongestShortPrompt = 8'000;
+
+/// A range of prompt lengths with its share of the model requests in 1,000.
+struct LengthBand {
+  std::uint64_t Share;
+  std::uint64_t Shortest;
+  std::uint64_t Longest;
+};
+constexpr std::array<LengthBand, 5> LengthBands{{{650, 1'000, 8'000},
+                                                 {250, 8'001, 40'000},
+                                                 {80, 40'001, 100'000},
+                                                 {15, 100'001, 400'000},
+                                                 {5, 400'001, 1'000'000}}};
+
+/// One in this many requests is a confirmation.
+constexpr std::uint64_t ConfirmationsOneIn = 5;
+
+/// The longest prompt of all is sent for certain, one in so many requests.
+constexpr std::uint64_t LongestOneIn = 150;
+constexpr std::uint64_t LongestPrompt = 1'000'000;
+
+std::uint64_t drawLength(Random &Numbers) {
+  std::uint64_t Draw = Numbers.below(1'000);
+  for (const LengthBand &Band : LengthBands) {
+    if (Draw < Band.Share)
+      return Band.Shortest + Numbers.below(Band.Longest - Band.Shortest + 1);
+    Draw -= Band.Share;
+  }
+  return LengthBands.front().Shortest;
+}
+
+void makeConfirmation(WorkItem &Item, Random &Numbers) {
+  Item.Kind = WorkKind::Confirmation;
+  Item.Class = "confirm";
+  const std::uint64_t Draw = Numbers.below(3);
+  Item.SentTwice = Draw == 0;
+  Item.SentAgain = Draw == 1;
+}
+
+void makePrompt(WorkItem &Item, Random &Numbers) {
+  Item.Kind = Numbers.below(3) == 0 ? WorkKind::Whole : WorkKind::Streamed;
+  Item.PromptTokens = drawLength(Numbers);
+  if (Item.Number % LongestOneIn == LongestOneIn / 3)
+    Item.PromptTokens = LongestPrompt;
+  Item.Class = Item.PromptTokens <= LongestShortPrompt ? "short" : "long";
+  Item.OutputTokens = 8 + Numbers.below(120);
+}
+
+} // namespace
+
+std::vector<WorkItem> makeWorkload(std::uint64_t Seed, std::uint64_t Count,
+                                   std::size_t Teams, Duration Span) {
+  Random Numbers(Seed);
+  std::vector<WorkItem> Items(Count);
+  for (std::uint64_t I = 0; I < Count; ++I) {
+    WorkItem &Item = Items[I];
+    Item.Number = I;
+    Item.Team = Numbers.below(Teams);
+    Item.StartAfter =
+        Span * static_cast<std::int64_t>(I) / static_cast<std::int64_t>(Count);
+    if (Numbers.below(ConfirmationsOneIn) == 0)
+      makeConfirmation(Item, Numbers);
+    else
+      makePrompt(Item, Numbers);
+  }
+  return Items;
+}
+
+std::string promptOf(const WorkItem &Item) {
+  const std::string Piece = fmt::format("request {} asks; ", Item.Number);
+  const std::size_t Length = Item.PromptTokens * BytesPerToken;
+  std::string Prompt;
+  Prompt.reserve(Length + Piece.size());
+  while (Prompt.size() < Length)
+    Prompt += Piece;
+  Prompt.resize(Length);
+  return Prompt;
+}
+
+std::string makeOperationKey(Time Now, std::uint64_t Random) {
+  const auto Milliseconds = static_cast<std::uint64_t>(toMilliseconds(Now));
+  return fmt::format("{:08x}-{:04x}-7{:03x}-8{:03x}-{:012x}",
+                     Milliseconds >> 16, Milliseconds & 0xffff, Random & 0xfff,
+                     (Random >> 12) & 0xfff, Random >> 24 & 0xffffffffffff);
+}
+
+} // namespace banyanpick::standins
--- /dev/null
+++ b/tests/standins/Workload.h
@@ -0,0 +1,38 @@
+/// \file
+/// What the demonstration sends: a fixed mix for a fixed seed.
+#pragma once
+
+#include "base/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace banyanpick::standins {
+
+enum class WorkKind { Streamed, Whole, Confirmation };
+
+/// One request of the caller.
+struct WorkItem {
+  std::uint64_t Number = 0;
+  WorkKind Kind = WorkKind::Streamed;
+  std::size_t Team = 0; ///< Position in the list of teams.
+  std::string Class;
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t OutputTokens = 0;
+  Duration StartAfter{};  ///< Since the first one.
+  bool SentTwice = false; ///< To two hosts at once; confirmations only.
+  bool SentAgain = false; ///< After its answer; confirmations only.
+};
+
+/// \p Count requests spread evenly over \p Span.
+std::vector<WorkItem> makeWorkload(std::uint64_t Seed, std::uint64_t Count,
+                                   std::size_t Teams, Duration Span);
+
+/// The item's prompt: four bytes a token, different for each number.
+std::string promptOf(const WorkItem &Item);
+
+/// A UUIDv7 of this moment (RFC 9562, section 5.7).
+std::string makeOperationKey(Time Now, std::uint64_t Random);
+
+} // namespace banyanpick::standins
