--- /dev/null
+++ b/src/libs/wire/PeerCodec.cpp
@@ -0,0 +1,241 @@
+#include "wire/PeerCodec.h"
+
+#include "base/Visitor.h"
+#include "peer.pb.h"
+#include "wire/LogCodec.h"
+#include "wire/UpstreamCodec.h"
+#include "wire/WireChecks.h"
+
+namespace banyanpick {
+
+namespace wire {
+namespace {
+
+void write(const banyanpick::Heartbeat &Body, Envelope &Envelope) {
+  Heartbeat &Out = *Envelope.mutable_heartbeat();
+  Out.set_sequence(Body.Sequence);
+  Out.set_acknowledges(Body.Acknowledges);
+  Out.set_zone(Body.Zone.Value);
+  Out.set_version(Body.Version);
+  Out.set_leaving(Body.Leaving);
+  Out.set_ready(Body.Ready);
+  Out.set_in_force(Body.InForce);
+  Out.set_log_confirmed_at_us(toWire(Body.LogConfirmedAt));
+  for (const MemberRumour &Each : Body.Rumours) {
+    Rumour &Item = *Out.add_rumours();
+    Item.set_host(Each.Host.Value);
+    Item.set_life(Each.Life.Value);
+    Item.set_version(Each.Version);
+    Item.set_state(static_cast<std::uint32_t>(Each.State));
+  }
+}
+
+void write(const banyanpick::WorkSent &Body, Envelope &Envelope) {
+  WorkSent &Out = *Envelope.mutable_work_sent();
+  for (const auto &Each : Body.Items) {
+    WorkSent::Item &Item = *Out.add_items();
+    Item.set_engine(Each.Engine.Value);
+    Item.set_prefill_tokens(Each.PrefillTokens);
+    Item.set_requests(Each.Requests);
+  }
+}
+
+void write(const banyanpick::TeamUsage &Body, Envelope &Envelope) {
+  TeamUsage &Out = *Envelope.mutable_team_usage();
+  Out.set_epoch(Body.Epoch);
+  for (const auto &Each : Body.Items) {
+    TeamUsage::Item &Item = *Out.add_items();
+    Item.set_team(Each.Team.Value);
+    Item.set_service_tokens(Each.ServiceTokens);
+    Item.set_demand_requests(Each.DemandRequests);
+    Item.set_demand_tokens(Each.DemandTokens);
+    Item.set_concurrent(Each.Concurrent);
+  }
+}
+
+void write(const banyanpick::LimitShare &Body, Envelope &Envelope) {
+  LimitShare &Out = *Envelope.mutable_limit_share();
+  Out.set_team(Body.Team.Value);
+  Out.set_transfer(Body.Transfer);
+  Out.set_fraction(Body.Fraction);
+  Out.set_valid_from_us(toWire(Body.ValidFrom));
+}
+
+void write(const banyanpick::RecordsRelayed &Body, Envelope &Envelope) {
+  RecordsRelayed &Out = *Envelope.mutable_records_relayed();
+  for (const banyanpick::StoredRecord &Each : Body.Records)
+    toWire(Each, *Out.add_records());
+  Out.set_first_offset(Body.FirstOffset);
+  Out.set_next_offset(Body.NextOffset);
+}
+
+void write(const banyanpick::RecordsAsked &Body, Envelope &Envelope) {
+  Envelope.mutable_records_asked()->set_from_offset(Body.FromOffset);
+}
+
+void write(const banyanpick::CatalogueRelayed &Body, Envelope &Envelope) {
+  Envelope.mutable_catalogue_relayed()->set_at_offset(Body.AtOffset);
+  Envelope.mutable_catalogue_relayed()->set_text(Body.Text);
+}
+
+void write(const QuarantineNotice &Body, Envelope &Envelope) {
+  Quarantine &Out = *Envelope.mutable_quarantine_notice();
+  Out.set_content(Body.Content.Value);
+  Out.set_crashes(Body.Crashes);
+  Out.set_until_us(toWire(Body.Until));
+}
+
+void write(const banyanpick::UpstreamNotice &Body, Envelope &Envelope) {
+  UpstreamNotice &Out = *Envelope.mutable_upstream_notice();
+  Out.set_upstream(Body.Upstream.Value);
+  Out.set_life(Body.Life.Value);
+  Out.set_leaving(Body.Leaving);
+  Out.set_dead(Body.Dead);
+}
+
+void write(const LoadRelayed &Body, Envelope &Envelope) {
+  toWire(Body.Report, *Envelope.mutable_load_relayed());
+}
+
+void write(const banyanpick::StreamHandover &Body, Envelope &Envelope) {
+  StreamHandover &Out = *Envelope.mutable_stream_handover();
+  Out.set_resume_token(Body.ResumeToken);
+  Out.set_team(Body.Team.Value);
+  Out.set_class_id(Body.Class.Value);
+  Out.set_attempt_maker(Body.Attempt.Maker.Value);
+  Out.set_attempt_sequence(Body.Attempt.Sequence);
+  Out.set_upstream(Body.Upstream.Value);
+  Out.set_next_index(Body.NextIndex);
+  Out.set_deadline_us(toWire(Body.Deadline));
+}
+
+void write(const banyanpick::HandoverTaken &Body, Envelope &Envelope) {
+  Envelope.mutable_handover_taken()->set_resume_token(Body.ResumeToken);
+}
+
+banyanpick::Heartbeat read(const Heartbeat &In) {
+  banyanpick::Heartbeat Result;
+  Result.Sequence = In.sequence();
+  Result.Acknowledges = In.acknowledges();
+  Result.Zone.Value = In.zone();
+  Result.Version = In.version();
+  Result.Leaving = In.leaving();
+  Result.Ready = In.ready();
+  Result.InForce = In.in_force();
+  Result.LogConfirmedAt = timeFromWire(In.log_confirmed_at_us());
+  for (const Rumour &Each : In.rumours())
+    Result.Rumours.push_back({HostId(Each.host()), Incarnation(Each.life()),
+                              Each.version(),
+                              checkedEnum(Each.state(), MemberState::Leaving)});
+  return Result;
+}
+
+banyanpick::WorkSent read(const WorkSent &In) {
+  banyanpick::WorkSent Result;
+  for (const WorkSent::Item &Each : In.items())
+    Result.Items.push_back(
+        {UpstreamId(Each.engine()), Each.prefill_tokens(), Each.requests()});
+  return Result;
+}
+
+banyanpick::TeamUsage read(const TeamUsage &In) {
+  banyanpick::TeamUsage Result;
+  Result.Epoch = In.epoch();
+  for (const TeamUsage::Item &Each : In.items())
+    Result.Items.push_back(
+        {TeamId(Each.team()), checkedNumber(Each.service_tokens()),
+         checkedNumber(Each.demand_requests()),
+         checkedNumber(Each.demand_tokens()), Each.concurrent()});
+  return Result;
+}
+
+banyanpick::LimitShare read(const LimitShare &In) {
+  return {TeamId(In.team()), In.transfer(), checkedNumber(In.fraction()),
+          timeFromWire(In.valid_from_us())};
+}
+
+banyanpick::RecordsRelayed read(const RecordsRelayed &In) {
+  banyanpick::RecordsRelayed Result;
+  for (const StoredRecord &Each : In.records())
+    Result.Records.push_back(fromWire(Each));
+  Result.FirstOffset = In.first_offset();
+  Result.NextOffset = In.next_offset();
+  return Result;
+}
+
+QuarantineNotice read(const Quarantine &In) {
+  return {Fingerprint(In.content()), In.crashes(), timeFromWire(In.until_us())};
+}
+
+banyanpick::UpstreamNotice read(const UpstreamNotice &In) {
+  return {UpstreamId(In.upstream()), Incarnation(In.life()), In.leaving(),
+          In.dead()};
+}
+
+banyanpick::StreamHandover read(const StreamHandover &In) {
+  banyanpick::StreamHandover Result;
+  Result.ResumeToken = In.resume_token();
+  Result.Team.Value = In.team();
+  Result.Class.Value = In.class_id();
+  Result.Attempt.Maker.Value = In.attempt_maker();
+  Result.Attempt.Sequence = In.attempt_sequence();
+  Result.Upstream.Value = In.upstream();
+  Result.NextIndex = In.next_index();
+  Result.Deadline = timeFromWire(In.deadline_us());
+  return Result;
+}
+
+PeerMessageBody readBody(const Envelope &In) {
+  switch (In.body_case()) {
+  case Envelope::kHeartbeat:
+    return read(In.heartbeat());
+  case Envelope::kWorkSent:
+    return read(In.work_sent());
+  case Envelope::kTeamUsage:
+    return read(In.team_usage());
+  case Envelope::kLimitShare:
+    return read(In.limit_share());
+  case Envelope::kRecordsRelayed:
+    return read(In.records_relayed());
+  case Envelope::kRecordsAsked:
+    return banyanpick::RecordsAsked{In.records_asked().from_offset()};
+  case Envelope::kCatalogueRelayed:
+    return banyanpick::CatalogueRelayed{In.catalogue_relayed().at_offset(),
+                                        In.catalogue_relayed().text()};
+  case Envelope::kQuarantineNotice:
+    return read(In.quarantine_notice());
+  case Envelope::kUpstreamNotice:
+    return read(In.upstream_notice());
+  case Envelope::kLoadRelayed:
+    return LoadRelayed{fromWire(In.load_relayed())};
+  case Envelope::kStreamHandover:
+    return read(In.stream_handover());
+  case Envelope::kHandoverTaken:
+    return banyanpick::HandoverTaken{In.handover_taken().resume_token()};
+  case Envelope::BODY_NOT_SET:
+    break;
+  }
+  throwMalformed("a peer message has no body");
+}
+
+} // namespace
+} // namespace wire
+
+std::string encodePeerMessage(const PeerMessage &Message) {
+  wire::Envelope Envelope;
+  Envelope.set_from(Message.From.Value);
+  Envelope.set_from_life(Message.FromLife.Value);
+  std::visit([&](const auto &Body) { wire::write(Body, Envelope); },
+             Message.Body);
+  return Envelope.SerializeAsString();
+}
+
+PeerMessage decodePeerMessage(std::string_view Bytes) {
+  wire::Envelope Envelope;
+  if (!Envelope.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    wire::throwMalformed("no peer message");
+  return {HostId(Envelope.from()), Incarnation(Envelope.from_life()),
+          wire::readBody(Envelope)};
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/wire/UpstreamCodec.h
@@ -0,0 +1,16 @@
+/// \file
+/// Load reports as protobuf messages.
+#pragma once
+
+#include "kernel/Upstream.h"
+
+namespace banyanpick::wire {
+
+class LoadReport;
+
+void toWire(const banyanpick::LoadReport &Report, LoadReport &Out);
+
+/// Throws Error(BadInput) when a value is out of its range.
+banyanpick::LoadReport fromWire(const LoadReport &In);
+
+} // namespace banyanpick::wire
--- /dev/null
+++ b/src/libs/wire/WireChecks.h
@@ -0,0 +1,41 @@
+/// \file
+/// What every decoder checks before a value becomes a typed one.
+#pragma once
+
+#include "base/Error.h"
+#include "base/Time.h"
+
+#include <cmath>
+#include <string>
+#include <string_view>
+
+namespace banyanpick::wire {
+
+/// Throws the error of a malformed message.
+[[noreturn]] inline void throwMalformed(std::string_view What) {
+  throw Error(ErrorKind::BadInput, "malformed message: " + std::string(What),
+              "run the same release on all entry hosts");
+}
+
+/// The enumerator of that number; \p Last is the enum's last one.
+template <class Enum> Enum checkedEnum(std::uint32_t Number, Enum Last) {
+  if (Number > static_cast<std::uint32_t>(Last))
+    throwMalformed("unknown enumerator " + std::to_string(Number));
+  return static_cast<Enum>(Number);
+}
+
+inline double checkedNumber(double Number) {
+  if (!std::isfinite(Number))
+    throwMalformed("a number is not finite");
+  return Number;
+}
+
+inline Time timeFromWire(std::int64_t Microseconds) {
+  return Time(Duration(Microseconds));
+}
+
+inline std::int64_t toWire(Time Moment) {
+  return Moment.time_since_epoch().count();
+}
+
+} // namespace banyanpick::wire
