Carry the newer fields of records and reports on the wire

Cause: outcomes now name their claim, usage its queue, shares their split and load reports a backlog by priority; none of them was encoded. The compiler's warning of a missing initializer in the round-trip test found them.

--- a/src/libs/wire/LogCodec.cpp
+++ b/src/libs/wire/LogCodec.cpp
@@ -24,6 +24,7 @@
   Out.set_owner_life(Record.OwnerLife.Value);
   Out.set_ended(static_cast<std::uint32_t>(Record.Ended));
   Out.set_result(Record.Result);
+  Out.set_claim_sequence(Record.ClaimSequence);
 }
 
 void write(const banyanpick::SnapshotChunk &Record, SnapshotChunk &Out) {
@@ -74,9 +75,12 @@
 }
 
 OutcomeRecord read(const Outcome &In) {
-  return {OperationKey(In.key()), TeamId(In.team()),
+  return {OperationKey(In.key()),
+          TeamId(In.team()),
           Incarnation(In.owner_life()),
-          checkedEnum(In.ended(), OutcomeRecord::Kind::Released), In.result()};
+          checkedEnum(In.ended(), OutcomeRecord::Kind::Released),
+          In.result(),
+          In.claim_sequence()};
 }
 
 banyanpick::SnapshotChunk read(const SnapshotChunk &In) {
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -50,6 +50,7 @@
     Item.set_demand_requests(Each.DemandRequests);
     Item.set_demand_tokens(Each.DemandTokens);
     Item.set_concurrent(Each.Concurrent);
+    Item.set_lane(Each.Lane);
   }
 }
 
@@ -59,6 +60,7 @@
   Out.set_transfer(Body.Transfer);
   Out.set_fraction(Body.Fraction);
   Out.set_valid_from_us(toWire(Body.ValidFrom));
+  Out.set_view(Body.View);
 }
 
 void write(const banyanpick::RecordsRelayed &Body, Envelope &Envelope) {
@@ -145,13 +147,13 @@
     Result.Items.push_back(
         {TeamId(Each.team()), checkedNumber(Each.service_tokens()),
          checkedNumber(Each.demand_requests()),
-         checkedNumber(Each.demand_tokens()), Each.concurrent()});
+         checkedNumber(Each.demand_tokens()), Each.concurrent(), Each.lane()});
   return Result;
 }
 
 banyanpick::LimitShare read(const LimitShare &In) {
   return {TeamId(In.team()), In.transfer(), checkedNumber(In.fraction()),
-          timeFromWire(In.valid_from_us())};
+          timeFromWire(In.valid_from_us()), In.view()};
 }
 
 banyanpick::RecordsRelayed read(const RecordsRelayed &In) {
--- a/src/libs/wire/UpstreamCodec.cpp
+++ b/src/libs/wire/UpstreamCodec.cpp
@@ -44,6 +44,11 @@
     Out.add_models(Each.Value);
   for (const banyanpick::HoldReport &Each : Report.Holds)
     write(Each, *Out.add_holds());
+  for (const PriorityBacklog &Each : Report.Backlog) {
+    Backlog &Item = *Out.add_backlog();
+    Item.set_priority(Each.Priority);
+    Item.set_prefill_tokens(Each.PrefillTokens);
+  }
 }
 
 banyanpick::LoadReport fromWire(const LoadReport &In) {
@@ -64,6 +69,8 @@
     Result.Models.emplace_back(Each);
   for (const HoldReport &Each : In.holds())
     Result.Holds.push_back(read(Each));
+  for (const Backlog &Each : In.backlog())
+    Result.Backlog.push_back({Each.priority(), Each.prefill_tokens()});
   return Result;
 }
 
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -72,7 +72,8 @@
                             life(), Fingerprint(number())}};
   case 2:
     return {Id, OutcomeRecord{id<OperationKey>(), id<TeamId>(), life(),
-                              oneOf(OutcomeRecord::Kind::Released), text()}};
+                              oneOf(OutcomeRecord::Kind::Released), text(),
+                              number()}};
   case 3:
     return {Id, SnapshotChunk{number(), small(), small(), number(), text()}};
   case 4:
@@ -103,6 +104,9 @@
                               text(),
                               number(),
                               moment()};
+          }),
+          several([] {
+            return PriorityBacklog{small(), number()};
           })};
 }
 
@@ -126,12 +130,12 @@
       return WorkSent::Item{id<UpstreamId>(), number(), small()};
     })};
   case 2:
-    return TeamUsage{
-        number(), several([] {
-          return TeamUsage::Item{id<TeamId>(), real(), real(), real(), small()};
-        })};
+    return TeamUsage{number(), several([] {
+                       return TeamUsage::Item{id<TeamId>(), real(),  real(),
+                                              real(),       small(), small()};
+                     })};
   case 3:
-    return LimitShare{id<TeamId>(), number(), real(), moment()};
+    return LimitShare{id<TeamId>(), number(), real(), moment(), number()};
   case 4:
     return RecordsRelayed{several([] {
                             return StoredRecord{number(), small(), logRecord()};
