Add thin log, catalogue, claims and operators plug-ins

The log plug-in reads forward, one read at a time, and appends by group commit; an append without an answer is settled by reading, never believed lost. Operations are claimed in the log before they may be dispatched. Operators are answered once their own record was read back.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -53,8 +53,27 @@
                                           "log service unreachable"};
 inline constexpr EventKind LogReachable{303, LogLevel::Info,
                                         "log service reachable"};
+inline constexpr EventKind RecordsMissed{304, LogLevel::Warning,
+                                         "log records missed"};
+inline constexpr EventKind LogWentBack{305, LogLevel::Error,
+                                       "log service lost records"};
+inline constexpr EventKind CatalogueRestored{306, LogLevel::Info,
+                                             "catalogue restored"};
+inline constexpr EventKind SnapshotWritten{307, LogLevel::Info,
+                                           "snapshot written"};
+inline constexpr EventKind HostNotCurrent{308, LogLevel::Warning,
+                                          "catalogue may be out of date"};
+inline constexpr EventKind HostCurrent{309, LogLevel::Info,
+                                       "catalogue known to be current"};
+inline constexpr EventKind ChangeTaken{310, LogLevel::Info,
+                                       "change set taken from an operator"};
+inline constexpr EventKind SnapshotDamaged{311, LogLevel::Warning,
+                                           "snapshot unusable"};
 
 // 4xx: claims
+inline constexpr EventKind ClaimDecided{400, LogLevel::Info, "claim decided"};
+inline constexpr EventKind ClaimReleased{401, LogLevel::Info,
+                                         "claim given back"};
 
 // 5xx: hosts and upstreams
 
--- a/src/libs/catalogue/Fold.cpp
+++ b/src/libs/catalogue/Fold.cpp
@@ -52,7 +52,7 @@
     const auto Conflict = conflictOf(this->Entries, Wanted, Set.Author);
     if (!Conflict)
       continue;
-    this->Verdicts.emplace(Set.Id, *Conflict);
+    this->remember(Set.Id, *Conflict);
     return *Conflict;
   }
   for (const Change &Wanted : Set.Changes) {
@@ -61,13 +61,40 @@
     else
       this->Entries.erase(Wanted.Key);
   }
-  this->Verdicts.emplace(Set.Id, ChangeAccepted{Offset});
+  this->remember(Set.Id, ChangeAccepted{Offset});
   return ChangeAccepted{Offset};
 }
 
-void Catalogue::restore(EntryMap Restored, LogOffset AtOffset) {
+void Catalogue::restore(EntryMap Restored, LogOffset AtOffset,
+                        std::vector<KnownVerdict> Known) {
   this->Entries = std::move(Restored);
   this->Offset = AtOffset;
+  this->Verdicts.clear();
+  this->VerdictOrder.clear();
+  for (KnownVerdict &Each : Known)
+    this->remember(Each.Id, std::move(Each.Verdict));
+}
+
+const ChangeVerdict *Catalogue::verdict(const ChangeId &Id) const {
+  const auto Found = this->Verdicts.find(Id);
+  return Found == this->Verdicts.end() ? nullptr : &Found->second;
+}
+
+std::vector<KnownVerdict> Catalogue::verdicts() const {
+  std::vector<KnownVerdict> Result;
+  for (const ChangeId &Each : this->VerdictOrder)
+    Result.push_back({Each, this->Verdicts.at(Each)});
+  return Result;
+}
+
+void Catalogue::remember(const ChangeId &Id, ChangeVerdict Verdict) {
+  if (!this->Verdicts.emplace(Id, std::move(Verdict)).second)
+    return;
+  this->VerdictOrder.push_back(Id);
+  if (this->VerdictOrder.size() <= MostVerdicts)
+    return;
+  this->Verdicts.erase(this->VerdictOrder.front());
+  this->VerdictOrder.pop_front();
 }
 
 void Catalogue::passOver(LogOffset AtOffset) {
--- /dev/null
+++ b/src/plugins/catalogue/Currency.cpp
@@ -0,0 +1,45 @@
+/// \file
+#include "plugins/catalogue/Currency.h"
+
+namespace banyanpick {
+
+void Currency::hear(const Heartbeat &Beat, LogOffset Offset, Time Now) {
+  if (Beat.Ready && Beat.InForce <= Offset)
+    this->confirm(std::min(Beat.LogConfirmedAt, Now));
+}
+
+bool Currency::isCurrent(const MembershipView *Members, Time Now) const {
+  if (this->Confirmed == Time{})
+    return false;
+  if (Now <= this->Confirmed + this->Window)
+    return true;
+  return !Members || this->logIsAwayForAll(*Members, Now);
+}
+
+bool Currency::hearsMost(const MembershipView *Members, Time Now) const {
+  if (!Members)
+    return true;
+  std::size_t Known = 1;
+  std::size_t Heard = 1;
+  for (const Member &Each : Members->peers()) {
+    if (Each.State == MemberState::Leaving)
+      continue;
+    ++Known;
+    if (Now <= Each.LastHeard + this->Window)
+      ++Heard;
+  }
+  return Heard * 2 > Known;
+}
+
+bool Currency::logIsAwayForAll(const MembershipView &Members, Time Now) const {
+  if (!this->hearsMost(&Members, Now))
+    return false;
+  const auto ReachesLog = [&](const Member &Each) {
+    const bool Heard = Now <= Each.LastHeard + this->Window;
+    return Heard && Now <= Each.LogConfirmedAt + this->Window;
+  };
+  const auto Peers = Members.peers();
+  return std::none_of(Peers.begin(), Peers.end(), ReachesLog);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/catalogue/Currency.h
@@ -0,0 +1,44 @@
+/// \file
+/// Whether this host can know that its catalogue is current.
+#pragma once
+
+#include "kernel/Services.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+/// Follows when the end of the log was last seen, here or through peers.
+///
+/// A host that saw the end of the log within the window is current; so is one
+/// that has all that a peer had when the peer saw it. When the log is away for
+/// everybody, nothing can be accepted, since an acceptance needs the log and
+/// contact with most hosts; a host that hears from most hosts, none of which
+/// reached the log within the window, therefore stays current.
+class Currency {
+public:
+  explicit Currency(Duration Window) : Window(Window) {}
+
+  /// This host had everything the log held at \p When.
+  void confirm(Time When) { this->Confirmed = std::max(this->Confirmed, When); }
+
+  /// Takes in what a peer says of itself; \p Offset is in force here.
+  void hear(const Heartbeat &Beat, LogOffset Offset, Time Now);
+
+  /// \p Members may be null while there is no membership.
+  bool isCurrent(const MembershipView *Members, Time Now) const;
+
+  /// Whether this host heard from most of the hosts it knows within the
+  /// window, itself included.
+  bool hearsMost(const MembershipView *Members, Time Now) const;
+
+  Time confirmedAt() const { return this->Confirmed; }
+
+private:
+  bool logIsAwayForAll(const MembershipView &Members, Time Now) const;
+
+  Duration Window;
+  Time Confirmed{};
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/catalogue/SnapshotWriter.cpp
@@ -0,0 +1,77 @@
+/// \file
+#include "plugins/catalogue/SnapshotWriter.h"
+
+#include "base/EventNumbers.h"
+#include "base/RendezvousHash.h"
+#include "plugins/catalogue/SnapshotAssembler.h"
+#include "plugins/catalogue/SnapshotText.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// Part of the interval in which a new host plans its first snapshot.
+constexpr int FirstPart = 8;
+/// Part of the interval between the turns of two hosts.
+constexpr int TurnPart = 16;
+/// Later turns than this are taken together.
+constexpr std::size_t MostTurns = 8;
+/// Part of the interval after which an own snapshot not read back is repeated.
+constexpr int RepeatPart = 4;
+
+} // namespace
+
+void SnapshotWriter::begin(Time Now) {
+  if (this->DueAt != Never)
+    return;
+  const double Part = this->Numbers.fraction() / FirstPart;
+  this->DueAt = Now + fromSeconds(inSeconds(this->Options.Interval) * Part);
+}
+
+void SnapshotWriter::sawWhole(LogOffset AtOffset, Time Now) {
+  this->LastAt = std::max(this->LastAt, AtOffset);
+  this->TurnTaken = false;
+  if (this->DueAt != Never)
+    this->DueAt = Now + this->Options.Interval;
+}
+
+void SnapshotWriter::writeWhenDue(const Catalogue &Source,
+                                  const MembershipView *Members, LogWriter &Log,
+                                  Time Now, Actions &Out) {
+  if (Now < this->DueAt)
+    return;
+  const std::size_t Rank = this->rank(Members);
+  if (!this->TurnTaken && Rank > 0) {
+    this->TurnTaken = true;
+    this->DueAt = Now + this->Options.Interval / TurnPart *
+                            static_cast<int>(std::min(Rank, MostTurns));
+    return;
+  }
+  this->DueAt = Now + this->Options.Interval / RepeatPart;
+  if (!Log.isReachable(Now))
+    return;
+  const auto Chunks =
+      chunksOf(Source.offset(), snapshotText(Source), this->Options.ChunkBytes);
+  for (const SnapshotChunk &Each : Chunks)
+    Log.append(Each, Now, Out);
+  Out.log(logEvent(events::SnapshotWritten)
+              .with("offset", Source.offset())
+              .with("chunks", Chunks.size())
+              .build());
+}
+
+std::size_t SnapshotWriter::rank(const MembershipView *Members) const {
+  if (!Members)
+    return 0;
+  const std::string Round = "snapshot " + std::to_string(this->LastAt);
+  const std::uint64_t Own = rendezvousWeight(Round, this->Self.Value);
+  const auto Live = Members->livePeers();
+  return static_cast<std::size_t>(
+      std::count_if(Live.begin(), Live.end(), [&](const HostId &Each) {
+        return rendezvousWeight(Round, Each.Value) > Own;
+      }));
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/claims/ClaimsPlugin.h
@@ -0,0 +1,105 @@
+/// \file
+/// The plug-in `claims`: non-idempotent operations run at most once.
+#pragma once
+
+#include "kernel/Plugin.h"
+#include "plugins/claims/ClaimTable.h"
+#include "plugins/log/LogTail.h"
+
+#include <map>
+#include <optional>
+
+namespace banyanpick {
+
+/// Claims each operation in the log before it may be dispatched. A claim is
+/// granted only when it was read back as the operation's owner, after
+/// everything before it in the log; it never lapses, so a pause of its owner
+/// does no harm. A claim that is not needed any more is given back by a record
+/// that names it; one whose owner died is never run by anybody.
+class ClaimsPlugin : public Plugin,
+                     public ClaimKeeper,
+                     public LogObserver,
+                     public RequestObserver {
+public:
+  void initialize(PluginContext &Context) override;
+  void start(Time Now, Actions &Out) override;
+  void handle(const Event &What, Time Now, Actions &Out) override;
+  Time nextWake() const override;
+  void checkInvariants(InvariantMonitor &Monitor, Time Now) const override;
+
+  void claim(const Request &Asked, Time Now, Actions &Out) override;
+  void abandon(const Request &Asked, Time Now, Actions &Out) override;
+  void finish(const Request &Asked, OutcomeRecord::Kind Ended,
+              std::string_view Result, Time Now, Actions &Out) override;
+
+  void recordRead(const StoredRecord &Read, Time Now, Actions &Out) override;
+  void appendSettled(const RecordId &Id, bool Taken, Time Now,
+                     Actions &Out) override;
+  void caughtUp(LogOffset EndOffset, Time Now, Actions &Out) override;
+  void recordsMissed(LogOffset StartOffset, Time Now, Actions &Out) override;
+
+  void dispatched(const Request &Asked, const Attempt &Try, Time Now,
+                  Actions &Out) override;
+  void attemptEnded(const Request &Asked, const Attempt &Try,
+                    const AttemptOutcome &Outcome, Time Now,
+                    Actions &Out) override;
+
+private:
+  /// An own claim that a request waits for. One that nobody waits for any
+  /// more is forgotten, and given back should it be read as the owner.
+  struct Waiting {
+    RecordId Claim;
+    RequestId For;
+    Fingerprint Content;
+    Time GiveUpAt{};
+  };
+  /// An own claim that was granted to a request of this host.
+  struct Grant {
+    RecordId Claim;
+    RequestId For;
+    Fingerprint Content;
+    bool MayHaveRun = false;
+    std::optional<ClaimOutcome> Outcome; ///< Known here, maybe not in the log.
+  };
+
+  std::optional<NotRun> refusalOf(const Request &Asked, Time Now) const;
+  std::optional<FinalAnswer> answerKnown(const OperationName &Name,
+                                         Fingerprint Content, Time Now) const;
+  FinalAnswer answerOwned(const ClaimedOperation &Known, Time Now) const;
+  NotRun notSettled() const;
+  bool isFenced(Time CreatedAt) const;
+  bool isGone(const ClaimOwner &Owner, Time Now) const;
+  void takeClaim(const RecordId &Id, const ClaimRecord &Claim, Time Now,
+                 Actions &Out);
+  void takeOwnClaim(const OperationName &Name, const RecordId &Id,
+                    ClaimJudgement Judged, Time Now, Actions &Out);
+  void denyWaiting(const OperationName &Name, FinalAnswer Answer, Time Now,
+                   Actions &Out);
+  void giveBack(const OperationName &Name, const RecordId &Claim, Time Now,
+                Actions &Out);
+  void giveUpLate(Time Now, Actions &Out);
+  void decide(const RequestId &Id, ClaimVerdict Verdict, Time Now,
+              Actions &Out);
+
+  Services *Offered = nullptr;
+  LogWriter *Log = nullptr;
+  LogTail *Tail = nullptr;
+  const MembershipView *Members = nullptr;
+  HostId Self;
+  Incarnation Life;
+  ClaimTable Table;
+  std::map<OperationName, Waiting> Claims;
+  std::map<OperationName, Grant> Grants;
+  Duration Window{};
+  Duration Skew{};
+  Duration GiveUpAfter{};
+  Duration ComeBack{};
+  std::size_t MostResult = 0;
+  bool CaughtUp = false;
+  Time StartedAt{};
+  Time KeysAfter{}; ///< Older keys may have been claimed in records missed.
+  Time PruneAt{};
+  std::uint64_t DoubleGrants = 0;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/log/LogPlugin.cpp
@@ -0,0 +1,239 @@
+/// \file
+#include "plugins/log/LogPlugin.h"
+
+#include "base/EventNumbers.h"
+#include "base/Visitor.h"
+#include "kernel/PluginRegistry.h"
+#include "plugins/log/BestPeer.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+std::vector<SettingDeclaration> logSettings() {
+  using Kind = SettingKind;
+  return {
+      {"log", "poll_gap", Kind::Span, "20ms",
+       "Pause after a read of the log that brought nothing.", 1e3, 1e6},
+      {"log", "backoff_first", Kind::Span, "100ms",
+       "Pause after the first failed read or append.", 1e3, 10e6},
+      {"log", "backoff_most", Kind::Span, "1s",
+       "Longest pause after failed reads.", 1e3, 60e6},
+      {"log", "stall_after", Kind::Span, "30s",
+       "A read or append without any answer is given up after this.", 1e6,
+       600e6},
+      {"log", "reachable_within", Kind::Span, "2s",
+       "The log counts as reachable this long after its last answer.", 100e3,
+       60e6},
+      {"log", "relay_interval", Kind::Span, "500ms",
+       "How often a host cut off from the log asks a peer for records.", 10e3,
+       60e6},
+      {"log", "append_rate", Kind::Fraction, "200",
+       "Appends a second that all entry hosts together make at the most.", 1,
+       1e5},
+      {"log", "append_records", Kind::Whole, "1000",
+       "Most records in one append.", 1, 1e5},
+      {"log", "append_bytes", Kind::Size, "256KB",
+       "Most bytes in one append, estimated.", 1024, 64e6},
+      {"log", "waiting_records", Kind::Whole, "20000",
+       "Most records that wait to be appended.", 10, 1e7},
+      {"log", "tail_bytes", Kind::Size, "4MB",
+       "Records kept in memory to be passed on to peers.", 1024, 1e9},
+      {"log", "relay_bytes", Kind::Size, "64KB",
+       "Most bytes of records passed on in one message.", 1024, 16e6},
+      {"log", "retention", Kind::Span, "24h",
+       "How long the log service surely keeps a record.", 1e6, 1e14},
+  };
+}
+
+const PluginRegistration Registration({"log", {}, logSettings, [] {
+                                         return std::unique_ptr<Plugin>(
+                                             std::make_unique<LogPlugin>());
+                                       }});
+
+LogReaderOptions readerOptions(const Settings &Values) {
+  return {Values.span("log", "poll_gap"), Values.span("log", "backoff_first"),
+          Values.span("log", "backoff_most"),
+          Values.span("log", "stall_after")};
+}
+
+AppendQueueOptions queueOptions(const Settings &Values) {
+  return {
+      Values.whole("log", "append_records"), Values.size("log", "append_bytes"),
+      Values.whole("log", "waiting_records"),
+      Values.span("log", "backoff_first"), Values.span("log", "stall_after")};
+}
+
+} // namespace
+
+void LogPlugin::initialize(PluginContext &Context) {
+  const Settings &Values = Context.settings();
+  this->Offered = &Context.services();
+  this->Reader.emplace(readerOptions(Values), Context.random());
+  this->Queue.emplace(queueOptions(Values), Context.self().Life);
+  this->Tail.emplace(Values.size("log", "tail_bytes"));
+  this->ReachableWithin = Values.span("log", "reachable_within");
+  this->RelayInterval = Values.span("log", "relay_interval");
+  this->AppendRate = Values.fraction("log", "append_rate");
+  this->MostRelayed = Values.size("log", "relay_bytes");
+  this->Offered->provide<LogWriter>(*this);
+  this->Offered->provide<LogTail>(*this);
+}
+
+void LogPlugin::start(Time Now, Actions &Out) {
+  this->Members = this->Offered->find<MembershipView>();
+  this->AskPeerAt = Now + this->RelayInterval;
+  this->Reader->readWhenDue(Now, Out);
+}
+
+void LogPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  match(
+      What, [&](const LogRead &Answer) { this->takeRead(Answer, Now, Out); },
+      [&](const LogReadFailed &) { this->Reader->failed(Now); },
+      [&](const AppendAnswered &Answer) { this->Queue->take(Answer, Now); },
+      [&](const PeerMessageReceived &Given) {
+        this->takePeerMessage(Given.Message, Now, Out);
+      },
+      [](const auto &) {});
+  this->noteReachability(Now, Out);
+  this->tellSettled(Now, Out);
+  this->Queue->sendWhenDue(this->appendGap(), Now, Out);
+  this->Reader->readWhenDue(Now, Out);
+  this->askPeerWhenDue(Now, Out);
+}
+
+Time LogPlugin::nextWake() const {
+  const Time Own = std::min(this->Reader->nextWake(),
+                            this->Queue->nextWake(this->appendGap()));
+  if (!this->Members)
+    return Own;
+  return std::min(Own, this->Reachable
+                           ? this->Reader->answeredAt() + this->ReachableWithin
+                           : this->AskPeerAt);
+}
+
+void LogPlugin::checkInvariants(InvariantMonitor &Monitor, Time) const {
+  Monitor.require(this->OutOfOrder == 0,
+                  "log records are delivered in log order, once");
+}
+
+RecordId LogPlugin::append(LogRecordBody Body, Time Now, Actions &Out) {
+  const RecordId Id = this->Queue->add(std::move(Body));
+  this->Queue->sendWhenDue(this->appendGap(), Now, Out);
+  return Id;
+}
+
+bool LogPlugin::withdraw(const RecordId &Id) {
+  return this->Queue->withdraw(Id);
+}
+
+bool LogPlugin::isReachable(Time Now) const {
+  return this->Reader->nextOffset() > 0 &&
+         Now <= this->Reader->answeredAt() + this->ReachableWithin;
+}
+
+void LogPlugin::skipTo(LogOffset Offset, Time Now, Actions &Out) {
+  if (Offset <= this->Reader->nextOffset())
+    return;
+  this->Reader->skipTo(Offset);
+  this->missed(Offset, Now, Out);
+}
+
+void LogPlugin::takeRead(const LogRead &Answer, Time Now, Actions &Out) {
+  const bool First = this->Reader->nextOffset() == 0;
+  const ReadStep Step = this->Reader->take(Answer, Now);
+  if (Step.WentBack) {
+    Out.log(logEvent(events::LogWentBack)
+                .with("end", Answer.EndOffset)
+                .with("next", this->Reader->nextOffset())
+                .build());
+    Out.count("log_went_back");
+    return;
+  }
+  if (Step.MissedUpTo) {
+    const bool WasWhole = this->Whole;
+    this->missed(*Step.MissedUpTo, Now, Out);
+    this->Whole = WasWhole && First;
+  } else if (First) {
+    this->Tail->restart(Answer.StartOffset);
+  }
+  this->deliver(Step, Now, Out);
+  if (!Step.CaughtUp)
+    return;
+  this->EndSeenAt = std::max(this->EndSeenAt, Step.AskedAt);
+  this->Queue->sawEnd(Step.AskedAt);
+  for (LogObserver *Each : this->Offered->list<LogObserver>().all())
+    Each->caughtUp(Answer.EndOffset, Now, Out);
+}
+
+void LogPlugin::takePeerMessage(const PeerMessage &Message, Time Now,
+                                Actions &Out) {
+  if (const auto *Asked = std::get_if<RecordsAsked>(&Message.Body)) {
+    const LogOffset Kept = this->Tail->first();
+    if (Kept > 0 && Asked->FromOffset >= Kept)
+      Out.add(SendToPeer{Message.From, this->Tail->from(Asked->FromOffset,
+                                                        this->MostRelayed)});
+    return;
+  }
+  if (const auto *Relayed = std::get_if<RecordsRelayed>(&Message.Body))
+    this->deliver(this->Reader->take(*Relayed), Now, Out);
+}
+
+void LogPlugin::missed(LogOffset Start, Time Now, Actions &Out) {
+  this->Whole = false;
+  this->Tail->restart(Start);
+  this->LastDelivered = Start - 1;
+  Out.log(logEvent(events::RecordsMissed).with("start", Start).build());
+  for (LogObserver *Each : this->Offered->list<LogObserver>().all())
+    Each->recordsMissed(Start, Now, Out);
+}
+
+void LogPlugin::deliver(const ReadStep &Step, Time Now, Actions &Out) {
+  this->Tail->add(Step.Fresh, this->Reader->nextOffset());
+  for (const StoredRecord &Each : Step.Fresh) {
+    if (Each.Offset < this->LastDelivered)
+      ++this->OutOfOrder;
+    this->LastDelivered = Each.Offset;
+    this->Queue->sawRecord(Each.Record.Id);
+    for (LogObserver *Observer : this->Offered->list<LogObserver>().all())
+      Observer->recordRead(Each, Now, Out);
+  }
+}
+
+void LogPlugin::tellSettled(Time Now, Actions &Out) {
+  for (const Settled &Each : this->Queue->takeSettled()) {
+    for (LogObserver *Observer : this->Offered->list<LogObserver>().all())
+      Observer->appendSettled(Each.Id, Each.Taken, Now, Out);
+  }
+}
+
+void LogPlugin::noteReachability(Time Now, Actions &Out) {
+  const bool Is = this->isReachable(Now);
+  if (Is == this->Reachable)
+    return;
+  this->Reachable = Is;
+  Out.log(logEvent(Is ? events::LogReachable : events::LogUnreachable)
+              .with("next", this->Reader->nextOffset())
+              .build());
+}
+
+void LogPlugin::askPeerWhenDue(Time Now, Actions &Out) {
+  if (this->Reachable || !this->Members || Now < this->AskPeerAt)
+    return;
+  this->AskPeerAt = Now + this->RelayInterval;
+  if (this->Reader->nextOffset() == 0)
+    return;
+  if (const Member *Best = bestPeer(*this->Members))
+    Out.add(
+        SendToPeer{Best->Listing.Id, RecordsAsked{this->Reader->nextOffset()}});
+}
+
+Duration LogPlugin::appendGap() const {
+  const std::size_t Hosts =
+      this->Members ? this->Members->livePeers().size() + 1 : 1;
+  return fromSeconds(static_cast<double>(Hosts) / this->AppendRate);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/log/RecordTail.cpp
@@ -0,0 +1,55 @@
+/// \file
+#include "plugins/log/RecordTail.h"
+
+#include "plugins/log/RecordSize.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+void RecordTail::add(std::span<const StoredRecord> Records, LogOffset Until) {
+  for (const StoredRecord &Each : Records) {
+    this->Bytes += estimatedBytes(Each.Record.Body);
+    this->Kept.push_back(Each);
+  }
+  this->Next = std::max(this->Next, Until);
+  while (this->Bytes > this->MostBytes && !this->Kept.empty())
+    this->dropOldest();
+}
+
+void RecordTail::restart(LogOffset At) {
+  this->Kept.clear();
+  this->Bytes = 0;
+  this->First = At;
+  this->Next = At;
+}
+
+RecordsRelayed RecordTail::from(LogOffset From, std::size_t MostRelayed) const {
+  RecordsRelayed Result{{}, From, std::max(From, this->Next)};
+  std::size_t Relayed = 0;
+  const auto Begin = std::lower_bound(
+      this->Kept.begin(), this->Kept.end(), From,
+      [](const StoredRecord &Each, LogOffset At) { return Each.Offset < At; });
+  for (auto Each = Begin; Each != this->Kept.end(); ++Each) {
+    const bool NewAppend =
+        Result.Records.empty() || Result.Records.back().Offset != Each->Offset;
+    if (NewAppend && !Result.Records.empty() && Relayed > MostRelayed) {
+      Result.NextOffset = Each->Offset;
+      break;
+    }
+    Relayed += estimatedBytes(Each->Record.Body);
+    Result.Records.push_back(*Each);
+  }
+  return Result;
+}
+
+void RecordTail::dropOldest() {
+  const LogOffset Oldest = this->Kept.front().Offset;
+  while (!this->Kept.empty() && this->Kept.front().Offset == Oldest) {
+    this->Bytes -= estimatedBytes(this->Kept.front().Record.Body);
+    this->Kept.pop_front();
+  }
+  this->First = Oldest + 1;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/operators/OperatorsPlugin.h
@@ -0,0 +1,66 @@
+/// \file
+/// The plug-in `operators`: answers what operators ask.
+#pragma once
+
+#include "kernel/Plugin.h"
+#include "plugins/catalogue/ChangeAcceptance.h"
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace banyanpick {
+
+/// Proves who asks, checks change sets and appends them to the log, and tells
+/// "accepted" only once the own record was read back, the fold took it, and
+/// most hosts are in contact.
+class OperatorsPlugin : public Plugin, public LogObserver {
+public:
+  void initialize(PluginContext &Context) override;
+  void handle(const Event &What, Time Now, Actions &Out) override;
+  Time nextWake() const override;
+
+  void recordRead(const StoredRecord &Read, Time Now, Actions &Out) override;
+  void appendSettled(const RecordId &Id, bool Taken, Time Now,
+                     Actions &Out) override;
+
+private:
+  /// A change set on its way, and the questions that wait for its verdict.
+  struct Pending {
+    RecordId Record;
+    ChangeSet Set;
+    std::vector<OperatorQuestionId> Questions;
+    Time AnswerBy{};
+  };
+  struct HistoryEntry {
+    LogOffset Offset = 0;
+    ChangeSet Set;
+  };
+
+  void take(const OperatorAsked &Asked, Time Now, Actions &Out);
+  OperatorAnswer answer(const OperatorQuestion &Question, Time Now,
+                        Actions &Out);
+  void apply(const OperatorQuestionId &Question, ChangeSet Set, Time Now,
+             Actions &Out);
+  std::string problemWithState(const ChangeSet &Set, Time Now) const;
+  bool isIdOfAnother(const ChangeSet &Set) const;
+  OperatorAnswer verdict(const ChangeId &Id, Time Now) const;
+  HistoryShown history(LogOffset From) const;
+  StatusReport status(Time Now) const;
+  void answerPending(Time Now, Actions &Out);
+  static void answerAll(const Pending &Of, const OperatorAnswer &Answer,
+                        Actions &Out);
+
+  Services *Offered = nullptr;
+  LogWriter *Log = nullptr;
+  CatalogueView *InForce = nullptr;
+  ChangeAcceptance *Acceptance = nullptr;
+  HostId Self;
+  std::string RootKey;
+  Duration AnswerWithin{};
+  std::size_t MostHistory = 0;
+  std::map<ChangeId, Pending> Waiting;
+  std::deque<HistoryEntry> History;
+};
+
+} // namespace banyanpick
