Route by predicted first token, refuse what can't keep its promise

Cause: the life cycle of requests needs an upstream for each try, a gate at admission, and memory on several engines for the longest prompts. Ruled out: a group whose chosen engine holds nothing itself; its job would wait for memory while it holds that of others, and two such groups could wait for each other. Change: thin plug-ins routing, admission, groups and prefixcache; the fake engine lets a job use its own hold. Conclusion: not measured yet.

--- a/src/libs/kernel/Request.h
+++ b/src/libs/kernel/Request.h
@@ -125,7 +125,8 @@
   std::uint32_t Priority = 0; ///< Engine priority; higher goes first.
   std::uint64_t UncachedTokens = 0;
   Duration PredictedFirstToken{};    ///< From now.
-  std::vector<UpstreamId> Group;     ///< More engines that must hold memory.
+  std::vector<UpstreamId> Group;     ///< Engines that must hold memory, the
+                                     ///< chosen one among them.
   std::uint64_t GroupTokensEach = 0; ///< Memory each of them must hold.
 };
 
--- /dev/null
+++ b/src/plugins/admission/WaitingWork.cpp
@@ -0,0 +1,31 @@
+#include "plugins/admission/WaitingWork.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+void WaitingWork::add(const RequestId &Id, std::uint32_t Urgency,
+                      std::uint64_t Tokens) {
+  const std::uint32_t Bounded = std::min(Urgency, Urgencies - 1);
+  this->remove(Id);
+  this->Waiting[Id] = {Bounded, Tokens};
+  this->Sums[Bounded] += Tokens;
+}
+
+void WaitingWork::remove(const RequestId &Id) {
+  const auto Found = this->Waiting.find(Id);
+  if (Found == this->Waiting.end())
+    return;
+  this->Sums[Found->second.Urgency] -= Found->second.Tokens;
+  this->Waiting.erase(Found);
+}
+
+std::uint64_t WaitingWork::ahead(std::uint32_t Urgency) const {
+  std::uint64_t Tokens = 0;
+  for (std::uint32_t Each = std::min(Urgency, Urgencies - 1); Each < Urgencies;
+       ++Each)
+    Tokens += this->Sums[Each];
+  return Tokens;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/routing/EngineCost.cpp
@@ -0,0 +1,98 @@
+#include "plugins/routing/EngineCost.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// Taken for an engine that has measured nothing yet.
+constexpr double DefaultPrefillSpeed = 20'000;
+constexpr double DefaultDecodeSpeed = 30;
+
+/// Prefill that the report counts at or above the priority.
+std::uint64_t reportedAhead(const LoadReport &Report, std::uint32_t Priority) {
+  if (Report.Backlog.empty())
+    return Report.QueuedPrefillTokens;
+  std::uint64_t Tokens = 0;
+  for (const PriorityBacklog &Each : Report.Backlog)
+    if (Each.Priority >= Priority)
+      Tokens += Each.PrefillTokens;
+  return Tokens;
+}
+
+} // namespace
+
+double prefillSpeed(const Upstream &Engine) {
+  const double Measured = Engine.Report.PrefillTokensPerSecond;
+  return Measured > 0 ? Measured : DefaultPrefillSpeed;
+}
+
+EngineEstimate EngineCost::estimate(const Upstream &Engine,
+                                    const EngineDemand &Demand,
+                                    Time Now) const {
+  const double Speed = prefillSpeed(Engine);
+  const double Decode = Engine.Report.DecodeTokensPerSecond > 0
+                            ? Engine.Report.DecodeTokensPerSecond
+                            : DefaultDecodeSpeed;
+  EngineEstimate Result;
+  Result.Wait =
+      fromSeconds(this->workAhead(Engine, Demand.Priority, Now) / Speed) +
+      this->memoryWait(Engine, Demand.MemoryTokens);
+  if (this->hasLowerWork(Engine, Demand.Priority))
+    Result.Wait += this->Values.StepDelay;
+  Result.FirstToken =
+      Result.Wait +
+      fromSeconds(static_cast<double>(Demand.UncachedTokens) / Speed);
+  if (this->Values.Parts.Zones && Engine.Listing.Zone != this->SelfZone)
+    Result.FirstToken += this->Values.CrossZoneDelay;
+  Result.WholeAnswer =
+      Result.FirstToken +
+      fromSeconds(static_cast<double>(Demand.OutputTokens) / Decode);
+  return Result;
+}
+
+std::uint64_t EngineCost::freeMemory(const Upstream &Engine) const {
+  const WorkSum Sent =
+      this->Book.sentSince(Engine.Listing.Id, Engine.Report.MeasuredAt, 0);
+  return Engine.Report.FreeMemoryTokens -
+         std::min(Engine.Report.FreeMemoryTokens, Sent.MemoryTokens);
+}
+
+double EngineCost::workAhead(const Upstream &Engine, std::uint32_t Priority,
+                             Time Now) const {
+  const RoutingParts &Parts = this->Values.Parts;
+  const LoadReport &Report = Engine.Report;
+  double Ahead = static_cast<double>(reportedAhead(Report, Priority));
+  if (Parts.PeerWork)
+    Ahead += static_cast<double>(Engine.PeerPrefillTokens);
+  if (Parts.OwnWork)
+    Ahead += static_cast<double>(
+        this->Book.sentSince(Engine.Listing.Id, Report.MeasuredAt, Priority)
+            .PrefillTokens);
+  if (Parts.ReportAge)
+    Ahead -= inSeconds(std::max(Now - Report.MeasuredAt, Duration(0))) *
+             prefillSpeed(Engine);
+  return std::max(Ahead, 0.0);
+}
+
+Duration EngineCost::memoryWait(const Upstream &Engine,
+                                std::uint64_t Needed) const {
+  const std::uint64_t Free = this->freeMemory(Engine);
+  if (Needed <= Free || Engine.Report.MemoryTokens == 0)
+    return Duration(0);
+  const double Share = static_cast<double>(Needed - Free) /
+                       static_cast<double>(Engine.Report.MemoryTokens);
+  return fromSeconds(Share * inSeconds(this->Values.MemoryTurnover));
+}
+
+bool EngineCost::hasLowerWork(const Upstream &Engine,
+                              std::uint32_t Priority) const {
+  const auto &Backlog = Engine.Report.Backlog;
+  return std::any_of(
+      Backlog.begin(), Backlog.end(), [Priority](const PriorityBacklog &Each) {
+        return Each.Priority < Priority && Each.PrefillTokens > 0;
+      });
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/routing/EngineCost.h
@@ -0,0 +1,53 @@
+/// \file
+/// Predicts when a request would get its first token on an engine.
+#pragma once
+
+#include "plugins/routing/RoutingSettings.h"
+#include "plugins/routing/WorkBook.h"
+
+namespace banyanpick {
+
+/// What a request asks of an engine.
+struct EngineDemand {
+  std::uint32_t Priority = 0;
+  std::uint64_t UncachedTokens = 0;
+  std::uint64_t MemoryTokens = 0;
+  std::uint64_t OutputTokens = 0;
+};
+
+/// What the request can expect there.
+struct EngineEstimate {
+  Duration Wait{};        ///< Until its prefill begins.
+  Duration FirstToken{};  ///< From now, with delays between zones.
+  Duration WholeAnswer{}; ///< From now.
+};
+
+/// Joins the lagged report with the work sent since: first token = work ahead
+/// at its priority / measured prefill speed + uncached tokens / speed.
+class EngineCost {
+public:
+  EngineCost(const RoutingSettings &Values, const WorkBook &Book,
+             const ZoneId &SelfZone)
+      : Values(Values), Book(Book), SelfZone(SelfZone) {}
+
+  EngineEstimate estimate(const Upstream &Engine, const EngineDemand &Demand,
+                          Time Now) const;
+
+  /// Memory believed to be free now, in tokens.
+  std::uint64_t freeMemory(const Upstream &Engine) const;
+
+private:
+  double workAhead(const Upstream &Engine, std::uint32_t Priority,
+                   Time Now) const;
+  Duration memoryWait(const Upstream &Engine, std::uint64_t Needed) const;
+  bool hasLowerWork(const Upstream &Engine, std::uint32_t Priority) const;
+
+  const RoutingSettings &Values;
+  const WorkBook &Book;
+  const ZoneId &SelfZone;
+};
+
+/// Prefill speed of the engine, never 0.
+double prefillSpeed(const Upstream &Engine);
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/routing/LongWork.cpp
@@ -0,0 +1,99 @@
+#include "plugins/routing/LongWork.h"
+
+#include "base/RendezvousHash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace banyanpick {
+
+namespace {
+
+/// Demand this old counts half.
+constexpr Duration HalfLife = seconds(30);
+
+/// Long demand is lumpy; engines beyond its share absorb it.
+constexpr double Headroom = 1.25;
+
+/// The share in force follows the wanted one when they differ by more.
+constexpr double Hysteresis = 0.1;
+
+/// Before any demand was seen.
+constexpr double FirstShare = 0.3;
+
+/// Some engines never take long work.
+constexpr double GreatestShare = 0.75;
+
+/// The order in which engines are opened; the highest first.
+std::uint64_t rank(const UpstreamId &Engine) {
+  return rendezvousWeight("open to long prompts", Engine.Value);
+}
+
+} // namespace
+
+void LongWork::arrived(bool IsLong, std::uint64_t Tokens, Time Now) {
+  this->decay(Now);
+  this->AllTokens += static_cast<double>(Tokens);
+  if (IsLong)
+    this->LongTokens += static_cast<double>(Tokens);
+}
+
+std::uint32_t LongWork::countOpen(std::uint32_t Engines) {
+  const double Wanted =
+      this->AllTokens > 0
+          ? std::min(GreatestShare,
+                     Headroom * this->LongTokens / this->AllTokens)
+          : FirstShare;
+  if (this->OpenShare == 0 || std::abs(Wanted - this->OpenShare) > Hysteresis)
+    this->OpenShare = Wanted;
+  const auto Open =
+      static_cast<std::uint32_t>(std::ceil(this->OpenShare * Engines));
+  return std::clamp(Open, std::uint32_t(1),
+                    std::max(std::uint32_t(1), Engines - 1));
+}
+
+void LongWork::judge(const ModelId &Model, const FleetView &Fleet, Time Now) {
+  ModelPool &Pool = this->Pools[Model];
+  const auto Upstreams = Fleet.upstreams();
+  const bool Fresh =
+      Now < Pool.JudgedAt + JudgeInterval && Pool.Known == Upstreams.size();
+  if (Fresh)
+    return;
+  Pool.JudgedAt = Now;
+  Pool.Known = Upstreams.size();
+  for (const std::uint32_t Each : Pool.Open)
+    if (Each < Upstreams.size())
+      this->OpenIds.erase(Upstreams[Each].Listing.Id);
+
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> Ranked;
+  for (const std::uint32_t Each : Fleet.enginesWith(Model))
+    if (Upstreams[Each].State == UpstreamState::Live)
+      Ranked.emplace_back(rank(Upstreams[Each].Listing.Id), Each);
+  std::sort(Ranked.rbegin(), Ranked.rend());
+  Ranked.resize(std::min<std::size_t>(
+      Ranked.size(),
+      this->countOpen(static_cast<std::uint32_t>(Ranked.size()))));
+  Pool.Open.clear();
+  for (const auto &[Rank, Position] : Ranked) {
+    Pool.Open.push_back(Position);
+    this->OpenIds.insert(Upstreams[Position].Listing.Id);
+  }
+}
+
+std::span<const std::uint32_t> LongWork::open(const ModelId &Model) const {
+  const auto Found = this->Pools.find(Model);
+  if (Found == this->Pools.end())
+    return {};
+  return Found->second.Open;
+}
+
+void LongWork::decay(Time Now) {
+  const double HalfLives =
+      inSeconds(Now - this->DecayedAt) / inSeconds(HalfLife);
+  const double Factor = std::exp2(-std::min(HalfLives, 60.0));
+  this->LongTokens *= Factor;
+  this->AllTokens *= Factor;
+  this->DecayedAt = Now;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/routing/PredictedChoice.cpp
@@ -0,0 +1,170 @@
+#include "plugins/routing/PredictedChoice.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// Draws made for each candidate wanted before the sample is taken as it is.
+constexpr std::uint64_t DrawsPerCandidate = 12;
+
+/// The part of an engine's memory that one member of a group may hold.
+constexpr double GroupShare = 0.9;
+
+bool contains(std::span<const std::uint32_t> Many, std::uint32_t One) {
+  return std::find(Many.begin(), Many.end(), One) != Many.end();
+}
+
+} // namespace
+
+std::vector<Candidate> PredictedChoice::candidates(const ChoiceDemand &Demand,
+                                                   Time Now) {
+  std::vector<Candidate> Result;
+  for (const std::uint32_t Each : this->sample(Demand))
+    Result.push_back(this->estimate(Each, Demand, Now));
+  std::stable_sort(Result.begin(), Result.end(),
+                   [](const Candidate &Left, const Candidate &Right) {
+                     return Left.Estimate.FirstToken <
+                            Right.Estimate.FirstToken;
+                   });
+  return Result;
+}
+
+bool PredictedChoice::isBehind(const Candidate &Best,
+                               const ChoiceDemand &Demand) const {
+  if (!this->Values.Parts.QueueBound)
+    return false;
+  const Duration Bound =
+      Demand.IsLong ? this->Values.LongQueue : this->Values.EngineQueue;
+  return Best.Estimate.Wait > Bound;
+}
+
+std::vector<std::uint32_t>
+PredictedChoice::group(const ChoiceDemand &Demand,
+                       std::uint64_t &TokensEach) const {
+  const ModelId Model(Demand.Wanted.Class.TargetName);
+  std::vector<std::uint32_t> Engines =
+      this->allUsable(this->Fleet.enginesWith(Model), Demand);
+  const auto Upstreams = this->Fleet.upstreams();
+  const auto FreeOf = [&](std::uint32_t Position) {
+    const double Most =
+        GroupShare *
+        static_cast<double>(Upstreams[Position].Report.MemoryTokens);
+    return std::min(this->Cost.freeMemory(Upstreams[Position]),
+                    static_cast<std::uint64_t>(Most));
+  };
+  std::stable_sort(Engines.begin(), Engines.end(),
+                   [&](std::uint32_t Left, std::uint32_t Right) {
+                     return FreeOf(Left) > FreeOf(Right);
+                   });
+  const std::size_t Most =
+      std::min<std::size_t>(Engines.size(), this->Values.MostGroupEngines);
+  for (std::size_t Count = 2; Count <= Most; ++Count) {
+    TokensEach = (Demand.MemoryTokens + Count - 1) / Count;
+    if (FreeOf(Engines[Count - 1]) < TokensEach)
+      continue;
+    Engines.resize(Count);
+    return Engines;
+  }
+  return {};
+}
+
+bool PredictedChoice::isUsable(std::uint32_t Position,
+                               const ChoiceDemand &Demand) const {
+  const Upstream &Engine = this->Fleet.upstreams()[Position];
+  return Engine.State == UpstreamState::Live && !Engine.Report.Leaving &&
+         Engine.Report.MemoryTokens > 0 &&
+         (Demand.Limits.Excluded.empty() ||
+          !Demand.Limits.Excluded.contains(Engine.Listing.Id));
+}
+
+Candidate PredictedChoice::estimate(std::uint32_t Position,
+                                    const ChoiceDemand &Demand,
+                                    Time Now) const {
+  const Upstream &Engine = this->Fleet.upstreams()[Position];
+  const std::uint64_t Prompt = Demand.Wanted.Head.PromptTokens;
+  Candidate Result;
+  Result.Position = Position;
+  Result.UncachedTokens = Prompt;
+  if (this->Values.Parts.Cache)
+    Result.UncachedTokens -=
+        std::min(Prompt, this->Cache.cachedTokens(Engine.Listing.Id,
+                                                  Demand.Wanted.Head.Blocks));
+  EngineDemand Asked;
+  Asked.Priority = Demand.Priority;
+  Asked.UncachedTokens = Result.UncachedTokens;
+  Asked.MemoryTokens = Demand.MemoryTokens;
+  Asked.OutputTokens = Demand.Wanted.OutputTokens;
+  Result.Estimate = this->Cost.estimate(Engine, Asked, Now);
+  return Result;
+}
+
+std::vector<std::uint32_t> PredictedChoice::sample(const ChoiceDemand &Demand) {
+  const ModelId Model(Demand.Wanted.Class.TargetName);
+  const auto Engines = this->Fleet.enginesWith(Model);
+  if (Demand.Limits.Isolated) {
+    const auto Usable = this->allUsable(Engines, Demand);
+    if (Usable.empty())
+      return {};
+    return {this->quietest(Usable)};
+  }
+  std::vector<std::uint32_t> Drawn;
+  if (Demand.IsLong && this->Values.Parts.LongPool)
+    Drawn = this->draw(this->Long.open(Model), Demand);
+  if (Drawn.empty())
+    Drawn = this->draw(Engines, Demand);
+  if (Drawn.empty())
+    Drawn = this->allUsable(Engines, Demand);
+  return Drawn;
+}
+
+std::vector<std::uint32_t>
+PredictedChoice::draw(std::span<const std::uint32_t> Engines,
+                      const ChoiceDemand &Demand) {
+  if (!this->Values.Parts.Sampling)
+    return this->allUsable(Engines, Demand);
+  std::uint64_t Own = this->Values.OwnCandidates;
+  std::uint64_t Other = this->Values.OtherCandidates;
+  std::uint64_t Draws = (Own + Other) * DrawsPerCandidate;
+  std::vector<std::uint32_t> Drawn;
+  while (Draws-- > 0 && Own + Other > 0 && Drawn.size() < Engines.size()) {
+    const std::uint32_t Each = Engines[this->Numbers.below(Engines.size())];
+    const Upstream &Engine = this->Fleet.upstreams()[Each];
+    std::uint64_t &Left = Engine.Listing.Zone == this->SelfZone ? Own : Other;
+    const bool Taken = Left > 0 && !contains(Drawn, Each) &&
+                       this->isUsable(Each, Demand) &&
+                       !this->Book.hasIsolated(Engine.Listing.Id);
+    if (!Taken)
+      continue;
+    --Left;
+    Drawn.push_back(Each);
+  }
+  return Drawn;
+}
+
+std::vector<std::uint32_t>
+PredictedChoice::allUsable(std::span<const std::uint32_t> Engines,
+                           const ChoiceDemand &Demand) const {
+  std::vector<std::uint32_t> Usable;
+  for (const std::uint32_t Each : Engines)
+    if (this->isUsable(Each, Demand))
+      Usable.push_back(Each);
+  return Usable;
+}
+
+std::uint32_t
+PredictedChoice::quietest(std::span<const std::uint32_t> Usable) const {
+  const auto Busyness = [this](std::uint32_t Position) {
+    const Upstream &Engine = this->Fleet.upstreams()[Position];
+    return std::pair(this->Book.hasIsolated(Engine.Listing.Id),
+                     Engine.Report.Running + Engine.Report.Queued +
+                         this->Book.attempts(Engine.Listing.Id));
+  };
+  return *std::min_element(Usable.begin(), Usable.end(),
+                           [&](std::uint32_t Left, std::uint32_t Right) {
+                             return Busyness(Left) < Busyness(Right);
+                           });
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/routing/RoutingPlugin.h
@@ -0,0 +1,69 @@
+/// \file
+/// The plug-in that chooses the upstream of each try.
+#pragma once
+
+#include "kernel/Plugin.h"
+#include "plugins/routing/BaselinePolicies.h"
+#include "plugins/routing/CostModel.h"
+#include "plugins/routing/PredictedChoice.h"
+
+#include <memory>
+#include <set>
+
+namespace banyanpick {
+
+/// Provides UpstreamSelector and CostModel.
+class RoutingPlugin : public Plugin,
+                      public UpstreamSelector,
+                      public CostModel,
+                      public RequestObserver {
+public:
+  void initialize(PluginContext &Context) override;
+  void handle(const Event &, Time, Actions &) override {}
+
+  // UpstreamSelector
+  Selection select(const Request &Wanted, const SelectionLimits &Limits,
+                   Time Now, Actions &Out) override;
+
+  // CostModel
+  std::optional<Prediction> predict(const Request &Asked, Time Now) override;
+  double prefillCapacity(const ModelId &Model) const override;
+  std::uint32_t priority(const Request &Asked, Time Now) const override;
+
+  // RequestObserver
+  void admitted(const Request &Asked, Time Now, Actions &Out) override;
+  void dispatched(const Request &Asked, const Attempt &Try, Time Now,
+                  Actions &Out) override;
+  void firstToken(const Request &Asked, const Attempt &Try, Time Now,
+                  Actions &Out) override;
+  void attemptEnded(const Request &Asked, const Attempt &Try,
+                    const AttemptOutcome &Outcome, Time Now,
+                    Actions &Out) override;
+  void ended(const Request &Asked, const FinalAnswer &Answer, Time Now,
+             Actions &Out) override;
+
+private:
+  ChoiceDemand demandOf(const Request &Wanted, const SelectionLimits &Limits,
+                        Time Now) const;
+  Selection selectEngine(const ChoiceDemand &Demand, Time Now, Actions &Out);
+  Selection selectByBaseline(const ChoiceDemand &Demand,
+                             std::span<const std::uint32_t> Usable, Time Now);
+  Selection selectGroup(const ChoiceDemand &Demand, Time Now);
+  Selected chosen(const Candidate &Best, const ChoiceDemand &Demand) const;
+  bool exceedsOneEngine(const ChoiceDemand &Demand,
+                        std::span<const std::uint32_t> Usable) const;
+  void logChoice(const Request &Wanted, const Selected &Choice,
+                 std::span<const Candidate> Compared, Actions &Out) const;
+
+  RoutingSettings Values;
+  ZoneId SelfZone;
+  Random *Numbers = nullptr;
+  const FleetView *Fleet = nullptr;
+  std::optional<BaselinePolicy> Baseline;
+  WorkBook Book;
+  LongWork Long;
+  std::unique_ptr<PredictedChoice> Predicted;
+  std::set<RequestId> Isolated; ///< Suspects chosen for, until they end.
+};
+
+} // namespace banyanpick
--- a/tests/fakes/EngineModel.cpp
+++ b/tests/fakes/EngineModel.cpp
@@ -170,6 +170,9 @@
 }
 
 std::uint64_t EngineModel::memoryNeeded(const EngineJob &Job) const {
+  for (const HoldId &Each : Job.Holds)
+    if (this->Holds.contains(Each))
+      return 0;
   const std::uint64_t Whole = Job.PromptTokens + Job.OutputTokens;
   return Job.HasGroup ? std::min(Whole, this->Shape.MemoryTokens / 2) : Whole;
 }
--- a/tests/fakes/EngineModel.h
+++ b/tests/fakes/EngineModel.h
@@ -43,13 +43,16 @@
   std::vector<BlockHash> Blocks;
   Time Deadline{};
   bool HasGroup = false; ///< Others hold the memory beyond its own.
+  /// Holds of its group; memory held here is its own.
+  std::vector<HoldId> Holds{};
 };
 
 /// The engine itself. A job takes memory for prompt and whole output when it
-/// enters the batch; one with a group takes at most half of the memory. Jobs
-/// wait by priority, then arrival. In a step each job past its prefill gives
-/// one chunk, and the prefill chunk goes to the highest priorities. Jobs end
-/// at their deadline; group holds stay until they are released.
+/// enters the batch; one with a group uses its hold here, or else takes at most
+/// half of the memory. Jobs wait by priority, then arrival. In a step each job
+/// past its prefill gives one chunk, and the prefill chunk goes to the highest
+/// priorities. Jobs end at their deadline; group holds stay until they are
+/// released.
 class EngineModel {
 public:
   explicit EngineModel(EngineShape Shape);
