Queue waiting requests fairly by team over tokens of work

Cause: in order of arrival, a team that sends much keeps the others waiting. Change: start-time fair queueing by team (charged at dispatch by uncached prefill and weighted decode, corrected at the end), in lanes by urgency, prompt length and target, so that what can't be placed now blocks nothing else; work that has used up half of its promise by waiting goes above all urgencies. Work done on other hosts is told to the peers that serve the team in cumulative totals, at most 64 items a second, and charged there. Ruled out: one tag a team over all lanes (one long review would put its short urgent work behind everybody's until a million tokens were served to each other team); strict precedence of lanes (a blocked lane would take all candidates). Property test: requests wait in one lane at most, are each offered once, virtual time never falls.

--- a/src/plugins/fairness/FairnessPlugin.cpp
+++ b/src/plugins/fairness/FairnessPlugin.cpp
@@ -1,37 +1,161 @@
 #include "plugins/fairness/FairnessPlugin.h"
 
+#include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
-
-#include <algorithm>
+#include "kernel/ServingHosts.h"
 
 namespace banyanpick {
 
+namespace {
+
+constexpr std::string_view Section = "fairness";
+constexpr Duration PruneInterval = seconds(30);
+
+/// The chunks that an attempt delivered.
+double chunksOf(const Attempt &Try, const AttemptOutcome &Outcome) {
+  const auto since = [&](std::uint64_t Index) {
+    return Index > Try.StartIndex ? static_cast<double>(Index - Try.StartIndex)
+                                  : 0.0;
+  };
+  return match(
+      Outcome, [&](const AttemptComplete &How) { return since(How.Count); },
+      [&](const AttemptBroken &How) { return since(How.NextIndex); },
+      [](const auto &) { return 0.0; });
+}
+
+/// Whether the upstream surely did nothing for it.
+bool isUntouched(const AttemptOutcome &Outcome) {
+  return std::holds_alternative<AttemptRefused>(Outcome) ||
+         std::holds_alternative<AttemptNeverSent>(Outcome);
+}
+
+} // namespace
+
 void FairnessPlugin::initialize(PluginContext &Context) {
+  const Settings &Values = Context.settings();
+  FairQueuePolicy Order;
+  Order.DecodeWeight = Values.fraction(Section, "decode_weight");
+  Order.AgingFraction = Values.fraction(Section, "aging_fraction");
+  this->Queue = std::make_unique<FairQueue>(Order);
+  UsageGossipPolicy Telling;
+  Telling.Interval = Values.span(Section, "usage_interval");
+  Telling.ItemsPerInterval = Values.whole(Section, "usage_items");
+  this->Gossip = std::make_unique<UsageGossip>(Telling);
+  this->InForce = &Context.services().get<CatalogueView>();
+  this->Members = &Context.services().get<MembershipView>();
+  this->Poison = &Context.services().get<PoisonView>();
   Context.services().provide<DispatchQueue>(*this);
+  Context.services().list<RequestObserver>().add(*this);
+}
+
+void FairnessPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  if (const auto *Received = std::get_if<PeerMessageReceived>(&What)) {
+    const auto *Usage = std::get_if<TeamUsage>(&Received->Message.Body);
+    if (Usage)
+      this->takeIn(Received->Message, *Usage, Now);
+  }
+  this->tellPeers(Now, Out);
+  this->prune(Now);
+}
+
+Time FairnessPlugin::nextWake() const { return this->Gossip->nextDue(); }
+
+void FairnessPlugin::checkInvariants(InvariantMonitor &Monitor, Time) const {
+  Monitor.require(this->Queue->isConsistent(),
+                  "a request waits in one lane at most");
+  const double Virtual = this->Queue->virtualTime();
+  Monitor.require(Virtual >= this->LatestVirtualTime,
+                  "virtual time never falls");
+  this->LatestVirtualTime = Virtual;
+}
+
+void FairnessPlugin::push(const Request &Waiting, Time Now) {
+  this->Queue->push(Waiting, this->Poison->isSuspect(Waiting, Now), Now);
 }
 
-void FairnessPlugin::handle(const Event &, Time, Actions &) {}
+void FairnessPlugin::remove(const RequestId &Id) { this->Queue->remove(Id); }
 
-void FairnessPlugin::push(const Request &Added, Time) {
-  this->Waiting.push_back(Added.id());
+std::vector<RequestId> FairnessPlugin::candidates(std::size_t Most, Time Now) {
+  return this->Queue->candidates(Most, Now);
 }
 
-void FairnessPlugin::remove(const RequestId &Id) {
-  std::erase(this->Waiting, Id);
+void FairnessPlugin::dispatched(const Request &Sent, const Attempt &Try,
+                                Time Now, Actions &) {
+  const auto Prefill = static_cast<double>(Try.UncachedTokens);
+  this->Gossip->record(this->Queue->dispatched(Sent, Prefill), Now);
 }
 
-std::vector<RequestId> FairnessPlugin::candidates(std::size_t Most, Time) {
-  const std::size_t Count = std::min(Most, this->Waiting.size());
-  const auto End = this->Waiting.begin() + static_cast<std::ptrdiff_t>(Count);
-  return {this->Waiting.begin(), End};
+void FairnessPlugin::attemptEnded(const Request &Sent, const Attempt &Try,
+                                  const AttemptOutcome &Outcome, Time Now,
+                                  Actions &) {
+  const double Prefill =
+      isUntouched(Outcome) ? 0 : static_cast<double>(Try.UncachedTokens);
+  this->Gossip->record(
+      this->Queue->ended(Sent, Prefill, chunksOf(Try, Outcome)), Now);
+}
+
+void FairnessPlugin::ended(const Request &Asked, const FinalAnswer &, Time,
+                           Actions &) {
+  this->Queue->forget(Asked.id());
+}
+
+void FairnessPlugin::takeIn(const PeerMessage &Message, const TeamUsage &Usage,
+                            Time Now) {
+  const Catalogue &Entries = this->InForce->catalogue();
+  for (const LaneWork &Work :
+       this->Gossip->received(Message.From, Message.FromLife, Usage, Now)) {
+    if (const TeamEntry *Team = Entries.team(Work.Team))
+      this->Queue->chargeRemote(Work, Team->Weight);
+  }
+}
+
+void FairnessPlugin::tellPeers(Time Now, Actions &Out) {
+  if (Now < this->Gossip->nextDue())
+    return;
+  const ServingHosts Serving(this->InForce->catalogue(), *this->Members);
+  const auto peersOf = [&](const TeamId &Team) {
+    return Serving.peersOf(Team);
+  };
+  for (UsageForPeer &Each : this->Gossip->due(peersOf, Now)) {
+    Out.add(RecordMeasurement{RecordMeasurement::Kind::Count,
+                              "usage_items_sent", "",
+                              static_cast<double>(Each.Usage.Items.size())});
+    Out.add(SendToPeer{Each.To, std::move(Each.Usage)});
+  }
+}
+
+void FairnessPlugin::prune(Time Now) {
+  if (Now - this->PrunedAt < PruneInterval)
+    return;
+  this->PrunedAt = Now;
+  this->Queue->prune(Now);
+  this->Gossip->prune(Now);
 }
 
 namespace {
 
-std::vector<SettingDeclaration> settings() { return {}; }
+std::vector<SettingDeclaration> settings() {
+  const std::string In(Section);
+  return {
+      {In, "decode_weight", SettingKind::Fraction, "4",
+       "Work of one output token, in prompt tokens.", 0, 1000},
+      {In, "aging_fraction", SettingKind::Fraction, "0.5",
+       "Part of the promised time to the first token after which waiting work "
+       "goes before all urgencies.",
+       0, 1},
+      {In, "usage_interval", SettingKind::Span, "1s",
+       "How often peers are told of the work done for teams.", 1e5, 60e6},
+      {In, "usage_items", SettingKind::Whole, "64",
+       "How many totals, over all peers together, are told in one interval.", 1,
+       1e6},
+  };
+}
 
 const PluginRegistration
-    Registration({"fairness", {}, settings, []() -> std::unique_ptr<Plugin> {
+    Registration({"fairness",
+                  {"catalogue", "membership", "quarantine"},
+                  settings,
+                  []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<FairnessPlugin>();
                   }});
 
--- /dev/null
+++ b/src/plugins/fairness/UsageGossip.cpp
@@ -0,0 +1,110 @@
+#include "plugins/fairness/UsageGossip.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+void UsageGossip::record(const LaneWork &Work, Time Now) {
+  if (Work.Lane == 0 || Work.Tokens == 0)
+    return;
+  OwnTotal &Total = this->Own[{Work.Team, Work.Lane}];
+  const bool WasPending = Total.IsChanged || Total.PeersLeft > 0;
+  this->Pending += WasPending ? 0 : 1;
+  Total.Tokens += Work.Tokens;
+  Total.ChangedAt = Now;
+  Total.IsChanged = true;
+}
+
+std::vector<UsageForPeer> UsageGossip::due(const PeersOfTeam &Peers, Time Now) {
+  if (Now < this->nextDue())
+    return {};
+  this->ToldAt = Now;
+  ++this->Round;
+  std::map<HostId, TeamUsage> Messages;
+  std::uint64_t Left = this->Policy.ItemsPerInterval;
+  auto It = this->Own.upper_bound(this->Cursor);
+  for (std::size_t Seen = 0; Seen < this->Own.size() && Left > 0; ++Seen) {
+    if (It == this->Own.end())
+      It = this->Own.begin();
+    this->Cursor = It->first;
+    OwnTotal &Total = It->second;
+    if (Total.IsChanged || Total.PeersLeft > 0)
+      Left -=
+          this->tell(It->first, Total, Peers(It->first.first), Left, Messages);
+    ++It;
+  }
+  std::vector<UsageForPeer> Result;
+  Result.reserve(Messages.size());
+  for (auto &[To, Usage] : Messages)
+    Result.push_back({To, std::move(Usage)});
+  return Result;
+}
+
+std::uint64_t UsageGossip::tell(const WorkKey &Key, OwnTotal &Total,
+                                std::span<const HostId> Peers,
+                                std::uint64_t Most,
+                                std::map<HostId, TeamUsage> &Messages) {
+  if (Total.PeersLeft == 0) {
+    Total.PeersLeft = Peers.size();
+    Total.IsChanged = false;
+  }
+  Total.PeersLeft = std::min(Total.PeersLeft, Peers.size());
+  std::uint64_t Told = 0;
+  while (Total.PeersLeft > 0 && Told < Most) {
+    TeamUsage &Message = Messages[Peers[--Total.PeersLeft]];
+    Message.Epoch = this->Round;
+    TeamUsage::Item Item;
+    Item.Team = Key.first;
+    Item.Lane = Key.second;
+    Item.ServiceTokens = Total.Tokens;
+    Message.Items.push_back(std::move(Item));
+    ++Told;
+  }
+  if (Total.PeersLeft == 0 && !Total.IsChanged)
+    --this->Pending;
+  return Told;
+}
+
+Time UsageGossip::nextDue() const {
+  return this->Pending == 0 ? Never : this->ToldAt + this->Policy.Interval;
+}
+
+std::vector<LaneWork> UsageGossip::received(const HostId &From,
+                                            Incarnation FromLife,
+                                            const TeamUsage &Usage, Time Now) {
+  PeerBook &Book = this->Books[From];
+  if (Book.Life != FromLife) {
+    Book.Life = FromLife;
+    Book.Totals.clear();
+  }
+  std::vector<LaneWork> Result;
+  for (const TeamUsage::Item &Item : Usage.Items) {
+    if (Item.Lane == 0)
+      continue;
+    const auto [Found, IsNew] = Book.Totals.try_emplace({Item.Team, Item.Lane});
+    PeerTotal &Total = Found->second;
+    const double Since = Item.ServiceTokens - Total.Tokens;
+    Total = {Item.ServiceTokens, Now};
+    if (!IsNew && Since != 0)
+      Result.push_back({Item.Team, Item.Lane, Since});
+  }
+  return Result;
+}
+
+void UsageGossip::prune(Time Now) {
+  const auto isOld = [&](Time At) { return Now - At > this->Policy.Memory; };
+  // Peers forget a total before its owner does, so that one that falls is a
+  // correction and never a count begun anew.
+  std::erase_if(this->Own, [&](const auto &Each) {
+    const OwnTotal &Total = Each.second;
+    return Now - Total.ChangedAt > this->Policy.Memory * 2 &&
+           !Total.IsChanged && Total.PeersLeft == 0;
+  });
+  for (auto &[Host, Book] : this->Books)
+    std::erase_if(Book.Totals,
+                  [&](const auto &Each) { return isOld(Each.second.HeardAt); });
+  std::erase_if(this->Books,
+                [](const auto &Each) { return Each.second.Totals.empty(); });
+}
+
+} // namespace banyanpick
