Add a virtual deployment: kernels, platform, upstreams and callers in one process

Change: several kernels run in virtual time against hand-written fakes of log, host list, engines and applications; peer messages can be delayed, lost, repeated and cut. Not yet: scenarios and invariants over whole runs.

--- a/cmake/BanyanpickPackage.cmake
+++ b/cmake/BanyanpickPackage.cmake
@@ -39,7 +39,6 @@
 function(banyanpick_link_plugins TARGET)
   get_property(PLUGINS GLOBAL PROPERTY BANYANPICK_PLUGINS)
   foreach(PLUGIN IN LISTS PLUGINS)
-    target_link_libraries(${TARGET} PRIVATE ${PLUGIN}
-                                            $<TARGET_OBJECTS:${PLUGIN}>)
+    target_link_libraries(${TARGET} PRIVATE ${PLUGIN})
   endforeach()
 endfunction()
--- /dev/null
+++ b/tests/harness/CallerRecord.h
@@ -0,0 +1,35 @@
+/// \file
+/// What one caller saw of one request.
+#pragma once
+
+#include "kernel/Action.h"
+
+#include <optional>
+#include <string>
+
+namespace banyanpick {
+
+/// Filled by the virtual deployment as the caller would see it.
+struct CallerRecord {
+  std::string Host; ///< Where it is connected.
+  RequestHead Head;
+  Time SentAt{};
+  std::optional<Time> AcceptedAt;
+  std::optional<Time> FirstTokenAt;
+  std::optional<Time> EndedAt;
+  std::optional<FinalAnswer> Answer;
+  std::string ResumeToken;
+  std::uint64_t Next = 0;    ///< First chunk not yet received.
+  std::uint32_t Finals = 0;  ///< Final answers received; must be at most 1.
+  std::uint32_t Gaps = 0;    ///< Chunks received out of order.
+  std::uint32_t Foreign = 0; ///< Chunks of another's answer.
+  std::uint32_t Started = 0; ///< Runs that upstreams started for it.
+  std::uint32_t Redirects = 0;
+  bool ConnectionLost = false; ///< Its host died or was cut off.
+  bool HungUp = false;         ///< It went away itself.
+  bool Excused = false; ///< Its host was frozen: its time limit is not judged.
+
+  bool isOpen() const { return !this->Answer && !this->ConnectionLost; }
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/harness/EventQueue.h
@@ -0,0 +1,61 @@
+/// \file
+/// Virtual time: work ordered by the moment at which it is due.
+#pragma once
+
+#include "base/Time.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <tuple>
+#include <vector>
+
+namespace banyanpick {
+
+/// Runs work in the order of time, and of its entry where times are equal.
+class EventQueue {
+public:
+  using Work = std::function<void()>;
+
+  explicit EventQueue(Time Start) : Clock(Start) {}
+
+  Time now() const { return this->Clock; }
+
+  void at(Time When, Work Todo) {
+    this->Items.push_back(
+        {std::max(When, this->Clock), this->Entered++, std::move(Todo)});
+    std::push_heap(this->Items.begin(), this->Items.end(), later);
+  }
+  void after(Duration Delay, Work Todo) {
+    this->at(this->Clock + Delay, std::move(Todo));
+  }
+
+  /// Runs everything that is due by \p Until, then stands there.
+  void runUntil(Time Until) {
+    while (!this->Items.empty() && this->Items.front().When <= Until) {
+      std::pop_heap(this->Items.begin(), this->Items.end(), later);
+      Item Next = std::move(this->Items.back());
+      this->Items.pop_back();
+      this->Clock = Next.When;
+      Next.Todo();
+    }
+    this->Clock = std::max(this->Clock, Until);
+  }
+
+private:
+  struct Item {
+    Time When;
+    std::uint64_t Entry;
+    Work Todo;
+  };
+  static bool later(const Item &First, const Item &Second) {
+    return std::tie(First.When, First.Entry) >
+           std::tie(Second.When, Second.Entry);
+  }
+
+  Time Clock;
+  std::uint64_t Entered = 0;
+  std::vector<Item> Items;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/harness/Network.h
@@ -0,0 +1,88 @@
+/// \file
+/// Delays, cuts, losses and repetitions between named parties of a virtual
+/// deployment.
+#pragma once
+
+#include "base/Random.h"
+#include "base/Time.h"
+
+#include <array>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace banyanpick {
+
+/// Which messages arrive, and when. Parties are named as in the catalogue;
+/// the platform's services are "log" and "hostlist", callers "callers".
+class Network {
+public:
+  /// One-way delays inside a data centre and between two of them.
+  Duration Near = Duration(200);
+  Duration Far = milliseconds(2);
+  /// Shares of peer messages that are lost or arrive twice.
+  double Loss = 0;
+  double Duplication = 0;
+
+  void place(const std::string &Party, const std::string &Zone) {
+    this->Zones[Party] = Zone;
+  }
+
+  /// The one-way delay; "*" stands for everybody in setExtra() and cut().
+  Duration delay(const std::string &From, const std::string &To) const {
+    Duration Result = this->zone(From) == this->zone(To) ? Near : Far;
+    if (this->Extra.empty())
+      return Result;
+    for (const auto &Link : links(From, To)) {
+      const auto Found = this->Extra.find(Link);
+      if (Found != this->Extra.end())
+        Result += Found->second;
+    }
+    return Result;
+  }
+
+  bool isCut(const std::string &From, const std::string &To) const {
+    if (this->Cuts.empty())
+      return false;
+    for (const auto &Link : links(From, To))
+      if (this->Cuts.contains(Link))
+        return true;
+    return false;
+  }
+
+  /// Cuts one direction.
+  void cut(const std::string &From, const std::string &To) {
+    this->Cuts.insert({From, To});
+  }
+  void heal(const std::string &From, const std::string &To) {
+    this->Cuts.erase({From, To});
+  }
+  void setExtra(const std::string &From, const std::string &To, Duration More) {
+    this->Extra[{From, To}] = More;
+  }
+  void healAll() {
+    this->Cuts.clear();
+    this->Extra.clear();
+    this->Loss = this->Duplication = 0;
+  }
+
+private:
+  using Link = std::pair<std::string, std::string>;
+
+  static std::array<Link, 3> links(const std::string &From,
+                                   const std::string &To) {
+    return {Link{From, To}, Link{From, "*"}, Link{"*", To}};
+  }
+  const std::string &zone(const std::string &Party) const {
+    static const std::string Everywhere;
+    const auto Found = this->Zones.find(Party);
+    return Found == this->Zones.end() ? Everywhere : Found->second;
+  }
+
+  std::map<std::string, std::string> Zones;
+  std::set<Link> Cuts;
+  std::map<Link, Duration> Extra;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/harness/VirtualDeployment.cpp
@@ -0,0 +1,370 @@
+#include "harness/VirtualDeployment.h"
+
+#include "base/Visitor.h"
+#include "kernel/PluginRegistry.h"
+
+#include <fmt/format.h>
+
+namespace banyanpick {
+
+namespace {
+
+/// Where virtual time starts: 2026-01-01 00:00 UTC.
+constexpr Time Beginning{seconds(1767225600)};
+
+/// The driver gives up on a connection or an answer after this.
+constexpr Duration AnswerTimeout = seconds(1);
+/// How long the log keeps a reader waiting for something new.
+constexpr Duration LogWait = milliseconds(500);
+/// One way between a caller and an entry host.
+constexpr Duration CallerDelay = milliseconds(2);
+constexpr Duration ReconnectDelay = milliseconds(100);
+
+} // namespace
+
+VirtualDeployment::VirtualDeployment(DeploymentOptions Options)
+    : Options(std::move(Options)), Numbers(this->Options.Seed),
+      Queue(Beginning) {}
+
+VirtualDeployment::~VirtualDeployment() = default;
+
+void VirtualDeployment::addHost(const std::string &Name,
+                                const std::string &Zone) {
+  HostListing Listing;
+  Listing.Id = HostId(Name);
+  Listing.Zone = ZoneId(Zone);
+  const auto Port = static_cast<std::uint16_t>(7000 + this->Hosts.size());
+  Listing.Callers = Address{"10.0.0.1", Port};
+  Listing.Peers = Address{"10.0.0.2", Port};
+  this->Net.place(Name, Zone);
+  this->Listed.Hosts.push_back(Listing);
+  this->Hosts.emplace(Name, std::make_unique<VirtualHost>(*this, Listing));
+  this->startHost(Name);
+}
+
+void VirtualDeployment::addEngine(EngineShape Shape, const std::string &Zone) {
+  UpstreamListing Listing;
+  Listing.Id = Shape.Id;
+  Listing.Life = Shape.Life = this->newLife();
+  Listing.Zone = ZoneId(Zone);
+  Listing.ChecksFencing = Shape.ChecksFencing;
+  Listing.At = Address{"10.0.1.1",
+                       static_cast<std::uint16_t>(8000 + this->Engines.size())};
+  this->Net.place(Shape.Id.Value, Zone);
+  this->Listed.Upstreams.push_back(Listing);
+  this->Engines.emplace(Shape.Id.Value, FakeEngine(Listing, Shape));
+}
+
+void VirtualDeployment::addApplication(const std::string &Name,
+                                       const std::string &Service,
+                                       const std::string &Zone) {
+  FakeApplication Added;
+  Added.Listing.Id = UpstreamId(Name);
+  Added.Listing.Life = this->newLife();
+  Added.Listing.Kind = UpstreamKind::Application;
+  Added.Listing.Zone = ZoneId(Zone);
+  Added.Listing.Application = Service;
+  Added.Listing.At = Address{
+      "10.0.2.1", static_cast<std::uint16_t>(9000 + this->Applications.size())};
+  this->Net.place(Name, Zone);
+  this->Listed.Upstreams.push_back(Added.Listing);
+  this->Applications.emplace(Name, std::move(Added));
+}
+
+void VirtualDeployment::seedCatalogue(std::vector<Change> Changes) {
+  ChangeSet Set;
+  Set.Id = ChangeId("seed-" + std::to_string(++this->RecordsSeeded));
+  Set.Author = Changes.empty() ? OwnerId() : Changes.front().Owner;
+  Set.Changes = std::move(Changes);
+  const RecordId Id{Incarnation(1), this->RecordsSeeded};
+  this->storeInLog({LogRecord{Id, ConfigurationRecord{std::move(Set)}}});
+}
+
+std::size_t VirtualDeployment::send(const std::string &Host, RequestHead Head) {
+  const std::size_t Caller = this->Callers.size();
+  CallerRecord Made;
+  Made.Host = Host;
+  Made.Head = std::move(Head);
+  Made.SentAt = this->now();
+  this->Callers.push_back(std::move(Made));
+  this->Queue.after(CallerDelay, [this, Caller, Host] {
+    VirtualHost &To = *this->Hosts.at(Host);
+    if (!To.isRunning() || this->Net.isCut("callers", Host))
+      return this->connectionLost(Caller);
+    if (To.isFrozen())
+      this->Callers[Caller].Excused = true;
+    To.whenRunning(To.life(), [this, &To, Caller] {
+      To.connect(Caller, this->Callers[Caller].Head);
+    });
+  });
+  return Caller;
+}
+
+void VirtualDeployment::resume(std::size_t Caller, const std::string &Host) {
+  this->Callers[Caller].ConnectionLost = false;
+  this->Callers[Caller].Host = Host;
+  this->Queue.after(CallerDelay, [this, Caller, Host] {
+    VirtualHost &To = *this->Hosts.at(Host);
+    if (!To.isRunning())
+      return this->connectionLost(Caller);
+    To.whenRunning(To.life(), [this, &To, Caller] {
+      const CallerRecord &Of = this->Callers[Caller];
+      To.reconnect(Caller, Of.ResumeToken, Of.Next);
+    });
+  });
+}
+
+void VirtualDeployment::hangUp(std::size_t Caller) {
+  CallerRecord &Of = this->Callers[Caller];
+  Of.HungUp = Of.ConnectionLost = true;
+  VirtualHost &From = *this->Hosts.at(Of.Host);
+  From.whenRunning(From.life(), [&From, Caller] { From.disconnect(Caller); });
+}
+
+OperationKey VirtualDeployment::makeOperationKey() {
+  const auto Ms = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(this->now().time_since_epoch())
+          .count());
+  const std::uint64_t High = this->Numbers.below(0x1000);
+  const std::uint64_t Low = this->Numbers.below(std::uint64_t(1) << 62);
+  return OperationKey(fmt::format("{:08x}-{:04x}-7{:03x}-{:04x}-{:012x}",
+                                  (Ms >> 16) & 0xffffffff, Ms & 0xffff, High,
+                                  0x8000 | (Low >> 48), Low & 0xffffffffffff));
+}
+
+void VirtualDeployment::askResolve(
+    const std::string &Host, const std::string &Team, const std::string &Zone,
+    std::function<void(const AnswerResolve &)> Answered) {
+  const std::uint64_t Id = ++this->QuestionsMade;
+  this->Resolves[Id] = std::move(Answered);
+  this->Hosts.at(Host)->deliver(
+      ResolveAsked{ResolveQuestionId(Id), TeamId(Team), ZoneId(Zone)});
+}
+
+void VirtualDeployment::askOperator(
+    const std::string &Host, const std::string &OperatorKey,
+    OperatorQuestion Question,
+    std::function<void(const OperatorAnswer &)> Answered) {
+  const std::uint64_t Id = ++this->QuestionsMade;
+  this->Questions[Id] = std::move(Answered);
+  this->Hosts.at(Host)->deliver(
+      OperatorAsked{OperatorQuestionId(Id), OperatorKey, std::move(Question)});
+}
+
+void VirtualDeployment::resolved(const AnswerResolve &Answer) {
+  const auto Found = this->Resolves.extract(Answer.Id.Value);
+  if (Found)
+    Found.mapped()(Answer);
+}
+
+void VirtualDeployment::operatorAnswered(const AnswerOperator &Answer) {
+  const auto Found = this->Questions.extract(Answer.Id.Value);
+  if (Found)
+    Found.mapped()(Answer.Answer);
+}
+
+void VirtualDeployment::violation(const std::string &What) {
+  this->Violations.push_back(
+      std::to_string(inSeconds(this->now() - Beginning)) + " s: " + What);
+}
+
+void VirtualDeployment::measured(const RecordMeasurement &What) {
+  if (What.As != RecordMeasurement::Kind::Count)
+    return;
+  this->Counts[std::string(What.Name)] += What.Value;
+  if (What.Name == "invariants_broken")
+    this->violation("invariant broken: " + What.Label);
+}
+
+Kernel *VirtualDeployment::makeKernel(const HostListing &Listing,
+                                      Incarnation Life, std::uint64_t Seed) {
+  Settings Values = Settings::defaults(pluginSettings());
+  for (const SettingOverride &Each : this->Options.Settings) {
+    const std::string Problem = Values.set(Each.Section, Each.Key, Each.Value);
+    if (!Problem.empty())
+      throw Error(ErrorKind::BadInput, Problem, "mend the override");
+  }
+  auto *Made = new Kernel(
+      Identity{Listing.Id, Life, Listing.Zone, Listing.Callers, Listing.Peers},
+      Values, Seed);
+  if (this->Options.CheckEveryEvent)
+    Made->checkEveryEvent();
+  return Made;
+}
+
+Incarnation VirtualDeployment::newLife() {
+  return Incarnation(this->Numbers.below(~0ULL) + 1);
+}
+
+// --- the platform
+
+void VirtualDeployment::publishHostList() {
+  HostListRead Current;
+  for (const auto &[Name, Host] : this->Hosts)
+    if (Host->isRunning())
+      Current.Hosts.push_back(Host->listing());
+  for (const auto &[Name, Engine] : this->Engines)
+    if (Engine.Alive)
+      Current.Upstreams.push_back(Engine.Listing);
+  for (const auto &[Name, Application] : this->Applications)
+    if (Application.Alive)
+      Current.Upstreams.push_back(Application.Listing);
+  this->Queue.after(this->Options.HostListLag,
+                    [this, Current] { this->Listed = Current; });
+}
+
+void VirtualDeployment::readHostList(VirtualHost &From) {
+  const bool Cut = this->Net.isCut(From.name(), "hostlist") ||
+                   this->Net.isCut("hostlist", From.name());
+  if (Cut)
+    return this->replyAfter(AnswerTimeout, From, From.life(),
+                            HostListReadFailed{});
+  this->replyAfter(2 * this->Net.Far, From, From.life(), this->Listed);
+}
+
+void VirtualDeployment::readLog(VirtualHost &From, const ReadLog &Wanted) {
+  const Incarnation Life = From.life();
+  if (this->Net.isCut(From.name(), "log") ||
+      this->Net.isCut("log", From.name()))
+    return this->replyAfter(AnswerTimeout, From, Life, LogReadFailed{});
+  if (this->Log.Down)
+    return this->replyAfter(2 * this->Net.Far, From, Life, LogReadFailed{});
+  const auto Answered = std::make_shared<bool>(false);
+  const auto Answer = [this, &From, Life, Answered, Wanted] {
+    if (std::exchange(*Answered, true))
+      return;
+    this->Log.expire(this->now());
+    if (this->Log.Down)
+      return this->replyAfter(this->Net.Far, From, Life, LogReadFailed{});
+    if (this->Net.isCut("log", From.name()))
+      return this->replyAfter(AnswerTimeout, From, Life, LogReadFailed{});
+    this->reply("log", From, Life, this->Log.read(Wanted.FromOffset));
+  };
+  this->Queue.after(this->Net.delay(From.name(), "log") + this->Log.ServiceTime,
+                    [this, Answer, Wanted] {
+                      this->Log.expire(this->now());
+                      if (Wanted.FromOffset < this->Log.end())
+                        return Answer();
+                      this->LogWaiters.push_back(Answer);
+                      this->Queue.after(LogWait, Answer);
+                    });
+}
+
+void VirtualDeployment::storeInLog(const std::vector<LogRecord> &Records) {
+  this->Log.append(Records, this->now());
+  for (const auto &Each : std::exchange(this->LogWaiters, {}))
+    Each();
+}
+
+void VirtualDeployment::append(VirtualHost &From, const AppendToLog &Wanted) {
+  const Incarnation Life = From.life();
+  const AppendAnswered NoAnswer{Wanted.Append, AppendResult::Unknown, 0};
+  if (this->Net.isCut(From.name(), "log"))
+    return this->replyAfter(AnswerTimeout, From, Life, NoAnswer);
+  const auto Arrived = [this, &From, Life, Wanted, NoAnswer] {
+    const AppendFate Fate = this->Log.decide(this->now());
+    const LogOffset Offset = this->Log.end();
+    if (Fate == AppendFate::Taken || Fate == AppendFate::AnswerLost)
+      this->storeInLog(Wanted.Records);
+    if (Fate == AppendFate::LateEffect)
+      this->Queue.after(this->Log.Lateness,
+                        [this, Wanted] { this->storeInLog(Wanted.Records); });
+    if (Fate == AppendFate::Refused)
+      return this->reply(
+          "log", From, Life,
+          AppendAnswered{Wanted.Append, AppendResult::Refused, 0});
+    if (Fate == AppendFate::Taken && !this->Net.isCut("log", From.name()))
+      return this->reply(
+          "log", From, Life,
+          AppendAnswered{Wanted.Append, AppendResult::Taken, Offset});
+    this->replyAfter(AnswerTimeout, From, Life, NoAnswer);
+  };
+  this->Queue.after(this->Net.delay(From.name(), "log") + this->Log.ServiceTime,
+                    Arrived);
+}
+
+// --- entry hosts
+
+void VirtualDeployment::sendPeer(VirtualHost &From, const SendToPeer &Wanted) {
+  const std::string To = Wanted.To.Value;
+  if (!this->Hosts.contains(To) || this->Net.isCut(From.name(), To))
+    return;
+  if (this->Net.Loss > 0 && this->Numbers.fraction() < this->Net.Loss)
+    return;
+  const bool Twice = this->Net.Duplication > 0 &&
+                     this->Numbers.fraction() < this->Net.Duplication;
+  const PeerMessage Message{HostId(From.name()), From.life(), Wanted.Body};
+  for (int Copy = 0; Copy < (Twice ? 2 : 1); ++Copy)
+    this->Queue.after(
+        this->Net.delay(From.name(), To) * (1 + 3 * Copy), [this, To, Message] {
+          this->Hosts.at(To)->deliver(PeerMessageReceived{Message});
+        });
+}
+
+void VirtualDeployment::startHost(const std::string &Name) {
+  this->Hosts.at(Name)->start(this->newLife(), this->Numbers.below(~0ULL));
+  this->publishHostList();
+}
+
+void VirtualDeployment::killHost(const std::string &Name) {
+  this->Hosts.at(Name)->kill();
+  this->publishHostList();
+}
+
+void VirtualDeployment::stopHost(const std::string &Name) {
+  this->Hosts.at(Name)->deliver(StopAsked{});
+}
+
+// --- callers
+
+void VirtualDeployment::accepted(std::size_t Caller, const std::string &Token) {
+  this->Callers[Caller].AcceptedAt = this->now();
+  this->Callers[Caller].ResumeToken = Token;
+}
+
+void VirtualDeployment::chunksTo(std::size_t Caller, VirtualHost &From,
+                                 Fingerprint Content, std::uint64_t First,
+                                 std::uint64_t End) {
+  CallerRecord &Of = this->Callers[Caller];
+  if (!Of.isOpen() || Of.Host != From.name())
+    return;
+  if (Content != Of.Head.Content)
+    ++Of.Foreign;
+  if (First != Of.Next)
+    ++Of.Gaps;
+  Of.Next = End;
+  if (!Of.FirstTokenAt)
+    Of.FirstTokenAt = this->now() + CallerDelay;
+}
+
+void VirtualDeployment::answerTo(std::size_t Caller, VirtualHost &From,
+                                 const FinalAnswer &Answer) {
+  CallerRecord &Of = this->Callers[Caller];
+  ++Of.Finals;
+  if (Of.Finals > 1)
+    this->violation(From.name() + " answers a request twice");
+  Of.Answer = Answer;
+  Of.EndedAt = this->now() + CallerDelay;
+}
+
+void VirtualDeployment::redirectTo(std::size_t Caller, const Address &To,
+                                   const std::string &Token) {
+  ++this->Callers[Caller].Redirects;
+  this->Callers[Caller].ResumeToken = Token;
+  for (const auto &[Name, Host] : this->Hosts)
+    if (Host->listing().Callers == To)
+      return this->Queue.after(ReconnectDelay, [this, Caller, Name = Name] {
+        this->resume(Caller, Name);
+      });
+  this->violation("a caller is redirected to an unknown address");
+}
+
+void VirtualDeployment::connectionLost(std::size_t Caller) {
+  CallerRecord &Of = this->Callers[Caller];
+  if (Of.Answer)
+    return;
+  Of.ConnectionLost = true;
+  Of.EndedAt = this->now();
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/harness/VirtualFaults.cpp
@@ -0,0 +1,93 @@
+/// \file
+/// Deaths, freezes and leavings in a virtual deployment.
+#include "harness/VirtualDeployment.h"
+
+namespace banyanpick {
+
+void VirtualDeployment::killUpstream(const std::string &Name) {
+  const auto Found = this->Engines.find(Name);
+  if (Found == this->Engines.end()) {
+    this->Applications.at(Name).Alive = false;
+    return this->publishHostList();
+  }
+  FakeEngine &Engine = Found->second;
+  Engine.Alive = false;
+  Engine.Held.clear();
+  for (const auto &[Attempt, Each] : std::exchange(Engine.Streams, {})) {
+    VirtualHost &To = *this->Hosts.at(Each.Host);
+    this->Queue.after(this->Net.delay(Name, Each.Host),
+                      [&To, Life = Each.HostLife, Listener = Each.Listener] {
+                        To.whenRunning(Life, [&To, Listener] {
+                          To.breakAttempt(Listener, true);
+                        });
+                      });
+  }
+  this->publishHostList();
+}
+
+void VirtualDeployment::restartUpstream(const std::string &Name) {
+  const auto Found = this->Engines.find(Name);
+  if (Found == this->Engines.end()) {
+    FakeApplication &Application = this->Applications.at(Name);
+    Application.Alive = true;
+    Application.Frozen = Application.SaysLeaving = false;
+    Application.Listing.Leaving = false;
+    Application.Listing.Life = this->newLife();
+    return this->publishHostList();
+  }
+  FakeEngine &Engine = Found->second;
+  if (Engine.Alive)
+    this->killUpstream(Name);
+  EngineShape Shape = Engine.Model.shape();
+  Engine.Listing.Life = Shape.Life = this->newLife();
+  Engine.Listing.Leaving = Engine.SaysLeaving = false;
+  Engine.Model = EngineModel(Shape);
+  Engine.LastReport = LoadReport();
+  Engine.PumpAt = Never;
+  Engine.Alive = true;
+  Engine.Frozen = false;
+  this->publishHostList();
+}
+
+void VirtualDeployment::freeze(const std::string &Name) {
+  if (const auto Host = this->Hosts.find(Name); Host != this->Hosts.end())
+    return Host->second->freeze();
+  if (const auto Engine = this->Engines.find(Name);
+      Engine != this->Engines.end())
+    Engine->second.Frozen = true;
+  else
+    this->Applications.at(Name).Frozen = true;
+}
+
+void VirtualDeployment::thaw(const std::string &Name) {
+  if (const auto Host = this->Hosts.find(Name); Host != this->Hosts.end())
+    return Host->second->thaw();
+  const auto Engine = this->Engines.find(Name);
+  const bool IsEngine = Engine != this->Engines.end();
+  (IsEngine ? Engine->second.Frozen : this->Applications.at(Name).Frozen) =
+      false;
+  auto &Held =
+      IsEngine ? Engine->second.Held : this->Applications.at(Name).Held;
+  for (const auto &Each : std::exchange(Held, {}))
+    Each();
+  if (IsEngine && Engine->second.Alive)
+    this->pump(Engine->second);
+}
+
+void VirtualDeployment::leaveUpstream(const std::string &Name, bool OwnWord) {
+  const auto Engine = this->Engines.find(Name);
+  if (Engine != this->Engines.end()) {
+    Engine->second.Listing.Leaving = true;
+    Engine->second.SaysLeaving |= OwnWord;
+  } else {
+    this->Applications.at(Name).Listing.Leaving = true;
+    this->Applications.at(Name).SaysLeaving |= OwnWord;
+  }
+  this->publishHostList();
+}
+
+void VirtualDeployment::addPoison(Fingerprint Content, Duration RestartAfter) {
+  this->Poison[Content] = RestartAfter;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/harness/VirtualHost.cpp
@@ -0,0 +1,301 @@
+#include "harness/VirtualHost.h"
+
+#include "base/Visitor.h"
+#include "harness/VirtualDeployment.h"
+
+namespace banyanpick {
+
+namespace {
+
+/// A kernel whose wake time does not move on is woken no more often than this.
+constexpr Duration ShortestSleep = Duration(100);
+
+} // namespace
+
+VirtualHost::VirtualHost(VirtualDeployment &World, HostListing Listing)
+    : World(World), Listing(std::move(Listing)) {}
+
+void VirtualHost::start(Incarnation NewLife, std::uint64_t Seed) {
+  this->kill();
+  this->Life = NewLife;
+  this->Brain.reset(this->World.makeKernel(this->Listing, NewLife, Seed));
+  this->deliver(Tick{});
+}
+
+void VirtualHost::kill() {
+  this->Brain.reset();
+  this->Life = Incarnation();
+  this->Frozen = false;
+  this->WakeAt = Never;
+  this->Attempts.clear();
+  this->Held.clear();
+  for (const auto &[Request, Each] : std::exchange(this->Relays, {}))
+    if (Each.Caller)
+      this->World.connectionLost(*Each.Caller);
+  for (const auto &[Request, Caller] : std::exchange(this->Reconnecting, {}))
+    this->World.connectionLost(Caller);
+}
+
+void VirtualHost::freeze() {
+  this->Frozen = true;
+  for (const auto &[Request, Each] : this->Relays)
+    if (Each.Caller)
+      this->World.Callers[*Each.Caller].Excused = true;
+}
+
+void VirtualHost::thaw() {
+  this->Frozen = false;
+  const Incarnation Before = this->Life;
+  for (const auto &Each : std::exchange(this->Held, {}))
+    if (this->Life == Before)
+      Each();
+  this->WakeAt = Never;
+  if (this->Brain)
+    this->scheduleWake();
+}
+
+void VirtualHost::whenRunning(Incarnation Expected,
+                              std::function<void()> Todo) {
+  if (!this->Brain || this->Life != Expected)
+    return;
+  if (this->Frozen)
+    this->Held.push_back(std::move(Todo));
+  else
+    Todo();
+}
+
+void VirtualHost::deliver(const Event &What) {
+  if (!this->Frozen)
+    return this->react(What);
+  this->whenRunning(this->Life, [this, What] { this->react(What); });
+}
+
+void VirtualHost::react(const Event &What) {
+  if (!this->Brain)
+    return;
+  ++this->World.Steps;
+  const std::uint64_t Broken = this->Brain->invariantsBroken();
+  auto Wanted = this->Brain->handle(What, this->World.now());
+  if (this->Brain->invariantsBroken() != Broken)
+    this->World.violation("kernel of " + this->name() + " broke an invariant");
+  this->scheduleWake();
+  if (this->World.Options.ActionDelay == Duration())
+    return this->carryOut(Wanted);
+  this->World.Queue.after(
+      this->World.Options.ActionDelay,
+      [this, Now = this->Life, Wanted = std::move(Wanted)] {
+        this->whenRunning(Now, [this, Wanted] { this->carryOut(Wanted); });
+      });
+}
+
+void VirtualHost::scheduleWake() {
+  const Time Wanted = this->Brain->nextWake();
+  if (Wanted >= this->WakeAt)
+    return;
+  this->WakeAt = std::max(Wanted, this->World.now() + ShortestSleep);
+  this->World.Queue.at(
+      this->WakeAt, [this, Now = this->Life, Planned = this->WakeAt] {
+        if (this->Life != Now || this->Frozen || this->WakeAt != Planned)
+          return;
+        this->WakeAt = Never;
+        if (this->Brain->nextWake() <= this->World.now())
+          this->react(Tick{});
+        else
+          this->scheduleWake();
+      });
+}
+
+RequestId VirtualHost::connect(std::size_t Caller, const RequestHead &Given) {
+  const RequestId Id(++this->RequestsMade);
+  Relay Made;
+  Made.Head = Given;
+  Made.Head->Id = Id;
+  Made.Caller = Caller;
+  Made.Content = Given.Content;
+  this->Relays[Id] = Made;
+  this->deliver(RequestArrived{*Made.Head});
+  return Id;
+}
+
+RequestId VirtualHost::reconnect(std::size_t Caller, const std::string &Token,
+                                 std::uint64_t NextIndex) {
+  const RequestId Id(++this->RequestsMade);
+  this->Reconnecting[Id] = Caller;
+  const std::string Key = this->World.Callers[Caller].Head.TeamKey;
+  this->deliver(ResumeAsked{Id, Key, Token, NextIndex});
+  return Id;
+}
+
+void VirtualHost::disconnect(std::size_t Caller) {
+  for (auto &[Request, Each] : this->Relays) {
+    if (Each.Caller != Caller)
+      continue;
+    Each.Caller.reset();
+    return this->deliver(CallerGone{Request});
+  }
+}
+
+void VirtualHost::receive(const ChunkBatch &Chunks) {
+  const auto Found = this->Attempts.find(Chunks.Connection);
+  if (Found == this->Attempts.end() || Found->second.Echoed != Chunks.Echoed) {
+    ++this->World.Counts["harness_chunks_dropped"];
+    return;
+  }
+  Incoming &From = Found->second;
+  Relay &To = this->Relays[From.Request];
+  const std::uint64_t End = Chunks.FirstIndex + Chunks.Count;
+  if (Chunks.FirstIndex > To.Next || (Chunks.Ended && End < To.Next))
+    return this->breakAttempt(Chunks.Connection, false);
+  const std::uint64_t Before = To.Next;
+  To.Next = std::max(To.Next, End);
+  if (To.Caller && To.Next > Before)
+    this->World.chunksTo(*To.Caller, *this, Chunks.Content, Before, To.Next);
+  if (Chunks.Ended)
+    return this->endAttempt(Chunks.Connection, AttemptComplete{To.Next, {}});
+  const bool Coarse = Before / ProgressInterval != To.Next / ProgressInterval;
+  if (From.Progressed && !Coarse)
+    return;
+  From.Progressed = true;
+  this->deliver(AttemptProgressed{Chunks.Connection, To.Next});
+}
+
+void VirtualHost::breakAttempt(const AttemptId &Attempt, bool UpstreamDied) {
+  const auto Found = this->Attempts.find(Attempt);
+  if (Found == this->Attempts.end())
+    return;
+  const std::uint64_t Next = this->Relays[Found->second.Request].Next;
+  this->endAttempt(Attempt, AttemptBroken{Next, UpstreamDied});
+}
+
+void VirtualHost::endAttempt(const AttemptId &Attempt,
+                             const AttemptOutcome &Outcome) {
+  if (this->Attempts.erase(Attempt) != 0)
+    this->deliver(AttemptEnded{Attempt, Outcome});
+}
+
+std::optional<std::size_t>
+VirtualHost::callerOf(const AttemptId &Attempt) const {
+  const auto Found = this->Attempts.find(Attempt);
+  if (Found == this->Attempts.end())
+    return std::nullopt;
+  const auto Of = this->Relays.find(Found->second.Request);
+  return Of == this->Relays.end() ? std::nullopt : Of->second.Caller;
+}
+
+void VirtualHost::dispatch(const DispatchAttempt &Wanted) {
+  Relay &Of = this->Relays[Wanted.Request];
+  if (!Of.Head && Wanted.AttachTo)
+    Of.Base = Of.Next = Wanted.NextIndex;
+  const AttemptId Echoed = Wanted.AttachTo.value_or(Wanted.Attempt);
+  this->Attempts[Wanted.Attempt] = {Wanted.Request, Wanted.Upstream, Echoed};
+  if (!Of.Head && !Wanted.AttachTo)
+    return this->endAttempt(Wanted.Attempt, AttemptNeverSent{});
+  const RequestHead Head = Of.Head.value_or(RequestHead{});
+  if (Wanted.Kind == UpstreamKind::Engine)
+    this->World.toEngine(*this, Wanted, Head, Echoed);
+  else
+    this->World.toApplication(*this, Wanted, Head);
+}
+
+void VirtualHost::answer(const AnswerRequest &Wanted) {
+  const auto Again = this->Reconnecting.find(Wanted.Request);
+  if (Again != this->Reconnecting.end()) {
+    const std::size_t Caller = Again->second;
+    this->Reconnecting.erase(Again);
+    return this->World.connectionLost(Caller);
+  }
+  const auto Found = this->Relays.find(Wanted.Request);
+  if (Found == this->Relays.end())
+    return this->World.violation(this->name() + " answers an unknown request");
+  if (Found->second.Caller)
+    this->World.answerTo(*Found->second.Caller, *this, Wanted.Answer);
+  this->endRelay(Wanted.Request);
+}
+
+void VirtualHost::redirect(const RedirectCaller &Wanted) {
+  const auto Found = this->Relays.find(Wanted.Request);
+  if (Found == this->Relays.end())
+    return;
+  if (Found->second.Caller)
+    this->World.redirectTo(*Found->second.Caller, Wanted.To,
+                           Wanted.ResumeToken);
+  this->endRelay(Wanted.Request);
+}
+
+void VirtualHost::join(const JoinStream &Wanted) {
+  const auto Joining = this->Reconnecting.find(Wanted.Request);
+  const auto Found = this->Relays.find(Wanted.Stream);
+  if (Joining == this->Reconnecting.end() || Found == this->Relays.end())
+    return;
+  const std::size_t Caller = Joining->second;
+  this->Reconnecting.erase(Joining);
+  Relay &Of = Found->second;
+  if (!Of.Head)
+    Of.Content = this->World.Callers[Caller].Head.Content;
+  if (Wanted.NextIndex < Of.Base)
+    return this->World.violation("a stream is resumed before its first chunk");
+  Of.Caller = Caller;
+  if (Of.Next > Wanted.NextIndex)
+    this->World.chunksTo(Caller, *this, Of.Content, Wanted.NextIndex, Of.Next);
+}
+
+void VirtualHost::endRelay(const RequestId &Request) {
+  this->Relays.erase(Request);
+  std::erase_if(this->Attempts, [&](const auto &Each) {
+    return Each.second.Request == Request;
+  });
+}
+
+void VirtualHost::finish() {
+  for (const auto &[Request, Each] : this->Relays)
+    if (Each.Caller)
+      this->World.violation("the planned stop of " + this->name() +
+                            " cut off a request");
+  this->kill();
+}
+
+void VirtualHost::carryOut(const std::vector<Action> &Wanted) {
+  const Incarnation Now = this->Life;
+  for (const Action &Each : Wanted)
+    if (this->Life == Now)
+      this->carryOut(Each);
+}
+
+void VirtualHost::carryOut(const Action &Wanted) {
+  VirtualDeployment &To = this->World;
+  match(
+      Wanted,
+      [&](const AcceptRequest &Each) {
+        const auto Found = this->Relays.find(Each.Request);
+        if (Found != this->Relays.end() && Found->second.Caller)
+          To.accepted(*Found->second.Caller, Each.ResumeToken);
+      },
+      [&](const AnswerRequest &Each) { this->answer(Each); },
+      [&](const RedirectCaller &Each) { this->redirect(Each); },
+      [&](const JoinStream &Each) { this->join(Each); },
+      [&](const AnswerResolve &Each) { To.resolved(Each); },
+      [&](const DispatchAttempt &Each) { this->dispatch(Each); },
+      [&](const CancelAttempt &Each) {
+        this->Attempts.erase(Each.Attempt);
+        To.cancel(*this, Each);
+      },
+      [&](const PollLoad &Each) { To.pollLoad(*this, Each); },
+      [&](const PollCacheEvents &Each) { To.pollCache(*this, Each); },
+      [&](const TakeHold &Each) { To.takeHold(*this, Each); },
+      [&](const ReleaseHold &Each) { To.releaseHold(*this, Each); },
+      [&](const OrderUpstream &Each) { To.order(*this, Each); },
+      [&](const ReadHostList &) { To.readHostList(*this); },
+      [&](const ReadLog &Each) { To.readLog(*this, Each); },
+      [&](const AppendToLog &Each) { To.append(*this, Each); },
+      [&](const SendToPeer &Each) { To.sendPeer(*this, Each); },
+      [&](const ConnectPeers &) {},
+      [&](const AnswerOperator &Each) { To.operatorAnswered(Each); },
+      [&](const WriteLogLine &Each) {
+        if (To.OnLogLine)
+          To.OnLogLine(this->name(), Each.Line);
+      },
+      [&](const RecordMeasurement &Each) { To.measured(Each); },
+      [&](const StopNow &) { this->finish(); });
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/harness/VirtualHost.h
@@ -0,0 +1,102 @@
+/// \file
+/// One entry host of a virtual deployment: a kernel and the driver that
+/// carries out its actions.
+#pragma once
+
+#include "harness/EventQueue.h"
+#include "harness/FakeEngine.h"
+#include "kernel/Kernel.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace banyanpick {
+
+class VirtualDeployment;
+
+/// Keeps the daemon's rules: no chunk twice, none missing, none of another's;
+/// it may be frozen, killed and started again with a new life.
+class VirtualHost {
+public:
+  VirtualHost(VirtualDeployment &World, HostListing Listing);
+
+  void start(Incarnation Life, std::uint64_t Seed);
+  void kill();
+  void freeze();
+  void thaw();
+
+  /// Hands an event to the kernel, or keeps it while frozen.
+  void deliver(const Event &What);
+  /// Runs \p Todo unless this life is over; waits while frozen.
+  void whenRunning(Incarnation Life, std::function<void()> Todo);
+
+  /// A caller connected with a request or, with \p Token, to resume one.
+  RequestId connect(std::size_t Caller, const RequestHead &Head);
+  RequestId reconnect(std::size_t Caller, const std::string &Token,
+                      std::uint64_t NextIndex);
+  void disconnect(std::size_t Caller);
+
+  /// Chunks came from an engine.
+  void receive(const ChunkBatch &Chunks);
+  /// The connection of a try ended without its end mark.
+  void breakAttempt(const AttemptId &Attempt, bool UpstreamDied);
+  /// A try ended in another way than by its chunks.
+  void endAttempt(const AttemptId &Attempt, const AttemptOutcome &Outcome);
+  /// The caller of the request that the try belongs to.
+  std::optional<std::size_t> callerOf(const AttemptId &Attempt) const;
+
+  const HostListing &listing() const { return this->Listing; }
+  const std::string &name() const { return this->Listing.Id.Value; }
+  bool isRunning() const { return this->Brain != nullptr; }
+  bool isFrozen() const { return this->Frozen; }
+  Incarnation life() const { return this->Life; }
+  Kernel &kernel() { return *this->Brain; }
+
+private:
+  /// A request's answer so far.
+  struct Relay {
+    std::optional<RequestHead> Head; ///< Absent: the prompt is not here.
+    std::optional<std::size_t> Caller;
+    Fingerprint Content;
+    std::uint64_t Base = 0; ///< First chunk kept here.
+    std::uint64_t Next = 0; ///< First chunk not yet here.
+  };
+  /// A try whose chunks are awaited.
+  struct Incoming {
+    RequestId Request;
+    UpstreamId Upstream;
+    AttemptId Echoed;
+    bool Progressed = false;
+  };
+
+  void react(const Event &What);
+  void scheduleWake();
+  void carryOut(const std::vector<Action> &Wanted);
+  void carryOut(const Action &Wanted);
+  void dispatch(const DispatchAttempt &Wanted);
+  void answer(const AnswerRequest &Wanted);
+  void redirect(const RedirectCaller &Wanted);
+  void join(const JoinStream &Wanted);
+  void endRelay(const RequestId &Request);
+  void finish();
+
+  /// Chunks between two reports of progress.
+  static constexpr std::uint64_t ProgressInterval = 64;
+
+  VirtualDeployment &World;
+  HostListing Listing;
+  std::unique_ptr<Kernel> Brain;
+  Incarnation Life;
+  bool Frozen = false;
+  Time WakeAt = Never;
+  std::uint64_t RequestsMade = 0;
+  std::map<RequestId, Relay> Relays;
+  std::map<RequestId, std::size_t> Reconnecting;
+  std::map<AttemptId, Incoming> Attempts;
+  std::vector<std::function<void()>> Held;
+};
+
+} // namespace banyanpick
