--- /dev/null
+++ b/tests/auto/requests/RequestsTest.cpp
@@ -0,0 +1,262 @@
+/// \file
+/// The life cycle of requests against hand-written fakes.
+#include "ServiceFakes.h"
+
+#include "catalogue/KeyDigest.h"
+#include "plugins/requests/RequestsPlugin.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick {
+namespace {
+
+constexpr std::string_view Salt = "00112233445566778899aabbccddeeff";
+const Time Start{seconds(1'000'000)};
+
+class RequestsTest : public testing::Test {
+protected:
+  RequestsTest()
+      : Selector(Fleet), Numbers(7),
+        Values(Settings::defaults(RequestsSettings::declarations())),
+        Self{HostId("h1"), Incarnation(11), ZoneId("z1"), {}, {}},
+        Context(Self, Values, Offered, Numbers) {
+    this->declareCatalogue();
+    this->Values.set("requests", "resume_window", "500ms");
+    for (const char *Name : {"e1", "e2"}) {
+      Upstream Engine;
+      Engine.Listing.Id = UpstreamId(Name);
+      this->Fleet.Known.push_back(Engine);
+    }
+    this->Offered.provide<CatalogueView>(this->InForce);
+    this->Offered.provide<FleetView>(this->Fleet);
+    this->Offered.provide<UpstreamSelector>(this->Selector);
+    this->Offered.provide<DispatchQueue>(this->Queue);
+    this->Offered.provide<PoisonView>(this->Poison);
+    this->Offered.provide<RetryPolicy>(this->Retries);
+    this->Offered.provide<ClaimKeeper>(this->Claims);
+    this->Offered.provide<GroupHolder>(this->Groups);
+    this->Offered.provide<AttemptCanceller>(this->Canceller);
+    this->Tested.initialize(this->Context);
+  }
+
+  void declareCatalogue() {
+    ClassEntry Short;
+    Short.MaxPromptTokens = 4000;
+    Short.MaxOutputTokens = 100;
+    Short.FirstTokenBase = seconds(1);
+    Short.AnswerBase = seconds(1);
+    ClassEntry Confirm = Short;
+    Confirm.Idempotent = false;
+    TeamEntry House;
+    House.Key = digestOfKey("house.secret", Salt);
+    House.Classes = {ClassId("short"), ClassId("confirm")};
+    TeamEntry Other = House;
+    Other.Key = digestOfKey("other.secret", Salt);
+    const OwnerId Ring("ring");
+    this->InForce.InForce.restore(
+        {{{EntryKind::Class, "short"}, {Ring, Short, 1}},
+         {{EntryKind::Class, "confirm"}, {Ring, Confirm, 1}},
+         {{EntryKind::Team, "house"}, {Ring, House, 1}},
+         {{EntryKind::Team, "other"}, {Ring, Other, 1}}},
+        1);
+  }
+
+  RequestHead head(std::uint64_t Id, const char *Class = "short") {
+    RequestHead Head;
+    Head.Id = RequestId(Id);
+    Head.TeamKey = "house.secret";
+    Head.Class = ClassId(Class);
+    Head.PromptTokens = 1000;
+    Head.Streamed = true;
+    if (Head.Class == ClassId("confirm"))
+      Head.Operation = OperationKey("k");
+    return Head;
+  }
+
+  /// Handles the event and keeps its actions.
+  void handle(const Event &What, Duration After = Duration(0)) {
+    Actions Out;
+    this->Tested.handle(What, Start + After, Out);
+    this->Last = Out.take();
+  }
+
+  template <class Kind> std::vector<Kind> actions() const {
+    std::vector<Kind> Found;
+    for (const Action &Each : this->Last)
+      if (const auto *Is = std::get_if<Kind>(&Each))
+        Found.push_back(*Is);
+    return Found;
+  }
+
+  template <class Answer> bool answeredWith() const {
+    const auto Answers = this->actions<AnswerRequest>();
+    return Answers.size() == 1 &&
+           std::holds_alternative<Answer>(Answers[0].Answer);
+  }
+
+  AttemptId dispatched() const {
+    const auto Found = this->actions<DispatchAttempt>();
+    return Found.empty() ? AttemptId{} : Found[0].Attempt;
+  }
+
+  void grantClaim(std::uint64_t Id) {
+    Actions Out;
+    this->Tested.claimDecided(RequestId(Id), ClaimGranted{}, Start, Out);
+    this->handle(LogRead{});
+  }
+
+  fakes::FakeCatalogue InForce;
+  fakes::FakeFleet Fleet;
+  fakes::FakeSelector Selector;
+  fakes::FakeQueue Queue;
+  fakes::FakePoison Poison;
+  fakes::FakeRetries Retries;
+  fakes::FakeClaims Claims;
+  fakes::FakeGroups Groups;
+  fakes::FakeCanceller Canceller;
+  Random Numbers;
+  Settings Values;
+  Services Offered;
+  Identity Self;
+  PluginContext Context;
+  RequestsPlugin Tested;
+  std::vector<Action> Last;
+};
+
+TEST_F(RequestsTest, ServesARequest) {
+  this->handle(RequestArrived{this->head(1)});
+  const AttemptId Try = this->dispatched();
+  EXPECT_EQ(Try.Maker, Incarnation(11));
+  this->handle(AttemptEnded{Try, AttemptComplete{5, ""}});
+  EXPECT_TRUE(this->answeredWith<WholeAnswer>());
+  EXPECT_EQ(this->Tested.running(), 0u);
+}
+
+TEST_F(RequestsTest, RefusesWrongKeysAndForeignClassesAlike) {
+  RequestHead Wrong = this->head(1);
+  Wrong.TeamKey = "house.guess";
+  this->handle(RequestArrived{Wrong});
+  const auto First = this->actions<AnswerRequest>();
+  this->handle(RequestArrived{this->head(1, "unknown")});
+  const auto Second = this->actions<AnswerRequest>();
+  ASSERT_EQ(First.size(), 1u);
+  EXPECT_EQ(First, Second);
+}
+
+TEST_F(RequestsTest, NeverServesWithoutACatalogue) {
+  this->InForce.Ready = false;
+  this->handle(RequestArrived{this->head(1)});
+  EXPECT_TRUE(this->answeredWith<NotRun>());
+}
+
+TEST_F(RequestsTest, DropsEndsOfTriesThatAreNotLive) {
+  this->handle(RequestArrived{this->head(1)});
+  const AttemptId First = this->dispatched();
+  this->handle(AttemptEnded{First, AttemptBroken{3, true}});
+  const AttemptId Second = this->dispatched();
+  EXPECT_NE(First, Second);
+  EXPECT_EQ(this->actions<DispatchAttempt>()[0].NextIndex, 3u);
+  this->handle(AttemptEnded{First, AttemptComplete{5, ""}});
+  EXPECT_TRUE(this->actions<AnswerRequest>().empty());
+  this->handle(AttemptEnded{Second, AttemptComplete{5, ""}});
+  EXPECT_TRUE(this->answeredWith<WholeAnswer>());
+}
+
+TEST_F(RequestsTest, GivesUpAtTheDeadlineAndCancels) {
+  this->handle(RequestArrived{this->head(1)});
+  const AttemptId Try = this->dispatched();
+  EXPECT_LE(this->Tested.nextWake(), Start + seconds(2));
+  this->handle(Tick{}, seconds(2));
+  EXPECT_TRUE(this->answeredWith<FailedAnswer>());
+  EXPECT_EQ(this->Canceller.Cancelled, std::vector{Try});
+}
+
+TEST_F(RequestsTest, SaysNotRunOnlyWhenNothingWasSent) {
+  this->Selector.Full = true;
+  this->handle(RequestArrived{this->head(1)});
+  this->handle(Tick{}, seconds(2));
+  EXPECT_TRUE(this->answeredWith<NotRun>());
+}
+
+TEST_F(RequestsTest, ClaimsBeforeItDispatchesAnOperation) {
+  this->handle(RequestArrived{this->head(1, "confirm")});
+  EXPECT_TRUE(this->actions<DispatchAttempt>().empty());
+  this->grantClaim(1);
+  EXPECT_EQ(this->actions<DispatchAttempt>().size(), 1u);
+}
+
+TEST_F(RequestsTest, NeverRunsAnOperationAgainAfterItsAnswerWasLost) {
+  this->handle(RequestArrived{this->head(1, "confirm")});
+  this->grantClaim(1);
+  this->handle(AttemptEnded{this->dispatched(), AttemptBroken{0, true}});
+  EXPECT_TRUE(this->answeredWith<OutcomeUnknown>());
+  EXPECT_TRUE(this->actions<DispatchAttempt>().empty());
+  EXPECT_EQ(this->Claims.Said.back(),
+            "finish " +
+                std::to_string(static_cast<int>(OutcomeRecord::Kind::Unknown)));
+}
+
+TEST_F(RequestsTest, TriesAnOperationElsewhereWhenItSurelyDidNotStart) {
+  this->handle(RequestArrived{this->head(1, "confirm")});
+  this->grantClaim(1);
+  this->handle(AttemptEnded{this->dispatched(), AttemptNeverSent{}});
+  EXPECT_EQ(this->actions<DispatchAttempt>().size(), 1u);
+  this->Retries.Allowed = false;
+  this->handle(AttemptEnded{this->dispatched(), AttemptRefused{}});
+  EXPECT_TRUE(this->answeredWith<NotRun>());
+  EXPECT_EQ(this->Claims.Said.back(), "abandon");
+}
+
+TEST_F(RequestsTest, KeepsAStartedOperationWhenItsCallerHangsUp) {
+  this->handle(RequestArrived{this->head(1, "confirm")});
+  this->grantClaim(1);
+  const AttemptId Try = this->dispatched();
+  this->handle(CallerGone{RequestId(1)});
+  EXPECT_TRUE(this->Canceller.Cancelled.empty());
+  this->handle(AttemptEnded{Try, AttemptComplete{1, "done"}});
+  EXPECT_EQ(this->Claims.Said.back(),
+            "finish " +
+                std::to_string(static_cast<int>(OutcomeRecord::Kind::Done)));
+}
+
+TEST_F(RequestsTest, ResumesAStreamForItsOwnTeamOnly) {
+  this->handle(RequestArrived{this->head(1)});
+  const auto Accepted = this->actions<AcceptRequest>();
+  ASSERT_EQ(Accepted.size(), 1u);
+  this->handle(CallerGone{RequestId(1)});
+  const std::string Token = Accepted[0].ResumeToken;
+  this->handle(ResumeAsked{RequestId(2), "other.secret", Token, 0});
+  EXPECT_TRUE(this->answeredWith<NotRun>());
+  this->handle(ResumeAsked{RequestId(3), "house.secret", Token, 4});
+  const auto Joined = this->actions<JoinStream>();
+  ASSERT_EQ(Joined.size(), 1u);
+  EXPECT_EQ(Joined[0].Stream, RequestId(1));
+}
+
+TEST_F(RequestsTest, GivesAnAbandonedStreamUpAfterTheWindow) {
+  this->handle(RequestArrived{this->head(1)});
+  this->handle(CallerGone{RequestId(1)});
+  EXPECT_EQ(this->Tested.nextWake(), Start + milliseconds(500));
+  this->handle(Tick{}, milliseconds(499));
+  EXPECT_EQ(this->Tested.running(), 1u);
+  this->handle(Tick{}, milliseconds(500));
+  EXPECT_EQ(this->Canceller.Cancelled.size(), 1u);
+  EXPECT_EQ(this->Tested.running(), 0u);
+}
+
+TEST_F(RequestsTest, ReleasesAGroupThatComesTooLate) {
+  this->Selector.Group = {UpstreamId("e2")};
+  this->handle(RequestArrived{this->head(1)});
+  EXPECT_EQ(this->Groups.Acquired, 1);
+  this->handle(Tick{}, seconds(2));
+  EXPECT_TRUE(this->answeredWith<NotRun>());
+  const int Before = this->Groups.Released;
+  Actions Out;
+  const HoldId Hold{Incarnation(11), 1};
+  this->Tested.groupDecided(RequestId(1), std::span(&Hold, 1),
+                            Start + seconds(2), Out);
+  EXPECT_EQ(this->Groups.Released, Before + 1);
+}
+
+} // namespace
+} // namespace banyanpick
