--- a/src/libs/catalogue/CatalogueJson.cpp
+++ b/src/libs/catalogue/CatalogueJson.cpp
@@ -4,10 +4,9 @@
 #include "base/Visitor.h"
 #include "catalogue/EntryCheck.h"
 #include "catalogue/EntryValue.h"
+#include "json/ObjectReader.h"
 
-#include <algorithm>
 #include <limits>
-#include <span>
 
 namespace banyanpick {
 
@@ -15,11 +14,6 @@
 
 using nlohmann::json;
 
-[[noreturn]] void fail(const std::string &Path, std::string_view What,
-                       std::string_view Remedy) {
-  throw Error(ErrorKind::BadInput, Path + " " + std::string(What), Remedy);
-}
-
 json bodyToJson(const EntryBody &Body) {
   json Result = json::object();
   const auto Write = Overloaded{
@@ -45,67 +39,6 @@
   return Result;
 }
 
-/// An object whose members are taken one by one; those left are errors.
-class ObjectReader {
-public:
-  ObjectReader(const json &Given, std::string Path)
-      : Given(Given), Path(std::move(Path)) {
-    if (!Given.is_object())
-      fail(this->Path.empty() ? "the document" : this->Path, "is not an object",
-           "give {...}");
-  }
-
-  const json *find(std::string_view Name) {
-    this->Known.push_back(Name);
-    const auto Found = this->Given.find(Name);
-    return Found == this->Given.end() ? nullptr : &*Found;
-  }
-
-  const json &get(std::string_view Name) {
-    const json *Found = this->find(Name);
-    if (!Found)
-      fail(this->pathOf(Name), "is missing", "add the member");
-    return *Found;
-  }
-
-  std::string text(std::string_view Name) {
-    const json &Found = this->get(Name);
-    if (!Found.is_string())
-      fail(this->pathOf(Name), "is not a string", "give it in quotes");
-    return Found.get<std::string>();
-  }
-
-  std::uint64_t whole(std::string_view Name) {
-    const json &Found = this->get(Name);
-    if (!Found.is_number_integer() ||
-        (!Found.is_number_unsigned() && Found.get<std::int64_t>() < 0))
-      fail(this->pathOf(Name), "is not a whole number",
-           "give a whole number from 0 on");
-    return Found.get<std::uint64_t>();
-  }
-
-  /// Called after all members were asked for.
-  void refuseOthers() const {
-    for (const auto &Member : this->Given.items()) {
-      const std::string &Name = Member.key();
-      if (std::find(this->Known.begin(), this->Known.end(), Name) ==
-          this->Known.end())
-        fail(this->pathOf(Name), "is not a known member",
-             "remove it or see docs/PROTOCOLS.md");
-    }
-  }
-
-  std::string pathOf(std::string_view Name) const {
-    return this->Path.empty() ? std::string(Name)
-                              : this->Path + "." + std::string(Name);
-  }
-
-private:
-  const json &Given;
-  std::string Path;
-  std::vector<std::string_view> Known;
-};
-
 /// Reads the fields of a body; absent ones keep their defaults.
 struct BodyReader {
   ObjectReader &Object;
@@ -123,25 +56,21 @@
       return;
     const auto Value = parseDuration(this->Object.text(Field.Name));
     if (!Value)
-      fail(this->Object.pathOf(Field.Name), "is not a duration",
-           "give a duration such as \"20ms\"");
+      throwBadMember(this->Object.pathOf(Field.Name), "is not a duration",
+                     "give a duration such as \"20ms\"");
     Into = *Value;
   }
   void operator()(const EntryField &Field, bool &Into) {
-    const json *Found = this->Object.find(Field.Name);
-    if (!Found)
-      return;
-    if (!Found->is_boolean())
-      fail(this->Object.pathOf(Field.Name), "is not a flag",
-           "give true or false");
-    Into = Found->get<bool>();
+    if (this->Object.find(Field.Name))
+      Into = this->Object.flag(Field.Name);
   }
   void operator()(const EntryField &Field, double &Into) {
     const json *Found = this->Object.find(Field.Name);
     if (!Found)
       return;
     if (!Found->is_number())
-      fail(this->Object.pathOf(Field.Name), "is not a number", "give a number");
+      throwBadMember(this->Object.pathOf(Field.Name), "is not a number",
+                     "give a number");
     Into = Found->get<double>();
   }
   template <std::unsigned_integral Number>
@@ -150,21 +79,17 @@
       return;
     const std::uint64_t Value = this->Object.whole(Field.Name);
     if (Value > std::numeric_limits<Number>::max())
-      fail(this->Object.pathOf(Field.Name), "is too large",
-           "give a smaller number");
+      throwBadMember(this->Object.pathOf(Field.Name), "is too large",
+                     "give a smaller number");
     Into = static_cast<Number>(Value);
   }
   void operator()(const EntryField &Field, std::vector<ClassId> &Into) {
-    const json *Found = this->Object.find(Field.Name);
-    if (!Found)
+    if (!this->Object.find(Field.Name))
       return;
-    if (!Found->is_array())
-      fail(this->Object.pathOf(Field.Name), "is not a list",
-           "give [\"class\", ...]");
-    for (const json &Each : *Found) {
+    for (const json &Each : this->Object.list(Field.Name)) {
       if (!Each.is_string())
-        fail(this->Object.pathOf(Field.Name), "holds something but names",
-             "give [\"class\", ...]");
+        throwBadMember(this->Object.pathOf(Field.Name),
+                       "holds something but names", "give [\"class\", ...]");
       Into.push_back(ClassId(Each.get<std::string>()));
     }
   }
@@ -172,8 +97,8 @@
     if (!this->Object.find(Field.Name))
       return;
     if (!parseTarget(this->Object.text(Field.Name), Into))
-      fail(this->Object.pathOf(Field.Name), "names no target",
-           "give \"model:NAME\" or \"application:NAME\"");
+      throwBadMember(this->Object.pathOf(Field.Name), "names no target",
+                     "give \"model:NAME\" or \"application:NAME\"");
   }
 };
 
@@ -191,22 +116,23 @@
   const std::string Keyword = Object.text("kind");
   const auto Kind = parseEntryKind(Keyword);
   if (!Kind)
-    fail(Object.pathOf("kind"), "'" + Keyword.substr(0, 20) + "' is not known",
-         "give owner, team, class or model");
+    throwBadMember(Object.pathOf("kind"),
+                   "'" + Keyword.substr(0, 20) + "' is not known",
+                   "give owner, team, class or model");
   return EntryKey{*Kind, Object.text("name")};
 }
 
 void checkChange(const Change &Read, const ObjectReader &Object) {
   if (!isAllowedName(Read.Key.Kind, Read.Key.Name))
-    fail(Object.pathOf("name"), "is malformed",
-         "give " + allowedNames(Read.Key.Kind));
+    throwBadMember(Object.pathOf("name"), "is malformed",
+                   "give " + allowedNames(Read.Key.Kind));
   if (!isAllowedName(EntryKind::Owner, Read.Owner.Value))
-    fail(Object.pathOf("owner"), "is malformed",
-         "give " + allowedNames(EntryKind::Owner));
+    throwBadMember(Object.pathOf("owner"), "is malformed",
+                   "give " + allowedNames(EntryKind::Owner));
   if (!Read.Body)
     return;
   for (const EntryProblem &Each : problemsOf(Read.Key, *Read.Body))
-    fail(Object.pathOf("body." + Each.Field), Each.What, Each.Remedy);
+    throwBadMember(Object.pathOf("body." + Each.Field), Each.What, Each.Remedy);
 }
 
 Change changeFromJson(const json &Given, const std::string &Path) {
@@ -222,10 +148,6 @@
   return Result;
 }
 
-std::string itemPath(std::string_view Array, std::size_t Index) {
-  return std::string(Array) + "[" + std::to_string(Index) + "]";
-}
-
 /// The longest id of a change set, in characters.
 constexpr std::size_t LongestChangeId = 128;
 
@@ -253,13 +175,10 @@
   ChangeSet Result;
   Result.Id = ChangeId(Object.text("id"));
   if (Result.Id.Value.empty() || Result.Id.Value.size() > LongestChangeId)
-    fail("id", "is empty or too long", "give 1 to 128 characters");
+    throwBadMember("id", "is empty or too long", "give 1 to 128 characters");
   if (Object.find("author"))
     Result.Author = OwnerId(Object.text("author"));
-  const json &Changes = Object.get("changes");
-  if (!Changes.is_array())
-    fail("changes", "is not a list", "give [...]");
-  for (const json &Each : Changes)
+  for (const json &Each : Object.list("changes"))
     Result.Changes.push_back(
         changeFromJson(Each, itemPath("changes", Result.Changes.size())));
   Object.refuseOthers();
@@ -279,7 +198,7 @@
 
 EntryMap entryMapFromJson(const json &Given) {
   if (!Given.is_array())
-    fail("entries", "is not a list", "give [...]");
+    throwBadMember("entries", "is not a list", "give [...]");
   EntryMap Result;
   std::size_t Index = 0;
   for (const json &Each : Given) {
@@ -314,7 +233,7 @@
     return ChangeAccepted{Object.whole("offset")};
   if (Verdict == "rejected")
     return ChangeRefused{Object.text("message")};
-  fail("verdict", "is not known", "expected accepted or rejected");
+  throwBadMember("verdict", "is not known", "expected accepted or rejected");
 }
 
 } // namespace banyanpick
