--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -76,8 +76,14 @@
                                          "claim given back"};
 
 // 5xx: hosts and upstreams
+inline constexpr EventKind CacheIndexUnsure{
+    560, LogLevel::Info, "cache events missed; index unsure"};
 
 // 6xx: placement and orders
+inline constexpr EventKind GroupTaken{660, LogLevel::Info,
+                                      "memory of a group of engines taken"};
+inline constexpr EventKind GroupRefused{661, LogLevel::Warning,
+                                        "memory of a group of engines not had"};
 
 // 7xx: quarantine, reclaim
 
