Quarantine content that crashes upstreams, on all hosts

Cause: a request that crashes each upstream that runs it is retried, and sent again by its caller under other ids and to other hosts. Change: contents (by fingerprint) that ran on an upstream that died are suspects; a later death speaks against the suspects that ran there. One alone is quarantined: peers at once, the log for hosts to come, peers that come back by a neighbour. Several share the blame and are kept apart. Innocents clear by finishing; an operator's release holds against late notices, as the moment of a decision is worked out from its end. Weighed: isolating everything that ran at a first death (one death with sixty running would need sixty engines, or starve them): only up to four contents are kept apart at once, more go on spread over the fleet and the second death tells them apart. Two deaths whatever the circumstances (a rack's failure would quarantine innocents): a death within 2 s of another upstream that did not run the content counts a third. At the most four deaths condemn.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -86,6 +86,16 @@
                                         "memory of a group of engines not had"};
 
 // 7xx: quarantine, reclaim
+inline constexpr EventKind ContentSuspected{700, LogLevel::Warning,
+                                            "content suspected"};
+inline constexpr EventKind ContentQuarantined{701, LogLevel::Error,
+                                              "content quarantined"};
+inline constexpr EventKind QuarantineLearnt{702, LogLevel::Warning,
+                                            "quarantine learnt"};
+inline constexpr EventKind QuarantineReleased{703, LogLevel::Info,
+                                              "quarantine released"};
+inline constexpr EventKind SuspectCleared{704, LogLevel::Info,
+                                          "suspect cleared"};
 
 } // namespace events
 } // namespace banyanpick
--- a/src/plugins/fairness/FairnessPlugin.cpp
+++ b/src/plugins/fairness/FairnessPlugin.cpp
@@ -132,9 +132,7 @@
   this->Gossip->prune(Now);
 }
 
-namespace {
-
-std::vector<SettingDeclaration> settings() {
+std::vector<SettingDeclaration> FairnessPlugin::settings() {
   const std::string In(Section);
   return {
       {In, "decode_weight", SettingKind::Fraction, "4",
@@ -151,10 +149,12 @@
   };
 }
 
+namespace {
+
 const PluginRegistration
     Registration({"fairness",
                   {"catalogue", "membership", "quarantine"},
-                  settings,
+                  FairnessPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<FairnessPlugin>();
                   }});
--- a/src/plugins/fairness/FairnessPlugin.h
+++ b/src/plugins/fairness/FairnessPlugin.h
@@ -17,6 +17,8 @@
                        public RequestObserver {
 public:
   // Plugin
+  static std::vector<SettingDeclaration> settings();
+
   void initialize(PluginContext &Context) override;
   void handle(const Event &What, Time Now, Actions &Out) override;
   Time nextWake() const override;
--- /dev/null
+++ b/src/plugins/quarantine/SuspectBook.h
@@ -0,0 +1,103 @@
+/// \file
+/// Which contents were running when upstreams died, and how far that speaks
+/// against each of them.
+///
+/// The first death makes every content that ran there a suspect. Of a later
+/// death the suspects that ran there are held to be the cause, as one that
+/// crashes each upstream was among them: one alone is condemned at once;
+/// several share the blame and are kept apart from then on, so that the next
+/// death tells them apart. After a death with many running, few can be kept
+/// apart without starving the rest; these go on spread over the fleet, as the
+/// next death leaves only few. A death near that of another upstream which
+/// did not run the content may have a common cause (a rack, a switch) and
+/// counts as shared.
+#pragma once
+
+#include "kernel/Request.h"
+
+#include <deque>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace banyanpick {
+
+struct SuspectPolicy {
+  Duration Memory = seconds(600); ///< How long a suspicion is kept.
+  /// With at most this many contents running at a first death, each is kept
+  /// apart at its next try.
+  std::uint64_t IsolateUpTo = 4;
+  /// Deaths of upstreams nearer than this may have a common cause.
+  Duration CommonCause = seconds(2);
+};
+
+/// An upstream's death spoke against a content.
+struct Suspected {
+  Fingerprint Content;
+  TeamId Team;
+  std::uint32_t Deaths = 0;
+  bool IsIsolated = false;
+  bool IsCondemned = false; ///< To be quarantined.
+};
+
+class SuspectBook {
+public:
+  explicit SuspectBook(const SuspectPolicy &Policy) : Policy(Policy) {}
+
+  /// A try began.
+  void started(const Request &Asked, const Attempt &Try);
+  /// A try ended, however it did.
+  void finished(const AttemptId &Id);
+
+  /// An upstream died while this try ran on it.
+  std::vector<Suspected> diedRunning(const Attempt &Try, Time Now);
+  /// An upstream is known to be dead.
+  std::vector<Suspected> died(const UpstreamId &Upstream, Incarnation Life,
+                              Time Now);
+
+  /// A peer saw an upstream die with the content running.
+  void learn(Fingerprint Content, Time Now);
+  /// The content ran to its end, or was judged. True when it was a suspect.
+  bool clear(Fingerprint Content);
+
+  bool isSuspect(Fingerprint Content, Time Now) const;
+  /// Whether its next try must be kept apart.
+  bool isIsolated(Fingerprint Content, Time Now) const;
+
+  void prune(Time Now);
+  std::size_t suspects() const { return this->Suspicions.size(); }
+
+private:
+  struct RunningTry {
+    Fingerprint Content;
+    TeamId Team;
+    std::vector<UpstreamId> Upstreams; ///< More than one for a group.
+    bool IsCounted = false;            ///< Its upstream's death was noted.
+  };
+  struct Suspicion {
+    std::uint32_t Deaths = 0;
+    double Evidence = 0; ///< Condemned at 1.
+    bool IsIsolated = false;
+    Time Until{};
+  };
+  struct Death {
+    UpstreamId Upstream;
+    Incarnation Life;
+    Time At{};
+    std::vector<Fingerprint> Contents;
+  };
+
+  std::vector<Suspected> note(const UpstreamId &Upstream, Incarnation Life,
+                              Time Now);
+  std::map<Fingerprint, TeamId> takeRunning(const UpstreamId &Upstream);
+  void accuse(Suspicion &Of, std::size_t Suspects, bool MayBeCommonCause) const;
+  bool mayBeCommonCause(Fingerprint Content, Time Now) const;
+  const Suspicion *find(Fingerprint Content, Time Now) const;
+
+  SuspectPolicy Policy;
+  std::map<AttemptId, RunningTry> Running;
+  std::map<Fingerprint, Suspicion> Suspicions;
+  std::deque<Death> Deaths; ///< Of the last while, oldest first.
+};
+
+} // namespace banyanpick
--- a/src/plugins/retry/RetryPlugin.cpp
+++ b/src/plugins/retry/RetryPlugin.cpp
@@ -13,7 +13,7 @@
   Policy.FloorPerSecond = Values.fraction("retry", "floor");
   Policy.Window = Values.span("retry", "window");
   this->Budget = RetryBudget(Policy);
-  this->MostTries = Values.whole("retry", "most-tries");
+  this->MostTries = Values.whole("retry", "most_tries");
   Context.services().provide<RetryPolicy>(*this);
   Context.services().list<RequestObserver>().add(*this);
 }
@@ -35,9 +35,7 @@
   this->Budget.earn(Now);
 }
 
-namespace {
-
-std::vector<SettingDeclaration> settings() {
+std::vector<SettingDeclaration> RetryPlugin::settings() {
   return {
       {"retry", "share", SettingKind::Fraction, "0.1",
        "Retries allowed for each request admitted lately.", 0, 1},
@@ -45,15 +43,17 @@
        "Retries a second allowed without any traffic.", 0, 1000},
       {"retry", "window", SettingKind::Span, "10s",
        "How long an allowed retry that was not used is kept.", 1e5, 6e8},
-      {"retry", "most-tries", SettingKind::Whole, "4",
+      {"retry", "most_tries", SettingKind::Whole, "4",
        "Tries of one request in all, the first included.", 1, 100},
   };
 }
 
-const PluginRegistration
-    Registration({"retry", {}, settings, []() -> std::unique_ptr<Plugin> {
-                    return std::make_unique<RetryPlugin>();
-                  }});
+namespace {
+
+const PluginRegistration Registration(
+    {"retry", {}, RetryPlugin::settings, []() -> std::unique_ptr<Plugin> {
+       return std::make_unique<RetryPlugin>();
+     }});
 
 } // namespace
 
--- a/src/plugins/retry/RetryPlugin.h
+++ b/src/plugins/retry/RetryPlugin.h
@@ -13,6 +13,8 @@
 public:
   RetryPlugin();
 
+  static std::vector<SettingDeclaration> settings();
+
   void initialize(PluginContext &Context) override;
   void handle(const Event &What, Time Now, Actions &Out) override;
 
--- /dev/null
+++ b/tests/auto/quarantine/QuarantineTest.cpp
@@ -0,0 +1,241 @@
+/// \file
+/// Content that crashes upstreams: found, told apart from innocents, kept
+/// away everywhere, released.
+#include <gtest/gtest.h>
+// GoogleTest comes before its RapidCheck adapter.
+#include <rapidcheck/gtest.h>
+
+#include "fakes/PluginViews.h"
+#include "fakes/RequestMaker.h"
+#include "plugins/quarantine/QuarantinePlugin.h"
+
+namespace banyanpick {
+namespace {
+
+constexpr Time Start{seconds(1000)};
+Fingerprint poison() { return Fingerprint(66); }
+
+/// Runs contents on upstreams and lets upstreams die.
+class Host : public PluginBench<QuarantinePlugin> {
+public:
+  explicit Host(const std::string &Name) : PluginBench(Name) {
+    for (const char *Each : {"h1", "h2", "h3"}) {
+      if (Name != Each)
+        this->Members.add(HostId(Each));
+    }
+    TeamEntry Limits;
+    Limits.RequestsPerMinute = 60;
+    this->Entries.add(TeamId("a"), Limits);
+    this->start();
+  }
+
+  void run(std::uint64_t Content, const std::string &Upstream) {
+    Actions Out;
+    const Request Asked = RequestMaker(++this->Ids).content(Content).build();
+    const Attempt Try = attemptOf(Asked, this->Ids, Upstream);
+    this->Tested.dispatched(Asked, Try, this->Now, Out);
+    this->Running.emplace_back(Asked, Try);
+  }
+  /// Ends what runs on the upstream with this outcome.
+  std::vector<SendToPeer> end(const std::string &Upstream,
+                              const AttemptOutcome &Outcome) {
+    return this->sent([&](Actions &Out) {
+      const auto IsThere = [&](const auto &Each) {
+        return Each.second.Upstream.Value == Upstream;
+      };
+      for (const auto &[Asked, Try] : this->Running) {
+        if (Try.Upstream.Value == Upstream)
+          this->Tested.attemptEnded(Asked, Try, Outcome, this->Now, Out);
+      }
+      std::erase_if(this->Running, IsThere);
+    });
+  }
+  std::vector<SendToPeer> die(const std::string &Upstream) {
+    return this->end(Upstream, AttemptBroken{0, true});
+  }
+  bool isIsolated(std::uint64_t Content) {
+    return this->Tested.isSuspect(RequestMaker(1).content(Content).build(),
+                                  this->Now);
+  }
+  bool isQuarantined(Fingerprint Content) {
+    return this->Tested.isQuarantined(Content, this->Now);
+  }
+  std::vector<SendToPeer> receive(const PeerMessageBody &Body) {
+    return this->handle(
+        PeerMessageReceived{{HostId("h2"), Incarnation(2), Body}}, this->Now);
+  }
+
+  Time Now = Start;
+
+private:
+  std::uint64_t Ids = 0;
+  std::vector<std::pair<Request, Attempt>> Running;
+};
+
+TEST(QuarantineTest, SecondDeathAloneQuarantinesEverywhere) {
+  Host H1("h1");
+  H1.run(66, "e1");
+  EXPECT_EQ(H1.die("e1").size(), 2u);
+  EXPECT_TRUE(H1.isIsolated(66));
+  EXPECT_FALSE(H1.isQuarantined(poison()));
+  H1.run(66, "e2");
+  const auto Sent = H1.die("e2");
+  EXPECT_TRUE(H1.isQuarantined(poison()));
+  ASSERT_EQ(Sent.size(), 2u);
+  ASSERT_EQ(H1.Log.Appended.size(), 1u);
+  Host H2("h2");
+  H2.receive(Sent[0].Body);
+  EXPECT_TRUE(H2.isQuarantined(poison()));
+  // A host to come learns it from the log, and refuses a re-send by content.
+  Host H3("h3");
+  Actions Out;
+  StoredRecord Read;
+  Read.Record.Body = H1.Log.Appended[0];
+  H3.Tested.recordRead(Read, Start, Out);
+  const auto Refusal = H3.Tested.check(RequestMaker(999).content(66).build(),
+                                       Start + seconds(1));
+  ASSERT_TRUE(Refusal);
+  EXPECT_EQ(Refusal->Reason, RefusalReason::Quarantined);
+  EXPECT_GT(Refusal->ComeBackAfter, seconds(60));
+}
+
+TEST(QuarantineTest, ResendToAnotherHostIsTheSecondDeath) {
+  Host H1("h1");
+  Host H2("h2");
+  H1.run(66, "e1");
+  H2.receive(H1.die("e1").front().Body);
+  EXPECT_TRUE(H2.isIsolated(66));
+  H2.run(66, "e2");
+  H2.die("e2");
+  EXPECT_TRUE(H2.isQuarantined(poison()));
+}
+
+/// One poison among sixty: nobody is starved by isolation, and the innocents
+/// stay free though many upstreams die with them running.
+TEST(QuarantineTest, OneAmongSixtyIsFoundAndTheOthersStayFree) {
+  Host H1("h1");
+  for (std::uint64_t Content = 1; Content <= 60; ++Content)
+    H1.run(Content == 30 ? 66 : Content, "e0");
+  H1.die("e0");
+  EXPECT_FALSE(H1.isIsolated(1));
+  for (std::uint64_t Content = 1; Content <= 60; ++Content)
+    H1.run(Content == 30 ? 66 : Content,
+           "e" + std::to_string(1 + Content % 12));
+  H1.Now += milliseconds(300);
+  H1.die("e" + std::to_string(1 + 30 % 12));
+  for (int Engine = 1; Engine <= 12; ++Engine)
+    H1.end("e" + std::to_string(Engine), AttemptComplete{1, ""});
+  EXPECT_TRUE(H1.isIsolated(66));
+  EXPECT_TRUE(H1.isIsolated(6)); // Ran beside it both times.
+  EXPECT_FALSE(H1.isIsolated(1));
+  H1.run(66, "e20");
+  H1.run(6, "e21");
+  H1.Now += milliseconds(300);
+  H1.die("e20");
+  H1.end("e21", AttemptComplete{1, ""});
+  EXPECT_TRUE(H1.isQuarantined(poison()));
+  for (std::uint64_t Content = 1; Content <= 60; ++Content)
+    EXPECT_FALSE(H1.isQuarantined(Fingerprint(Content)));
+}
+
+TEST(QuarantineTest, InnocentIsClearedByFinishing) {
+  Host H1("h1");
+  H1.run(1, "e1");
+  H1.die("e1");
+  H1.run(1, "e2");
+  const auto Sent = H1.end("e2", AttemptComplete{5, ""});
+  EXPECT_FALSE(H1.isIsolated(1));
+  Host H2("h2");
+  H2.receive(QuarantineNotice{Fingerprint(1), 1, Start});
+  H2.receive(Sent.front().Body);
+  EXPECT_FALSE(H2.isIsolated(1));
+  H1.run(1, "e3");
+  H1.die("e3");
+  EXPECT_FALSE(H1.isQuarantined(Fingerprint(1)));
+}
+
+TEST(QuarantineTest, RackFailureCondemnsNobody) {
+  Host H1("h1");
+  H1.run(1, "e1");
+  H1.die("e1");
+  H1.run(1, "e2");
+  H1.run(2, "e3");
+  H1.die("e3");
+  H1.die("e2");
+  EXPECT_FALSE(H1.isQuarantined(Fingerprint(1)));
+  EXPECT_TRUE(H1.isIsolated(1));
+}
+
+TEST(QuarantineTest, DeathTwiceReportedCountsOnce) {
+  Host H1("h1");
+  H1.run(66, "e1");
+  Upstream Dead;
+  Dead.Listing.Id = UpstreamId("e1");
+  Dead.Listing.Life = Incarnation(1);
+  Dead.State = UpstreamState::Dead;
+  Actions Out;
+  H1.Tested.upstreamChanged(Dead, Start, Out);
+  EXPECT_TRUE(H1.isIsolated(66));
+  H1.die("e1");
+  H1.Tested.upstreamChanged(Dead, Start, Out);
+  EXPECT_FALSE(H1.isQuarantined(poison()));
+  // Its next life is another one, also while the fleet knows only the first.
+  H1.run(66, "e1");
+  H1.Now += seconds(3);
+  H1.die("e1");
+  EXPECT_TRUE(H1.isQuarantined(poison()));
+}
+
+TEST(QuarantineTest, ExpiresByItself) {
+  QuarantineList List(seconds(1800));
+  List.add(poison(), 2, Start);
+  EXPECT_TRUE(List.isQuarantined(poison(), Start + seconds(1799)));
+  EXPECT_FALSE(List.isQuarantined(poison(), Start + seconds(1800)));
+}
+
+/// Decisions told in any order, some repeatedly, leave every host with the
+/// latest one.
+RC_GTEST_PROP(QuarantineTest, LatestDecisionWinsInAnyOrder, ()) {
+  const int Count = *rc::gen::inRange(1, 8);
+  QuarantineList Deciding(seconds(1800));
+  std::vector<QuarantinedContent> Told;
+  Time Now = Start;
+  for (int Step = 0; Step < Count; ++Step) {
+    Now += seconds(*rc::gen::inRange(1, 100));
+    Told.push_back(*rc::gen::arbitrary<bool>()
+                       ? Deciding.add(poison(), 2, Now)
+                       : Deciding.release(poison(), Now));
+  }
+  QuarantineList Learning(seconds(1800));
+  const auto Order = *rc::gen::container<std::vector<int>>(
+      Count * 2, rc::gen::inRange(0, Count));
+  for (const int Index : Order)
+    Learning.merge(Told[static_cast<std::size_t>(Index)], Now);
+  Learning.merge(Told.back(), Now);
+  for (const int Index : Order)
+    Learning.merge(Told[static_cast<std::size_t>(Index)], Now);
+  RC_ASSERT(Learning.isQuarantined(poison(), Now) ==
+            Deciding.isQuarantined(poison(), Now));
+}
+
+TEST(QuarantineTest, ReleaseReachesPeersAndHoldsAgainstLateNotices) {
+  Host H1("h1");
+  H1.run(66, "e1");
+  H1.die("e1");
+  H1.run(66, "e2");
+  const auto Quarantined = H1.die("e2");
+  H1.Now += seconds(60);
+  const auto Released =
+      H1.sent([&](Actions &Out) { H1.Tested.release(poison(), H1.Now, Out); });
+  Host H2("h2");
+  H2.Now = H1.Now;
+  H2.receive(Quarantined.front().Body);
+  EXPECT_TRUE(H2.isQuarantined(poison()));
+  H2.receive(Released.front().Body);
+  H2.receive(Quarantined.front().Body);
+  EXPECT_FALSE(H2.isQuarantined(poison()));
+  EXPECT_EQ(H1.Log.Appended.size(), 2u);
+}
+
+} // namespace
+} // namespace banyanpick
--- /dev/null
+++ b/tests/fakes/PluginViews.h
@@ -0,0 +1,130 @@
+/// \file
+/// Fakes of what plug-ins offer each other, and a bench that starts one
+/// plug-in among them.
+#pragma once
+
+#include "kernel/Plugin.h"
+
+#include <functional>
+
+namespace banyanpick {
+
+class FakeCatalogueView : public CatalogueView {
+public:
+  const Catalogue &catalogue() const override { return this->InForce; }
+  bool isReady() const override { return true; }
+  bool isCurrent(Time) const override { return true; }
+
+  void add(const TeamId &Team, const TeamEntry &Limits) {
+    EntryMap Entries = this->InForce.entries();
+    Entries[{EntryKind::Team, Team.Value}] = {OwnerId("o"), Limits, 1};
+    this->InForce.restore(std::move(Entries), this->InForce.offset() + 1);
+  }
+
+private:
+  Catalogue InForce;
+};
+
+class FakeMembershipView : public MembershipView {
+public:
+  explicit FakeMembershipView(HostId Self) : Self(std::move(Self)) {}
+
+  const HostId &self() const override { return this->Self; }
+  Incarnation selfLife() const override { return Incarnation(1); }
+  const ZoneId &selfZone() const override { return this->Zone; }
+  std::span<const Member> peers() const override { return this->Peers; }
+  std::vector<HostId> livePeers() const override {
+    std::vector<HostId> Live;
+    for (const Member &Each : this->Peers) {
+      if (Each.State == MemberState::Alive)
+        Live.push_back(Each.Listing.Id);
+    }
+    return Live;
+  }
+  bool isDead(const HostId &, Incarnation) const override { return false; }
+
+  void add(const HostId &Host) {
+    Member Added;
+    Added.Listing.Id = Host;
+    Added.Listing.Zone = this->Zone;
+    Added.Life = Incarnation(1);
+    this->Peers.push_back(Added);
+  }
+  void setState(const HostId &Host, MemberState State) {
+    for (Member &Each : this->Peers) {
+      if (Each.Listing.Id == Host)
+        Each.State = State;
+    }
+  }
+
+private:
+  HostId Self;
+  ZoneId Zone{"z"};
+  std::vector<Member> Peers;
+};
+
+class FakeLogWriter : public LogWriter {
+public:
+  RecordId append(LogRecordBody Body, Time, Actions &) override {
+    this->Appended.push_back(std::move(Body));
+    return {Incarnation(1), this->Appended.size()};
+  }
+  bool isReachable(Time) const override { return true; }
+
+  std::vector<LogRecordBody> Appended;
+};
+
+class FakePoisonView : public PoisonView {
+public:
+  bool isSuspect(const Request &, Time) const override { return false; }
+  bool isQuarantined(Fingerprint, Time) const override { return false; }
+};
+
+/// One plug-in, started among fakes, as on the entry host \p Name.
+template <class PluginType> class PluginBench {
+public:
+  explicit PluginBench(const std::string &Name)
+      : Members(HostId(Name)),
+        Values(Settings::defaults(PluginType::settings())) {
+    this->Self.Host = HostId(Name);
+    this->Offered.template provide<CatalogueView>(this->Entries);
+    this->Offered.template provide<MembershipView>(this->Members);
+    this->Offered.template provide<LogWriter>(this->Log);
+    this->Offered.template provide<PoisonView>(this->Poison);
+  }
+
+  void start() {
+    PluginContext Context(this->Self, this->Values, this->Offered,
+                          this->Numbers);
+    this->Tested.initialize(Context);
+  }
+
+  /// The messages that \p Step sends.
+  std::vector<SendToPeer> sent(const std::function<void(Actions &)> &Step) {
+    Actions Out;
+    Step(Out);
+    std::vector<SendToPeer> Result;
+    for (const Action &Each : Out.items()) {
+      if (const auto *Message = std::get_if<SendToPeer>(&Each))
+        Result.push_back(*Message);
+    }
+    return Result;
+  }
+
+  std::vector<SendToPeer> handle(const Event &What, Time Now) {
+    return this->sent(
+        [&](Actions &Out) { this->Tested.handle(What, Now, Out); });
+  }
+
+  FakeCatalogueView Entries;
+  FakeMembershipView Members;
+  FakeLogWriter Log;
+  FakePoisonView Poison;
+  Identity Self;
+  Settings Values;
+  Services Offered;
+  Random Numbers{1};
+  PluginType Tested;
+};
+
+} // namespace banyanpick
