--- a/src/plugins/admission/AdmissionPlugin.h
+++ b/src/plugins/admission/AdmissionPlugin.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "kernel/Plugin.h"
-#include "plugins/admission/WaitingWork.h"
+#include "plugins/admission/AdmittedWork.h"
 #include "plugins/routing/CostModel.h"
 
 namespace banyanpick {
@@ -40,7 +40,7 @@
   double Margin = 1;
   Duration LeastComeBack{};
   Duration MostComeBack{};
-  WaitingWork Waiting;
+  AdmittedWork Waiting;
   Time ShareAt{};
   double ShareOfCapacity = 0; ///< This host's, prefill tokens a second.
   ModelId ShareModel;
--- a/src/plugins/admission/WaitingWork.cpp
+++ b/src/plugins/admission/AdmittedWork.cpp
@@ -1,18 +1,18 @@
-#include "plugins/admission/WaitingWork.h"
+#include "plugins/admission/AdmittedWork.h"
 
 #include <algorithm>
 
 namespace banyanpick {
 
-void WaitingWork::add(const RequestId &Id, std::uint32_t Urgency,
-                      std::uint64_t Tokens) {
+void AdmittedWork::add(const RequestId &Id, std::uint32_t Urgency,
+                       std::uint64_t Tokens) {
   const std::uint32_t Bounded = std::min(Urgency, Urgencies - 1);
   this->remove(Id);
   this->Waiting[Id] = {Bounded, Tokens};
   this->Sums[Bounded] += Tokens;
 }
 
-void WaitingWork::remove(const RequestId &Id) {
+void AdmittedWork::remove(const RequestId &Id) {
   const auto Found = this->Waiting.find(Id);
   if (Found == this->Waiting.end())
     return;
@@ -20,7 +20,7 @@
   this->Waiting.erase(Found);
 }
 
-std::uint64_t WaitingWork::ahead(std::uint32_t Urgency) const {
+std::uint64_t AdmittedWork::ahead(std::uint32_t Urgency) const {
   std::uint64_t Tokens = 0;
   for (std::uint32_t Each = std::min(Urgency, Urgencies - 1); Each < Urgencies;
        ++Each)
--- a/src/plugins/admission/WaitingWork.h
+++ b/src/plugins/admission/AdmittedWork.h
@@ -10,7 +10,7 @@
 namespace banyanpick {
 
 /// Prompt tokens of waiting requests, by urgency.
-class WaitingWork {
+class AdmittedWork {
 public:
   void add(const RequestId &Id, std::uint32_t Urgency, std::uint64_t Tokens);
   /// Nothing happens if it does not wait.
