Test the log client with every fate of an append

An append may be taken, refused, taken with its answer lost, lost, or take effect late. A random run of these over one writer and one reader ends with every record read, in one order, and no record in the log called untaken.

--- /dev/null
+++ b/tests/auto/log/LogBench.cpp
@@ -0,0 +1,170 @@
+#include "auto/log/LogBench.h"
+
+#include "catalogue/KeyDigest.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+const PluginRegistration Registration(
+    {"probe",
+     {"log"},
+     [] { return std::vector<SettingDeclaration>(); },
+     [] { return std::unique_ptr<Plugin>(std::make_unique<ProbePlugin>()); }});
+
+Settings settingsWith(const std::map<std::string, std::string> &Values) {
+  Settings Result = Settings::defaults(pluginSettings());
+  for (const auto &[Place, Value] : Values) {
+    const std::size_t Dot = Place.find('.');
+    const std::string Problem =
+        Result.set(Place.substr(0, Dot), Place.substr(Dot + 1), Value);
+    if (!Problem.empty())
+      throw Error(ErrorKind::BadInput, Place + " " + Problem, "mend the test");
+  }
+  return Result;
+}
+
+} // namespace
+
+LogRead LogServiceModel::read(LogOffset From) const {
+  LogRead Result{{}, From, this->end(), this->Start, this->end()};
+  for (LogOffset At = std::max(From, this->Start); At < this->end(); ++At) {
+    std::uint32_t Position = 0;
+    for (const LogRecord &Each : this->Appends[At - this->Start])
+      Result.Records.push_back({At, Position++, Each});
+  }
+  return Result;
+}
+
+void ProbePlugin::initialize(PluginContext &Context) {
+  this->Self = Context.self();
+  Context.services().provide<MembershipView>(*this);
+  Context.services().provide<ProbePlugin>(*this);
+  Context.services().list<LogObserver>().add(*this);
+  Context.services().list<ClaimObserver>().add(*this);
+}
+
+std::vector<HostId> ProbePlugin::livePeers() const {
+  std::vector<HostId> Result;
+  for (const Member &Each : this->Members)
+    Result.push_back(Each.Listing.Id);
+  return Result;
+}
+
+bool ProbePlugin::isDead(const HostId &, Incarnation Life) const {
+  return std::find(this->Over.begin(), this->Over.end(), Life) !=
+         this->Over.end();
+}
+
+BenchHost::BenchHost(LogServiceModel &Log, std::string Name, std::uint64_t Life,
+                     const std::map<std::string, std::string> &Values)
+    : Log(Log) {
+  this->Host = std::make_unique<Kernel>(
+      Identity{HostId(Name), Incarnation(Life), ZoneId("z"), {}, {}},
+      settingsWith(Values), Life);
+  this->Host->checkEveryEvent();
+  this->handle(Tick{});
+}
+
+void BenchHost::handle(const Event &What) {
+  this->absorb(this->Host->handle(What, this->Now));
+}
+
+void BenchHost::absorb(std::vector<Action> Wanted) {
+  for (Action &Each : Wanted) {
+    if (const auto *Read = std::get_if<ReadLog>(&Each))
+      this->Reads.push_back(*Read);
+    else if (const auto *Append = std::get_if<AppendToLog>(&Each))
+      this->Appends.push_back(*Append);
+    this->Seen.push_back(std::move(Each));
+  }
+}
+
+void BenchHost::pass(Duration Span) {
+  this->Now += Span;
+  this->handle(Tick{});
+}
+
+void BenchHost::answerRead() {
+  if (this->Reads.empty())
+    return;
+  const LogOffset From = this->Reads.front().FromOffset;
+  this->Reads.pop_front();
+  this->handle(this->Log.read(From));
+}
+
+void BenchHost::catchUp() {
+  for (int Round = 0; Round < 3; ++Round) {
+    this->pass(milliseconds(30));
+    this->answerRead();
+  }
+}
+
+void BenchHost::failRead() {
+  if (this->Reads.empty())
+    return;
+  this->Reads.pop_front();
+  this->handle(LogReadFailed{});
+}
+
+void BenchHost::answerAppend(AppendFate Fate) {
+  if (this->Appends.empty())
+    return;
+  const AppendToLog Append = this->Appends.front();
+  this->Appends.pop_front();
+  AppendAnswered Answer{Append.Append, AppendResult::Unknown, 0};
+  if (Fate == AppendFate::Taken)
+    Answer = {Append.Append, AppendResult::Taken,
+              this->Log.append(Append.Records)};
+  else if (Fate == AppendFate::Refused)
+    Answer.Result = AppendResult::Refused;
+  else if (Fate == AppendFate::LostAnswer)
+    this->Log.append(Append.Records);
+  else if (Fate == AppendFate::Late)
+    this->LateAppends.push_back(Append.Records);
+  this->handle(Answer);
+}
+
+void BenchHost::takeLate() {
+  if (this->LateAppends.empty())
+    return;
+  this->Log.append(std::move(this->LateAppends.front()));
+  this->LateAppends.erase(this->LateAppends.begin());
+}
+
+void BenchHost::settle() {
+  for (int Round = 0; Round < 4; ++Round) {
+    this->pass(milliseconds(200));
+    this->answerAppend();
+    this->answerRead();
+  }
+}
+
+Member peerHeard(std::string Name, Time Heard, Time Confirmed,
+                 LogOffset InForce) {
+  Member Result;
+  Result.Listing.Id = HostId(std::move(Name));
+  Result.Life = Incarnation(7);
+  Result.Ready = true;
+  Result.InForce = InForce;
+  Result.LastHeard = Heard;
+  Result.LogConfirmedAt = Confirmed;
+  return Result;
+}
+
+ChangeSet declareOwner(std::string Id, std::string Name, LogOffset Base) {
+  Change Wanted;
+  Wanted.Key = {EntryKind::Owner, std::move(Name)};
+  Wanted.BaseVersion = Base;
+  Wanted.Owner = OwnerId("root");
+  Wanted.Body = OwnerEntry{digestOfKey("secret", std::string(32, '0'))};
+  ChangeSet Result;
+  Result.Id = ChangeId(std::move(Id));
+  Result.Author = OwnerId("root");
+  Result.Changes.push_back(std::move(Wanted));
+  return Result;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/log/LogTest.cpp
@@ -0,0 +1,183 @@
+#include "auto/log/LogBench.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace banyanpick {
+
+namespace {
+
+constexpr std::uint64_t Life = 0xa1;
+
+RecordId append(BenchHost &Host, std::uint64_t Content = 1) {
+  return Host.ask([&](Actions &Out) {
+    return Host.services().get<LogWriter>().append(
+        QuarantineRecord{Fingerprint(Content), 2, {}}, Host.Now, Out);
+  });
+}
+
+/// How often the record was told as read.
+std::size_t timesRead(BenchHost &Host, const RecordId &Id) {
+  const auto &Read = Host.probe().Read;
+  return static_cast<std::size_t>(
+      std::count_if(Read.begin(), Read.end(), [&](const StoredRecord &Each) {
+        return Each.Record.Id == Id;
+      }));
+}
+
+struct LogTest : testing::Test {
+  LogServiceModel Log;
+  BenchHost Host{Log, "h1", Life};
+
+  void SetUp() override { this->Host.catchUp(); }
+};
+
+} // namespace
+
+TEST_F(LogTest, GathersRecordsWhileAnAppendIsInFlight) {
+  for (int Count = 0; Count < 50; ++Count)
+    append(this->Host);
+  this->Host.settle();
+  EXPECT_EQ(this->Host.probe().Read.size(), 50u);
+  EXPECT_LE(this->Log.end(), 4u) << "fifty records went in many appends";
+}
+
+TEST_F(LogTest, SettlesALostAnswerByReading) {
+  const RecordId Id = append(this->Host);
+  this->Host.pass(milliseconds(1));
+  this->Host.answerAppend(AppendFate::LostAnswer);
+  EXPECT_TRUE(this->Host.probe().Settled.empty());
+  this->Host.settle();
+  ASSERT_EQ(this->Host.probe().Settled.size(), 1u);
+  EXPECT_EQ(this->Host.probe().Settled[0], std::pair(Id, true));
+  EXPECT_EQ(timesRead(this->Host, Id), 1u) << "it was appended again";
+}
+
+TEST_F(LogTest, AppendsAgainUnderTheSameIdWhenTheRecordIsNotThere) {
+  const RecordId Id = append(this->Host);
+  this->Host.pass(milliseconds(1));
+  this->Host.answerAppend(AppendFate::LostAppend);
+  this->Host.settle();
+  this->Host.settle();
+  EXPECT_EQ(timesRead(this->Host, Id), 1u);
+  EXPECT_EQ(this->Host.probe().Settled.back(), std::pair(Id, true));
+}
+
+TEST_F(LogTest, NeverCallsAnUnansweredAppendUntaken) {
+  const RecordId Id = append(this->Host);
+  this->Host.pass(milliseconds(1));
+  this->Host.answerAppend(AppendFate::Late);
+  EXPECT_FALSE(this->Host.services().get<LogWriter>().withdraw(Id));
+  this->Host.settle();
+  EXPECT_TRUE(this->Host.probe().Settled.empty());
+  this->Host.takeLate();
+  this->Host.settle();
+  EXPECT_EQ(timesRead(this->Host, Id), 1u);
+}
+
+TEST_F(LogTest, TakesBackWhatWasNeverSent) {
+  append(this->Host);
+  this->Host.pass(milliseconds(1));
+  const RecordId Id = append(this->Host);
+  EXPECT_TRUE(this->Host.services().get<LogWriter>().withdraw(Id));
+  this->Host.settle();
+  EXPECT_EQ(timesRead(this->Host, Id), 0u);
+}
+
+TEST_F(LogTest, DoesNotRepeatALease) {
+  this->Host.ask([&](Actions &Out) {
+    return this->Host.services().get<LogWriter>().append(
+        StewardLease{UpstreamId("e"), HostId("h1"), Incarnation(Life), {}},
+        this->Host.Now, Out);
+  });
+  this->Host.pass(milliseconds(1));
+  this->Host.answerAppend(AppendFate::LostAppend);
+  this->Host.settle();
+  EXPECT_EQ(this->Log.end(), 1u);
+}
+
+TEST_F(LogTest, SaysThatTheLogIsAwayAndComesBack) {
+  auto &Writer = this->Host.services().get<LogWriter>();
+  EXPECT_TRUE(Writer.isReachable(this->Host.Now));
+  for (int Round = 0; Round < 8; ++Round) {
+    this->Host.failRead();
+    this->Host.pass(seconds(1));
+  }
+  EXPECT_FALSE(Writer.isReachable(this->Host.Now));
+  this->Host.answerRead();
+  EXPECT_TRUE(Writer.isReachable(this->Host.Now));
+}
+
+TEST_F(LogTest, TellsOfRecordsThatWereDropped) {
+  for (int Count = 0; Count < 5; ++Count)
+    this->Log.append({});
+  this->Log.dropBefore(4);
+  this->Host.catchUp();
+  EXPECT_EQ(this->Host.probe().MissedUpTo, 4u);
+  EXPECT_FALSE(this->Host.services().get<LogTail>().isWhole());
+}
+
+TEST_F(LogTest, FollowsThroughAPeerWhenCutFromTheLog) {
+  BenchHost Cut(this->Log, "h2", 0xb2);
+  Cut.catchUp();
+  const RecordId Id = append(this->Host);
+  this->Host.settle();
+  Cut.probe().Members = {peerHeard("h1", Cut.Now, Cut.Now, 1)};
+  for (int Round = 0; Round < 8; ++Round) {
+    Cut.failRead();
+    Cut.pass(seconds(1));
+  }
+  const auto Sent = Cut.take<SendToPeer>();
+  ASSERT_FALSE(Sent.empty());
+  this->Host.handle(
+      PeerMessageReceived{{HostId("h2"), Incarnation(0xb2), Sent.back().Body}});
+  const auto Answer = this->Host.take<SendToPeer>();
+  ASSERT_EQ(Answer.size(), 1u);
+  const PeerMessageReceived Relayed{
+      {HostId("h1"), Incarnation(Life), Answer[0].Body}};
+  Cut.handle(Relayed);
+  Cut.handle(Relayed);
+  EXPECT_EQ(timesRead(Cut, Id), 1u);
+}
+
+TEST_F(LogTest, RefusesALogThatWentBack) {
+  append(this->Host);
+  this->Host.settle();
+  this->Host.handle(LogRead{{}, 1, 1, 1, 1});
+  EXPECT_EQ(this->Host.services().get<LogTail>().nextOffset(), 2u);
+  EXPECT_EQ(this->Host.kernel().invariantsBroken(), 0u);
+}
+
+/// Whatever becomes of appends, every record is read at last, in the same
+/// order by all, and "not taken" is never said of one in the log.
+RC_GTEST_PROP(LogProperty, RecordsArriveWhateverBecomesOfAppends, ()) {
+  LogServiceModel Log;
+  BenchHost Writer(Log, "h1", Life);
+  BenchHost Reader(Log, "h2", 0xb2);
+  std::vector<RecordId> Sent;
+  const auto Steps =
+      *rc::gen::container<std::vector<int>>(60, rc::gen::inRange<int>(0, 9));
+  for (const int Step : Steps) {
+    if (Step < 2)
+      Sent.push_back(append(Writer));
+    else if (Step < 7)
+      Writer.answerAppend(static_cast<AppendFate>(Step - 2));
+    else if (Step == 7)
+      Writer.takeLate();
+    else
+      Writer.answerRead();
+    Writer.pass(milliseconds(Step * 5));
+    Reader.catchUp();
+  }
+  for (int Round = 0; Round < 10; ++Round)
+    Writer.settle();
+  Reader.catchUp();
+  for (const RecordId &Each : Sent)
+    RC_ASSERT(timesRead(Writer, Each) >= 1u);
+  for (const auto &[Id, Taken] : Writer.probe().Settled)
+    RC_ASSERT(Taken || timesRead(Writer, Id) == 0u);
+  RC_ASSERT(Reader.probe().Read == Writer.probe().Read);
+  RC_ASSERT(Writer.kernel().invariantsBroken() == 0u);
+}
+
+} // namespace banyanpick
