Hold teams to their limits over all entry hosts, without a store

Cause: a limit checked on each host alone is multiplied by the hosts; a store that counts is not to be had. Change: a team's limit is split among the hosts that serve it, in whole units; units move by demand, told every second, by cumulative counts of what was given (a bounded counter): the giver's share falls first, repeats change nothing, a loss is made good by the next repeat. After a change among the hosts the lesser of old and new share holds for one epoch. A dead host's part goes to the others only where more than half of the team's hosts are seen to live; a view that returns after a cut resumes its books. Refusals say when to come back, each caller a later moment at the limit's pace. Ruled out: taking over a dead host's part on every side of a cut. The bound is 2: at most one side has the majority, the others keep what they held. Found by its test: a host without units counted no demand for requests at once, so that units never came back to it.

--- a/src/plugins/limits/LimitsPlugin.cpp
+++ b/src/plugins/limits/LimitsPlugin.cpp
@@ -1,26 +1,297 @@
 #include "plugins/limits/LimitsPlugin.h"
 
+#include "base/EventNumbers.h"
+#include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 
+#include <algorithm>
+#include <fmt/format.h>
+
 namespace banyanpick {
 
+namespace {
+
+constexpr std::string_view Section = "limits";
+/// How long a team is looked at after its last request.
+constexpr Duration BusyAfterUse = seconds(60);
+constexpr Duration RepeatInterval = seconds(5);
+constexpr Duration PruneInterval = seconds(60);
+constexpr Duration LongestComeBack = seconds(60);
+
+bool isLimited(const TeamEntry &Limits) {
+  return Limits.RequestsPerMinute > 0 || Limits.TokensPerMinute > 0 ||
+         Limits.Concurrent > 0;
+}
+
+double tokensOf(const Request &Asked) {
+  return static_cast<double>(Asked.Head.PromptTokens + Asked.OutputTokens);
+}
+
+/// Tokens charged that the answer shows were not used.
+double unusedTokens(const Request &Asked, const FinalAnswer &Answer,
+                    double Charged) {
+  const auto Bound = static_cast<double>(Asked.OutputTokens);
+  return match(
+      Answer,
+      [&](const WholeAnswer &Whole) {
+        return std::max(0.0, Bound - static_cast<double>(Whole.Count));
+      },
+      [&](const NotRun &) { return Charged; },
+      [](const auto &) { return 0.0; });
+}
+
+} // namespace
+
 void LimitsPlugin::initialize(PluginContext &Context) {
+  const Settings &Values = Context.settings();
+  this->Policy.Interval = Values.span(Section, "interval");
+  this->Policy.Epoch = Values.span(Section, "epoch");
+  this->Policy.Burst = Values.span(Section, "burst");
+  this->Policy.ItemsPerInterval = Values.whole(Section, "items");
+  this->Self = Context.self();
+  this->InForce = &Context.services().get<CatalogueView>();
+  this->Members = &Context.services().get<MembershipView>();
+  this->Numbers = &Context.random();
   Context.services().list<AdmissionGate>().add(*this);
   Context.services().list<RequestObserver>().add(*this);
+  Context.services().list<MembershipObserver>().add(*this);
 }
 
-void LimitsPlugin::handle(const Event &, Time, Actions &) {}
+void LimitsPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  if (const auto *Received = std::get_if<PeerMessageReceived>(&What))
+    this->takeIn(Received->Message, Now);
+  if (Now >= this->nextWake())
+    this->tellPeers(Now, Out);
+  this->prune(Now);
+}
 
-std::optional<NotRun> LimitsPlugin::check(const Request &, Time) {
-  return std::nullopt;
+Time LimitsPlugin::nextWake() const {
+  const Time Next = this->ToldAt + this->Policy.Interval;
+  return Next <= this->BusyUntil ? Next : Never;
 }
 
-namespace {
+void LimitsPlugin::checkInvariants(InvariantMonitor &Monitor, Time Now) const {
+  for (const auto &[Team, Of] : this->Teams) {
+    Monitor.require(Of.Limit->isConsistent(),
+                    "a limit's share is what was had, received and not given");
+    Monitor.require(Of.Limit->fraction(Now) <= 1,
+                    "a host holds at most the whole limit");
+  }
+}
+
+std::optional<NotRun> LimitsPlugin::check(const Request &Asked, Time Now) {
+  TeamState *Of = this->state(Asked.Team, Now);
+  if (!Of)
+    return std::nullopt;
+  Of->BusyUntil = Now + BusyAfterUse;
+  this->BusyUntil = std::max(this->BusyUntil, Of->BusyUntil);
+  const auto Reached = Of->Limit->check(tokensOf(Asked), Now);
+  if (!Reached)
+    return std::nullopt;
+  return this->refusal(*Of, *Reached, Now);
+}
+
+NotRun LimitsPlugin::refusal(TeamState &Of, const LimitReached &Reached,
+                             Time Now) {
+  if (Of.Limit->view().find(this->Self.Host) == Of.Limit->view().Shares.size())
+    return {RefusalReason::OverLimit,
+            fromSeconds(inSeconds(this->Policy.Interval) *
+                        (1 + this->Numbers->fraction())),
+            "this host does not serve the team now; ask /v1/resolve for the "
+            "hosts that do"};
+  // Each refused caller gets a later moment, at the pace of the limit.
+  const TeamEntry &Limits = Of.Declared;
+  const double PerSecond = std::max({1.0, Limits.RequestsPerMinute / 60.0,
+                                     static_cast<double>(Limits.Concurrent)});
+  const Time Earliest = std::max(Now + Reached.Wait, Of.SlotAt);
+  Of.SlotAt = std::min(Earliest + fromSeconds(1 / PerSecond),
+                       Now + Reached.Wait + LongestComeBack);
+  const Duration Spread =
+      fromSeconds(inSeconds(this->Policy.Interval) * this->Numbers->fraction());
+  return {RefusalReason::OverLimit, Earliest - Now + Spread,
+          fmt::format("the team's limit of {} is used up; come back after the "
+                      "time given, or ask an operator for a higher limit",
+                      Reached.What)};
+}
+
+void LimitsPlugin::admitted(const Request &Asked, Time Now, Actions &) {
+  TeamState *Of = this->state(Asked.Team, Now);
+  if (!Of)
+    return;
+  const double Tokens = tokensOf(Asked);
+  Of->Limit->admitted(Tokens, Now);
+  this->Running[Asked.id()] = {Asked.Team, Tokens};
+}
 
-std::vector<SettingDeclaration> settings() { return {}; }
+void LimitsPlugin::ended(const Request &Asked, const FinalAnswer &Answer,
+                         Time Now, Actions &) {
+  const auto Found = this->Running.find(Asked.id());
+  if (Found == this->Running.end())
+    return;
+  const RunningRequest Ended = Found->second;
+  this->Running.erase(Found);
+  const auto Of = this->Teams.find(Ended.Team);
+  if (Of == this->Teams.end())
+    return;
+  const bool HasRun = !std::holds_alternative<NotRun>(Answer);
+  Of->second.Limit->ended(unusedTokens(Asked, Answer, Ended.Tokens), HasRun,
+                          Now);
+}
+
+void LimitsPlugin::memberChanged(const Member &, Time, Actions &) {
+  this->AreHostsStale = true;
+}
+
+void LimitsPlugin::refreshHosts(Time Now) {
+  this->AreHostsStale = false;
+  auto Seen = shareHosts(*this->Members);
+  if (Seen == this->Hosts)
+    return;
+  this->Hosts = std::move(Seen);
+  ++this->MembersVersion;
+  this->MembersChangedAt = Now;
+}
+
+double LimitsPlugin::fraction(const TeamId &Team, Time Now) {
+  TeamState *Of = this->state(Team, Now);
+  return Of ? Of->Limit->fraction(Now) : 1;
+}
+
+LimitsPlugin::TeamState *LimitsPlugin::state(const TeamId &Team, Time Now) {
+  const TeamEntry *Declared = this->InForce->catalogue().team(Team);
+  if (!Declared || !isLimited(*Declared))
+    return nullptr;
+  if (this->AreHostsStale)
+    this->refreshHosts(Now);
+  TeamState &Of = this->Teams[Team];
+  const bool IsUpToDate = Of.Limit && Of.MembersSeen == this->MembersVersion &&
+                          Of.Declared == *Declared;
+  if (IsUpToDate)
+    return &Of;
+  ShareView Split = shareView(Team, *Declared, this->Hosts);
+  if (!Of.Limit) {
+    Of.Limit = std::make_unique<TeamLimit>(*Declared, std::move(Split),
+                                           this->Self.Host, this->Policy, Now);
+  } else {
+    const bool IsOtherEntry = Of.Declared != *Declared;
+    Of.Limit->changeSplit(*Declared, std::move(Split),
+                          IsOtherEntry ? Now : this->MembersChangedAt, Now);
+  }
+  Of.Declared = *Declared;
+  Of.MembersSeen = this->MembersVersion;
+  return &Of;
+}
+
+void LimitsPlugin::takeIn(const PeerMessage &Message, Time Now) {
+  const auto wake = [&](TeamState &Of) {
+    Of.BusyUntil = std::max(Of.BusyUntil, Now + BusyAfterUse);
+    this->BusyUntil = std::max(this->BusyUntil, Of.BusyUntil);
+  };
+  if (const auto *Usage = std::get_if<TeamUsage>(&Message.Body)) {
+    for (const TeamUsage::Item &Item : Usage->Items) {
+      TeamState *Of = Item.Lane == 0 ? this->state(Item.Team, Now) : nullptr;
+      if (!Of)
+        continue;
+      Of->Limit->heard(Message.From, Item, Now);
+      wake(*Of);
+    }
+  }
+  if (const auto *Share = std::get_if<LimitShare>(&Message.Body)) {
+    if (TeamState *Of = this->state(Share->Team, Now)) {
+      Of->Limit->receive(Message.From, Share->View, Share->Fraction, Now);
+      wake(*Of);
+    }
+  }
+}
+
+void LimitsPlugin::tellPeers(Time Now, Actions &Out) {
+  this->ToldAt = Now;
+  ++this->Round;
+  // A host that was forgotten is not told of as changed.
+  this->refreshHosts(Now);
+  std::map<HostId, TeamUsage> Usage;
+  std::uint64_t Told = 0;
+  auto It = this->Teams.upper_bound(this->Cursor);
+  for (std::size_t Seen = 0; Seen < this->Teams.size(); ++Seen) {
+    if (Told >= this->Policy.ItemsPerInterval)
+      break;
+    if (It == this->Teams.end())
+      It = this->Teams.begin();
+    this->Cursor = It->first;
+    if (It->second.BusyUntil >= Now && this->state(It->first, Now))
+      Told += this->tellOf(It->first, It->second, Now, Usage, Out);
+    ++It;
+  }
+  for (auto &[To, Message] : Usage) {
+    Message.Epoch = this->Round;
+    Out.add(SendToPeer{To, std::move(Message)});
+  }
+  Out.add(RecordMeasurement{RecordMeasurement::Kind::Count, "limit_items_sent",
+                            "", static_cast<double>(Told)});
+}
+
+std::uint64_t LimitsPlugin::tellOf(const TeamId &Team, TeamState &Of, Time Now,
+                                   std::map<HostId, TeamUsage> &Usage,
+                                   Actions &Out) {
+  std::uint64_t Told = 0;
+  const ShareView &View = Of.Limit->view();
+  TeamUsage::Item Item = Of.Limit->usage(Now);
+  Item.Team = Team;
+  for (const BaseShare &Each : View.Shares) {
+    if (Each.Host == this->Self.Host)
+      continue;
+    Usage[Each.Host].Items.push_back(Item);
+    ++Told;
+  }
+  std::vector<ShareGift> Gifts = Of.Limit->give(Now);
+  if (Gifts.empty() && Now >= Of.RepeatAt) {
+    Gifts = Of.Limit->gifts();
+    Of.RepeatAt = Now + RepeatInterval;
+  }
+  for (const ShareGift &Gift : Gifts) {
+    const double Fraction =
+        static_cast<double>(Gift.UnitsInAll) / static_cast<double>(View.Units);
+    Out.add(SendToPeer{
+        Gift.To, LimitShare{Team, ++this->Transfers, Fraction, Now, View.Id}});
+    ++Told;
+  }
+  return Told;
+}
+
+void LimitsPlugin::prune(Time Now) {
+  if (Now - this->PrunedAt < PruneInterval)
+    return;
+  this->PrunedAt = Now;
+  std::erase_if(this->Teams, [&](const auto &Each) {
+    return Each.second.BusyUntil < Now && Each.second.Limit->isIdle(Now);
+  });
+}
+
+std::vector<SettingDeclaration> LimitsPlugin::settings() {
+  const std::string In(Section);
+  return {
+      {In, "interval", SettingKind::Span, "1s",
+       "How often shares of teams' limits are moved between hosts.", 1e5, 60e6},
+      {In, "epoch", SettingKind::Span, "5s",
+       "How long after a change among the hosts a larger share of a limit may "
+       "be used; longer than hosts take to agree on the change.",
+       1e5, 600e6},
+      {In, "burst", SettingKind::Span, "10s",
+       "A limit a minute may be used ahead by what comes in in this time.", 1e5,
+       60e6},
+      {In, "items", SettingKind::Whole, "64",
+       "How many demands and shares are told to peers in one interval.", 1,
+       1e6},
+  };
+}
+
+namespace {
 
 const PluginRegistration
-    Registration({"limits", {}, settings, []() -> std::unique_ptr<Plugin> {
+    Registration({"limits",
+                  {"catalogue", "membership"},
+                  LimitsPlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<LimitsPlugin>();
                   }});
 
--- /dev/null
+++ b/src/plugins/limits/ShareLedger.h
@@ -0,0 +1,64 @@
+/// \file
+/// What one host holds of a team's limit in one view. Shares move by
+/// cumulative counts of units given, as in a bounded counter (Balegas et al.,
+/// 2015): the giver's own share falls before anything is sent, a repeat
+/// changes nothing, and a loss only loses capacity until the next repeat.
+#pragma once
+
+#include "plugins/limits/ShareView.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace banyanpick {
+
+/// Units to be told to a receiver: all given to it since the view began.
+struct ShareGift {
+  HostId To;
+  std::uint64_t UnitsInAll = 0;
+};
+
+class ShareLedger {
+public:
+  ShareLedger(ShareView Split, HostId Self);
+
+  /// Units this host may use.
+  std::uint64_t units() const { return this->Held; }
+  const ShareView &view() const { return this->Split; }
+  std::uint64_t unitsInAll() const { return this->Split.Units; }
+  double fraction() const;
+
+  /// Gives towards the split that \p Demands ask for; \p Demands go with the
+  /// view's hosts. At most \p Free units are given.
+  std::vector<ShareGift> giveByDemand(std::span<const double> Demands,
+                                      std::uint64_t Free);
+
+  /// All gifts so far, to be repeated.
+  std::vector<ShareGift> gifts() const;
+
+  /// A peer says what it gave to this host in all.
+  void receive(const HostId &From, std::uint64_t UnitsInAll);
+
+  /// Whether base, gifts and what was received agree with what is held.
+  bool isConsistent() const;
+
+private:
+  struct Account {
+    std::uint64_t Given = 0;
+    std::uint64_t Received = 0;
+  };
+
+  ShareView Split;
+  HostId Self;
+  std::map<HostId, Account> Accounts;
+  std::uint64_t Held = 0;
+};
+
+/// The units each of the view's hosts should hold: by demand, with a small
+/// part for all, and never more than the view's units together. The base
+/// split when nobody asks for anything.
+std::vector<std::uint64_t> wantedUnits(const ShareView &View,
+                                       std::span<const double> Demands);
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/limits/ShareView.cpp
@@ -0,0 +1,107 @@
+#include "plugins/limits/ShareView.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <functional>
+#include <xxhash.h>
+
+namespace banyanpick {
+
+namespace {
+
+constexpr std::uint64_t RateUnits = 1000;
+
+template <class Predicate>
+std::vector<HostId> chosen(const TeamId &Team, const TeamEntry &Limits,
+                           std::span<const ShareHost> Hosts,
+                           Predicate IsCandidate) {
+  std::vector<TeamHostCandidate> Candidates;
+  for (const ShareHost &Each : Hosts) {
+    if (IsCandidate(Each))
+      Candidates.push_back(Each.Candidate);
+  }
+  return teamHosts(Team, Limits, Candidates);
+}
+
+const ShareHost &hostOf(const HostId &Id, std::span<const ShareHost> Hosts) {
+  return *std::find_if(Hosts.begin(), Hosts.end(), [&](const ShareHost &Each) {
+    return Each.Candidate.Host == Id;
+  });
+}
+
+/// The hosts that hold shares, most preferred first.
+std::vector<HostId> holders(const TeamId &Team, const TeamEntry &Limits,
+                            std::span<const ShareHost> Hosts) {
+  const auto All =
+      chosen(Team, Limits, Hosts, [](const ShareHost &) { return true; });
+  const auto Living =
+      std::count_if(All.begin(), All.end(), [&](const HostId &Each) {
+        return !hostOf(Each, Hosts).IsDead;
+      });
+  const bool IsMajority = static_cast<std::size_t>(Living) * 2 > All.size();
+  if (!IsMajority)
+    return All;
+  auto Result = chosen(Team, Limits, Hosts, [](const ShareHost &Each) {
+    return !Each.IsDead && !Each.IsLeaving;
+  });
+  // One that leaves serves on until callers have asked anew; its share moves
+  // to the others as its demand falls.
+  const auto WithLeaving = chosen(
+      Team, Limits, Hosts, [](const ShareHost &Each) { return !Each.IsDead; });
+  for (const HostId &Each : WithLeaving) {
+    if (hostOf(Each, Hosts).IsLeaving)
+      Result.push_back(Each);
+  }
+  return Result;
+}
+
+std::uint64_t idOf(const ShareView &View, const TeamEntry &Limits,
+                   std::span<const ShareHost> Hosts) {
+  std::string Text = fmt::format("{}/{}/{}", Limits.RequestsPerMinute,
+                                 Limits.TokensPerMinute, Limits.Concurrent);
+  for (const BaseShare &Each : View.Shares)
+    Text += fmt::format("/{}:{:x}", Each.Host.Value,
+                        hostOf(Each.Host, Hosts).Life.Value);
+  return XXH64(Text.data(), Text.size(), 0);
+}
+
+} // namespace
+
+std::size_t ShareView::find(const HostId &Host) const {
+  const auto Found =
+      std::find_if(this->Shares.begin(), this->Shares.end(),
+                   [&](const BaseShare &Each) { return Each.Host == Host; });
+  return static_cast<std::size_t>(Found - this->Shares.begin());
+}
+
+std::uint64_t ShareView::baseOf(const HostId &Host) const {
+  const std::size_t Index = this->find(Host);
+  return Index < this->Shares.size() ? this->Shares[Index].Units : 0;
+}
+
+std::vector<ShareHost> shareHosts(const MembershipView &Members) {
+  std::vector<ShareHost> Result;
+  Result.push_back({{Members.self(), Members.selfZone()}, Members.selfLife()});
+  for (const Member &Each : Members.peers())
+    Result.push_back({{Each.Listing.Id, Each.Listing.Zone},
+                      Each.Life,
+                      Each.State == MemberState::Dead,
+                      Each.State == MemberState::Leaving});
+  return Result;
+}
+
+ShareView shareView(const TeamId &Team, const TeamEntry &Limits,
+                    std::span<const ShareHost> Hosts) {
+  ShareView View;
+  View.Units = Limits.Concurrent > 0 ? Limits.Concurrent : RateUnits;
+  const auto Holders = holders(Team, Limits, Hosts);
+  for (std::size_t Rank = 0; Rank < Holders.size(); ++Rank) {
+    const std::uint64_t Rest = View.Units % Holders.size();
+    View.Shares.push_back(
+        {Holders[Rank], View.Units / Holders.size() + (Rank < Rest ? 1 : 0)});
+  }
+  View.Id = idOf(View, Limits, Hosts);
+  return View;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/limits/TeamLimit.h
@@ -0,0 +1,94 @@
+/// \file
+/// One team's limits on one host: its share of them, what is used, and what
+/// is asked for here and on the other hosts.
+#pragma once
+
+#include "kernel/PeerMessage.h"
+#include "plugins/limits/DemandMeter.h"
+#include "plugins/limits/ShareLedger.h"
+#include "plugins/limits/TokenBucket.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace banyanpick {
+
+struct LimitsPolicy {
+  Duration Interval = seconds(1);      ///< Between two looks at the shares.
+  Duration Epoch = seconds(5);         ///< After which a changed split holds.
+  Duration Burst = seconds(10);        ///< What the buckets can hold.
+  std::uint64_t ItemsPerInterval = 64; ///< Told to peers, over all teams.
+};
+
+/// Why a request does not pass, and when the next one would.
+struct LimitReached {
+  std::string_view What; ///< A string literal.
+  Duration Wait{};
+};
+
+class TeamLimit {
+public:
+  TeamLimit(const TeamEntry &Limits, ShareView Split, HostId Self,
+            const LimitsPolicy &Policy, Time Now);
+
+  /// The split changed at \p ChangedAt. Until an epoch later the host holds
+  /// the lesser of its old and its new share, as others may not know yet.
+  void changeSplit(const TeamEntry &Limits, ShareView Split, Time ChangedAt,
+                   Time Now);
+
+  /// Notes the demand; nothing when the request passes.
+  std::optional<LimitReached> check(double Tokens, Time Now);
+  void admitted(double Tokens, Time Now);
+  /// A request ended, having used this much less than was charged for it.
+  void ended(double UnusedTokens, bool HasRun, Time Now);
+
+  /// What this host tells its peers of its demand.
+  TeamUsage::Item usage(Time Now) const;
+  void heard(const HostId &From, const TeamUsage::Item &Usage, Time Now);
+  /// What is to be given to peers now.
+  std::vector<ShareGift> give(Time Now);
+  /// Gifts so far, to be repeated.
+  std::vector<ShareGift> gifts() const;
+  /// A peer gave; also to a view that is not the present one.
+  void receive(const HostId &From, std::uint64_t View, double Fraction,
+               Time Now);
+
+  const ShareView &view() const { return this->present().view(); }
+  /// The part of the limit that this host uses now.
+  double fraction(Time Now) const;
+  std::uint32_t running() const { return this->Running; }
+  /// Whether it can be forgotten: nothing runs, is owed, or was given away.
+  bool isIdle(Time Now);
+  bool isConsistent() const;
+
+private:
+  struct PeerDemand {
+    double Used = 0; ///< Parts of the limit, like usedBy().
+    Time HeardAt{};
+  };
+
+  const ShareLedger &present() const { return this->Ledgers.front(); }
+  ShareLedger &present() { return this->Ledgers.front(); }
+  std::uint64_t units(Time Now) const;
+  void applyShare(Time Now);
+  double usedBy(const TeamUsage::Item &Usage) const;
+
+  TeamEntry Limits;
+  HostId Self;
+  LimitsPolicy Policy;
+  /// The present view first, then those it may return to. A cut that heals
+  /// brings back its view, with all that was given under it.
+  std::deque<ShareLedger> Ledgers;
+  Time HoldsFrom{};          ///< When the present share holds in full.
+  double FractionBefore = 1; ///< Bounds the share until then.
+  TokenBucket Requests;
+  TokenBucket Tokens;
+  DemandMeter AskedRequests;
+  DemandMeter AskedTokens;
+  DemandMeter RefusedAtOnce; ///< Refused for too many at once.
+  std::uint32_t Running = 0;
+  std::map<HostId, PeerDemand> Peers;
+};
+
+} // namespace banyanpick
