--- a/src/libs/catalogue/KeyDigest.cpp
+++ b/src/libs/catalogue/KeyDigest.cpp
@@ -37,6 +37,13 @@
 
 } // namespace
 
+std::optional<PresentedKey> splitKey(std::string_view Presented) {
+  const std::size_t Dot = Presented.find('.');
+  if (Dot == std::string_view::npos || Dot == 0 || Dot + 1 == Presented.size())
+    return std::nullopt;
+  return PresentedKey{Presented.substr(0, Dot), Presented.substr(Dot + 1)};
+}
+
 KeyDigest digestOfKey(std::string_view Key, std::string_view SaltHex) {
   Salt SaltOfKey{};
   if (!decodeHex(SaltHex, SaltOfKey))
--- a/src/plugins/operators/OperatorKeyring.cpp
+++ b/src/plugins/operators/OperatorKeyring.cpp
@@ -15,11 +15,11 @@
 std::optional<OwnerId> authenticatedOwner(const Catalogue &InForce,
                                           std::string_view OperatorKey,
                                           std::string_view RootKey) {
-  const std::size_t Dot = OperatorKey.find('.');
-  if (Dot == std::string_view::npos)
+  const auto Presented = splitKey(OperatorKey);
+  if (!Presented)
     return std::nullopt;
-  const OwnerId Owner{std::string(OperatorKey.substr(0, Dot))};
-  const std::string_view Secret = OperatorKey.substr(Dot + 1);
+  const OwnerId Owner{std::string(Presented->Name)};
+  const std::string_view Secret = Presented->Secret;
   if (Owner.Value == RootOwner) {
     const bool Right = !RootKey.empty() &&
                        matchesDigest(Secret, digestOfKey(RootKey, RootSalt));
--- a/src/plugins/requests/RequestBuilder.cpp
+++ b/src/plugins/requests/RequestBuilder.cpp
@@ -57,9 +57,12 @@
 
 std::optional<TeamId> authenticatedTeam(const Catalogue &InForce,
                                         std::string_view TeamKey) {
-  const TeamId Team{std::string(TeamKey.substr(0, TeamKey.find('.')))};
+  const auto Presented = splitKey(TeamKey);
+  if (!Presented)
+    return std::nullopt;
+  const TeamId Team{std::string(Presented->Name)};
   const TeamEntry *Entry = InForce.team(Team);
-  if (!Entry || !matchesDigest(TeamKey, Entry->Key))
+  if (!Entry || !matchesDigest(Presented->Secret, Entry->Key))
     return std::nullopt;
   return Team;
 }
