--- a/src/libs/base/StrongId.h
+++ b/src/libs/base/StrongId.h
@@ -17,6 +17,7 @@
   StrongId() = default;
   explicit StrongId(Rep Value) : Value(std::move(Value)) {}
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang 14 misreads defaults.
   auto operator<=>(const StrongId &) const = default;
 };
 
@@ -53,6 +54,7 @@
   Incarnation Maker;
   std::uint64_t Sequence = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang 14 misreads defaults.
   auto operator<=>(const MadeId &) const = default;
 };
 
--- a/src/libs/catalogue/CatalogueIni.cpp
+++ b/src/libs/catalogue/CatalogueIni.cpp
@@ -20,6 +20,7 @@
   EntryKey Entry;
   std::string Field;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang 14 misreads defaults.
   auto operator<=>(const FieldPlace &) const = default;
 };
 
--- a/src/libs/catalogue/Entry.h
+++ b/src/libs/catalogue/Entry.h
@@ -19,6 +19,7 @@
 struct KeyDigest {
   std::string Text;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang 14 misreads defaults.
   auto operator<=>(const KeyDigest &) const = default;
 };
 
@@ -83,6 +84,7 @@
   EntryKind Kind = EntryKind::Owner;
   std::string Name;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang 14 misreads defaults.
   auto operator<=>(const EntryKey &) const = default;
 };
 
--- a/src/libs/catalogue/EntryFields.h
+++ b/src/libs/catalogue/EntryFields.h
@@ -28,6 +28,8 @@
   Kind &Target;
   Text &Name;
 };
+template <class Kind, class Text>
+TargetReference(Kind &, Text &) -> TargetReference<Kind, Text>;
 
 template <class Type, class Wanted>
 concept MaybeConst = std::same_as<std::remove_const_t<Type>, Wanted>;
--- a/src/libs/kernel/Kernel.cpp
+++ b/src/libs/kernel/Kernel.cpp
@@ -12,7 +12,7 @@
       Numbers(Seed) {
   PluginContext Context(this->Self, this->Values, this->Offered, this->Numbers);
   for (const PluginDescription &Each : registeredPlugins()) {
-    this->Plugins.push_back(Each.make());
+    this->Plugins.push_back(Each.Make());
     this->Plugins.back()->initialize(Context);
   }
 }
--- a/src/libs/kernel/Plugin.h
+++ b/src/libs/kernel/Plugin.h
@@ -72,8 +72,8 @@
   std::string_view Name;
   std::vector<std::string_view> Dependencies;
   /// The settings it reads, with their defaults.
-  std::vector<SettingDeclaration> (*settings)();
-  std::unique_ptr<Plugin> (*make)();
+  std::vector<SettingDeclaration> (*DeclareSettings)();
+  std::unique_ptr<Plugin> (*Make)();
 };
 
 } // namespace banyanpick
--- a/src/libs/kernel/PluginRegistry.cpp
+++ b/src/libs/kernel/PluginRegistry.cpp
@@ -70,7 +70,7 @@
 std::vector<SettingDeclaration> pluginSettings() {
   std::vector<SettingDeclaration> Result;
   for (const PluginDescription &Each : registeredPlugins()) {
-    const auto OfPlugin = Each.settings();
+    const auto OfPlugin = Each.DeclareSettings();
     Result.insert(Result.end(), OfPlugin.begin(), OfPlugin.end());
   }
   return Result;
--- a/src/libs/kernel/Upstream.h
+++ b/src/libs/kernel/Upstream.h
@@ -19,6 +19,7 @@
   std::string Ip;
   std::uint16_t Port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang 14 misreads defaults.
   auto operator<=>(const Address &) const = default;
 };
 
--- a/src/plugins/claims/ClaimTable.h
+++ b/src/plugins/claims/ClaimTable.h
@@ -17,6 +17,7 @@
   TeamId Team;
   OperationKey Key;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang 14 misreads defaults.
   auto operator<=>(const OperationName &) const = default;
 };
 
