Let a lost upstream's requests be retried at once, a dying fleet not

Cause: the budget allowed a tenth of recent traffic and ten more, so that of 60 requests of one host on a lost engine most would have failed though the fleet could take them; a refused non-idempotent call was never tried again though it had surely not started. Change: a burst of half of what runs, refilled over a minute, beside the share of traffic; non-idempotent calls are retried when each try was refused or never sent.

--- a/src/plugins/retry/RetryBudget.cpp
+++ b/src/plugins/retry/RetryBudget.cpp
@@ -6,43 +6,33 @@
 namespace banyanpick {
 
 void RetryBudget::earn(Time Now) {
-  this->advance(Now);
+  this->advance(this->Policy.LeastBurst, Now);
   this->Earned += this->Policy.Share;
 }
 
-bool RetryBudget::spend(Time Now) {
-  this->advance(Now);
-  if (this->Floor >= 1) {
-    this->Floor -= 1;
+bool RetryBudget::spend(std::size_t Running, Time Now) {
+  const double Burst =
+      std::max(this->Policy.LeastBurst,
+               this->Policy.BurstShare * static_cast<double>(Running));
+  this->advance(Burst, Now);
+  if (this->Earned >= 1) {
+    this->Earned -= 1;
     return true;
   }
-  if (this->Floor + this->Earned < 1)
+  if (this->UsedBurst + 1 > Burst)
     return false;
-  this->Earned -= 1 - this->Floor;
-  this->Floor = 0;
+  this->UsedBurst += 1;
   return true;
 }
 
-double RetryBudget::left(Time Now) {
-  this->advance(Now);
-  return this->Floor + this->Earned;
-}
-
-void RetryBudget::advance(Time Now) {
-  const double Window = inSeconds(this->Policy.Window);
-  const double Cap = this->Policy.FloorPerSecond * Window;
-  if (this->Floor < 0) {
-    this->Floor = Cap;
-    this->Latest = Now;
-    return;
-  }
+void RetryBudget::advance(double Burst, Time Now) {
   if (Now <= this->Latest)
     return;
   const double Passed = inSeconds(Now - this->Latest);
   this->Latest = Now;
-  this->Earned *= std::exp(-Passed / Window);
-  this->Floor =
-      std::min(Cap, this->Floor + Passed * this->Policy.FloorPerSecond);
+  this->Earned *= std::exp(-Passed / inSeconds(this->Policy.Window));
+  const double Refilled = Burst * Passed / inSeconds(this->Policy.BurstRefill);
+  this->UsedBurst = std::max(0.0, this->UsedBurst - Refilled);
 }
 
 } // namespace banyanpick
--- a/src/plugins/retry/RetryPlugin.h
+++ b/src/plugins/retry/RetryPlugin.h
@@ -5,26 +5,41 @@
 #include "kernel/Plugin.h"
 #include "plugins/retry/RetryBudget.h"
 
+#include <set>
+
 namespace banyanpick {
 
 /// Provides RetryPolicy: within the deadline, within the budget, and never
-/// for a non-idempotent call.
+/// for a non-idempotent call that may have started.
 class RetryPlugin : public Plugin, public RetryPolicy, public RequestObserver {
 public:
-  RetryPlugin();
+  RetryPlugin() : Budget(RetryBudgetPolicy()) {}
 
   static std::vector<SettingDeclaration> settings();
 
+  // Plugin
   void initialize(PluginContext &Context) override;
-  void handle(const Event &What, Time Now, Actions &Out) override;
+  void handle(const Event &, Time, Actions &) override {}
 
+  // RetryPolicy
   bool mayRetry(const Request &Asked, std::uint32_t TriesMade,
                 Time Now) override;
+
+  // RequestObserver
   void admitted(const Request &Asked, Time Now, Actions &Out) override;
+  void dispatched(const Request &Asked, const Attempt &Try, Time Now,
+                  Actions &Out) override;
+  void attemptEnded(const Request &Asked, const Attempt &Try,
+                    const AttemptOutcome &Outcome, Time Now,
+                    Actions &Out) override;
+  void ended(const Request &Asked, const FinalAnswer &Answer, Time Now,
+             Actions &Out) override;
 
 private:
   RetryBudget Budget;
-  std::uint64_t MostTries = 0;
+  std::set<RequestId> Running;
+  /// Non-idempotent requests with a try that the upstream may have begun.
+  std::set<RequestId> MayHaveStarted;
 };
 
 } // namespace banyanpick
