--- /dev/null
+++ b/tests/auto/fairness/FairnessHostsTest.cpp
@@ -0,0 +1,156 @@
+/// \file
+/// Fairness among teams over several entry hosts, and what it costs to tell.
+#include <gtest/gtest.h>
+
+#include "fakes/PluginViews.h"
+#include "fakes/RequestMaker.h"
+#include "plugins/fairness/FairnessPlugin.h"
+#include "wire/PeerCodec.h"
+
+#include <memory>
+
+namespace banyanpick {
+namespace {
+
+using Bench = PluginBench<FairnessPlugin>;
+
+/// Hosts with a backlog of some teams each; every host dispatches the same
+/// number of requests a second, the one most entitled first.
+class Backlog {
+public:
+  explicit Backlog(std::size_t Count) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      this->Hosts.push_back(
+          std::make_unique<Bench>("h" + std::to_string(Index)));
+      for (std::size_t Peer = 0; Peer < Count; ++Peer) {
+        if (Peer != Index)
+          this->Hosts.back()->Members.add(HostId("h" + std::to_string(Peer)));
+      }
+    }
+  }
+  void declare(const std::string &Team, std::uint32_t RequestsPerMinute) {
+    TeamEntry Limits;
+    Limits.RequestsPerMinute = RequestsPerMinute;
+    for (auto &Each : this->Hosts)
+      Each->Entries.add(TeamId(Team), Limits);
+  }
+  void start() {
+    for (auto &Each : this->Hosts)
+      Each->start();
+  }
+  void push(std::size_t Host, const std::string &Team) {
+    const Request Asked = RequestMaker(++this->Ids)
+                              .team(Team)
+                              .output(0)
+                              .arrived(this->Now, seconds(100'000));
+    this->Waiting[Asked.id()] = Asked;
+    this->Hosts[Host]->Tested.push(Asked, this->Now);
+  }
+  /// Dispatches at every host, passes a second and delivers what is told.
+  void serve(std::size_t PerHost) {
+    for (auto &Each : this->Hosts) {
+      for (std::size_t Index = 0; Index < PerHost; ++Index)
+        this->dispatchOne(*Each);
+    }
+    this->Now += seconds(1);
+    std::vector<std::pair<HostId, SendToPeer>> Told;
+    for (auto &Each : this->Hosts) {
+      for (SendToPeer &Message : Each->handle(Tick(), this->Now))
+        Told.emplace_back(Each->Self.Host, std::move(Message));
+    }
+    for (const auto &[From, Message] : Told) {
+      const PeerMessage Sent{From, Incarnation(7), Message.Body};
+      this->Bytes += encodePeerMessage(Sent).size();
+      const auto To = std::stoul(Message.To.Value.substr(1));
+      this->Hosts[To]->handle(PeerMessageReceived{Sent}, this->Now);
+    }
+  }
+
+  std::vector<std::unique_ptr<Bench>> Hosts;
+  std::map<TeamId, double> Work;
+  std::size_t Bytes = 0;
+  Time Now{seconds(1000)};
+
+private:
+  void dispatchOne(Bench &At) {
+    const auto Next = At.Tested.candidates(1, this->Now);
+    if (Next.empty())
+      return;
+    const Request Sent = this->Waiting.at(Next.front());
+    Actions Out;
+    At.Tested.remove(Sent.id());
+    At.Tested.dispatched(Sent, attemptOf(Sent, Sent.id().Value, "e"), this->Now,
+                         Out);
+    this->Work[Sent.Team] += static_cast<double>(Sent.Head.PromptTokens);
+  }
+
+  std::map<RequestId, Request> Waiting;
+  std::uint64_t Ids = 0;
+};
+
+/// Jain's index of the teams' work: 1 when all are equal.
+double jain(const std::map<TeamId, double> &Work) {
+  double Sum = 0;
+  double Squares = 0;
+  for (const auto &[Team, Tokens] : Work) {
+    Sum += Tokens;
+    Squares += Tokens * Tokens;
+  }
+  return Sum * Sum / (static_cast<double>(Work.size()) * Squares);
+}
+
+TEST(FairnessHostsTest, LargeTeamGainsNothingBySpreading) {
+  Backlog All(3);
+  All.declare("large", 600);
+  for (int Host = 0; Host < 3; ++Host)
+    All.declare("small" + std::to_string(Host), 600);
+  All.start();
+  for (std::size_t Host = 0; Host < 3; ++Host) {
+    for (int Index = 0; Index < 3000; ++Index) {
+      All.push(Host, "large");
+      All.push(Host, "small" + std::to_string(Host));
+    }
+  }
+  for (int Second = 0; Second < 120; ++Second)
+    All.serve(20);
+  std::printf("Jain's index over three hosts: %.4f\n", jain(All.Work));
+  EXPECT_GE(jain(All.Work), 0.98);
+}
+
+/// One of 320 hosts, with 300 active teams of the largest kind.
+TEST(FairnessHostsTest, BytesToldStayBounded) {
+  constexpr int Teams = 300;
+  constexpr int Seconds = 20;
+  Backlog All(1);
+  for (int Peer = 1; Peer < 320; ++Peer)
+    All.Hosts[0]->Members.add(HostId("host-" + std::to_string(Peer)));
+  for (int Team = 0; Team < Teams; ++Team)
+    All.declare("member-house-" + std::to_string(Team), 3000);
+  All.start();
+  std::size_t Bytes = 0;
+  for (int Second = 0; Second < Seconds; ++Second) {
+    for (int Team = 0; Team < Teams; ++Team)
+      All.push(0, "member-house-" + std::to_string(Team));
+    Actions Out;
+    for (const RequestId &Id : All.Hosts[0]->Tested.candidates(Teams, All.Now))
+      All.Hosts[0]->Tested.remove(Id);
+    for (int Team = 0; Team < Teams; ++Team) {
+      const Request Sent = RequestMaker(100'000 + Team)
+                               .team("member-house-" + std::to_string(Team))
+                               .prompt(50'000 + Second);
+      All.Hosts[0]->Tested.dispatched(Sent, attemptOf(Sent, 1, "e"), All.Now,
+                                      Out);
+    }
+    All.Now += seconds(1);
+    for (SendToPeer &Each : All.Hosts[0]->handle(Tick(), All.Now))
+      Bytes += encodePeerMessage(
+                   {HostId("host-0"), Incarnation(7), std::move(Each.Body)})
+                   .size();
+  }
+  std::printf("usage told: %.0f bytes a second\n",
+              static_cast<double>(Bytes) / Seconds);
+  EXPECT_LE(Bytes / Seconds, 5000u);
+}
+
+} // namespace
+} // namespace banyanpick
