Measure routing under load against well-known policies

Cause: routing, admission and groups were not measured. Ruled out: a driver of its own; the virtual deployment of the tests runs whole kernels, so the life cycle and the fair queue are measured with them.

--- /dev/null
+++ b/tests/bench/RoutingBench.cpp
@@ -0,0 +1,133 @@
+/// \file
+/// Measures routing under load; docs/MEASURING.md says how to read it.
+#include "bench/RoutingTable.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <atomic>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+DEFINE_string(deployments, "auction,ateliers", "deployments to measure");
+DEFINE_string(policies,
+              "random,round-robin,least-outstanding,least-tokens,predicted",
+              "values of routing.policy");
+DEFINE_string(without, "", "parts to leave out, each a row of its own");
+DEFINE_string(loads, "50,80,95,120,200,400", "per cent of saturation");
+DEFINE_string(scenarios, "calm",
+              "calm, engine-death, host-death, stale-reports, log-outage");
+DEFINE_int32(seeds, 3, "runs of each cell, with the seeds 1, 2, ...");
+DEFINE_int32(length, 60, "seconds of virtual time measured");
+DEFINE_int32(threads, 4, "cells run at once");
+DEFINE_string(set, "", "more settings: section.key=value,...");
+DEFINE_string(csv, "", "file for the same figures as CSV");
+
+namespace banyanpick {
+namespace {
+
+std::vector<std::string> listed(const std::string &Text) {
+  std::vector<std::string> Result;
+  std::istringstream In(Text);
+  for (std::string Item; std::getline(In, Item, ',');)
+    Result.push_back(Item);
+  return Result;
+}
+
+DeploymentShape shapeNamed(const std::string &Name) {
+  if (Name == "auction")
+    return {Name, 14, 7, milliseconds(2)};
+  return {Name, 16, 8, milliseconds(1)};
+}
+
+/// One run: which row, and whether it is the one without long prompts.
+struct Job {
+  std::size_t Row = 0;
+  CellOptions Options;
+  CellResult Result;
+};
+
+std::vector<TableRow> wantedRows() {
+  std::vector<std::pair<std::string, std::string>> Policies;
+  for (const std::string &Each : listed(FLAGS_policies))
+    Policies.emplace_back(Each, "nothing");
+  for (const std::string &Each : listed(FLAGS_without))
+    Policies.emplace_back("predicted", Each);
+  std::vector<TableRow> Rows;
+  for (const std::string &Deployment : listed(FLAGS_deployments))
+    for (const std::string &Scenario : listed(FLAGS_scenarios))
+      for (const std::string &Load : listed(FLAGS_loads))
+        for (const auto &[Policy, Without] : Policies) {
+          CellOptions Options;
+          Options.Shape = shapeNamed(Deployment);
+          Options.Policy = Policy;
+          Options.Without = Without;
+          Options.Scenario = Scenario;
+          Options.Load = std::stod(Load) / 100;
+          Options.Length = seconds(FLAGS_length);
+          Options.Settings = listed(FLAGS_set);
+          Rows.push_back({Options, {}, 0});
+        }
+  return Rows;
+}
+
+std::vector<Job> jobsFor(const std::vector<TableRow> &Rows) {
+  std::vector<Job> Jobs;
+  for (std::size_t Row = 0; Row < Rows.size(); ++Row)
+    for (int Seed = 1; Seed <= FLAGS_seeds; ++Seed)
+      for (const bool WithLong : {true, false}) {
+        Job New{Row, Rows[Row].Options, {}};
+        New.Options.Seed = static_cast<std::uint64_t>(Seed);
+        New.Options.WithLong = WithLong;
+        if (WithLong || New.Options.Scenario == "calm")
+          Jobs.push_back(std::move(New));
+      }
+  return Jobs;
+}
+
+void runAll(std::vector<Job> &Jobs) {
+  std::atomic<std::size_t> Next = 0;
+  std::vector<std::thread> Workers;
+  for (int Each = 0; Each < std::min(FLAGS_threads, 4); ++Each)
+    Workers.emplace_back([&Jobs, &Next] {
+      for (std::size_t Mine = Next++; Mine < Jobs.size(); Mine = Next++)
+        Jobs[Mine].Result = runCell(Jobs[Mine].Options);
+    });
+  for (std::thread &Each : Workers)
+    Each.join();
+}
+
+void collect(const std::vector<Job> &Jobs, std::vector<TableRow> &Rows) {
+  std::vector<CellResult> WithoutLong(Rows.size());
+  for (const Job &Each : Jobs)
+    (Each.Options.WithLong ? Rows[Each.Row].Result : WithoutLong[Each.Row])
+        .add(Each.Result);
+  for (std::size_t Row = 0; Row < Rows.size(); ++Row) {
+    const double Alone = WithoutLong[Row].percentile(0, 0.95);
+    if (Alone > 0)
+      Rows[Row].Slowdown = Rows[Row].Result.percentile(0, 0.95) / Alone;
+  }
+}
+
+int measure() {
+  std::vector<TableRow> Rows = wantedRows();
+  std::vector<Job> Jobs = jobsFor(Rows);
+  runAll(Jobs);
+  collect(Jobs, Rows);
+  printTable(std::cout, Rows);
+  if (!FLAGS_csv.empty()) {
+    std::ofstream Csv(FLAGS_csv);
+    writeCsv(Csv, Rows);
+  }
+  return 0;
+}
+
+} // namespace
+} // namespace banyanpick
+
+int main(int Count, char **Arguments) {
+  gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  return banyanpick::measure();
+}
--- /dev/null
+++ b/tests/bench/RoutingCell.cpp
@@ -0,0 +1,269 @@
+#include "bench/RoutingCell.h"
+
+#include "harness/TestCatalogue.h"
+#include "harness/VirtualDeployment.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace banyanpick {
+
+namespace {
+
+/// The deployment finds itself before the first request, and the first
+/// requests are not measured.
+constexpr Duration Settling = seconds(5);
+constexpr Duration WarmUp = seconds(10);
+/// Beyond the longest promise.
+constexpr Duration Drain = seconds(150);
+/// Ways of a caller to its host and back.
+constexpr Duration CallerWays = milliseconds(10);
+
+std::string teamName(std::uint32_t Team) {
+  return "team-" + std::to_string(Team);
+}
+std::string zoneName(std::uint32_t Zone) {
+  return "zone-" + std::to_string(Zone);
+}
+
+ClassEntry promise(std::uint64_t MaxPrompt, std::uint32_t Urgency,
+                   Duration Base) {
+  ClassEntry Class = testClass(TargetKind::Model, MaxPrompt, Urgency);
+  Class.FirstTokenBase = Base;
+  Class.FirstTokenPerThousandTokens = milliseconds(100);
+  Class.AnswerBase = seconds(5);
+  Class.AnswerPerToken = milliseconds(100);
+  return Class;
+}
+
+const std::map<std::string, ClassEntry> &classes() {
+  static const std::map<std::string, ClassEntry> All = {
+      {"short", promise(4'000, 9, seconds(2))},
+      {"long", promise(100'000, 5, seconds(5))},
+      {"review", promise(1'000'000, 2, seconds(20))},
+  };
+  return All;
+}
+
+std::vector<Change> catalogue() {
+  std::vector<Change> All;
+  All.push_back(
+      declared(EntryKind::Owner, TestOwner, OwnerEntry{testDigest(TestOwner)}));
+  All.push_back(
+      declared(EntryKind::Model, TestModel, ModelEntry{"w", 1'000'000, 1, 0}));
+  for (const auto &[Name, Class] : classes())
+    All.push_back(declared(EntryKind::Class, Name, Class));
+  for (std::uint32_t Team = 0; Team < Teams; ++Team)
+    All.push_back(
+        declared(EntryKind::Team, teamName(Team), testTeam(teamName(Team))));
+  return All;
+}
+
+DeploymentOptions deploymentOptions(const CellOptions &Options) {
+  DeploymentOptions Result;
+  Result.Seed = Options.Seed;
+  Result.CheckEveryEvent = false;
+  Result.Settings = {{"routing", "policy", Options.Policy},
+                     {"routing", "without", Options.Without}};
+  for (const std::string &Each : Options.Settings) {
+    const std::size_t Dot = Each.find('.');
+    const std::size_t Equals = Each.find('=');
+    Result.Settings.push_back({Each.substr(0, Dot),
+                               Each.substr(Dot + 1, Equals - Dot - 1),
+                               Each.substr(Equals + 1)});
+  }
+  return Result;
+}
+
+/// A deployment with its callers.
+class CellRun {
+public:
+  explicit CellRun(const CellOptions &Options)
+      : Options(Options), World(deploymentOptions(Options)),
+        Numbers(Options.Seed) {}
+
+  CellResult run() {
+    this->build();
+    this->World.runFor(Settling);
+    const auto Work = makeWorkload(this->Options.Shape, this->Options.Load,
+                                   WarmUp + this->Options.Length,
+                                   this->Options.Seed, this->Options.WithLong);
+    this->scheduleFault();
+    for (const Arrival &Each : Work)
+      this->World.queue().after(Each.At, [this, Each] { this->send(Each); });
+    this->World.runFor(WarmUp + this->Options.Length + Drain);
+    return this->judge();
+  }
+
+private:
+  void build() {
+    this->World.network().Far = this->Options.Shape.Far;
+    for (std::uint32_t Each = 0; Each < this->Options.Shape.Engines; ++Each) {
+      EngineShape Shape;
+      Shape.Id = UpstreamId("engine-" + std::to_string(Each));
+      Shape.Models = {ModelId(TestModel)};
+      this->World.addEngine(Shape, zoneName(Each % Zones));
+    }
+    for (std::uint32_t Each = 0; Each < this->Options.Shape.Hosts; ++Each)
+      this->World.addHost("host-" + std::to_string(Each),
+                          zoneName(Each % Zones));
+    this->World.seedCatalogue(catalogue());
+  }
+
+  void scheduleFault() {
+    const Duration When = WarmUp + this->Options.Length / 3;
+    EventQueue &Queue = this->World.queue();
+    if (this->Options.Scenario == "engine-death") {
+      Queue.after(When, [this] { this->World.killUpstream("engine-0"); });
+      Queue.after(When + seconds(20),
+                  [this] { this->World.restartUpstream("engine-0"); });
+    }
+    if (this->Options.Scenario == "host-death")
+      Queue.after(When, [this] { this->World.killHost("host-0"); });
+    if (this->Options.Scenario == "log-outage")
+      Queue.after(When, [this] { this->World.log().Down = true; });
+    if (this->Options.Scenario == "stale-reports")
+      for (auto &[Name, Engine] : this->World.engines())
+        Engine.LoadLag = seconds(2);
+  }
+
+  void send(const Arrival &From) {
+    RequestHead Head = testRequest(teamName(From.Team), From.Class,
+                                   From.PromptTokens, From.Content);
+    Head.MaxOutputTokens = From.OutputTokens;
+    const std::uint64_t Shared = From.PrefixTokens / PromptBlockTokens;
+    const RequestHead Prefix =
+        testRequest("", From.Class, From.PrefixTokens, From.PrefixOf);
+    std::copy_n(Prefix.Blocks.begin(), Shared, Head.Blocks.begin());
+    const std::size_t Caller = this->World.send(this->host(From), Head);
+    this->Sent.emplace_back(Caller, From);
+  }
+
+  /// A live host of the caller's zone, or of any other.
+  std::string host(const Arrival &From) {
+    std::vector<std::string> Near;
+    std::vector<std::string> All;
+    for (const auto &[Name, Host] : this->World.hosts()) {
+      if (!Host->isRunning())
+        continue;
+      All.push_back(Name);
+      if (Host->listing().Zone.Value == zoneName(From.Zone))
+        Near.push_back(Name);
+    }
+    const auto &Choice = Near.empty() ? All : Near;
+    return Choice[this->Numbers.below(Choice.size())];
+  }
+
+  CellResult judge() {
+    CellResult Result;
+    Result.Seconds = inSeconds(this->Options.Length);
+    Result.Violations = this->World.violations().size();
+    for (const auto &[Caller, From] : this->Sent)
+      if (From.At >= WarmUp)
+        this->judgeOne(this->World.callers()[Caller], From, Result);
+    for (const auto &[Name, Engine] : this->World.engines()) {
+      Result.Prefilled += static_cast<double>(Engine.Model.prefilledTokens());
+      Result.Wasted += static_cast<double>(Engine.Model.wastedPrefillTokens());
+    }
+    return Result;
+  }
+
+  static bool isInTime(const CallerRecord &Seen, const Arrival &From) {
+    const ClassEntry &Class = classes().at(From.Class);
+    const Time FirstBy =
+        Seen.SentAt + CallerWays + Class.FirstTokenBase +
+        Duration(Class.FirstTokenPerThousandTokens.count() *
+                 static_cast<Duration::rep>(From.PromptTokens) / 1000);
+    const Time EndBy =
+        FirstBy + Class.AnswerBase +
+        Class.AnswerPerToken * static_cast<Duration::rep>(From.OutputTokens);
+    return Seen.FirstTokenAt && *Seen.FirstTokenAt <= FirstBy && Seen.EndedAt &&
+           *Seen.EndedAt <= EndBy;
+  }
+
+  static void judgeOne(const CallerRecord &Seen, const Arrival &From,
+                       CellResult &Result) {
+    const std::size_t Bucket = bucketOf(From.PromptTokens);
+    ++Result.Sent;
+    ++Result.Offered[Bucket];
+    ++Result.TeamOffered[From.Team];
+    if (Seen.FirstTokenAt)
+      Result.FirstToken[Bucket].push_back(
+          inSeconds(*Seen.FirstTokenAt - Seen.SentAt));
+    const bool Whole =
+        Seen.Answer && std::holds_alternative<WholeAnswer>(*Seen.Answer);
+    const bool NotRunAtAll =
+        Seen.Answer && std::holds_alternative<NotRun>(*Seen.Answer);
+    if (Seen.ConnectionLost) {
+      ++Result.Lost;
+    } else if (!Seen.AcceptedAt) {
+      ++Result.Refused;
+    } else if (Whole && isInTime(Seen, From)) {
+      ++Result.Kept[Bucket];
+      ++Result.TeamKept[From.Team];
+      Result.GoodTokens +=
+          static_cast<double>(From.PromptTokens + From.OutputTokens);
+    } else {
+      ++(NotRunAtAll ? Result.RefusedLate : Result.Missed);
+    }
+  }
+
+  const CellOptions &Options;
+  VirtualDeployment World;
+  Random Numbers;
+  std::vector<std::pair<std::size_t, Arrival>> Sent;
+};
+
+} // namespace
+
+CellResult runCell(const CellOptions &Options) {
+  return CellRun(Options).run();
+}
+
+void CellResult::add(const CellResult &Other) {
+  for (std::size_t Each = 0; Each < LengthBuckets.size(); ++Each) {
+    this->FirstToken[Each].insert(this->FirstToken[Each].end(),
+                                  Other.FirstToken[Each].begin(),
+                                  Other.FirstToken[Each].end());
+    this->Offered[Each] += Other.Offered[Each];
+    this->Kept[Each] += Other.Kept[Each];
+  }
+  this->Sent += Other.Sent;
+  this->Refused += Other.Refused;
+  this->RefusedLate += Other.RefusedLate;
+  this->Missed += Other.Missed;
+  this->Lost += Other.Lost;
+  this->GoodTokens += Other.GoodTokens;
+  this->Seconds += Other.Seconds;
+  this->Prefilled += Other.Prefilled;
+  this->Wasted += Other.Wasted;
+  this->Violations += Other.Violations;
+  for (std::size_t Each = 0; Each < Teams; ++Each) {
+    this->TeamOffered[Each] += Other.TeamOffered[Each];
+    this->TeamKept[Each] += Other.TeamKept[Each];
+  }
+}
+
+double CellResult::percentile(std::size_t Bucket, double Part) const {
+  std::vector<double> Sorted = this->FirstToken[Bucket];
+  if (Sorted.empty())
+    return 0;
+  std::sort(Sorted.begin(), Sorted.end());
+  const auto Rank = static_cast<std::size_t>(
+      std::ceil(Part * static_cast<double>(Sorted.size())));
+  return Sorted[std::clamp<std::size_t>(Rank, 1, Sorted.size()) - 1];
+}
+
+double CellResult::fairness() const {
+  double Sum = 0;
+  double Squares = 0;
+  for (std::size_t Each = LargeTeams; Each < Teams; ++Each) {
+    const double Part =
+        this->TeamKept[Each] / std::max(this->TeamOffered[Each], 1.0);
+    Sum += Part;
+    Squares += Part * Part;
+  }
+  return Squares > 0 ? Sum * Sum / (Squares * (Teams - LargeTeams)) : 0;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/bench/Workload.cpp
@@ -0,0 +1,137 @@
+#include "bench/Workload.h"
+
+#include "base/Random.h"
+#include "fakes/EngineModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace banyanpick {
+
+namespace {
+
+/// A part of the mix: prompts between two lengths with density 1/x, or 1/x^2
+/// for the longest.
+struct MixPart {
+  double Share;
+  double Shortest;
+  double Longest;
+  bool Steep;
+  const char *Class;
+  std::uint64_t OutputTokens;
+};
+
+constexpr MixPart Mix[] = {
+    {0.60, 1e3, 4e3, false, "short", 64},
+    {0.30, 4e3, 32e3, false, "long", 128},
+    {0.08, 32e3, 100e3, false, "long", 128},
+    {0.02, 100e3, 1e6, true, "review", 256},
+};
+
+/// Requests that go on from an earlier prompt of their team, and the part of
+/// that prompt which they share.
+constexpr double ReuseShare = 0.3;
+constexpr std::uint64_t LargeTeamWeight = 4;
+
+double drawLength(const MixPart &Part, double Fraction) {
+  if (!Part.Steep)
+    return Part.Shortest * std::pow(Part.Longest / Part.Shortest, Fraction);
+  const double Low = 1 / Part.Shortest;
+  return 1 / (Low - Fraction * (Low - 1 / Part.Longest));
+}
+
+double meanLength(const MixPart &Part) {
+  constexpr int Points = 1000;
+  double Sum = 0;
+  for (int Each = 0; Each < Points; ++Each)
+    Sum += drawLength(Part, (Each + 0.5) / Points);
+  return Sum / Points;
+}
+
+const MixPart &drawPart(double Fraction) {
+  for (const MixPart &Each : Mix) {
+    if (Fraction < Each.Share)
+      return Each;
+    Fraction -= Each.Share;
+  }
+  return Mix[0];
+}
+
+std::uint32_t drawTeam(Random &Numbers) {
+  const std::uint64_t All = LargeTeams * LargeTeamWeight + (Teams - LargeTeams);
+  const std::uint64_t Drawn = Numbers.below(All);
+  if (Drawn < LargeTeams * LargeTeamWeight)
+    return static_cast<std::uint32_t>(Drawn / LargeTeamWeight);
+  return static_cast<std::uint32_t>(LargeTeams + Drawn -
+                                    LargeTeams * LargeTeamWeight);
+}
+
+/// Lets the request go on from an earlier one of its team and class.
+void reuse(Arrival &Of, const std::vector<Arrival> &Earlier, Random &Numbers) {
+  constexpr std::size_t LookedAt = 200;
+  const std::size_t First =
+      Earlier.size() > LookedAt ? Earlier.size() - LookedAt : 0;
+  std::vector<const Arrival *> Fitting;
+  for (std::size_t Each = First; Each < Earlier.size(); ++Each)
+    if (Earlier[Each].Team == Of.Team && Earlier[Each].Class == Of.Class)
+      Fitting.push_back(&Earlier[Each]);
+  if (Fitting.empty())
+    return;
+  const Arrival &From = *Fitting[Numbers.below(Fitting.size())];
+  Of.PrefixOf = From.Content;
+  Of.PrefixTokens = std::min(From.PromptTokens, Of.PromptTokens) * 3 / 4;
+}
+
+} // namespace
+
+std::size_t bucketOf(std::uint64_t PromptTokens) {
+  const auto Found = std::lower_bound(LengthBuckets.begin(),
+                                      LengthBuckets.end(), PromptTokens);
+  return static_cast<std::size_t>(Found - LengthBuckets.begin());
+}
+
+double saturation(const DeploymentShape &Shape) {
+  // With prefill always to do, each step prefills one chunk beside a decode
+  // step of a batch of DecodingBeside requests.
+  constexpr int DecodingBeside = 20;
+  const EngineShape Engine;
+  const auto Chunk = static_cast<double>(Engine.PrefillChunkTokens);
+  const double Step =
+      Chunk / Engine.PrefillTokensPerSecond +
+      inSeconds(Engine.StepBase + DecodingBeside * Engine.StepPerRequest);
+  double Mean = 0;
+  for (const MixPart &Each : Mix)
+    Mean += Each.Share * meanLength(Each);
+  return Shape.Engines * Chunk / Step / Mean;
+}
+
+std::vector<Arrival> makeWorkload(const DeploymentShape &Shape, double Load,
+                                  Duration Length, std::uint64_t Seed,
+                                  bool WithLong) {
+  Random Numbers(Seed);
+  const double Rate = Load * saturation(Shape);
+  std::vector<Arrival> Result;
+  double At = 0;
+  while (true) {
+    At += -std::log(1 - Numbers.fraction()) / Rate;
+    if (At > inSeconds(Length))
+      return Result;
+    const MixPart &Part = drawPart(Numbers.fraction());
+    Arrival New;
+    New.At = fromSeconds(At);
+    New.Team = drawTeam(Numbers);
+    New.Zone = static_cast<std::uint32_t>(Numbers.below(Zones));
+    New.Class = Part.Class;
+    New.PromptTokens =
+        static_cast<std::uint64_t>(drawLength(Part, Numbers.fraction()));
+    New.OutputTokens =
+        Part.OutputTokens / 2 + Numbers.below(Part.OutputTokens / 2 + 1);
+    New.Content = Numbers.below(~std::uint64_t(0));
+    if (Numbers.fraction() < ReuseShare)
+      reuse(New, Result, Numbers);
+    if (WithLong || !Part.Steep)
+      Result.push_back(std::move(New));
+  }
+}
+
+} // namespace banyanpick
