Add the operators' command line

Then it waits until every live host has the offset in force or says which have not.

gflags ends the process with exit code 1 on an unknown flag, which stands for a rejected change here, so flags are checked before it sees them.

--- a/src/libs/base/Text.h
+++ b/src/libs/base/Text.h
@@ -6,9 +6,9 @@
 
 namespace banyanpick {
 
-/// \p Text without blanks, tabs and carriage returns at both ends.
+/// \p Text without blanks and line ends at both ends.
 inline std::string_view trimmed(std::string_view Text) {
-  constexpr std::string_view Blanks = " \t\r";
+  constexpr std::string_view Blanks = " \t\r\n";
   const std::size_t First = Text.find_first_not_of(Blanks);
   if (First == std::string_view::npos)
     return "";
--- a/src/libs/operators/OperatorJson.cpp
+++ b/src/libs/operators/OperatorJson.cpp
@@ -65,7 +65,7 @@
           {"invariants_broken", Of.InvariantsBroken},
           {"hosts", arrayOf(Of.Hosts)},
           {"upstreams", arrayOf(Of.Upstreams)},
-          {"quarantined", arrayOf(Of.Quarantined)}};
+          {"quarantine", arrayOf(Of.Quarantined)}};
 }
 
 json toJson(const HistoryShown &Of) {
@@ -188,7 +188,7 @@
   Result.InvariantsBroken = Object.whole("invariants_broken");
   Result.Hosts = listOf(Object, "hosts", hostFromJson);
   Result.Upstreams = listOf(Object, "upstreams", upstreamFromJson);
-  Result.Quarantined = listOf(Object, "quarantined", quarantineFromJson);
+  Result.Quarantined = listOf(Object, "quarantine", quarantineFromJson);
   return Result;
 }
 
--- /dev/null
+++ b/src/tools/ApplyCommand.cpp
@@ -0,0 +1,154 @@
+#include "tools/ApplyCommand.h"
+
+#include "base/Error.h"
+#include "base/Visitor.h"
+#include "catalogue/CatalogueDiff.h"
+#include "catalogue/CatalogueJson.h"
+#include "catalogue/KeyDigest.h"
+#include "tools/DeclarationFile.h"
+#include "tools/InForceCheck.h"
+
+#include <fmt/format.h>
+
+namespace banyanpick::tools {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration PollInterval = milliseconds(250);
+
+/// The file against what is in force.
+struct Comparison {
+  CatalogueShown Shown;
+  CatalogueDiff Diff;
+};
+
+OwnerId authorOf(const Options &Given) {
+  const auto Key = splitKey(Given.Key);
+  if (!Key)
+    throw Error(ErrorKind::NotAllowed, "the key is not OWNER.SECRET",
+                "give the owner's key in BANYANPICK_KEY or --key_file");
+  return OwnerId(std::string(Key->Name));
+}
+
+Comparison compare(OperatorClient &Client, const Options &Given,
+                   std::string_view FileText) {
+  const OwnerId Author = authorOf(Given);
+  Comparison Result;
+  Result.Shown = Client.catalogue();
+  const EntryMap Declared =
+      readDeclarations(Given.Arguments.at(0), FileText, Result.Shown.Entries);
+  Result.Diff = difference(Declared, Result.Shown.Entries, Author, Given.Prune);
+  return Result;
+}
+
+std::string notesOn(const CatalogueDiff &Of, bool Prune) {
+  std::string Result;
+  for (const EntryKey &Each : Of.OfOthers)
+    Result += "left to its owner: " + text(Each) + "\n";
+  if (Prune)
+    return Result;
+  for (const EntryKey &Each : Of.Undeclared)
+    Result += "in force but not in the file: " + text(Each) +
+              "; --prune removes it\n";
+  return Result;
+}
+
+std::string describeAll(const Comparison &Of) {
+  std::string Result;
+  for (const Change &Each : Of.Diff.Changes)
+    Result += describe(Each, Of.Shown.Entries);
+  return Result;
+}
+
+/// Asks for the status until all live hosts are at the offset.
+InForceCheck waitUntilInForce(OperatorClient &Client, Clock &Passing,
+                              LogOffset Offset, Duration Timeout) {
+  const Time GiveUp = Passing.now() + Timeout;
+  InForceCheck Latest(Client.status(), Offset);
+  while (!Latest.isEverywhere() && Passing.now() < GiveUp) {
+    Passing.sleep(PollInterval);
+    Latest = InForceCheck(Client.status(), Offset);
+  }
+  return Latest;
+}
+
+Outcome accepted(const InForceCheck &Check, const ChangeSet &Set,
+                 LogOffset Offset) {
+  Outcome Result;
+  Result.Code =
+      Check.isEverywhere() ? ExitCode::Ok : ExitCode::NotInForceEverywhere;
+  Result.Text = fmt::format("accepted at offset {}; in force on {} of {} "
+                            "hosts\n",
+                            Offset, Check.inForce(), Check.live());
+  for (const std::string &Each : Check.behind())
+    Result.Text += fmt::format("not in force on {}; look at that host's log, "
+                               "or stop it\n",
+                               Each);
+  Result.Json = {
+      {"verdict", "accepted"},      {"change", Set.Id.Value},
+      {"offset", Offset},           {"hosts_in_force", Check.inForce()},
+      {"hosts_live", Check.live()}, {"behind", Check.behind()}};
+  return Result;
+}
+
+Outcome rejected(const ChangeSet &Set, const std::string &Message) {
+  return {ExitCode::Rejected,
+          "rejected: " + Message + "\n",
+          {{"verdict", "rejected"},
+           {"change", Set.Id.Value},
+           {"message", Message}}};
+}
+
+Outcome unsettled(const ChangeSet &Set, const std::string &Message) {
+  return {
+      ExitCode::Unavailable,
+      fmt::format("not known yet: {}; ask with 'banyanpick verdict {}'\n",
+                  Message, Set.Id.Value),
+      {{"verdict", "pending"}, {"change", Set.Id.Value}, {"message", Message}}};
+}
+
+} // namespace
+
+Outcome apply(OperatorClient &Client, Clock &Passing, const Options &Given,
+              std::string_view FileText, const ChangeId &Fresh) {
+  const Comparison Compared = compare(Client, Given, FileText);
+  const std::string Notes = notesOn(Compared.Diff, Given.Prune);
+  if (Compared.Diff.Changes.empty())
+    return {ExitCode::Ok,
+            Notes + fmt::format("nothing to change; in force at offset {}\n",
+                                Compared.Shown.AtOffset),
+            {{"verdict", "unchanged"}, {"offset", Compared.Shown.AtOffset}}};
+  ChangeSet Set;
+  Set.Id = Given.ChangeId.empty() ? Fresh : ChangeId(Given.ChangeId);
+  Set.Changes = Compared.Diff.Changes;
+  const ChangeAnswer Answer = Client.submit(Set, Given.Timeout);
+  Outcome Result = match(
+      Answer,
+      [&](const ChangesAccepted &Of) {
+        return accepted(
+            waitUntilInForce(Client, Passing, Of.Offset, Given.Timeout), Set,
+            Of.Offset);
+      },
+      [&](const ChangesRejected &Of) { return rejected(Set, Of.Message); },
+      [&](const VerdictPending &Of) { return unsettled(Set, Of.Message); });
+  Result.Text = describeAll(Compared) + Notes + Result.Text;
+  return Result;
+}
+
+Outcome diff(OperatorClient &Client, const Options &Given,
+             std::string_view FileText) {
+  const Comparison Compared = compare(Client, Given, FileText);
+  Outcome Result;
+  Result.Text = describeAll(Compared) + notesOn(Compared.Diff, Given.Prune);
+  if (Result.Text.empty())
+    Result.Text = "no difference\n";
+  Result.Json = {
+      {"offset", Compared.Shown.AtOffset},
+      {"changes",
+       toJson(ChangeSet{{}, {}, Compared.Diff.Changes}).at("changes")}};
+  return Result;
+}
+
+} // namespace banyanpick::tools
--- /dev/null
+++ b/src/tools/BeastTransport.cpp
@@ -0,0 +1,168 @@
+#include "tools/BeastTransport.h"
+
+#include "base/Error.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
+#include <thread>
+
+namespace banyanpick::tools {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+using TlsStream = beast::ssl_stream<beast::tcp_stream>;
+
+/// A catalogue of 36,000 teams stays far below this.
+constexpr std::uint64_t LargestAnswer = 256 * 1024 * 1024;
+
+http::verb verbOf(HostQuestion::Method How) {
+  switch (How) {
+  case HostQuestion::Method::Get:
+    return http::verb::get;
+  case HostQuestion::Method::Post:
+    return http::verb::post;
+  case HostQuestion::Method::Delete:
+    return http::verb::delete_;
+  }
+  return http::verb::get;
+}
+
+http::request<http::string_body> requestFor(const Address &Host,
+                                            const HostQuestion &Question) {
+  constexpr unsigned Http11 = 11;
+  http::request<http::string_body> Result(verbOf(Question.How), Question.Target,
+                                          Http11);
+  Result.set(http::field::host, Host.Ip + ":" + std::to_string(Host.Port));
+  Result.set(http::field::connection, "close");
+  if (!Question.Key.empty())
+    Result.set(http::field::authorization, "Bearer " + Question.Key);
+  if (!Question.Body.empty())
+    Result.set(http::field::content_type, "application/json");
+  Result.body() = Question.Body;
+  Result.prepare_payload();
+  return Result;
+}
+
+/// One exchange. Beast's timeouts work with asynchronous calls only, so each
+/// step is one, run to its end.
+template <class Stream> class Exchange {
+public:
+  Exchange(asio::io_context &Loop, Stream &Over) : Loop(Loop), Over(Over) {}
+
+  HostReply run(const Address &Host, const HostQuestion &Question) {
+    if (!this->connect(Host) || !this->secure())
+      return this->failed(HostReply::End::NotSent);
+    const auto Request = requestFor(Host, Question);
+    this->step(
+        [&](auto Done) { http::async_write(this->Over, Request, Done); });
+    if (this->Failure)
+      return this->failed(HostReply::End::Lost);
+    beast::flat_buffer Buffer;
+    http::response_parser<http::string_body> Parser;
+    Parser.body_limit(LargestAnswer);
+    this->step(
+        [&](auto Done) { http::async_read(this->Over, Buffer, Parser, Done); });
+    if (this->Failure)
+      return this->failed(HostReply::End::Lost);
+    HostReply Result;
+    Result.Ended = HostReply::End::Whole;
+    Result.Status = Parser.get().result_int();
+    Result.Body = std::move(Parser.get().body());
+    return Result;
+  }
+
+private:
+  template <class Start> void step(Start &&Begin) {
+    Begin([this](error_code Result, auto &&...) { this->Failure = Result; });
+    this->Loop.restart();
+    this->Loop.run();
+  }
+
+  bool connect(const Address &Host) {
+    error_code Malformed;
+    const auto Ip = asio::ip::make_address(Host.Ip, Malformed);
+    if (Malformed) {
+      this->Failure = Malformed;
+      return false;
+    }
+    this->step([&](auto Done) {
+      beast::get_lowest_layer(this->Over)
+          .async_connect(Tcp::endpoint(Ip, Host.Port), Done);
+    });
+    return !this->Failure;
+  }
+
+  bool secure() {
+    if constexpr (std::is_same_v<Stream, TlsStream>)
+      this->step([&](auto Done) {
+        this->Over.async_handshake(asio::ssl::stream_base::client, Done);
+      });
+    return !this->Failure;
+  }
+
+  HostReply failed(HostReply::End Ended) const {
+    HostReply Result;
+    Result.Ended = Ended;
+    Result.Problem = this->Failure.message();
+    return Result;
+  }
+
+  asio::io_context &Loop;
+  Stream &Over;
+  error_code Failure;
+};
+
+} // namespace
+
+struct BeastTransport::TlsContext {
+  asio::ssl::context Context{asio::ssl::context::tls_client};
+};
+
+BeastTransport::BeastTransport(const std::string &CertificatesFile) {
+  if (CertificatesFile.empty())
+    return;
+  this->Tls = std::make_unique<TlsContext>();
+  error_code Failure;
+  this->Tls->Context.load_verify_file(CertificatesFile, Failure);
+  if (Failure)
+    throw Error(ErrorKind::BadInput,
+                "can't read certificates from " + CertificatesFile,
+                "give a file in PEM form");
+  this->Tls->Context.set_verify_mode(asio::ssl::verify_peer);
+}
+
+BeastTransport::~BeastTransport() = default;
+
+HostReply BeastTransport::ask(const Address &Host, const HostQuestion &Question,
+                              Duration Timeout) {
+  asio::io_context Loop;
+  if (!this->Tls) {
+    beast::tcp_stream Stream(Loop);
+    Stream.expires_after(Timeout);
+    return Exchange<beast::tcp_stream>(Loop, Stream).run(Host, Question);
+  }
+  TlsStream Stream(Loop, this->Tls->Context);
+  Stream.set_verify_callback(asio::ssl::host_name_verification(Host.Ip));
+  beast::get_lowest_layer(Stream).expires_after(Timeout);
+  return Exchange<TlsStream>(Loop, Stream).run(Host, Question);
+}
+
+Time SystemClock::now() {
+  return Time(std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch()));
+}
+
+void SystemClock::sleep(Duration Length) {
+  std::this_thread::sleep_for(Length);
+}
+
+} // namespace banyanpick::tools
--- /dev/null
+++ b/src/tools/DeclarationFile.cpp
@@ -0,0 +1,58 @@
+#include "tools/DeclarationFile.h"
+
+#include "base/Error.h"
+#include "catalogue/CatalogueIni.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace banyanpick::tools {
+
+namespace {
+
+std::string readAll(std::istream &From) {
+  return {std::istreambuf_iterator<char>(From),
+          std::istreambuf_iterator<char>()};
+}
+
+} // namespace
+
+std::string problemLines(std::string_view FileName,
+                         std::span<const SettingsProblem> Problems) {
+  std::string Result;
+  for (const SettingsProblem &Each : Problems) {
+    Result += fmt::format("{}:{}:", FileName, Each.Line);
+    if (!Each.Section.empty())
+      Result += fmt::format(" [{}]", Each.Section);
+    if (!Each.Key.empty())
+      Result += fmt::format(" {}:", Each.Key);
+    Result += fmt::format(" {}\n", Each.Message);
+  }
+  return Result;
+}
+
+EntryMap readDeclarations(std::string_view FileName, std::string_view Text,
+                          const EntryMap &InForce) {
+  CatalogueFile File = readCatalogueIni(Text, InForce);
+  if (!File.Problems.empty())
+    throw Error(ErrorKind::BadInput,
+                fmt::format("{} has {} problems\n{}", FileName,
+                            File.Problems.size(),
+                            problemLines(FileName, File.Problems)),
+                "mend them and try again");
+  return std::move(File.Entries);
+}
+
+std::string readWholeFile(const std::string &FileName) {
+  if (FileName == "-")
+    return readAll(std::cin);
+  std::ifstream File(FileName);
+  if (!File)
+    throw Error(ErrorKind::BadInput, "can't read " + FileName,
+                "look at its name and permissions");
+  return readAll(File);
+}
+
+} // namespace banyanpick::tools
--- /dev/null
+++ b/src/tools/LocalCommands.h
@@ -0,0 +1,22 @@
+/// \file
+/// The commands that need no entry host.
+#pragma once
+
+#include "tools/Options.h"
+#include "tools/Outcome.h"
+
+#include <string_view>
+
+namespace banyanpick::tools {
+
+/// `check FILE`. Throws Error(BadInput) with every problem of the file.
+Outcome check(const Options &Given, std::string_view FileText);
+
+/// `digest`: the salted hash of the secret in \p PresentedKey, `NAME.SECRET`,
+/// or of a new one. Throws Error(BadInput) when the key is malformed.
+Outcome digest(const Options &Given, std::string_view PresentedKey);
+
+/// `keys`: a new CURVE key pair for an entry host.
+Outcome keys();
+
+} // namespace banyanpick::tools
--- /dev/null
+++ b/src/tools/Main.cpp
@@ -0,0 +1,112 @@
+/// \file
+/// The operators' command line.
+
+#include "base/Error.h"
+#include "tools/ApplyCommand.h"
+#include "tools/BeastTransport.h"
+#include "tools/CommandLine.h"
+#include "tools/DeclarationFile.h"
+#include "tools/LocalCommands.h"
+#include "tools/ViewCommands.h"
+
+#include <fmt/format.h>
+#include <sodium.h>
+
+namespace banyanpick::tools {
+
+namespace {
+
+/// Unique without agreement; a change set of the same id counts once.
+ChangeId freshChangeId() {
+  return ChangeId(fmt::format("{:08x}{:08x}{:08x}{:08x}", randombytes_random(),
+                              randombytes_random(), randombytes_random(),
+                              randombytes_random()));
+}
+
+Outcome runLocal(const Options &Given, std::string_view Name) {
+  if (Name == "check")
+    return check(Given, readWholeFile(Given.Arguments.at(0)));
+  if (Name == "keys")
+    return keys();
+  const bool NeedsKey = Given.NewKeyName.empty() && Given.Key.empty();
+  return digest(Given, NeedsKey ? readWholeFile("-") : Given.Key);
+}
+
+Outcome runRemote(const CommandLine &Asked) {
+  const Options &Given = Asked.Given;
+  const std::string_view Name = Asked.Command->Name;
+  BeastTransport Transport(Asked.CertificatesFile);
+  SystemClock Passing;
+  OperatorClient Client(Transport, Passing, Given);
+  if (Name == "apply")
+    return apply(Client, Passing, Given, readWholeFile(Given.Arguments.at(0)),
+                 freshChangeId());
+  if (Name == "diff")
+    return diff(Client, Given, readWholeFile(Given.Arguments.at(0)));
+  if (Name == "show")
+    return show(Client);
+  if (Name == "history")
+    return history(Client, Given);
+  if (Name == "verdict")
+    return verdict(Client, Given);
+  if (Name == "status")
+    return status(Client, Passing.now());
+  if (Name == "resolve")
+    return resolve(Client, Given);
+  return quarantine(Client, Given);
+}
+
+Outcome run(const CommandLine &Asked) {
+  const std::string_view Name = Asked.Command->Name;
+  const bool IsLocal = Name == "check" || Name == "digest" || Name == "keys";
+  return IsLocal ? runLocal(Asked.Given, Name) : runRemote(Asked);
+}
+
+ExitCode exitCodeOf(ErrorKind Kind) {
+  switch (Kind) {
+  case ErrorKind::BadInput:
+    return ExitCode::BadInput;
+  case ErrorKind::NotAllowed:
+    return ExitCode::NotAllowed;
+  case ErrorKind::Conflict:
+    return ExitCode::Rejected;
+  case ErrorKind::Unavailable:
+    return ExitCode::Unavailable;
+  case ErrorKind::Internal:
+    break;
+  }
+  return ExitCode::Internal;
+}
+
+ExitCode runAndPrint(int ArgumentCount, char **Arguments) {
+  const CommandLine Asked = parseCommandLine(ArgumentCount, Arguments);
+  if (Asked.Help) {
+    fmt::print("{}", Asked.Command ? helpOn(*Asked.Command) : overview());
+    return ExitCode::Ok;
+  }
+  const Outcome Result = run(Asked);
+  fmt::print("{}", Asked.Json ? Result.Json.dump(2) + "\n" : Result.Text);
+  return Result.Code;
+}
+
+ExitCode guardedMain(int ArgumentCount, char **Arguments) {
+  try {
+    return runAndPrint(ArgumentCount, Arguments);
+  } catch (const Error &Caught) {
+    fmt::print(stderr, "banyanpick: {}\n", Caught.what());
+    return exitCodeOf(Caught.kind());
+  } catch (const std::exception &Caught) {
+    fmt::print(stderr, "banyanpick: internal error: {}; report it\n",
+               Caught.what());
+    return ExitCode::Internal;
+  }
+}
+
+} // namespace
+
+} // namespace banyanpick::tools
+
+int main(int ArgumentCount, char **Arguments) {
+  return static_cast<int>(
+      banyanpick::tools::guardedMain(ArgumentCount, Arguments));
+}
--- /dev/null
+++ b/src/tools/OperatorClient.cpp
@@ -0,0 +1,151 @@
+#include "tools/OperatorClient.h"
+
+#include "base/Error.h"
+#include "catalogue/CatalogueJson.h"
+
+#include <fmt/format.h>
+
+namespace banyanpick::tools {
+
+namespace {
+
+using Method = HostQuestion::Method;
+using End = HostReply::End;
+using nlohmann::json;
+
+constexpr std::string_view Root = "/v1/operator/";
+/// One call; a host answers a change set as pending before that.
+constexpr Duration CallTimeout = seconds(10);
+constexpr Duration PollInterval = milliseconds(250);
+
+json parse(const HostReply &Reply) {
+  json Result = json::parse(Reply.Body, nullptr, false);
+  if (Result.is_discarded())
+    throw Error(ErrorKind::Unavailable, "the host's answer is no JSON",
+                "look whether --host names an entry host of banyanpick");
+  return Result;
+}
+
+/// The message of an error body; it names its remedy.
+std::string messageOf(const json &Body) {
+  const auto Found = Body.find("error");
+  if (Found == Body.end() || !Found->is_object())
+    return Body.dump();
+  return Found->value("message", "no message");
+}
+
+/// Whether another host may answer what this one did not.
+bool isPassing(const HostReply &Reply) { return Reply.Status >= 500; }
+
+void throwIfRefused(const HostReply &Reply) {
+  if (Reply.Status < 400 || Reply.Status == 409)
+    return;
+  const bool KeyRefused = Reply.Status == 401 || Reply.Status == 403;
+  if (KeyRefused)
+    throw Error(ErrorKind::NotAllowed, messageOf(parse(Reply)),
+                "give the owner's key in BANYANPICK_KEY or --key_file");
+  throw Error(ErrorKind::BadInput, messageOf(parse(Reply)),
+              "see docs/PROTOCOLS.md");
+}
+
+std::string addressText(const Address &Host) {
+  return fmt::format("{}:{}", Host.Ip, Host.Port);
+}
+
+[[noreturn]] void throwNoHost(const std::string &Problems) {
+  throw Error(ErrorKind::Unavailable, "no host gives an answer:" + Problems,
+              "look whether the hosts run, or name others with --host");
+}
+
+std::string problemOf(const Address &Host, const HostReply &Reply) {
+  return fmt::format(" {} ({})", addressText(Host),
+                     Reply.Ended == End::Whole
+                         ? fmt::format("status {}", Reply.Status)
+                         : Reply.Problem);
+}
+
+} // namespace
+
+HostQuestion OperatorClient::question(Method How,
+                                      const std::string &Target) const {
+  return {How, Target, "", this->Given.Key};
+}
+
+json OperatorClient::ask(const HostQuestion &Question) {
+  std::string Problems;
+  for (const Address &Host : this->Given.Hosts) {
+    const HostReply Reply = this->Transport.ask(Host, Question, CallTimeout);
+    if (Reply.Ended != End::Whole || isPassing(Reply)) {
+      Problems += problemOf(Host, Reply);
+      continue;
+    }
+    throwIfRefused(Reply);
+    return parse(Reply);
+  }
+  throwNoHost(Problems);
+}
+
+json OperatorClient::get(const std::string &Target) {
+  return this->ask(this->question(Method::Get, Target));
+}
+
+json OperatorClient::remove(const std::string &Target) {
+  return this->ask(this->question(Method::Delete, Target));
+}
+
+CatalogueShown OperatorClient::catalogue() {
+  return catalogueShownFromJson(this->get(std::string(Root) + "catalogue"));
+}
+
+StatusReport OperatorClient::status() {
+  return statusFromJson(this->get(std::string(Root) + "status"));
+}
+
+ChangeAnswer OperatorClient::submit(const ChangeSet &Set, Duration Timeout) {
+  const Time GiveUp = this->Passing.now() + Timeout;
+  HostQuestion Question =
+      this->question(Method::Post, std::string(Root) + "changes");
+  Question.Body = toJson(Set).dump();
+  ChangeAnswer Answer = this->post(Question);
+  while (std::holds_alternative<VerdictPending>(Answer) &&
+         this->Passing.now() < GiveUp) {
+    this->Passing.sleep(PollInterval);
+    Answer = this->verdict(Set.Id);
+  }
+  return Answer;
+}
+
+ChangeAnswer OperatorClient::post(const HostQuestion &Question) {
+  std::string Problems;
+  for (const Address &Host : this->Given.Hosts) {
+    const HostReply Reply = this->Transport.ask(Host, Question, CallTimeout);
+    if (Reply.Ended == End::NotSent) {
+      Problems += problemOf(Host, Reply);
+      continue;
+    }
+    // From here on it may have taken effect: it is never sent again.
+    if (Reply.Ended == End::Lost || isPassing(Reply))
+      return VerdictPending{"no answer from" + problemOf(Host, Reply)};
+    throwIfRefused(Reply);
+    return changeAnswerFromJson(parse(Reply));
+  }
+  throwNoHost(Problems);
+}
+
+ChangeAnswer OperatorClient::verdict(const ChangeId &Id) {
+  const HostQuestion Question =
+      this->question(Method::Get, std::string(Root) + "changes/" + Id.Value);
+  ChangeAnswer Latest = VerdictPending{"no host answers"};
+  for (const Address &Host : this->Given.Hosts) {
+    const HostReply Reply = this->Transport.ask(Host, Question, CallTimeout);
+    if (Reply.Ended != End::Whole || isPassing(Reply))
+      continue;
+    throwIfRefused(Reply);
+    Latest = changeAnswerFromJson(parse(Reply));
+    if (!std::holds_alternative<VerdictPending>(Latest))
+      return Latest;
+  }
+  return Latest;
+}
+
+} // namespace banyanpick::tools
--- /dev/null
+++ b/tests/auto/tools/CommandLineTest.cpp
@@ -0,0 +1,100 @@
+#include "tools/CommandLine.h"
+#include "auto/tools/FakeHosts.h"
+#include "base/Error.h"
+#include "catalogue/KeyDigest.h"
+#include "tools/BeastTransport.h"
+#include "tools/LocalCommands.h"
+#include "tools/ViewCommands.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick::tools {
+namespace {
+
+CommandLine parse(std::vector<std::string> Words) {
+  Words.insert(Words.begin(), "banyanpick");
+  std::vector<char *> Pointers;
+  for (std::string &Each : Words)
+    Pointers.push_back(Each.data());
+  return parseCommandLine(static_cast<int>(Pointers.size()), Pointers.data());
+}
+
+TEST(CommandLine, ReadsCommandFlagsAndArguments) {
+  const CommandLine Read =
+      parse({"apply", "--prune", "--host", "10.0.0.1:7101, 10.0.0.2:7102",
+             "f.ini", "--timeout=500ms"});
+  EXPECT_EQ(Read.Command->Name, "apply");
+  EXPECT_TRUE(Read.Given.Prune);
+  EXPECT_EQ(Read.Given.Arguments, std::vector<std::string>{"f.ini"});
+  EXPECT_EQ(Read.Given.Timeout, milliseconds(500));
+  EXPECT_EQ(Read.Given.Hosts,
+            (std::vector<Address>{{"10.0.0.1", 7101}, {"10.0.0.2", 7102}}));
+}
+
+TEST(CommandLine, RefusesWhatItDoesNotKnow) {
+  const std::vector<std::vector<std::string>> Wrong{
+      {},
+      {"shwo"},
+      {"show", "extra"},
+      {"show", "--bogus"},
+      {"show", "--host"},
+      {"show", "--host", "localhost:1"},
+      {"show", "--json=maybe"},
+      {"history", "--from", "-3"},
+      {"apply", "f", "--timeout", "20"},
+      {"show", "--key_file", "/no/such/file"}};
+  for (const auto &Words : Wrong) {
+    try {
+      parse(Words);
+      ADD_FAILURE() << (Words.empty() ? "" : Words.back());
+    } catch (const Error &Caught) {
+      EXPECT_EQ(Caught.kind(), ErrorKind::BadInput);
+    }
+  }
+}
+
+TEST(CommandLine, HelpsOnEachCommand) {
+  for (const CommandHelp &Each : allCommands()) {
+    EXPECT_NE(overview().find(std::string(Each.Name)), std::string::npos);
+    EXPECT_NE(helpOn(Each).find("Exit codes"), std::string::npos);
+  }
+}
+
+TEST(Digest, MatchesTheSecretOfTheKey) {
+  const Outcome Made = digest({}, " ring.a.b\n");
+  EXPECT_TRUE(matchesDigest("a.b", {Made.Json.at("digest")}));
+  EXPECT_THROW(digest({}, "nodot"), Error);
+  Options New;
+  New.NewKeyName = "ring";
+  const Outcome Fresh = digest(New, "");
+  const std::string Key = Fresh.Json.at("key");
+  EXPECT_TRUE(matchesDigest(splitKey(Key)->Secret, {Fresh.Json.at("digest")}));
+  New.NewKeyName = "a.b";
+  EXPECT_THROW(digest(New, ""), Error);
+}
+
+TEST(Resolve, ShowsHostsAndTimeToLive) {
+  FakeHosts Hosts([](const Address &, const HostQuestion &Question) {
+    EXPECT_EQ(Question.Target, "/v1/resolve?team=t&zone=z");
+    return whole(200, R"({"hosts": ["127.0.0.1:1"], "ttl_ms": 5000})");
+  });
+  FakeClock Passing;
+  Options Given;
+  Given.Hosts = {{"127.0.0.1", 1}};
+  Given.Team = "t";
+  Given.Zone = "z";
+  OperatorClient Client(Hosts, Passing, Given);
+  EXPECT_EQ(resolve(Client, Given).Text, "127.0.0.1:1\nvalid for 5s\n");
+}
+
+TEST(BeastTransport, TellsThatNothingWasSent) {
+  BeastTransport Plain("");
+  EXPECT_EQ(Plain.ask({"127.0.0.1", 1}, {}, seconds(5)).Ended,
+            HostReply::End::NotSent);
+  EXPECT_EQ(Plain.ask({"not-an-ip", 1}, {}, seconds(5)).Ended,
+            HostReply::End::NotSent);
+  EXPECT_THROW(BeastTransport("/no/such/file"), Error);
+}
+
+} // namespace
+} // namespace banyanpick::tools
