--- a/src/libs/catalogue/EntryCheck.cpp
+++ b/src/libs/catalogue/EntryCheck.cpp
@@ -3,6 +3,7 @@
 #include "base/Visitor.h"
 #include "catalogue/EntryValue.h"
 #include "catalogue/KeyDigest.h"
+#include "settings/SettingValue.h"
 
 #include <concepts>
 #include <fmt/format.h>
@@ -48,7 +49,8 @@
     const auto Wide = static_cast<double>(Value);
     if (!(Wide >= Field.Minimum && Wide <= Field.Maximum))
       this->add(Field, fmt::format("is out of bounds: {}", Value),
-                fmt::format("give {} to {}", Field.Minimum, Field.Maximum));
+                "give " + numberText(Field.Minimum) + " to " +
+                    numberText(Field.Maximum));
   }
 
   void operator()(const EntryField &Field, const std::vector<ClassId> &Values) {
--- a/src/libs/catalogue/FieldText.cpp
+++ b/src/libs/catalogue/FieldText.cpp
@@ -83,7 +83,8 @@
     return fmt::format("'{}' is not allowed; give {}", this->Text, Allowed);
   }
   static std::string range(const EntryField &Field, std::string_view What) {
-    return fmt::format("{}, {} to {}", What, Field.Minimum, Field.Maximum);
+    return fmt::format("{}, {} to {}", What, numberText(Field.Minimum),
+                       numberText(Field.Maximum));
   }
 };
 
--- a/src/libs/settings/SettingValue.cpp
+++ b/src/libs/settings/SettingValue.cpp
@@ -51,16 +51,32 @@
   return Failure == std::errc() && Rest == End && Port <= 65535 && IpNumber;
 }
 
+/// In the largest unit that divides the number.
 std::string withUnit(SettingKind Kind, double Number) {
+  std::span<const Unit> Units;
   if (Kind == SettingKind::Span)
-    return Number >= 1e6   ? fmt::format("{:g}s", Number / 1e6)
-           : Number >= 1e3 ? fmt::format("{:g}ms", Number / 1e3)
-                           : fmt::format("{:g}us", Number);
-  return fmt::format("{:g}", Number);
+    Units = SpanUnits;
+  if (Kind == SettingKind::Size)
+    Units = SizeUnits;
+  std::string Result = numberText(Number);
+  for (const Unit &Each : Units) {
+    const double Count = Number / Each.Factor;
+    const bool Divides = Count == std::floor(Count);
+    if (Divides && (Count >= 1 || Each.Factor == 1))
+      Result = numberText(Count) + std::string(Each.Suffix);
+  }
+  return Result;
 }
 
 } // namespace
 
+std::string numberText(double Number) {
+  constexpr double LargestWhole = 1e18;
+  if (Number == std::floor(Number) && std::abs(Number) < LargestWhole)
+    return std::to_string(static_cast<long long>(Number));
+  return fmt::format("{}", Number);
+}
+
 std::optional<double> parseNumber(SettingKind Kind, std::string_view Text) {
   constexpr std::array<Unit, 1> Plain{{{"", 1}}};
   switch (Kind) {
--- a/src/libs/settings/SettingValue.h
+++ b/src/libs/settings/SettingValue.h
@@ -14,6 +14,9 @@
 /// bytes for sizes, 0 or 1 for flags), or nothing when it is malformed.
 std::optional<double> parseNumber(SettingKind Kind, std::string_view Text);
 
+/// The number without an exponent when it is whole.
+std::string numberText(double Number);
+
 /// What is wrong with \p Text as a value of \p Declaration, with the allowed
 /// values and the remedy; empty when it is right.
 std::string problemWith(const SettingDeclaration &Declaration,
--- a/src/libs/settings/Settings.cpp
+++ b/src/libs/settings/Settings.cpp
@@ -23,6 +23,18 @@
   std::vector<SettingsProblem> &Problems;
   std::set<Place> Seen;
 
+  void takeSection(const IniSection &Given) {
+    const auto &Declared = this->Values.declarations();
+    const bool Known =
+        std::any_of(Declared.begin(), Declared.end(), [&](const auto &Each) {
+          return Each.Section == Given.Name;
+        });
+    if (!Known)
+      this->Problems.push_back(
+          {Given.Line, Given.Name, "",
+           "is not a section of settings; remove it or see docs/SETTINGS.md"});
+  }
+
   void take(const IniValue &Given) {
     if (!this->Seen.insert({Given.Section, Given.Key}).second) {
       this->Problems.push_back({Given.Line, Given.Section, Given.Key,
@@ -130,6 +142,8 @@
   const IniText Ini = readIni(Text);
   for (const IniProblem &Each : Ini.Problems)
     Problems.push_back({Each.Line, "", "", Each.Message});
+  for (const IniSection &Each : Ini.Sections)
+    Into.takeSection(Each);
   for (const IniValue &Each : Ini.Values)
     Into.take(Each);
   for (const SettingDeclaration &Each : Declarations) {
--- /dev/null
+++ b/src/libs/settings/SettingsPage.cpp
@@ -0,0 +1,52 @@
+#include "settings/SettingsPage.h"
+
+#include "settings/SettingValue.h"
+
+#include <fmt/format.h>
+#include <map>
+
+namespace banyanpick {
+
+namespace {
+
+std::string defaultText(const SettingDeclaration &Of) {
+  if (Of.Required)
+    return "required";
+  return Of.Default.empty() ? "empty" : "`" + tableCell(Of.Default) + "`";
+}
+
+std::string row(const SettingDeclaration &Of) {
+  return fmt::format("| `{}` | {} | {} | {} |\n", Of.Key, defaultText(Of),
+                     tableCell(allowedValues(Of)), tableCell(Of.Help));
+}
+
+} // namespace
+
+std::string settingsPage(std::span<const SettingDeclaration> Declarations) {
+  std::map<std::string, std::string> Sections;
+  for (const SettingDeclaration &Each : Declarations)
+    Sections[Each.Section] += row(Each);
+  std::string Result =
+      "# Settings\n\n"
+      "Made by `banyanpickd --settings_page`; a test holds the two together.\n"
+      "A settings file is INI. Every setting has a default unless it is\n"
+      "required; an unknown key is an error. `banyanpickd --settings FILE\n"
+      "--check` reports every wrong line.\n";
+  for (const auto &[Section, Rows] : Sections)
+    Result += fmt::format("\n## [{}]\n\n| key | default | allowed | meaning "
+                          "|\n| --- | --- | --- | --- |\n{}",
+                          Section, Rows);
+  return Result;
+}
+
+std::string tableCell(std::string_view Text) {
+  std::string Result;
+  for (const char Each : Text) {
+    if (Each == '|')
+      Result += '\\';
+    Result += Each == '\n' ? ' ' : Each;
+  }
+  return Result;
+}
+
+} // namespace banyanpick
--- a/src/tools/Main.cpp
+++ b/src/tools/Main.cpp
@@ -91,6 +91,9 @@
 
 ExitCode guardedMain(int ArgumentCount, char **Arguments) {
   try {
+    if (sodium_init() < 0)
+      throw Error(ErrorKind::Internal, "libsodium finds no random numbers",
+                  "look at /dev/urandom of this machine");
     return runAndPrint(ArgumentCount, Arguments);
   } catch (const Error &Caught) {
     fmt::print(stderr, "banyanpick: {}\n", Caught.what());
