--- /dev/null
+++ b/tests/auto/claims/ClaimBench.cpp
@@ -0,0 +1,73 @@
+#include "auto/claims/ClaimBench.h"
+
+namespace banyanpick {
+
+namespace {
+
+ClaimKeeper &keeper(BenchHost &Host) {
+  return Host.services().get<ClaimKeeper>();
+}
+
+} // namespace
+
+Request requestFor(OperationKey Key, std::uint64_t Id, std::uint64_t Content,
+                   std::string Team) {
+  Request Result;
+  Result.Head.Id = RequestId(Id);
+  Result.Head.Operation = std::move(Key);
+  Result.Head.Content = Fingerprint(Content);
+  Result.Team = TeamId(std::move(Team));
+  Result.Class.Idempotent = false;
+  return Result;
+}
+
+void claim(BenchHost &Host, const Request &Asked) {
+  Host.ask([&](Actions &Out) { keeper(Host).claim(Asked, Host.Now, Out); });
+}
+
+void abandon(BenchHost &Host, const Request &Asked) {
+  Host.ask([&](Actions &Out) { keeper(Host).abandon(Asked, Host.Now, Out); });
+}
+
+void finish(BenchHost &Host, const Request &Asked, std::string Result) {
+  Host.ask([&](Actions &Out) {
+    keeper(Host).finish(Asked, OutcomeRecord::Kind::Done, Result, Host.Now,
+                        Out);
+  });
+}
+
+void dispatch(BenchHost &Host, const Request &Asked) {
+  Host.ask([&](Actions &Out) {
+    for (auto *Each : Host.services().list<RequestObserver>().all())
+      Each->dispatched(Asked, Attempt(), Host.Now, Out);
+  });
+}
+
+void endAttempt(BenchHost &Host, const Request &Asked, AttemptOutcome Outcome) {
+  Host.ask([&](Actions &Out) {
+    for (auto *Each : Host.services().list<RequestObserver>().all())
+      Each->attemptEnded(Asked, Attempt(), Outcome, Host.Now, Out);
+  });
+}
+
+std::optional<ClaimVerdict> verdictOn(BenchHost &Host, const Request &Asked) {
+  for (const auto &[Id, Verdict] : Host.probe().Verdicts) {
+    if (Id == Asked.id())
+      return Verdict;
+  }
+  return std::nullopt;
+}
+
+FinalAnswer denialOf(BenchHost &Host, const Request &Asked) {
+  const auto Verdict = verdictOn(Host, Asked);
+  if (!Verdict)
+    throw Error(ErrorKind::Internal, "no verdict yet", "mend the test");
+  return std::get<ClaimDenied>(*Verdict).Answer;
+}
+
+bool isGranted(BenchHost &Host, const Request &Asked) {
+  const auto Verdict = verdictOn(Host, Asked);
+  return Verdict && std::holds_alternative<ClaimGranted>(*Verdict);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/claims/ClaimsTest.cpp
@@ -0,0 +1,230 @@
+#include "auto/claims/ClaimBench.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick {
+
+namespace {
+
+RefusalReason reasonOf(const FinalAnswer &Answer) {
+  return std::get<NotRun>(Answer).Reason;
+}
+
+struct ClaimsTest : testing::Test {
+  LogServiceModel Log;
+  BenchHost A{Log, "a", 0xa1};
+  BenchHost B{Log, "b", 0xb1};
+  const OperationKey Key = keyMadeAt(A.Now, 1);
+  const Request First = requestFor(Key, 1);
+  const Request Again = requestFor(Key, 2);
+
+  void SetUp() override {
+    this->A.probe().Members = {peerHeard("b", this->A.Now, {}, 0)};
+    this->B.probe().Members = {peerHeard("a", this->B.Now, {}, 0)};
+    this->A.catchUp();
+    this->B.catchUp();
+  }
+
+  void grantFirst() {
+    claim(this->A, this->First);
+    this->A.settle();
+    ASSERT_TRUE(isGranted(this->A, this->First));
+    this->B.settle();
+  }
+};
+
+} // namespace
+
+TEST_F(ClaimsTest, ResendToAnotherHostGetsTheRecordedResult) {
+  this->grantFirst();
+  dispatch(this->A, this->First);
+  claim(this->B, this->Again);
+  EXPECT_TRUE(std::holds_alternative<InProgress>(denialOf(B, Again)));
+  finish(this->A, this->First, "chair 7");
+  this->A.settle();
+  this->B.settle();
+  const Request Third = requestFor(this->Key, 3);
+  claim(this->B, Third);
+  EXPECT_EQ(std::get<WholeAnswer>(denialOf(B, Third)).Result, "chair 7");
+}
+
+TEST_F(ClaimsTest, OfTwoClaimsAtOnceTheFirstInTheLogOwns) {
+  claim(this->A, this->First);
+  claim(this->B, this->Again);
+  this->B.settle();
+  this->A.settle();
+  EXPECT_TRUE(isGranted(this->B, this->Again));
+  EXPECT_TRUE(std::holds_alternative<InProgress>(denialOf(A, First)));
+}
+
+TEST_F(ClaimsTest, GrantsNothingBeforeTheClaimIsReadBack) {
+  claim(this->A, this->First);
+  this->A.answerAppend(AppendFate::Taken);
+  EXPECT_FALSE(verdictOn(this->A, this->First));
+  this->A.settle();
+  EXPECT_TRUE(isGranted(this->A, this->First));
+}
+
+TEST_F(ClaimsTest, OwnersDeathLeavesTheOutcomeUnknownForGood) {
+  this->grantFirst();
+  this->B.probe().Over = {Incarnation(0xa1)};
+  claim(this->B, this->Again);
+  EXPECT_TRUE(std::holds_alternative<OutcomeUnknown>(denialOf(B, Again)));
+  BenchHost Reborn(this->Log, "a", 0xa2);
+  Reborn.catchUp();
+  claim(Reborn, this->Again);
+  EXPECT_TRUE(std::holds_alternative<OutcomeUnknown>(denialOf(Reborn, Again)));
+}
+
+TEST_F(ClaimsTest, LogAwayAfterSendingTheClaimEndsAsNotRunAndGivesItBack) {
+  claim(this->A, this->First);
+  this->A.answerAppend(AppendFate::Late);
+  this->A.pass(seconds(3));
+  EXPECT_EQ(reasonOf(denialOf(A, First)), RefusalReason::LogUnavailable);
+  this->A.takeLate();
+  this->A.settle();
+  this->A.settle();
+  this->B.settle();
+  EXPECT_FALSE(isGranted(this->A, this->First));
+  claim(this->B, this->Again);
+  this->B.settle();
+  EXPECT_TRUE(isGranted(this->B, this->Again));
+}
+
+TEST_F(ClaimsTest, LateCopyOfAReleaseDoesNotFreeALaterClaim) {
+  this->grantFirst();
+  abandon(this->A, this->First);
+  this->A.answerAppend(AppendFate::Late);
+  this->A.settle();
+  this->A.settle();
+  claim(this->A, this->Again);
+  this->A.settle();
+  ASSERT_TRUE(isGranted(this->A, this->Again));
+  dispatch(this->A, this->Again);
+  this->A.takeLate();
+  const Request Third = requestFor(this->Key, 3);
+  claim(this->B, Third);
+  this->B.settle();
+  EXPECT_FALSE(isGranted(this->B, Third));
+}
+
+TEST_F(ClaimsTest, WhatMayHaveRunIsNeverGivenBack) {
+  this->grantFirst();
+  dispatch(this->A, this->First);
+  abandon(this->A, this->First);
+  this->A.settle();
+  this->B.settle();
+  claim(this->B, this->Again);
+  EXPECT_TRUE(std::holds_alternative<OutcomeUnknown>(denialOf(B, Again)));
+}
+
+TEST_F(ClaimsTest, WhatTheUpstreamRefusedIsGivenBack) {
+  this->grantFirst();
+  dispatch(this->A, this->First);
+  endAttempt(this->A, this->First, AttemptRefused());
+  abandon(this->A, this->First);
+  this->A.settle();
+  this->B.settle();
+  claim(this->B, this->Again);
+  this->B.settle();
+  EXPECT_TRUE(isGranted(this->B, this->Again));
+}
+
+TEST_F(ClaimsTest, AnotherTeamsSameKeyIsAnotherOperation) {
+  this->grantFirst();
+  finish(this->A, this->First, "ours");
+  this->A.settle();
+  const Request Others = requestFor(this->Key, 9, 1, "rival");
+  claim(this->A, Others);
+  this->A.settle();
+  EXPECT_TRUE(isGranted(this->A, Others));
+}
+
+TEST_F(ClaimsTest, AnotherContentUnderTheKeyIsRefused) {
+  this->grantFirst();
+  const Request Other = requestFor(this->Key, 9, 2);
+  claim(this->B, Other);
+  EXPECT_EQ(reasonOf(denialOf(B, Other)), RefusalReason::BadRequest);
+  claim(this->A, Other);
+  EXPECT_EQ(reasonOf(denialOf(A, Other)), RefusalReason::BadRequest);
+}
+
+TEST_F(ClaimsTest, RefusesKeysOutsideTheWindow) {
+  const auto ReasonFor = [&](Time CreatedAt, std::uint64_t Id) {
+    const Request Asked = requestFor(keyMadeAt(CreatedAt, 5), Id);
+    claim(this->A, Asked);
+    return reasonOf(denialOf(this->A, Asked));
+  };
+  EXPECT_EQ(ReasonFor(A.Now - std::chrono::hours(2), 10),
+            RefusalReason::KeyTooOld);
+  EXPECT_EQ(ReasonFor(A.Now + seconds(60), 11), RefusalReason::BadRequest);
+  const Request NoKey = requestFor(OperationKey("chair-7"), 12);
+  claim(this->A, NoKey);
+  EXPECT_EQ(reasonOf(denialOf(A, NoKey)), RefusalReason::BadRequest);
+}
+
+TEST_F(ClaimsTest, WindowIsAtMostHalfOfTheRetention) {
+  BenchHost C(this->Log, "c", 0xc1, {{"log.retention", "10s"}});
+  C.catchUp();
+  const Request Asked = requestFor(keyMadeAt(C.Now - seconds(6), 1), 20);
+  claim(C, Asked);
+  EXPECT_EQ(reasonOf(denialOf(C, Asked)), RefusalReason::KeyTooOld);
+}
+
+TEST_F(ClaimsTest, NewHostClaimsNothingBeforeItHasReadTheLog) {
+  this->grantFirst();
+  BenchHost C(this->Log, "c", 0xc1);
+  claim(C, this->Again);
+  EXPECT_EQ(reasonOf(denialOf(C, Again)), RefusalReason::LogUnavailable);
+}
+
+TEST_F(ClaimsTest, RefusesKeysWhoseClaimsMayHaveBeenMissed) {
+  this->grantFirst();
+  this->Log.append({});
+  this->Log.dropBefore(3);
+  BenchHost C(this->Log, "c", 0xc1);
+  C.catchUp();
+  C.handle(LogRead{{}, 3, 3, 3, 3});
+  this->Log.append({});
+  this->Log.append({});
+  this->Log.dropBefore(5);
+  C.catchUp();
+  claim(C, this->Again);
+  EXPECT_EQ(reasonOf(denialOf(C, Again)), RefusalReason::KeyTooOld);
+  C.pass(seconds(30));
+  C.settle();
+  const Request Fresh = requestFor(keyMadeAt(C.Now, 8), 30);
+  claim(C, Fresh);
+  C.settle();
+  EXPECT_TRUE(isGranted(C, Fresh));
+}
+
+TEST_F(ClaimsTest, FreezeBeforeReadingBackGrantsNothingLate) {
+  claim(this->A, this->First);
+  this->A.answerAppend(AppendFate::Taken);
+  this->A.Now += std::chrono::hours(3);
+  this->A.answerRead();
+  EXPECT_FALSE(isGranted(this->A, this->First));
+}
+
+TEST_F(ClaimsTest, ResultsTooLongToKeepAreSaidSo) {
+  this->grantFirst();
+  dispatch(this->A, this->First);
+  finish(this->A, this->First, std::string(5000, 'x'));
+  this->A.settle();
+  this->B.settle();
+  claim(this->B, this->Again);
+  EXPECT_TRUE(std::holds_alternative<FailedAnswer>(denialOf(B, Again)));
+}
+
+TEST_F(ClaimsTest, ForgetsOperationsWhoseKeysAreTooOld) {
+  this->grantFirst();
+  finish(this->A, this->First, "done");
+  this->A.settle();
+  this->A.pass(std::chrono::hours(2));
+  claim(this->A, this->Again);
+  EXPECT_EQ(reasonOf(denialOf(A, Again)), RefusalReason::KeyTooOld);
+  EXPECT_EQ(this->A.kernel().invariantsBroken(), 0u);
+}
+
+} // namespace banyanpick
