--- a/tests/auto/claims/ClaimsTest.cpp
+++ b/tests/auto/claims/ClaimsTest.cpp
@@ -1,4 +1,5 @@
 #include "auto/claims/ClaimBench.h"
+#include "plugins/claims/ClaimTable.h"
 
 #include <gtest/gtest.h>
 
@@ -102,10 +103,10 @@
   ASSERT_TRUE(isGranted(this->A, this->Again));
   dispatch(this->A, this->Again);
   this->A.takeLate();
+  this->B.settle();
   const Request Third = requestFor(this->Key, 3);
   claim(this->B, Third);
-  this->B.settle();
-  EXPECT_FALSE(isGranted(this->B, Third));
+  EXPECT_TRUE(std::holds_alternative<InProgress>(denialOf(B, Third)));
 }
 
 TEST_F(ClaimsTest, WhatMayHaveRunIsNeverGivenBack) {
@@ -176,6 +177,25 @@
   BenchHost C(this->Log, "c", 0xc1);
   claim(C, this->Again);
   EXPECT_EQ(reasonOf(denialOf(C, Again)), RefusalReason::LogUnavailable);
+  C.handle(LogRead{{}, 1, 1, 1, 2});
+  const Request Third = requestFor(this->Key, 3);
+  claim(C, Third);
+  EXPECT_EQ(reasonOf(denialOf(C, Third)), RefusalReason::LogUnavailable);
+}
+
+TEST_F(ClaimsTest, SecondCopyOfALostClaimStaysLost) {
+  ClaimTable Table;
+  const ClaimRecord Winner{Key, TeamId("t"), HostId("a"), Incarnation(1), {}};
+  const ClaimRecord Loser{Key, TeamId("t"), HostId("b"), Incarnation(2), {}};
+  const RecordId WinnerId{Incarnation(1), 1};
+  const RecordId LoserId{Incarnation(2), 1};
+  EXPECT_EQ(Table.take(WinnerId, Winner), ClaimJudgement::Owns);
+  EXPECT_EQ(Table.take(LoserId, Loser), ClaimJudgement::Lost);
+  Table.take(OutcomeRecord{Key, TeamId("t"), Incarnation(1),
+                           OutcomeRecord::Kind::Released, "", 1});
+  EXPECT_EQ(Table.take(LoserId, Loser), ClaimJudgement::Void);
+  EXPECT_EQ(Table.take(WinnerId, Winner), ClaimJudgement::Void);
+  EXPECT_EQ(Table.take({Incarnation(2), 2}, Loser), ClaimJudgement::Owns);
 }
 
 TEST_F(ClaimsTest, RefusesKeysWhoseClaimsMayHaveBeenMissed) {
@@ -200,11 +220,12 @@
 }
 
 TEST_F(ClaimsTest, FreezeBeforeReadingBackGrantsNothingLate) {
+  this->A.pass(milliseconds(30));
   claim(this->A, this->First);
   this->A.answerAppend(AppendFate::Taken);
   this->A.Now += std::chrono::hours(3);
   this->A.answerRead();
-  EXPECT_FALSE(isGranted(this->A, this->First));
+  EXPECT_EQ(reasonOf(denialOf(A, First)), RefusalReason::LogUnavailable);
 }
 
 TEST_F(ClaimsTest, ResultsTooLongToKeepAreSaidSo) {
--- a/tests/auto/log/LogTest.cpp
+++ b/tests/auto/log/LogTest.cpp
@@ -84,6 +84,19 @@
   EXPECT_EQ(timesRead(this->Host, Id), 0u);
 }
 
+TEST_F(LogTest, CannotTakeBackWhatWaitsToBeSentAgain) {
+  const RecordId Id = append(this->Host);
+  this->Host.pass(milliseconds(1));
+  this->Host.answerAppend(AppendFate::Late);
+  for (int Round = 0; Round < 3; ++Round) {
+    this->Host.pass(milliseconds(30));
+    this->Host.answerRead();
+  }
+  EXPECT_FALSE(this->Host.services().get<LogWriter>().withdraw(Id));
+  this->Host.settle();
+  EXPECT_EQ(this->Log.end(), 1u) << "it was sent again all the same";
+}
+
 TEST_F(LogTest, DoesNotRepeatALease) {
   this->Host.ask([&](Actions &Out) {
     return this->Host.services().get<LogWriter>().append(
@@ -143,8 +156,16 @@
 TEST_F(LogTest, RefusesALogThatWentBack) {
   append(this->Host);
   this->Host.settle();
+  auto &Tail = this->Host.services().get<LogTail>();
+  const Time Before = Tail.endSeenAt();
+  this->Host.pass(seconds(1));
   this->Host.handle(LogRead{{}, 1, 1, 1, 1});
-  EXPECT_EQ(this->Host.services().get<LogTail>().nextOffset(), 2u);
+  EXPECT_EQ(Tail.nextOffset(), 2u);
+  EXPECT_EQ(Tail.endSeenAt(), Before);
+  const auto Counted = this->Host.take<RecordMeasurement>();
+  EXPECT_TRUE(std::any_of(Counted.begin(), Counted.end(), [](const auto &Each) {
+    return Each.Name == "log_went_back";
+  }));
   EXPECT_EQ(this->Host.kernel().invariantsBroken(), 0u);
 }
 
