--- /dev/null
+++ b/src/app/ActionRouter.cpp
@@ -0,0 +1,109 @@
+#include "app/ActionRouter.h"
+
+#include "logging/LineLog.h"
+
+namespace banyanpick {
+
+ActionRouter::ActionRouter(
+    std::span<const std::unique_ptr<TrafficThread>> ThreadsGiven,
+    PeerNetwork &Peers, Metrics &Measured, const ProcessClock &Clock,
+    std::function<void()> OnStopGiven)
+    : Peers(Peers), Measured(Measured), Clock(Clock),
+      OnStop(std::move(OnStopGiven)) {
+  for (const auto &Each : ThreadsGiven)
+    this->Threads.push_back(Each.get());
+}
+
+void ActionRouter::perform(std::vector<Action> Wanted) {
+  for (Action &Each : Wanted)
+    std::visit([this](auto &What) { this->perform(std::move(What)); }, Each);
+}
+
+TrafficThread &ActionRouter::threadOf(std::uint64_t Number) const {
+  return *this->Threads[Number % this->Threads.size()];
+}
+
+template <class Each>
+void ActionRouter::postTo(std::uint64_t Number, Each Wanted) {
+  TrafficThread &Thread = this->threadOf(Number);
+  Thread.post([&Thread, Wanted = std::move(Wanted)]() mutable {
+    Thread.perform(std::move(Wanted));
+  });
+}
+
+/// Calls to one upstream share a thread, and so its kept connections.
+template <class ToUpstream> void ActionRouter::perform(ToUpstream Wanted) {
+  const std::size_t Number = std::hash<UpstreamId>()(Wanted.Upstream);
+  this->postTo(Number, std::move(Wanted));
+}
+
+void ActionRouter::perform(DispatchAttempt Wanted) {
+  this->Attempts[Wanted.Attempt] = Wanted.Request.Value;
+  const std::uint64_t Number = Wanted.Request.Value;
+  this->postTo(Number, std::move(Wanted));
+}
+
+void ActionRouter::perform(CancelAttempt Wanted) {
+  const auto Found = this->Attempts.find(Wanted.Attempt);
+  const bool Known = Found != this->Attempts.end();
+  const std::uint64_t Number = Known ? Found->second : 0;
+  if (Known)
+    this->Attempts.erase(Found);
+  this->postTo(Number, std::move(Wanted));
+}
+
+void ActionRouter::perform(JoinStream Wanted) {
+  TrafficThread &Owner = this->threadOf(Wanted.Stream.Value);
+  TrafficThread &Asker = this->threadOf(Wanted.Request.Value);
+  Owner.post([&Owner, &Asker, Wanted] {
+    auto Stream = Owner.relays().find(Wanted.Stream);
+    Asker.post([&Asker, Wanted, Stream = std::move(Stream)] {
+      const auto Entry = Asker.relays().find(Wanted.Request);
+      if (Entry && Stream)
+        Entry->join(Stream, Wanted.NextIndex);
+      else if (Entry)
+        Entry->answer(NotRun{RefusalReason::BadRequest, Duration(0),
+                             "the stream has ended; send the request anew"});
+    });
+  });
+}
+
+void ActionRouter::perform(AcceptRequest Wanted) {
+  this->postTo(Wanted.Request.Value, std::move(Wanted));
+}
+
+void ActionRouter::perform(AnswerRequest Wanted) {
+  this->postTo(Wanted.Request.Value, std::move(Wanted));
+}
+
+void ActionRouter::perform(RedirectCaller Wanted) {
+  this->postTo(Wanted.Request.Value, std::move(Wanted));
+}
+
+void ActionRouter::perform(AnswerResolve Wanted) {
+  this->postTo(Wanted.Id.Value, std::move(Wanted));
+}
+
+void ActionRouter::perform(AnswerOperator Wanted) {
+  this->postTo(Wanted.Id.Value, std::move(Wanted));
+}
+
+void ActionRouter::perform(SendToPeer Wanted) {
+  this->Peers.send(Wanted.To, std::move(Wanted.Body));
+}
+
+void ActionRouter::perform(ConnectPeers Wanted) {
+  this->Peers.connect(std::move(Wanted.Peers));
+}
+
+void ActionRouter::perform(WriteLogLine Wanted) {
+  writeLogLine(Wanted.Line, this->Clock.now());
+}
+
+void ActionRouter::perform(RecordMeasurement Wanted) {
+  this->Measured.record(Wanted);
+}
+
+void ActionRouter::perform(StopNow) { this->OnStop(); }
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/app/ActionRouter.h
@@ -0,0 +1,60 @@
+/// \file
+/// Carries the kernel's actions to the threads that do them.
+#pragma once
+
+#include "app/TrafficThread.h"
+#include "peers/PeerNetwork.h"
+
+#include <functional>
+#include <memory>
+#include <span>
+
+namespace banyanpick {
+
+/// Used on the control thread only.
+class ActionRouter {
+public:
+  /// \p OnStop is called when the process may end.
+  ActionRouter(std::span<const std::unique_ptr<TrafficThread>> Threads,
+               PeerNetwork &Peers, Metrics &Measured, const ProcessClock &Clock,
+               std::function<void()> OnStop);
+
+  /// Carries them out in their order; those that concern one request reach
+  /// its thread in that order.
+  void perform(std::vector<Action> Wanted);
+
+  /// The try ended by itself.
+  void forget(const AttemptId &Attempt) { this->Attempts.erase(Attempt); }
+
+private:
+  void perform(DispatchAttempt Wanted);
+  void perform(CancelAttempt Wanted);
+  void perform(JoinStream Wanted);
+  void perform(WriteLogLine Wanted);
+  void perform(AcceptRequest Wanted);
+  void perform(AnswerRequest Wanted);
+  void perform(RedirectCaller Wanted);
+  void perform(AnswerResolve Wanted);
+  void perform(AnswerOperator Wanted);
+  void perform(SendToPeer Wanted);
+  void perform(ConnectPeers Wanted);
+  void perform(RecordMeasurement Wanted);
+  void perform(StopNow Wanted);
+  template <class ToUpstream> void perform(ToUpstream Wanted);
+  void perform(ReadHostList Wanted) { this->postTo(0, Wanted); }
+  void perform(ReadLog Wanted) { this->postTo(0, Wanted); }
+  void perform(AppendToLog Wanted) { this->postTo(0, std::move(Wanted)); }
+
+  template <class Each> void postTo(std::uint64_t Number, Each Wanted);
+  TrafficThread &threadOf(std::uint64_t Number) const;
+
+  std::vector<TrafficThread *> Threads;
+  PeerNetwork &Peers;
+  Metrics &Measured;
+  const ProcessClock &Clock;
+  std::function<void()> OnStop;
+  /// The thread number of each running try.
+  std::unordered_map<AttemptId, std::uint64_t> Attempts;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/app/AnswerJson.cpp
@@ -0,0 +1,99 @@
+#include "app/AnswerJson.h"
+
+#include "base/Visitor.h"
+#include "http/BoundedJson.h"
+
+namespace banyanpick {
+
+namespace {
+
+using nlohmann::json;
+
+std::int64_t inMilliseconds(Duration Value) {
+  constexpr Duration::rep Millisecond = 1000;
+  return (Value.count() + Millisecond - 1) / Millisecond;
+}
+
+unsigned statusOf(RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::OverLimit:
+    return 429;
+  case RefusalReason::NotAllowed:
+    return 403;
+  case RefusalReason::BadRequest:
+    return 400;
+  case RefusalReason::KeyTooOld:
+    return 409;
+  default:
+    return 503;
+  }
+}
+
+unsigned statusOf(const FinalAnswer &Given) {
+  return match(
+      Given, [](const WholeAnswer &) { return 200U; },
+      [](const NotRun &Refusal) { return statusOf(Refusal.Reason); },
+      [](const FailedAnswer &) { return 502U; },
+      [](const OutcomeUnknown &) { return 504U; },
+      [](const InProgress &) { return 409U; });
+}
+
+Duration comeBackAfter(const FinalAnswer &Given) {
+  return match(
+      Given, [](const WholeAnswer &) { return Duration(0); },
+      [](const auto &Other) { return Other.ComeBackAfter; });
+}
+
+json withComeBack(std::string_view Kind, Duration After) {
+  return {{"answer", Kind}, {"come_back_after_ms", inMilliseconds(After)}};
+}
+
+} // namespace
+
+json toJson(const FinalAnswer &Given) {
+  return match(
+      Given,
+      [](const WholeAnswer &Whole) {
+        return json{{"answer", "whole"}, {"count", Whole.Count}};
+      },
+      [](const NotRun &Refusal) {
+        json Result = withComeBack("not-run", Refusal.ComeBackAfter);
+        Result["reason"] = name(Refusal.Reason);
+        Result["message"] = Refusal.Message;
+        return Result;
+      },
+      [](const FailedAnswer &Failed) {
+        json Result = withComeBack("failed", Failed.ComeBackAfter);
+        Result["message"] = Failed.Message;
+        return Result;
+      },
+      [](const OutcomeUnknown &Unknown) {
+        json Result = withComeBack("outcome-unknown", Unknown.ComeBackAfter);
+        Result["message"] = Unknown.Message;
+        return Result;
+      },
+      [](const InProgress &Running) {
+        return withComeBack("in-progress", Running.ComeBackAfter);
+      });
+}
+
+HttpAnswer answerTo(const FinalAnswer &Given, const std::string *Text) {
+  json Body = toJson(Given);
+  const auto *Whole = std::get_if<WholeAnswer>(&Given);
+  if (Whole && Text)
+    Body["text"] = *Text;
+  if (Whole && !Whole->Result.empty())
+    Body["result"] = json::parse(Whole->Result, nullptr, false);
+  HttpAnswer Result;
+  Result.Status = statusOf(Given);
+  Result.Body = dumpJson(Body);
+  Result.RetryAfter = comeBackAfter(Given);
+  return Result;
+}
+
+std::string chunkData(std::uint64_t Index, const std::string &Text) {
+  return "{\"index\":" + std::to_string(Index) + ",\"text\":" + dumpJson(Text) +
+         "}";
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/app/CallerService.h
@@ -0,0 +1,36 @@
+/// \file
+/// Serves callers: requests, resumed streams and resolve.
+#pragma once
+
+#include "app/TrafficThread.h"
+#include "http/HttpServer.h"
+
+namespace banyanpick {
+
+/// One object for all threads; holds no state of requests.
+class CallerService {
+public:
+  explicit CallerService(EventSink &Events) : Events(Events) {}
+
+  /// /v1/completions and /v1/calls.
+  Task<void> serveRequest(HttpExchange &Each, TrafficThread &Thread);
+  /// /v1/resume.
+  Task<void> serveResume(HttpExchange &Each, TrafficThread &Thread);
+  /// /v1/resolve.
+  Task<void> serveResolve(HttpExchange &Each, TrafficThread &Thread);
+
+private:
+  using Entry = std::shared_ptr<RelayEntry>;
+
+  Task<void> serveWhole(HttpExchange &Each, Entry Asked);
+  Task<void> serveStreamed(HttpExchange &Each, Entry Asked);
+  /// Sends the stream from \p Index on; true when it was sent to its end.
+  Task<bool> sendStream(HttpExchange &Each, Entry Stream, std::uint64_t Index);
+  /// The caller hung up while \p Writer read for it.
+  void detach(const Entry &Stream, std::uint64_t Writer);
+
+  EventSink &Events;
+  std::atomic<std::uint64_t> Writers = 0;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/app/Control.cpp
@@ -0,0 +1,96 @@
+#include "app/Control.h"
+
+namespace banyanpick {
+
+namespace {
+
+using WakeAtom = caf::atom_constant<caf::atom("wake")>;
+using StopAtom = caf::atom_constant<caf::atom("stop")>;
+
+/// What the actor holds. Used on its thread only.
+struct ControlParts {
+  std::unique_ptr<Kernel> Owned;
+  ActionRouter &Router;
+  HostState &State;
+  const ProcessClock &Clock;
+  Time WakeAt = Never; ///< When the wake message under way will come.
+
+  void handle(const Event &What) {
+    this->Router.perform(this->Owned->handle(What, this->Clock.now()));
+    if (const auto *Ended = std::get_if<AttemptEnded>(&What))
+      this->Router.forget(Ended->Attempt);
+  }
+
+  void publish() {
+    const Services &Offered = this->Owned->services();
+    const auto *Catalogue = Offered.find<CatalogueView>();
+    const auto *Drain = Offered.find<DrainView>();
+    this->State.Ready = Catalogue && Catalogue->isReady();
+    this->State.Current = Catalogue && Catalogue->isCurrent(this->Clock.now());
+    this->State.Leaving = Drain && Drain->isLeaving();
+  }
+};
+
+/// The shortest sleep between two ticks.
+constexpr milliseconds ShortestSleep(1);
+
+void planWake(caf::event_based_actor *Self, ControlParts &Parts) {
+  const Time Wanted = Parts.Owned->nextWake();
+  if (Wanted == Never || Wanted >= Parts.WakeAt)
+    return;
+  const Duration Sleep =
+      std::max<Duration>(Wanted - Parts.Clock.now(), ShortestSleep);
+  Parts.WakeAt = Parts.Clock.now() + Sleep;
+  Self->delayed_send(Self, Sleep, WakeAtom::value);
+}
+
+void take(caf::event_based_actor *Self, ControlParts &Parts,
+          const Event &What) {
+  Parts.handle(What);
+  Parts.publish();
+  planWake(Self, Parts);
+}
+
+caf::behavior runControl(caf::event_based_actor *Self,
+                         const std::shared_ptr<ControlParts> &Parts) {
+  take(Self, *Parts, Tick{});
+  return {
+      [=](const ControlEvent &Given) { take(Self, *Parts, Given.What); },
+      [=](WakeAtom) {
+        Parts->WakeAt = Never;
+        take(Self, *Parts, Tick{});
+      },
+      [=](StopAtom) { Self->quit(); },
+  };
+}
+
+} // namespace
+
+ControlSystemConfig::ControlSystemConfig() {
+  this->set("scheduler.max-threads", 1U);
+}
+
+Control::~Control() { this->stop(); }
+
+void Control::start(std::unique_ptr<Kernel> Owned, ActionRouter &Router,
+                    HostState &State) {
+  this->System = std::make_unique<caf::actor_system>(this->Config);
+  auto Parts = std::make_shared<ControlParts>(
+      ControlParts{std::move(Owned), Router, State, this->Clock, Never});
+  this->Actor = this->System->spawn<caf::detached>(runControl, Parts);
+}
+
+void Control::stop() {
+  if (!this->System)
+    return;
+  caf::anon_send(this->Actor, StopAtom::value);
+  this->System->await_all_actors_done();
+  this->Actor = nullptr;
+  this->System.reset();
+}
+
+void Control::send(Event What) {
+  caf::anon_send(this->Actor, ControlEvent{std::move(What)});
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/app/Main.cpp
@@ -0,0 +1,74 @@
+/// \file
+/// banyanpickd: the entry host's process.
+#include "app/Daemon.h"
+#include "app/SettingsFile.h"
+#include "logging/LineLog.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <sodium.h>
+
+DEFINE_string(settings, "", "settings file (INI)");
+DEFINE_bool(check, false, "only check the settings");
+DEFINE_bool(make_peer_keys, false,
+            "print a new CURVE key pair for the [peers] section");
+
+namespace banyanpick {
+
+namespace {
+
+constexpr int ExitFailed = 1;
+constexpr int ExitBadSettings = 2;
+
+std::uint64_t randomNumber() {
+  std::uint64_t Result = 0;
+  randombytes_buf(&Result, sizeof(Result));
+  return Result;
+}
+
+int printPeerKeys() {
+  const CurveKeyPair Pair = makeCurveKeyPair();
+  fmt::print("[peers]\ncurve_public_key = {}\ncurve_secret_key = {}\n",
+             Pair.PublicKey, Pair.SecretKey);
+  return 0;
+}
+
+int runDaemon(const Settings &Values) {
+  configureLog(Values);
+  Daemon Host(Values, Incarnation(randomNumber()), randomNumber());
+  Host.run();
+  return 0;
+}
+
+int runProgram() {
+  if (FLAGS_make_peer_keys)
+    return printPeerKeys();
+  const auto Values = readSettingsFile(FLAGS_settings);
+  if (!Values)
+    return ExitBadSettings;
+  if (FLAGS_check) {
+    fmt::print("{}: all settings are right\n", FLAGS_settings);
+    return 0;
+  }
+  return runDaemon(*Values);
+}
+
+} // namespace
+} // namespace banyanpick
+
+int main(int Count, char **Values) {
+  using namespace banyanpick;
+  gflags::SetUsageMessage("runs an entry host: banyanpickd --settings FILE");
+  gflags::ParseCommandLineFlags(&Count, &Values, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  if (sodium_init() < 0)
+    return ExitFailed;
+  try {
+    return runProgram();
+  } catch (const Error &Failure) {
+    fmt::print(stderr, "banyanpickd: {}\n", Failure.what());
+    return Failure.kind() == ErrorKind::BadInput ? ExitBadSettings : ExitFailed;
+  }
+}
--- /dev/null
+++ b/src/app/RelayEntry.cpp
@@ -0,0 +1,146 @@
+#include "app/RelayEntry.h"
+
+#include "app/AnswerJson.h"
+#include "http/AddressText.h"
+#include "http/BoundedJson.h"
+#include "http/EventParser.h"
+
+namespace banyanpick {
+
+namespace {
+
+/// Events sent in one piece at most, so that one caller's backlog does not
+/// hold up the others of its thread.
+constexpr std::size_t BytesPerDelivery = 32 * 1024;
+
+} // namespace
+
+RelayEntry::RelayEntry(const net::any_io_executor &Executor, RequestId IdGiven,
+                       bool Streamed, RequestContent ContentGiven,
+                       std::uint64_t FirstIndex, const RelayLimits &Limits)
+    : Id(IdGiven), Executor(Executor), Streamed(Streamed),
+      Content(std::move(ContentGiven)), Limits(Limits),
+      Chunks(FirstIndex, Limits.KeepDeliveredBytes), News(Executor) {}
+
+void RelayEntry::accept(std::string Token) {
+  this->Accepted = true;
+  this->ResumeToken = std::move(Token);
+  this->News.notify();
+}
+
+void RelayEntry::answer(FinalAnswer Given) {
+  if (this->isEnded())
+    return;
+  this->Answer = std::move(Given);
+  this->Content.Text = std::string();
+  this->News.notify();
+}
+
+void RelayEntry::redirect(RedirectCaller To) {
+  if (this->isEnded())
+    return;
+  this->Redirect = std::move(To);
+  this->Content.Text = std::string();
+  this->News.notify();
+}
+
+void RelayEntry::join(std::shared_ptr<RelayEntry> Stream,
+                      std::uint64_t NextIndex) {
+  this->Joined = std::move(Stream);
+  this->JoinedIndex = NextIndex;
+  this->News.notify();
+}
+
+void RelayEntry::append(std::string Text) {
+  this->Chunks.append(std::move(Text));
+  this->News.notify();
+}
+
+bool RelayEntry::isFull() const {
+  return this->Streamed &&
+         this->Chunks.undeliveredBytes() > this->Limits.UndeliveredBytes;
+}
+
+bool RelayEntry::isTooLarge() const {
+  return !this->Streamed &&
+         this->Chunks.bytes() > this->Limits.WholeAnswerBytes;
+}
+
+Task<RelayEntry::Opening> RelayEntry::opening() {
+  while (!this->Accepted && !this->isEnded() && !this->Joined)
+    co_await this->News.wait();
+  Opening Result;
+  Result.Accepted = this->Accepted;
+  Result.ResumeToken = this->ResumeToken;
+  Result.Answer = this->Answer;
+  Result.Redirect = this->Redirect;
+  Result.Joined = this->Joined;
+  Result.JoinedIndex = this->JoinedIndex;
+  co_return Result;
+}
+
+bool RelayEntry::attach(std::uint64_t WriterGiven, std::uint64_t Index) {
+  if (Index < this->Chunks.first())
+    return false;
+  this->Writer = WriterGiven;
+  this->News.notify();
+  return true;
+}
+
+bool RelayEntry::detach(std::uint64_t WriterGiven) {
+  if (this->Writer != WriterGiven)
+    return false;
+  this->Writer = 0;
+  this->News.notify();
+  return true;
+}
+
+bool RelayEntry::hasSomethingFor(std::uint64_t Index) const {
+  return this->isEnded() || this->Chunks.end() > Index;
+}
+
+Task<RelayEntry::Delivery> RelayEntry::next(std::uint64_t WriterGiven,
+                                            std::uint64_t Index) {
+  if (this->Writer == WriterGiven && this->Chunks.delivered() < Index) {
+    const bool WasFull = this->isFull();
+    this->Chunks.markDelivered(Index);
+    if (WasFull)
+      this->News.notify();
+  }
+  while (this->Writer == WriterGiven && !this->hasSomethingFor(Index))
+    co_await this->News.wait();
+  Delivery Result;
+  Result.NextIndex = Index;
+  const bool IsLost = Index < this->Chunks.first();
+  Result.Replaced = this->Writer != WriterGiven || IsLost;
+  if (Result.Replaced)
+    co_return Result;
+  std::uint64_t &Next = Result.NextIndex;
+  for (; Next < this->Chunks.end() && Result.Events.size() < BytesPerDelivery;
+       ++Next)
+    Result.Events += formatEvent({}, chunkData(Next, this->Chunks.at(Next)));
+  if (Next >= this->Chunks.end() && this->isEnded())
+    this->addLastEvent(Result);
+  co_return Result;
+}
+
+void RelayEntry::addLastEvent(Delivery &To) const {
+  To.Last = true;
+  if (this->Redirect) {
+    const nlohmann::json Data{{"host", text(this->Redirect->To)},
+                              {"resume_token", this->Redirect->ResumeToken}};
+    To.Events += formatEvent("redirect", dumpJson(Data));
+    return;
+  }
+  To.Events += formatEvent("end", dumpJson(toJson(*this->Answer)));
+}
+
+Task<FinalAnswer> RelayEntry::finalAnswer() {
+  while (!this->isEnded())
+    co_await this->News.wait();
+  if (!this->Answer)
+    co_return FailedAnswer{"handed over to another host; ask again there", {}};
+  co_return *this->Answer;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/app/Routes.h
@@ -0,0 +1,28 @@
+/// \file
+/// All of an entry host's HTTP: callers', operators' and the process's own.
+#pragma once
+
+#include "app/CallerService.h"
+#include "app/OperatorService.h"
+#include "app/ProcessPages.h"
+
+namespace banyanpick {
+
+/// Finds the service of each target.
+class Routes : public HttpHandler {
+public:
+  Routes(std::span<const std::unique_ptr<TrafficThread>> Threads,
+         EventSink &Events, const HostState &State, const Metrics &Measured);
+
+  Task<void> serve(HttpExchange &Each) override;
+
+private:
+  TrafficThread &threadOf(const HttpExchange &Each) const;
+
+  std::vector<TrafficThread *> Threads;
+  CallerService Callers;
+  OperatorService Operators;
+  ProcessPages Pages;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/app/StatusJson.h
@@ -0,0 +1,13 @@
+/// \file
+/// Answers to operators as JSON.
+#pragma once
+
+#include "http/HttpExchange.h"
+#include "kernel/Operator.h"
+
+namespace banyanpick {
+
+/// The whole HTTP answer.
+HttpAnswer answerTo(const OperatorAnswer &Given);
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/http/ClientStream.cpp
@@ -0,0 +1,82 @@
+#include "http/ClientStream.h"
+
+#include "http/AddressText.h"
+
+namespace banyanpick {
+
+Task<std::optional<ClientFailure>> ClientStream::open(Address At,
+                                                      ClientRequest Given,
+                                                      Duration ConnectTimeout,
+                                                      Duration Timeout) {
+  if (this->Cancelled)
+    co_return ClientFailure::NotConnected;
+  this->Link.expires_after(ConnectTimeout);
+  ErrorCode Failure;
+  co_await this->Link.async_connect(endpointOf(At), into(Failure));
+  if (Failure)
+    co_return failureOfConnect(Failure);
+  if (this->Cancelled)
+    co_return ClientFailure::NotConnected;
+  ErrorCode Ignored;
+  this->Link.socket().set_option(Tcp::no_delay(true), Ignored);
+  this->Link.expires_after(Timeout);
+  {
+    const auto Request = beastRequest(std::move(Given), text(At));
+    co_await http::async_write(this->Link, Request, into(Failure));
+  }
+  if (Failure)
+    co_return failureAfterSending(Failure);
+  this->Parser.body_limit(boost::none);
+  co_await http::async_read_header(this->Link, this->Buffer, this->Parser,
+                                   into(Failure));
+  if (Failure)
+    co_return failureAfterSending(Failure);
+  co_return std::nullopt;
+}
+
+Task<std::pair<std::string, bool>>
+ClientStream::readRest(std::size_t MaxBytes) {
+  std::string Result;
+  while (!this->Parser.is_done() && !this->WasCut) {
+    Result += co_await this->readPiece();
+    if (Result.size() > MaxBytes)
+      co_return std::pair(std::move(Result), false);
+  }
+  co_return std::pair(std::move(Result), !this->WasCut);
+}
+
+Task<ClientStream::ReadState>
+ClientStream::readEvents(std::vector<ServerEvent> &Out) {
+  const std::size_t Before = Out.size();
+  while (!this->Parser.is_done() && !this->WasCut && Out.size() == Before) {
+    const std::string_view Bytes = co_await this->readPiece();
+    this->Events.feed(Bytes, Out);
+  }
+  if (Out.size() != Before)
+    co_return ReadState::GoesOn;
+  co_return this->WasCut ? ReadState::Cut : ReadState::Ended;
+}
+
+void ClientStream::cancel() {
+  this->Cancelled = true;
+  this->Link.close();
+}
+
+Task<std::string_view> ClientStream::readPiece() {
+  auto &Body = this->Parser.get().body();
+  Body.data = this->Piece.data();
+  Body.size = this->Piece.size();
+  ErrorCode Failure;
+  co_await http::async_read_some(this->Link, this->Buffer, this->Parser,
+                                 into(Failure));
+  if (Failure == http::error::need_buffer)
+    Failure = {};
+  if (Failure) {
+    this->WasCut = true;
+    this->HowCut = failureAfterSending(Failure);
+  }
+  co_return std::string_view(this->Piece.data(),
+                             this->Piece.size() - Body.size);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/http/Connection.cpp
@@ -0,0 +1,152 @@
+#include "http/Connection.h"
+
+#include <array>
+#include <boost/beast/ssl.hpp>
+#include <type_traits>
+
+namespace banyanpick {
+
+namespace {
+
+using PlainStream = beast::tcp_stream;
+using TlsStream = beast::ssl_stream<beast::tcp_stream>;
+
+/// What is read at once while waiting for a request.
+constexpr std::size_t FirstReadBytes = 2048;
+
+/// What the buffer may hold beyond a header: the start of a body.
+constexpr std::size_t BodyReadBytes = 64 * 1024;
+
+template <class Stream> class BasicConnection final : public Connection {
+public:
+  BasicConnection(Stream Given, std::uint64_t MaxHeaderBytes)
+      : Under(std::move(Given)), Buffer(MaxHeaderBytes + BodyReadBytes) {}
+
+  Task<ErrorCode> handshake(Duration Timeout) override {
+    ErrorCode Failure;
+    if constexpr (std::is_same_v<Stream, TlsStream>) {
+      this->expireAfter(Timeout);
+      co_await this->Under.async_handshake(net::ssl::stream_base::server,
+                                           into(Failure));
+    }
+    co_return Failure;
+  }
+
+  Task<ErrorCode> waitForRequest(Duration Timeout) override {
+    ErrorCode Failure;
+    if (this->Buffer.size() != 0)
+      co_return Failure;
+    this->Buffer.shrink_to_fit();
+    this->expireAfter(Timeout);
+    const std::size_t Count = co_await this->Under.async_read_some(
+        this->Buffer.prepare(FirstReadBytes), into(Failure));
+    this->Buffer.commit(Count);
+    co_return Failure;
+  }
+
+  Task<ErrorCode> readHeader(Parser &Into, Duration Timeout) override {
+    this->expireAfter(Timeout);
+    ErrorCode Failure;
+    co_await http::async_read_header(this->Under, this->Buffer, Into,
+                                     into(Failure));
+    co_return Failure;
+  }
+
+  Task<ErrorCode> readBody(Parser &Into, Duration Timeout) override {
+    this->expireAfter(Timeout);
+    ErrorCode Failure;
+    co_await http::async_read(this->Under, this->Buffer, Into, into(Failure));
+    if (this->Buffer.size() == 0)
+      this->Buffer.shrink_to_fit();
+    co_return Failure;
+  }
+
+  Task<ErrorCode> writeAnswer(Answer &Given, Duration Timeout) override {
+    this->expireAfter(Timeout);
+    ErrorCode Failure;
+    co_await http::async_write(this->Under, Given, into(Failure));
+    co_return Failure;
+  }
+
+  Task<ErrorCode> writeHeader(Header &Given, Duration Timeout) override {
+    this->expireAfter(Timeout);
+    ErrorCode Failure;
+    http::response_serializer<http::empty_body> Serializer(Given);
+    co_await http::async_write_header(this->Under, Serializer, into(Failure));
+    co_return Failure;
+  }
+
+  Task<ErrorCode> writeChunk(std::string_view Text, Duration Timeout) override {
+    this->expireAfter(Timeout);
+    ErrorCode Failure;
+    if (Text.empty()) {
+      co_await net::async_write(this->Under, http::make_chunk_last(),
+                                into(Failure));
+      co_return Failure;
+    }
+    const net::const_buffer Bytes(Text.data(), Text.size());
+    co_await net::async_write(this->Under, http::make_chunk(Bytes),
+                              into(Failure));
+    co_return Failure;
+  }
+
+  Task<bool> watchForHangUp() override {
+    ErrorCode Failure;
+    auto &Socket = this->socket();
+    co_await Socket.async_wait(Tcp::socket::wait_read, into(Failure));
+    if (Failure)
+      co_return Failure != net::error::operation_aborted;
+    std::array<char, 1> Byte{};
+    const std::size_t Count =
+        Socket.receive(net::buffer(Byte), Tcp::socket::message_peek, Failure);
+    co_return Failure || Count == 0;
+  }
+
+  void stopWatching() override {
+    ErrorCode Ignored;
+    this->socket().cancel(Ignored);
+  }
+
+  Task<void> close(Duration Timeout) override {
+    ErrorCode Ignored;
+    if constexpr (std::is_same_v<Stream, TlsStream>) {
+      this->expireAfter(Timeout);
+      co_await this->Under.async_shutdown(into(Ignored));
+    }
+    this->socket().shutdown(Tcp::socket::shutdown_both, Ignored);
+    this->socket().close(Ignored);
+    co_return;
+  }
+
+  net::any_io_executor executor() override {
+    return this->Under.get_executor();
+  }
+
+private:
+  void expireAfter(Duration Timeout) {
+    beast::get_lowest_layer(this->Under).expires_after(Timeout);
+  }
+  Tcp::socket &socket() {
+    return beast::get_lowest_layer(this->Under).socket();
+  }
+
+  Stream Under;
+  beast::flat_buffer Buffer;
+};
+
+} // namespace
+
+std::shared_ptr<Connection> makeConnection(Tcp::socket Socket,
+                                           net::ssl::context *Tls,
+                                           std::uint64_t MaxHeaderBytes) {
+  ErrorCode Ignored;
+  Socket.set_option(Tcp::no_delay(true), Ignored);
+  PlainStream Plain(std::move(Socket));
+  if (!Tls)
+    return std::make_shared<BasicConnection<PlainStream>>(std::move(Plain),
+                                                          MaxHeaderBytes);
+  return std::make_shared<BasicConnection<TlsStream>>(
+      TlsStream(std::move(Plain), *Tls), MaxHeaderBytes);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/http/EventParser.cpp
@@ -0,0 +1,73 @@
+#include "http/EventParser.h"
+
+#include "base/Error.h"
+
+namespace banyanpick {
+
+namespace {
+
+/// What stands after `NAME:` and one blank, or nothing if it is another field.
+bool takeField(std::string_view &Line, std::string_view Name) {
+  if (!Line.starts_with(Name))
+    return false;
+  Line.remove_prefix(Name.size());
+  if (Line.starts_with(' '))
+    Line.remove_prefix(1);
+  return true;
+}
+
+} // namespace
+
+void EventParser::feed(std::string_view Bytes, std::vector<ServerEvent> &Out) {
+  for (;;) {
+    const std::size_t End = Bytes.find('\n');
+    const std::string_view Piece = Bytes.substr(0, End);
+    if (this->pendingBytes() + Piece.size() > this->MaxEventBytes)
+      throw Error(ErrorKind::BadInput, "an event is too long",
+                  "send events of at most " +
+                      std::to_string(this->MaxEventBytes) + " bytes");
+    if (End == std::string_view::npos) {
+      this->Line += Piece;
+      return;
+    }
+    Bytes.remove_prefix(End + 1);
+    if (this->Line.empty()) {
+      this->takeLine(Piece, Out);
+      continue;
+    }
+    this->Line += Piece;
+    const std::string Whole = std::move(this->Line);
+    this->Line.clear();
+    this->takeLine(Whole, Out);
+  }
+}
+
+void EventParser::takeLine(std::string_view Text,
+                           std::vector<ServerEvent> &Out) {
+  if (Text.ends_with('\r'))
+    Text.remove_suffix(1);
+  if (Text.empty()) {
+    if (this->HasData)
+      Out.push_back(std::move(this->Open));
+    this->Open = {};
+    this->HasData = false;
+    return;
+  }
+  if (takeField(Text, "event:")) {
+    this->Open.Type = Text;
+  } else if (takeField(Text, "data:")) {
+    if (this->HasData)
+      this->Open.Data += '\n';
+    this->Open.Data += Text;
+    this->HasData = true;
+  }
+}
+
+std::string formatEvent(std::string_view Type, std::string_view Data) {
+  std::string Text;
+  if (!Type.empty())
+    Text.append("event: ").append(Type).append("\n");
+  return Text.append("data: ").append(Data).append("\n\n");
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/http/HttpClient.cpp
@@ -0,0 +1,111 @@
+#include "http/HttpClient.h"
+
+#include "http/AddressText.h"
+
+#include <array>
+
+namespace banyanpick {
+
+namespace {
+
+/// Connections kept to one address.
+constexpr std::size_t KeptPerAddress = 4;
+
+/// Whether the peer has neither closed the connection nor sent anything.
+bool isQuiet(Tcp::socket &Socket) {
+  ErrorCode Failure;
+  std::array<char, 1> Byte{};
+  Socket.non_blocking(true, Failure);
+  Socket.receive(net::buffer(Byte), Tcp::socket::message_peek, Failure);
+  return Failure == net::error::would_block;
+}
+
+} // namespace
+
+http::request<http::string_body> beastRequest(ClientRequest Given,
+                                              const std::string &Host) {
+  constexpr unsigned Http11 = 11;
+  http::request<http::string_body> Result(Given.Method, beastText(Given.Target),
+                                          Http11);
+  Result.set(http::field::host, Host);
+  for (const auto &[Name, Value] : Given.Headers)
+    Result.set(beastText(Name), beastText(Value));
+  Result.body() = std::move(Given.Body);
+  Result.prepare_payload();
+  return Result;
+}
+
+Task<ClientResult> HttpClient::call(Address At, ClientRequest Given,
+                                    Duration Timeout, Reuse Connections) {
+  Stream Kept =
+      Connections == Reuse::Yes ? this->takeKept(At) : Stream(nullptr);
+  const bool MayRepeat = Kept && Given.Method == http::verb::get;
+  ClientResult Result =
+      co_await this->callOnce(At, Given, Timeout, std::move(Kept));
+  if (MayRepeat && std::holds_alternative<ClientFailure>(Result))
+    Result = co_await this->callOnce(At, Given, Timeout, nullptr);
+  co_return Result;
+}
+
+Task<ClientResult> HttpClient::callOnce(const Address &At,
+                                        const ClientRequest &Given,
+                                        Duration Timeout, Stream Kept) {
+  if (Kept) {
+    Kept->expires_after(Timeout);
+    co_return co_await this->exchange(At, Given, std::move(Kept));
+  }
+  auto Link = std::make_unique<beast::tcp_stream>(this->Executor);
+  Link->expires_after(Timeout);
+  ErrorCode Failure;
+  co_await Link->async_connect(endpointOf(At), into(Failure));
+  if (Failure)
+    co_return failureOfConnect(Failure);
+  ErrorCode Ignored;
+  Link->socket().set_option(Tcp::no_delay(true), Ignored);
+  co_return co_await this->exchange(At, Given, std::move(Link));
+}
+
+Task<ClientResult> HttpClient::exchange(const Address &At,
+                                        const ClientRequest &Given,
+                                        Stream Link) {
+  ErrorCode Failure;
+  const auto Request = beastRequest(Given, text(At));
+  co_await http::async_write(*Link, Request, into(Failure));
+  if (Failure)
+    co_return failureAfterSending(Failure);
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(this->MaxAnswerBytes);
+  beast::flat_buffer Buffer;
+  co_await http::async_read(*Link, Buffer, Parser, into(Failure));
+  if (Failure)
+    co_return failureAfterSending(Failure);
+  ClientAnswer Answer;
+  Answer.Status = Parser.get().result_int();
+  Answer.Body = std::move(Parser.get().body());
+  if (Parser.keep_alive())
+    this->keep(At, std::move(Link));
+  co_return Answer;
+}
+
+HttpClient::Stream HttpClient::takeKept(const Address &At) {
+  const auto Found = this->Idle.find(At);
+  if (Found == this->Idle.end())
+    return nullptr;
+  Stream Result;
+  while (!Result && !Found->second.empty()) {
+    if (isQuiet(Found->second.back()->socket()))
+      Result = std::move(Found->second.back());
+    Found->second.pop_back();
+  }
+  if (Found->second.empty())
+    this->Idle.erase(Found);
+  return Result;
+}
+
+void HttpClient::keep(const Address &At, Stream Link) {
+  auto &Kept = this->Idle[At];
+  if (Kept.size() < KeptPerAddress)
+    Kept.push_back(std::move(Link));
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/http/HttpExchange.cpp
@@ -0,0 +1,137 @@
+#include "http/HttpExchange.h"
+
+#include <nlohmann/json.hpp>
+
+namespace banyanpick {
+
+namespace {
+
+unsigned statusOf(ErrorKind Kind) {
+  switch (Kind) {
+  case ErrorKind::BadInput:
+    return 400;
+  case ErrorKind::NotAllowed:
+    return 403;
+  case ErrorKind::Conflict:
+    return 409;
+  case ErrorKind::Unavailable:
+    return 503;
+  case ErrorKind::Internal:
+    break;
+  }
+  return 500;
+}
+
+std::string retryAfterText(Duration After) {
+  constexpr Duration::rep Second = 1'000'000;
+  return std::to_string((After.count() + Second - 1) / Second);
+}
+
+} // namespace
+
+HttpAnswer errorAnswer(unsigned Status, ErrorKind Kind,
+                       std::string_view Message) {
+  const nlohmann::json Body{
+      {"error", {{"kind", name(Kind)}, {"message", Message}}}};
+  HttpAnswer Result;
+  Result.Status = Status;
+  Result.Body =
+      Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return Result;
+}
+
+HttpAnswer errorAnswer(const Error &Thrown) {
+  return errorAnswer(statusOf(Thrown.kind()), Thrown.kind(), Thrown.what());
+}
+
+HttpExchange::~HttpExchange() { this->stopWatching(); }
+
+std::string_view HttpExchange::header(std::string_view Name) const {
+  const auto Found = this->Asked.find(beastText(Name));
+  if (Found == this->Asked.end())
+    return {};
+  return {Found->value().data(), Found->value().size()};
+}
+
+void HttpExchange::addHeader(std::string_view Name, std::string_view Value) {
+  this->Headers.emplace_back(Name, Value);
+}
+
+Task<bool> HttpExchange::respond(HttpAnswer Given) {
+  this->stopWatching();
+  this->Answered = true;
+  Connection::Answer Answer(static_cast<http::status>(Given.Status),
+                            this->Asked.version());
+  Answer.set(http::field::content_type, Given.ContentType);
+  if (Given.RetryAfter > Duration(0))
+    Answer.set(http::field::retry_after, retryAfterText(Given.RetryAfter));
+  this->addHeaders(Answer);
+  Answer.keep_alive(this->Asked.keep_alive());
+  Answer.body() = std::move(Given.Body);
+  Answer.prepare_payload();
+  this->KeepsAlive = this->KeepsAlive && Answer.keep_alive();
+  const ErrorCode Failure =
+      co_await this->Peer->writeAnswer(Answer, this->Values.WriteTimeout);
+  co_return this->note(Failure);
+}
+
+Task<bool> HttpExchange::beginEvents() {
+  this->Answered = true;
+  Connection::Header Answer(http::status::ok, this->Asked.version());
+  Answer.set(http::field::content_type, "text/event-stream");
+  Answer.set(http::field::cache_control, "no-store");
+  this->addHeaders(Answer);
+  Answer.keep_alive(this->Asked.keep_alive());
+  Answer.chunked(true);
+  this->KeepsAlive = this->KeepsAlive && Answer.keep_alive();
+  const ErrorCode Failure =
+      co_await this->Peer->writeHeader(Answer, this->Values.WriteTimeout);
+  co_return this->note(Failure);
+}
+
+Task<bool> HttpExchange::sendEvents(std::string_view Formatted) {
+  const ErrorCode Failure =
+      co_await this->Peer->writeChunk(Formatted, this->Values.WriteTimeout);
+  co_return this->note(Failure);
+}
+
+Task<bool> HttpExchange::endEvents() {
+  this->stopWatching();
+  const ErrorCode Failure =
+      co_await this->Peer->writeChunk({}, this->Values.WriteTimeout);
+  co_return this->note(Failure);
+}
+
+void HttpExchange::onHangUp(std::function<void()> Then) {
+  this->Watch = std::make_shared<HangUpWatch>(HangUpWatch{std::move(Then)});
+  net::co_spawn(this->Peer->executor(), watch(this->Peer, this->Watch),
+                net::detached);
+}
+
+Task<void> HttpExchange::watch(std::shared_ptr<Connection> Peer,
+                               std::shared_ptr<HangUpWatch> Watch) {
+  const bool HungUp = co_await Peer->watchForHangUp();
+  if (HungUp && Watch->Then)
+    Watch->Then();
+}
+
+bool HttpExchange::note(const ErrorCode &Failure) {
+  if (Failure)
+    this->KeepsAlive = false;
+  return !Failure;
+}
+
+void HttpExchange::stopWatching() {
+  if (!this->Watch)
+    return;
+  this->Watch->Then = nullptr;
+  this->Watch.reset();
+  this->Peer->stopWatching();
+}
+
+template <class Answer> void HttpExchange::addHeaders(Answer &To) const {
+  for (const auto &[Name, Value] : this->Headers)
+    To.set(beastText(Name), beastText(Value));
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/http/HttpExchange.h
@@ -0,0 +1,93 @@
+/// \file
+/// One request of a caller or operator, and the way to answer it.
+#pragma once
+
+#include "base/Error.h"
+#include "http/BodyBudget.h"
+#include "http/Connection.h"
+#include "http/HttpSettings.h"
+#include "http/HttpTarget.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace banyanpick {
+
+/// A whole answer.
+struct HttpAnswer {
+  unsigned Status = 200;
+  std::string Body;
+  std::string ContentType = "application/json";
+  Duration RetryAfter{}; ///< Zero: no such header.
+};
+
+/// `{"error": {"kind": K, "message": M}}`.
+HttpAnswer errorAnswer(unsigned Status, ErrorKind Kind,
+                       std::string_view Message);
+
+/// The answer to a thrown error, with the status of its kind.
+HttpAnswer errorAnswer(const Error &Thrown);
+
+/// Used on the thread of the connection only.
+class HttpExchange {
+public:
+  using Request = http::request<http::string_body>;
+
+  HttpExchange(std::shared_ptr<Connection> Peer, Request Asked,
+               HttpTarget Target, const HttpSettings &Values)
+      : Peer(std::move(Peer)), Asked(std::move(Asked)), Asks(std::move(Target)),
+        Values(Values) {}
+  ~HttpExchange();
+  HttpExchange(const HttpExchange &) = delete;
+  HttpExchange &operator=(const HttpExchange &) = delete;
+
+  http::verb method() const { return this->Asked.method(); }
+  const HttpTarget &target() const { return this->Asks; }
+  std::string_view header(std::string_view Name) const;
+  const std::string &body() const { return this->Asked.body(); }
+  /// Frees the body once it is understood.
+  void dropBody() { this->Asked.body() = std::string(); }
+  net::any_io_executor executor() const { return this->Peer->executor(); }
+
+  /// Adds a header to the answer to come.
+  void addHeader(std::string_view Name, std::string_view Value);
+
+  /// Sends a whole answer. False: the peer is gone.
+  Task<bool> respond(HttpAnswer Given);
+
+  /// Starts an answer of server-sent events.
+  Task<bool> beginEvents();
+  /// Sends events already formatted; ends when the peer's window took them.
+  Task<bool> sendEvents(std::string_view Formatted);
+  Task<bool> endEvents();
+
+  /// Calls \p Then when the peer hangs up before this exchange ends.
+  void onHangUp(std::function<void()> Then);
+
+  bool isAnswered() const { return this->Answered; }
+  /// Whether the connection can take another request.
+  bool keepsAlive() const { return this->KeepsAlive; }
+
+private:
+  struct HangUpWatch {
+    std::function<void()> Then;
+  };
+
+  static Task<void> watch(std::shared_ptr<Connection> Peer,
+                          std::shared_ptr<HangUpWatch> Watch);
+  bool note(const ErrorCode &Failure);
+  void stopWatching();
+  template <class Answer> void addHeaders(Answer &To) const;
+
+  std::shared_ptr<Connection> Peer;
+  Request Asked;
+  HttpTarget Asks;
+  const HttpSettings &Values;
+  std::vector<std::pair<std::string, std::string>> Headers;
+  std::shared_ptr<HangUpWatch> Watch;
+  bool Answered = false;
+  bool KeepsAlive = true;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/http/HttpServer.cpp
@@ -0,0 +1,210 @@
+#include "http/HttpServer.h"
+
+#include "http/AddressText.h"
+
+#include <limits>
+
+namespace banyanpick {
+
+namespace {
+
+/// How long nothing is accepted after a failure, such as too many open files.
+constexpr milliseconds AcceptPause(50);
+
+/// Counts a connection while it lives.
+class Counted {
+public:
+  explicit Counted(std::atomic<std::uint64_t> &Count) : Count(Count) {
+    ++this->Count;
+  }
+  ~Counted() { --this->Count; }
+  Counted(const Counted &) = delete;
+  Counted &operator=(const Counted &) = delete;
+
+private:
+  std::atomic<std::uint64_t> &Count;
+};
+
+HttpAnswer answerToReadFailure(const ErrorCode &Failure) {
+  if (Failure == http::error::header_limit)
+    return errorAnswer(431, ErrorKind::BadInput,
+                       "the header is too large; send less in headers");
+  if (Failure == http::error::body_limit)
+    return errorAnswer(413, ErrorKind::BadInput,
+                       "the body is too large; shorten the prompt");
+  if (Failure == beast::error::timeout)
+    return errorAnswer(408, ErrorKind::BadInput,
+                       "the request came too slowly; send it again, faster");
+  return errorAnswer(400, ErrorKind::BadInput,
+                     "malformed HTTP: " + Failure.message() +
+                         "; send an HTTP/1.1 request");
+}
+
+/// Whether the peer can still be told what was wrong.
+bool canBeTold(const ErrorCode &Failure) {
+  return Failure.category() ==
+             http::make_error_code(http::error::bad_method).category() &&
+         Failure != http::error::end_of_stream &&
+         Failure != http::error::partial_message;
+}
+
+Tcp::acceptor listenAt(net::io_context &Context, const Address &At) {
+  Tcp::acceptor Result(Context);
+  try {
+    const Tcp::endpoint Endpoint = endpointOf(At);
+    Result.open(Endpoint.protocol());
+    Result.set_option(net::socket_base::reuse_address(true));
+    Result.bind(Endpoint);
+    Result.listen(net::socket_base::max_listen_connections);
+  } catch (const boost::system::system_error &Failure) {
+    throw Error(ErrorKind::Unavailable,
+                "can't listen at " + text(At) + ": " + Failure.what(),
+                "give another address or end what listens there");
+  }
+  return Result;
+}
+
+} // namespace
+
+HttpServer::HttpServer(std::span<net::io_context *const> ThreadsGiven,
+                       const Address &Listen, HttpSettings ValuesGiven,
+                       HttpHandler &Handler, net::ssl::context *Tls)
+    : Threads(ThreadsGiven.begin(), ThreadsGiven.end()),
+      Values(std::move(ValuesGiven)), Handler(Handler), Tls(Tls),
+      Acceptor(listenAt(*this->Threads.front(), Listen)),
+      Bodies(this->Values.TotalBodyBytes) {
+  net::co_spawn(this->Acceptor.get_executor(), this->acceptAll(),
+                net::detached);
+}
+
+void HttpServer::stop() {
+  net::post(this->Acceptor.get_executor(), [this] {
+    ErrorCode Ignored;
+    this->Acceptor.close(Ignored);
+  });
+}
+
+Task<void> HttpServer::acceptAll() {
+  net::steady_timer Pause(this->Acceptor.get_executor());
+  std::size_t Next = 0;
+  while (this->Acceptor.is_open()) {
+    net::io_context &Thread = *this->Threads[Next++ % this->Threads.size()];
+    ErrorCode Failure;
+    Tcp::socket Socket =
+        co_await this->Acceptor.async_accept(Thread, into(Failure));
+    if (Failure) {
+      Pause.expires_after(AcceptPause);
+      ErrorCode Ignored;
+      co_await Pause.async_wait(into(Ignored));
+      continue;
+    }
+    if (this->Open.load() >= this->Values.MaxConnections)
+      continue; // Closed by its destructor.
+    net::co_spawn(
+        Thread,
+        this->serveConnection(makeConnection(std::move(Socket), this->Tls,
+                                             this->Values.MaxHeaderBytes)),
+        net::detached);
+  }
+}
+
+Task<void> HttpServer::serveConnection(std::shared_ptr<Connection> Peer) {
+  const Counted Here(this->Open);
+  const ErrorCode Failure =
+      co_await Peer->handshake(this->Values.HeaderTimeout);
+  bool GoesOn = !Failure;
+  while (GoesOn)
+    GoesOn = co_await this->serveOne(Peer);
+  co_await Peer->close(this->Values.HeaderTimeout);
+}
+
+Task<bool> HttpServer::serveOne(std::shared_ptr<Connection> Peer) {
+  Connection::Parser Parser;
+  Parser.header_limit(static_cast<std::uint32_t>(this->Values.MaxHeaderBytes));
+  Parser.body_limit(this->Values.MaxBodyBytes);
+  ErrorCode Failure = co_await Peer->waitForRequest(this->Values.IdleTimeout);
+  if (Failure)
+    co_return false;
+  Failure = co_await Peer->readHeader(Parser, this->Values.HeaderTimeout);
+  if (Failure) {
+    if (canBeTold(Failure))
+      co_await this->refuse(*Peer, answerToReadFailure(Failure));
+    co_return false;
+  }
+  if (Parser.chunked()) {
+    co_await this->refuse(*Peer,
+                          errorAnswer(411, ErrorKind::BadInput,
+                                      "the length of the body is missing; send "
+                                      "Content-Length"));
+    co_return false;
+  }
+  co_return co_await this->serveBody(Peer, Parser);
+}
+
+Task<bool> HttpServer::serveBody(std::shared_ptr<Connection> Peer,
+                                 Connection::Parser &Parser) {
+  const auto Length = Parser.content_length();
+  const BodyBudget::Share Share = this->Bodies.take(Length ? *Length : 0);
+  if (!Share) {
+    co_await this->refuse(
+        *Peer, errorAnswer(503, ErrorKind::Unavailable,
+                           "too many requests are being read; try again in a "
+                           "second or use another host"));
+    co_return false;
+  }
+  const auto Expect = Parser.get()[http::field::expect];
+  if (beast::iequals(Expect, "100-continue") && !Parser.is_done()) {
+    Connection::Header Continue(http::status::continue_, 11);
+    const ErrorCode Ignored =
+        co_await Peer->writeHeader(Continue, this->Values.WriteTimeout);
+    if (Ignored)
+      co_return false;
+  }
+  const ErrorCode Failure =
+      co_await Peer->readBody(Parser, this->Values.BodyTimeout);
+  if (Failure) {
+    if (canBeTold(Failure))
+      co_await this->refuse(*Peer, answerToReadFailure(Failure));
+    co_return false;
+  }
+  co_return co_await this->serveRequest(Peer, Parser.release());
+}
+
+Task<bool> HttpServer::serveRequest(std::shared_ptr<Connection> Peer,
+                                    HttpExchange::Request Asked) {
+  HttpAnswer Refusal;
+  try {
+    const std::string_view Text(Asked.target().data(), Asked.target().size());
+    HttpTarget Target = parseTarget(Text);
+    HttpExchange Each(Peer, std::move(Asked), std::move(Target), this->Values);
+    try {
+      co_await this->Handler.serve(Each);
+    } catch (const Error &Thrown) {
+      Refusal = errorAnswer(Thrown);
+    }
+    if (!Each.isAnswered() && !Refusal.Body.empty())
+      co_await Each.respond(std::move(Refusal));
+    co_return Each.isAnswered() && Each.keepsAlive();
+  } catch (const Error &Thrown) {
+    Refusal = errorAnswer(Thrown);
+  } catch (const std::exception &Thrown) {
+    Refusal = errorAnswer(500, ErrorKind::Internal,
+                          "the request can't be served; report it");
+  }
+  co_await this->refuse(*Peer, std::move(Refusal));
+  co_return false;
+}
+
+Task<void> HttpServer::refuse(Connection &Peer, HttpAnswer Given) {
+  constexpr unsigned Http11 = 11;
+  Connection::Answer Answer(static_cast<http::status>(Given.Status), Http11);
+  Answer.set(http::field::content_type, Given.ContentType);
+  Answer.keep_alive(false);
+  Answer.body() = std::move(Given.Body);
+  Answer.prepare_payload();
+  const ErrorCode Ignored =
+      co_await Peer.writeAnswer(Answer, this->Values.WriteTimeout);
+  static_cast<void>(Ignored);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/http/HttpServer.h
@@ -0,0 +1,58 @@
+/// \file
+/// The server for callers and operators.
+#pragma once
+
+#include "http/HttpExchange.h"
+#include "kernel/Upstream.h"
+
+#include <atomic>
+#include <span>
+
+namespace banyanpick {
+
+/// Answers requests. Called on the thread of the request's connection.
+class HttpHandler {
+public:
+  virtual ~HttpHandler() = default;
+  /// A thrown Error becomes its typed answer.
+  virtual Task<void> serve(HttpExchange &Each) = 0;
+};
+
+/// Accepts connections and spreads them over threads, each with its own
+/// io_context. It must outlive the threads' runs.
+class HttpServer {
+public:
+  /// \p Tls may be null. Throws Error(Unavailable) when it can't listen.
+  HttpServer(std::span<net::io_context *const> Threads, const Address &Listen,
+             HttpSettings Values, HttpHandler &Handler, net::ssl::context *Tls);
+
+  /// The port it got; for tests that listen at port 0.
+  std::uint16_t port() const { return this->Acceptor.local_endpoint().port(); }
+
+  /// Accepts no more connections. On any thread.
+  void stop();
+
+  std::uint64_t connections() const { return this->Open.load(); }
+  std::uint64_t bodyBytes() const { return this->Bodies.taken(); }
+
+private:
+  Task<void> acceptAll();
+  Task<void> serveConnection(std::shared_ptr<Connection> Peer);
+  /// Serves one request; false: the connection ends.
+  Task<bool> serveOne(std::shared_ptr<Connection> Peer);
+  Task<bool> serveBody(std::shared_ptr<Connection> Peer,
+                       Connection::Parser &Parser);
+  Task<bool> serveRequest(std::shared_ptr<Connection> Peer,
+                          HttpExchange::Request Asked);
+  Task<void> refuse(Connection &Peer, HttpAnswer Given);
+
+  std::vector<net::io_context *> Threads;
+  HttpSettings Values;
+  HttpHandler &Handler;
+  net::ssl::context *Tls;
+  Tcp::acceptor Acceptor;
+  BodyBudget Bodies;
+  std::atomic<std::uint64_t> Open = 0;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/peers/PeerNetwork.cpp
@@ -0,0 +1,212 @@
+#include "peers/PeerNetwork.h"
+
+#include "base/Error.h"
+#include "wire/PeerCodec.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <zmq_addon.hpp>
+
+namespace banyanpick {
+
+namespace {
+
+/// How soon a lost connection is tried again, at first and at most.
+constexpr milliseconds ReconnectFirst(100);
+constexpr milliseconds ReconnectMost(1000);
+constexpr milliseconds HandshakeTimeout(2000);
+
+/// Messages taken in before the other sockets get their turn.
+constexpr int MessagesPerTurn = 256;
+
+/// Messages that other threads may leave before more are dropped.
+constexpr std::size_t MostWaiting = 65536;
+
+int inMilliseconds(milliseconds Value) {
+  return static_cast<int>(Value.count());
+}
+
+std::string endpointText(const Address &At) {
+  const bool IsIpv6 = At.Ip.find(':') != std::string::npos;
+  const std::string Ip = IsIpv6 ? "[" + At.Ip + "]" : At.Ip;
+  return "tcp://" + Ip + ":" + std::to_string(At.Port);
+}
+
+} // namespace
+
+PeerNetwork::PeerNetwork(HostId SelfGiven, Incarnation LifeGiven,
+                         const Address &Listen, PeerSettings ValuesGiven,
+                         Listener TellGiven)
+    : Self(std::move(SelfGiven)), Life(LifeGiven),
+      Values(std::move(ValuesGiven)), Tell(std::move(TellGiven)),
+      Gate(this->Context, this->Values.Allowed),
+      Router(this->Context, zmq::socket_type::router),
+      WakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+  this->bind(Listen);
+  this->Thread = std::thread([this] { this->run(); });
+}
+
+PeerNetwork::~PeerNetwork() {
+  {
+    const std::lock_guard Lock(this->Guard);
+    this->Stopping = true;
+  }
+  this->wake();
+  this->Thread.join();
+  close(this->WakeDescriptor);
+}
+
+void PeerNetwork::bind(const Address &Listen) {
+  zmq::socket_t &Socket = this->Router;
+  Socket.set(zmq::sockopt::linger, 0);
+  Socket.set(zmq::sockopt::curve_server, true);
+  Socket.set(zmq::sockopt::curve_secretkey, this->Values.Own.SecretKey);
+  Socket.set(zmq::sockopt::zap_domain, "banyanpick");
+  Socket.set(zmq::sockopt::maxmsgsize,
+             static_cast<std::int64_t>(this->Values.MaxMessageBytes));
+  Socket.set(zmq::sockopt::rcvhwm,
+             static_cast<int>(this->Values.QueueMessages));
+  Socket.set(zmq::sockopt::handshake_ivl, inMilliseconds(HandshakeTimeout));
+  Socket.set(zmq::sockopt::ipv6, Listen.Ip.find(':') != std::string::npos);
+  try {
+    Socket.bind(endpointText(Listen));
+  } catch (const zmq::error_t &Failure) {
+    throw Error(ErrorKind::Unavailable,
+                "can't listen for peers at " + endpointText(Listen) + ": " +
+                    Failure.what(),
+                "give another address or end what listens there");
+  }
+}
+
+std::uint16_t PeerNetwork::port() const {
+  const std::string At = this->Router.get(zmq::sockopt::last_endpoint);
+  return static_cast<std::uint16_t>(std::stoul(At.substr(At.rfind(':') + 1)));
+}
+
+void PeerNetwork::connect(std::vector<HostListing> Peers) {
+  {
+    const std::lock_guard Lock(this->Guard);
+    this->NewPeers = std::move(Peers);
+  }
+  this->wake();
+}
+
+void PeerNetwork::send(const HostId &To, PeerMessageBody Body) {
+  std::string Bytes =
+      encodePeerMessage({this->Self, this->Life, std::move(Body)});
+  {
+    const std::lock_guard Lock(this->Guard);
+    if (this->Waiting.size() >= MostWaiting)
+      return;
+    this->Waiting.push_back({To, std::move(Bytes)});
+  }
+  this->wake();
+}
+
+void PeerNetwork::wake() {
+  const std::uint64_t One = 1;
+  // Fails only when the counter is full; then the thread wakes anyway.
+  [[maybe_unused]] const auto Ignored =
+      write(this->WakeDescriptor, &One, sizeof(One));
+}
+
+void PeerNetwork::run() {
+  for (;;) {
+    std::array<zmq::pollitem_t, 3> Items{
+        {{this->Gate.socket().handle(), 0, ZMQ_POLLIN, 0},
+         {this->Router.handle(), 0, ZMQ_POLLIN, 0},
+         {nullptr, this->WakeDescriptor, ZMQ_POLLIN, 0}}};
+    zmq::poll(Items, milliseconds(-1));
+    this->Gate.answerAll();
+    this->receiveAll();
+    this->takeCommands();
+    const std::lock_guard Lock(this->Guard);
+    if (this->Stopping)
+      return;
+  }
+}
+
+void PeerNetwork::takeCommands() {
+  std::uint64_t Count = 0;
+  [[maybe_unused]] const auto Ignored =
+      read(this->WakeDescriptor, &Count, sizeof(Count));
+  std::vector<Outgoing> Messages;
+  std::optional<std::vector<HostListing>> Peers;
+  {
+    const std::lock_guard Lock(this->Guard);
+    Messages.swap(this->Waiting);
+    Peers.swap(this->NewPeers);
+  }
+  if (Peers)
+    this->connectTo(*Peers);
+  for (const Outgoing &Each : Messages) {
+    const auto Found = this->Links.find(Each.To);
+    if (Found != this->Links.end())
+      Found->second.Socket.send(zmq::buffer(Each.Bytes),
+                                zmq::send_flags::dontwait);
+  }
+}
+
+void PeerNetwork::receiveAll() {
+  for (int Count = 0; Count < MessagesPerTurn; ++Count) {
+    std::vector<zmq::message_t> Frames;
+    if (!zmq::recv_multipart(this->Router, std::back_inserter(Frames),
+                             zmq::recv_flags::dontwait))
+      return;
+    constexpr std::size_t WantedFrames = 2; // The connection's id, the message.
+    if (Frames.size() == WantedFrames)
+      this->take(Frames.back());
+    else
+      this->Tell.OnMalformed("not one frame");
+  }
+}
+
+void PeerNetwork::take(zmq::message_t &Payload) {
+  try {
+    PeerMessage Message = decodePeerMessage(Payload.to_string_view());
+    const std::string_view User = Payload.gets("User-Id");
+    if (User != AnyHost && User != Message.From.Value)
+      throw Error(ErrorKind::NotAllowed, "the sender's key is another host's",
+                  "give each host its own key pair");
+    this->Tell.OnMessage(std::move(Message));
+  } catch (const Error &Failure) {
+    this->Tell.OnMalformed(Failure.what());
+  }
+}
+
+void PeerNetwork::connectTo(std::span<const HostListing> Peers) {
+  std::map<HostId, const HostListing *> Wanted;
+  for (const HostListing &Each : Peers)
+    if (Each.Id != this->Self)
+      Wanted[Each.Id] = &Each;
+  std::erase_if(this->Links, [&](const auto &Each) {
+    const auto Found = Wanted.find(Each.first);
+    return Found == Wanted.end() || Found->second->Peers != Each.second.At;
+  });
+  for (const auto &[Host, Listing] : Wanted)
+    if (!this->Links.contains(Host))
+      this->Links.emplace(Host, Link{Listing->Peers, this->makeLink(*Listing)});
+}
+
+zmq::socket_t PeerNetwork::makeLink(const HostListing &Peer) {
+  zmq::socket_t Socket(this->Context, zmq::socket_type::dealer);
+  const std::string ServerKey =
+      this->Values.Allowed.keyOf(Peer.Id).value_or(this->Values.Own.PublicKey);
+  Socket.set(zmq::sockopt::linger, 0);
+  Socket.set(zmq::sockopt::immediate, true);
+  Socket.set(zmq::sockopt::sndhwm,
+             static_cast<int>(this->Values.QueueMessages));
+  Socket.set(zmq::sockopt::curve_serverkey, ServerKey);
+  Socket.set(zmq::sockopt::curve_publickey, this->Values.Own.PublicKey);
+  Socket.set(zmq::sockopt::curve_secretkey, this->Values.Own.SecretKey);
+  Socket.set(zmq::sockopt::reconnect_ivl, inMilliseconds(ReconnectFirst));
+  Socket.set(zmq::sockopt::reconnect_ivl_max, inMilliseconds(ReconnectMost));
+  Socket.set(zmq::sockopt::handshake_ivl, inMilliseconds(HandshakeTimeout));
+  Socket.set(zmq::sockopt::heartbeat_ivl, inMilliseconds(ReconnectMost));
+  Socket.set(zmq::sockopt::heartbeat_timeout, inMilliseconds(HandshakeTimeout));
+  Socket.set(zmq::sockopt::ipv6, Peer.Peers.Ip.find(':') != std::string::npos);
+  Socket.connect(endpointText(Peer.Peers));
+  return Socket;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/peers/PeerNetwork.h
@@ -0,0 +1,77 @@
+/// \file
+/// Messages between entry hosts: ZeroMQ ROUTER and DEALER with CURVE.
+#pragma once
+
+#include "kernel/Action.h"
+#include "peers/PeerSettings.h"
+#include "peers/ZapGate.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace banyanpick {
+
+/// Everything may be lost: what can't be sent at once is dropped. All sockets
+/// live on a thread of their own; the public members are safe from any.
+class PeerNetwork {
+public:
+  /// Called on the network's thread.
+  struct Listener {
+    std::function<void(PeerMessage)> OnMessage;
+    std::function<void(std::string_view Why)> OnMalformed;
+  };
+
+  /// Throws Error(Unavailable) when it can't listen.
+  PeerNetwork(HostId Self, Incarnation Life, const Address &Listen,
+              PeerSettings Values, Listener Tell);
+  ~PeerNetwork();
+  PeerNetwork(const PeerNetwork &) = delete;
+  PeerNetwork &operator=(const PeerNetwork &) = delete;
+
+  /// The peers that exist from now on; others are disconnected.
+  void connect(std::vector<HostListing> Peers);
+  void send(const HostId &To, PeerMessageBody Body);
+
+  /// The port it got; for tests that listen at port 0.
+  std::uint16_t port() const;
+
+private:
+  struct Link {
+    Address At;
+    zmq::socket_t Socket;
+  };
+  struct Outgoing {
+    HostId To;
+    std::string Bytes;
+  };
+
+  void bind(const Address &Listen);
+  void run();
+  void takeCommands();
+  void receiveAll();
+  void take(zmq::message_t &Payload);
+  void connectTo(std::span<const HostListing> Peers);
+  zmq::socket_t makeLink(const HostListing &Peer);
+  void wake();
+
+  const HostId Self;
+  const Incarnation Life;
+  const PeerSettings Values;
+  const Listener Tell;
+  zmq::context_t Context;
+  ZapGate Gate;
+  zmq::socket_t Router;
+  std::map<HostId, Link> Links;
+  int WakeDescriptor = -1;
+
+  std::mutex Guard; ///< Of the members below.
+  std::vector<Outgoing> Waiting;
+  std::optional<std::vector<HostListing>> NewPeers;
+  bool Stopping = false;
+
+  std::thread Thread; ///< Last, so that it sees all the others.
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/platform/EngineAttempt.cpp
@@ -0,0 +1,205 @@
+#include "platform/EngineAttempt.h"
+
+#include "http/AddressText.h"
+#include "http/BoundedJson.h"
+#include "platform/JsonField.h"
+
+#include <fmt/format.h>
+
+namespace banyanpick {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t LargestChunk = 1024 * 1024;
+constexpr std::size_t LargestRefusal = 64 * 1024;
+constexpr unsigned Ok = 200;
+constexpr unsigned Unavailable = 503;
+/// How long past the deadline a connection is kept: the kernel cancels first.
+constexpr seconds DeadlineGrace(2);
+constexpr milliseconds ProbeTimeout(250);
+
+AttemptRefused::Why refusalFrom(std::string_view Text) {
+  using Why = AttemptRefused::Why;
+  if (Text == "busy")
+    return Why::Busy;
+  if (Text == "leaving")
+    return Why::Leaving;
+  if (Text == "no-model")
+    return Why::NoModel;
+  return Text == "no-memory" ? Why::NoMemory : Why::Other;
+}
+
+/// Whether nothing listens there any more.
+Task<bool> isGone(net::any_io_executor Executor, Address At) {
+  beast::tcp_stream Probe(Executor);
+  Probe.expires_after(ProbeTimeout);
+  ErrorCode Failure;
+  co_await Probe.async_connect(endpointOf(At), into(Failure));
+  co_return Failure == net::error::connection_refused;
+}
+
+} // namespace
+
+std::vector<std::pair<std::string, std::string>>
+attemptHeaders(const DispatchAttempt &Wanted, const HostId &Self) {
+  std::vector<std::pair<std::string, std::string>> Result{
+      {"Content-Type", "application/json"},
+      {"X-Attempt", idText(Wanted.Attempt)},
+      {"X-Owner", Self.Value},
+      {"X-Deadline", std::to_string(toMilliseconds(Wanted.Deadline))},
+      {"X-Priority", std::to_string(Wanted.Priority)}};
+  std::string Holds;
+  for (const HoldId &Each : Wanted.Holds)
+    Holds += (Holds.empty() ? "" : ",") + idText(Each);
+  if (!Holds.empty())
+    Result.emplace_back("X-Holds", Holds);
+  return Result;
+}
+
+AttemptOutcome outcomeOfStatus(unsigned Status, std::string_view Body,
+                               std::uint64_t NextIndex) {
+  if (Status != Unavailable)
+    return AttemptFailed{fmt::format("status {}", Status)};
+  try {
+    const std::string Reason = readingJson([&] {
+      return parseBoundedJson(Body).at("refused").get<std::string>();
+    });
+    return AttemptRefused{refusalFrom(Reason)};
+  } catch (const Error &) {
+    // Something between may have said it after the upstream began.
+    return AttemptBroken{NextIndex, false};
+  }
+}
+
+EngineAttempt::EngineAttempt(const net::any_io_executor &Executor,
+                             DispatchAttempt WantedGiven,
+                             const HostId &SelfGiven,
+                             const PlatformSettings &Values)
+    : Wanted(std::move(WantedGiven)), Self(SelfGiven), Values(Values),
+      Stream(this->Wanted.AttachTo.value_or(this->Wanted.Attempt)),
+      Assembler(idText(this->Stream), this->Wanted.NextIndex),
+      Link(Executor, LargestChunk) {}
+
+void EngineAttempt::cancel() {
+  this->Cancelled = true;
+  this->Link.cancel();
+}
+
+ClientRequest EngineAttempt::requestFor(std::string_view Prompt) const {
+  ClientRequest Result;
+  Result.Headers = attemptHeaders(this->Wanted, this->Self);
+  if (this->Wanted.AttachTo) {
+    Result.Target = fmt::format("/v1/streams/{}?from={}", idText(this->Stream),
+                                this->Wanted.NextIndex);
+    return Result;
+  }
+  Result.Method = http::verb::post;
+  Result.Target = "/v1/completions";
+  Result.Body = dumpJson({{"model", this->Wanted.TargetName},
+                          {"prompt", Prompt},
+                          {"max_tokens", this->Wanted.MaxOutputTokens},
+                          {"start_index", this->Wanted.NextIndex}});
+  return Result;
+}
+
+Task<AttemptOutcome> EngineAttempt::run(std::string_view Prompt,
+                                        ChunkSink &Into, Time Now) {
+  const Duration Left = std::max<Duration>(this->Wanted.Deadline - Now, {});
+  const auto Failure = co_await this->Link.open(
+      this->Wanted.At, this->requestFor(Prompt), this->Values.ConnectTimeout,
+      Left + DeadlineGrace);
+  if (Failure && surelyNotSent(*Failure))
+    co_return AttemptNeverSent{};
+  if (Failure)
+    co_return co_await this->broken(*Failure);
+  if (this->Link.status() != Ok)
+    co_return co_await this->readRefusal();
+  co_return co_await this->readStream(Into);
+}
+
+Task<AttemptOutcome> EngineAttempt::readRefusal() {
+  const auto [Body, Whole] = co_await this->Link.readRest(LargestRefusal);
+  if (!Whole)
+    co_return AttemptBroken{this->Assembler.nextIndex(), false};
+  co_return outcomeOfStatus(this->Link.status(), Body,
+                            this->Assembler.nextIndex());
+}
+
+Task<AttemptOutcome> EngineAttempt::readStream(ChunkSink &Into) {
+  std::vector<ServerEvent> Events;
+  auto State = ClientStream::ReadState::GoesOn;
+  while (State == ClientStream::ReadState::GoesOn) {
+    Events.clear();
+    bool Malformed = false;
+    try {
+      State = co_await this->Link.readEvents(Events);
+    } catch (const Error &) {
+      Malformed = true;
+    }
+    if (Malformed)
+      co_return AttemptBroken{this->Assembler.nextIndex(), false};
+    for (const ServerEvent &Each : Events) {
+      auto Decided = co_await this->takeEvent(Each, Into);
+      if (Decided)
+        co_return std::move(*Decided);
+    }
+  }
+  const bool Cut = State == ClientStream::ReadState::Cut;
+  co_return co_await this->broken(Cut ? this->Link.failure()
+                                      : ClientFailure::Lost);
+}
+
+Task<std::optional<AttemptOutcome>>
+EngineAttempt::takeEvent(const ServerEvent &Each, ChunkSink &Into) {
+  using Verdict = StreamAssembler::Verdict;
+  const json Data = json::parse(Each.Data, nullptr, false);
+  const AttemptBroken Broken{this->Assembler.nextIndex(), false};
+  if (!Data.is_object())
+    co_return Broken;
+  auto Result = Verdict::Broken;
+  std::string Text;
+  std::string Failed;
+  bool Malformed = false;
+  std::uint64_t Index = 0;
+  try {
+    const std::string Attempt = textMember(Data, "attempt");
+    if (Each.Type == "error" && Attempt == idText(this->Stream)) {
+      Failed = Data.value("message", std::string());
+      if (Failed.empty())
+        Failed = "no reason given";
+    } else if (Each.Type == "end") {
+      Index = Data.at("count").get<std::uint64_t>();
+      Result = this->Assembler.takeEnd(Attempt, Index);
+    } else if (Each.Type.empty()) {
+      Index = Data.at("index").get<std::uint64_t>();
+      Text = textMember(Data, "text");
+      Result = this->Assembler.takeChunk(Attempt, Index);
+    } else {
+      Result = Verdict::Drop;
+    }
+  } catch (const json::exception &) {
+    Malformed = true;
+  }
+  if (!Failed.empty())
+    co_return AttemptFailed{Failed};
+  if (Malformed || Result == Verdict::Broken)
+    co_return Broken;
+  if (Result == Verdict::Whole)
+    co_return AttemptComplete{Index, ""};
+  if (Result == Verdict::Deliver)
+    co_await Into.take(Index, std::move(Text));
+  co_return std::nullopt;
+}
+
+Task<AttemptOutcome> EngineAttempt::broken(ClientFailure How) {
+  bool Died = How == ClientFailure::Reset;
+  if (!Died && !this->Cancelled) {
+    const net::any_io_executor Executor = co_await net::this_coro::executor;
+    Died = co_await isGone(Executor, this->Wanted.At);
+  }
+  co_return AttemptBroken{this->Assembler.nextIndex(), Died};
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/platform/JsonField.h
@@ -0,0 +1,39 @@
+/// \file
+/// Members of JSON documents from other services, read with their types.
+#pragma once
+
+#include "base/Error.h"
+#include "platform/IdText.h"
+
+#include <nlohmann/json.hpp>
+
+namespace banyanpick {
+
+/// Runs \p Read and turns the errors of the JSON library into
+/// Error(BadInput): a member is missing or has another type.
+template <class Function> auto readingJson(Function Read) {
+  try {
+    return Read();
+  } catch (const nlohmann::json::exception &Failure) {
+    throw Error(ErrorKind::BadInput,
+                std::string("a JSON member is not as agreed: ") +
+                    Failure.what(),
+                "see docs/PROTOCOLS.md");
+  }
+}
+
+/// A number written in hexadecimal.
+inline std::uint64_t hexMember(const nlohmann::json &Of, const char *Name) {
+  const auto Value = fromHex(Of.at(Name).get_ref<const std::string &>());
+  if (!Value)
+    throw Error(ErrorKind::BadInput,
+                std::string(Name) + " is not a hexadecimal number",
+                "see docs/PROTOCOLS.md");
+  return *Value;
+}
+
+inline std::string textMember(const nlohmann::json &Of, const char *Name) {
+  return Of.at(Name).get<std::string>();
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/platform/LogClient.cpp
@@ -0,0 +1,145 @@
+#include "platform/LogClient.h"
+
+#include "http/BoundedJson.h"
+#include "platform/HostListJson.h"
+#include "platform/JsonField.h"
+#include "wire/LogCodec.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <sodium.h>
+
+namespace banyanpick {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t LargestAnswer = 256 * 1024 * 1024;
+constexpr unsigned Ok = 200;
+constexpr unsigned Unavailable = 503;
+
+std::string fromBase64(const std::string &Text) {
+  std::string Bytes(Text.size(), '\0');
+  std::size_t Size = 0;
+  const int Failure =
+      sodium_base642bin(reinterpret_cast<unsigned char *>(Bytes.data()),
+                        Bytes.size(), Text.data(), Text.size(), nullptr, &Size,
+                        nullptr, sodium_base64_VARIANT_ORIGINAL);
+  if (Failure != 0)
+    throw Error(ErrorKind::BadInput, "a record is not in base64",
+                "see docs/PROTOCOLS.md");
+  Bytes.resize(Size);
+  return Bytes;
+}
+
+void addRecords(const json &Given, LogRead &Into) {
+  const LogOffset Offset = Given.at("offset").get<LogOffset>();
+  Into.NextOffset = std::max(Into.NextOffset, Offset + 1);
+  std::vector<LogRecord> Records;
+  try {
+    Records = decodeLogBatch(fromBase64(textMember(Given, "bytes")));
+  } catch (const Error &) {
+    return; // Not ours, or of a later release; every host passes over it.
+  }
+  std::uint32_t Position = 0;
+  for (LogRecord &Each : Records)
+    Into.Records.push_back({Offset, Position++, std::move(Each)});
+}
+
+const ClientAnswer *successOf(const ClientResult &Result) {
+  const auto *Answer = std::get_if<ClientAnswer>(&Result);
+  return Answer && Answer->Status == Ok ? Answer : nullptr;
+}
+
+} // namespace
+
+AppendAnswered appendAnswerFrom(const AppendId &Append,
+                                const ClientResult &Result) {
+  const AppendAnswered Unknown{Append, AppendResult::Unknown, 0};
+  if (const auto *Failure = std::get_if<ClientFailure>(&Result))
+    return surelyNotSent(*Failure)
+               ? AppendAnswered{Append, AppendResult::Refused, 0}
+               : Unknown;
+  const auto &Answer = std::get<ClientAnswer>(Result);
+  if (Answer.Status == Unavailable)
+    return {Append, AppendResult::Refused, 0};
+  if (Answer.Status != Ok)
+    return Unknown;
+  try {
+    return readingJson([&] {
+      const auto Offset =
+          parseBoundedJson(Answer.Body).at("offset").get<LogOffset>();
+      return AppendAnswered{Append, AppendResult::Taken, Offset};
+    });
+  } catch (const Error &) {
+    return Unknown;
+  }
+}
+
+LogRead logReadFrom(std::string_view Body, LogOffset FromOffset) {
+  return readingJson([&] {
+    const json Given = parseBoundedJson(Body);
+    LogRead Result;
+    Result.FromOffset = FromOffset;
+    Result.StartOffset = Given.at("start").get<LogOffset>();
+    Result.EndOffset = Given.at("end").get<LogOffset>();
+    Result.NextOffset = std::max(FromOffset, Result.StartOffset);
+    for (const json &Each : Given.at("records"))
+      addRecords(Each, Result);
+    return Result;
+  });
+}
+
+LogClient::LogClient(const net::any_io_executor &Executor,
+                     PlatformSettings ValuesGiven)
+    : Values(std::move(ValuesGiven)), Client(Executor, LargestAnswer) {}
+
+Task<Event> LogClient::append(AppendToLog Wanted) {
+  ClientRequest Request;
+  Request.Method = http::verb::post;
+  Request.Target = "/log";
+  Request.Headers.emplace_back("Content-Type", "application/octet-stream");
+  Request.Body = encodeLogBatch(Wanted.Records);
+  // A fresh connection: on a kept one a lost answer would be likelier.
+  const ClientResult Result = co_await this->Client.call(
+      this->Values.Log, std::move(Request), this->Values.LogTimeout,
+      HttpClient::Reuse::No);
+  co_return appendAnswerFrom(Wanted.Append, Result);
+}
+
+Task<Event> LogClient::read(ReadLog Wanted) {
+  ClientRequest Request;
+  const auto WaitMs =
+      std::chrono::duration_cast<milliseconds>(this->Values.LogWait).count();
+  Request.Target =
+      fmt::format("/log?from={}&wait_ms={}", Wanted.FromOffset, WaitMs);
+  const ClientResult Result = co_await this->Client.call(
+      this->Values.Log, std::move(Request),
+      this->Values.LogTimeout + this->Values.LogWait);
+  const ClientAnswer *Answer = successOf(Result);
+  if (!Answer)
+    co_return LogReadFailed{};
+  try {
+    co_return logReadFrom(Answer->Body, Wanted.FromOffset);
+  } catch (const Error &) {
+    co_return LogReadFailed{};
+  }
+}
+
+Task<Event> LogClient::readHostList() {
+  ClientRequest Request;
+  Request.Target = "/hosts";
+  const ClientResult Result = co_await this->Client.call(
+      this->Values.HostList, std::move(Request), this->Values.HostListTimeout);
+  const ClientAnswer *Answer = successOf(Result);
+  if (!Answer)
+    co_return HostListReadFailed{};
+  try {
+    co_return hostListFromJson(Answer->Body);
+  } catch (const Error &) {
+    co_return HostListReadFailed{};
+  }
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/platform/PlatformSettings.h
@@ -0,0 +1,29 @@
+/// \file
+/// Where the platform's services are and how long they are waited for.
+#pragma once
+
+#include "kernel/Upstream.h"
+#include "settings/Settings.h"
+
+#include <vector>
+
+namespace banyanpick {
+
+struct PlatformSettings {
+  Address Log;
+  Address HostList;
+  Duration LogTimeout{};
+  Duration LogWait{};
+  Duration HostListTimeout{};
+  Duration ConnectTimeout{}; ///< To an upstream.
+  Duration PollTimeout{};
+  Duration OrderTimeout{};
+};
+
+/// The settings of sections [platform] and [upstreams].
+std::vector<SettingDeclaration> platformSettingDeclarations();
+
+/// Throws Error(BadInput) when an address is malformed.
+PlatformSettings platformSettings(const Settings &Values);
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/platform/UpstreamClient.cpp
@@ -0,0 +1,180 @@
+#include "platform/UpstreamClient.h"
+
+#include "base/Visitor.h"
+#include "http/BoundedJson.h"
+#include "platform/JsonField.h"
+#include "platform/LoadReportJson.h"
+
+#include <fmt/format.h>
+
+namespace banyanpick {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t LargestAnswer = 16 * 1024 * 1024;
+constexpr unsigned Ok = 200;
+constexpr unsigned Conflict = 409;
+constexpr unsigned PreconditionFailed = 412;
+
+bool succeeded(const ClientResult &Result) {
+  const auto *Answer = std::get_if<ClientAnswer>(&Result);
+  return Answer && Answer->Status == Ok;
+}
+
+bool hasStatus(const ClientResult &Result, unsigned Status) {
+  const auto *Answer = std::get_if<ClientAnswer>(&Result);
+  return Answer && Answer->Status == Status;
+}
+
+ClientRequest requestWithJson(http::verb Method, std::string Target,
+                              const json &Body) {
+  ClientRequest Result;
+  Result.Method = Method;
+  Result.Target = std::move(Target);
+  Result.Headers.emplace_back("Content-Type", "application/json");
+  Result.Body = dumpJson(Body);
+  return Result;
+}
+
+json orderJson(const OrderUpstream &Order) {
+  json Result{{"order", idText(Order.Order)}, {"fencing", Order.Fencing}};
+  match(
+      Order.Body,
+      [&](const LoadModel &Body) {
+        Result["action"] = "load";
+        Result["model"] = Body.Model.Value;
+        Result["weights"] = Body.Weights;
+      },
+      [&](const UnloadModel &Body) {
+        Result["action"] = "unload";
+        Result["model"] = Body.Model.Value;
+      },
+      [&](const ChangeRole &Body) {
+        Result["action"] = "role";
+        Result["takes_long"] = Body.TakesLong;
+      });
+  return Result;
+}
+
+LogOffset highestFencing(const ClientResult &Result) {
+  try {
+    return readingJson([&] {
+      return parseBoundedJson(std::get<ClientAnswer>(Result).Body)
+          .at("highest_fencing")
+          .get<LogOffset>();
+    });
+  } catch (const Error &) {
+    return 0;
+  }
+}
+
+OrderResult orderResult(const ClientResult &Result) {
+  if (const auto *Failure = std::get_if<ClientFailure>(&Result))
+    return surelyNotSent(*Failure) ? OrderResult::Failed : OrderResult::Unknown;
+  if (succeeded(Result))
+    return OrderResult::Accepted;
+  return hasStatus(Result, PreconditionFailed) ? OrderResult::RefusedFencing
+                                               : OrderResult::Failed;
+}
+
+HoldResult holdResult(const ClientResult &Result) {
+  if (succeeded(Result))
+    return HoldResult::Granted;
+  const auto *Failure = std::get_if<ClientFailure>(&Result);
+  const bool Refused =
+      hasStatus(Result, Conflict) || (Failure && surelyNotSent(*Failure));
+  return Refused ? HoldResult::Refused : HoldResult::Unknown;
+}
+
+} // namespace
+
+UpstreamClient::UpstreamClient(const net::any_io_executor &Executor,
+                               HostId SelfGiven, PlatformSettings ValuesGiven)
+    : Self(std::move(SelfGiven)), Values(std::move(ValuesGiven)),
+      Client(Executor, LargestAnswer) {}
+
+Task<Event> UpstreamClient::pollLoad(PollLoad Wanted) {
+  ClientRequest Request;
+  Request.Target = "/load";
+  const ClientResult Result = co_await this->Client.call(
+      Wanted.At, std::move(Request), this->Values.PollTimeout);
+  const auto *Failure = std::get_if<ClientFailure>(&Result);
+  const bool Refused = Failure && *Failure == ClientFailure::NothingListens;
+  if (!succeeded(Result))
+    co_return LoadPollFailed{Wanted.Upstream, Refused};
+  try {
+    LoadReport Report = loadReportFromJson(std::get<ClientAnswer>(Result).Body);
+    // Something else listens at a re-used address.
+    if (Report.Id != Wanted.Upstream)
+      co_return LoadPollFailed{Wanted.Upstream, true};
+    co_return LoadReported{std::move(Report)};
+  } catch (const Error &) {
+    co_return LoadPollFailed{Wanted.Upstream, false};
+  }
+}
+
+Task<std::optional<Event>>
+UpstreamClient::pollCacheEvents(PollCacheEvents Wanted) {
+  ClientRequest Request;
+  Request.Target = fmt::format("/cache-events?after={}", Wanted.AfterSequence);
+  const ClientResult Result = co_await this->Client.call(
+      Wanted.At, std::move(Request), this->Values.PollTimeout);
+  if (!succeeded(Result))
+    co_return std::nullopt;
+  try {
+    co_return Event(cacheEventsFromJson(std::get<ClientAnswer>(Result).Body,
+                                        Wanted.Upstream));
+  } catch (const Error &) {
+    co_return std::nullopt;
+  }
+}
+
+Task<Event> UpstreamClient::cancel(CancelAttempt Wanted, AttemptId Stream) {
+  ClientRequest Request;
+  Request.Method = http::verb::delete_;
+  Request.Target = "/v1/streams/" + idText(Stream);
+  const ClientResult Result = co_await this->Client.call(
+      Wanted.At, std::move(Request), this->Values.OrderTimeout);
+  co_return CancelAnswered{Wanted.Attempt, Wanted.Upstream, succeeded(Result)};
+}
+
+Task<Event> UpstreamClient::takeHold(TakeHold Wanted) {
+  const json Body{{"tokens", Wanted.Tokens},
+                  {"deadline", toMilliseconds(Wanted.Deadline)},
+                  {"owner", this->Self.Value}};
+  const ClientResult Result = co_await this->Client.call(
+      Wanted.At,
+      requestWithJson(http::verb::put, "/holds/" + idText(Wanted.Hold), Body),
+      this->Values.OrderTimeout);
+  co_return HoldAnswered{Wanted.Hold, Wanted.Upstream, holdResult(Result)};
+}
+
+Task<void> UpstreamClient::releaseHold(ReleaseHold Wanted) {
+  ClientRequest Request;
+  Request.Method = http::verb::delete_;
+  Request.Target = "/holds/" + idText(Wanted.Hold);
+  const ClientResult Ignored = co_await this->Client.call(
+      Wanted.At, std::move(Request), this->Values.OrderTimeout);
+  static_cast<void>(Ignored);
+}
+
+Task<Event> UpstreamClient::order(OrderUpstream Wanted, Time Now) {
+  const Duration Left =
+      std::min<Duration>(this->Values.OrderTimeout, Wanted.ValidUntil - Now);
+  if (Left <= Duration(0))
+    co_return OrderAnswered{Wanted.Order, Wanted.Upstream, OrderResult::Failed,
+                            0};
+  // A fresh connection: nothing of the order may wait in an old one.
+  const ClientResult Result = co_await this->Client.call(
+      Wanted.At,
+      requestWithJson(http::verb::post, "/orders", orderJson(Wanted)), Left,
+      HttpClient::Reuse::No);
+  const OrderResult How = orderResult(Result);
+  const LogOffset Highest =
+      How == OrderResult::RefusedFencing ? highestFencing(Result) : 0;
+  co_return OrderAnswered{Wanted.Order, Wanted.Upstream, How, Highest};
+}
+
+} // namespace banyanpick
