--- /dev/null
+++ b/tests/auto/kernel/PluginListTest.cpp
@@ -0,0 +1,47 @@
+/// \file
+/// Static registration loses nothing: the plug-ins linked are those declared.
+#include "kernel/PluginRegistry.h"
+#include "settings/SettingValue.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+
+namespace banyanpick {
+namespace {
+
+TEST(PluginListTest, EveryPlugInIsLinkedAndNoOther) {
+  const std::set<std::string> Declared = {
+      "admission", "catalogue", "claims",      "drain",      "fairness",
+      "fleet",     "groups",    "limits",      "log",        "membership",
+      "operators", "orders",    "prefixcache", "quarantine", "reclaim",
+      "requests",  "resolve",   "retry",       "routing"};
+  std::set<std::string> Linked;
+  for (const PluginDescription &Each : registeredPlugins())
+    EXPECT_TRUE(Linked.emplace(Each.Name).second)
+        << Each.Name << " is registered twice";
+  EXPECT_EQ(Linked, Declared);
+}
+
+TEST(PluginListTest, EachComesAfterThoseItDependsOn) {
+  std::set<std::string_view> Before;
+  for (const PluginDescription &Each : registeredPlugins()) {
+    for (const std::string_view Needed : Each.Dependencies)
+      EXPECT_TRUE(Before.contains(Needed)) << Each.Name << " before " << Needed;
+    Before.insert(Each.Name);
+  }
+}
+
+TEST(PluginListTest, EverySettingHasAValidDefault) {
+  for (const SettingDeclaration &Each : pluginSettings()) {
+    EXPECT_FALSE(Each.Help.empty()) << Each.Section << "." << Each.Key;
+    if (Each.Required || Each.Kind == SettingKind::Text)
+      continue;
+    EXPECT_EQ(problemWith(Each, Each.Default), "")
+        << Each.Section << "." << Each.Key;
+  }
+}
+
+} // namespace
+} // namespace banyanpick
--- a/tests/auto/scenarios/ScenariosTest.cpp
+++ b/tests/auto/scenarios/ScenariosTest.cpp
@@ -35,7 +35,8 @@
   for (const std::string &Each : Runner.failures())
     ADD_FAILURE() << Each;
   if (testing::Test::HasFailure())
-    std::cerr << Runner.trace();
+    std::cerr << "read it with: build/bin/scenario tests/scenarios/"
+              << GetParam() << ".scenario\n";
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/harness/ScenarioRunner.cpp
+++ b/tests/harness/ScenarioRunner.cpp
@@ -82,15 +82,16 @@
   this->World = std::make_unique<VirtualDeployment>(this->Options);
   this->Checker = std::make_unique<PromiseChecker>(*this->World);
   this->Beginning = this->World->now();
-  this->World->OnLogLine = [this](const std::string &Host,
-                                  const LogEvent &Line) {
-    this->Trace += fmt::format("{:10.4f} {} {} {}",
-                               inSeconds(this->World->now() - this->Beginning),
-                               Host, Line.Number, Line.Message);
-    for (const LogField &Each : Line.Fields)
-      this->Trace += fmt::format(" {}={}", Each.Key, Each.Value);
-    this->Trace += '\n';
-  };
+  if (this->Tracing)
+    this->World->OnLogLine = [this](const std::string &Host,
+                                    const LogEvent &Line) {
+      this->Trace += fmt::format(
+          "{:10.4f} {} {} {}", inSeconds(this->World->now() - this->Beginning),
+          Host, Line.Number, Line.Message);
+      for (const LogField &Each : Line.Fields)
+        this->Trace += fmt::format(" {}={}", Each.Key, Each.Value);
+      this->Trace += '\n';
+    };
   if (!this->Teams.empty())
     this->World->seedCatalogue(testCatalogue(this->Teams));
 }
@@ -246,7 +247,8 @@
 void ScenarioRunner::lose(const Statement &Is) {
   const std::string &What = Is.word(1);
   const std::string &Of = Is.word(2);
-  const auto Count = static_cast<std::uint32_t>(Is.number(Of, 1));
+  const auto Count =
+      Is.Words.size() > 3 ? static_cast<std::uint32_t>(Is.number(Of, 1)) : 1;
   if (What == "peer-messages") {
     this->World->network().Loss = std::stod(Of);
     this->World->network().Duplication = std::stod(Of);
--- a/tests/harness/ScenarioRunner.h
+++ b/tests/harness/ScenarioRunner.h
@@ -22,7 +22,9 @@
 
   /// Expectations not met and promises broken, in words.
   std::vector<std::string> failures() const;
-  /// With the log lines of all hosts, for reading a failure.
+  /// Keeps the log lines of all hosts; call it before run().
+  void keepTrace() { this->Tracing = true; }
+  std::uint64_t kernelSteps() const { return this->World->steps(); }
   const std::string &trace() const { return this->Trace; }
 
 private:
@@ -81,6 +83,7 @@
   std::map<std::string, SentChange> Changes;
   std::vector<std::string> Unmet;
   std::string Trace;
+  bool Tracing = false;
   Time Beginning{};
 };
 
--- a/tests/harness/VirtualDeployment.cpp
+++ b/tests/harness/VirtualDeployment.cpp
@@ -202,15 +202,16 @@
     this->violation("invariant broken: " + What.Label);
 }
 
-Kernel *VirtualDeployment::makeKernel(const HostListing &Listing,
-                                      Incarnation Life, std::uint64_t Seed) {
+std::unique_ptr<Kernel>
+VirtualDeployment::makeKernel(const HostListing &Listing, Incarnation Life,
+                              std::uint64_t Seed) {
   Settings Values = Settings::defaults(pluginSettings());
   for (const SettingOverride &Each : this->Options.Settings) {
     const std::string Problem = Values.set(Each.Section, Each.Key, Each.Value);
     if (!Problem.empty())
       throw Error(ErrorKind::BadInput, Problem, "mend the override");
   }
-  auto *Made = new Kernel(
+  auto Made = std::make_unique<Kernel>(
       Identity{Listing.Id, Life, Listing.Zone, Listing.Callers, Listing.Peers},
       Values, Seed);
   if (this->Options.CheckEveryEvent)
--- a/tests/harness/VirtualDeployment.h
+++ b/tests/harness/VirtualDeployment.h
@@ -109,12 +109,17 @@
   const std::map<std::string, double> &counts() const { return this->Counts; }
   /// Called for each log line; for tracing a failed run.
   std::function<void(const std::string &, const LogEvent &)> OnLogLine;
+  /// Called for each event that a kernel handled.
+  std::function<void(const VirtualHost &, const Event &, Time,
+                     const std::vector<Action> &)>
+      OnHandled;
+  /// A kernel as the hosts of this deployment get it.
+  std::unique_ptr<Kernel> makeKernel(const HostListing &Listing,
+                                     Incarnation Life, std::uint64_t Seed);
 
 private:
   friend class VirtualHost;
 
-  Kernel *makeKernel(const HostListing &Listing, Incarnation Life,
-                     std::uint64_t Seed);
   Incarnation newLife();
   void publishHostList();
 
--- a/tests/harness/VirtualHost.cpp
+++ b/tests/harness/VirtualHost.cpp
@@ -15,10 +15,11 @@
 VirtualHost::VirtualHost(VirtualDeployment &World, HostListing Listing)
     : World(World), Listing(std::move(Listing)) {}
 
-void VirtualHost::start(Incarnation NewLife, std::uint64_t Seed) {
+void VirtualHost::start(Incarnation NewLife, std::uint64_t NewSeed) {
   this->kill();
   this->Life = NewLife;
-  this->Brain.reset(this->World.makeKernel(this->Listing, NewLife, Seed));
+  this->Seed = NewSeed;
+  this->Brain = this->World.makeKernel(this->Listing, NewLife, NewSeed);
   this->deliver(Tick{});
 }
 
@@ -77,6 +78,8 @@
   ++this->World.Steps;
   const std::uint64_t Broken = this->Brain->invariantsBroken();
   auto Wanted = this->Brain->handle(What, this->World.now());
+  if (this->World.OnHandled)
+    this->World.OnHandled(*this, What, this->World.now(), Wanted);
   if (this->Brain->invariantsBroken() != Broken)
     this->World.violation("kernel of " + this->name() + " broke an invariant");
   this->scheduleWake();
--- a/tests/harness/VirtualHost.h
+++ b/tests/harness/VirtualHost.h
@@ -53,6 +53,7 @@
   bool isRunning() const { return this->Brain != nullptr; }
   bool isFrozen() const { return this->Frozen; }
   Incarnation life() const { return this->Life; }
+  std::uint64_t seed() const { return this->Seed; }
   Time thawedAt() const { return this->ThawedAt; }
   Kernel &kernel() { return *this->Brain; }
 
@@ -91,6 +92,7 @@
   HostListing Listing;
   std::unique_ptr<Kernel> Brain;
   Incarnation Life;
+  std::uint64_t Seed = 0;
   bool Frozen = false;
   Time WakeAt = Never;
   Time ThawedAt{};
