Find entry hosts by heartbeats with rumours, suspicion and refutation

Cause: membership believed the host list, which lags, and saw no death, freeze or restart. Ruled out: ordering lives by number, because lives are drawn at random; a life is therefore taken for the newer one only when it answers a heartbeat sent after it was first heard of. Ruled out: dropping the dead from heartbeats, because a cut between two halves would then never heal. Change: heartbeats to every host up to 16, to a sample beyond; beliefs of a life form a join semilattice; suspicion, refutation by a higher version, death, sticky leaving; a process that was paused accuses nobody. MembershipView tells whether a life had begun a planned stop.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -78,6 +78,16 @@
 // 5xx: hosts and upstreams
 inline constexpr EventKind CacheIndexUnsure{
     560, LogLevel::Info, "cache events missed; index unsure"};
+inline constexpr EventKind HostChanged{500, LogLevel::Info,
+                                       "entry host changed state"};
+inline constexpr EventKind HostListUnreachable{501, LogLevel::Warning,
+                                               "host list unreachable"};
+inline constexpr EventKind HostListReachable{502, LogLevel::Info,
+                                             "host list reachable"};
+inline constexpr EventKind ProcessWasPaused{503, LogLevel::Warning,
+                                            "this process was paused"};
+inline constexpr EventKind HostNameTaken{
+    504, LogLevel::Error, "another process uses this host's name"};
 
 // 6xx: placement and orders
 inline constexpr EventKind GroupTaken{660, LogLevel::Info,
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -51,8 +51,14 @@
   virtual std::span<const Member> peers() const = 0;
   /// Others that are alive and not leaving, ordered by name.
   virtual std::vector<HostId> livePeers() const = 0;
-  /// Whether a life of a host is known to be over.
+  /// Whether a life of a host is taken for over: a later life of the host
+  /// answered, or a suspicion of it ran out. In the second case it may only be
+  /// frozen or cut off, and may come back as the same life; conclude nothing
+  /// from it that would do harm then.
   virtual bool isDead(const HostId &Host, Incarnation Life) const = 0;
+  /// Whether the life is known to have begun a planned stop, over or not. Its
+  /// streams may have been handed over.
+  virtual bool hasLeft(const HostId &, Incarnation) const { return false; }
 };
 
 /// Told when what membership knows of a host has changed.
--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -1,80 +1,310 @@
 #include "plugins/membership/MembershipPlugin.h"
 
+#include "base/EventNumbers.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace banyanpick {
 
+namespace {
+
+/// A rumour rides on this many heartbeats for each doubling of the hosts.
+constexpr std::uint32_t TimesToldPerDoubling = 3;
+
+std::string_view name(MemberState State) {
+  switch (State) {
+  case MemberState::Alive:
+    return "alive";
+  case MemberState::Suspect:
+    return "suspect";
+  case MemberState::Dead:
+    return "dead";
+  case MemberState::Leaving:
+    return "leaving";
+  }
+  return "unknown";
+}
+
+} // namespace
+
 void MembershipPlugin::initialize(PluginContext &Context) {
+  const Settings &Values = Context.settings();
+  const std::string_view In = "membership";
   this->Own = Context.self();
-  this->ListInterval =
-      Context.settings().span("membership", "host_list_interval");
+  this->Offered = &Context.services();
+  this->ListInterval = Values.span(In, "host_list_interval");
+  this->BeatInterval = Values.span(In, "heartbeat_interval");
+  this->RumoursEach = Values.whole(In, "rumours_per_heartbeat");
+  const PeerTimeouts Timeouts{Values.span(In, "suspect_after"),
+                              Values.span(In, "dead_after"),
+                              Values.span(In, "forget_after")};
+  // Silence of half a suspicion's length may be our own.
+  this->PauseLimit = this->BeatInterval + Timeouts.SuspectAfter / 2;
+  this->Peers = PeerTable(this->Own, Timeouts);
+  this->Probes = ProbeRound(
+      {Values.whole(In, "full_mesh_hosts"), Values.whole(In, "fanout")},
+      Context.random());
   Context.services().provide<MembershipView>(*this);
   Context.services().list<StatusContributor>().add(*this);
 }
 
+void MembershipPlugin::start(Time, Actions &) {
+  this->Declared = this->Offered->find<CatalogueView>();
+}
+
 void MembershipPlugin::handle(const Event &What, Time Now, Actions &Out) {
   match(
       What, [&](const HostListRead &List) { this->takeList(List, Now, Out); },
-      [](const auto &) {});
-  if (Now < this->NextListRead)
-    return;
-  this->NextListRead = Now + this->ListInterval;
-  Out.add(ReadHostList{});
+      [&](const HostListReadFailed &) {
+        if (this->ListReachable)
+          Out.log(logEvent(events::HostListUnreachable).build());
+        this->ListReachable = false;
+      },
+      [&](const PeerMessageReceived &Is) {
+        if (const auto *Beat = std::get_if<Heartbeat>(&Is.Message.Body))
+          this->takeHeartbeat(Is.Message, *Beat, Now, Out);
+      },
+      [&](const StopAsked &) { this->leave(Now, Out); }, [](const auto &) {});
+  if (Now >= this->NextListRead) {
+    this->NextListRead = Now + this->ListInterval;
+    Out.add(ReadHostList{});
+  }
+  if (Now >= this->NextBeat)
+    this->beat(Now, Out);
+  this->announceChanges(Now, Out);
+}
+
+Time MembershipPlugin::nextWake() const {
+  return std::min(this->NextListRead, this->NextBeat);
+}
+
+void MembershipPlugin::checkInvariants(InvariantMonitor &Monitor, Time) const {
+  const auto Members = this->Peers.members();
+  const bool Ordered = std::ranges::is_sorted(
+      Members, {}, [](const Member &Each) { return Each.Listing.Id; });
+  Monitor.require(Ordered, "peers are ordered by name");
+  for (const Member &Each : Members)
+    Monitor.require(Each.Life == Incarnation() ||
+                        Each.State == MemberState::Dead ||
+                        !this->isDead(Each.Listing.Id, Each.Life),
+                    "no life is alive and over at once");
 }
 
 std::vector<HostId> MembershipPlugin::livePeers() const {
   std::vector<HostId> Result;
-  for (const Member &Each : this->Members)
-    if (Each.State == MemberState::Alive)
+  for (const Member &Each : this->Peers.members()) {
+    const bool Stays =
+        Each.State == MemberState::Alive || Each.State == MemberState::Suspect;
+    if (Stays && Each.Life != Incarnation())
       Result.push_back(Each.Listing.Id);
+  }
   return Result;
 }
 
-bool MembershipPlugin::isDead(const HostId &, Incarnation) const {
-  return false;
+bool MembershipPlugin::isDead(const HostId &Host, Incarnation Life) const {
+  return this->Peers.isOver(Host, Life);
+}
+
+bool MembershipPlugin::hasLeft(const HostId &Host, Incarnation Life) const {
+  return this->Peers.hasLeft(Host, Life);
 }
 
 void MembershipPlugin::contribute(StatusReport &Report, Time Now) const {
-  for (const Member &Each : this->Members)
+  Report.Hosts.push_back(
+      {this->Own.Host, this->Own.Zone,
+       this->Leaving ? MemberState::Leaving : MemberState::Alive,
+       this->Declared && this->Declared->isReady(),
+       this->Declared ? this->Declared->catalogue().offset() : 0, Duration(0)});
+  for (const Member &Each : this->Peers.members())
     Report.Hosts.push_back({Each.Listing.Id, Each.Listing.Zone, Each.State,
                             Each.Ready, Each.InForce, Now - Each.LastHeard});
 }
 
 void MembershipPlugin::takeList(const HostListRead &List, Time Now,
                                 Actions &Out) {
-  std::vector<HostListing> Peers;
-  for (const HostListing &Each : List.Hosts)
-    if (Each.Id != this->Own.Host)
-      Peers.push_back(Each);
-  std::ranges::sort(Peers, {}, &HostListing::Id);
-  const bool Same =
-      std::ranges::equal(Peers, this->Members, {}, {}, &Member::Listing);
-  if (Same)
+  if (!this->ListReachable)
+    Out.log(logEvent(events::HostListReachable).build());
+  this->ListReachable = true;
+  if (!this->Peers.takeList(List.Hosts, Now))
+    return;
+  ConnectPeers Wanted;
+  for (const Member &Each : this->Peers.members())
+    Wanted.Peers.push_back(Each.Listing);
+  Out.add(std::move(Wanted));
+  this->NextBeat = Now;
+}
+
+void MembershipPlugin::takeHeartbeat(const PeerMessage &Message,
+                                     const Heartbeat &Beat, Time Now,
+                                     Actions &Out) {
+  if (Message.From == this->Own.Host) {
+    if (Message.FromLife != this->Own.Life)
+      Out.log(logEvent(events::HostNameTaken)
+                  .with("host", this->Own.Host.Value)
+                  .build());
+    return;
+  }
+  const auto From = this->Peers.position(Message.From);
+  if (!From)
+    return; // Not in the host list yet; it will ask again.
+  this->Peers.takeHeartbeat(*From, Message.FromLife, Beat, Now);
+  for (const MemberRumour &Each : Beat.Rumours)
+    this->takeRumour(Each, Now);
+  if (!Beat.Acknowledges) {
+    this->send(*From, Beat.Sequence, Now, Out);
     return;
-  this->Members.clear();
-  for (const HostListing &Each : Peers) {
-    Member Added;
-    Added.Listing = Each;
-    Added.State = Each.Leaving ? MemberState::Leaving : MemberState::Alive;
-    Added.Ready = true;
-    Added.LastHeard = Now;
-    this->Members.push_back(Added);
   }
-  Out.add(ConnectPeers{std::move(Peers)});
+  ++this->Answered;
+  if (this->Probes.isSampling(this->Peers) && this->Answered * 2 > this->Asked)
+    this->Peers.noteSample(Now);
 }
 
-namespace {
+void MembershipPlugin::takeRumour(const MemberRumour &Rumour, Time Now) {
+  if (Rumour.Host == this->Own.Host)
+    this->refute(Rumour);
+  else if (const auto About = this->Peers.position(Rumour.Host))
+    this->Peers.takeRumour(*About, Rumour, Now);
+}
 
-std::vector<SettingDeclaration> settings() {
-  return {{"membership", "host_list_interval", SettingKind::Span, "1s",
-           "How often the platform's host list is read.", 50e3, 60e6}};
+void MembershipPlugin::refute(const MemberRumour &Rumour) {
+  const bool Accused = Rumour.Life == this->Own.Life &&
+                       beliefOf(Rumour).Stands != LifeBelief::Standing::Alive &&
+                       Rumour.Version >= this->OwnVersion;
+  if (!Accused)
+    return;
+  this->OwnVersion = Rumour.Version + 1;
+  this->News.add(this->ownRumour());
+}
+
+void MembershipPlugin::leave(Time Now, Actions &Out) {
+  if (this->Leaving)
+    return;
+  this->Leaving = true;
+  ++this->OwnVersion;
+  this->News.add(this->ownRumour());
+  this->beat(Now, Out);
 }
 
+void MembershipPlugin::beat(Time Now, Actions &Out) {
+  const bool WasPaused =
+      this->LastBeat != Never && Now > this->LastBeat + this->PauseLimit;
+  if (WasPaused) {
+    Out.log(logEvent(events::ProcessWasPaused)
+                .with("for_us", (Now - this->LastBeat).count())
+                .build());
+    this->Peers.forgive(Now);
+  }
+  this->LastBeat = Now;
+  this->NextBeat = Now + this->BeatInterval;
+  this->Peers.age(Now);
+  this->Asked /= 2;
+  this->Answered /= 2;
+  for (const std::size_t To : this->Probes.next(this->Peers)) {
+    this->send(To, std::nullopt, Now, Out);
+    ++this->Asked;
+  }
+}
+
+void MembershipPlugin::send(std::size_t To,
+                            std::optional<std::uint64_t> Answered, Time Now,
+                            Actions &Out) {
+  Heartbeat Beat;
+  Beat.Acknowledges = Answered.has_value();
+  Beat.Sequence = Answered ? *Answered : ++this->Sequence;
+  Beat.Zone = this->Own.Zone;
+  Beat.Version = this->OwnVersion;
+  Beat.Leaving = this->Leaving;
+  if (this->Declared) {
+    Beat.Ready = this->Declared->isReady();
+    Beat.InForce = this->Declared->catalogue().offset();
+    Beat.LogConfirmedAt = this->Declared->confirmedAt();
+  }
+  Beat.Rumours = this->rumoursFor(To);
+  if (!Answered)
+    this->Peers.noteProbe(To, Beat.Sequence, Now);
+  Out.add(SendToPeer{this->Peers.member(To).Listing.Id, std::move(Beat)});
+}
+
+std::vector<MemberRumour> MembershipPlugin::rumoursFor(std::size_t To) {
+  const auto Hosts = static_cast<unsigned>(this->Peers.members().size() + 1);
+  const std::uint32_t Times = TimesToldPerDoubling * std::bit_width(Hosts);
+  std::vector<MemberRumour> Result = this->News.take(this->RumoursEach, Times);
+  // Whoever is suspected must hear of it to be able to refute.
+  const PeerRecord &Record = this->Peers.record(To);
+  if (Record.Belief.Stands != LifeBelief::Standing::Alive &&
+      this->Peers.member(To).Life != Incarnation())
+    Result.push_back(this->rumourOf(To));
+  return Result;
+}
+
+MemberRumour MembershipPlugin::rumourOf(std::size_t At) const {
+  const Member &Of = this->Peers.member(At);
+  const LifeBelief &Belief = this->Peers.record(At).Belief;
+  return {Of.Listing.Id, Of.Life, Belief.Version, stateOf(Belief)};
+}
+
+MemberRumour MembershipPlugin::ownRumour() const {
+  return {this->Own.Host, this->Own.Life, this->OwnVersion,
+          this->Leaving ? MemberState::Leaving : MemberState::Alive};
+}
+
+void MembershipPlugin::announceChanges(Time Now, Actions &Out) {
+  for (const PeerChange &Change : this->Peers.takeChanges()) {
+    const Member Changed = this->Peers.member(Change.At);
+    if (Change.IsNews)
+      this->News.add(this->rumourOf(Change.At));
+    if (Change.StateChanged)
+      Out.log(logEvent(events::HostChanged)
+                  .with("host", Changed.Listing.Id.Value)
+                  .with("life", Changed.Life.Value)
+                  .with("state", name(Changed.State))
+                  .with("ready", Changed.Ready ? "true" : "false")
+                  .with("in_force", Changed.InForce)
+                  .build());
+    for (MembershipObserver *Each :
+         this->Offered->list<MembershipObserver>().all())
+      Each->memberChanged(Changed, Now, Out);
+  }
+}
+
+std::vector<SettingDeclaration> MembershipPlugin::settings() {
+  const std::string In = "membership";
+  return {{In, "host_list_interval", SettingKind::Span, "1s",
+           "How often the platform's host list is read.", 50e3, 60e6},
+          {In, "heartbeat_interval", SettingKind::Span, "500ms",
+           "How often heartbeats are sent to other entry hosts.", 50e3, 10e6},
+          {In, "full_mesh_hosts", SettingKind::Whole, "16",
+           "Up to so many entry hosts, each sends heartbeats to every other.",
+           1, 1024},
+          {In, "fanout", SettingKind::Whole, "2",
+           "With more entry hosts, how many are sent a heartbeat at each "
+           "interval.",
+           1, 64},
+          {In, "rumours_per_heartbeat", SettingKind::Whole, "4",
+           "How much news of other hosts one heartbeat carries.", 1, 64},
+          {In, "suspect_after", SettingKind::Span, "2s",
+           "A host that leaves a heartbeat unanswered for so long is "
+           "suspected.",
+           200e3, 60e6},
+          {In, "dead_after", SettingKind::Span, "3s",
+           "A suspected host that does not answer for so long is taken for "
+           "dead; longer with more than ten hosts.",
+           200e3, 600e6},
+          {In, "forget_after", SettingKind::Span, "10min",
+           "A dead host out of the host list is forgotten after so long.", 1e6,
+           86400e6}};
+}
+
+namespace {
+
 const PluginRegistration
-    Registration({"membership", {}, settings, []() -> std::unique_ptr<Plugin> {
+    Registration({"membership",
+                  {},
+                  MembershipPlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<MembershipPlugin>();
                   }});
 
--- a/src/plugins/membership/MembershipPlugin.h
+++ b/src/plugins/membership/MembershipPlugin.h
@@ -3,34 +3,73 @@
 #pragma once
 
 #include "kernel/Plugin.h"
+#include "plugins/membership/PeerTable.h"
+#include "plugins/membership/ProbeRound.h"
+#include "plugins/membership/RumourQueue.h"
 
 namespace banyanpick {
 
-/// Reads the host list and gives the entry hosts in it.
+/// Joins the host list with heartbeats and what they carry of others.
 class MembershipPlugin : public Plugin,
                          public MembershipView,
                          public StatusContributor {
 public:
   void initialize(PluginContext &Context) override;
+  void start(Time Now, Actions &Out) override;
   void handle(const Event &What, Time Now, Actions &Out) override;
-  Time nextWake() const override { return this->NextListRead; }
+  Time nextWake() const override;
+  void checkInvariants(InvariantMonitor &Monitor, Time Now) const override;
 
   const HostId &self() const override { return this->Own.Host; }
   Incarnation selfLife() const override { return this->Own.Life; }
   const ZoneId &selfZone() const override { return this->Own.Zone; }
-  std::span<const Member> peers() const override { return this->Members; }
+  std::span<const Member> peers() const override {
+    return this->Peers.members();
+  }
   std::vector<HostId> livePeers() const override;
   bool isDead(const HostId &Host, Incarnation Life) const override;
+  bool hasLeft(const HostId &Host, Incarnation Life) const override;
 
   void contribute(StatusReport &Report, Time Now) const override;
 
+  /// The settings with their defaults.
+  static std::vector<SettingDeclaration> settings();
+
 private:
   void takeList(const HostListRead &List, Time Now, Actions &Out);
+  void takeHeartbeat(const PeerMessage &Message, const Heartbeat &Beat,
+                     Time Now, Actions &Out);
+  void takeRumour(const MemberRumour &Rumour, Time Now);
+  void refute(const MemberRumour &Rumour);
+  void leave(Time Now, Actions &Out);
+  void beat(Time Now, Actions &Out);
+  void send(std::size_t To, std::optional<std::uint64_t> Answered, Time Now,
+            Actions &Out);
+  std::vector<MemberRumour> rumoursFor(std::size_t To);
+  MemberRumour rumourOf(std::size_t At) const;
+  MemberRumour ownRumour() const;
+  void announceChanges(Time Now, Actions &Out);
 
   Identity Own;
+  Services *Offered = nullptr;
+  const CatalogueView *Declared = nullptr;
+  PeerTable Peers;
+  ProbeRound Probes;
+  RumourQueue News;
   Duration ListInterval{};
+  Duration BeatInterval{};
+  Duration PauseLimit{};
+  std::size_t RumoursEach = 0;
   Time NextListRead{};
-  std::vector<Member> Members;
+  Time NextBeat{};
+  Time LastBeat = Never;
+  std::uint64_t OwnVersion = 0;
+  bool Leaving = false;
+  std::uint64_t Sequence = 0;
+  bool ListReachable = true;
+  /// Of the heartbeats sent in the last two intervals, how many were answered.
+  std::uint32_t Asked = 0;
+  std::uint32_t Answered = 0;
 };
 
 } // namespace banyanpick
--- /dev/null
+++ b/src/plugins/membership/PeerTable.h
@@ -0,0 +1,96 @@
+/// \file
+/// What is known of each other entry host.
+#pragma once
+
+#include "kernel/Plugin.h"
+#include "plugins/membership/LifeBelief.h"
+
+#include <map>
+#include <optional>
+
+namespace banyanpick {
+
+/// When silence is taken for more than silence.
+struct PeerTimeouts {
+  Duration SuspectAfter{}; ///< A heartbeat unanswered for so long.
+  Duration DeadAfter{};    ///< A suspicion not refuted for so long.
+  Duration ForgetAfter{};  ///< Dead and out of the host list for so long.
+};
+
+/// A life of a host that is over.
+struct EarlierLife {
+  Incarnation Life;
+  bool Left = false; ///< It had begun a planned stop.
+};
+
+/// What is kept of a peer beside what others see of it.
+struct PeerRecord {
+  LifeBelief Belief;
+  std::vector<EarlierLife> Earlier; ///< The newest last.
+  Time ProbedAt = Never;            ///< The first heartbeat not answered.
+  Time SuspectedAt = Never;
+  Time UnlistedAt = Never;
+  /// A life that may be the newer one; it is taken once it answers a heartbeat
+  /// that was sent after it was first heard of. Lives are random numbers, so
+  /// nothing else tells a new life's message from an old one's late message.
+  Incarnation Candidate;
+  std::uint64_t CandidateProbe = 0; ///< 0: not asked yet.
+};
+
+/// One peer of which something visible or newsworthy changed.
+struct PeerChange {
+  std::size_t At = 0;
+  bool IsNews = false;       ///< Others should hear of it.
+  bool StateChanged = false; ///< Its state or life is another.
+};
+
+/// The other entry hosts, ordered by name.
+class PeerTable {
+public:
+  PeerTable() = default;
+  PeerTable(Identity Self, PeerTimeouts Timeouts)
+      : Self(std::move(Self)), Timeouts(Timeouts) {}
+
+  std::span<const Member> members() const { return this->Members; }
+  std::optional<std::size_t> position(const HostId &Host) const;
+  const Member &member(std::size_t At) const { return this->Members[At]; }
+  const PeerRecord &record(std::size_t At) const { return this->Records[At]; }
+  bool isOver(const HostId &Host, Incarnation Life) const;
+  bool hasLeft(const HostId &Host, Incarnation Life) const;
+
+  /// Takes the host list in; true when who is there or where has changed.
+  bool takeList(std::span<const HostListing> Listed, Time Now);
+  /// Takes a heartbeat of the peer in.
+  void takeHeartbeat(std::size_t At, Incarnation Life, const Heartbeat &Beat,
+                     Time Now);
+  /// Takes in what somebody else says of the peer.
+  void takeRumour(std::size_t At, const MemberRumour &Rumour, Time Now);
+  /// Notes a heartbeat sent to the peer; it should be answered.
+  void noteProbe(std::size_t At, std::uint64_t Sequence, Time Now);
+  /// Signs of life of a sample stand for all that are believed alive.
+  void noteSample(Time HeardAt);
+  /// Suspects and buries the silent; forgets the long dead.
+  void age(Time Now);
+  /// This process was paused: silence before now says nothing of the others.
+  void forgive(Time Now);
+
+  /// What changed since the last call, ordered by name.
+  std::vector<PeerChange> takeChanges();
+
+private:
+  std::size_t insert(const HostListing &Listing, Time Now);
+  void changeLife(std::size_t At, Incarnation Life);
+  void believe(std::size_t At, const LifeBelief &Belief, Time Now);
+  void publish(std::size_t At);
+  PeerChange &changeOf(const HostId &Host);
+  void forgetLongDead(Time Now);
+  Duration deadAfter() const;
+
+  Identity Self;
+  PeerTimeouts Timeouts;
+  std::vector<Member> Members;
+  std::vector<PeerRecord> Records; ///< Beside Members.
+  std::map<HostId, PeerChange> Changes;
+};
+
+} // namespace banyanpick
