Give a team's share also to hosts outside its own by demand

Cause: callers keep a resolve answer for a while and resolve sees hosts at other moments than the limits do (booting, suspected, no majority); a host outside the split refused the team's requests until its callers resolved anew. Change: such hosts are guests: no part from the start, a share by demand, and given back like any other. A gift to a guest names its life, so that one life's share is not the next one's; what a life that is over held is taken back. Found by the tests: a dead host, outside the split after its death, was still given the living ones' shares while its last demand was remembered. Each of these makes a test fail: a gift that does not name the life; a giver that keeps what it gave; repeats that add; giving units in use by requests. Ruled out: taking back from a guest that is only taken for dead (it may give back later what it was given, which would count twice).

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -106,6 +106,8 @@
                                               "quarantine released"};
 inline constexpr EventKind SuspectCleared{704, LogLevel::Info,
                                           "suspect cleared"};
+inline constexpr EventKind LimitShareGiven{710, LogLevel::Debug,
+                                           "share of a limit given"};
 
 } // namespace events
 } // namespace banyanpick
--- a/src/plugins/limits/LimitsPlugin.cpp
+++ b/src/plugins/limits/LimitsPlugin.cpp
@@ -93,12 +93,6 @@
 
 NotRun LimitsPlugin::refusal(TeamState &Of, const LimitReached &Reached,
                              Time Now) {
-  if (Of.Limit->view().find(this->Self.Host) == Of.Limit->view().Shares.size())
-    return {RefusalReason::OverLimit,
-            fromSeconds(inSeconds(this->Policy.Interval) *
-                        (1 + this->Numbers->fraction())),
-            "this host does not serve the team now; ask /v1/resolve for the "
-            "hosts that do"};
   // Each refused caller gets a later moment, at the pace of the limit.
   const TeamEntry &Limits = Of.Declared;
   const double PerSecond = std::max({1.0, Limits.RequestsPerMinute / 60.0,
@@ -110,7 +104,8 @@
       fromSeconds(inSeconds(this->Policy.Interval) * this->Numbers->fraction());
   return {RefusalReason::OverLimit, Earliest - Now + Spread,
           fmt::format("the team's limit of {} is used up; come back after the "
-                      "time given, or ask an operator for a higher limit",
+                      "time given, resolve again, or ask an operator for a "
+                      "higher limit",
                       Reached.What)};
 }
 
@@ -144,14 +139,36 @@
 
 void LimitsPlugin::refreshHosts(Time Now) {
   this->AreHostsStale = false;
-  auto Seen = shareHosts(*this->Members);
+  const auto Seen = shareHosts(*this->Members);
   if (Seen == this->Hosts)
     return;
-  this->Hosts = std::move(Seen);
+  for (const ShareHost &Before : this->Hosts) {
+    const HostId &Host = Before.Candidate.Host;
+    const auto After =
+        std::find_if(Seen.begin(), Seen.end(), [&](const ShareHost &Each) {
+          return Each.Candidate.Host == Host;
+        });
+    const bool IsOver = After == Seen.end() || After->Life != Before.Life;
+    const bool IsSilent = IsOver || After->IsDead;
+    for (auto &[Team, Of] : this->Teams) {
+      if (IsSilent)
+        Of.Limit->forgetDemand(Host);
+      if (IsOver)
+        Of.Limit->guestIsOver(Host);
+    }
+  }
+  this->Hosts = Seen;
   ++this->MembersVersion;
   this->MembersChangedAt = Now;
 }
 
+const ShareHost *LimitsPlugin::find(const HostId &Host) const {
+  const auto Found = std::find_if(
+      this->Hosts.begin(), this->Hosts.end(),
+      [&](const ShareHost &Each) { return Each.Candidate.Host == Host; });
+  return Found == this->Hosts.end() ? nullptr : &*Found;
+}
+
 double LimitsPlugin::fraction(const TeamId &Team, Time Now) {
   TeamState *Of = this->state(Team, Now);
   return Of ? Of->Limit->fraction(Now) : 1;
@@ -171,7 +188,7 @@
   ShareView Split = shareView(Team, *Declared, this->Hosts);
   if (!Of.Limit) {
     Of.Limit = std::make_unique<TeamLimit>(*Declared, std::move(Split),
-                                           this->Self.Host, this->Policy, Now);
+                                           this->Self, this->Policy, Now);
   } else {
     const bool IsOtherEntry = Of.Declared != *Declared;
     Of.Limit->changeSplit(*Declared, std::move(Split),
@@ -187,6 +204,12 @@
     Of.BusyUntil = std::max(Of.BusyUntil, Now + BusyAfterUse);
     this->BusyUntil = std::max(this->BusyUntil, Of.BusyUntil);
   };
+  if (this->AreHostsStale)
+    this->refreshHosts(Now);
+  // A life that is over, or taken to be, has nothing to give and to ask for.
+  const ShareHost *From = this->find(Message.From);
+  if (!From || From->IsDead || From->Life != Message.FromLife)
+    return;
   if (const auto *Usage = std::get_if<TeamUsage>(&Message.Body)) {
     for (const TeamUsage::Item &Item : Usage->Items) {
       TeamState *Of = Item.Lane == 0 ? this->state(Item.Team, Now) : nullptr;
@@ -197,10 +220,11 @@
     }
   }
   if (const auto *Share = std::get_if<LimitShare>(&Message.Body)) {
-    if (TeamState *Of = this->state(Share->Team, Now)) {
-      Of->Limit->receive(Message.From, Share->View, Share->Fraction, Now);
-      wake(*Of);
-    }
+    TeamState *Of = this->state(Share->Team, Now);
+    if (!Of)
+      return;
+    Of->Limit->receive(Message.From, *Share, Now);
+    wake(*Of);
   }
 }
 
@@ -233,29 +257,47 @@
 std::uint64_t LimitsPlugin::tellOf(const TeamId &Team, TeamState &Of, Time Now,
                                    std::map<HostId, TeamUsage> &Usage,
                                    Actions &Out) {
-  std::uint64_t Told = 0;
-  const ShareView &View = Of.Limit->view();
   TeamUsage::Item Item = Of.Limit->usage(Now);
   Item.Team = Team;
-  for (const BaseShare &Each : View.Shares) {
-    if (Each.Host == this->Self.Host)
-      continue;
-    Usage[Each.Host].Items.push_back(Item);
-    ++Told;
-  }
+  std::vector<HostId> Others = Of.Limit->guests(Now);
+  for (const BaseShare &Each : Of.Limit->view().Shares)
+    Others.push_back(Each.Host);
+  std::erase(Others, this->Self.Host);
+  for (const HostId &Each : Others)
+    Usage[Each].Items.push_back(Item);
+
   std::vector<ShareGift> Gifts = Of.Limit->give(Now);
+  for (const ShareGift &Gift : Gifts)
+    Out.log(logEvent(events::LimitShareGiven)
+                .with("team", Team.Value)
+                .with("to", Gift.To.Value)
+                .with("units_in_all", Gift.UnitsInAll)
+                .with("of", Of.Limit->view().Units)
+                .build());
   if (Gifts.empty() && Now >= Of.RepeatAt) {
     Gifts = Of.Limit->gifts();
     Of.RepeatAt = Now + RepeatInterval;
   }
+  return Others.size() + this->sendGifts(Team, Of, Gifts, Now, Out);
+}
+
+std::uint64_t LimitsPlugin::sendGifts(const TeamId &Team, const TeamState &Of,
+                                      std::span<const ShareGift> Gifts,
+                                      Time Now, Actions &Out) {
+  const ShareView &View = Of.Limit->view();
+  std::uint64_t Sent = 0;
   for (const ShareGift &Gift : Gifts) {
+    const ShareHost *To = this->find(Gift.To);
+    if (!To)
+      continue;
     const double Fraction =
         static_cast<double>(Gift.UnitsInAll) / static_cast<double>(View.Units);
-    Out.add(SendToPeer{
-        Gift.To, LimitShare{Team, ++this->Transfers, Fraction, Now, View.Id}});
-    ++Told;
+    Out.add(
+        SendToPeer{Gift.To, LimitShare{Team, ++this->Transfers, Fraction, Now,
+                                       View.keyFor(Gift.To, To->Life)}});
+    ++Sent;
   }
-  return Told;
+  return Sent;
 }
 
 void LimitsPlugin::prune(Time Now) {
--- a/src/plugins/limits/LimitsPlugin.h
+++ b/src/plugins/limits/LimitsPlugin.h
@@ -57,11 +57,15 @@
 
   TeamState *state(const TeamId &Team, Time Now);
   void refreshHosts(Time Now);
+  const ShareHost *find(const HostId &Host) const;
   NotRun refusal(TeamState &Of, const LimitReached &Reached, Time Now);
   void takeIn(const PeerMessage &Message, Time Now);
   void tellPeers(Time Now, Actions &Out);
   std::uint64_t tellOf(const TeamId &Team, TeamState &Of, Time Now,
                        std::map<HostId, TeamUsage> &Usage, Actions &Out);
+  std::uint64_t sendGifts(const TeamId &Team, const TeamState &Of,
+                          std::span<const ShareGift> Gifts, Time Now,
+                          Actions &Out);
   void prune(Time Now);
 
   Identity Self;
--- a/src/plugins/limits/ShareLedger.cpp
+++ b/src/plugins/limits/ShareLedger.cpp
@@ -1,7 +1,6 @@
 #include "plugins/limits/ShareLedger.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace banyanpick {
 
@@ -19,10 +18,12 @@
 /// proportion. The same on every host that knows the same demands.
 class WantedFlow {
 public:
-  WantedFlow(const ShareView &View, std::span<const std::uint64_t> Wanted)
-      : View(View), Wanted(Wanted) {
-    for (std::size_t Index = 0; Index < Wanted.size(); ++Index)
+  WantedFlow(const ShareView &View, std::span<const HostDemand> Demands)
+      : Wanted(wantedUnits(View, Demands)) {
+    for (std::size_t Index = 0; Index < Demands.size(); ++Index) {
+      this->Base.push_back(View.baseOf(Demands[Index].Host));
       this->SurplusInAll += this->surplus(Index);
+    }
   }
 
   std::uint64_t from(std::size_t Giver, std::size_t Receiver) const {
@@ -33,16 +34,16 @@
 
 private:
   std::uint64_t surplus(std::size_t Index) const {
-    const std::uint64_t Base = this->View.Shares[Index].Units;
-    return Base > this->Wanted[Index] ? Base - this->Wanted[Index] : 0;
+    const std::uint64_t Has = this->Base[Index];
+    return Has > this->Wanted[Index] ? Has - this->Wanted[Index] : 0;
   }
   std::uint64_t deficit(std::size_t Index) const {
-    const std::uint64_t Base = this->View.Shares[Index].Units;
-    return this->Wanted[Index] > Base ? this->Wanted[Index] - Base : 0;
+    const std::uint64_t Has = this->Base[Index];
+    return this->Wanted[Index] > Has ? this->Wanted[Index] - Has : 0;
   }
 
-  const ShareView &View;
-  std::span<const std::uint64_t> Wanted;
+  std::vector<std::uint64_t> Wanted;
+  std::vector<std::uint64_t> Base;
   std::uint64_t SurplusInAll = 0;
 };
 
@@ -58,21 +59,22 @@
 }
 
 std::vector<ShareGift>
-ShareLedger::giveByDemand(std::span<const double> Demands, std::uint64_t Free) {
-  std::vector<ShareGift> Result;
-  const std::size_t Own = this->Split.find(this->Self);
-  if (Own == this->Split.Shares.size())
-    return Result;
-  const auto Wanted = wantedUnits(this->Split, Demands);
-  const WantedFlow Flow(this->Split, Wanted);
+ShareLedger::giveByDemand(std::span<const HostDemand> Demands,
+                          std::uint64_t Free) {
+  const WantedFlow Flow(this->Split, Demands);
+  const auto OwnDemand =
+      std::find_if(Demands.begin(), Demands.end(), [&](const HostDemand &Each) {
+        return Each.Host == this->Self;
+      });
+  const auto Own = static_cast<std::size_t>(OwnDemand - Demands.begin());
   const std::uint64_t LeastMove =
       std::max<std::uint64_t>(1, this->Split.Units / LeastMoveDivisor);
   std::uint64_t Left = std::min(Free, this->Held);
-  for (std::size_t Other = 0; Other < this->Split.Shares.size(); ++Other) {
+  std::vector<ShareGift> Result;
+  for (std::size_t Other = 0; Other < Demands.size(); ++Other) {
     if (Other == Own || Left == 0)
       continue;
-    const HostId &To = this->Split.Shares[Other].Host;
-    Account &Of = this->Accounts[To];
+    Account &Of = this->Accounts[Demands[Other].Host];
     // What went the other way comes back before anything is given.
     const std::uint64_t Should = Of.Received + Flow.from(Own, Other) -
                                  std::min(Of.Received, Flow.from(Other, Own));
@@ -82,7 +84,7 @@
     Left -= Moved;
     this->Held -= Moved;
     Of.Given += Moved;
-    Result.push_back({To, Of.Given});
+    Result.push_back({Demands[Other].Host, Of.Given});
   }
   return Result;
 }
@@ -97,9 +99,6 @@
 }
 
 void ShareLedger::receive(const HostId &From, std::uint64_t UnitsInAll) {
-  const bool IsHolder = this->Split.find(From) < this->Split.Shares.size();
-  if (From == this->Self || !IsHolder)
-    return;
   Account &Of = this->Accounts[From];
   if (UnitsInAll <= Of.Received)
     return;
@@ -107,6 +106,16 @@
   Of.Received = UnitsInAll;
 }
 
+void ShareLedger::takeBackFrom(const HostId &Guest) {
+  const auto Found = this->Accounts.find(Guest);
+  if (Found == this->Accounts.end())
+    return;
+  const Account Of = Found->second;
+  // A guest gives back to each no more than it had from it.
+  this->Held += Of.Given - Of.Received;
+  this->Accounts.erase(Found);
+}
+
 bool ShareLedger::isConsistent() const {
   std::uint64_t Credits = this->Split.baseOf(this->Self);
   std::uint64_t Debits = this->Held;
@@ -118,26 +127,30 @@
 }
 
 std::vector<std::uint64_t> wantedUnits(const ShareView &View,
-                                       std::span<const double> Demands) {
-  const std::size_t Hosts = View.Shares.size();
-  std::vector<std::uint64_t> Result(Hosts);
-  const double Asked = std::accumulate(Demands.begin(), Demands.end(), 0.0);
-  for (std::size_t Index = 0; Index < Hosts; ++Index)
-    Result[Index] = View.Shares[Index].Units;
+                                       std::span<const HostDemand> Demands) {
+  std::vector<std::uint64_t> Result;
+  double Asked = 0;
+  for (const HostDemand &Each : Demands) {
+    Result.push_back(View.baseOf(Each.Host));
+    Asked += Each.Used;
+  }
   if (Asked <= 0)
     return Result;
   const double Idle = Asked * IdleDemand;
-  const double Whole = Asked + Idle * static_cast<double>(Hosts);
+  const double Whole = Asked + Idle * static_cast<double>(View.Shares.size());
   std::uint64_t Left = View.Units;
-  for (std::size_t Index = 0; Index < Hosts; ++Index) {
-    const double Part = (Demands[Index] + Idle) / Whole;
+  std::size_t Most = 0;
+  for (std::size_t Index = 0; Index < Demands.size(); ++Index) {
+    const bool IsGuest = View.find(Demands[Index].Host) == View.Shares.size();
+    const double Part = (Demands[Index].Used + (IsGuest ? 0 : Idle)) / Whole;
     Result[Index] =
         static_cast<std::uint64_t>(Part * static_cast<double>(View.Units));
     Left -= Result[Index];
+    if (Demands[Index].Used > Demands[Most].Used)
+      Most = Index;
   }
   // What rounding leaves goes to the host that asks for most.
-  const auto Most = std::max_element(Demands.begin(), Demands.end());
-  Result[static_cast<std::size_t>(Most - Demands.begin())] += Left;
+  Result[Most] += Left;
   return Result;
 }
 
--- a/src/plugins/limits/ShareLedger.h
+++ b/src/plugins/limits/ShareLedger.h
@@ -19,6 +19,14 @@
   std::uint64_t UnitsInAll = 0;
 };
 
+/// How much of the limit is asked for on a host.
+struct HostDemand {
+  HostId Host;
+  double Used = 0; ///< As a part of the whole limit.
+};
+
+/// The view's hosts have base shares. Other hosts, guests, start with none and
+/// get some by demand, as callers may hold an older answer of resolve.
 class ShareLedger {
 public:
   ShareLedger(ShareView Split, HostId Self);
@@ -29,9 +37,9 @@
   std::uint64_t unitsInAll() const { return this->Split.Units; }
   double fraction() const;
 
-  /// Gives towards the split that \p Demands ask for; \p Demands go with the
-  /// view's hosts. At most \p Free units are given.
-  std::vector<ShareGift> giveByDemand(std::span<const double> Demands,
+  /// Gives towards the split that \p Demands ask for, which name each host
+  /// once and this one among them. At most \p Free units are given.
+  std::vector<ShareGift> giveByDemand(std::span<const HostDemand> Demands,
                                       std::uint64_t Free);
 
   /// All gifts so far, to be repeated.
@@ -40,6 +48,10 @@
   /// A peer says what it gave to this host in all.
   void receive(const HostId &From, std::uint64_t UnitsInAll);
 
+  /// The guest's life is over: what it held is this host's again as far as it
+  /// came from here.
+  void takeBackFrom(const HostId &Guest);
+
   /// Whether base, gifts and what was received agree with what is held.
   bool isConsistent() const;
 
@@ -55,10 +67,10 @@
   std::uint64_t Held = 0;
 };
 
-/// The units each of the view's hosts should hold: by demand, with a small
-/// part for all, and never more than the view's units together. The base
-/// split when nobody asks for anything.
+/// The units each of the hosts should hold, in the order of \p Demands: by
+/// demand, with a small part for each of the view's hosts, and never more than
+/// the view's units together. The base split when nobody asks for anything.
 std::vector<std::uint64_t> wantedUnits(const ShareView &View,
-                                       std::span<const double> Demands);
+                                       std::span<const HostDemand> Demands);
 
 } // namespace banyanpick
--- a/src/plugins/limits/ShareView.cpp
+++ b/src/plugins/limits/ShareView.cpp
@@ -79,6 +79,13 @@
   return Index < this->Shares.size() ? this->Shares[Index].Units : 0;
 }
 
+std::uint64_t ShareView::keyFor(const HostId &Receiver,
+                                Incarnation Life) const {
+  if (this->find(Receiver) < this->Shares.size())
+    return this->Id;
+  return combineHashes(this->Id, Life.Value);
+}
+
 std::vector<ShareHost> shareHosts(const MembershipView &Members) {
   std::vector<ShareHost> Result;
   Result.push_back({{Members.self(), Members.selfZone()}, Members.selfLife()});
--- a/src/plugins/limits/TeamLimit.cpp
+++ b/src/plugins/limits/TeamLimit.cpp
@@ -18,10 +18,11 @@
 } // namespace
 
 TeamLimit::TeamLimit(const TeamEntry &LimitsGiven, ShareView Split,
-                     HostId SelfGiven, const LimitsPolicy &PolicyGiven,
+                     const Identity &SelfGiven, const LimitsPolicy &PolicyGiven,
                      Time Now)
-    : Limits(LimitsGiven), Self(std::move(SelfGiven)), Policy(PolicyGiven),
-      HoldsFrom(Now), Requests(PolicyGiven.Burst), Tokens(PolicyGiven.Burst) {
+    : Limits(LimitsGiven), Self(SelfGiven.Host), SelfLife(SelfGiven.Life),
+      Policy(PolicyGiven), HoldsFrom(Now), Requests(PolicyGiven.Burst),
+      Tokens(PolicyGiven.Burst) {
   this->Ledgers.emplace_front(std::move(Split), this->Self);
   this->applyShare(Now);
 }
@@ -107,20 +108,45 @@
   this->Peers[From] = {this->usedBy(Usage), Now};
 }
 
+double TeamLimit::peerDemand(const HostId &Peer, Time Now) const {
+  const auto Found = this->Peers.find(Peer);
+  if (Found == this->Peers.end())
+    return 0;
+  const Duration Remembered = this->Policy.Interval * IntervalsRemembered;
+  return Now - Found->second.HeardAt <= Remembered ? Found->second.Used : 0;
+}
+
+std::vector<HostId> TeamLimit::guests(Time Now) const {
+  std::vector<HostId> Result;
+  const ShareView &View = this->view();
+  for (const auto &[Peer, Demand] : this->Peers) {
+    const bool IsGuest = View.find(Peer) == View.Shares.size();
+    if (IsGuest && this->peerDemand(Peer, Now) > 0)
+      Result.push_back(Peer);
+  }
+  return Result;
+}
+
+void TeamLimit::guestIsOver(const HostId &Guest) {
+  for (ShareLedger &Each : this->Ledgers) {
+    if (Each.view().find(Guest) == Each.view().Shares.size())
+      Each.takeBackFrom(Guest);
+  }
+}
+
 std::vector<ShareGift> TeamLimit::give(Time Now) {
   if (Now < this->HoldsFrom)
     return {};
-  std::vector<double> Demands;
+  std::vector<HostDemand> Demands = {
+      {this->Self, this->usedBy(this->usage(Now))}};
   for (const BaseShare &Each : this->view().Shares) {
-    if (Each.Host == this->Self) {
-      Demands.push_back(this->usedBy(this->usage(Now)));
-      continue;
-    }
-    const auto Found = this->Peers.find(Each.Host);
-    const bool IsFresh = Found != this->Peers.end() &&
-                         Now - Found->second.HeardAt <=
-                             this->Policy.Interval * IntervalsRemembered;
-    Demands.push_back(IsFresh ? Found->second.Used : 0);
+    if (Each.Host != this->Self)
+      Demands.push_back({Each.Host, this->peerDemand(Each.Host, Now)});
+  }
+  // A guest deals with the view's hosts only.
+  if (this->view().find(this->Self) < this->view().Shares.size()) {
+    for (const HostId &Guest : this->guests(Now))
+      Demands.push_back({Guest, this->peerDemand(Guest, Now)});
   }
   // What runs here holds its units until it ends.
   const std::uint64_t Held = this->present().units();
@@ -135,12 +161,12 @@
   return this->present().gifts();
 }
 
-void TeamLimit::receive(const HostId &From, std::uint64_t View, double Fraction,
-                        Time Now) {
+void TeamLimit::receive(const HostId &From, const LimitShare &Share, Time Now) {
   for (ShareLedger &Each : this->Ledgers) {
-    if (Each.view().Id != View)
+    if (Each.view().keyFor(this->Self, this->SelfLife) != Share.View)
       continue;
-    const double Units = Fraction * static_cast<double>(Each.unitsInAll());
+    const double Units =
+        Share.Fraction * static_cast<double>(Each.unitsInAll());
     Each.receive(From, static_cast<std::uint64_t>(std::llround(Units)));
   }
   this->applyShare(Now);
--- a/src/plugins/limits/TeamLimit.h
+++ b/src/plugins/limits/TeamLimit.h
@@ -3,7 +3,7 @@
 /// is asked for here and on the other hosts.
 #pragma once
 
-#include "kernel/PeerMessage.h"
+#include "kernel/Plugin.h"
 #include "plugins/limits/DemandMeter.h"
 #include "plugins/limits/ShareLedger.h"
 #include "plugins/limits/TokenBucket.h"
@@ -29,7 +29,7 @@
 
 class TeamLimit {
 public:
-  TeamLimit(const TeamEntry &Limits, ShareView Split, HostId Self,
+  TeamLimit(const TeamEntry &Limits, ShareView Split, const Identity &Self,
             const LimitsPolicy &Policy, Time Now);
 
   /// The split changed at \p ChangedAt. Until an epoch later the host holds
@@ -46,13 +46,19 @@
   /// What this host tells its peers of its demand.
   TeamUsage::Item usage(Time Now) const;
   void heard(const HostId &From, const TeamUsage::Item &Usage, Time Now);
+  /// Hosts without a base share that asked for some lately.
+  std::vector<HostId> guests(Time Now) const;
+  /// A host has nothing to ask for now.
+  void forgetDemand(const HostId &Host) { this->Peers.erase(Host); }
+  /// A host's life is surely over. What it held as a guest is taken back; what
+  /// it held as a host of the view is divided by the next view.
+  void guestIsOver(const HostId &Guest);
   /// What is to be given to peers now.
   std::vector<ShareGift> give(Time Now);
   /// Gifts so far, to be repeated.
   std::vector<ShareGift> gifts() const;
   /// A peer gave; also to a view that is not the present one.
-  void receive(const HostId &From, std::uint64_t View, double Fraction,
-               Time Now);
+  void receive(const HostId &From, const LimitShare &Share, Time Now);
 
   const ShareView &view() const { return this->present().view(); }
   /// The part of the limit that this host uses now.
@@ -73,9 +79,11 @@
   std::uint64_t units(Time Now) const;
   void applyShare(Time Now);
   double usedBy(const TeamUsage::Item &Usage) const;
+  double peerDemand(const HostId &Peer, Time Now) const;
 
   TeamEntry Limits;
   HostId Self;
+  Incarnation SelfLife;
   LimitsPolicy Policy;
   /// The present view first, then those it may return to. A cut that heals
   /// brings back its view, with all that was given under it.
