Test the catalogue's recovery and currency; doubt a log that is too short

Change: what the log holds is compared with what peers had in force before the read; when it holds less, the host is not ready until a peer gives it the catalogue. A peer's catalogue no longer moves the reading place while the log answers: the other plug-ins need the records in between.

--- a/src/plugins/catalogue/CataloguePlugin.cpp
+++ b/src/plugins/catalogue/CataloguePlugin.cpp
@@ -115,9 +115,14 @@
     this->InForce.passOver(Read.Offset);
 }
 
-void CataloguePlugin::caughtUp(LogOffset EndOffset, Time Now, Actions &) {
+void CataloguePlugin::caughtUp(LogOffset EndOffset, Time Now, Actions &Out) {
   if (this->MissingBefore > 0)
     return;
+  if (this->holdsTooLittle(EndOffset, Out)) {
+    // What was folded from it is not to be served; a peer has the catalogue.
+    this->Complete = this->InForce.offset() >= EndOffset;
+    return;
+  }
   this->InForce.passOver(EndOffset - 1);
   this->Known->confirm(this->Tail->endSeenAt());
   this->Complete = true;
@@ -167,8 +172,10 @@
   const auto *Relayed = std::get_if<CatalogueRelayed>(&Message.Body);
   if (!Relayed || Relayed->AtOffset <= this->InForce.offset())
     return;
-  if (this->restore(Relayed->AtOffset, Relayed->Text, Message.From.Value, Now,
-                    Out))
+  const bool Restored = this->restore(Relayed->AtOffset, Relayed->Text,
+                                      Message.From.Value, Now, Out);
+  // What the log itself can still give is read there, for the other plug-ins.
+  if (Restored && !this->Offered->get<LogWriter>().isReachable(Now))
     this->Tail->skipTo(Relayed->AtOffset + 1, Now, Out);
 }
 
@@ -236,6 +243,20 @@
   return true;
 }
 
+bool CataloguePlugin::holdsTooLittle(LogOffset EndOffset, Actions &Out) {
+  const Time ReadAt = this->Tail->endSeenAt();
+  const auto KnowsMore = [&](const Member &Each) {
+    return Each.InForce >= EndOffset && Each.LastHeard < ReadAt;
+  };
+  bool TooLittle = this->InForce.offset() >= EndOffset;
+  if (this->Members)
+    TooLittle |= std::ranges::any_of(this->Members->peers(), KnowsMore);
+  if (TooLittle && !this->LogTooShort)
+    Out.log(logEvent(events::LogWentBack).with("end", EndOffset).build());
+  this->LogTooShort = TooLittle;
+  return TooLittle;
+}
+
 void CataloguePlugin::askPeerWhenDue(Time Now, Actions &Out) {
   if (this->Complete || !this->Members || Now < this->AskPeerAt)
     return;
--- a/src/plugins/catalogue/CataloguePlugin.h
+++ b/src/plugins/catalogue/CataloguePlugin.h
@@ -55,6 +55,10 @@
   void foldSet(const StoredRecord &Read, const ChangeSet &Set, Actions &Out);
   bool restore(LogOffset AtOffset, std::string_view Text,
                std::string_view Source, Time Now, Actions &Out);
+  /// Whether this host, or a peer before this read, had more in force than
+  /// the log holds: the log service lost records, and what it shows may be the
+  /// start of another log.
+  bool holdsTooLittle(LogOffset EndOffset, Actions &Out);
   void askPeerWhenDue(Time Now, Actions &Out);
   void noteCurrency(Time Now, Actions &Out);
 
@@ -73,6 +77,7 @@
   LogOffset HighestSeen = 0;   ///< Of the offset in force; for the invariant.
   bool Complete = false;       ///< Nothing that was in the log is missing.
   bool WasCurrent = false;
+  bool LogTooShort = false;
   Time AskPeerAt{};
   Duration AskInterval{};
 };
--- /dev/null
+++ b/tests/auto/catalogueplugin/CatalogueBench.h
@@ -0,0 +1,38 @@
+/// \file
+/// Short words for the tests of the catalogue.
+#pragma once
+
+#include "auto/log/LogBench.h"
+#include "plugins/catalogue/SnapshotText.h"
+
+namespace banyanpick {
+
+inline const CatalogueView &viewOf(BenchHost &Host) {
+  return Host.services().get<CatalogueView>();
+}
+
+inline std::string textOf(BenchHost &Host) {
+  return snapshotText(viewOf(Host).catalogue());
+}
+
+/// Puts a change set into the log, as some host would.
+inline LogOffset write(LogServiceModel &Log, ChangeSet Set) {
+  return Log.append({LogRecord{{}, ConfigurationRecord{std::move(Set)}}});
+}
+
+/// Hands \p Host the message of another one.
+inline void tell(BenchHost &Host, std::string From, PeerMessageBody Body) {
+  Host.handle(PeerMessageReceived{
+      {HostId(std::move(From)), Incarnation(7), std::move(Body)}});
+}
+
+/// What admission says to any request now.
+inline std::optional<NotRun> gate(BenchHost &Host) {
+  for (AdmissionGate *Each : Host.services().list<AdmissionGate>().all()) {
+    if (auto Refusal = Each->check(Request(), Host.Now))
+      return Refusal;
+  }
+  return std::nullopt;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/catalogueplugin/CurrencyTest.cpp
@@ -0,0 +1,104 @@
+#include "auto/catalogueplugin/CatalogueBench.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick {
+
+namespace {
+
+Heartbeat beat(LogOffset InForce, Time Confirmed) {
+  Heartbeat Result;
+  Result.Ready = true;
+  Result.InForce = InForce;
+  Result.LogConfirmedAt = Confirmed;
+  return Result;
+}
+
+/// A ready host that is cut off from the log from the start of each test.
+struct CurrencyTest : testing::Test {
+  LogServiceModel Log;
+  BenchHost Host{Log, "h1", 0xa1};
+  Time CutAt{};
+
+  void SetUp() override {
+    write(this->Log, declareOwner("c1", "ring"));
+    this->Host.catchUp();
+    this->CutAt = this->Host.Now;
+    ASSERT_EQ(gate(this->Host), std::nullopt);
+  }
+
+  /// Lets 5 s pass; each of \p Peers is heard all the while. \p Reaches: they
+  /// reach the log.
+  void passWithPeers(std::vector<std::string> Heard, bool Reaches,
+                     std::vector<std::string> Silent = {}) {
+    for (int Step = 0; Step < 10; ++Step) {
+      const Time Now = this->Host.Now;
+      const Time Confirmed = Reaches ? Now : this->CutAt;
+      this->Host.probe().Members.clear();
+      for (const std::string &Each : Heard) {
+        this->Host.probe().Members.push_back(
+            peerHeard(Each, Now, Confirmed, 1));
+        tell(this->Host, Each, beat(1, Confirmed));
+      }
+      for (const std::string &Each : Silent)
+        this->Host.probe().Members.push_back(
+            peerHeard(Each, this->CutAt, this->CutAt, 1));
+      this->Host.pass(milliseconds(500));
+    }
+  }
+};
+
+} // namespace
+
+TEST_F(CurrencyTest, CutOffFromLogAndPeersStopsAdmittingWithinSixSeconds) {
+  this->passWithPeers({}, false, {"h2", "h3"});
+  ASSERT_LE(this->Host.Now, this->CutAt + seconds(6));
+  EXPECT_EQ(gate(this->Host)->Reason, RefusalReason::NotCurrent);
+}
+
+TEST_F(CurrencyTest, CutOffFromTheLogOnlyStaysCurrentThroughPeers) {
+  this->passWithPeers({"h2"}, true, {"h3", "h4"});
+  EXPECT_EQ(gate(this->Host), std::nullopt);
+  EXPECT_GT(viewOf(this->Host).confirmedAt(), this->CutAt + seconds(3));
+}
+
+TEST_F(CurrencyTest, PeerThatIsAheadConfirmsNothing) {
+  for (int Step = 0; Step < 10; ++Step) {
+    tell(this->Host, "h2", beat(2, this->Host.Now));
+    this->Host.probe().Members = {
+        peerHeard("h2", this->Host.Now, this->Host.Now, 2)};
+    this->Host.pass(milliseconds(500));
+  }
+  EXPECT_EQ(gate(this->Host)->Reason, RefusalReason::NotCurrent);
+}
+
+TEST_F(CurrencyTest, InACommonOutageEverythingStaysInForce) {
+  this->passWithPeers({"h2", "h3"}, false, {"h4"});
+  EXPECT_EQ(gate(this->Host), std::nullopt);
+  EXPECT_LE(viewOf(this->Host).confirmedAt(), this->CutAt)
+      << "hosts without the log confirmed each other";
+}
+
+TEST_F(CurrencyTest, CutOffWithAMinorityStopsAdmitting) {
+  this->passWithPeers({"h2"}, false, {"h3", "h4"});
+  EXPECT_EQ(gate(this->Host)->Reason, RefusalReason::NotCurrent);
+}
+
+TEST_F(CurrencyTest, FreezeIsNoticedBeforeAnythingIsAdmitted) {
+  this->Host.probe().Members = {peerHeard("h2", CutAt, CutAt, 1),
+                                peerHeard("h3", CutAt, CutAt, 1)};
+  this->Host.Now += seconds(60);
+  EXPECT_EQ(gate(this->Host)->Reason, RefusalReason::NotCurrent);
+  this->Host.catchUp();
+  EXPECT_EQ(gate(this->Host), std::nullopt);
+}
+
+TEST_F(CurrencyTest, AnswerThatArrivesLateConfirmsOnlyTheTimeOfAsking) {
+  this->Host.pass(milliseconds(50));
+  const Time Asked = this->Host.Now;
+  this->Host.Now += seconds(60);
+  this->Host.answerRead();
+  EXPECT_LE(viewOf(this->Host).confirmedAt(), Asked);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/catalogueplugin/SnapshotProperty.cpp
@@ -0,0 +1,99 @@
+/// \file
+/// Random change sets, copies of them, snapshots, retention and restarts:
+/// hosts at one offset have one catalogue, and no offset falls.
+#include "auto/catalogueplugin/CatalogueBench.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace banyanpick {
+
+namespace {
+
+class RandomRun {
+public:
+  RandomRun() {
+    for (unsigned Host = 0; Host < 3; ++Host)
+      this->All.push_back(this->born(Host));
+  }
+
+  void step(unsigned Draw) {
+    const unsigned Kind = Draw % 8;
+    const unsigned Host = Draw / 8 % 3;
+    const unsigned Pick = Draw / 32;
+    BenchHost &On = *this->All[Host];
+    On.pass(milliseconds(300));
+    if (Kind < 2)
+      write(this->Log, this->someSet(Pick));
+    else if (Kind < 5)
+      On.catchUp();
+    else if (Kind < 7)
+      On.settle();
+    else if (Pick % 4 == 0)
+      this->All[Host] = this->born(Host);
+    else if (this->someoneKnowsAll())
+      this->Log.dropBefore(this->Log.end() > 40 ? this->Log.end() - 40 : 1);
+    this->check();
+  }
+
+private:
+  std::unique_ptr<BenchHost> born(unsigned Host) {
+    return std::make_unique<BenchHost>(
+        this->Log, "h" + std::to_string(Host), ++this->Lives,
+        std::map<std::string, std::string>{
+            {"log.retention", "20s"}, {"catalogue.snapshot_chunk", "256"}});
+  }
+
+  /// A set about one of four owners, against a version that may be right; now
+  /// and then a second copy of an earlier one.
+  ChangeSet someSet(unsigned Pick) {
+    if (Pick % 5 == 0 && !this->Sets.empty())
+      return this->Sets[Pick / 5 % this->Sets.size()];
+    const std::string Name = "o" + std::to_string(Pick % 4);
+    const EntryMap &Known = viewOf(*this->All[0]).catalogue().entries();
+    const auto Found = Known.find({EntryKind::Owner, Name});
+    ChangeSet Result =
+        declareOwner("c" + std::to_string(this->Sets.size()), Name,
+                     Found == Known.end() ? 0 : Found->second.Version);
+    if (Pick % 3 == 0)
+      Result.Changes[0].Body.reset();
+    this->Sets.push_back(Result);
+    return Result;
+  }
+
+  bool someoneKnowsAll() {
+    return std::any_of(this->All.begin(), this->All.end(), [&](auto &Each) {
+      return viewOf(*Each).isReady() &&
+             viewOf(*Each).catalogue().offset() + 1 == this->Log.end();
+    });
+  }
+
+  void check() {
+    std::map<LogOffset, std::string> ByOffset;
+    for (auto &Each : this->All) {
+      RC_ASSERT(Each->kernel().invariantsBroken() == 0u);
+      if (!viewOf(*Each).isReady())
+        continue;
+      const LogOffset At = viewOf(*Each).catalogue().offset();
+      const auto [Known, First] = ByOffset.emplace(At, textOf(*Each));
+      RC_ASSERT(First || Known->second == textOf(*Each));
+    }
+  }
+
+  LogServiceModel Log;
+  std::vector<std::unique_ptr<BenchHost>> All;
+  std::vector<ChangeSet> Sets;
+  std::uint64_t Lives = 0;
+};
+
+} // namespace
+
+RC_GTEST_PROP(SnapshotProperty, HostsAtOneOffsetHaveOneCatalogue, ()) {
+  RandomRun Run;
+  const auto Draws = *rc::gen::container<std::vector<unsigned>>(
+      150, rc::gen::inRange<unsigned>(0, 1u << 20));
+  for (const unsigned Each : Draws)
+    Run.step(Each);
+}
+
+} // namespace banyanpick
