--- a/src/app/CallerService.cpp
+++ b/src/app/CallerService.cpp
@@ -42,6 +42,30 @@
       "accepted", dumpJson({{"request", Id.Value}, {"resume_token", Token}}));
 }
 
+HttpAnswer resolveAnswer(const AnswerResolve &Given) {
+  json Hosts = json::array();
+  for (const Address &Host : Given.Hosts)
+    Hosts.push_back(text(Host));
+  const auto TtlMs =
+      std::chrono::duration_cast<milliseconds>(Given.TimeToLive).count();
+  HttpAnswer Result;
+  Result.Body = dumpJson({{"hosts", std::move(Hosts)}, {"ttl_ms", TtlMs}});
+  return Result;
+}
+
+HttpAnswer unknownToken() {
+  return errorAnswer(404, ErrorKind::BadInput,
+                     "the resume token is unknown here; send the request anew");
+}
+
+ResolveAsked resolveQuestion(const HttpExchange &Each, std::uint64_t Id) {
+  ResolveAsked Result;
+  Result.Id = ResolveQuestionId(Id);
+  Result.Team.Value = Each.target().value("team").value_or("");
+  Result.Zone.Value = Each.target().value("zone").value_or("");
+  return Result;
+}
+
 Task<bool> attach(RelayEntry &Stream, std::uint64_t Writer,
                   std::uint64_t Index) {
   co_return Stream.attach(Writer, Index);
@@ -95,7 +119,8 @@
   const bool IsCompletion =
       Asked->content().What == RequestContent::Kind::Completion;
   const std::string Text = Asked->chunks().joined();
-  co_await Each.respond(answerTo(Answer, IsCompletion ? &Text : nullptr));
+  HttpAnswer Given = answerTo(Answer, IsCompletion ? &Text : nullptr);
+  co_await Each.respond(std::move(Given));
 }
 
 Task<void> CallerService::serveStreamed(HttpExchange &Each, Entry Asked) {
@@ -103,7 +128,8 @@
       [this, Id = Asked->id()] { this->Events.send(CallerGone{Id}); });
   const RelayEntry::Opening Begins = co_await Asked->opening();
   if (Begins.Answer && !Begins.Accepted) {
-    co_await Each.respond(answerTo(*Begins.Answer, nullptr));
+    HttpAnswer Given = answerTo(*Begins.Answer, nullptr);
+    co_await Each.respond(std::move(Given));
     co_return;
   }
   if (!co_await Each.beginEvents())
@@ -126,14 +152,15 @@
   const Registration Here(Thread.relays(), Asked->id());
   const RelayEntry::Opening Begins = co_await Asked->opening();
   if (!Begins.Joined) {
-    co_await Each.respond(
-        errorAnswer(404, ErrorKind::BadInput,
-                    "the resume token is unknown here; send the request anew"));
+    HttpAnswer Unknown = unknownToken();
+    co_await Each.respond(std::move(Unknown));
     co_return;
   }
   const Entry Stream = Begins.Joined;
   const std::string Accepted = acceptedEvent(Stream->id(), Token);
-  if (!co_await Each.beginEvents() || !co_await Each.sendEvents(Accepted))
+  if (!co_await Each.beginEvents())
+    co_return this->Events.send(CallerGone{Stream->id()});
+  if (!co_await Each.sendEvents(Accepted))
     co_return this->Events.send(CallerGone{Stream->id()});
   co_await this->sendStream(Each, Stream, Begins.JoinedIndex);
 }
@@ -172,22 +199,12 @@
 Task<void> CallerService::serveResolve(HttpExchange &Each,
                                        TrafficThread &Thread) {
   const std::uint64_t Id = Thread.relays().takeId();
-  ResolveAsked Question;
-  Question.Id = ResolveQuestionId(Id);
-  Question.Team.Value = Each.target().value("team").value_or("");
-  Question.Zone.Value = Each.target().value("zone").value_or("");
-  this->Events.send(std::move(Question));
+  this->Events.send(resolveQuestion(Each, Id));
   const auto Answer = co_await Thread.resolves().wait(Id, ResolveTimeout);
   if (!Answer)
     throw Error(ErrorKind::Unavailable, "no answer within 5 s",
                 "ask another entry host");
-  json Hosts = json::array();
-  for (const Address &Host : Answer->Hosts)
-    Hosts.push_back(text(Host));
-  const auto TtlMs =
-      std::chrono::duration_cast<milliseconds>(Answer->TimeToLive).count();
-  HttpAnswer Result;
-  Result.Body = dumpJson({{"hosts", std::move(Hosts)}, {"ttl_ms", TtlMs}});
+  HttpAnswer Result = resolveAnswer(*Answer);
   co_await Each.respond(std::move(Result));
 }
 
--- a/src/app/Main.cpp
+++ b/src/app/Main.cpp
@@ -12,9 +12,6 @@
 
 DEFINE_string(settings, "", "settings file (INI)");
 DEFINE_bool(check, false, "only check the settings");
-DEFINE_bool(make_peer_keys, false,
-            "print a new CURVE key pair for the [peers] section");
-
 namespace banyanpick {
 
 namespace {
@@ -28,13 +25,6 @@
   return Result;
 }
 
-int printPeerKeys() {
-  const CurveKeyPair Pair = makeCurveKeyPair();
-  fmt::print("[peers]\ncurve_public_key = {}\ncurve_secret_key = {}\n",
-             Pair.PublicKey, Pair.SecretKey);
-  return 0;
-}
-
 int runDaemon(const Settings &Values) {
   configureLog(Values);
   Daemon Host(Values, Incarnation(randomNumber()), randomNumber());
@@ -43,8 +33,6 @@
 }
 
 int runProgram() {
-  if (FLAGS_make_peer_keys)
-    return printPeerKeys();
   const auto Values = readSettingsFile(FLAGS_settings);
   if (!Values)
     return ExitBadSettings;
--- a/src/app/OperatorService.cpp
+++ b/src/app/OperatorService.cpp
@@ -59,14 +59,16 @@
   const auto Answer =
       co_await Thread.operatorQuestions().wait(Id, AnswerTimeout);
   if (Answer) {
-    co_await Each.respond(answerTo(*Answer));
+    HttpAnswer Given = answerTo(*Answer);
+    co_await Each.respond(std::move(Given));
     co_return;
   }
   if (!IsChange)
     throw Error(ErrorKind::Unavailable, "no answer within 30 s",
                 "ask another entry host");
-  co_await Each.respond(answerTo(
-      VerdictPending{"no verdict within 30 s; ask for it by the change id"}));
+  HttpAnswer Pending = answerTo(
+      VerdictPending{"no verdict within 30 s; ask for it by the change id"});
+  co_await Each.respond(std::move(Pending));
 }
 
 } // namespace banyanpick
--- a/src/app/Routes.cpp
+++ b/src/app/Routes.cpp
@@ -43,8 +43,8 @@
   } else if (Path.starts_with("/v1/operator/")) {
     co_await this->Operators.serve(Each, Thread);
   } else {
-    auto Page = this->Pages.find(Path);
-    co_await Each.respond(Page ? std::move(*Page) : noSuchTarget());
+    HttpAnswer Page = this->Pages.find(Path).value_or(noSuchTarget());
+    co_await Each.respond(std::move(Page));
   }
 }
 
--- a/src/libs/http/ClientStream.cpp
+++ b/src/libs/http/ClientStream.cpp
@@ -2,6 +2,8 @@
 
 #include "http/AddressText.h"
 
+#include <limits>
+
 namespace banyanpick {
 
 Task<std::optional<ClientFailure>> ClientStream::open(Address At,
@@ -26,7 +28,8 @@
   }
   if (Failure)
     co_return failureAfterSending(Failure);
-  this->Parser.body_limit(boost::none);
+  // Not boost::none: Beast 1.74 compares it as less than any length.
+  this->Parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   co_await http::async_read_header(this->Link, this->Buffer, this->Parser,
                                    into(Failure));
   if (Failure)
--- a/src/libs/peers/CurveKeys.cpp
+++ b/src/libs/peers/CurveKeys.cpp
@@ -52,8 +52,8 @@
     const std::string_view Key = Named ? Given.substr(Blank + 1) : Given;
     if (!isCurveKey(Key))
       throw Error(ErrorKind::BadInput, "an allowed key is not a CURVE key",
-                  "give 40 characters of Z85, as banyanpickd "
-                  "--make-peer-keys prints them, after the host's name or "
+                  "give 40 characters of Z85, as `banyanpick "
+                  "keys` prints them, after the host's name or "
                   "alone");
     Item Allowed{std::string(Key), std::nullopt};
     if (Named)
--- a/src/libs/peers/PeerSettings.cpp
+++ b/src/libs/peers/PeerSettings.cpp
@@ -20,7 +20,7 @@
   if (!isCurveKey(Key))
     throw Error(ErrorKind::BadInput,
                 "[peers] " + std::string(Name) + " is not a CURVE key",
-                "give 40 characters of Z85; banyanpickd --make-peer-keys "
+                "give 40 characters of Z85; banyanpick keys "
                 "prints a new pair");
   return Key;
 }
@@ -31,7 +31,7 @@
   return {
       keySetting("curve_public_key",
                  "Public CURVE key of this host (Z85). Hosts may share one "
-                 "pair; `banyanpickd --make-peer-keys` prints a new one."),
+                 "pair; `banyanpick keys` prints a new one."),
       keySetting("curve_secret_key",
                  "Secret CURVE key that belongs to the public one (Z85)."),
       {"peers", "allowed_keys", SettingKind::Text, "",
--- a/src/libs/platform/UpstreamClient.cpp
+++ b/src/libs/platform/UpstreamClient.cpp
@@ -38,6 +38,14 @@
   return Result;
 }
 
+ClientRequest holdRequest(const TakeHold &Wanted, const HostId &Self) {
+  const json Body{{"tokens", Wanted.Tokens},
+                  {"deadline", toMilliseconds(Wanted.Deadline)},
+                  {"owner", Self.Value}};
+  return requestWithJson(http::verb::put, "/holds/" + idText(Wanted.Hold),
+                         Body);
+}
+
 json orderJson(const OrderUpstream &Order) {
   json Result{{"order", idText(Order.Order)}, {"fencing", Order.Fencing}};
   match(
@@ -141,13 +149,9 @@
 }
 
 Task<Event> UpstreamClient::takeHold(TakeHold Wanted) {
-  const json Body{{"tokens", Wanted.Tokens},
-                  {"deadline", toMilliseconds(Wanted.Deadline)},
-                  {"owner", this->Self.Value}};
+  ClientRequest Request = holdRequest(Wanted, this->Self);
   const ClientResult Result = co_await this->Client.call(
-      Wanted.At,
-      requestWithJson(http::verb::put, "/holds/" + idText(Wanted.Hold), Body),
-      this->Values.OrderTimeout);
+      Wanted.At, std::move(Request), this->Values.OrderTimeout);
   co_return HoldAnswered{Wanted.Hold, Wanted.Upstream, holdResult(Result)};
 }
 
@@ -167,10 +171,10 @@
     co_return OrderAnswered{Wanted.Order, Wanted.Upstream, OrderResult::Failed,
                             0};
   // A fresh connection: nothing of the order may wait in an old one.
+  ClientRequest Request =
+      requestWithJson(http::verb::post, "/orders", orderJson(Wanted));
   const ClientResult Result = co_await this->Client.call(
-      Wanted.At,
-      requestWithJson(http::verb::post, "/orders", orderJson(Wanted)), Left,
-      HttpClient::Reuse::No);
+      Wanted.At, std::move(Request), Left, HttpClient::Reuse::No);
   const OrderResult How = orderResult(Result);
   const LogOffset Highest =
       How == OrderResult::RefusedFencing ? highestFencing(Result) : 0;
--- /dev/null
+++ b/tests/auto/daemon/PeerNetworkTest.cpp
@@ -0,0 +1,130 @@
+/// \file
+/// Entry hosts talk only to those whose keys they know.
+#include <gtest/gtest.h>
+
+#include "base/Error.h"
+#include "peers/PeerNetwork.h"
+
+#include <condition_variable>
+
+using namespace banyanpick;
+
+namespace {
+
+/// Collects what a network receives.
+class Inbox {
+public:
+  PeerNetwork::Listener listener() {
+    return {[this](PeerMessage Message) {
+              const std::lock_guard Lock(this->Guard);
+              this->Received.push_back(std::move(Message));
+              this->Came.notify_all();
+            },
+            [this](std::string_view) {
+              const std::lock_guard Lock(this->Guard);
+              ++this->Malformed;
+              this->Came.notify_all();
+            }};
+  }
+
+  bool waitForMessage(std::chrono::milliseconds Most) {
+    std::unique_lock Lock(this->Guard);
+    return this->Came.wait_for(Lock, Most,
+                               [this] { return !this->Received.empty(); });
+  }
+
+  bool waitForMalformed(std::chrono::milliseconds Most) {
+    std::unique_lock Lock(this->Guard);
+    return this->Came.wait_for(Lock, Most,
+                               [this] { return this->Malformed > 0; });
+  }
+
+  std::mutex Guard;
+  std::condition_variable Came;
+  std::vector<PeerMessage> Received;
+  int Malformed = 0;
+};
+
+/// For networks that only send.
+PeerNetwork::Listener deaf() {
+  return {[](PeerMessage) {}, [](std::string_view) {}};
+}
+
+PeerSettings settingsWith(const CurveKeyPair &Own, std::string_view Allowed) {
+  PeerSettings Result{Own, AllowedKeys::parse(Allowed), 65536, 100};
+  Result.Allowed.add(Own.PublicKey);
+  return Result;
+}
+
+const Address AnyPort{"127.0.0.1", 0};
+constexpr std::chrono::milliseconds Long(20'000);
+constexpr std::chrono::milliseconds Short(300);
+
+HostListing listingOf(const std::string &Name, const PeerNetwork &At) {
+  HostListing Result;
+  Result.Id.Value = Name;
+  Result.Peers = {"127.0.0.1", At.port()};
+  return Result;
+}
+
+/// Sends until something came or \p Most has passed: what is sent before the
+/// connection stands is lost.
+bool reaches(PeerNetwork &From, const std::string &To, Inbox &At,
+             std::chrono::milliseconds Most) {
+  const auto Until = std::chrono::steady_clock::now() + Most;
+  while (std::chrono::steady_clock::now() < Until) {
+    From.send(HostId(To), RecordsAsked{7});
+    if (At.waitForMessage(std::chrono::milliseconds(20)))
+      return true;
+  }
+  return false;
+}
+
+TEST(PeerNetwork, HostsWithOneKeyPairTalk) {
+  const CurveKeyPair Keys = makeCurveKeyPair();
+  Inbox InboxOfB;
+  PeerNetwork A(HostId("a"), Incarnation(1), AnyPort, settingsWith(Keys, ""),
+                deaf());
+  PeerNetwork B(HostId("b"), Incarnation(2), AnyPort, settingsWith(Keys, ""),
+                InboxOfB.listener());
+  A.connect({listingOf("b", B)});
+  ASSERT_TRUE(reaches(A, "b", InboxOfB, Long));
+  const std::lock_guard Lock(InboxOfB.Guard);
+  EXPECT_EQ(InboxOfB.Received.front(),
+            (PeerMessage{HostId("a"), Incarnation(1), RecordsAsked{7}}));
+}
+
+TEST(PeerNetwork, AnUnknownKeyGetsNothing) {
+  const CurveKeyPair KeysOfB = makeCurveKeyPair();
+  Inbox InboxOfB;
+  PeerNetwork B(HostId("b"), Incarnation(2), AnyPort, settingsWith(KeysOfB, ""),
+                InboxOfB.listener());
+  // It knows B's key, but B does not know its own.
+  PeerNetwork Stranger(
+      HostId("a"), Incarnation(1), AnyPort,
+      settingsWith(makeCurveKeyPair(), "b " + KeysOfB.PublicKey), deaf());
+  Stranger.connect({listingOf("b", B)});
+  EXPECT_FALSE(reaches(Stranger, "b", InboxOfB, Short));
+}
+
+TEST(PeerNetwork, AKeyOfOneHostIsNoGoodForAnother) {
+  const CurveKeyPair KeysOfA = makeCurveKeyPair();
+  const CurveKeyPair KeysOfB = makeCurveKeyPair();
+  Inbox InboxOfB;
+  PeerNetwork B(HostId("b"), Incarnation(2), AnyPort,
+                settingsWith(KeysOfB, "a " + KeysOfA.PublicKey),
+                InboxOfB.listener());
+  PeerNetwork A(HostId("someone-else"), Incarnation(1), AnyPort,
+                settingsWith(KeysOfA, "b " + KeysOfB.PublicKey), deaf());
+  A.connect({listingOf("b", B)});
+  while (!InboxOfB.waitForMalformed(std::chrono::milliseconds(20)))
+    A.send(HostId("b"), RecordsAsked{7});
+  EXPECT_FALSE(InboxOfB.waitForMessage(std::chrono::milliseconds(0)));
+}
+
+TEST(PeerNetwork, MalformedKeysAreRefused) {
+  EXPECT_THROW(AllowedKeys::parse("short"), Error);
+  EXPECT_THROW(AllowedKeys::parse("host " + std::string(40, ' ')), Error);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/auto/http/HttpServerTest.cpp
@@ -0,0 +1,156 @@
+/// \file
+/// Bad input, slow senders and crowds leave the server alive and bounded.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "LocalServer.h"
+#include "http/BoundedJson.h"
+
+using namespace banyanpick;
+
+namespace {
+
+/// Echoes the body.
+Task<void> echo(HttpExchange &Each) {
+  HttpAnswer Answer;
+  Answer.Body = Each.body();
+  co_await Each.respond(std::move(Answer));
+}
+
+/// A blocking connection that sends raw bytes.
+class RawPeer {
+public:
+  explicit RawPeer(const Address &At) : Socket(this->Io) {
+    this->Socket.connect({net::ip::make_address(At.Ip), At.Port});
+  }
+
+  void send(std::string_view Bytes) {
+    ErrorCode Ignored;
+    net::write(this->Socket, net::buffer(Bytes.data(), Bytes.size()), Ignored);
+  }
+  void finish() {
+    ErrorCode Ignored;
+    this->Socket.shutdown(Tcp::socket::shutdown_send, Ignored);
+  }
+
+  /// Everything until the server closes.
+  std::string readAll() {
+    std::string Result;
+    std::array<char, 4096> Piece{};
+    ErrorCode Failure;
+    while (!Failure) {
+      const std::size_t Count =
+          this->Socket.read_some(net::buffer(Piece), Failure);
+      Result.append(Piece.data(), Count);
+    }
+    return Result;
+  }
+
+private:
+  net::io_context Io;
+  Tcp::socket Socket;
+};
+
+std::string post(std::size_t Length, std::string_view Body) {
+  return "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: " +
+         std::to_string(Length) + "\r\n\r\n" + std::string(Body);
+}
+
+std::string answerTo(const Address &At, std::string_view Bytes) {
+  RawPeer Peer(At);
+  Peer.send(Bytes);
+  return Peer.readAll();
+}
+
+bool stillServes(const Address &At) {
+  return answerTo(At, post(2, "ok")).ends_with("\r\n\r\nok");
+}
+
+TEST(HttpServer, BoundsAreToldWithTypedErrors) {
+  LocalServer Server(echo);
+  const auto Answer = [&](std::string_view Bytes) {
+    return answerTo(Server.at(), Bytes);
+  };
+  EXPECT_NE(
+      Answer("GET / HTTP/1.1\r\nX: " + std::string(4096, 'x')).find("431"),
+      std::string::npos);
+  EXPECT_NE(Answer(post(5000, "")).find("413"), std::string::npos);
+  EXPECT_NE(Answer("nonsense\r\n\r\n").find(R"("kind":"bad-input")"),
+            std::string::npos);
+  EXPECT_NE(Answer("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+                .find("411"),
+            std::string::npos);
+  EXPECT_NE(Answer("GET /%zz HTTP/1.1\r\n\r\n").find("400"), std::string::npos);
+  EXPECT_TRUE(stillServes(Server.at()));
+}
+
+TEST(HttpServer, SlowSendersAreCutOff) {
+  LocalServer Server(echo);
+  RawPeer SlowHeader(Server.at());
+  SlowHeader.send("GET / HTT");
+  RawPeer SlowBody(Server.at());
+  SlowBody.send(post(10, "abc"));
+  RawPeer Idle(Server.at());
+  SlowHeader.readAll(); // Each returns only because the server closes.
+  SlowBody.readAll();
+  Idle.readAll();
+  EXPECT_TRUE(stillServes(Server.at()));
+}
+
+TEST(HttpServer, ManyIdleConnectionsAreBounded) {
+  LocalServer Server(echo);
+  std::vector<std::unique_ptr<RawPeer>> Crowd;
+  for (int I = 0; I < 64; ++I)
+    Crowd.push_back(std::make_unique<RawPeer>(Server.at()));
+  for (const auto &Each : Crowd)
+    Each->readAll();
+  EXPECT_LE(Server.server().connections(), smallLimits().MaxConnections);
+  Crowd.clear();
+  EXPECT_TRUE(stillServes(Server.at()));
+}
+
+TEST(HttpServer, BodiesOfAllRequestsAreBounded) {
+  LocalServer Server(echo);
+  std::vector<std::unique_ptr<RawPeer>> Crowd;
+  for (int I = 0; I < 3; ++I) {
+    Crowd.push_back(std::make_unique<RawPeer>(Server.at()));
+    Crowd.back()->send(post(4096, "slow"));
+  }
+  std::string Answers;
+  for (const auto &Each : Crowd)
+    Answers += Each->readAll();
+  EXPECT_NE(Answers.find("503"), std::string::npos);
+  while (Server.server().bodyBytes() != 0) // Hangs if a share is never freed.
+    std::this_thread::sleep_for(milliseconds(1));
+  EXPECT_TRUE(stillServes(Server.at()));
+}
+
+RC_GTEST_PROP(HttpServer, AnyBytesLeaveItServing, (const std::string &Bytes)) {
+  static LocalServer Server(echo);
+  const bool Framed = *rc::gen::arbitrary<bool>();
+  RawPeer Peer(Server.at());
+  Peer.send(Framed ? post(Bytes.size(), Bytes) : Bytes);
+  Peer.finish();
+  Peer.readAll();
+  RC_ASSERT(stillServes(Server.at()));
+}
+
+TEST(BoundedJson, SmallTextsCannotBecomeLargeDocuments) {
+  EXPECT_THROW(parseBoundedJson(std::string(100'000, '[')), Error);
+  std::string Many = "[0";
+  for (int I = 0; I < 60'000; ++I)
+    Many += ",0";
+  EXPECT_THROW(parseBoundedJson(Many + "]", MostCallerJsonValues), Error);
+  EXPECT_EQ(parseBoundedJson("[1]").dump(), "[1]");
+}
+
+RC_GTEST_PROP(BoundedJson, AnyBytesAreReadOrRefused,
+              (const std::string &Bytes)) {
+  try {
+    parseBoundedJson(Bytes);
+  } catch (const Error &Problem) {
+    RC_ASSERT(Problem.kind() == ErrorKind::BadInput);
+  }
+}
+
+} // namespace
