--- /dev/null
+++ b/tests/bench/slopes/DecisionSlopes.cpp
@@ -0,0 +1,115 @@
+#include "DecisionSlopes.h"
+
+#include "BenchWorld.h"
+#include "SlopeTable.h"
+#include "harness/TestCatalogue.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fmt/format.h>
+
+namespace banyanpick {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::uint32_t RequestsMeasured = 4000;
+constexpr std::uint64_t FirstRequestId = 1'000'000;
+
+double microsecondsSince(Clock::time_point Begin) {
+  return std::chrono::duration<double, std::micro>(Clock::now() - Begin)
+      .count();
+}
+
+/// What requests cost, in microseconds each.
+struct DecisionCost {
+  double Arrival = 0; ///< Median: admission and choice of the engine.
+  double Whole = 0;   ///< Median: arrival, first token and end.
+  double Slow = 0;    ///< 99th percentile of the arrival.
+  std::uint32_t Routed = 0;
+};
+
+double quantile(std::vector<double> Values, double Part) {
+  const auto At =
+      static_cast<std::size_t>(Part * static_cast<double>(Values.size() - 1));
+  std::nth_element(Values.begin(), Values.begin() + At, Values.end());
+  return Values[At];
+}
+
+AttemptId attemptIn(const std::vector<Action> &Wanted) {
+  for (const Action &Each : Wanted)
+    if (const auto *Sent = std::get_if<DispatchAttempt>(&Each))
+      return Sent->Attempt;
+  return {};
+}
+
+/// Sends requests to a kernel whose world stands still but for the time.
+DecisionCost measureDecisions(VirtualDeployment &World, std::uint32_t Teams) {
+  Kernel &Decider = firstKernel(World);
+  std::vector<double> Arrivals;
+  std::vector<double> Wholes;
+  DecisionCost Cost;
+  Time Now = World.now();
+  for (std::uint32_t Number = 0; Number < RequestsMeasured; ++Number) {
+    Now += Duration(100);
+    RequestHead Head =
+        testRequest(teamName(Number % Teams), "short", 2000, Number);
+    Head.Id = RequestId(FirstRequestId + Number);
+    const auto Begin = Clock::now();
+    const AttemptId Try =
+        attemptIn(Decider.handle(RequestArrived{std::move(Head)}, Now));
+    Arrivals.push_back(microsecondsSince(Begin));
+    Cost.Routed += Try == AttemptId{} ? 0 : 1;
+    Decider.handle(AttemptProgressed{Try, 1}, Now);
+    Decider.handle(AttemptEnded{Try, AttemptComplete{32, ""}}, Now);
+    Wholes.push_back(microsecondsSince(Begin));
+  }
+  Cost.Arrival = quantile(Arrivals, 0.5);
+  Cost.Slow = quantile(Arrivals, 0.99);
+  Cost.Whole = quantile(Wholes, 0.5);
+  return Cost;
+}
+
+DecisionCost decisionCost(std::uint32_t Engines, std::uint32_t Teams) {
+  const auto World = makeWorld({1, Engines, Teams, 1});
+  const DecisionCost Cost = measureDecisions(*World, Teams);
+  fmt::print("engines={} teams={} arrival_p50={:.2f}us arrival_p99={:.2f}us "
+             "whole_p50={:.2f}us routed={} of {}\n",
+             Engines, Teams, Cost.Arrival, Cost.Slow, Cost.Whole, Cost.Routed,
+             RequestsMeasured);
+  return Cost;
+}
+
+} // namespace
+
+void measureDecisionAgainstEngines() {
+  SlopeTable Table{
+      "Decision time against engines", "engines", "us/arrival", {}};
+  for (const std::uint32_t Engines : {10, 30, 100, 300, 1000})
+    Table.add(Engines, decisionCost(Engines, 10).Arrival);
+  Table.print();
+}
+
+void measureDecisionAgainstTeams() {
+  SlopeTable Table{"Decision time against teams", "teams", "us/arrival", {}};
+  for (const std::uint32_t Teams : {10, 100, 1000, 10000, 36000})
+    Table.add(Teams, decisionCost(100, Teams).Arrival);
+  Table.print();
+}
+
+void measureIdleAgainstEngines() {
+  SlopeTable Table{
+      "Idle control time against engines", "engines", "% of a core", {}};
+  constexpr Duration Span = seconds(20);
+  for (const std::uint32_t Engines : {10, 50, 143, 300}) {
+    const auto World = makeWorld({1, Engines, 10, 1});
+    const auto Begin = Clock::now();
+    World->runFor(Span);
+    const double Spent = microsecondsSince(Begin) / 1e6;
+    Table.add(Engines, 100 * Spent / inSeconds(Span));
+  }
+  Table.print();
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/bench/slopes/LineFit.h
@@ -0,0 +1,25 @@
+/// \file
+/// A straight line through measured points, by least squares.
+#pragma once
+
+#include <span>
+
+namespace banyanpick {
+
+/// One measured point.
+struct Point {
+  double Size = 0;
+  double Cost = 0;
+};
+
+/// Cost = Base + Slope * Size.
+struct LineFit {
+  double Base = 0;
+  double Slope = 0;
+  double SlopeError = 0; ///< Standard error of the slope.
+};
+
+/// Fits at least two points of different size.
+LineFit fitLine(std::span<const Point> Points);
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/bench/slopes/PeerSlopes.cpp
@@ -0,0 +1,98 @@
+#include "PeerSlopes.h"
+
+#include "BenchWorld.h"
+#include "SlopeTable.h"
+#include "harness/TestCatalogue.h"
+#include "wire/PeerCodec.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+
+namespace banyanpick {
+
+namespace {
+
+constexpr Duration Span = seconds(10);
+constexpr std::size_t ZeroMqFrameBytes = 9; ///< Of a long frame (ZMTP 3.1).
+
+/// Bytes a second sent by each host, and by kind of message over all.
+struct Traffic {
+  double Mean = 0;
+  double Most = 0;
+  std::map<std::size_t, double> ByKind;
+};
+
+Traffic trafficOf(const WorldSize &Size) {
+  const auto World = makeWorld(Size);
+  std::map<std::string, double> Sent;
+  Traffic Result;
+  World->OnPeerMessage = [&](const PeerMessage &Message) {
+    const auto Bytes = static_cast<double>(encodePeerMessage(Message).size() +
+                                           ZeroMqFrameBytes);
+    Sent[Message.From.Value] += Bytes;
+    Result.ByKind[Message.Body.index()] += Bytes;
+  };
+  World->runFor(Span);
+  for (const auto &[Host, Bytes] : Sent) {
+    const double Rate = Bytes / inSeconds(Span);
+    Result.Mean += Rate / Size.Hosts;
+    Result.Most = std::max(Result.Most, Rate);
+  }
+  fmt::print("hosts={} engines={} mean={:.0f}B/s most={:.0f}B/s kinds:",
+             Size.Hosts, Size.Engines, Result.Mean, Result.Most);
+  for (const auto &[Kind, Bytes] : Result.ByKind)
+    fmt::print(" {}:{:.0f}", Kind, Bytes / inSeconds(Span) / Size.Hosts);
+  fmt::print("\n");
+  return Result;
+}
+
+/// The lowest catalogue offset in force on any host.
+LogOffset lowestInForce(VirtualDeployment &World) {
+  LogOffset Lowest = ~LogOffset(0);
+  for (const auto &[Name, Host] : World.hosts()) {
+    auto &View = Host->kernel().services().get<CatalogueView>();
+    Lowest = std::min(Lowest, View.catalogue().offset());
+  }
+  return Lowest;
+}
+
+Duration timeToForce(std::uint32_t Hosts) {
+  const auto World = makeWorld({Hosts, 10, 10, 1});
+  const LogOffset Before = lowestInForce(*World);
+  World->seedCatalogue({declared(EntryKind::Team, "new", testTeam("new"))});
+  const Time Begin = World->now();
+  constexpr Duration Step = milliseconds(1);
+  while (lowestInForce(*World) == Before && World->now() < Begin + seconds(60))
+    World->runFor(Step);
+  return World->now() - Begin;
+}
+
+} // namespace
+
+void measureTrafficAgainstHosts() {
+  SlopeTable Table{
+      "Bytes between hosts, against hosts", "hosts", "B/s a host", {}};
+  for (const std::uint32_t Hosts : {3, 10, 40, 100, 320})
+    Table.add(Hosts, trafficOf({Hosts, 10, 10, 1}).Mean);
+  Table.print();
+}
+
+void measureTrafficAgainstEngines() {
+  SlopeTable Table{"Bytes between hosts, against engines (46 hosts)",
+                   "engines",
+                   "B/s a host",
+                   {}};
+  for (const std::uint32_t Engines : {10, 50, 143})
+    Table.add(Engines, trafficOf({46, Engines, 10, 1}).Mean);
+  Table.print();
+}
+
+void measureInForceAgainstHosts() {
+  SlopeTable Table{"A change in force on all hosts", "hosts", "ms", {}};
+  for (const std::uint32_t Hosts : {3, 10, 40, 100, 320})
+    Table.add(Hosts, inSeconds(timeToForce(Hosts)) * 1000);
+  Table.print();
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/bench/slopes/StateSlopes.cpp
@@ -0,0 +1,116 @@
+#include "StateSlopes.h"
+
+#include "BenchWorld.h"
+#include "SlopeTable.h"
+#include "catalogue/Fold.h"
+#include "harness/TestCatalogue.h"
+#include "wire/LogCodec.h"
+
+#include <chrono>
+#include <fmt/format.h>
+#include <malloc.h>
+
+namespace banyanpick {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+double heapBytes() { return static_cast<double>(mallinfo2().uordblks); }
+
+double millisecondsSince(Clock::time_point Begin) {
+  return std::chrono::duration<double, std::milli>(Clock::now() - Begin)
+      .count();
+}
+
+/// A log of so many changes of one team's weight.
+std::vector<LogRecord> changesOfOneTeam(std::uint32_t Count) {
+  std::vector<LogRecord> Records;
+  for (std::uint32_t Number = 0; Number < Count; ++Number) {
+    TeamEntry Team = testTeam("t");
+    Team.Weight = 1.0 + Number;
+    ChangeSet Set;
+    Set.Id = ChangeId(fmt::format("change-{}", Number));
+    Set.Author = OwnerId(TestOwner);
+    // Entry versions are log offsets, which begin at 1.
+    Set.Changes = {declared(EntryKind::Team, "t", Team, Number)};
+    Records.push_back({{Incarnation(1), Number}, ConfigurationRecord{Set}});
+  }
+  return Records;
+}
+
+/// Decodes and folds every record; returns the bytes read.
+std::size_t recover(const std::vector<std::string> &Stored, Catalogue &Into) {
+  std::size_t Bytes = 0;
+  LogOffset Offset = 0;
+  for (const std::string &Each : Stored) {
+    Bytes += Each.size();
+    ++Offset;
+    for (const LogRecord &Record : decodeLogBatch(Each))
+      Into.fold(std::get<ConfigurationRecord>(Record.Body).Set, Offset);
+  }
+  return Bytes;
+}
+
+double appendsAt(std::uint32_t CallsPerSecond) {
+  DeploymentOptions Options;
+  Options.CheckEveryEvent = false;
+  VirtualDeployment World(Options);
+  World.addApplication("booking-1", TestService, "zone-0");
+  World.seedCatalogue(testCatalogue({"t"}));
+  World.addHost("host-0", "zone-0");
+  World.runFor(seconds(15));
+  constexpr std::uint32_t Seconds = 5;
+  const LogOffset Before = World.log().end();
+  for (std::uint32_t Call = 0; Call < CallsPerSecond * Seconds; ++Call) {
+    World.runFor(Duration(1'000'000 / CallsPerSecond));
+    RequestHead Head = testRequest("t", "confirm", 100, Call);
+    Head.Streamed = false;
+    Head.Operation = World.makeOperationKey();
+    World.send("host-0", Head);
+  }
+  return static_cast<double>(World.log().end() - Before) / Seconds;
+}
+
+} // namespace
+
+void measureCatalogueMemory() {
+  SlopeTable Table{
+      "Catalogue memory against teams (36 models)", "teams", "bytes", {}};
+  for (const std::uint32_t Teams : {10, 1000, 10000, 36000}) {
+    const std::vector<Change> All = catalogueOf({0, 0, Teams, 36});
+    const double Before = heapBytes();
+    Catalogue InForce;
+    InForce.fold({ChangeId("c"), OwnerId(TestOwner), All}, 1);
+    Table.add(Teams, heapBytes() - Before);
+  }
+  Table.print();
+}
+
+void measureRecovery() {
+  SlopeTable Times{
+      "Recovery by fold, against change records", "records", "ms", {}};
+  SlopeTable Sizes{"Bytes read in a recovery", "records", "bytes", {}};
+  for (const std::uint32_t Count : {100, 1000, 3500, 10000}) {
+    std::vector<std::string> Stored;
+    for (const LogRecord &Each : changesOfOneTeam(Count))
+      Stored.push_back(encodeLogBatch(std::span(&Each, 1)));
+    Catalogue Recovered;
+    const auto Begin = Clock::now();
+    const std::size_t Bytes = recover(Stored, Recovered);
+    Times.add(Count, millisecondsSince(Begin));
+    Sizes.add(Count, static_cast<double>(Bytes));
+  }
+  Times.print();
+  Sizes.print();
+}
+
+void measureAppends() {
+  SlopeTable Table{
+      "Log appends by group commit (one host)", "calls/s", "appends/s", {}};
+  for (const std::uint32_t Calls : {10, 50, 200, 1000, 3700})
+    Table.add(Calls, appendsAt(Calls));
+  Table.print();
+}
+
+} // namespace banyanpick
--- a/tests/harness/VirtualDeployment.cpp
+++ b/tests/harness/VirtualDeployment.cpp
@@ -321,6 +321,8 @@
   const bool Twice = this->Net.Duplication > 0 &&
                      this->Numbers.fraction() < this->Net.Duplication;
   const PeerMessage Message{HostId(From.name()), From.life(), Wanted.Body};
+  if (this->OnPeerMessage)
+    this->OnPeerMessage(Message);
   for (int Copy = 0; Copy < (Twice ? 2 : 1); ++Copy)
     this->Queue.after(
         this->Net.delay(From.name(), To) * (1 + 3 * Copy), [this, To, Message] {
--- a/tests/harness/VirtualDeployment.h
+++ b/tests/harness/VirtualDeployment.h
@@ -116,6 +116,8 @@
   /// A kernel as the hosts of this deployment get it.
   std::unique_ptr<Kernel> makeKernel(const HostListing &Listing,
                                      Incarnation Life, std::uint64_t Seed);
+  /// Called for each message that an entry host sends another.
+  std::function<void(const PeerMessage &)> OnPeerMessage;
 
 private:
   friend class VirtualHost;
