Send work only where its memory is free, and count the delay it causes

Cause: long prompts waited inside engines for memory behind which everything else waited too, and requests of a middle length overtook them on engines that had just begun a long prefill. Change: an engine without free memory for the request is not chosen; the delay caused to work of lower priority counts in the comparison; requests that got no first token count with the time they waited, for every policy.

--- a/src/plugins/routing/EngineCost.cpp
+++ b/src/plugins/routing/EngineCost.cpp
@@ -35,17 +35,22 @@
   const double Decode = Engine.Report.DecodeTokensPerSecond > 0
                             ? Engine.Report.DecodeTokensPerSecond
                             : DefaultDecodeSpeed;
+  const Duration Prefill =
+      fromSeconds(static_cast<double>(Demand.UncachedTokens) / Speed);
   EngineEstimate Result;
   Result.Wait =
       fromSeconds(this->workAhead(Engine, Demand.Priority, Now) / Speed) +
       this->memoryWait(Engine, Demand.MemoryTokens);
-  if (this->hasLowerWork(Engine, Demand.Priority))
+  Duration Caused{};
+  if (this->hasLowerWork(Engine, Demand.Priority)) {
     Result.Wait += this->Values.StepDelay;
-  Result.FirstToken =
-      Result.Wait +
-      fromSeconds(static_cast<double>(Demand.UncachedTokens) / Speed);
+    Caused = fromSeconds(inSeconds(Prefill) * this->Values.DelayWeight);
+  }
+  Result.FirstToken = Result.Wait + Prefill;
   if (this->Values.Parts.Zones && Engine.Listing.Zone != this->SelfZone)
     Result.FirstToken += this->Values.CrossZoneDelay;
+  Result.Score = Result.FirstToken + Caused;
+  Result.HasMemory = Demand.MemoryTokens <= this->freeMemory(Engine);
   Result.WholeAnswer =
       Result.FirstToken +
       fromSeconds(static_cast<double>(Demand.OutputTokens) / Decode);
--- a/src/plugins/routing/EngineCost.h
+++ b/src/plugins/routing/EngineCost.h
@@ -20,6 +20,8 @@
   Duration Wait{};        ///< Until its prefill begins.
   Duration FirstToken{};  ///< From now, with delays between zones.
   Duration WholeAnswer{}; ///< From now.
+  bool HasMemory = false; ///< Its memory is believed to be free now.
+  Duration Score{};       ///< What is compared; less is better.
 };
 
 /// Joins the lagged report with the work sent since: first token = work ahead
--- a/src/plugins/routing/PredictedChoice.cpp
+++ b/src/plugins/routing/PredictedChoice.cpp
@@ -25,8 +25,9 @@
     Result.push_back(this->estimate(Each, Demand, Now));
   std::stable_sort(Result.begin(), Result.end(),
                    [](const Candidate &Left, const Candidate &Right) {
-                     return Left.Estimate.FirstToken <
-                            Right.Estimate.FirstToken;
+                     if (Left.Estimate.HasMemory != Right.Estimate.HasMemory)
+                       return Left.Estimate.HasMemory;
+                     return Left.Estimate.Score < Right.Estimate.Score;
                    });
   return Result;
 }
@@ -37,7 +38,7 @@
     return false;
   const Duration Bound =
       Demand.IsLong ? this->Values.LongQueue : this->Values.EngineQueue;
-  return Best.Estimate.Wait > Bound;
+  return !Best.Estimate.HasMemory || Best.Estimate.Wait > Bound;
 }
 
 std::vector<std::uint32_t>
--- a/src/plugins/routing/RoutingPlugin.cpp
+++ b/src/plugins/routing/RoutingPlugin.cpp
@@ -16,8 +16,6 @@
 
 /// Engine priority: urgency counts most, then ageing, then shortness.
 constexpr double PriorityPerUrgency = 20;
-constexpr double MostAgeing = 40;
-constexpr double ShortnessPerDoubling = 1.5;
 constexpr double LongestPromptDoublings = 20; ///< About a million tokens.
 constexpr double GreatestPriority = 255;
 
@@ -84,13 +82,14 @@
     return 0;
   const double Doublings = std::log2(
       std::max<double>(1024, static_cast<double>(Asked.Head.PromptTokens)));
-  double Result =
-      PriorityPerUrgency * Asked.Class.Urgency +
-      ShortnessPerDoubling * std::max(0.0, LongestPromptDoublings - Doublings);
+  double Result = PriorityPerUrgency * Asked.Class.Urgency +
+                  this->Values.ShortnessPriority *
+                      std::max(0.0, LongestPromptDoublings - Doublings);
   const Duration Promised = Asked.FirstTokenBy - Asked.ArrivedAt;
   if (this->Values.Parts.Ageing && Promised > Duration(0)) {
     const double Passed = inSeconds(Now - Asked.ArrivedAt);
-    Result += MostAgeing * std::clamp(Passed / inSeconds(Promised), 0.0, 1.0);
+    Result += this->Values.AgeingPriority *
+              std::clamp(Passed / inSeconds(Promised), 0.0, 1.0);
   }
   return static_cast<std::uint32_t>(std::min(Result, GreatestPriority));
 }
@@ -189,7 +188,7 @@
   Candidate Best = this->Predicted->estimate(Engines.front(), Demand, Now);
   for (const std::uint32_t Each : Engines) {
     const Candidate Other = this->Predicted->estimate(Each, Demand, Now);
-    if (Other.Estimate.FirstToken < Best.Estimate.FirstToken)
+    if (Other.Estimate.Score < Best.Estimate.Score)
       Best = Other;
   }
   Selected Choice = this->chosen(Best, Demand);
--- a/src/plugins/routing/RoutingSettings.cpp
+++ b/src/plugins/routing/RoutingSettings.cpp
@@ -83,6 +83,17 @@
       {In, "memory_turnover", SettingKind::Span, "10s",
        "Time in which an engine's occupied memory becomes free on average.",
        1e3, 600e6},
+      {In, "delay_weight", SettingKind::Fraction, "1",
+       "Weight of the delay that a request causes to work of lower priority on "
+       "an engine against its own time to the first token.",
+       0, 100},
+      {In, "shortness_priority", SettingKind::Fraction, "0",
+       "Engine priority that a prompt gains for each time it is half as long.",
+       0, 10},
+      {In, "ageing_priority", SettingKind::Fraction, "40",
+       "Engine priority that a request gains while its promised time to the "
+       "first token passes.",
+       0, 100},
       {In, "most_group_engines", SettingKind::Whole, "6",
        "Engines that may hold memory together for one prompt.", 2, 64},
   };
@@ -109,6 +120,9 @@
   Result.LongPrompt = Values.whole(Section, "long_prompt");
   Result.StepDelay = Values.span(Section, "step_delay");
   Result.MemoryTurnover = Values.span(Section, "memory_turnover");
+  Result.DelayWeight = Values.fraction(Section, "delay_weight");
+  Result.ShortnessPriority = Values.fraction(Section, "shortness_priority");
+  Result.AgeingPriority = Values.fraction(Section, "ageing_priority");
   Result.MostGroupEngines = Values.whole(Section, "most_group_engines");
   return Result;
 }
--- a/src/plugins/routing/RoutingSettings.h
+++ b/src/plugins/routing/RoutingSettings.h
@@ -37,6 +37,9 @@
   Duration StepDelay{};              ///< Of a running step with lower work.
   Duration MemoryTurnover{}; ///< In which an engine's memory turns over.
   std::uint64_t MostGroupEngines = 0;
+  double DelayWeight = 0;       ///< Of the delay that others suffer.
+  double ShortnessPriority = 0; ///< For each halving of the prompt.
+  double AgeingPriority = 0;    ///< Once the promised time is over.
 
   static std::vector<SettingDeclaration> declarations();
   static RoutingSettings from(const Settings &Values);
--- a/tests/bench/RoutingCell.cpp
+++ b/tests/bench/RoutingCell.cpp
@@ -187,9 +187,10 @@
     ++Result.Sent;
     ++Result.Offered[Bucket];
     ++Result.TeamOffered[From.Team];
-    if (Seen.FirstTokenAt)
-      Result.FirstToken[Bucket].push_back(
-          inSeconds(*Seen.FirstTokenAt - Seen.SentAt));
+    // Without a first token, an admitted request counts with what it waited.
+    const auto Waited = Seen.FirstTokenAt ? Seen.FirstTokenAt : Seen.EndedAt;
+    if (Seen.AcceptedAt && Waited)
+      Result.FirstToken[Bucket].push_back(inSeconds(*Waited - Seen.SentAt));
     const bool Whole =
         Seen.Answer && std::holds_alternative<WholeAnswer>(*Seen.Answer);
     const bool NotRunAtAll =
