Test what operators are answered

Accepted only after the own record was read back and most hosts are in contact; a lost answer of the log settled by reading; pending while the log is away; wrong keys refused alike; entries changed by their owners only.

--- /dev/null
+++ b/tests/auto/operators/OperatorsTest.cpp
@@ -0,0 +1,246 @@
+#include "auto/log/LogBench.h"
+#include "catalogue/KeyDigest.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick {
+
+namespace {
+
+const std::map<std::string, std::string> WithRoot{
+    {"operators.root_key", "top"}};
+const std::string Root = "root.top";
+const std::string Ring = "ring.secret";
+
+/// One change of an entry of the owner `ring`.
+Change changeOf(EntryKind Kind, std::string Name,
+                std::optional<EntryBody> Body) {
+  Change Result;
+  Result.Key = {Kind, std::move(Name)};
+  Result.Owner = OwnerId("ring");
+  Result.Body = std::move(Body);
+  return Result;
+}
+
+ChangeSet setOf(std::string Id, std::vector<Change> Changes) {
+  ChangeSet Result;
+  Result.Id = ChangeId(std::move(Id));
+  Result.Changes = std::move(Changes);
+  return Result;
+}
+
+ModelEntry someModel() {
+  ModelEntry Result;
+  Result.Weights = "m-weights";
+  Result.WeightBytes = 1;
+  return Result;
+}
+
+TeamEntry someTeam(std::vector<ClassId> Classes) {
+  TeamEntry Result;
+  Result.Key = digestOfKey("k", std::string(32, '1'));
+  Result.Classes = std::move(Classes);
+  return Result;
+}
+
+struct OperatorsTest : testing::Test {
+  LogServiceModel Log;
+  BenchHost Host{Log, "h1", 0xa1, WithRoot};
+  std::uint64_t Questions = 0;
+
+  void SetUp() override {
+    this->Host.catchUp();
+    this->ask(Root, ApplyChanges{declareOwner("c0", "ring")});
+    this->Host.settle();
+    ASSERT_TRUE(this->answered<ChangesAccepted>());
+  }
+
+  void ask(const std::string &Key, OperatorQuestion Question) {
+    this->Host.handle(OperatorAsked{OperatorQuestionId(++this->Questions), Key,
+                                    std::move(Question)});
+  }
+
+  void apply(const std::string &Key, std::string Id,
+             std::vector<Change> Changes) {
+    this->ask(Key, ApplyChanges{setOf(std::move(Id), std::move(Changes))});
+  }
+
+  /// The answer since the last call, when it is the only one and of this kind.
+  template <class Wanted> std::optional<Wanted> answered() {
+    const auto Answers = this->Host.take<AnswerOperator>();
+    if (Answers.size() != 1 ||
+        !std::holds_alternative<Wanted>(Answers[0].Answer))
+      return std::nullopt;
+    return std::get<Wanted>(Answers[0].Answer);
+  }
+
+  /// Why the changes were turned down at once; empty when they were not.
+  std::string rejection(const std::string &Key, std::vector<Change> Changes) {
+    this->apply(Key, "c" + std::to_string(this->Questions + 1),
+                std::move(Changes));
+    const auto Rejected = this->answered<ChangesRejected>();
+    return Rejected ? Rejected->Message : std::string();
+  }
+};
+
+} // namespace
+
+TEST_F(OperatorsTest, AcceptsOnlyWhatWasReadBack) {
+  this->apply(Ring, "c1", {changeOf(EntryKind::Model, "m", someModel())});
+  this->Host.answerAppend(AppendFate::Taken);
+  EXPECT_TRUE(this->Host.take<AnswerOperator>().empty());
+  this->Host.settle();
+  EXPECT_EQ(this->answered<ChangesAccepted>()->Offset, 2u);
+  this->ask(Ring, AskVerdict{ChangeId("c1")});
+  EXPECT_EQ(this->answered<ChangesAccepted>()->Offset, 2u);
+}
+
+TEST_F(OperatorsTest, TellsTheSecondOfTwoOperatorsWhoWasFirst) {
+  BenchHost Other(this->Log, "h2", 0xb1, WithRoot);
+  Other.catchUp();
+  this->apply(Ring, "c1", {changeOf(EntryKind::Model, "m", someModel())});
+  this->Host.answerAppend(AppendFate::Taken);
+  Other.handle(OperatorAsked{
+      OperatorQuestionId(1), Ring,
+      ApplyChanges{
+          setOf("c2", {changeOf(EntryKind::Model, "m", someModel())})}});
+  Other.settle();
+  const auto Answers = Other.take<AnswerOperator>();
+  ASSERT_EQ(Answers.size(), 1u);
+  const auto &Message = std::get<ChangesRejected>(Answers[0].Answer).Message;
+  EXPECT_NE(Message.find("owner ring"), std::string::npos) << Message;
+}
+
+TEST_F(OperatorsTest, LostAnswerOfTheLogIsSettledByReading) {
+  this->apply(Ring, "c1", {changeOf(EntryKind::Model, "m", someModel())});
+  this->Host.answerAppend(AppendFate::LostAnswer);
+  this->Host.settle();
+  EXPECT_TRUE(this->answered<ChangesAccepted>());
+  EXPECT_EQ(this->Log.end(), 3u) << "it was appended twice";
+}
+
+TEST_F(OperatorsTest, LogAwayIsPendingAndAcceptedWhenItIsBack) {
+  for (int Round = 0; Round < 6; ++Round) {
+    this->Host.failRead();
+    this->Host.pass(seconds(1));
+  }
+  this->apply(Ring, "c1", {changeOf(EntryKind::Model, "m", someModel())});
+  EXPECT_TRUE(this->answered<VerdictPending>());
+  this->Host.answerAppend(AppendFate::Refused);
+  this->Host.settle();
+  this->Host.settle();
+  this->ask(Ring, AskVerdict{ChangeId("c1")});
+  EXPECT_TRUE(this->answered<ChangesAccepted>());
+}
+
+TEST_F(OperatorsTest, AcceptsNothingWithoutContactToMostHosts) {
+  this->Host.probe().Members = {
+      peerHeard("h2", this->Host.Now - seconds(60), {}, 1),
+      peerHeard("h3", this->Host.Now - seconds(60), {}, 1)};
+  this->apply(Ring, "c1", {changeOf(EntryKind::Model, "m", someModel())});
+  for (int Round = 0; Round < 8; ++Round)
+    this->Host.settle();
+  EXPECT_TRUE(this->answered<VerdictPending>());
+  this->Host.probe().Members[0].LastHeard = this->Host.Now;
+  this->ask(Ring, AskVerdict{ChangeId("c1")});
+  EXPECT_TRUE(this->answered<ChangesAccepted>());
+}
+
+TEST_F(OperatorsTest, WrongKeysAreRefusedAlikeAndNeverLogged) {
+  std::vector<std::string> Messages;
+  for (const std::string Key : {"ring.wrong", "nobody.secret", "root.secret",
+                                "ring", "", "root.", ".secret"}) {
+    this->ask(Key, ShowCatalogue{});
+    const auto Refused = this->answered<OperatorRefused>();
+    ASSERT_TRUE(Refused) << Key;
+    Messages.push_back(Refused->Message);
+  }
+  EXPECT_EQ(std::set(Messages.begin(), Messages.end()).size(), 1u);
+  this->apply(Ring, "c1", {changeOf(EntryKind::Model, "m", someModel())});
+  for (const WriteLogLine &Line : this->Host.take<WriteLogLine>()) {
+    for (const LogField &Field : Line.Line.Fields)
+      EXPECT_EQ(Field.Value.find("secret"), std::string::npos) << Field.Key;
+  }
+}
+
+TEST_F(OperatorsTest, WithoutARootKeyNobodyIsRoot) {
+  BenchHost Plain(this->Log, "h2", 0xb1);
+  Plain.catchUp();
+  Plain.handle(OperatorAsked{OperatorQuestionId(1), "root.", ShowStatus{}});
+  EXPECT_TRUE(std::holds_alternative<OperatorRefused>(
+      Plain.take<AnswerOperator>().at(0).Answer));
+}
+
+TEST_F(OperatorsTest, OnlyOwnersChangeTheirEntries) {
+  const OwnerEntry Key{digestOfKey("s", std::string(32, '2'))};
+  Change Owner = changeOf(EntryKind::Owner, "salon", Key);
+  EXPECT_NE(this->rejection(Ring, {Owner}), "");
+  Change Given = changeOf(EntryKind::Model, "m", someModel());
+  Given.Owner = OwnerId("root");
+  EXPECT_NE(this->rejection(Ring, {Given}), "");
+  Owner.Owner = OwnerId("root");
+  EXPECT_EQ(this->rejection(Root, {Owner}), "");
+  this->Host.settle();
+  EXPECT_TRUE(this->answered<ChangesAccepted>());
+  this->apply(Ring, "c7", {changeOf(EntryKind::Model, "m", someModel())});
+  this->Host.settle();
+  EXPECT_TRUE(this->answered<ChangesAccepted>());
+  Change Others = changeOf(EntryKind::Model, "m", std::nullopt);
+  Others.BaseVersion = this->Log.end() - 1;
+  this->apply("salon.s", "c8", {Others});
+  this->Host.settle();
+  EXPECT_NE(this->answered<ChangesRejected>()->Message.find("ring"),
+            std::string::npos);
+}
+
+TEST_F(OperatorsTest, RejectsEntriesThatReferToNothing) {
+  const Change Team =
+      changeOf(EntryKind::Team, "house", someTeam({ClassId("short")}));
+  EXPECT_NE(this->rejection(Ring, {Team}).find("short"), std::string::npos);
+  const Change BadKey =
+      changeOf(EntryKind::Owner, "x", OwnerEntry{KeyDigest{"plain"}});
+  EXPECT_NE(this->rejection(Root, {BadKey}).find("salt"), std::string::npos);
+  const Change Model = changeOf(EntryKind::Model, "m", someModel());
+  EXPECT_NE(this->rejection(Ring, {Model, Model}).find("twice"),
+            std::string::npos);
+  EXPECT_NE(this->rejection(Ring, {}), "");
+  EXPECT_NE(
+      this->rejection(Ring, {changeOf(EntryKind::Team, "m", someModel())}), "");
+  ClassEntry Short;
+  Short.TargetName = "m";
+  const Change Class = changeOf(EntryKind::Class, "short", Short);
+  EXPECT_NE(this->rejection(Ring, {Class}).find("unknown model m"),
+            std::string::npos);
+  const Change Ringless = changeOf(EntryKind::Owner, "ring", std::nullopt);
+  EXPECT_EQ(this->rejection(Ring, {Class, Model}).find("unknown"),
+            std::string::npos);
+  EXPECT_EQ(this->rejection(Root, {Ringless}).find("unknown"),
+            std::string::npos);
+}
+
+TEST_F(OperatorsTest, AnIdStandsForOneChangeSet) {
+  this->apply(Ring, "c1", {changeOf(EntryKind::Model, "m", someModel())});
+  this->Host.settle();
+  ASSERT_TRUE(this->answered<ChangesAccepted>());
+  this->apply(Ring, "c1", {changeOf(EntryKind::Model, "n", someModel())});
+  EXPECT_TRUE(this->answered<ChangesRejected>());
+  this->apply(Ring, "c1", {changeOf(EntryKind::Model, "m", someModel())});
+  EXPECT_EQ(this->answered<ChangesAccepted>()->Offset, 2u);
+}
+
+TEST_F(OperatorsTest, ShowsCatalogueHistoryAndStatus) {
+  this->ask(Ring, ShowCatalogue{});
+  EXPECT_EQ(this->answered<CatalogueShown>()->Entries.size(), 1u);
+  this->ask(Ring, ShowHistory{1});
+  const auto History = this->answered<HistoryShown>();
+  ASSERT_EQ(History->Items.size(), 1u);
+  EXPECT_EQ(History->Items[0].Set.Author, OwnerId("root"));
+  this->ask(Ring, ShowStatus{});
+  const auto Status = this->answered<StatusReport>();
+  EXPECT_TRUE(Status->Ready && Status->Current);
+  EXPECT_EQ(Status->InForce, 1u);
+  this->ask(Ring, ReleaseQuarantine{Fingerprint(1)});
+  EXPECT_TRUE(this->answered<OperatorRefused>()) << "no quarantine is linked";
+}
+
+} // namespace banyanpick
