Refuse at once when no engine that lives serves the model

Change: without prediction and without any live engine of the model the answer is not-run, no-upstream, with when to come back.

--- a/src/plugins/admission/AdmissionPlugin.cpp
+++ b/src/plugins/admission/AdmissionPlugin.cpp
@@ -60,6 +60,11 @@
 std::optional<NotRun> AdmissionPlugin::judge(const Request &Asked,
                                              Duration WaitHere, Time Now) {
   const std::optional<Prediction> Expected = this->Cost->predict(Asked, Now);
+  if (!Expected &&
+      this->Cost->prefillCapacity(ModelId(Asked.Class.TargetName)) <= 0)
+    return NotRun{RefusalReason::NoUpstream, this->comeBackAfter(Duration(0)),
+                  "no engine that lives serves its model; ask again after the "
+                  "time given"};
   if (!Expected)
     return std::nullopt;
   const Duration FirstToken =
