--- a/src/libs/catalogue/CatalogueIni.h
+++ b/src/libs/catalogue/CatalogueIni.h
@@ -13,9 +13,6 @@
 
 namespace banyanpick {
 
-/// Owner of the entries that declare owners; only its key creates them.
-inline constexpr std::string_view RootOwner = "root";
-
 /// What one file declares. The entries' versions are 0. Usable only when
 /// there are no problems.
 struct CatalogueFile {
--- a/src/libs/catalogue/Entry.h
+++ b/src/libs/catalogue/Entry.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -79,6 +80,10 @@
 /// The kinds of entry, in the order of EntryBody's alternatives.
 enum class EntryKind { Owner, Team, Class, Model };
 
+/// The owner of the entries that declare owners, and the only one that may
+/// change them. Its key stands in the hosts' settings.
+inline constexpr std::string_view RootOwner = "root";
+
 /// What names an entry: its kind and name, `team member-house-1`.
 struct EntryKey {
   EntryKind Kind = EntryKind::Owner;
--- a/src/libs/catalogue/EntryReferences.cpp
+++ b/src/libs/catalogue/EntryReferences.cpp
@@ -1,7 +1,6 @@
 #include "catalogue/EntryReferences.h"
 
 #include "base/Visitor.h"
-#include "catalogue/CatalogueIni.h"
 
 namespace banyanpick {
 
--- a/src/plugins/operators/OperatorKeyring.h
+++ b/src/plugins/operators/OperatorKeyring.h
@@ -9,9 +9,6 @@
 
 namespace banyanpick {
 
-/// The owner that may declare owners; its key stands in the settings.
-inline constexpr std::string_view RootOwner = "root";
-
 /// The owner whose key \p OperatorKey (`owner.secret`) is, or nothing.
 /// \p RootKey is the secret of RootOwner; empty: there is none.
 std::optional<OwnerId> authenticatedOwner(const Catalogue &InForce,
