Keep teams to their hosts in resolve; stop gracefully, handing long streams over

Cause: resolve named every live host to every team, and a stopping host ended as soon as nothing ran, with streams that outlast the stop cut off. Ruled out: trying a second peer when the first does not answer a handover, because two that attach to one stream cut each other off; a peer is replaced only when it is dead. Change: resolve names the team's own ready hosts, the nearest zone first in a spread order, the last place to another zone. A stop refuses new work when the last resolve answer has run out, offers streams still running after hand_over_after to one peer each, and ends when nothing runs or with its budget.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -88,6 +88,14 @@
                                             "this process was paused"};
 inline constexpr EventKind HostNameTaken{
     504, LogLevel::Error, "another process uses this host's name"};
+inline constexpr EventKind DrainBegun{505, LogLevel::Info,
+                                      "planned stop begun"};
+inline constexpr EventKind DrainEnded{506, LogLevel::Info,
+                                      "planned stop ended"};
+inline constexpr EventKind StreamHandedOver{507, LogLevel::Info,
+                                            "stream handed to another host"};
+inline constexpr EventKind StreamTakenOver{508, LogLevel::Info,
+                                           "stream taken from another host"};
 inline constexpr EventKind UpstreamChanged{510, LogLevel::Info,
                                            "upstream changed state"};
 
--- a/src/plugins/drain/DrainPlugin.cpp
+++ b/src/plugins/drain/DrainPlugin.cpp
@@ -1,44 +1,55 @@
 #include "plugins/drain/DrainPlugin.h"
 
+#include "base/EventNumbers.h"
+#include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 
+#include <algorithm>
+
 namespace banyanpick {
 
 namespace {
 
 constexpr Duration LookInterval = milliseconds(100);
+/// Another host can be asked at once; this only spreads the callers.
 constexpr Duration ComeBackAfter = milliseconds(100);
 
 } // namespace
 
 void DrainPlugin::initialize(PluginContext &Context) {
+  const Settings &Values = Context.settings();
   this->Offered = &Context.services();
-  this->Grace = Context.settings().span("resolve", "ttl") +
-                Context.settings().span("drain", "slack");
+  this->Grace = Values.span("resolve", "ttl") + Values.span("drain", "slack");
+  this->HandOverAfter = Values.span("drain", "hand_over_after");
+  this->Budget = Values.span("drain", "budget");
+  this->Linger = Values.span("drain", "linger");
   Context.services().provide<DrainView>(*this);
   Context.services().list<AdmissionGate>().add(*this);
 }
 
 void DrainPlugin::start(Time, Actions &) {
   this->Requests = &this->Offered->get<RequestTable>();
+  this->Fleet = &this->Offered->get<FleetView>();
+  this->Handovers =
+      StreamHandovers(this->Offered->get<MembershipView>(), *this->Requests);
 }
 
 void DrainPlugin::handle(const Event &What, Time Now, Actions &Out) {
-  if (std::holds_alternative<StopAsked>(What) && !this->Leaving) {
-    this->Leaving = true;
-    this->RefuseFrom = Now + this->Grace;
-  }
-  if (!this->Leaving || this->Stopped)
-    return;
-  this->NextLook = Now + LookInterval;
-  if (Now < this->RefuseFrom || this->Requests->running() != 0)
-    return;
-  this->Stopped = true;
-  this->NextLook = Never;
-  Out.add(StopNow{});
+  match(
+      What, [&](const StopAsked &) { this->beginStop(Now, Out); },
+      [&](const PeerMessageReceived &Is) {
+        this->takePeerMessage(Is.Message, Now, Out);
+      },
+      [](const auto &) {});
+  if (this->Leaving && !this->Stopped)
+    this->goOn(Now, Out);
 }
 
-Time DrainPlugin::nextWake() const { return this->NextLook; }
+void DrainPlugin::checkInvariants(InvariantMonitor &Monitor, Time Now) const {
+  const bool InTime = !this->Stopped || this->Requests->running() == 0 ||
+                      Now >= this->StopAskedAt + this->Budget;
+  Monitor.require(InTime, "a planned stop within its budget cuts nothing off");
+}
 
 std::optional<NotRun> DrainPlugin::check(const Request &, Time Now) {
   if (Now < this->RefuseFrom)
@@ -47,18 +58,88 @@
                 "this host is stopping; ask resolve for another"};
 }
 
-namespace {
+void DrainPlugin::beginStop(Time Now, Actions &Out) {
+  if (this->Leaving)
+    return;
+  this->Leaving = true;
+  this->StopAskedAt = Now;
+  this->RefuseFrom = Now + this->Grace;
+  Out.log(logEvent(events::DrainBegun)
+              .with("running", this->Requests->running())
+              .with("refuses_after_us", this->Grace.count())
+              .build());
+}
+
+void DrainPlugin::takePeerMessage(const PeerMessage &Message, Time Now,
+                                  Actions &Out) {
+  match(
+      Message.Body,
+      [&](const StreamHandover &Stream) {
+        this->adopt(Message.From, Stream, Now, Out);
+      },
+      [&](const HandoverTaken &Answer) {
+        this->Handovers.taken(Message.From, Answer, Now, Out);
+      },
+      [](const auto &) {});
+}
 
-std::vector<SettingDeclaration> settings() {
-  return {{"drain", "slack", SettingKind::Span, "1s",
+void DrainPlugin::adopt(const HostId &From, const StreamHandover &Stream,
+                        Time Now, Actions &Out) {
+  // Without an answer the sender keeps the stream.
+  const bool CanServe = !this->Leaving && this->Fleet->find(Stream.Upstream);
+  if (!CanServe)
+    return;
+  this->Requests->adopt(Stream, Now, Out);
+  Out.log(logEvent(events::StreamTakenOver).with("from", From.Value).build());
+  Out.add(SendToPeer{From, HandoverTaken{Stream.ResumeToken}});
+}
+
+void DrainPlugin::goOn(Time Now, Actions &Out) {
+  this->NextLook = Now + LookInterval;
+  if (Now >= this->StopAskedAt + this->HandOverAfter)
+    this->Handovers.offer(Now, Out);
+  const bool Idle = Now >= this->RefuseFrom && this->Requests->running() == 0;
+  this->IdleSince = Idle ? std::min(this->IdleSince, Now) : Never;
+  const bool Finished =
+      this->IdleSince != Never && Now >= this->IdleSince + this->Linger;
+  if (Finished || Now >= this->StopAskedAt + this->Budget)
+    this->stop(Out);
+}
+
+void DrainPlugin::stop(Actions &Out) {
+  this->Stopped = true;
+  this->NextLook = Never;
+  Out.log(logEvent(events::DrainEnded)
+              .with("cut_off", this->Requests->running())
+              .build());
+  Out.add(StopNow{});
+}
+
+std::vector<SettingDeclaration> DrainPlugin::settings() {
+  const std::string In = "drain";
+  return {{In, "slack", SettingKind::Span, "1s",
            "How much longer than a resolve answer's time to live a stopping "
            "host takes new work.",
+           0, 60e6},
+          {In, "hand_over_after", SettingKind::Span, "30s",
+           "Streams still running so long after a stop was asked are handed to "
+           "other entry hosts.",
+           0, 3600e6},
+          {In, "budget", SettingKind::Span, "10min",
+           "A stopping process ends at the latest after this, whatever runs; "
+           "choose it longer than the longest promise.",
+           1e6, 86400e6},
+          {In, "linger", SettingKind::Span, "500ms",
+           "A stopping process waits so long after its last request, for last "
+           "bytes and log records.",
            0, 60e6}};
 }
 
+namespace {
+
 const PluginRegistration Registration({"drain",
-                                       {"membership", "resolve"},
-                                       settings,
+                                       {"fleet", "membership", "resolve"},
+                                       DrainPlugin::settings,
                                        []() -> std::unique_ptr<Plugin> {
                                          return std::make_unique<DrainPlugin>();
                                        }});
--- a/src/plugins/drain/DrainPlugin.h
+++ b/src/plugins/drain/DrainPlugin.h
@@ -3,27 +3,49 @@
 #pragma once
 
 #include "kernel/Plugin.h"
+#include "plugins/drain/StreamHandovers.h"
 
 namespace banyanpick {
 
-/// Leaves resolve answers, refuses new work after a grace, ends when idle.
+/// Leaves resolve answers at once, refuses new work when the last of them has
+/// run out, hands long streams to peers, and ends when nothing runs. On other
+/// hosts it takes such streams over.
 class DrainPlugin : public Plugin, public DrainView, public AdmissionGate {
 public:
+  // Plugin
   void initialize(PluginContext &Context) override;
   void start(Time Now, Actions &Out) override;
   void handle(const Event &What, Time Now, Actions &Out) override;
-  Time nextWake() const override;
+  Time nextWake() const override { return this->NextLook; }
+  void checkInvariants(InvariantMonitor &Monitor, Time Now) const override;
 
   bool isLeaving() const override { return this->Leaving; }
   std::optional<NotRun> check(const Request &Asked, Time Now) override;
 
+  /// The settings with their defaults.
+  static std::vector<SettingDeclaration> settings();
+
 private:
+  void beginStop(Time Now, Actions &Out);
+  void takePeerMessage(const PeerMessage &Message, Time Now, Actions &Out);
+  void adopt(const HostId &From, const StreamHandover &Stream, Time Now,
+             Actions &Out);
+  void goOn(Time Now, Actions &Out);
+  void stop(Actions &Out);
+
   Services *Offered = nullptr;
-  const RequestTable *Requests = nullptr;
+  RequestTable *Requests = nullptr;
+  const FleetView *Fleet = nullptr;
+  StreamHandovers Handovers;
   Duration Grace{};
+  Duration HandOverAfter{};
+  Duration Budget{};
+  Duration Linger{};
   bool Leaving = false;
   bool Stopped = false;
+  Time StopAskedAt = Never;
   Time RefuseFrom = Never;
+  Time IdleSince = Never;
   Time NextLook = Never;
 };
 
--- a/src/plugins/resolve/ResolvePlugin.cpp
+++ b/src/plugins/resolve/ResolvePlugin.cpp
@@ -1,11 +1,9 @@
 #include "plugins/resolve/ResolvePlugin.h"
 
-#include "base/RendezvousHash.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace banyanpick {
 
@@ -29,41 +27,66 @@
 }
 
 void ResolvePlugin::answer(const ResolveAsked &Asked, Actions &Out) const {
+  const std::vector<CallerHost> Ready = this->readyHosts();
+  const std::vector<HostId> OfTeam = this->hostsOf(Asked.Team);
+  std::vector<CallerHost> Offer;
+  for (const CallerHost &Each : Ready)
+    if (OfTeam.empty() || std::ranges::count(OfTeam, Each.Host) != 0)
+      Offer.push_back(Each);
+  // Better a host that is not the team's than none.
+  if (Offer.empty())
+    Offer = Ready;
   const ZoneId &Nearest =
       Asked.Zone.Value.empty() ? this->Own.Zone : Asked.Zone;
-  using Candidate = std::tuple<bool, std::uint64_t, Address>;
-  std::vector<Candidate> Candidates;
-  const auto Add = [&](const HostId &Id, const ZoneId &Zone,
-                       const Address &At) {
-    Candidates.emplace_back(Zone != Nearest,
-                            rendezvousWeight(Asked.Team.Value, Id.Value), At);
-  };
+  const std::string Key =
+      Asked.Team.Value + "/" + std::to_string(Asked.Id.Value);
+  Out.add(AnswerResolve{Asked.Id, orderHosts(Offer, Nearest, Key, this->Most),
+                        this->TimeToLive});
+  Out.count("resolves_answered", Offer.empty() ? "empty" : "named");
+}
+
+std::vector<CallerHost> ResolvePlugin::readyHosts() const {
+  std::vector<CallerHost> Result;
   if (this->Declared->isReady() && !this->Drain->isLeaving())
-    Add(this->Own.Host, this->Own.Zone, this->Own.Callers);
+    Result.push_back({this->Own.Host, this->Own.Zone, this->Own.Callers});
   for (const Member &Each : this->Members->peers())
     if (Each.State == MemberState::Alive && Each.Ready)
-      Add(Each.Listing.Id, Each.Listing.Zone, Each.Listing.Callers);
-  std::ranges::sort(Candidates);
-  AnswerResolve Answer{Asked.Id, {}, this->TimeToLive};
-  for (const Candidate &Each : Candidates)
-    if (Answer.Hosts.size() < this->Most)
-      Answer.Hosts.push_back(std::get<Address>(Each));
-  Out.add(std::move(Answer));
+      Result.push_back(
+          {Each.Listing.Id, Each.Listing.Zone, Each.Listing.Callers});
+  return Result;
 }
 
-namespace {
+std::vector<HostId> ResolvePlugin::hostsOf(const TeamId &Team) const {
+  const TeamEntry *Limits = this->Declared->catalogue().team(Team);
+  if (!Limits)
+    return {};
+  // All that stay, ready or not: the limits are split over the same set.
+  std::vector<TeamHostCandidate> Staying;
+  if (!this->Drain->isLeaving())
+    Staying.push_back({this->Own.Host, this->Own.Zone});
+  const std::vector<HostId> Live = this->Members->livePeers();
+  for (const Member &Each : this->Members->peers())
+    if (std::ranges::binary_search(Live, Each.Listing.Id))
+      Staying.push_back({Each.Listing.Id, Each.Listing.Zone});
+  return teamHosts(Team, *Limits, Staying);
+}
 
-std::vector<SettingDeclaration> settings() {
+std::vector<SettingDeclaration> ResolvePlugin::settings() {
   return {{"resolve", "hosts", SettingKind::Whole, "3",
            "Entry hosts named in one resolve answer.", 1, 64},
           {"resolve", "ttl", SettingKind::Span, "5s",
            "How long a caller may keep a resolve answer.", 100e3, 600e6}};
 }
 
-const PluginRegistration Registration(
-    {"resolve", {"membership"}, settings, []() -> std::unique_ptr<Plugin> {
-       return std::make_unique<ResolvePlugin>();
-     }});
+namespace {
+
+const PluginRegistration
+    Registration({"resolve",
+                  {"membership"},
+                  ResolvePlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
+                    return std::make_unique<ResolvePlugin>();
+                  }});
 
 } // namespace
 
--- a/src/plugins/resolve/ResolvePlugin.h
+++ b/src/plugins/resolve/ResolvePlugin.h
@@ -3,18 +3,25 @@
 #pragma once
 
 #include "kernel/Plugin.h"
+#include "plugins/resolve/HostChoice.h"
 
 namespace banyanpick {
 
-/// Answers with live hosts, the nearest zone first.
+/// Answers with ready hosts that stay, the nearest zone first; a team with
+/// limits is kept to its own few hosts.
 class ResolvePlugin : public Plugin {
 public:
   void initialize(PluginContext &Context) override;
   void start(Time Now, Actions &Out) override;
   void handle(const Event &What, Time Now, Actions &Out) override;
 
+  /// The settings with their defaults.
+  static std::vector<SettingDeclaration> settings();
+
 private:
   void answer(const ResolveAsked &Asked, Actions &Out) const;
+  std::vector<CallerHost> readyHosts() const;
+  std::vector<HostId> hostsOf(const TeamId &Team) const;
 
   Services *Offered = nullptr;
   const MembershipView *Members = nullptr;
--- /dev/null
+++ b/tests/auto/drain/DrainTest.cpp
@@ -0,0 +1,169 @@
+/// \file
+/// Planned stops: nothing is cut off, long streams go to peers.
+#include <gtest/gtest.h>
+
+#include "fakes/FakeRequestTable.h"
+#include "fakes/PluginViews.h"
+#include "fakes/RequestMaker.h"
+#include "plugins/drain/DrainPlugin.h"
+#include "plugins/resolve/ResolvePlugin.h"
+
+namespace banyanpick {
+namespace {
+
+/// The drain plug-in with the settings of resolve beside its own.
+class DrainTest : public testing::Test {
+protected:
+  DrainTest() : Bench("host-a") {
+    auto Declared = DrainPlugin::settings();
+    for (const SettingDeclaration &Each : ResolvePlugin::settings())
+      Declared.push_back(Each);
+    this->Bench.Values = Settings::defaults(Declared);
+    this->Bench.Offered.provide<RequestTable>(this->Table);
+    this->Bench.Offered.provide<FleetView>(this->Fleet);
+    this->Fleet.add("e1");
+    for (const char *Peer : {"host-b", "host-c"}) {
+      this->Bench.Members.add(HostId(Peer));
+    }
+    for (std::size_t Index : {0, 1}) {
+      this->Bench.Members.at(Index).Ready = true;
+      this->Bench.Members.at(Index).Listing.Callers =
+          Address{"10.0.0.1", static_cast<std::uint16_t>(Index)};
+    }
+    this->Bench.start();
+    Actions Out;
+    this->Bench.Tested.start(this->Now, Out);
+  }
+
+  /// Feeds the event and keeps the actions.
+  void feed(const Event &What) {
+    Actions Out;
+    this->Bench.Tested.handle(What, this->Now, Out);
+    this->Last = Out.take();
+    for (const Action &Each : this->Last)
+      this->Stopped |= std::holds_alternative<StopNow>(Each);
+  }
+  void pass(Duration Span) {
+    for (const Time End = this->Now + Span; this->Now < End;) {
+      this->Now += milliseconds(100);
+      this->feed(Tick{});
+      for (const Action &Each : this->Last)
+        if (const auto *Sent = std::get_if<SendToPeer>(&Each))
+          this->Offered.push_back(Sent->To);
+    }
+  }
+  bool refuses() {
+    return this->Bench.Tested.check(RequestMaker(9), this->Now).has_value();
+  }
+  void addStream() {
+    const Request Asked = RequestMaker(1);
+    this->Table.add(Asked, attemptOf(Asked, 1, "e1"), "token");
+  }
+  void answerAs(const HostId &Peer) {
+    this->feed(
+        PeerMessageReceived{{Peer, Incarnation(1), HandoverTaken{"token"}}});
+  }
+
+  Time Now = Time(seconds(1000));
+  FakeRequestTable Table;
+  FakeFleetView Fleet;
+  PluginBench<DrainPlugin> Bench;
+  std::vector<Action> Last;
+  std::vector<HostId> Offered;
+  bool Stopped = false;
+};
+
+TEST_F(DrainTest, ServesUntilTheLastResolveAnswerHasRunOut) {
+  this->feed(StopAsked{});
+  EXPECT_TRUE(this->Bench.Tested.isLeaving());
+  this->pass(milliseconds(5900));
+  EXPECT_FALSE(this->refuses());
+  EXPECT_FALSE(this->Stopped) << "a caller may still come";
+  this->pass(milliseconds(200));
+  EXPECT_TRUE(this->refuses());
+  this->pass(seconds(1));
+  EXPECT_TRUE(this->Stopped);
+}
+
+TEST_F(DrainTest, RunningWorkIsNotCutOff) {
+  const Request Asked = RequestMaker(1);
+  this->Table.add(Asked, attemptOf(Asked, 1, "e1"));
+  this->feed(StopAsked{});
+  this->pass(seconds(120));
+  EXPECT_FALSE(this->Stopped);
+  EXPECT_TRUE(this->Offered.empty()) << "whole answers can't move";
+  this->Table.Entries.clear();
+  this->pass(seconds(1));
+  EXPECT_TRUE(this->Stopped);
+}
+
+TEST_F(DrainTest, LongStreamGoesToOnePeerAndItsCallerAfterIt) {
+  this->addStream();
+  this->feed(StopAsked{});
+  this->pass(milliseconds(29'800));
+  EXPECT_TRUE(this->Offered.empty());
+  this->pass(seconds(5));
+  ASSERT_GT(this->Offered.size(), 1u) << "offered again while unanswered";
+  for (const HostId &Each : this->Offered)
+    EXPECT_EQ(Each, this->Offered[0]);
+  const HostId Other(this->Offered[0] == HostId("host-b") ? "host-c"
+                                                          : "host-b");
+  this->answerAs(Other);
+  EXPECT_TRUE(this->Table.HandedOver.empty());
+  this->answerAs(this->Offered[0]);
+  ASSERT_EQ(this->Table.HandedOver.size(), 1u);
+  EXPECT_EQ(this->Table.HandedOver[0].Ip, "10.0.0.1");
+  this->pass(seconds(1));
+  EXPECT_TRUE(this->Stopped);
+}
+
+TEST_F(DrainTest, DeadPeerIsReplaced) {
+  this->addStream();
+  this->feed(StopAsked{});
+  this->pass(seconds(31));
+  ASSERT_FALSE(this->Offered.empty());
+  const HostId First = this->Offered[0];
+  this->Offered.clear();
+  this->Bench.Members.setState(First, MemberState::Dead);
+  this->pass(seconds(1));
+  ASSERT_FALSE(this->Offered.empty());
+  EXPECT_NE(this->Offered[0], First);
+}
+
+TEST_F(DrainTest, EndsWithItsBudgetAndSaysSo) {
+  this->addStream();
+  this->Bench.Members.setState(HostId("host-b"), MemberState::Dead);
+  this->Bench.Members.setState(HostId("host-c"), MemberState::Dead);
+  this->feed(StopAsked{});
+  this->pass(seconds(599));
+  EXPECT_FALSE(this->Stopped);
+  this->pass(seconds(2));
+  EXPECT_TRUE(this->Stopped);
+}
+
+TEST_F(DrainTest, TakesAStreamOverAndAnswersAgainWhenAskedAgain) {
+  const StreamHandover Stream{"token",          TeamId("a"),
+                              ClassId("long"),  AttemptId{Incarnation(7), 1},
+                              UpstreamId("e1"), 5,
+                              this->Now};
+  const PeerMessageReceived Message{{HostId("host-b"), Incarnation(1), Stream}};
+  for (int Time = 0; Time < 2; ++Time) {
+    this->feed(Message);
+    ASSERT_EQ(this->Last.size(), 2u);
+    EXPECT_EQ(std::get<SendToPeer>(this->Last.back()).To, HostId("host-b"));
+  }
+  EXPECT_EQ(this->Table.Adopted.size(), 2u);
+}
+
+TEST_F(DrainTest, LeavingHostAndStrangerToTheEngineTakeNothing) {
+  StreamHandover Stream;
+  Stream.Upstream = UpstreamId("unknown");
+  this->feed(PeerMessageReceived{{HostId("host-b"), Incarnation(1), Stream}});
+  Stream.Upstream = UpstreamId("e1");
+  this->feed(StopAsked{});
+  this->feed(PeerMessageReceived{{HostId("host-b"), Incarnation(1), Stream}});
+  EXPECT_TRUE(this->Table.Adopted.empty());
+}
+
+} // namespace
+} // namespace banyanpick
--- /dev/null
+++ b/tests/fakes/FakeRequestTable.h
@@ -0,0 +1,95 @@
+/// \file
+/// A table of running requests that tests fill by hand.
+#pragma once
+
+#include "kernel/Services.h"
+
+#include <map>
+
+namespace banyanpick {
+
+class FakeRequestTable : public RequestTable {
+public:
+  struct Entry {
+    Request Asked;
+    std::optional<Attempt> Running;
+    std::string Token;
+  };
+
+  void add(const Request &Asked, std::optional<Attempt> Running = {},
+           std::string Token = {}) {
+    this->Entries[Asked.id()] = {Asked, std::move(Running), std::move(Token)};
+  }
+
+  std::size_t running() const override { return this->Entries.size(); }
+  std::vector<RequestId> ids() const override {
+    std::vector<RequestId> Result;
+    for (const auto &[Id, Each] : this->Entries)
+      Result.push_back(Id);
+    return Result;
+  }
+  const Request *find(const RequestId &Id) const override {
+    const auto Found = this->Entries.find(Id);
+    return Found == this->Entries.end() ? nullptr : &Found->second.Asked;
+  }
+  const Attempt *attemptOf(const RequestId &Id) const override {
+    const auto Found = this->Entries.find(Id);
+    const bool Runs = Found != this->Entries.end() && Found->second.Running;
+    return Runs ? &*Found->second.Running : nullptr;
+  }
+  const Request *owner(const AttemptId &Id) const override {
+    for (const auto &[Key, Each] : this->Entries)
+      if (Each.Running && Each.Running->Id == Id)
+        return &Each.Asked;
+    return nullptr;
+  }
+  void handOver(const RequestId &Id, const Address &To, Time,
+                Actions &) override {
+    this->Entries.erase(Id);
+    this->HandedOver.push_back(To);
+  }
+  void adopt(const StreamHandover &Stream, Time, Actions &) override {
+    this->Adopted.push_back(Stream);
+  }
+  std::string resumeToken(const RequestId &Id) const override {
+    const auto Found = this->Entries.find(Id);
+    return Found == this->Entries.end() ? std::string() : Found->second.Token;
+  }
+  std::uint64_t nextIndex(const RequestId &) const override { return 0; }
+
+  std::map<RequestId, Entry> Entries;
+  std::vector<Address> HandedOver;
+  std::vector<StreamHandover> Adopted;
+};
+
+/// A fleet that tests fill by hand.
+class FakeFleetView : public FleetView {
+public:
+  Upstream &add(const std::string &Name, std::uint64_t Life = 1) {
+    Upstream Added;
+    Added.Listing.Id = UpstreamId(Name);
+    Added.Listing.Life = Incarnation(Life);
+    Added.State = UpstreamState::Live;
+    this->Known.push_back(Added);
+    return this->Known.back();
+  }
+
+  std::span<const Upstream> upstreams() const override { return this->Known; }
+  std::span<const std::uint32_t> enginesWith(const ModelId &) const override {
+    return {};
+  }
+  std::span<const std::uint32_t>
+  applications(const std::string &) const override {
+    return {};
+  }
+  const Upstream *find(const UpstreamId &Id) const override {
+    for (const Upstream &Each : this->Known)
+      if (Each.Listing.Id == Id)
+        return &Each;
+    return nullptr;
+  }
+
+  std::vector<Upstream> Known;
+};
+
+} // namespace banyanpick
--- a/tests/fakes/PluginViews.h
+++ b/tests/fakes/PluginViews.h
@@ -6,6 +6,7 @@
 #include "kernel/Plugin.h"
 
 #include <functional>
+#include <set>
 
 namespace banyanpick {
 
@@ -41,8 +42,14 @@
     }
     return Live;
   }
-  bool isDead(const HostId &, Incarnation) const override { return false; }
+  bool isDead(const HostId &Host, Incarnation Life) const override {
+    return this->Dead.contains({Host, Life});
+  }
+  bool hasLeft(const HostId &Host, Incarnation Life) const override {
+    return this->Left.contains({Host, Life});
+  }
 
+  Member &at(std::size_t Index) { return this->Peers[Index]; }
   void add(const HostId &Host) {
     Member Added;
     Added.Listing.Id = Host;
@@ -65,6 +72,9 @@
 
   Incarnation Life{1};
 
+  std::set<std::pair<HostId, Incarnation>> Dead;
+  std::set<std::pair<HostId, Incarnation>> Left;
+
 private:
   HostId Self;
   ZoneId Zone{"z"};
