Free orphaned engine memory, and cancel until it is confirmed

Cause: what a dead or frozen entry host held on an engine stayed there. Ruled out: taking a life that nobody knows for dead at once, because it may be the later one; it is over when its host was heard as another life afterwards. Ruled out: freeing streams of a host that left by plan, because a peer may serve them; they end by their deadline.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -106,6 +106,8 @@
                                         "memory of a group of engines not had"};
 
 // 7xx: quarantine, reclaim
+inline constexpr EventKind OrphanFreed{720, LogLevel::Warning,
+                                       "orphaned engine memory freed"};
 inline constexpr EventKind ContentSuspected{700, LogLevel::Warning,
                                             "content suspected"};
 inline constexpr EventKind ContentQuarantined{701, LogLevel::Error,
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -241,6 +241,9 @@
                        Actions &Out) = 0;
   /// Lets everything go that is held for the request; idempotent.
   virtual void release(const RequestId &Id, Time Now, Actions &Out) = 0;
+  /// Whether the hold of this host is still wanted. One that is not is freed
+  /// after a grace.
+  virtual bool isHeld(const HoldId &) const { return true; }
 };
 
 class GroupObserver {
--- a/src/plugins/reclaim/ReclaimPlugin.cpp
+++ b/src/plugins/reclaim/ReclaimPlugin.cpp
@@ -1,5 +1,6 @@
 #include "plugins/reclaim/ReclaimPlugin.h"
 
+#include "base/EventNumbers.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 
@@ -9,14 +10,37 @@
 
 namespace {
 
-constexpr Duration RetryInterval = seconds(1);
-constexpr Duration GiveUpAfterDeadline = seconds(60);
+std::string_view name(HoldKind Kind) {
+  switch (Kind) {
+  case HoldKind::Stream:
+    return "stream";
+  case HoldKind::GroupHold:
+    return "group-hold";
+  case HoldKind::Export:
+    return "export";
+  }
+  return "unknown";
+}
 
 } // namespace
 
 void ReclaimPlugin::initialize(PluginContext &Context) {
+  const Settings &Values = Context.settings();
+  this->Offered = &Context.services();
   this->Fleet = &Context.services().get<FleetView>();
+  this->Members = &Context.services().get<MembershipView>();
+  this->Graces = {Values.span("reclaim", "owner_grace"),
+                  Values.span("reclaim", "deadline_grace"),
+                  Values.span("reclaim", "unknown_owner_grace")};
   Context.services().provide<AttemptCanceller>(*this);
+  Context.services().list<FleetObserver>().add(*this);
+}
+
+void ReclaimPlugin::start(Time, Actions &) {
+  this->Requests = &this->Offered->get<RequestTable>();
+  this->Orphans = OrphanWatch(
+      {this->Members, this->Requests, this->Offered->find<GroupHolder>()},
+      this->Graces);
 }
 
 void ReclaimPlugin::handle(const Event &What, Time Now, Actions &Out) {
@@ -24,50 +48,92 @@
       What,
       [&](const CancelAnswered &Answer) {
         if (Answer.Confirmed)
-          this->Cancels.erase(Answer.Attempt);
+          this->Cancels.confirm(Answer.Attempt);
+      },
+      [&](const LoadReported &Load) {
+        this->takeReport(Load.Report, Now, Out);
       },
       [](const auto &) {});
-  this->repeat(Now, Out);
+  this->Cancels.repeat(*this->Fleet, Now, Out);
 }
 
-Time ReclaimPlugin::nextWake() const {
-  Time Earliest = Never;
-  for (const auto &[Id, Each] : this->Cancels)
-    Earliest = std::min(Earliest, Each.NextTry);
-  return Earliest;
+void ReclaimPlugin::checkInvariants(InvariantMonitor &Monitor, Time) const {
+  const auto Ids = this->Cancels.ids();
+  const bool OnlyEnded = std::ranges::none_of(Ids, [this](const auto &Id) {
+    return this->Requests->owner(Id) != nullptr;
+  });
+  Monitor.require(OnlyEnded, "no live attempt is being cancelled");
 }
 
 void ReclaimPlugin::cancel(const AttemptId &Id, const UpstreamId &Where,
                            Time Deadline, Time Now, Actions &Out) {
-  Pending &Of = this->Cancels[Id];
-  Of.Where = Where;
-  Of.GiveUpAt = std::max(Deadline, Now) + GiveUpAfterDeadline;
-  this->send(Id, Of, Now, Out);
+  if (const Upstream *Known = this->Fleet->find(Where))
+    this->Cancels.add(Id, *Known, Deadline, Now, Out);
 }
 
-void ReclaimPlugin::send(const AttemptId &Id, Pending &Of, Time Now,
+void ReclaimPlugin::upstreamChanged(const Upstream &Changed, Time, Actions &) {
+  Incarnation &Life = this->Lives[Changed.Listing.Id];
+  if (Life == Changed.Listing.Life)
+    return;
+  Life = Changed.Listing.Life;
+  this->Cancels.noteLife(Changed.Listing.Id, Life);
+  this->Orphans.forget(Changed.Listing.Id);
+}
+
+void ReclaimPlugin::takeReport(const LoadReport &Report, Time Now,
+                               Actions &Out) {
+  const Upstream *Where = this->Fleet->find(Report.Id);
+  // A plain service holds no memory; its calls are never cancelled here.
+  if (!Where || Where->Listing.Kind != UpstreamKind::Engine)
+    return;
+  this->Followers.update(*this->Members);
+  const bool IsSteward = this->Followers.ownRank(Report.Id) == 0;
+  for (const HoldReport &Each : this->Orphans.judge(Report, IsSteward, Now))
+    this->free(*Where, Each, Out);
+}
+
+void ReclaimPlugin::free(const Upstream &Where, const HoldReport &Hold,
                          Actions &Out) {
-  Of.NextTry = Now + RetryInterval;
-  if (const Upstream *Known = this->Fleet->find(Of.Where))
-    Out.add(CancelAttempt{Id, Of.Where, Known->Listing.At});
+  const Incarnation Owner(Hold.OwnerLife);
+  if (Hold.Kind == HoldKind::Stream)
+    Out.add(CancelAttempt{AttemptId{Owner, Hold.Sequence}, Where.Listing.Id,
+                          Where.Listing.At});
+  else
+    Out.add(ReleaseHold{HoldId{Owner, Hold.Sequence}, Where.Listing.Id,
+                        Where.Listing.At});
+  Out.count("orphans_freed", name(Hold.Kind));
+  Out.log(logEvent(events::OrphanFreed)
+              .with("upstream", Where.Listing.Id.Value)
+              .with("kind", name(Hold.Kind))
+              .with("owner", Hold.OwnerHost)
+              .with("life", Hold.OwnerLife)
+              .with("sequence", Hold.Sequence)
+              .with("tokens", Hold.Tokens)
+              .build());
 }
 
-void ReclaimPlugin::repeat(Time Now, Actions &Out) {
-  std::erase_if(this->Cancels,
-                [&](const auto &Each) { return Each.second.GiveUpAt <= Now; });
-  for (auto &[Id, Each] : this->Cancels)
-    if (Each.NextTry <= Now)
-      this->send(Id, Each, Now, Out);
+std::vector<SettingDeclaration> ReclaimPlugin::settings() {
+  const std::string In = "reclaim";
+  return {{In, "owner_grace", SettingKind::Span, "3s",
+           "Memory on an engine is freed when its owner is dead, or does not "
+           "know it, for so long.",
+           100e3, 600e6},
+          {In, "deadline_grace", SettingKind::Span, "2s",
+           "Memory on an engine is freed when its own deadline is past for so "
+           "long.",
+           0, 600e6},
+          {In, "unknown_owner_grace", SettingKind::Span, "1min",
+           "Memory on an engine whose owner no host knows is freed after so "
+           "long.",
+           1e6, 3600e6}};
 }
 
 namespace {
 
-std::vector<SettingDeclaration> settings() { return {}; }
-
 const PluginRegistration
     Registration({"reclaim",
                   {"fleet", "membership"},
-                  settings,
+                  ReclaimPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<ReclaimPlugin>();
                   }});
--- a/src/plugins/reclaim/ReclaimPlugin.h
+++ b/src/plugins/reclaim/ReclaimPlugin.h
@@ -3,34 +3,46 @@
 #pragma once
 
 #include "kernel/Plugin.h"
-
-#include <map>
+#include "plugins/fleet/EngineFollowers.h"
+#include "plugins/reclaim/OrphanWatch.h"
+#include "plugins/reclaim/PendingCancels.h"
 
 namespace banyanpick {
 
-/// Repeats cancels until the upstream confirms them.
-class ReclaimPlugin : public Plugin, public AttemptCanceller {
+/// Repeats cancels until they are confirmed; as the steward of an engine also
+/// frees what dead owners left there.
+class ReclaimPlugin : public Plugin,
+                      public AttemptCanceller,
+                      public FleetObserver {
 public:
+  // Plugin
   void initialize(PluginContext &Context) override;
+  void start(Time Now, Actions &Out) override;
   void handle(const Event &What, Time Now, Actions &Out) override;
-  Time nextWake() const override;
+  Time nextWake() const override { return this->Cancels.nextDue(); }
+  void checkInvariants(InvariantMonitor &Monitor, Time Now) const override;
 
   void cancel(const AttemptId &Id, const UpstreamId &Where, Time Deadline,
               Time Now, Actions &Out) override;
+  void upstreamChanged(const Upstream &Changed, Time Now,
+                       Actions &Out) override;
 
-private:
-  /// A cancel that is not confirmed yet.
-  struct Pending {
-    UpstreamId Where;
-    Time GiveUpAt{};
-    Time NextTry{};
-  };
+  /// The settings with their defaults.
+  static std::vector<SettingDeclaration> settings();
 
-  void send(const AttemptId &Id, Pending &Of, Time Now, Actions &Out);
-  void repeat(Time Now, Actions &Out);
+private:
+  void takeReport(const LoadReport &Report, Time Now, Actions &Out);
+  void free(const Upstream &Where, const HoldReport &Hold, Actions &Out);
 
+  Services *Offered = nullptr;
   const FleetView *Fleet = nullptr;
-  std::map<AttemptId, Pending> Cancels;
+  const MembershipView *Members = nullptr;
+  const RequestTable *Requests = nullptr;
+  EngineFollowers Followers;
+  OrphanGraces Graces;
+  OrphanWatch Orphans;
+  PendingCancels Cancels;
+  std::map<UpstreamId, Incarnation> Lives;
 };
 
 } // namespace banyanpick
