Order models onto engines under leases from the log

Cause: engines kept whatever models they came with; the catalogue's minimum and maximum of engines had no effect. Change: the placement is a pure function of the catalogue and the live engines; the steward of an engine asks for a lease in the log, whose offset fences its orders, and orders in its first half only; others wait out lease and delivery where numbers are ignored. Effects are read back in the engine's report; a lost answer is settled by it. Loads share the weight store's rate.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -100,6 +100,12 @@
                                            "upstream changed state"};
 
 // 6xx: placement and orders
+inline constexpr EventKind PlacementDecided{600, LogLevel::Info,
+                                            "engine ordered"};
+inline constexpr EventKind OrderAnswerRead{601, LogLevel::Info,
+                                           "order answered"};
+inline constexpr EventKind LeaseAsked{602, LogLevel::Info,
+                                      "steward's lease asked for"};
 inline constexpr EventKind GroupTaken{660, LogLevel::Info,
                                       "memory of a group of engines taken"};
 inline constexpr EventKind GroupRefused{661, LogLevel::Warning,
--- a/src/plugins/orders/OrdersPlugin.cpp
+++ b/src/plugins/orders/OrdersPlugin.cpp
@@ -1,21 +1,242 @@
 #include "plugins/orders/OrdersPlugin.h"
 
+#include "base/EventNumbers.h"
+#include "base/RendezvousHash.h"
+#include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 
+#include <algorithm>
+
 namespace banyanpick {
 
-void OrdersPlugin::initialize(PluginContext &) {}
+namespace {
 
-void OrdersPlugin::handle(const Event &, Time, Actions &) {}
+constexpr Duration LookInterval = milliseconds(500);
 
-namespace {
+std::string_view name(OrderResult Result) {
+  switch (Result) {
+  case OrderResult::Accepted:
+    return "accepted";
+  case OrderResult::RefusedFencing:
+    return "refused-fencing";
+  case OrderResult::Failed:
+    return "failed";
+  case OrderResult::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+std::string joined(std::span<const UpstreamId> Names) {
+  std::string Result;
+  for (const UpstreamId &Each : Names)
+    Result += (Result.empty() ? "" : ",") + Each.Value;
+  return Result;
+}
+
+} // namespace
+
+void OrdersPlugin::initialize(PluginContext &Context) {
+  const Settings &Values = Context.settings();
+  const std::string_view In = "orders";
+  this->Offered = &Context.services();
+  this->Fleet = &Context.services().get<FleetView>();
+  this->Members = &Context.services().get<MembershipView>();
+  this->Own = Context.self();
+  this->Leases =
+      StewardLeases(this->Own.Life, {Values.span(In, "lease"),
+                                     Values.span(In, "longest_delivery")});
+  this->Orders = EngineOrders({Values.span(In, "longest_delivery"),
+                               Values.span(In, "read_back_within"),
+                               Values.span(In, "retry_after")});
+  this->WeightBytesPerSecond =
+      static_cast<double>(Values.size(In, "weight_store_bytes_per_second"));
+  this->Settle = Values.span(In, "settle");
+  Context.services().list<LogObserver>().add(*this);
+}
+
+void OrdersPlugin::start(Time Now, Actions &) {
+  this->Declared = &this->Offered->get<CatalogueView>();
+  this->Log = &this->Offered->get<LogWriter>();
+  this->Drain = this->Offered->find<DrainView>();
+  this->Leases.noteMissed(Now);
+}
+
+void OrdersPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  match(
+      What,
+      [&](const OrderAnswered &Answer) { this->takeAnswer(Answer, Now, Out); },
+      [](const auto &) {});
+  if (Now >= this->NextLook)
+    this->look(Now, Out);
+}
+
+void OrdersPlugin::checkInvariants(InvariantMonitor &Monitor, Time) const {
+  Monitor.require(this->OrdersOutsideWindow == 0,
+                  "orders are given only while a lease of this host is usable");
+}
+
+void OrdersPlugin::recordRead(const StoredRecord &Record, Time Now, Actions &) {
+  this->Leases.noteRead(Record, Now);
+}
+
+void OrdersPlugin::appendSettled(const RecordId &Record, bool Taken, Time,
+                                 Actions &) {
+  if (!Taken)
+    this->Leases.noteRefused(Record);
+}
 
-std::vector<SettingDeclaration> settings() { return {}; }
+void OrdersPlugin::recordsMissed(LogOffset, Time Now, Actions &) {
+  this->Leases.noteMissed(Now);
+}
+
+void OrdersPlugin::look(Time Now, Actions &Out) {
+  this->NextLook = Now + LookInterval;
+  const bool Leaving = this->Drain && this->Drain->isLeaving();
+  if (Leaving || !this->Declared->isCurrent(Now))
+    return;
+  this->updateWanted(Now);
+  for (const auto &[Key, Each] : this->Changes)
+    this->pursue(Each, Now, Out);
+}
+
+void OrdersPlugin::updateWanted(Time Now) {
+  std::map<WantedKey, Wanted> Next;
+  for (PlacementChange &Each :
+       placementChanges(this->Declared->catalogue(), *this->Fleet)) {
+    const WantedKey Key{Each.Engine, Each.Model};
+    const auto Old = this->Changes.find(Key);
+    const bool Same =
+        Old != this->Changes.end() && Old->second.Change.Load == Each.Load;
+    const Time Since = Same ? Old->second.Since : Now;
+    Next[Key] = {std::move(Each), Since};
+  }
+  for (const UpstreamId &Engine : this->Orders.engines()) {
+    const bool StillWanted = std::ranges::any_of(
+        Next, [&](const auto &Each) { return Each.first.first == Engine; });
+    if (!StillWanted)
+      this->Orders.noteDone(Engine);
+  }
+  this->Changes = std::move(Next);
+}
+
+void OrdersPlugin::pursue(const Wanted &Of, Time Now, Actions &Out) {
+  const UpstreamId &Name = Of.Change.Engine;
+  const Upstream *Engine = this->Fleet->find(Name);
+  const bool Settled = Now >= Of.Since + this->Settle;
+  if (!Engine || !Settled || !this->isSteward(Name) ||
+      !this->Orders.isFree(Name, Now))
+    return;
+  const bool Checks = Engine->Listing.ChecksFencing;
+  const auto Window = this->Leases.window(Name, Checks, Now);
+  if (!Window) {
+    if (this->Leases.shouldAsk(Name, Checks, Now))
+      this->askForLease(Name, Now, Out);
+    return;
+  }
+  if (this->mayLoad(Of.Change, Now))
+    this->order(Of, *Engine, *Window, Now, Out);
+}
+
+void OrdersPlugin::askForLease(const UpstreamId &Engine, Time Now,
+                               Actions &Out) {
+  if (!this->Log->isReachable(Now))
+    return;
+  const StewardLease Lease{Engine, this->Own.Host, this->Own.Life,
+                           this->Leases.length()};
+  const RecordId Record = this->Log->append(Lease, Now, Out);
+  this->Leases.noteAsked(Engine, Record, Now);
+  Out.log(logEvent(events::LeaseAsked).with("engine", Engine.Value).build());
+}
+
+void OrdersPlugin::order(const Wanted &Of, const Upstream &Engine,
+                         const OrderWindow &Window, Time Now, Actions &Out) {
+  const OrderId Id{this->Own.Life, ++this->OrdersMade};
+  if (Now >= Window.Until)
+    ++this->OrdersOutsideWindow;
+  this->Orders.noteSent(Of.Change.Engine, Id, Now);
+  Out.count("orders_given", Of.Change.Load ? "load" : "unload");
+  Out.log(logEvent(events::PlacementDecided)
+              .with("engine", Of.Change.Engine.Value)
+              .with("model", Of.Change.Model.Value)
+              .with("action", Of.Change.Load ? "load" : "unload")
+              .with("fencing", Window.Fencing)
+              .with("candidates", joined(Of.Change.Candidates))
+              .build());
+  Out.add(OrderUpstream{Id, Of.Change.Engine, Engine.Listing.At, Window.Fencing,
+                        Window.Until, this->bodyOf(Of.Change)});
+}
+
+void OrdersPlugin::takeAnswer(const OrderAnswered &Answer, Time Now,
+                              Actions &Out) {
+  if (!this->Orders.noteAnswer(Answer, Now))
+    return;
+  if (Answer.Result == OrderResult::RefusedFencing)
+    this->Leases.drop(Answer.Upstream);
+  Out.count("orders_answered", name(Answer.Result));
+  Out.log(logEvent(events::OrderAnswerRead)
+              .with("engine", Answer.Upstream.Value)
+              .with("result", name(Answer.Result))
+              .with("highest_fencing", Answer.HighestFencing)
+              .build());
+}
+
+bool OrdersPlugin::isSteward(const UpstreamId &Of) const {
+  const auto Weight = [&](const HostId &Host) {
+    return rendezvousWeight(Of.Value, Host.Value);
+  };
+  const std::uint64_t OwnWeight = Weight(this->Own.Host);
+  return std::ranges::none_of(
+      this->Members->livePeers(),
+      [&](const HostId &Each) { return Weight(Each) > OwnWeight; });
+}
+
+OrderBody OrdersPlugin::bodyOf(const PlacementChange &Change) const {
+  if (!Change.Load)
+    return UnloadModel{Change.Model};
+  const ModelEntry *Model = this->Declared->catalogue().model(Change.Model);
+  return LoadModel{Change.Model, Model ? Model->Weights : std::string()};
+}
+
+bool OrdersPlugin::mayLoad(const PlacementChange &Change, Time Now) {
+  const ModelEntry *Model = this->Declared->catalogue().model(Change.Model);
+  if (!Change.Load || !Model)
+    return true;
+  const auto Hosts = static_cast<double>(this->Members->livePeers().size() + 1);
+  return this->Budget.take(static_cast<double>(Model->WeightBytes),
+                           this->WeightBytesPerSecond / Hosts, Now);
+}
+
+std::vector<SettingDeclaration> OrdersPlugin::settings() {
+  const std::string In = "orders";
+  return {{In, "lease", SettingKind::Span, "20s",
+           "Length of a steward's lease on giving orders to an engine; orders "
+           "are given in its first half. Equal on all hosts.",
+           2e6, 600e6},
+          {In, "longest_delivery", SettingKind::Span, "5s",
+           "An order arrives, or is given up, within this.", 100e3, 60e6},
+          {In, "read_back_within", SettingKind::Span, "2min",
+           "An engine's report should show an order's effect within this; "
+           "choose it longer than the longest load of a model.",
+           1e6, 3600e6},
+          {In, "retry_after", SettingKind::Span, "10s",
+           "After a failed order the engine is left alone for this.", 100e3,
+           3600e6},
+          {In, "settle", SettingKind::Span, "5s",
+           "A change of placement is made once it has been wanted for this.", 0,
+           600e6},
+          {In, "weight_store_bytes_per_second", SettingKind::Size, "1024MB",
+           "What the weight store can give a second, shared by all entry "
+           "hosts.",
+           1, 1e13}};
+}
+
+namespace {
 
 const PluginRegistration
     Registration({"orders",
                   {"fleet", "membership"},
-                  settings,
+                  OrdersPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<OrdersPlugin>();
                   }});
--- a/src/plugins/orders/OrdersPlugin.h
+++ b/src/plugins/orders/OrdersPlugin.h
@@ -3,14 +3,71 @@
 #pragma once
 
 #include "kernel/Plugin.h"
+#include "plugins/orders/EngineOrders.h"
+#include "plugins/orders/Placement.h"
+#include "plugins/orders/StewardLeases.h"
+#include "plugins/orders/WeightBudget.h"
+
+#include <map>
 
 namespace banyanpick {
 
-/// Brings the engines to the placement that the catalogue asks for.
-class OrdersPlugin : public Plugin {
+/// Brings the engines to the placement that the catalogue asks for. Each
+/// engine has a steward among the live hosts; only a steward with a lease from
+/// the log orders.
+class OrdersPlugin : public Plugin, public LogObserver {
 public:
+  // Plugin
   void initialize(PluginContext &Context) override;
+  void start(Time Now, Actions &Out) override;
   void handle(const Event &What, Time Now, Actions &Out) override;
+  Time nextWake() const override { return this->NextLook; }
+  void checkInvariants(InvariantMonitor &Monitor, Time Now) const override;
+
+  // LogObserver
+  void recordRead(const StoredRecord &Record, Time Now, Actions &Out) override;
+  void appendSettled(const RecordId &Record, bool Taken, Time Now,
+                     Actions &Out) override;
+  void recordsMissed(LogOffset StartOffset, Time Now, Actions &Out) override;
+
+  /// The settings with their defaults.
+  static std::vector<SettingDeclaration> settings();
+
+private:
+  /// A change of the placement since when it has been wanted.
+  struct Wanted {
+    PlacementChange Change;
+    Time Since{};
+  };
+  using WantedKey = std::pair<UpstreamId, ModelId>;
+
+  void look(Time Now, Actions &Out);
+  void updateWanted(Time Now);
+  void pursue(const Wanted &Of, Time Now, Actions &Out);
+  void askForLease(const UpstreamId &Engine, Time Now, Actions &Out);
+  void order(const Wanted &Of, const Upstream &Engine,
+             const OrderWindow &Window, Time Now, Actions &Out);
+  void takeAnswer(const OrderAnswered &Answer, Time Now, Actions &Out);
+  bool isSteward(const UpstreamId &Of) const;
+  OrderBody bodyOf(const PlacementChange &Change) const;
+  bool mayLoad(const PlacementChange &Change, Time Now);
+
+  Services *Offered = nullptr;
+  const FleetView *Fleet = nullptr;
+  const MembershipView *Members = nullptr;
+  const CatalogueView *Declared = nullptr;
+  const DrainView *Drain = nullptr;
+  LogWriter *Log = nullptr;
+  Identity Own;
+  StewardLeases Leases;
+  EngineOrders Orders;
+  WeightBudget Budget;
+  double WeightBytesPerSecond = 0;
+  Duration Settle{};
+  Time NextLook{};
+  std::map<WantedKey, Wanted> Changes;
+  std::uint64_t OrdersMade = 0;
+  std::uint64_t OrdersOutsideWindow = 0;
 };
 
 } // namespace banyanpick
--- /dev/null
+++ b/tests/auto/orders/PlacementTest.cpp
@@ -0,0 +1,94 @@
+/// \file
+/// The placement of models is pure, agreed, and reached by following it.
+#include <gtest/gtest.h>
+// GoogleTest comes before its RapidCheck adapter.
+#include <rapidcheck/gtest.h>
+
+#include "fakes/FakeRequestTable.h"
+#include "fakes/PluginViews.h"
+#include "plugins/orders/Placement.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+namespace {
+
+ModelId model(int Index) { return ModelId("m" + std::to_string(Index)); }
+
+FakeCatalogueView anyCatalogue() {
+  FakeCatalogueView Result;
+  const int Models = *rc::gen::inRange(0, 6);
+  for (int Index = 0; Index < Models; ++Index) {
+    ModelEntry Entry;
+    Entry.MinimumEngines = *rc::gen::inRange(0, 6);
+    if (*rc::gen::arbitrary<bool>())
+      Entry.MaximumEngines = Entry.MinimumEngines + *rc::gen::inRange(1, 4);
+    Result.add(model(Index), Entry);
+  }
+  return Result;
+}
+
+FakeFleetView anyFleet() {
+  FakeFleetView Result;
+  const int Engines = *rc::gen::inRange(0, 12);
+  for (int Index = 0; Index < Engines; ++Index) {
+    Upstream &Added = Result.add("e" + std::to_string(Index));
+    Added.State =
+        *rc::gen::element(UpstreamState::Live, UpstreamState::Live,
+                          UpstreamState::Leaving, UpstreamState::Dead);
+    for (int Each = 0; Each < 6; ++Each)
+      if (*rc::gen::inRange(0, 3) == 0)
+        Added.Report.Models.push_back(model(Each));
+  }
+  return Result;
+}
+
+void follow(FakeFleetView &Fleet, const PlacementChange &Change) {
+  for (Upstream &Each : Fleet.Known) {
+    if (Each.Listing.Id != Change.Engine)
+      continue;
+    if (Change.Load)
+      Each.Report.Models.push_back(Change.Model);
+    else
+      std::erase(Each.Report.Models, Change.Model);
+  }
+}
+
+RC_GTEST_PROP(PlacementTest, HostsThatSeeTheSameAgree, ()) {
+  const FakeCatalogueView Declared = anyCatalogue();
+  FakeFleetView Fleet = anyFleet();
+  const auto First = placementChanges(Declared.catalogue(), Fleet);
+  std::reverse(Fleet.Known.begin(), Fleet.Known.end());
+  RC_ASSERT(placementChanges(Declared.catalogue(), Fleet) == First);
+}
+
+RC_GTEST_PROP(PlacementTest, FollowedInAnyOrderItEnds, ()) {
+  const FakeCatalogueView Declared = anyCatalogue();
+  FakeFleetView Fleet = anyFleet();
+  // One change at a time, any of those wanted, as answers may come.
+  for (int Step = 0; Step < 200; ++Step) {
+    const auto Wanted = placementChanges(Declared.catalogue(), Fleet);
+    if (Wanted.empty())
+      break;
+    const auto Next = *rc::gen::inRange<std::size_t>(0, Wanted.size());
+    follow(Fleet, Wanted[Next]);
+  }
+  const auto Live = static_cast<std::size_t>(std::count_if(
+      Fleet.Known.begin(), Fleet.Known.end(),
+      [](const Upstream &Each) { return Each.State == UpstreamState::Live; }));
+  const auto Left = placementChanges(Declared.catalogue(), Fleet);
+  RC_ASSERT(Left.empty());
+  for (const auto &[Key, Each] : Declared.catalogue().entries()) {
+    const auto &Entry = std::get<ModelEntry>(Each.Body);
+    std::size_t With = 0;
+    for (const Upstream &Engine : Fleet.Known)
+      With += Engine.State == UpstreamState::Live &&
+              std::count(Engine.Report.Models.begin(),
+                         Engine.Report.Models.end(), ModelId(Key.Name)) > 0;
+    RC_ASSERT(With >= std::min<std::size_t>(Entry.MinimumEngines, Live));
+    RC_ASSERT(Entry.MaximumEngines == 0 || With <= Entry.MaximumEngines);
+  }
+}
+
+} // namespace
+} // namespace banyanpick
--- a/tests/fakes/PluginViews.h
+++ b/tests/fakes/PluginViews.h
@@ -22,6 +22,12 @@
     this->InForce.restore(std::move(Entries), this->InForce.offset() + 1);
   }
 
+  void add(const ModelId &Model, const ModelEntry &Declared) {
+    EntryMap Entries = this->InForce.entries();
+    Entries[{EntryKind::Model, Model.Value}] = {OwnerId("o"), Declared, 1};
+    this->InForce.restore(std::move(Entries), this->InForce.offset() + 1);
+  }
+
 private:
   Catalogue InForce;
 };
