--- a/tests/harness/CallerRecord.h
+++ b/tests/harness/CallerRecord.h
@@ -11,6 +11,7 @@
 
 /// Filled by the virtual deployment as the caller would see it.
 struct CallerRecord {
+  std::string Name; ///< As a scenario calls it.
   std::string Host; ///< Where it is connected.
   RequestHead Head;
   Time SentAt{};
--- a/tests/harness/PromiseChecker.cpp
+++ b/tests/harness/PromiseChecker.cpp
@@ -14,7 +14,7 @@
 constexpr Duration InForceWithin = seconds(6);
 
 std::string label(const CallerRecord &Of) {
-  return fmt::format("request {} of class {} at {}", Of.Head.Content.Value,
+  return fmt::format("request {} of class {} at {}", Of.Name,
                      Of.Head.Class.Value, Of.Host);
 }
 
--- a/tests/harness/ScenarioRunner.cpp
+++ b/tests/harness/ScenarioRunner.cpp
@@ -301,6 +301,7 @@
   if (const auto Text = Is.after("timeout"))
     Head.Timeout = parseSpan(Is, *Text);
   this->Sent[Name] = this->World->send(Is.after("via", "h1"), Head);
+  this->World->callers().back().Name = Name;
 }
 
 void ScenarioRunner::resend(const Statement &Is) {
@@ -308,6 +309,7 @@
   RequestHead Head = this->World->callers()[First].Head;
   const std::string Name = Is.after("as", Is.word(1) + "'");
   this->Sent[Name] = this->World->send(Is.after("via", "h1"), Head);
+  this->World->callers().back().Name = Name;
 }
 
 void ScenarioRunner::resume(const Statement &Is) {
--- a/tests/harness/VirtualDeployment.cpp
+++ b/tests/harness/VirtualDeployment.cpp
@@ -114,6 +114,7 @@
 
 void VirtualDeployment::resume(std::size_t Caller, const std::string &Host) {
   this->Callers[Caller].ConnectionLost = false;
+  this->Callers[Caller].EndedAt.reset();
   this->Callers[Caller].Host = Host;
   this->Queue.after(CallerDelay, [this, Caller, Host] {
     VirtualHost &To = *this->Hosts.at(Host);
@@ -401,4 +402,10 @@
   Of.EndedAt = this->now();
 }
 
+void VirtualDeployment::connectionsLost(const std::string &Host) {
+  for (std::size_t Each = 0; Each < this->Callers.size(); ++Each)
+    if (this->Callers[Each].Host == Host && this->Callers[Each].isOpen())
+      this->connectionLost(Each);
+}
+
 } // namespace banyanpick
--- a/tests/harness/VirtualDeployment.h
+++ b/tests/harness/VirtualDeployment.h
@@ -180,6 +180,8 @@
   void redirectTo(std::size_t Caller, const Address &To,
                   const std::string &Token);
   void connectionLost(std::size_t Caller);
+  /// Of all callers connected to the host, heard by it or not.
+  void connectionsLost(const std::string &Host);
 
   DeploymentOptions Options;
   Random Numbers;
--- a/tests/harness/VirtualHost.cpp
+++ b/tests/harness/VirtualHost.cpp
@@ -30,11 +30,9 @@
   this->WakeAt = Never;
   this->Attempts.clear();
   this->Held.clear();
-  for (const auto &[Request, Each] : std::exchange(this->Relays, {}))
-    if (Each.Caller)
-      this->World.connectionLost(*Each.Caller);
-  for (const auto &[Request, Caller] : std::exchange(this->Reconnecting, {}))
-    this->World.connectionLost(Caller);
+  this->Relays.clear();
+  this->Reconnecting.clear();
+  this->World.connectionsLost(this->name());
 }
 
 void VirtualHost::freeze() {
