--- a/tests/harness/VirtualHost.h
+++ b/tests/harness/VirtualHost.h
@@ -84,6 +84,7 @@
   void join(const JoinStream &Wanted);
   void endRelay(const RequestId &Request);
   void finish();
+  void endWhenFinished();
 
   /// Chunks between two reports of progress.
   static constexpr std::uint64_t ProgressInterval = 64;
@@ -94,6 +95,7 @@
   Incarnation Life;
   std::uint64_t Seed = 0;
   bool Frozen = false;
+  bool Stopping = false;
   Time WakeAt = Never;
   Time ThawedAt{};
   std::uint64_t RequestsMade = 0;
