Never take a host that knows no others for the only one

Cause: a host that starts while the host list is away knows no peers. Ruled out: relay of records by peers; the host had none to ask. Change: membership says whether the host list was read in this life; before that a host neither stays current without the log nor accepts changes.

--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -59,6 +59,9 @@
   /// Whether the life is known to have begun a planned stop, over or not. Its
   /// streams may have been handed over.
   virtual bool hasLeft(const HostId &, Incarnation) const { return false; }
+  /// Whether the host list was read in this life. Before that peers() says
+  /// nothing of who the others are.
+  virtual bool knowsHosts() const { return true; }
 };
 
 /// Told when what membership knows of a host has changed.
--- a/src/plugins/catalogue/Currency.cpp
+++ b/src/plugins/catalogue/Currency.cpp
@@ -19,6 +19,8 @@
 bool Currency::hearsMost(const MembershipView *Members, Time Now) const {
   if (!Members)
     return true;
+  if (!Members->knowsHosts())
+    return false;
   std::size_t Known = 1;
   std::size_t Heard = 1;
   for (const Member &Each : Members->peers()) {
--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -128,6 +128,7 @@
   if (!this->ListReachable)
     Out.log(logEvent(events::HostListReachable).build());
   this->ListReachable = true;
+  this->ListRead = true;
   if (!this->Peers.takeList(List.Hosts, Now))
     return;
   ConnectPeers Wanted;
--- a/src/plugins/membership/MembershipPlugin.h
+++ b/src/plugins/membership/MembershipPlugin.h
@@ -28,6 +28,7 @@
   }
   std::vector<HostId> livePeers() const override;
   bool isDead(const HostId &Host, Incarnation Life) const override;
+  bool knowsHosts() const override { return this->ListRead; }
   bool hasLeft(const HostId &Host, Incarnation Life) const override;
 
   void contribute(StatusReport &Report, Time Now) const override;
@@ -67,6 +68,7 @@
   bool Leaving = false;
   std::uint64_t Sequence = 0;
   bool ListReachable = true;
+  bool ListRead = false; ///< At least once.
   /// Of the heartbeats sent in the last two intervals, how many were answered.
   std::uint32_t Asked = 0;
   std::uint32_t Answered = 0;
