Try again at once what ran on an upstream that fell silent

Change: when the fleet takes a life of an upstream for dead, every try on it ends as cut, is cancelled there in case it only stood still, and is tried again; a call that is not idempotent is answered with outcome unknown at once. A try whose connection was cut is cancelled too: its engine may still run it.

--- a/src/plugins/requests/AttemptEnding.cpp
+++ b/src/plugins/requests/AttemptEnding.cpp
@@ -74,6 +74,7 @@
     logFailure(*Found, Ended, End.Outcome, Out);
   if (!surelyNotStarted(End.Outcome))
     this->Uses.Groups.release(Found->Asked.id(), Now, Out);
+  this->cancelIfRunning(Ended, End.Outcome, Found->Asked.Deadline, Now, Out);
   Found->Excluded.insert(Ended.Upstream);
   for (RequestObserver *Each : this->Uses.Observers.all())
     Each->attemptEnded(Found->Asked, Ended, End.Outcome, Now, Out);
@@ -92,6 +93,23 @@
       [&](const AttemptFailed &How) { this->failed(*Found, How, Now, Out); });
 }
 
+void AttemptEnding::upstreamDied(const UpstreamId &Id, Incarnation Life,
+                                 Time Now, Actions &Out) {
+  for (const AttemptId &Each : this->Table.attemptsOn(Id, Life))
+    this->ended(AttemptEnded{Each, AttemptBroken{}}, Now, Out);
+}
+
+void AttemptEnding::cancelIfRunning(const Attempt &Ended,
+                                    const AttemptOutcome &Outcome,
+                                    Time Deadline, Time Now, Actions &Out) {
+  const auto *Broken = std::get_if<AttemptBroken>(&Outcome);
+  const Upstream *Where = this->Uses.Fleet.find(Ended.Upstream);
+  if (!Broken || Broken->UpstreamDied || !Where ||
+      Where->Listing.Kind != UpstreamKind::Engine)
+    return;
+  this->Uses.Canceller.cancel(Ended.Id, Ended.Upstream, Deadline, Now, Out);
+}
+
 void AttemptEnding::complete(RunningRequest &Of, const AttemptComplete &End,
                              Time Now, Actions &Out) {
   if (!Of.Asked.Class.Idempotent)
--- a/src/plugins/requests/AttemptEnding.h
+++ b/src/plugins/requests/AttemptEnding.h
@@ -16,8 +16,14 @@
   /// and ignored.
   void progressed(const AttemptProgressed &Progress, Time Now, Actions &Out);
   void ended(const AttemptEnded &End, Time Now, Actions &Out);
+  /// Every try on that life of the upstream is over. It may only be silent, so
+  /// what it may still run is cancelled.
+  void upstreamDied(const UpstreamId &Id, Incarnation Life, Time Now,
+                    Actions &Out);
 
 private:
+  void cancelIfRunning(const Attempt &Ended, const AttemptOutcome &Outcome,
+                       Time Deadline, Time Now, Actions &Out);
   void complete(RunningRequest &Of, const AttemptComplete &End, Time Now,
                 Actions &Out);
   void notStarted(RunningRequest &Of, bool FirstTry, Time Now, Actions &Out);
--- a/src/plugins/requests/RequestsPlugin.cpp
+++ b/src/plugins/requests/RequestsPlugin.cpp
@@ -30,9 +30,11 @@
   Context.services().provide<RequestTable>(*this);
   Context.services().list<ClaimObserver>().add(*this);
   Context.services().list<GroupObserver>().add(*this);
+  Context.services().list<FleetObserver>().add(*this);
 }
 
 void RequestsPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  this->endOnDead(Now, Out);
   this->endDue(Now, Out);
   match(
       What,
@@ -46,6 +48,7 @@
       },
       [&](const AttemptEnded &Is) { this->Attempts->ended(Is, Now, Out); },
       [](const auto &) {});
+  this->endOnDead(Now, Out);
   // Arrivals are tried at once; whatever else changed is seen by the sweep
   // that comes soon after, so that a burst of reports costs one sweep.
   const bool Freed = std::holds_alternative<RequestArrived>(What) ||
@@ -126,6 +129,18 @@
   this->Dispatching->groupDecided(Id, Holds, Now, Out);
 }
 
+void RequestsPlugin::upstreamChanged(const Upstream &Changed, Time, Actions &) {
+  // The fleet may find this out in the middle of the end of another try; what
+  // follows waits until that is done.
+  if (Changed.State == UpstreamState::Dead)
+    this->Dead.push_back({Changed.Listing.Id, Changed.Listing.Life});
+}
+
+void RequestsPlugin::endOnDead(Time Now, Actions &Out) {
+  for (const DeadLife &Each : std::exchange(this->Dead, {}))
+    this->Attempts->upstreamDied(Each.Upstream, Each.Life, Now, Out);
+}
+
 void RequestsPlugin::endDue(Time Now, Actions &Out) {
   for (const RequestId &Id : this->Table.due(Now))
     this->Ending->giveUp(Id, "its promised time is over", Now, Out);
--- a/src/plugins/requests/RequestsPlugin.h
+++ b/src/plugins/requests/RequestsPlugin.h
@@ -13,7 +13,8 @@
 class RequestsPlugin final : public Plugin,
                              public RequestTable,
                              public ClaimObserver,
-                             public GroupObserver {
+                             public GroupObserver,
+                             public FleetObserver {
 public:
   // Plugin
   void initialize(PluginContext &Context) override;
@@ -41,10 +42,22 @@
   void groupDecided(const RequestId &Id, std::span<const HoldId> Holds,
                     Time Now, Actions &Out) override;
 
+  // FleetObserver
+  void upstreamChanged(const Upstream &Changed, Time Now,
+                       Actions &Out) override;
+
 private:
+  /// A life of an upstream that is taken for dead.
+  struct DeadLife {
+    UpstreamId Upstream;
+    Incarnation Life;
+  };
+
+  void endOnDead(Time Now, Actions &Out);
   void endDue(Time Now, Actions &Out);
 
   RunningRequests Table;
+  std::vector<DeadLife> Dead; ///< Since the last event.
   std::unique_ptr<RequestServices> Uses;
   std::unique_ptr<RequestEnding> Ending;
   std::unique_ptr<Dispatcher> Dispatching;
--- a/src/plugins/requests/RunningRequests.cpp
+++ b/src/plugins/requests/RunningRequests.cpp
@@ -54,6 +54,17 @@
   return Found == this->Attempts.end() ? nullptr : this->find(Found->second);
 }
 
+std::vector<AttemptId> RunningRequests::attemptsOn(const UpstreamId &Id,
+                                                   Incarnation Life) const {
+  std::vector<AttemptId> Result;
+  for (const auto &[Request, Each] : this->Requests) {
+    const Attempt *Running = Each.attempt();
+    if (Running && Running->Upstream == Id && Running->UpstreamLife == Life)
+      Result.push_back(Running->Id);
+  }
+  return Result;
+}
+
 RunningRequest *RunningRequests::findByToken(const std::string &ResumeToken) {
   const auto Found = this->Tokens.find(ResumeToken);
   return Found == this->Tokens.end() ? nullptr : this->find(Found->second);
--- a/src/plugins/requests/RunningRequests.h
+++ b/src/plugins/requests/RunningRequests.h
@@ -22,6 +22,9 @@
   const RunningRequest *find(const RequestId &Id) const;
   RunningRequest *findByAttempt(const AttemptId &Id);
   const RunningRequest *findByAttempt(const AttemptId &Id) const;
+  /// The tries that run on that life of the upstream, in their order.
+  std::vector<AttemptId> attemptsOn(const UpstreamId &Id,
+                                    Incarnation Life) const;
   RunningRequest *findByToken(const std::string &ResumeToken);
 
   /// The request now runs as this attempt; forgets an earlier one.
