Run random scenarios with every fault in the tests

Change: forty fixed seeds of random load and faults over four kernels run as a test, and a RapidCheck property whose failure shrinks to the fewest faults.

--- /dev/null
+++ b/tests/auto/random/RandomTest.cpp
@@ -0,0 +1,53 @@
+/// \file
+/// Random scenarios with all faults together and twice.
+#include "harness/RandomScenario.h"
+#include "harness/ScenarioRunner.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <iostream>
+
+namespace rc {
+
+template <> struct Arbitrary<banyanpick::RandomStep> {
+  static Gen<banyanpick::RandomStep> arbitrary() {
+    using Step = banyanpick::RandomStep;
+    const auto Number = gen::inRange<std::uint32_t>(0, 60'000);
+    return gen::build<Step>(
+        gen::set(&Step::AtMs, Number), gen::set(&Step::Kind, Number),
+        gen::set(&Step::Target, Number), gen::set(&Step::Other, Number),
+        gen::set(&Step::LengthMs, Number));
+  }
+};
+
+} // namespace rc
+
+namespace banyanpick {
+namespace {
+
+/// Shrinks to the fewest steps that break a promise.
+RC_GTEST_PROP(RandomTest, PromisesHoldUnderAnyFewFaults,
+              (const std::vector<RandomStep> &Steps)) {
+  const std::string Text = randomScenario(1, Steps);
+  ScenarioRunner Runner(Text);
+  Runner.run();
+  for (const std::string &Each : Runner.failures())
+    RC_FAIL(Each + "\n" + Text);
+}
+
+TEST(RandomTest, PromisesHoldUnderManyFaults) {
+  constexpr std::uint64_t FirstSeed = 1;
+  constexpr std::uint64_t Runs = 40;
+  std::uint64_t Steps = 0;
+  for (std::uint64_t Seed = FirstSeed; Seed < FirstSeed + Runs; ++Seed) {
+    const RandomRunResult Result = runRandomScenario(Seed);
+    Steps += Result.KernelSteps;
+    for (const std::string &Each : Result.Failures)
+      ADD_FAILURE() << "seed " << Seed << ": " << Each;
+  }
+  std::cout << Steps << " random steps\n";
+}
+
+} // namespace
+} // namespace banyanpick
