--- a/tests/standins/EngineService.cpp
+++ b/tests/standins/EngineService.cpp
@@ -41,6 +41,17 @@
   return Blocks;
 }
 
+/// `ID,ID`, as X-Holds gives them.
+std::vector<HoldId> holdsOf(std::string_view Text) {
+  std::vector<HoldId> Holds;
+  while (!Text.empty()) {
+    const std::string_view First = Text.substr(0, Text.find(','));
+    Holds.push_back(parseMadeId<HoldTag>(First));
+    Text.remove_prefix(std::min(First.size() + 1, Text.size()));
+  }
+  return Holds;
+}
+
 EngineJob jobOf(const Exchange &Each, const json &Asked) {
   const auto &Prompt = Asked.at("prompt").get_ref<const std::string &>();
   EngineJob Job;
@@ -53,7 +64,8 @@
       static_cast<std::uint32_t>(parseWhole(Each.header("X-Priority")));
   Job.Blocks = blocksOf(Prompt);
   Job.Deadline = fromMilliseconds(parseWhole(Each.header("X-Deadline")));
-  Job.HasGroup = !Each.header("X-Holds").empty();
+  Job.Holds = holdsOf(Each.header("X-Holds"));
+  Job.HasGroup = !Job.Holds.empty();
   return Job;
 }
 
@@ -89,6 +101,10 @@
   json Holds = json::array();
   for (const HoldReport &Each : Report.Holds)
     Holds.push_back(holdJson(Each));
+  json Backlog = json::array();
+  for (const PriorityBacklog &Each : Report.Backlog)
+    Backlog.push_back(
+        {{"priority", Each.Priority}, {"prefill_tokens", Each.PrefillTokens}});
   return {{"id", Report.Id.Value},
           {"life", toHex(Report.Life.Value)},
           {"measured_at", toMilliseconds(Report.MeasuredAt)},
@@ -102,7 +118,8 @@
           {"decode_tokens_per_second", Report.DecodeTokensPerSecond},
           {"highest_fencing", Report.HighestFencing},
           {"models", std::move(Models)},
-          {"holds", std::move(Holds)}};
+          {"holds", std::move(Holds)},
+          {"backlog", std::move(Backlog)}};
 }
 
 OrderBody orderOf(const json &Asked) {
