Test failures of real processes

Cause: promises must hold for processes that are killed, frozen or cut off from the log, not only for kernels in virtual time. Change: tests/process starts the whole deployment as child processes of the test: kill of an entry host and of an engine under a stream, planned stop, freeze of a claim's owner, log outage, lost answers of the log, and one confirmation at all hosts at once. Each wait ends when what it waits for has happened; no verdict depends on speed.

--- /dev/null
+++ b/tests/process/Deployment.cpp
@@ -0,0 +1,229 @@
+#include "process/Deployment.h"
+
+#include "standins/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace banyanpick::process {
+
+namespace {
+
+namespace http = boost::beast::http;
+using nlohmann::json;
+using standins::askHttp;
+
+constexpr Duration Patience = seconds(30);
+constexpr milliseconds LookAgain(20);
+
+/// Bound of every wait; far beyond what any of them takes.
+constexpr seconds LongestWait(30);
+
+const std::string Programs = BANYANPICK_PROGRAMS;
+const std::string CatalogueFile = BANYANPICK_CATALOGUE;
+
+/// An address that nobody listens on, and that was not given before.
+std::string freeAddress() {
+  static std::set<std::uint16_t> Given;
+  boost::asio::io_context Io;
+  for (;;) {
+    boost::asio::ip::tcp::acceptor Probe(
+        Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const std::uint16_t Port = Probe.local_endpoint().port();
+    if (Given.insert(Port).second)
+      return fmt::format("127.0.0.1:{}", Port);
+  }
+}
+
+std::vector<Member> makeMembers(const std::string &Name, std::size_t Count) {
+  std::vector<Member> Members;
+  for (std::size_t I = 1; I <= Count; ++I)
+    Members.push_back(
+        {fmt::format("{}-{}", Name, I), freeAddress(), freeAddress(), nullptr});
+  return Members;
+}
+
+std::string readFile(const std::string &Path) {
+  std::ostringstream Text;
+  Text << std::ifstream(Path).rdbuf();
+  return Text.str();
+}
+
+} // namespace
+
+bool eventually(const std::function<bool()> &Holds) {
+  const auto GiveUp = std::chrono::steady_clock::now() + LongestWait;
+  while (!Holds()) {
+    if (std::chrono::steady_clock::now() > GiveUp)
+      return false;
+    std::this_thread::sleep_for(LookAgain);
+  }
+  return true;
+}
+
+Deployment::Deployment()
+    : Hosts(makeMembers("host", HostCount)),
+      Engines(makeMembers("engine", EngineCount)) {
+  std::string Template =
+      (std::filesystem::temp_directory_path() / "banyanpick-XXXXXX").string();
+  if (!mkdtemp(Template.data()))
+    throw std::runtime_error("can't make a directory for the test");
+  this->Directory = Template;
+  this->Platform.Address = freeAddress();
+  this->Application.Address = freeAddress();
+  this->start(this->Platform, "standin_platform",
+              {"--listen", this->Platform.Address, "--hosts",
+               this->writeFile("hosts.json", this->hostList().dump())});
+  this->start(this->Application, "standin_application",
+              {"--listen", this->Application.Address, "--life", "b0"});
+  for (std::size_t I = 0; I < EngineCount; ++I)
+    this->start(this->Engines[I], "standin_engine",
+                {"--listen", this->Engines[I].Address, "--id",
+                 this->Engines[I].Name, "--life", fmt::format("e{}", I)});
+  ChildProcess(Programs + "/banyanpick", {"keys"}, this->Directory + "/keys")
+      .wait();
+  this->CurveKeys = readFile(this->Directory + "/keys");
+  for (std::size_t I = 0; I < HostCount; ++I)
+    this->start(this->Hosts[I], "banyanpickd",
+                {"--settings", this->writeFile(this->Hosts[I].Name + ".ini",
+                                               this->settingsOf(I))});
+  for (const char *Key : {"root.demo-root-secret", "ring.demo-ring-secret",
+                          "ateliers.demo-ateliers-secret"})
+    this->apply(Key);
+}
+
+Deployment::~Deployment() {
+  this->Hosts.clear();
+  this->Engines.clear();
+  std::error_code Ignored;
+  std::filesystem::remove_all(this->Directory, Ignored);
+}
+
+void Deployment::start(Member &Into, const std::string &Program,
+                       std::vector<std::string> Flags) {
+  Into.Process = std::make_unique<ChildProcess>(
+      Programs + "/" + Program, std::move(Flags),
+      this->Directory + "/" + Into.Name + ".log");
+  const standins::HttpQuestion Any{http::verb::get, "/health"};
+  if (!eventually(
+          [&] { return askHttp(Into.Address, Any, Patience).isComplete(); }))
+    throw std::runtime_error(
+        Into.Name + " does not answer:\n" +
+        readFile(this->Directory + "/" + Into.Name + ".log"));
+}
+
+std::string Deployment::settingsOf(std::size_t Index) const {
+  const Member &Host = this->Hosts[Index];
+  return fmt::format("[host]\nname = {}\nzone = {}\ncallers = {}\npeers = {}\n"
+                     "[platform]\nlog = {}\nhost_list = {}\n"
+                     "[operators]\nroot_key = demo-root-secret\n[peers]\n{}",
+                     Host.Name, Index < 2 ? "east" : "west", Host.Address,
+                     Host.Peers, this->Platform.Address, this->Platform.Address,
+                     this->CurveKeys);
+}
+
+std::string Deployment::writeFile(const std::string &Name,
+                                  const std::string &Text) const {
+  const std::string Path = this->Directory + "/" + Name;
+  std::ofstream(Path) << Text;
+  return Path;
+}
+
+json Deployment::hostList() const {
+  json Listed{{"hosts", json::array()}, {"upstreams", json::array()}};
+  for (std::size_t I = 0; I < HostCount; ++I)
+    Listed["hosts"].push_back({{"id", this->Hosts[I].Name},
+                               {"zone", I < 2 ? "east" : "west"},
+                               {"callers", this->Hosts[I].Address},
+                               {"peers", this->Hosts[I].Peers}});
+  Listed["upstreams"].push_back({{"id", "booking"},
+                                 {"life", "b0"},
+                                 {"kind", "application"},
+                                 {"at", this->Application.Address},
+                                 {"zone", "east"},
+                                 {"application", "booking"}});
+  for (std::size_t I = 0; I < EngineCount; ++I)
+    Listed["upstreams"].push_back({{"id", this->Engines[I].Name},
+                                   {"life", fmt::format("e{}", I)},
+                                   {"kind", "engine"},
+                                   {"at", this->Engines[I].Address},
+                                   {"zone", "east"},
+                                   {"checks_fencing", true}});
+  return Listed;
+}
+
+void Deployment::apply(const std::string &Key) {
+  const std::string KeyFile = this->writeFile("key", Key);
+  const std::string Output = this->Directory + "/apply.log";
+  const bool Applied = eventually([&] {
+    return ChildProcess(Programs + "/banyanpick",
+                        {"apply", CatalogueFile, "--host",
+                         this->Hosts[0].Address, "--key_file", KeyFile},
+                        Output)
+               .wait() == 0;
+  });
+  if (!Applied)
+    throw std::runtime_error("the catalogue can't be applied:\n" +
+                             readFile(Output) +
+                             readFile(this->Directory + "/host-1.log"));
+}
+
+standins::Resolver Deployment::resolver(std::size_t First) const {
+  std::vector<std::string> Seeds;
+  for (std::size_t I = 0; I < HostCount; ++I)
+    Seeds.push_back(this->Hosts[(First + I) % HostCount].Address);
+  return standins::Resolver(Seeds, "east");
+}
+
+standins::CallerTeam Deployment::team() {
+  return {"house-1", "house-1.demo-house-secret"};
+}
+
+void Deployment::setLogFaults(const json &Faults) const {
+  askHttp(this->Platform.Address,
+          {http::verb::post, "/admin/log", Faults.dump()}, Patience);
+}
+
+std::uint64_t Deployment::runsOf(const std::string &Key) const {
+  return askHttp(this->Application.Address, {http::verb::get, "/counts"},
+                 Patience)
+      .parsed()
+      .value<std::uint64_t>(Key, 0);
+}
+
+Member &Deployment::busyEngine() {
+  Member *Found = nullptr;
+  eventually([&] {
+    for (Member &Each : this->Engines) {
+      const json Load =
+          askHttp(Each.Address, {http::verb::get, "/load"}, Patience).parsed();
+      if (Load.is_object() && Load.value("running", 0) > 0)
+        Found = &Each;
+    }
+    return Found != nullptr;
+  });
+  if (!Found)
+    throw std::runtime_error("no engine runs anything");
+  return *Found;
+}
+
+standins::HttpReply Deployment::confirmAt(std::size_t Host,
+                                          const std::string &Key) const {
+  const json Body{
+      {"class", "confirm"}, {"operation_key", Key}, {"body", json::object()}};
+  return askHttp(this->Hosts[Host].Address,
+                 {http::verb::post,
+                  "/v1/calls",
+                  Body.dump(),
+                  {{"Authorization", "Bearer " + team().Key},
+                   {"Content-Type", "application/json"}}},
+                 Patience);
+}
+
+} // namespace banyanpick::process
--- /dev/null
+++ b/tests/process/FailureTest.cpp
@@ -0,0 +1,163 @@
+/// \file
+/// Failures of real processes: kills, freezes, outages of the log and bad
+/// bytes. No verdict depends on how fast anything runs.
+#include "process/Deployment.h"
+#include "standins/WireText.h"
+
+#include <csignal>
+#include <future>
+#include <gtest/gtest.h>
+
+namespace banyanpick::process {
+namespace {
+
+using nlohmann::json;
+using standins::Caller;
+using standins::WorkItem;
+using standins::WorkKind;
+using standins::WorkResult;
+
+/// Long enough that a process can be killed before the answer is whole.
+constexpr std::uint64_t LongAnswerTokens = 400;
+
+WorkItem longStream() {
+  WorkItem Item;
+  Item.Kind = WorkKind::Streamed;
+  Item.Class = "short";
+  Item.PromptTokens = 2'000;
+  Item.OutputTokens = LongAnswerTokens;
+  return Item;
+}
+
+WorkItem confirmation() {
+  WorkItem Item;
+  Item.Kind = WorkKind::Confirmation;
+  Item.Class = "confirm";
+  return Item;
+}
+
+std::string freshKey() {
+  static std::uint64_t Draw = 1;
+  return standins::makeOperationKey(standins::wallNow(),
+                                    Draw++ * 0x9e3779b97f4a7c15);
+}
+
+void expectWhole(const WorkResult &Result) {
+  EXPECT_EQ(Result.Ended, WorkResult::End::Whole) << Result.LastAnswer;
+  EXPECT_FALSE(Result.Doubled);
+  EXPECT_FALSE(Result.Crossed);
+}
+
+std::string answerOf(const standins::HttpReply &Reply) {
+  const json Answer = Reply.parsed();
+  return Answer.is_object() ? Answer.value("answer", "") : "";
+}
+
+class Failure : public testing::Test {
+protected:
+  /// Runs the item in the background, from the host's point of view first.
+  std::future<WorkResult> runBeside(const WorkItem &Item) {
+    return std::async(std::launch::async, [this, Item] {
+      return Caller(this->Hosts, Deployment::team()).run(Item);
+    });
+  }
+
+  /// The host that callers of the team are told to use first.
+  Member &firstHost() {
+    const auto Addresses = this->Hosts.hosts(Deployment::team().Name);
+    for (std::size_t I = 0; I < Deployment::HostCount; ++I)
+      if (!Addresses.empty() && this->All.host(I).Address == Addresses[0])
+        return this->All.host(I);
+    throw std::runtime_error("resolve names no host");
+  }
+
+  Deployment All;
+  standins::Resolver Hosts = this->All.resolver();
+};
+
+TEST_F(Failure, StreamIsWholeAfterItsEntryHostIsKilled) {
+  Member &Serving = this->firstHost();
+  auto Result = this->runBeside(longStream());
+  this->All.busyEngine();
+  Serving.Process->kill();
+  expectWhole(Result.get());
+}
+
+TEST_F(Failure, StreamIsWholeAfterItsEngineIsKilled) {
+  auto Result = this->runBeside(longStream());
+  this->All.busyEngine().Process->kill();
+  expectWhole(Result.get());
+}
+
+TEST_F(Failure, PlannedStopOfAHostCutsOffNoStream) {
+  Member &Serving = this->firstHost();
+  auto Result = this->runBeside(longStream());
+  this->All.busyEngine();
+  Serving.Process->signal(SIGTERM);
+  const WorkResult Ended = Result.get();
+  expectWhole(Ended);
+  EXPECT_EQ(Ended.Restarted, 0U);
+  EXPECT_EQ(Serving.Process->wait(), 0);
+}
+
+TEST_F(Failure, FrozenOwnerOfAClaimRunsItAtMostOnce) {
+  const std::string Key = freshKey();
+  // The owner is frozen while its claim is on the way into the log.
+  this->All.setLogFaults({{"delay_ms", 1'000}});
+  auto First = std::async(std::launch::async,
+                          [&] { return this->All.confirmAt(0, Key); });
+  std::this_thread::sleep_for(milliseconds(300));
+  this->All.host(0).Process->signal(SIGSTOP);
+  this->All.setLogFaults(json::object());
+  std::this_thread::sleep_for(milliseconds(1'500));
+  const std::string Second = answerOf(this->All.confirmAt(1, Key));
+  this->All.host(0).Process->signal(SIGCONT);
+  const std::string Owner = answerOf(First.get());
+  const std::uint64_t Runs = this->All.runsOf(Key);
+  EXPECT_LE(Runs, 1U) << Owner << " and " << Second;
+  if (Owner == "whole" || Second == "whole") {
+    EXPECT_EQ(Runs, 1U);
+  }
+  if (Owner == "not-run" && Second == "not-run") {
+    EXPECT_EQ(Runs, 0U);
+  }
+}
+
+TEST_F(Failure, LogOutageRefusesConfirmationsTruthfullyAndNothingElse) {
+  const std::string Key = freshKey();
+  this->All.setLogFaults({{"down", true}});
+  const std::string During = answerOf(this->All.confirmAt(0, Key));
+  EXPECT_NE(During, "whole");
+  EXPECT_EQ(this->All.runsOf(Key), 0U) << During;
+  WorkItem Idempotent = longStream();
+  Idempotent.OutputTokens = 20;
+  expectWhole(this->runBeside(Idempotent).get());
+  this->All.setLogFaults(json::object());
+  Caller Sender(this->Hosts, Deployment::team());
+  expectWhole(Sender.confirm(confirmation(), freshKey(), 0));
+  EXPECT_EQ(this->All.runsOf(Key), 0U);
+}
+
+TEST_F(Failure, LostAnswersOfTheLogAreSettledByReading) {
+  this->All.setLogFaults({{"lose_answers", 3}});
+  const std::string Key = freshKey();
+  Caller Sender(this->Hosts, Deployment::team());
+  expectWhole(Sender.confirm(confirmation(), Key, 0));
+  EXPECT_EQ(this->All.runsOf(Key), 1U);
+}
+
+TEST_F(Failure, SameConfirmationAtAllHostsRunsOnce) {
+  const std::string Key = freshKey();
+  std::vector<std::future<WorkResult>> Sent;
+  for (std::size_t I = 0; I < Deployment::HostCount; ++I)
+    Sent.push_back(std::async(std::launch::async, [this, Key, I] {
+      return Caller(this->Hosts, Deployment::team())
+          .confirm(confirmation(), Key, I);
+    }));
+  for (auto &Each : Sent)
+    expectWhole(Each.get());
+  EXPECT_EQ(this->All.runsOf(Key), 1U);
+}
+
+} // namespace
+} // namespace banyanpick::process
