--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -187,6 +187,9 @@
   /// Stops trying to append the record. True: it never reached the log and
   /// never will; appendSettled() is then not called.
   virtual bool withdraw(const RecordId &) { return false; }
+  /// Own records whose fate is not settled. A planned stop waits for them, or
+  /// outcomes of claimed operations are lost with the process.
+  virtual std::size_t unsettled() const { return 0; }
   /// Whether the log answered lately.
   virtual bool isReachable(Time Now) const = 0;
 };
--- a/src/plugins/catalogue/SnapshotAssembler.cpp
+++ b/src/plugins/catalogue/SnapshotAssembler.cpp
@@ -59,11 +59,12 @@
                                     std::size_t ChunkBytes) {
   const std::size_t Count =
       std::max<std::size_t>(1, (Text.size() + ChunkBytes - 1) / ChunkBytes);
+  const std::uint64_t Checksum = checksum(Text);
   std::vector<SnapshotChunk> Result;
   for (std::size_t Index = 0; Index < Count; ++Index)
     Result.push_back(
         {AtOffset, static_cast<std::uint32_t>(Index),
-         static_cast<std::uint32_t>(Count), checksum(Text),
+         static_cast<std::uint32_t>(Count), Checksum,
          std::string(Text.substr(Index * ChunkBytes, ChunkBytes))});
   return Result;
 }
--- a/src/plugins/log/AppendQueue.cpp
+++ b/src/plugins/log/AppendQueue.cpp
@@ -87,8 +87,12 @@
     return Each.Since < AskedAt;
   };
   for (Doubtful &Each : this->Unknowns) {
-    if (Judged(Each) && mayRepeat(Each.What.Record))
+    if (!Judged(Each))
+      continue;
+    if (mayRepeat(Each.What.Record))
       this->Waiting.push_front(std::move(Each.What));
+    else
+      this->Open.erase(Each.What.Record.Id);
   }
   std::erase_if(this->Unknowns, Judged);
 }
--- a/src/plugins/log/AppendQueue.h
+++ b/src/plugins/log/AppendQueue.h
@@ -64,7 +64,9 @@
   std::vector<Settled> takeSettled();
 
   Time nextWake(Duration Gap) const;
-  std::size_t waiting() const { return this->Waiting.size(); }
+
+  /// Records that are neither settled nor withdrawn.
+  std::size_t unsettled() const { return this->Open.size(); }
 
 private:
   struct Item {
--- a/src/plugins/log/LogPlugin.h
+++ b/src/plugins/log/LogPlugin.h
@@ -25,6 +25,7 @@
   RecordId append(LogRecordBody Body, Time Now, Actions &Out) override;
   bool withdraw(const RecordId &Id) override;
   bool isReachable(Time Now) const override;
+  std::size_t unsettled() const override { return this->Queue->unsettled(); }
 
   LogOffset nextOffset() const override { return this->Reader->nextOffset(); }
   LogOffset firstKept() const override { return this->Tail->first(); }
--- a/tests/auto/log/LogTest.cpp
+++ b/tests/auto/log/LogTest.cpp
@@ -47,9 +47,11 @@
   this->Host.pass(milliseconds(1));
   this->Host.answerAppend(AppendFate::LostAnswer);
   EXPECT_TRUE(this->Host.probe().Settled.empty());
+  EXPECT_EQ(this->Host.services().get<LogWriter>().unsettled(), 1u);
   this->Host.settle();
   ASSERT_EQ(this->Host.probe().Settled.size(), 1u);
   EXPECT_EQ(this->Host.probe().Settled[0], std::pair(Id, true));
+  EXPECT_EQ(this->Host.services().get<LogWriter>().unsettled(), 0u);
   EXPECT_EQ(timesRead(this->Host, Id), 1u) << "it was appended again";
 }
 
