Ask for no wake at the very moment that has come

Cause: at the end of the time for which the log counts as reachable it still counted so, and the plug-in asked to be woken at once, again and again; a test of successive wakes failed first. Change: the end itself no longer counts.

--- a/src/plugins/log/LogPlugin.cpp
+++ b/src/plugins/log/LogPlugin.cpp
@@ -131,7 +131,7 @@
 
 bool LogPlugin::isReachable(Time Now) const {
   return this->Reader->nextOffset() > 0 &&
-         Now <= this->Reader->answeredAt() + this->ReachableWithin;
+         Now < this->Reader->answeredAt() + this->ReachableWithin;
 }
 
 void LogPlugin::skipTo(LogOffset Offset, Time Now, Actions &Out) {
--- a/tests/auto/log/LogTest.cpp
+++ b/tests/auto/log/LogTest.cpp
@@ -123,6 +123,16 @@
   EXPECT_TRUE(Writer.isReachable(this->Host.Now));
 }
 
+TEST_F(LogTest, EachWakeMovesTheNextOneOn) {
+  this->Host.probe().Members = {peerHeard("h2", this->Host.Now, {}, 0)};
+  for (int Wake = 0; Wake < 50; ++Wake) {
+    this->Host.failRead();
+    this->Host.Now = this->Host.kernel().nextWake();
+    this->Host.handle(Tick{});
+    ASSERT_GT(this->Host.kernel().nextWake(), this->Host.Now) << Wake;
+  }
+}
+
 TEST_F(LogTest, TellsOfRecordsThatWereDropped) {
   for (int Count = 0; Count < 5; ++Count)
     this->Log.append({});
