--- a/src/libs/catalogue/CatalogueIni.cpp
+++ b/src/libs/catalogue/CatalogueIni.cpp
@@ -39,7 +39,7 @@
 /// Builds the file's entries, collecting what is wrong.
 class FileReader {
 public:
-  CatalogueFile read(std::string_view Text, const EntryMap &InForce) {
+  CatalogueFile read(std::string_view Text, const EntryMap *InForce) {
     const IniText Ini = readIni(Text);
     for (const IniProblem &Each : Ini.Problems)
       this->File.Problems.push_back({Each.Line, "", "", Each.Message});
@@ -108,7 +108,7 @@
       this->complain(Given, *Outcome);
   }
 
-  void check(const EntryKey &Key, const Entry &Value, const EntryMap &InForce) {
+  void check(const EntryKey &Key, const Entry &Value, const EntryMap *InForce) {
     for (const FieldText &Each : fieldTexts(Value.Body)) {
       if (Each.Field.Required && !this->isGiven(Key, Each.Field.Name))
         this->report(Key, {std::string(Each.Field.Name), "is missing",
@@ -159,7 +159,7 @@
 
 } // namespace
 
-CatalogueFile readCatalogueIni(std::string_view Text, const EntryMap &InForce) {
+CatalogueFile readCatalogueIni(std::string_view Text, const EntryMap *InForce) {
   return FileReader().read(Text, InForce);
 }
 
--- a/src/libs/catalogue/CatalogueIni.h
+++ b/src/libs/catalogue/CatalogueIni.h
@@ -22,9 +22,10 @@
 };
 
 /// Reads and checks a whole file; every problem is reported. References to
-/// classes, models and owners are looked for in the file and in \p InForce.
+/// classes and models are looked for in the file and in \p InForce, those to
+/// owners only when it is not null.
 CatalogueFile readCatalogueIni(std::string_view Text,
-                               const EntryMap &InForce = {});
+                               const EntryMap *InForce = nullptr);
 
 /// The INI form of the entries, as readCatalogueIni() reads it.
 std::string writeCatalogueIni(const EntryMap &Entries);
--- a/src/libs/catalogue/EntryReferences.cpp
+++ b/src/libs/catalogue/EntryReferences.cpp
@@ -9,12 +9,13 @@
 /// Collects what is missing.
 struct ReferenceCheck {
   const EntryMap &File;
-  const EntryMap &InForce;
+  const EntryMap *InForce;
   std::vector<EntryProblem> Missing{};
 
   void need(std::string_view Field, EntryKind Kind, const std::string &Name) {
     const EntryKey Key{Kind, Name};
-    if (this->File.contains(Key) || this->InForce.contains(Key))
+    if (this->File.contains(Key) ||
+        (this->InForce && this->InForce->contains(Key)))
       return;
     this->Missing.push_back({std::string(Field),
                              "names " + text(Key) + ", which is not declared",
@@ -26,9 +27,9 @@
 
 std::vector<EntryProblem> missingReferences(const Entry &Of,
                                             const EntryMap &File,
-                                            const EntryMap &InForce) {
+                                            const EntryMap *InForce) {
   ReferenceCheck Check{File, InForce};
-  if (Of.Owner.Value != RootOwner)
+  if (InForce && Of.Owner.Value != RootOwner)
     Check.need("owner", EntryKind::Owner, Of.Owner.Value);
   match(
       Of.Body,
--- a/src/tools/ApplyCommand.cpp
+++ b/src/tools/ApplyCommand.cpp
@@ -38,7 +38,7 @@
   Comparison Result;
   Result.Shown = Client.catalogue();
   const EntryMap Declared =
-      readDeclarations(Given.Arguments.at(0), FileText, Result.Shown.Entries);
+      readDeclarations(Given.Arguments.at(0), FileText, &Result.Shown.Entries);
   Result.Diff = difference(Declared, Result.Shown.Entries, Author, Given.Prune);
   return Result;
 }
--- a/src/tools/DeclarationFile.cpp
+++ b/src/tools/DeclarationFile.cpp
@@ -23,25 +23,24 @@
                          std::span<const SettingsProblem> Problems) {
   std::string Result;
   for (const SettingsProblem &Each : Problems) {
-    Result += fmt::format("{}:{}:", FileName, Each.Line);
+    Result += fmt::format("{}{}:{}:", Result.empty() ? "" : "\n", FileName,
+                          Each.Line);
     if (!Each.Section.empty())
       Result += fmt::format(" [{}]", Each.Section);
     if (!Each.Key.empty())
       Result += fmt::format(" {}:", Each.Key);
-    Result += fmt::format(" {}\n", Each.Message);
+    Result += " " + Each.Message;
   }
   return Result;
 }
 
 EntryMap readDeclarations(std::string_view FileName, std::string_view Text,
-                          const EntryMap &InForce) {
+                          const EntryMap *InForce) {
   CatalogueFile File = readCatalogueIni(Text, InForce);
   if (!File.Problems.empty())
     throw Error(ErrorKind::BadInput,
-                fmt::format("{} has {} problems\n{}", FileName,
-                            File.Problems.size(),
-                            problemLines(FileName, File.Problems)),
-                "mend them and try again");
+                "the file is wrong\n" + problemLines(FileName, File.Problems),
+                "mend these lines and try again");
   return std::move(File.Entries);
 }
 
--- a/src/tools/DeclarationFile.h
+++ b/src/tools/DeclarationFile.h
@@ -15,10 +15,10 @@
 std::string problemLines(std::string_view FileName,
                          std::span<const SettingsProblem> Problems);
 
-/// The entries that \p Text declares. Throws Error(BadInput) with all its
-/// problems.
+/// The entries that \p Text declares; \p InForce is null when it is not known.
+/// Throws Error(BadInput) with all its problems.
 EntryMap readDeclarations(std::string_view FileName, std::string_view Text,
-                          const EntryMap &InForce);
+                          const EntryMap *InForce);
 
 /// The whole of a file, or of standard input for `-`. Throws Error(BadInput).
 std::string readWholeFile(const std::string &FileName);
--- a/src/tools/LocalCommands.cpp
+++ b/src/tools/LocalCommands.cpp
@@ -42,7 +42,7 @@
 
 Outcome check(const Options &Given, std::string_view FileText) {
   const std::string &FileName = Given.Arguments.at(0);
-  const EntryMap Entries = readDeclarations(FileName, FileText, {});
+  const EntryMap Entries = readDeclarations(FileName, FileText, nullptr);
   return {ExitCode::Ok,
           fmt::format("{}: {} entries, no problem\n", FileName, Entries.size()),
           {{"file", FileName}, {"entries", Entries.size()}}};
