Let a suspicion's notice name where the suspect runs

Cause: two hosts that each keep one suspect apart may choose the same upstream without knowing; its death then condemns both. Two fields are added to the notice and to its form on the wire; their use follows.

--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -120,6 +120,8 @@
   Fingerprint Content;
   std::uint32_t Crashes = 0;
   Time Until{};
+  UpstreamId Upstream; ///< Where a suspect runs now, kept apart; or empty.
+  Incarnation UpstreamLife;
 
   bool operator==(const QuarantineNotice &) const = default;
 };
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -85,6 +85,8 @@
   Out.set_content(Body.Content.Value);
   Out.set_crashes(Body.Crashes);
   Out.set_until_us(toWire(Body.Until));
+  Out.set_upstream(Body.Upstream.Value);
+  Out.set_upstream_life(Body.UpstreamLife.Value);
 }
 
 void write(const banyanpick::UpstreamNotice &Body, Envelope &Envelope) {
@@ -166,7 +168,8 @@
 }
 
 QuarantineNotice read(const Quarantine &In) {
-  return {Fingerprint(In.content()), In.crashes(), timeFromWire(In.until_us())};
+  return {Fingerprint(In.content()), In.crashes(), timeFromWire(In.until_us()),
+          UpstreamId(In.upstream()), Incarnation(In.upstream_life())};
 }
 
 banyanpick::UpstreamNotice read(const UpstreamNotice &In) {
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -146,7 +146,8 @@
   case 6:
     return CatalogueRelayed{number(), text()};
   case 7:
-    return QuarantineNotice{Fingerprint(number()), small(), moment()};
+    return QuarantineNotice{Fingerprint(number()), small(), moment(),
+                            id<UpstreamId>(), life()};
   case 8:
     return UpstreamNotice{id<UpstreamId>(), life(), flag(), flag()};
   case 9:
