Tell suspects of several hosts apart that meet on one upstream

Cause: in a trial of three hosts and eight engines, a poison request and an innocent one, each the lone suspect of its host, were kept apart on the same engine; its death quarantined both at the second death. Change: a host tells its peers where a suspect runs; the suspects of all hosts that ran on an upstream that died share the blame. Those that did are tried again in slots of 250 ms by content, another slot after each death, so that they do not meet for ever (the dispatch queue holds them back). Ruled out: holding every lone suspect's death back until peers have spoken (its retry would run meanwhile), and counting all peers' requests on the upstream (in a busy fleet there always are some, so nothing would be told apart). Known: choosing an engine for a suspect by its content would make such meetings rare; that is the selector's choice.

--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -167,6 +167,8 @@
   virtual bool isSuspect(const Request &Asked, Time Now) const = 0;
   /// Set once two upstreams died with it running.
   virtual bool isQuarantined(Fingerprint Content, Time Now) const = 0;
+  /// How long its next try should wait, so that suspects run in turns.
+  virtual Duration spacing(const Request &, Time) const { return Duration(0); }
 };
 
 /// Decides whether a failed try may be repeated.
--- a/src/plugins/fairness/FairQueue.cpp
+++ b/src/plugins/fairness/FairQueue.cpp
@@ -4,11 +4,20 @@
 
 namespace banyanpick {
 
-void FairQueue::push(const Request &Waiting, bool IsIsolated, Time Now) {
+void FairQueue::push(const Request &Waiting, bool IsIsolated, Time From,
+                     Time Now) {
   Known &Of = this->know(Waiting, IsIsolated);
   if (Of.IsWaiting)
     return;
   Of.Base = laneOf(Waiting, IsIsolated);
+  if (From > Now) {
+    LaneKey Holding = Of.Base;
+    Holding.IsHeld = true;
+    Of.HeldUntil = From;
+    this->enter(Of, Holding, Now);
+    this->Held.emplace(From, Of.Work.Id);
+    return;
+  }
   this->enter(Of, Now >= Of.AgesAt ? agedLaneOf(Of.Base) : Of.Base, Now);
   if (Now < Of.AgesAt)
     this->Aging.emplace(Of.AgesAt, Of.Work.Id);
@@ -21,10 +30,11 @@
 }
 
 std::vector<RequestId> FairQueue::candidates(std::size_t Most, Time Now) {
+  this->wake(Now);
   this->age(Now);
   std::vector<const FairLane *> Busy;
   for (auto &[Key, Each] : this->Lanes) {
-    if (Each.Work.size() != 0)
+    if (Each.Work.size() != 0 && !Key.IsHeld)
       Busy.push_back(&Each.Work);
   }
   std::vector<RequestId> Result;
@@ -136,10 +146,20 @@
 void FairQueue::leave(Known &Of) {
   this->Lanes[Of.In].Work.remove(Of.Team, Of.Work.ArrivedAt, Of.Work.Id);
   this->Aging.erase({Of.AgesAt, Of.Work.Id});
+  this->Held.erase({Of.HeldUntil, Of.Work.Id});
   Of.IsWaiting = false;
   --this->Count;
 }
 
+void FairQueue::wake(Time Now) {
+  while (!this->Held.empty() && this->Held.begin()->first <= Now) {
+    Known &Of = this->Requests.at(this->Held.begin()->second);
+    this->leave(Of);
+    this->enter(Of, Of.Base, Now);
+    this->Aging.emplace(Of.AgesAt, Of.Work.Id);
+  }
+}
+
 void FairQueue::age(Time Now) {
   while (!this->Aging.empty() && this->Aging.begin()->first <= Now) {
     Known &Of = this->Requests.at(this->Aging.begin()->second);
--- a/src/plugins/fairness/FairQueue.h
+++ b/src/plugins/fairness/FairQueue.h
@@ -33,8 +33,8 @@
 public:
   explicit FairQueue(const FairQueuePolicy &Policy) : Policy(Policy) {}
 
-  /// Adds it unless it waits already.
-  void push(const Request &Waiting, bool IsIsolated, Time Now);
+  /// Adds it unless it waits already; it is not to be tried before \p From.
+  void push(const Request &Waiting, bool IsIsolated, Time From, Time Now);
   /// Takes it out of its lane.
   void remove(const RequestId &Id);
   /// The requests to try, most entitled first. Every lane with waiting work
@@ -75,6 +75,7 @@
     double Weight = 1;
     WaitingWork Work;
     Time AgesAt{};
+    Time HeldUntil{};
     double Charged = 0; ///< For the try that runs.
     bool IsWaiting = false;
   };
@@ -82,6 +83,7 @@
   void enter(Known &Of, const LaneKey &Into, Time Now);
   void leave(Known &Of);
   void age(Time Now);
+  void wake(Time Now);
   Known &know(const Request &Asked, bool IsIsolated);
   double workOf(double PrefillTokens, double OutputTokens) const;
   FairLane *laneByHash(std::uint32_t Hash);
@@ -90,6 +92,7 @@
   std::map<LaneKey, Lane> Lanes;
   std::unordered_map<RequestId, Known> Requests;
   std::set<std::pair<Time, RequestId>> Aging; ///< Waiting, by AgesAt.
+  std::set<std::pair<Time, RequestId>> Held;  ///< By HeldUntil.
   std::size_t Count = 0;
   std::size_t Turn = 0;      ///< Rotates over lanes when there are many.
   double DroppedVirtual = 0; ///< Virtual times of lanes dropped.
--- a/src/plugins/fairness/FairnessPlugin.cpp
+++ b/src/plugins/fairness/FairnessPlugin.cpp
@@ -70,7 +70,9 @@
 }
 
 void FairnessPlugin::push(const Request &Waiting, Time Now) {
-  this->Queue->push(Waiting, this->Poison->isSuspect(Waiting, Now), Now);
+  const bool IsSuspect = this->Poison->isSuspect(Waiting, Now);
+  const Time From = Now + this->Poison->spacing(Waiting, Now);
+  this->Queue->push(Waiting, IsSuspect, From, Now);
 }
 
 void FairnessPlugin::remove(const RequestId &Id) { this->Queue->remove(Id); }
--- a/src/plugins/fairness/LaneKey.cpp
+++ b/src/plugins/fairness/LaneKey.cpp
@@ -27,6 +27,8 @@
     return Order;
   if (const auto Order = this->IsIsolated <=> Other.IsIsolated; Order != 0)
     return Order;
+  if (const auto Order = this->IsHeld <=> Other.IsHeld; Order != 0)
+    return Order;
   if (const auto Order = this->Target <=> Other.Target; Order != 0)
     return Order;
   return this->TargetName <=> Other.TargetName;
--- a/src/plugins/fairness/LaneKey.h
+++ b/src/plugins/fairness/LaneKey.h
@@ -19,6 +19,7 @@
   std::uint32_t Urgency = 0;
   std::uint32_t LengthBucket = 0; ///< 0 holds the shortest prompts.
   bool IsIsolated = false;        ///< Suspects, kept apart from other work.
+  bool IsHeld = false;            ///< Waits for its turn; not to be tried yet.
   TargetKind Target = TargetKind::Model;
   std::string TargetName;
 
--- a/src/plugins/quarantine/QuarantinePlugin.cpp
+++ b/src/plugins/quarantine/QuarantinePlugin.cpp
@@ -4,6 +4,7 @@
 #include "kernel/PluginRegistry.h"
 #include "kernel/ServingHosts.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace banyanpick {
@@ -22,7 +23,7 @@
 }
 
 QuarantineNotice noticeOf(const QuarantinedContent &Decided) {
-  return {Decided.Content, Decided.Crashes, Decided.Until};
+  return {Decided.Content, Decided.Crashes, Decided.Until, {}, {}};
 }
 
 } // namespace
@@ -68,6 +69,13 @@
   return this->Quarantined->isQuarantined(Content, Now);
 }
 
+Duration QuarantinePlugin::spacing(const Request &Asked, Time Now) const {
+  // A slot must leave most of the time that was promised.
+  constexpr int Parts = 4;
+  const Duration Most = std::max(Duration(0), (Asked.Deadline - Now) / Parts);
+  return std::min(Most, this->Suspects->spacing(Asked.Head.Content, Now));
+}
+
 void QuarantinePlugin::release(Fingerprint Content, Time Now, Actions &Out) {
   this->Suspects->clear(Content);
   const QuarantinedContent Decided = this->Quarantined->release(Content, Now);
@@ -98,8 +106,12 @@
 }
 
 void QuarantinePlugin::dispatched(const Request &Asked, const Attempt &Try,
-                                  Time, Actions &) {
+                                  Time Now, Actions &Out) {
   this->Suspects->started(Asked, Try);
+  if (!this->Suspects->isIsolated(Asked.Head.Content, Now))
+    return;
+  this->Announced.insert(Try.Id);
+  this->tellWhere(Asked, Try.Upstream, Try.UpstreamLife, Now, Out);
 }
 
 void QuarantinePlugin::attemptEnded(const Request &Asked, const Attempt &Try,
@@ -109,14 +121,21 @@
   if (Broken && Broken->UpstreamDied)
     this->judge(this->Suspects->diedRunning(Try, Now), Now, Out);
   this->Suspects->finished(Try.Id);
-  if (!std::holds_alternative<AttemptComplete>(Outcome))
-    return;
-  const Fingerprint Content = Asked.Head.Content;
+  const bool WasAnnounced = this->Announced.erase(Try.Id) > 0;
+  if (std::holds_alternative<AttemptComplete>(Outcome))
+    this->clear(Asked.Head.Content, Out);
+  else if (WasAnnounced && this->Suspects->isSuspect(Asked.Head.Content, Now))
+    this->tellWhere(Asked, UpstreamId(), Incarnation(), Now, Out);
+}
+
+void QuarantinePlugin::clear(Fingerprint Content, Actions &Out) {
   if (!this->Suspects->clear(Content))
     return;
   Out.log(
       logEvent(events::SuspectCleared).with("content", hex(Content)).build());
-  this->tellTeamHosts(Asked.Team, {Content, 0, SuspicionOver}, Out);
+  for (HostId &Peer : this->Members->livePeers())
+    Out.add(SendToPeer{std::move(Peer),
+                       QuarantineNotice{Content, 0, SuspicionOver, {}, {}}});
 }
 
 void QuarantinePlugin::upstreamChanged(const Upstream &Changed, Time Now,
@@ -145,7 +164,8 @@
                                   Actions &Out) {
   const auto *Found = std::get_if<QuarantineRecord>(&Read.Record.Body);
   if (Found)
-    this->learn({Found->Content, Found->Crashes, Found->Until}, Now, Out);
+    this->learn({Found->Content, Found->Crashes, Found->Until, {}, {}}, Now,
+                Out);
 }
 
 void QuarantinePlugin::appendSettled(const RecordId &Id, bool Taken, Time Now,
@@ -178,7 +198,8 @@
                 .with("deaths", Each.Deaths)
                 .with("isolated", Each.IsIsolated ? "yes" : "no")
                 .build());
-    this->tellTeamHosts(Each.Team, {Each.Content, SuspicionCrashes, Now}, Out);
+    this->tellTeamHosts(Each.Team,
+                        {Each.Content, SuspicionCrashes, Now, {}, {}}, Out);
   }
 }
 
@@ -200,6 +221,10 @@
                              Actions &Out) {
   if (Notice.Crashes == SuspicionCrashes) {
     this->Suspects->learn(Notice.Content, Now);
+    if (Notice.Upstream.Value.empty())
+      this->Suspects->endedElsewhere(Notice.Content, Now);
+    else
+      this->Suspects->learnWhere(Notice.Content, Notice.Upstream, Now);
     return;
   }
   this->Suspects->clear(Notice.Content);
@@ -212,6 +237,15 @@
                 .build());
 }
 
+void QuarantinePlugin::tellWhere(const Request &Asked,
+                                 const UpstreamId &Upstream, Incarnation Life,
+                                 Time Now, Actions &Out) const {
+  const QuarantineNotice Notice{Asked.Head.Content, SuspicionCrashes, Now,
+                                Upstream, Life};
+  for (HostId &Peer : this->Members->livePeers())
+    Out.add(SendToPeer{std::move(Peer), Notice});
+}
+
 void QuarantinePlugin::tellTeamHosts(const TeamId &Team,
                                      const QuarantineNotice &Notice,
                                      Actions &Out) const {
--- a/src/plugins/quarantine/QuarantinePlugin.h
+++ b/src/plugins/quarantine/QuarantinePlugin.h
@@ -8,6 +8,7 @@
 #include "plugins/quarantine/SuspectBook.h"
 
 #include <memory>
+#include <set>
 
 namespace banyanpick {
 
@@ -33,6 +34,7 @@
   // PoisonView
   bool isSuspect(const Request &Asked, Time Now) const override;
   bool isQuarantined(Fingerprint Content, Time Now) const override;
+  Duration spacing(const Request &Asked, Time Now) const override;
 
   // QuarantineControl
   void release(Fingerprint Content, Time Now, Actions &Out) override;
@@ -65,6 +67,9 @@
   void judge(std::span<const Suspected> Accused, Time Now, Actions &Out);
   void quarantine(const Suspected &Condemned, Time Now, Actions &Out);
   void learn(const QuarantineNotice &Notice, Time Now, Actions &Out);
+  void clear(Fingerprint Content, Actions &Out);
+  void tellWhere(const Request &Asked, const UpstreamId &Upstream,
+                 Incarnation Life, Time Now, Actions &Out) const;
   void tellTeamHosts(const TeamId &Team, const QuarantineNotice &Notice,
                      Actions &Out) const;
   void tellEverybody(const QuarantinedContent &Decided, Time Now, Actions &Out);
@@ -79,6 +84,7 @@
   std::unique_ptr<QuarantineList> Quarantined;
   std::map<RecordId, QuarantinedContent> Appends; ///< Not settled yet.
   std::map<HostId, Incarnation> Briefed;          ///< Peers told of everything.
+  std::set<AttemptId> Announced; ///< Runs of suspects that peers know of.
   Time PrunedAt{};
 };
 
--- a/src/plugins/quarantine/SuspectBook.cpp
+++ b/src/plugins/quarantine/SuspectBook.cpp
@@ -10,6 +10,13 @@
 /// condemn, so that no content takes more than four upstreams with it.
 constexpr double SharedEvidence = 0.34;
 
+/// A suspect's run on a peer counts for so long when nothing more is heard.
+constexpr Duration PeerRunMemory = seconds(120);
+
+/// Turns of suspects that shared the blame.
+constexpr std::uint64_t Slots = 4;
+constexpr Duration SlotLength = milliseconds(250);
+
 } // namespace
 
 void SuspectBook::started(const Request &Asked, const Attempt &Try) {
@@ -45,7 +52,7 @@
                                          Incarnation Life, Time Now) {
   const auto Victims = this->takeRunning(Upstream);
   Death Noted{Upstream, Life, Now, {}};
-  std::size_t Suspects = 0;
+  std::size_t Suspects = this->suspectsElsewhere(Upstream, Victims, Now);
   for (const auto &[Content, Team] : Victims) {
     Noted.Contents.push_back(Content);
     Suspects += this->isSuspect(Content, Now) ? 1 : 0;
@@ -102,6 +109,40 @@
       });
 }
 
+std::size_t
+SuspectBook::suspectsElsewhere(const UpstreamId &Upstream,
+                               const std::map<Fingerprint, TeamId> &Victims,
+                               Time Now) const {
+  const auto Count = std::count_if(
+      this->Elsewhere.begin(), this->Elsewhere.end(), [&](const auto &Each) {
+        const auto &[Content, Run] = Each;
+        return Run.Upstream == Upstream && Run.Until > Now &&
+               !Victims.contains(Content);
+      });
+  return static_cast<std::size_t>(Count);
+}
+
+void SuspectBook::learnWhere(Fingerprint Content, const UpstreamId &Upstream,
+                             Time Now) {
+  this->Elsewhere[Content] = {Upstream, Now + PeerRunMemory};
+}
+
+void SuspectBook::endedElsewhere(Fingerprint Content, Time Now) {
+  const auto Found = this->Elsewhere.find(Content);
+  if (Found != this->Elsewhere.end())
+    Found->second.Until = Now + this->Policy.CommonCause;
+}
+
+Duration SuspectBook::spacing(Fingerprint Content, Time Now) const {
+  const Suspicion *Found = this->find(Content, Now);
+  if (!Found || Found->Evidence <= 0)
+    return Duration(0);
+  // Another slot after each death, so that two do not meet for ever.
+  const std::uint64_t Slot =
+      (Content.Value >> (2 * (Found->Deaths % 32))) % Slots;
+  return SlotLength * static_cast<Duration::rep>(Slot);
+}
+
 void SuspectBook::learn(Fingerprint Content, Time Now) {
   Suspicion &Of = this->Suspicions[Content];
   Of.Deaths = std::max<std::uint32_t>(Of.Deaths, 1);
@@ -110,6 +151,7 @@
 }
 
 bool SuspectBook::clear(Fingerprint Content) {
+  this->Elsewhere.erase(Content);
   return this->Suspicions.erase(Content) > 0;
 }
 
@@ -133,6 +175,8 @@
 void SuspectBook::prune(Time Now) {
   std::erase_if(this->Suspicions,
                 [&](const auto &Each) { return Each.second.Until <= Now; });
+  std::erase_if(this->Elsewhere,
+                [&](const auto &Each) { return Each.second.Until <= Now; });
   while (!this->Deaths.empty() &&
          Now - this->Deaths.front().At > this->Policy.Memory)
     this->Deaths.pop_front();
--- a/src/plugins/quarantine/SuspectBook.h
+++ b/src/plugins/quarantine/SuspectBook.h
@@ -10,7 +10,9 @@
 /// apart without starving the rest; these go on spread over the fleet, as the
 /// next death leaves only few. A death near that of another upstream which
 /// did not run the content may have a common cause (a rack, a switch) and
-/// counts as shared.
+/// counts as shared. Hosts tell each other where their suspects run, as they
+/// may choose the same upstream; those that shared the blame wait for a slot
+/// of their own before they are tried again.
 #pragma once
 
 #include "kernel/Request.h"
@@ -57,12 +59,20 @@
 
   /// A peer saw an upstream die with the content running.
   void learn(Fingerprint Content, Time Now);
+  /// A peer runs the suspect on this upstream now.
+  void learnWhere(Fingerprint Content, const UpstreamId &Upstream, Time Now);
+  /// A peer does not run it any more. It still counts for a moment, as the
+  /// peer may have seen the upstream's death before this host does.
+  void endedElsewhere(Fingerprint Content, Time Now);
   /// The content ran to its end, or was judged. True when it was a suspect.
   bool clear(Fingerprint Content);
 
   bool isSuspect(Fingerprint Content, Time Now) const;
   /// Whether its next try must be kept apart.
   bool isIsolated(Fingerprint Content, Time Now) const;
+  /// How long its next try should wait, so that suspects that can't be told
+  /// apart run one after another on all hosts.
+  Duration spacing(Fingerprint Content, Time Now) const;
 
   void prune(Time Now);
   std::size_t suspects() const { return this->Suspicions.size(); }
@@ -80,6 +90,11 @@
     bool IsIsolated = false;
     Time Until{};
   };
+  /// A suspect on a peer.
+  struct PeerRun {
+    UpstreamId Upstream;
+    Time Until{};
+  };
   struct Death {
     UpstreamId Upstream;
     Incarnation Life;
@@ -92,11 +107,15 @@
   std::map<Fingerprint, TeamId> takeRunning(const UpstreamId &Upstream);
   void accuse(Suspicion &Of, std::size_t Suspects, bool MayBeCommonCause) const;
   bool mayBeCommonCause(Fingerprint Content, Time Now) const;
+  std::size_t suspectsElsewhere(const UpstreamId &Upstream,
+                                const std::map<Fingerprint, TeamId> &Victims,
+                                Time Now) const;
   const Suspicion *find(Fingerprint Content, Time Now) const;
 
   SuspectPolicy Policy;
   std::map<AttemptId, RunningTry> Running;
   std::map<Fingerprint, Suspicion> Suspicions;
+  std::map<Fingerprint, PeerRun> Elsewhere;
   std::deque<Death> Deaths; ///< Of the last while, oldest first.
 };
 
