Refuse by what more urgent work leaves; serve equal urgency in order

Change: predictions divide by the part of the fleet that more urgent demand leaves; priority on engines is by urgency alone, and ageing is the queue's.

--- a/src/plugins/admission/AdmissionPlugin.cpp
+++ b/src/plugins/admission/AdmissionPlugin.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// How long the capacity of the fleet is taken as unchanged.
-constexpr Duration ShareLifetime = milliseconds(100);
-
 Duration scaled(Duration Value, double Factor) {
   return fromSeconds(inSeconds(Value) * Factor);
 }
@@ -20,7 +17,6 @@
 void AdmissionPlugin::initialize(PluginContext &Context) {
   const Settings &Values = Context.settings();
   this->Cost = &Context.services().get<CostModel>();
-  this->Members = &Context.services().get<MembershipView>();
   this->Numbers = &Context.random();
   this->Margin = Values.fraction("admission", "margin");
   this->LeastComeBack = Values.span("admission", "least_come_back");
@@ -32,14 +28,15 @@
 std::optional<NotRun> AdmissionPlugin::check(const Request &Asked, Time Now) {
   if (Asked.Class.Target != TargetKind::Model)
     return std::nullopt;
-  return this->judge(Asked, this->waitHere(Asked, Now), Now);
+  return this->judge(Asked, this->waitHere(Asked, Now), this->Margin, Now);
 }
 
 std::optional<NotRun> AdmissionPlugin::reconsider(const Request &Asked,
                                                   Time Now) {
   if (Asked.Class.Target != TargetKind::Model)
     return std::nullopt;
-  return this->judge(Asked, Duration(0), Now);
+  // What it waited is known now; only what is left has to fit.
+  return this->judge(Asked, Duration(0), 1, Now);
 }
 
 void AdmissionPlugin::admitted(const Request &Asked, Time, Actions &) {
@@ -58,19 +55,18 @@
 }
 
 std::optional<NotRun> AdmissionPlugin::judge(const Request &Asked,
-                                             Duration WaitHere, Time Now) {
+                                             Duration WaitHere, double Factor,
+                                             Time Now) {
   const std::optional<Prediction> Expected = this->Cost->predict(Asked, Now);
   if (!Expected &&
-      this->Cost->prefillCapacity(ModelId(Asked.Class.TargetName)) <= 0)
+      this->Cost->shareOfCapacity(ModelId(Asked.Class.TargetName), Now) <= 0)
     return NotRun{RefusalReason::NoUpstream, this->comeBackAfter(Duration(0)),
                   "no engine that lives serves its model; ask again after the "
                   "time given"};
   if (!Expected)
     return std::nullopt;
-  const Duration FirstToken =
-      WaitHere + scaled(Expected->FirstToken, this->Margin);
-  const Duration WholeAnswer =
-      WaitHere + scaled(Expected->WholeAnswer, this->Margin);
+  const Duration FirstToken = scaled(WaitHere + Expected->FirstToken, Factor);
+  const Duration WholeAnswer = scaled(WaitHere + Expected->WholeAnswer, Factor);
   const Duration Excess = std::max(Now + FirstToken - Asked.FirstTokenBy,
                                    Now + WholeAnswer - Asked.Deadline);
   if (Excess <= Duration(0))
@@ -82,16 +78,11 @@
 
 Duration AdmissionPlugin::waitHere(const Request &Asked, Time Now) {
   const ModelId Model(Asked.Class.TargetName);
-  if (Now >= this->ShareAt + ShareLifetime || Model != this->ShareModel) {
-    this->ShareAt = Now;
-    this->ShareModel = Model;
-    const double Hosts =
-        1 + static_cast<double>(this->Members->livePeers().size());
-    this->ShareOfCapacity = this->Cost->prefillCapacity(Model) / Hosts;
-  }
   const auto Ahead =
       static_cast<double>(this->Waiting.ahead(Asked.Class.Urgency));
-  return fromSeconds(Ahead / std::max(this->ShareOfCapacity, 1.0));
+  const double Speed = this->Cost->shareOfCapacity(Model, Now) *
+                       this->Cost->partLeft(Asked, Now);
+  return fromSeconds(Ahead / std::max(Speed, 1.0));
 }
 
 Duration AdmissionPlugin::comeBackAfter(Duration Excess) {
@@ -106,7 +97,7 @@
 std::vector<SettingDeclaration> settings() {
   const std::string In = "admission";
   return {
-      {In, "margin", SettingKind::Fraction, "1.2",
+      {In, "margin", SettingKind::Fraction, "1.5",
        "Factor on predicted durations before they are held against a promise.",
        0.1, 10},
       {In, "least_come_back", SettingKind::Span, "500ms",
@@ -117,13 +108,10 @@
   };
 }
 
-const PluginRegistration
-    Registration({"admission",
-                  {"membership", "routing"},
-                  settings,
-                  []() -> std::unique_ptr<Plugin> {
-                    return std::make_unique<AdmissionPlugin>();
-                  }});
+const PluginRegistration Registration(
+    {"admission", {"routing"}, settings, []() -> std::unique_ptr<Plugin> {
+       return std::make_unique<AdmissionPlugin>();
+     }});
 
 } // namespace
 
--- a/src/plugins/admission/AdmissionPlugin.h
+++ b/src/plugins/admission/AdmissionPlugin.h
@@ -30,20 +30,16 @@
 
 private:
   std::optional<NotRun> judge(const Request &Asked, Duration WaitHere,
-                              Time Now);
+                              double Factor, Time Now);
   Duration waitHere(const Request &Asked, Time Now);
   Duration comeBackAfter(Duration Excess);
 
   CostModel *Cost = nullptr;
-  const MembershipView *Members = nullptr;
   Random *Numbers = nullptr;
   double Margin = 1;
   Duration LeastComeBack{};
   Duration MostComeBack{};
   AdmittedWork Waiting;
-  Time ShareAt{};
-  double ShareOfCapacity = 0; ///< This host's, prefill tokens a second.
-  ModelId ShareModel;
 };
 
 } // namespace banyanpick
--- a/src/plugins/routing/CostModel.h
+++ b/src/plugins/routing/CostModel.h
@@ -21,10 +21,13 @@
   /// The best among a few engines; nothing when no engine that lives and
   /// told its load could take it.
   virtual std::optional<Prediction> predict(const Request &Asked, Time Now) = 0;
-  /// Prefill of all live engines of the model together, tokens a second.
-  virtual double prefillCapacity(const ModelId &Model) const = 0;
-  /// The engine priority the request would get now; higher goes first.
-  virtual std::uint32_t priority(const Request &Asked, Time Now) const = 0;
+  /// The part of this host's share of the fleet that more urgent work leaves
+  /// to the request, in (0, 1].
+  virtual double partLeft(const Request &Asked, Time Now) = 0;
+  /// This host's share of the fleet's prefill, tokens a second.
+  virtual double shareOfCapacity(const ModelId &Model, Time Now) = 0;
+  /// The engine priority that the request gets; higher goes first.
+  virtual std::uint32_t priority(const Request &Asked) const = 0;
 };
 
 } // namespace banyanpick
--- a/src/plugins/routing/EngineCost.cpp
+++ b/src/plugins/routing/EngineCost.cpp
@@ -31,7 +31,7 @@
 EngineEstimate EngineCost::estimate(const Upstream &Engine,
                                     const EngineDemand &Demand,
                                     Time Now) const {
-  const double Speed = prefillSpeed(Engine);
+  const double Speed = prefillSpeed(Engine) * Demand.PartLeft;
   const double Decode = Engine.Report.DecodeTokensPerSecond > 0
                             ? Engine.Report.DecodeTokensPerSecond
                             : DefaultDecodeSpeed;
--- a/src/plugins/routing/EngineCost.h
+++ b/src/plugins/routing/EngineCost.h
@@ -13,6 +13,8 @@
   std::uint64_t UncachedTokens = 0;
   std::uint64_t MemoryTokens = 0;
   std::uint64_t OutputTokens = 0;
+  /// Part of the engine that more urgent work leaves, in (0, 1].
+  double PartLeft = 1;
 };
 
 /// What the request can expect there.
--- a/src/plugins/routing/PredictedChoice.cpp
+++ b/src/plugins/routing/PredictedChoice.cpp
@@ -33,11 +33,17 @@
 }
 
 bool PredictedChoice::isBehind(const Candidate &Best,
-                               const ChoiceDemand &Demand) const {
+                               const ChoiceDemand &Demand, Time Now) const {
   if (!this->Values.Parts.QueueBound)
     return false;
   const Duration Bound =
       Demand.IsLong ? this->Values.LongQueue : this->Values.EngineQueue;
+  // A first try that can't keep its promise waits to be refused, unless an
+  // engine catches up; a retry goes on in any case.
+  const bool IsLate =
+      Now + Best.Estimate.FirstToken > Demand.Wanted.FirstTokenBy;
+  if (IsLate && Demand.Limits.Excluded.empty())
+    return true;
   return !Best.Estimate.HasMemory || Best.Estimate.Wait > Bound;
 }
 
@@ -96,6 +102,7 @@
   Asked.Priority = Demand.Priority;
   Asked.UncachedTokens = Result.UncachedTokens;
   Asked.MemoryTokens = Demand.MemoryTokens;
+  Asked.PartLeft = Demand.PartLeft;
   Asked.OutputTokens = Demand.Wanted.OutputTokens;
   Result.Estimate = this->Cost.estimate(Engine, Asked, Now);
   return Result;
--- a/src/plugins/routing/PredictedChoice.h
+++ b/src/plugins/routing/PredictedChoice.h
@@ -26,6 +26,7 @@
   std::uint32_t Priority = 0;
   std::uint64_t MemoryTokens = 0; ///< Prompt and bound of the answer.
   bool IsLong = false;
+  double PartLeft = 1; ///< Of an engine, by more urgent work.
 };
 
 class PredictedChoice {
@@ -40,7 +41,8 @@
   std::vector<Candidate> candidates(const ChoiceDemand &Demand, Time Now);
 
   /// Whether the engine is so far behind that the request should wait here.
-  bool isBehind(const Candidate &Best, const ChoiceDemand &Demand) const;
+  bool isBehind(const Candidate &Best, const ChoiceDemand &Demand,
+                Time Now) const;
 
   /// The engines that could hold the prompt's memory together now, best
   /// first, with the memory of each in \p TokensEach; empty when none could.
--- a/src/plugins/routing/RoutingPlugin.cpp
+++ b/src/plugins/routing/RoutingPlugin.cpp
@@ -5,7 +5,6 @@
 #include "plugins/routing/ApplicationChoice.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace banyanpick {
 
@@ -14,10 +13,11 @@
 /// When to look again for an engine that is not behind.
 constexpr Duration LookAgain = milliseconds(20);
 
-/// Engine priority: urgency counts most, then ageing, then shortness.
-constexpr double PriorityPerUrgency = 20;
-constexpr double LongestPromptDoublings = 20; ///< About a million tokens.
-constexpr double GreatestPriority = 255;
+/// Engine priorities reach from 0 to 255, urgencies from 0 to 9.
+constexpr std::uint32_t PriorityPerUrgency = 20;
+
+/// Even beside a flood of urgent work some is left to the rest.
+constexpr double LeastPartLeft = 0.1;
 
 /// A single engine takes prompts up to this part of its memory.
 constexpr double SingleEngineShare = 0.95;
@@ -30,6 +30,7 @@
   this->SelfZone = Context.self().Zone;
   this->Numbers = &Context.random();
   this->Fleet = &Offered.get<FleetView>();
+  this->Members = &Offered.get<MembershipView>();
   this->Baseline = baselineNamed(this->Values.Policy);
   this->Predicted = std::make_unique<PredictedChoice>(
       this->Values, *this->Fleet, Offered.get<PrefixCacheView>(), this->Book,
@@ -67,37 +68,31 @@
   return Prediction{Best.FirstToken, Best.WholeAnswer};
 }
 
-double RoutingPlugin::prefillCapacity(const ModelId &Model) const {
-  double Sum = 0;
-  for (const std::uint32_t Each : this->Fleet->enginesWith(Model)) {
-    const Upstream &Engine = this->Fleet->upstreams()[Each];
-    if (Engine.State == UpstreamState::Live)
-      Sum += prefillSpeed(Engine);
-  }
-  return Sum;
+double RoutingPlugin::partLeft(const Request &Asked, Time Now) {
+  const ModelId Model(Asked.Class.TargetName);
+  const double Share = this->shareOfCapacity(Model, Now);
+  const double Above = this->Rates.above(Asked.Class.Urgency, Now);
+  return std::clamp(1 - Above / std::max(Share, 1.0), LeastPartLeft, 1.0);
+}
+
+double RoutingPlugin::shareOfCapacity(const ModelId &Model, Time Now) {
+  return this->Share.of(Model, *this->Fleet, *this->Members, Now);
 }
 
-std::uint32_t RoutingPlugin::priority(const Request &Asked, Time Now) const {
+std::uint32_t RoutingPlugin::priority(const Request &Asked) const {
+  // Equal urgency is served in order of arrival on the engine: whatever rises
+  // there with time spent waiting lets later work overtake earlier work.
   if (!this->Values.Parts.Priorities)
     return 0;
-  const double Doublings = std::log2(
-      std::max<double>(1024, static_cast<double>(Asked.Head.PromptTokens)));
-  double Result = PriorityPerUrgency * Asked.Class.Urgency +
-                  this->Values.ShortnessPriority *
-                      std::max(0.0, LongestPromptDoublings - Doublings);
-  const Duration Promised = Asked.FirstTokenBy - Asked.ArrivedAt;
-  if (this->Values.Parts.Ageing && Promised > Duration(0)) {
-    const double Passed = inSeconds(Now - Asked.ArrivedAt);
-    Result += this->Values.AgeingPriority *
-              std::clamp(Passed / inSeconds(Promised), 0.0, 1.0);
-  }
-  return static_cast<std::uint32_t>(std::min(Result, GreatestPriority));
+  return PriorityPerUrgency * Asked.Class.Urgency;
 }
 
 void RoutingPlugin::admitted(const Request &Asked, Time Now, Actions &) {
   const std::uint64_t Tokens = Asked.Head.PromptTokens;
-  if (Asked.Class.Target == TargetKind::Model)
-    this->Long.arrived(Tokens >= this->Values.LongPrompt, Tokens, Now);
+  if (Asked.Class.Target != TargetKind::Model)
+    return;
+  this->Long.arrived(Tokens >= this->Values.LongPrompt, Tokens, Now);
+  this->Rates.arrived(Asked.Class.Urgency, Tokens, Now);
 }
 
 void RoutingPlugin::dispatched(const Request &Asked, const Attempt &Try,
@@ -132,11 +127,13 @@
 }
 
 ChoiceDemand RoutingPlugin::demandOf(const Request &Wanted,
-                                     const SelectionLimits &Limits,
-                                     Time Now) const {
-  return {Wanted, Limits, this->priority(Wanted, Now),
+                                     const SelectionLimits &Limits, Time Now) {
+  return {Wanted,
+          Limits,
+          this->priority(Wanted),
           Wanted.Head.PromptTokens + Wanted.OutputTokens,
-          Wanted.Head.PromptTokens >= this->Values.LongPrompt};
+          Wanted.Head.PromptTokens >= this->Values.LongPrompt,
+          this->partLeft(Wanted, Now)};
 }
 
 Selection RoutingPlugin::selectEngine(const ChoiceDemand &Demand, Time Now,
@@ -155,7 +152,7 @@
   else if (this->Baseline)
     Result =
         this->selectByBaseline(Demand, this->Fleet->enginesWith(Model), Now);
-  else if (!this->Predicted->isBehind(Compared.front(), Demand))
+  else if (!this->Predicted->isBehind(Compared.front(), Demand, Now))
     Result = this->chosen(Compared.front(), Demand);
   if (const auto *Choice = std::get_if<Selected>(&Result))
     this->logChoice(Demand.Wanted, *Choice, Compared, Out);
--- a/src/plugins/routing/RoutingPlugin.h
+++ b/src/plugins/routing/RoutingPlugin.h
@@ -4,7 +4,9 @@
 
 #include "kernel/Plugin.h"
 #include "plugins/routing/BaselinePolicies.h"
+#include "plugins/routing/CapacityShare.h"
 #include "plugins/routing/CostModel.h"
+#include "plugins/routing/DemandRates.h"
 #include "plugins/routing/PredictedChoice.h"
 
 #include <memory>
@@ -27,8 +29,9 @@
 
   // CostModel
   std::optional<Prediction> predict(const Request &Asked, Time Now) override;
-  double prefillCapacity(const ModelId &Model) const override;
-  std::uint32_t priority(const Request &Asked, Time Now) const override;
+  double partLeft(const Request &Asked, Time Now) override;
+  double shareOfCapacity(const ModelId &Model, Time Now) override;
+  std::uint32_t priority(const Request &Asked) const override;
 
   // RequestObserver
   void admitted(const Request &Asked, Time Now, Actions &Out) override;
@@ -44,7 +47,7 @@
 
 private:
   ChoiceDemand demandOf(const Request &Wanted, const SelectionLimits &Limits,
-                        Time Now) const;
+                        Time Now);
   Selection selectEngine(const ChoiceDemand &Demand, Time Now, Actions &Out);
   Selection selectByBaseline(const ChoiceDemand &Demand,
                              std::span<const std::uint32_t> Usable, Time Now);
@@ -60,7 +63,10 @@
   Random *Numbers = nullptr;
   const FleetView *Fleet = nullptr;
   std::optional<BaselinePolicy> Baseline;
+  const MembershipView *Members = nullptr;
   WorkBook Book;
+  DemandRates Rates;
+  CapacityShare Share;
   LongWork Long;
   std::unique_ptr<PredictedChoice> Predicted;
   std::set<RequestId> Isolated; ///< Suspects chosen for, until they end.
--- a/src/plugins/routing/RoutingSettings.cpp
+++ b/src/plugins/routing/RoutingSettings.cpp
@@ -14,7 +14,6 @@
 
 constexpr PartName PartNames[] = {
     {"priorities", &RoutingParts::Priorities},
-    {"ageing", &RoutingParts::Ageing},
     {"long-pool", &RoutingParts::LongPool},
     {"zones", &RoutingParts::Zones},
     {"sampling", &RoutingParts::Sampling},
@@ -87,13 +86,6 @@
        "Weight of the delay that a request causes to work of lower priority on "
        "an engine against its own time to the first token.",
        0, 100},
-      {In, "shortness_priority", SettingKind::Fraction, "0",
-       "Engine priority that a prompt gains for each time it is half as long.",
-       0, 10},
-      {In, "ageing_priority", SettingKind::Fraction, "40",
-       "Engine priority that a request gains while its promised time to the "
-       "first token passes.",
-       0, 100},
       {In, "most_group_engines", SettingKind::Whole, "6",
        "Engines that may hold memory together for one prompt.", 2, 64},
   };
@@ -121,8 +113,6 @@
   Result.StepDelay = Values.span(Section, "step_delay");
   Result.MemoryTurnover = Values.span(Section, "memory_turnover");
   Result.DelayWeight = Values.fraction(Section, "delay_weight");
-  Result.ShortnessPriority = Values.fraction(Section, "shortness_priority");
-  Result.AgeingPriority = Values.fraction(Section, "ageing_priority");
   Result.MostGroupEngines = Values.whole(Section, "most_group_engines");
   return Result;
 }
--- a/src/plugins/routing/RoutingSettings.h
+++ b/src/plugins/routing/RoutingSettings.h
@@ -13,8 +13,7 @@
 /// Parts of the prediction that can be left out, to measure what each is
 /// worth.
 struct RoutingParts {
-  bool Priorities = true; ///< Engine priorities by urgency and length.
-  bool Ageing = true;     ///< Priority rises while a request waits.
+  bool Priorities = true; ///< Engine priorities by urgency.
   bool LongPool = true;   ///< Long work only on the engines open to it.
   bool Zones = true;      ///< Own data centre first.
   bool Sampling = true;   ///< A few candidates instead of all.
@@ -37,9 +36,7 @@
   Duration StepDelay{};              ///< Of a running step with lower work.
   Duration MemoryTurnover{}; ///< In which an engine's memory turns over.
   std::uint64_t MostGroupEngines = 0;
-  double DelayWeight = 0;       ///< Of the delay that others suffer.
-  double ShortnessPriority = 0; ///< For each halving of the prompt.
-  double AgeingPriority = 0;    ///< Once the promised time is over.
+  double DelayWeight = 0; ///< Of the delay that others suffer.
 
   static std::vector<SettingDeclaration> declarations();
   static RoutingSettings from(const Settings &Values);
