Tell a host that is heard again which upstreams leave

Cause: peers told of a leaving upstream once, when they learned it. Change: when a peer becomes alive, the notices of all leaving upstreams are sent to it.

--- a/src/plugins/fleet/FleetPlugin.cpp
+++ b/src/plugins/fleet/FleetPlugin.cpp
@@ -40,6 +40,7 @@
                                Values.span(In, "forget_after")});
   Context.services().provide<FleetView>(*this);
   Context.services().list<RequestObserver>().add(*this);
+  Context.services().list<MembershipObserver>().add(*this);
   Context.services().list<StatusContributor>().add(*this);
 }
 
@@ -121,6 +122,17 @@
   this->announceChanges(Now, Out);
 }
 
+void FleetPlugin::memberChanged(const Member &Changed, Time, Actions &Out) {
+  if (Changed.State != MemberState::Alive)
+    return;
+  // It may be new, or have missed the notices while it was paused or cut off.
+  for (const Upstream &Each : this->Table.upstreams())
+    if (Each.State == UpstreamState::Leaving)
+      Out.add(SendToPeer{
+          Changed.Listing.Id,
+          UpstreamNotice{Each.Listing.Id, Each.Listing.Life, true, false}});
+}
+
 void FleetPlugin::contribute(StatusReport &Report, Time Now) const {
   for (const Upstream &Each : this->Table.upstreams())
     Report.Upstreams.push_back(
--- a/src/plugins/fleet/FleetPlugin.h
+++ b/src/plugins/fleet/FleetPlugin.h
@@ -16,6 +16,7 @@
 class FleetPlugin : public Plugin,
                     public FleetView,
                     public RequestObserver,
+                    public MembershipObserver,
                     public StatusContributor {
 public:
   // Plugin
@@ -47,6 +48,9 @@
                     const AttemptOutcome &Outcome, Time Now,
                     Actions &Out) override;
 
+  // MembershipObserver
+  void memberChanged(const Member &Changed, Time Now, Actions &Out) override;
+
   void contribute(StatusReport &Report, Time Now) const override;
 
   /// The settings with their defaults.
