Gather appends on a few hosts when there are many

Cause: all hosts share the log's append rate, so that with 320 hosts each could append once in 1.6 s (320 / 200 a second, worked out), which a claim would wait. Ruled out: a higher rate (the log takes several hundred a second in all); one gatherer for everybody (its loss stops all claims). Change: above appending_hosts (16) the hosts of the highest rendezvous weights append for all; the others hand their records over, nearest zone first, and hand them over again when they do not show in the log. Folds judge a record id once, so that a second copy is harmless. A test kills a gatherer.

--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -163,10 +163,19 @@
   bool operator==(const HandoverTaken &) const = default;
 };
 
+/// Records that the receiver shall append for their maker, which sees them in
+/// the log and repeats those that it does not see.
+struct RecordsToAppend {
+  std::vector<LogRecord> Records;
+
+  bool operator==(const RecordsToAppend &) const = default;
+};
+
 using PeerMessageBody =
     std::variant<Heartbeat, WorkSent, TeamUsage, LimitShare, RecordsRelayed,
                  RecordsAsked, CatalogueRelayed, QuarantineNotice,
-                 UpstreamNotice, LoadRelayed, StreamHandover, HandoverTaken>;
+                 UpstreamNotice, LoadRelayed, StreamHandover, HandoverTaken,
+                 RecordsToAppend>;
 
 /// A message with its sender.
 struct PeerMessage {
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -117,6 +117,10 @@
   Envelope.mutable_handover_taken()->set_resume_token(Body.ResumeToken);
 }
 
+void write(const banyanpick::RecordsToAppend &Body, Envelope &Envelope) {
+  Envelope.set_records_to_append(encodeLogBatch(Body.Records));
+}
+
 banyanpick::Heartbeat read(const Heartbeat &In) {
   banyanpick::Heartbeat Result;
   Result.Sequence = In.sequence();
@@ -217,6 +221,8 @@
     return read(In.stream_handover());
   case Envelope::kHandoverTaken:
     return banyanpick::HandoverTaken{In.handover_taken().resume_token()};
+  case Envelope::kRecordsToAppend:
+    return banyanpick::RecordsToAppend{decodeLogBatch(In.records_to_append())};
   case Envelope::BODY_NOT_SET:
     break;
   }
--- a/src/plugins/log/AppendQueue.cpp
+++ b/src/plugins/log/AppendQueue.cpp
@@ -56,6 +56,35 @@
   this->send(Now, Out);
 }
 
+void AppendQueue::addForeign(LogRecord Record) {
+  const auto Same = [&](const Item &Each) {
+    return Each.Record.Id == Record.Id;
+  };
+  const bool Known =
+      std::any_of(this->Waiting.begin(), this->Waiting.end(), Same);
+  if (Known || this->Waiting.size() >= this->Options.MostWaiting)
+    return;
+  this->Waiting.push_back({std::move(Record), false});
+}
+
+std::vector<LogRecord>
+AppendQueue::handOutWhenDue(Duration Gap, Duration Patience, Time Now) {
+  std::vector<LogRecord> Records;
+  if (this->InFlight || this->Waiting.empty() || Now < this->nextWake(Gap))
+    return Records;
+  this->LastSentAt = Now;
+  for (Item &Each : this->nextBatch()) {
+    // Another host's record can only be here since this host appended before;
+    // its maker gives it to a host that does.
+    if (Each.Record.Id.Maker != this->Self)
+      continue;
+    Records.push_back(Each.Record);
+    Each.MaybeTaken = true;
+    this->Unknowns.push_back({std::move(Each), Now + Patience});
+  }
+  return Records;
+}
+
 void AppendQueue::take(const AppendAnswered &Answer, Time Now) {
   if (!this->InFlight || this->InFlight->Append != Answer.Append)
     return;
--- a/src/plugins/log/AppendQueue.h
+++ b/src/plugins/log/AppendQueue.h
@@ -50,6 +50,15 @@
   /// the last one was sent.
   void sendWhenDue(Duration Gap, Time Now, Actions &Out);
 
+  /// Queues another host's record; that host repeats it when it is lost here.
+  void addForeign(LogRecord Record);
+
+  /// The records to hand to a host that appends for this one, when \p Gap has
+  /// passed since the last. They count as appended without an answer, and are
+  /// given again when a read begun \p Patience later did not show them.
+  std::vector<LogRecord> handOutWhenDue(Duration Gap, Duration Patience,
+                                        Time Now);
+
   /// Takes in the answer of an append; others than the one in flight are
   /// ignored.
   void take(const AppendAnswered &Answer, Time Now);
--- /dev/null
+++ b/src/plugins/log/Gatherers.cpp
@@ -0,0 +1,63 @@
+/// \file
+#include "plugins/log/Gatherers.h"
+
+#include "base/RendezvousHash.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// One live host and its place in the order of appending.
+struct Candidate {
+  HostId Host;
+  ZoneId Zone;
+  std::uint64_t Weight = 0;
+};
+
+Candidate candidate(const HostId &Host, const ZoneId &Zone) {
+  return {Host, Zone, rendezvousWeight("log-gatherer", Host.Value)};
+}
+
+std::vector<Candidate> liveHosts(const MembershipView &Members) {
+  std::vector<Candidate> Live;
+  Live.push_back(candidate(Members.self(), Members.selfZone()));
+  for (const Member &Each : Members.peers()) {
+    if (Each.State == MemberState::Alive)
+      Live.push_back(candidate(Each.Listing.Id, Each.Listing.Zone));
+  }
+  return Live;
+}
+
+} // namespace
+
+AppendRoute appendRoute(const MembershipView &Members, std::size_t Most) {
+  std::vector<Candidate> Live = liveHosts(Members);
+  if (Most == 0 || Live.size() <= Most)
+    return {std::nullopt, Live.size()};
+  const auto Heavier = [](const Candidate &First, const Candidate &Second) {
+    return First.Weight > Second.Weight;
+  };
+  const auto End = Live.begin() + static_cast<std::ptrdiff_t>(Most);
+  std::nth_element(Live.begin(), End, Live.end(), Heavier);
+  Live.erase(End, Live.end());
+
+  const HostId &Self = Members.self();
+  const auto Better = [&](const Candidate &First, const Candidate &Second) {
+    const bool FirstNear = First.Zone == Members.selfZone();
+    const bool SecondNear = Second.Zone == Members.selfZone();
+    if (FirstNear != SecondNear)
+      return FirstNear;
+    return rendezvousWeight(Self.Value, First.Host.Value) >
+           rendezvousWeight(Self.Value, Second.Host.Value);
+  };
+  const bool Appends =
+      std::any_of(Live.begin(), Live.end(),
+                  [&](const Candidate &Each) { return Each.Host == Self; });
+  if (Appends)
+    return {std::nullopt, Most};
+  return {std::min_element(Live.begin(), Live.end(), Better)->Host, Most};
+}
+
+} // namespace banyanpick
--- a/src/plugins/log/LogPlugin.cpp
+++ b/src/plugins/log/LogPlugin.cpp
@@ -33,6 +33,17 @@
       {"log", "append_rate", Kind::Fraction, "200",
        "Appends a second that all entry hosts together make at the most.", 1,
        1e5},
+      {"log", "appending_hosts", Kind::Whole, "16",
+       "With more entry hosts than this, this many append for all; 0: every "
+       "host appends itself.",
+       0, 1000},
+      {"log", "gather_interval", Kind::Span, "10ms",
+       "How often a host hands its records to the one that appends for it.",
+       1e3, 1e6},
+      {"log", "gather_patience", Kind::Span, "500ms",
+       "A record handed over and not seen in the log after this is handed over "
+       "again.",
+       10e3, 60e6},
       {"log", "append_records", Kind::Whole, "1000",
        "Most records in one append.", 1, 1e5},
       {"log", "append_bytes", Kind::Size, "256KB",
@@ -77,6 +88,10 @@
   this->ReachableWithin = Values.span("log", "reachable_within");
   this->RelayInterval = Values.span("log", "relay_interval");
   this->AppendRate = Values.fraction("log", "append_rate");
+  this->MostAppending =
+      static_cast<std::size_t>(Values.whole("log", "appending_hosts"));
+  this->GatherInterval = Values.span("log", "gather_interval");
+  this->GatherPatience = Values.span("log", "gather_patience");
   this->MostRelayed = Values.size("log", "relay_bytes");
   this->Offered->provide<LogWriter>(*this);
   this->Offered->provide<LogTail>(*this);
@@ -99,7 +114,8 @@
       [](const auto &) {});
   this->noteReachability(Now, Out);
   this->tellSettled(Now, Out);
-  this->Queue->sendWhenDue(this->appendGap(), Now, Out);
+  this->refreshRoute(Now);
+  this->sendRecords(Now, Out);
   this->Reader->readWhenDue(Now, Out);
   this->askPeerWhenDue(Now, Out);
 }
@@ -121,7 +137,7 @@
 
 RecordId LogPlugin::append(LogRecordBody Body, Time Now, Actions &Out) {
   const RecordId Id = this->Queue->add(std::move(Body));
-  this->Queue->sendWhenDue(this->appendGap(), Now, Out);
+  this->sendRecords(Now, Out);
   return Id;
 }
 
@@ -177,6 +193,11 @@
                                                         this->MostRelayed)});
     return;
   }
+  if (const auto *Handed = std::get_if<RecordsToAppend>(&Message.Body)) {
+    for (const LogRecord &Each : Handed->Records)
+      this->Queue->addForeign(Each);
+    return;
+  }
   if (const auto *Relayed = std::get_if<RecordsRelayed>(&Message.Body))
     this->deliver(this->Reader->take(*Relayed), Now, Out);
 }
@@ -230,10 +251,34 @@
         SendToPeer{Best->Listing.Id, RecordsAsked{this->Reader->nextOffset()}});
 }
 
+void LogPlugin::sendRecords(Time Now, Actions &Out) {
+  if (!this->Route.Gatherer) {
+    this->Queue->sendWhenDue(this->appendGap(), Now, Out);
+    return;
+  }
+  std::vector<LogRecord> Records =
+      this->Queue->handOutWhenDue(this->appendGap(), this->GatherPatience, Now);
+  if (Records.empty())
+    return;
+  Out.add(
+      SendToPeer{*this->Route.Gatherer, RecordsToAppend{std::move(Records)}});
+  Out.count("records_handed_to_gatherers");
+}
+
+void LogPlugin::refreshRoute(Time Now) {
+  // Ranking all hosts costs more than most events; a second old will do.
+  constexpr Duration FreshFor = seconds(1);
+  if (!this->Members || Now < this->RouteFreshUntil)
+    return;
+  this->Route = appendRoute(*this->Members, this->MostAppending);
+  this->RouteFreshUntil = Now + FreshFor;
+}
+
 Duration LogPlugin::appendGap() const {
-  const std::size_t Hosts =
-      this->Members ? this->Members->livePeers().size() + 1 : 1;
-  return fromSeconds(static_cast<double>(Hosts) / this->AppendRate);
+  if (this->Route.Gatherer)
+    return this->GatherInterval;
+  return fromSeconds(static_cast<double>(this->Route.Appending) /
+                     this->AppendRate);
 }
 
 } // namespace banyanpick
--- a/src/plugins/log/LogPlugin.h
+++ b/src/plugins/log/LogPlugin.h
@@ -4,6 +4,7 @@
 
 #include "kernel/Plugin.h"
 #include "plugins/log/AppendQueue.h"
+#include "plugins/log/Gatherers.h"
 #include "plugins/log/LogReader.h"
 #include "plugins/log/LogTail.h"
 #include "plugins/log/RecordTail.h"
@@ -41,6 +42,9 @@
   void tellSettled(Time Now, Actions &Out);
   void noteReachability(Time Now, Actions &Out);
   void askPeerWhenDue(Time Now, Actions &Out);
+  /// Appends what waits, or hands it to the host that appends for this one.
+  void sendRecords(Time Now, Actions &Out);
+  void refreshRoute(Time Now);
   Duration appendGap() const;
 
   Services *Offered = nullptr;
@@ -50,7 +54,12 @@
   std::optional<RecordTail> Tail;
   Duration ReachableWithin{};
   Duration RelayInterval{};
+  Duration GatherInterval{};
+  Duration GatherPatience{};
   double AppendRate = 0;
+  std::size_t MostAppending = 0;
+  AppendRoute Route;
+  Time RouteFreshUntil{};
   std::size_t MostRelayed = 0;
   Time EndSeenAt{};
   Time AskPeerAt{};
--- /dev/null
+++ b/tests/auto/log/GatherTest.cpp
@@ -0,0 +1,91 @@
+/// \file
+/// Many hosts, few that append: claims still run once each, also when a host
+/// that appends for others dies.
+#include "harness/TestCatalogue.h"
+#include "harness/VirtualDeployment.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <set>
+
+namespace banyanpick {
+namespace {
+
+constexpr int Hosts = 12;
+constexpr std::size_t Appending = 3;
+
+std::string hostName(int Number) { return fmt::format("h{:02}", Number); }
+
+class GatherTest : public testing::Test {
+protected:
+  GatherTest() : World(options()) {
+    this->World.addApplication("p1", TestService, "a");
+    this->World.seedCatalogue(testCatalogue({"t"}));
+    for (int Number = 0; Number < Hosts; ++Number)
+      this->World.addHost(hostName(Number), Number % 2 == 0 ? "a" : "b");
+    this->World.runFor(seconds(15));
+    this->World.OnHandled = [this](const VirtualHost &Host, const Event &, Time,
+                                   const std::vector<Action> &Wanted) {
+      for (const Action &Each : Wanted)
+        if (std::holds_alternative<AppendToLog>(Each))
+          this->Appenders.insert(Host.name());
+    };
+  }
+
+  static DeploymentOptions options() {
+    DeploymentOptions Options;
+    Options.Settings = {{"log", "appending_hosts", std::to_string(Appending)}};
+    return Options;
+  }
+
+  /// Sends one confirmation to each host.
+  void confirmEverywhere(std::uint64_t FirstContent) {
+    for (int Number = 0; Number < Hosts; ++Number) {
+      RequestHead Head =
+          testRequest("t", "confirm", 100, FirstContent + Number);
+      Head.Streamed = false;
+      Head.Operation = this->World.makeOperationKey();
+      this->World.send(hostName(Number), Head);
+    }
+  }
+
+  std::size_t whole() {
+    std::size_t Count = 0;
+    for (const CallerRecord &Each : this->World.callers())
+      if (Each.Answer && std::holds_alternative<WholeAnswer>(*Each.Answer))
+        ++Count;
+    return Count;
+  }
+
+  VirtualDeployment World;
+  std::set<std::string> Appenders;
+};
+
+TEST_F(GatherTest, FewHostsAppendForAll) {
+  this->confirmEverywhere(1);
+  this->World.runFor(seconds(3));
+  EXPECT_EQ(this->whole(), static_cast<std::size_t>(Hosts));
+  EXPECT_LE(this->Appenders.size(), Appending);
+  EXPECT_TRUE(this->World.violations().empty());
+}
+
+TEST_F(GatherTest, RecordsOfADeadGathererAreHandedOverAgain) {
+  this->confirmEverywhere(1);
+  this->World.runFor(seconds(3));
+  ASSERT_FALSE(this->Appenders.empty());
+  const std::string Dead = *this->Appenders.begin();
+  this->World.killHost(Dead);
+  const std::size_t Before = this->whole();
+  this->confirmEverywhere(100);
+  this->World.runFor(seconds(10));
+  EXPECT_GE(this->whole(), Before + Hosts / 2);
+  std::size_t Answered = 0;
+  for (const CallerRecord &Each : this->World.callers())
+    Answered += Each.Answer ? 1 : 0;
+  // The dead host's own caller alone is without an answer.
+  EXPECT_GE(Answered, static_cast<std::size_t>(2 * Hosts - 1));
+  EXPECT_TRUE(this->World.violations().empty());
+}
+
+} // namespace
+} // namespace banyanpick
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -111,7 +111,7 @@
 }
 
 PeerMessageBody peerBody() {
-  switch (*rc::gen::inRange(0, 12)) {
+  switch (*rc::gen::inRange(0, 13)) {
   case 0:
     return Heartbeat{number(),
                      flag(),
@@ -157,8 +157,10 @@
                           id<ClassId>(),    AttemptId{life(), number()},
                           id<UpstreamId>(), number(),
                           moment()};
-  default:
+  case 11:
     return HandoverTaken{text()};
+  default:
+    return RecordsToAppend{several([] { return logRecord(); })};
   }
 }
 
--- a/tests/bench/slopes/SlopesBench.cpp
+++ b/tests/bench/slopes/SlopesBench.cpp
@@ -31,8 +31,10 @@
     banyanpick::measureCatalogueMemory();
     banyanpick::measureRecovery();
   }
-  if (wanted("appends"))
+  if (wanted("appends")) {
     banyanpick::measureAppends();
+    banyanpick::measureGathering();
+  }
   if (wanted("force"))
     banyanpick::measureInForceAgainstHosts();
   if (wanted("traffic")) {
--- a/tests/bench/slopes/StateSlopes.cpp
+++ b/tests/bench/slopes/StateSlopes.cpp
@@ -52,13 +52,36 @@
   return Bytes;
 }
 
-double appendsAt(std::uint32_t CallsPerSecond) {
+/// What the hosts append together, and what their callers wait.
+struct AppendCost {
+  double PerSecond = 0;
+  double MeanAnswer = 0; ///< Milliseconds to the final answer.
+};
+
+std::string hostName(std::uint32_t Number) {
+  return fmt::format("host-{:03}", Number);
+}
+
+double meanAnswer(VirtualDeployment &World) {
+  double Sum = 0;
+  std::size_t Count = 0;
+  for (const CallerRecord &Each : World.callers()) {
+    if (!Each.EndedAt)
+      continue;
+    Sum += inSeconds(*Each.EndedAt - Each.SentAt) * 1000;
+    ++Count;
+  }
+  return Count == 0 ? 0 : Sum / static_cast<double>(Count);
+}
+
+AppendCost appendsAt(std::uint32_t CallsPerSecond, std::uint32_t Hosts) {
   DeploymentOptions Options;
   Options.CheckEveryEvent = false;
   VirtualDeployment World(Options);
   World.addApplication("booking-1", TestService, "zone-0");
   World.seedCatalogue(testCatalogue({"t"}));
-  World.addHost("host-0", "zone-0");
+  for (std::uint32_t Number = 0; Number < Hosts; ++Number)
+    World.addHost(hostName(Number), "zone-0");
   World.runFor(seconds(15));
   constexpr std::uint32_t Seconds = 5;
   const LogOffset Before = World.log().end();
@@ -67,9 +90,13 @@
     RequestHead Head = testRequest("t", "confirm", 100, Call);
     Head.Streamed = false;
     Head.Operation = World.makeOperationKey();
-    World.send("host-0", Head);
+    World.send(hostName(Call % Hosts), Head);
   }
-  return static_cast<double>(World.log().end() - Before) / Seconds;
+  AppendCost Cost;
+  Cost.PerSecond = static_cast<double>(World.log().end() - Before) / Seconds;
+  World.runFor(seconds(5));
+  Cost.MeanAnswer = meanAnswer(World);
+  return Cost;
 }
 
 } // namespace
@@ -109,8 +136,22 @@
   SlopeTable Table{
       "Log appends by group commit (one host)", "calls/s", "appends/s", {}};
   for (const std::uint32_t Calls : {10, 50, 200, 1000, 3700})
-    Table.add(Calls, appendsAt(Calls));
+    Table.add(Calls, appendsAt(Calls, 1).PerSecond);
   Table.print();
 }
 
+void measureGathering() {
+  constexpr std::uint32_t Calls = 370;
+  SlopeTable Appends{"Log appends with 370 calls/s", "hosts", "appends/s", {}};
+  SlopeTable Answers{
+      "Answer to a claimed call, 370 calls/s", "hosts", "ms", {}};
+  for (const std::uint32_t Hosts : {1, 9, 40, 100, 320}) {
+    const AppendCost Cost = appendsAt(Calls, Hosts);
+    Appends.add(Hosts, Cost.PerSecond);
+    Answers.add(Hosts, Cost.MeanAnswer);
+  }
+  Appends.print();
+  Answers.print();
+}
+
 } // namespace banyanpick
--- a/tests/bench/slopes/StateSlopes.h
+++ b/tests/bench/slopes/StateSlopes.h
@@ -10,5 +10,7 @@
 void measureRecovery();
 /// Appends a second of one host, against non-idempotent calls a second.
 void measureAppends();
+/// The same of many hosts together, and what their callers wait.
+void measureGathering();
 
 } // namespace banyanpick
