Judge what ran by the try, and split the harness's long files

Cause: a run that an upstream started after its request had been answered was not counted, because the driver had forgotten the try by then; "not run" could have been false unseen. Change: a try carries its caller with it, whatever becomes of its host.

--- a/tests/harness/ScenarioRunner.cpp
+++ b/tests/harness/ScenarioRunner.cpp
@@ -1,6 +1,5 @@
 #include "harness/ScenarioRunner.h"
 
-#include "base/Visitor.h"
 #include "harness/TestCatalogue.h"
 
 #include <fmt/format.h>
@@ -351,81 +350,4 @@
       });
 }
 
-// --- expectations
-
-std::string ScenarioRunner::outcomeOf(const CallerRecord &Of) const {
-  if (!Of.Answer)
-    return Of.ConnectionLost ? "lost" : "open";
-  return match(
-      *Of.Answer, [](const WholeAnswer &) { return std::string("whole"); },
-      [](const NotRun &Is) {
-        return "not-run " + std::string(name(Is.Reason));
-      },
-      [](const FailedAnswer &) { return std::string("failed"); },
-      [](const OutcomeUnknown &) { return std::string("unknown"); },
-      [](const InProgress &) { return std::string("in-progress"); });
-}
-
-std::string ScenarioRunner::foundOnHost(const Statement &Is) {
-  VirtualHost &Host = *this->World->hosts().at(Is.word(1));
-  if (!Host.isRunning())
-    return "gone";
-  const auto &View = Host.kernel().services().get<CatalogueView>();
-  if (Is.word(2) == "has") {
-    const LogOffset Wanted = this->Changes[Is.word(3)].Offset;
-    const bool Has = Wanted > 0 && View.catalogue().offset() >= Wanted;
-    return Has ? "has " + Is.word(3) : "lacks " + Is.word(3);
-  }
-  if (!View.isReady())
-    return "not-ready";
-  return View.isCurrent(this->World->now()) ? "ready" : "not-current";
-}
-
-std::string ScenarioRunner::found(const Statement &Is) {
-  const std::string &Name = Is.word(1);
-  if (this->isHost(Name))
-    return this->foundOnHost(Is);
-  if (const auto Found = this->Changes.find(Name); Found != this->Changes.end())
-    return Found->second.Verdict;
-  if (const auto Found = this->World->engines().find(Name);
-      Found != this->World->engines().end())
-    return Found->second.Model.heldTokens() == 0 ? "free" : "holds-memory";
-  if (Name == "runs") {
-    const auto &Head =
-        this->World->callers()[this->caller(Is, Is.word(2))].Head;
-    std::uint32_t Runs = 0;
-    for (const auto &[App, Each] : this->World->applications()) {
-      const auto Of = Each.Runs.find(Head.Operation->Value);
-      Runs += Of == Each.Runs.end() ? 0 : Of->second;
-    }
-    return fmt::format("runs {} {}", Is.word(2), Runs);
-  }
-  if (Name == "count") {
-    const auto Count = this->World->counts().find(Is.word(2));
-    const bool Any = Count != this->World->counts().end() && Count->second > 0;
-    return fmt::format("count {} {}", Is.word(2), Any ? "some" : "none");
-  }
-  return this->outcomeOf(this->World->callers()[this->caller(Is, Name)]);
-}
-
-void ScenarioRunner::expect(const Statement &Is) {
-  // `expect NAME A | B C` allows either; what is found may say more.
-  const std::string Is1 = this->found(Is);
-  const bool Named = Is.word(1) != "runs" && Is.word(1) != "count";
-  std::string Wanted;
-  for (const std::string &Word : Is.names(Named ? 2 : 1)) {
-    if (Word == "|" || Word == "or") {
-      if (Is1.starts_with(Wanted))
-        return;
-      Wanted.clear();
-      continue;
-    }
-    Wanted += (Wanted.empty() ? "" : " ") + Word;
-  }
-  if (!Wanted.empty() && Is1.starts_with(Wanted))
-    return;
-  this->Unmet.push_back(fmt::format("line {}: expected {} {}, found {}",
-                                    Is.Line, Is.word(1), Wanted, Is1));
-}
-
 } // namespace banyanpick
--- a/tests/harness/VirtualDeployment.h
+++ b/tests/harness/VirtualDeployment.h
@@ -37,6 +37,14 @@
   std::vector<SettingOverride> Settings;
 };
 
+/// A try as it travels: it may outlive its host and its request.
+struct VirtualTry {
+  VirtualHost *From = nullptr;
+  Incarnation Life;
+  AttemptId Attempt;
+  std::optional<std::size_t> Caller;
+};
+
 /// Add hosts and upstreams, seed the catalogue, then run and look at callers().
 class VirtualDeployment {
 public:
@@ -128,10 +136,8 @@
   void publishHostList();
 
   /// Each carries out one action of \p From.
-  void toEngine(VirtualHost &From, const DispatchAttempt &Wanted,
-                const RequestHead &Head, const AttemptId &Echoed);
-  void toApplication(VirtualHost &From, const DispatchAttempt &Wanted,
-                     const RequestHead &Head);
+  void dispatch(VirtualHost &From, const DispatchAttempt &Wanted,
+                const RequestHead &Head);
   void cancel(VirtualHost &From, const CancelAttempt &Wanted);
   void pollLoad(VirtualHost &From, const PollLoad &Wanted);
   void pollCache(VirtualHost &From, const PollCacheEvents &Wanted);
@@ -146,15 +152,17 @@
   void resolved(const AnswerResolve &Answer);
   void operatorAnswered(const AnswerOperator &Answer);
 
-  void startOnEngine(FakeEngine &Engine, const EngineJob &Job,
-                     const RequestHead &Head, VirtualHost &From,
-                     Incarnation Life);
+  void startOnEngine(FakeEngine &Engine, const DispatchAttempt &Wanted,
+                     const RequestHead &Head, const VirtualTry &Try);
   void attachOnEngine(FakeEngine &Engine, const DispatchAttempt &Wanted,
-                      VirtualHost &From, Incarnation Life);
-  void runOnApplication(FakeApplication &Application, const AttemptId &Attempt,
-                        const RequestHead &Head, VirtualHost &From,
-                        Incarnation Life);
-  void started(VirtualHost &From, Incarnation Life, const AttemptId &Attempt);
+                      const VirtualTry &Try);
+  void runOnApplication(FakeApplication &Application, const RequestHead &Head,
+                        const VirtualTry &Try);
+  static VirtualTry tryOf(VirtualHost &From, const AttemptId &Attempt);
+  void started(const VirtualTry &Try);
+  /// Tells the host of the try's end after \p Delay, if it still lives.
+  void endAfter(Duration Delay, const VirtualTry &Try, AttemptOutcome Outcome);
+  void breakAfter(Duration Delay, const VirtualTry &Try, bool UpstreamDied);
   void judgeDispatch(const VirtualHost &From, const std::string &Upstream,
                      std::optional<Time> LeftAt);
   void pump(FakeEngine &Engine);
--- a/tests/harness/VirtualFaults.cpp
+++ b/tests/harness/VirtualFaults.cpp
@@ -15,12 +15,8 @@
   Engine.Held.clear();
   for (const auto &[Attempt, Each] : std::exchange(Engine.Streams, {})) {
     VirtualHost &To = *this->Hosts.at(Each.Host);
-    this->Queue.after(this->Net.delay(Name, Each.Host),
-                      [&To, Life = Each.HostLife, Listener = Each.Listener] {
-                        To.whenRunning(Life, [&To, Listener] {
-                          To.breakAttempt(Listener, true);
-                        });
-                      });
+    this->breakAfter(this->Net.delay(Name, Each.Host),
+                     {&To, Each.HostLife, Each.Listener, {}}, true);
   }
   this->publishHostList();
 }
--- a/tests/harness/VirtualHost.cpp
+++ b/tests/harness/VirtualHost.cpp
@@ -196,11 +196,7 @@
   this->Attempts[Wanted.Attempt] = {Wanted.Request, Wanted.Upstream, Echoed};
   if (!Of.Head && !Wanted.AttachTo)
     return this->endAttempt(Wanted.Attempt, AttemptNeverSent{});
-  const RequestHead Head = Of.Head.value_or(RequestHead{});
-  if (Wanted.Kind == UpstreamKind::Engine)
-    this->World.toEngine(*this, Wanted, Head, Echoed);
-  else
-    this->World.toApplication(*this, Wanted, Head);
+  this->World.dispatch(*this, Wanted, Of.Head.value_or(RequestHead{}));
 }
 
 void VirtualHost::answer(const AnswerRequest &Wanted) {
--- /dev/null
+++ b/tests/harness/VirtualPlatform.cpp
@@ -0,0 +1,103 @@
+/// \file
+/// The log and the host list of a virtual deployment.
+#include "harness/VirtualDeployment.h"
+
+namespace banyanpick {
+
+namespace {
+
+/// The driver gives up on an answer after this.
+constexpr Duration AnswerTimeout = seconds(1);
+/// How long the log keeps a reader waiting for something new.
+constexpr Duration LogWait = milliseconds(500);
+
+} // namespace
+
+// --- the platform
+
+void VirtualDeployment::publishHostList() {
+  HostListRead Current;
+  for (const auto &[Name, Host] : this->Hosts)
+    if (Host->isRunning())
+      Current.Hosts.push_back(Host->listing());
+  for (const auto &[Name, Engine] : this->Engines)
+    if (Engine.Alive)
+      Current.Upstreams.push_back(Engine.Listing);
+  for (const auto &[Name, Application] : this->Applications)
+    if (Application.Alive)
+      Current.Upstreams.push_back(Application.Listing);
+  this->Queue.after(this->Options.HostListLag,
+                    [this, Current] { this->Listed = Current; });
+}
+
+void VirtualDeployment::readHostList(VirtualHost &From) {
+  const bool Cut = this->Net.isCut(From.name(), "hostlist") ||
+                   this->Net.isCut("hostlist", From.name());
+  if (Cut)
+    return this->replyAfter(AnswerTimeout, From, From.life(),
+                            HostListReadFailed{});
+  this->replyAfter(2 * this->Net.Far, From, From.life(), this->Listed);
+}
+
+void VirtualDeployment::readLog(VirtualHost &From, const ReadLog &Wanted) {
+  const Incarnation Life = From.life();
+  if (this->Net.isCut(From.name(), "log") ||
+      this->Net.isCut("log", From.name()))
+    return this->replyAfter(AnswerTimeout, From, Life, LogReadFailed{});
+  if (this->Log.Down)
+    return this->replyAfter(2 * this->Net.Far, From, Life, LogReadFailed{});
+  const auto Answered = std::make_shared<bool>(false);
+  const auto Answer = [this, &From, Life, Answered, Wanted] {
+    if (std::exchange(*Answered, true))
+      return;
+    this->Log.expire(this->now());
+    if (this->Log.Down)
+      return this->replyAfter(this->Net.Far, From, Life, LogReadFailed{});
+    if (this->Net.isCut("log", From.name()))
+      return this->replyAfter(AnswerTimeout, From, Life, LogReadFailed{});
+    this->reply("log", From, Life, this->Log.read(Wanted.FromOffset));
+  };
+  this->Queue.after(this->Net.delay(From.name(), "log") + this->Log.ServiceTime,
+                    [this, Answer, Wanted] {
+                      this->Log.expire(this->now());
+                      if (Wanted.FromOffset < this->Log.end())
+                        return Answer();
+                      this->LogWaiters.push_back(Answer);
+                      this->Queue.after(LogWait, Answer);
+                    });
+}
+
+void VirtualDeployment::storeInLog(const std::vector<LogRecord> &Records) {
+  this->Log.append(Records, this->now());
+  for (const auto &Each : std::exchange(this->LogWaiters, {}))
+    Each();
+}
+
+void VirtualDeployment::append(VirtualHost &From, const AppendToLog &Wanted) {
+  const Incarnation Life = From.life();
+  const AppendAnswered NoAnswer{Wanted.Append, AppendResult::Unknown, 0};
+  if (this->Net.isCut(From.name(), "log"))
+    return this->replyAfter(AnswerTimeout, From, Life, NoAnswer);
+  const auto Arrived = [this, &From, Life, Wanted, NoAnswer] {
+    const AppendFate Fate = this->Log.decide(this->now());
+    const LogOffset Offset = this->Log.end();
+    if (Fate == AppendFate::Taken || Fate == AppendFate::AnswerLost)
+      this->storeInLog(Wanted.Records);
+    if (Fate == AppendFate::LateEffect)
+      this->Queue.after(this->Log.Lateness,
+                        [this, Wanted] { this->storeInLog(Wanted.Records); });
+    if (Fate == AppendFate::Refused)
+      return this->reply(
+          "log", From, Life,
+          AppendAnswered{Wanted.Append, AppendResult::Refused, 0});
+    if (Fate == AppendFate::Taken && !this->Net.isCut("log", From.name()))
+      return this->reply(
+          "log", From, Life,
+          AppendAnswered{Wanted.Append, AppendResult::Taken, Offset});
+    this->replyAfter(AnswerTimeout, From, Life, NoAnswer);
+  };
+  this->Queue.after(this->Net.delay(From.name(), "log") + this->Log.ServiceTime,
+                    Arrived);
+}
+
+} // namespace banyanpick
--- a/tests/harness/VirtualUpstreams.cpp
+++ b/tests/harness/VirtualUpstreams.cpp
@@ -63,13 +63,32 @@
                    std::move(Answer));
 }
 
-void VirtualDeployment::started(VirtualHost &From, Incarnation Life,
-                                const AttemptId &Attempt) {
-  if (From.life() != Life)
-    return;
-  const auto Caller = From.callerOf(Attempt);
-  if (Caller)
-    ++this->Callers[*Caller].Started;
+VirtualTry VirtualDeployment::tryOf(VirtualHost &From,
+                                    const AttemptId &Attempt) {
+  return {&From, From.life(), Attempt, From.callerOf(Attempt)};
+}
+
+void VirtualDeployment::started(const VirtualTry &Try) {
+  if (Try.Caller)
+    ++this->Callers[*Try.Caller].Started;
+}
+
+void VirtualDeployment::endAfter(Duration Delay, const VirtualTry &Try,
+                                 AttemptOutcome Outcome) {
+  this->Queue.after(Delay, [Try, Outcome = std::move(Outcome)] {
+    Try.From->whenRunning(Try.Life, [Try, Outcome] {
+      Try.From->endAttempt(Try.Attempt, Outcome);
+    });
+  });
+}
+
+void VirtualDeployment::breakAfter(Duration Delay, const VirtualTry &Try,
+                                   bool UpstreamDied) {
+  this->Queue.after(Delay, [Try, UpstreamDied] {
+    Try.From->whenRunning(Try.Life, [Try, UpstreamDied] {
+      Try.From->breakAttempt(Try.Attempt, UpstreamDied);
+    });
+  });
 }
 
 void VirtualDeployment::judgeDispatch(const VirtualHost &From,
@@ -86,72 +105,68 @@
 
 // --- tries
 
-void VirtualDeployment::toEngine(VirtualHost &From,
+void VirtualDeployment::dispatch(VirtualHost &From,
                                  const DispatchAttempt &Wanted,
-                                 const RequestHead &Head, const AttemptId &) {
-  const Incarnation Life = From.life();
+                                 const RequestHead &Head) {
+  const VirtualTry Try = this->tryOf(From, Wanted.Attempt);
   const std::string Name = Wanted.Upstream.Value;
-  const auto Found = this->Engines.find(Name);
-  if (Found != this->Engines.end() && !Wanted.AttachTo)
-    this->judgeDispatch(From, Name, Found->second.LeftAt);
+  const auto Engine = this->Engines.find(Name);
+  const auto Application = this->Applications.find(Name);
+  if (Engine != this->Engines.end() && !Wanted.AttachTo)
+    this->judgeDispatch(From, Name, Engine->second.LeftAt);
+  if (Application != this->Applications.end())
+    this->judgeDispatch(From, Name, Application->second.LeftAt);
   const Way Reached =
-      this->travel(From.name(), Name, [this, &From, Life, Wanted, Head, Name] {
-        FakeEngine &Engine = this->Engines.at(Name);
-        if (Wanted.AttachTo)
-          return this->attachOnEngine(Engine, Wanted, From, Life);
-        EngineJob Job;
-        Job.Attempt = Wanted.Attempt;
-        Job.Owner = From.name();
-        Job.PromptTokens = Head.PromptTokens;
-        Job.OutputTokens = Wanted.MaxOutputTokens;
-        Job.StartIndex = Wanted.NextIndex;
-        Job.Priority = Wanted.Priority;
-        Job.Blocks = Head.Blocks;
-        Job.Deadline = Wanted.Deadline;
-        Job.HasGroup = !Wanted.Holds.empty();
-        Job.Holds = Wanted.Holds;
-        this->startOnEngine(Engine, Job, Head, From, Life);
+      this->travel(From.name(), Name, [this, Try, Wanted, Head, Name] {
+        if (Wanted.Kind == UpstreamKind::Application)
+          this->runOnApplication(this->Applications.at(Name), Head, Try);
+        else if (Wanted.AttachTo)
+          this->attachOnEngine(this->Engines.at(Name), Wanted, Try);
+        else
+          this->startOnEngine(this->Engines.at(Name), Wanted, Head, Try);
       });
-  if (Reached == Way::Open)
-    return;
-  const Duration Delay =
-      Reached == Way::Cut ? AnswerTimeout : 2 * this->Net.Far;
-  this->Queue.after(Delay, [&From, Life, Attempt = Wanted.Attempt] {
-    From.whenRunning(Life, [&From, Attempt] {
-      From.endAttempt(Attempt, AttemptNeverSent{});
-    });
-  });
+  if (Reached == Way::Cut)
+    this->endAfter(AnswerTimeout, Try, AttemptNeverSent{});
+  if (Reached == Way::Refused)
+    this->endAfter(2 * this->Net.Far, Try, AttemptNeverSent{});
 }
 
-void VirtualDeployment::startOnEngine(FakeEngine &Engine, const EngineJob &Job,
+void VirtualDeployment::startOnEngine(FakeEngine &Engine,
+                                      const DispatchAttempt &Wanted,
                                       const RequestHead &Head,
-                                      VirtualHost &From, Incarnation Life) {
+                                      const VirtualTry &Try) {
   this->pump(Engine);
-  EngineJob Kept = Job;
-  Kept.Deadline = this->now() + EngineJobLimit;
-  auto Answer = Engine.SaysLeaving ? EngineModel::Submitted::Leaving
-                                   : Engine.Model.submit(Kept, this->now());
-  if (Answer != EngineModel::Submitted::Accepted) {
-    using Why = AttemptRefused::Why;
-    const Why Reason = Answer == EngineModel::Submitted::Busy ? Why::Busy
-                       : Answer == EngineModel::Submitted::Leaving
-                           ? Why::Leaving
-                           : Why::NoMemory;
-    return this->Queue.after(
-        this->Net.delay(Engine.Listing.Id.Value, From.name()),
-        [&From, Life, Attempt = Job.Attempt, Reason] {
-          From.whenRunning(Life, [&From, Attempt, Reason] {
-            From.endAttempt(Attempt, AttemptRefused{Reason});
-          });
-        });
+  EngineJob Job;
+  Job.Attempt = Wanted.Attempt;
+  Job.Owner = Try.From->name();
+  Job.PromptTokens = Head.PromptTokens;
+  Job.OutputTokens = Wanted.MaxOutputTokens;
+  Job.StartIndex = Wanted.NextIndex;
+  Job.Priority = Wanted.Priority;
+  Job.Blocks = Head.Blocks;
+  Job.Deadline = this->now() + EngineJobLimit;
+  Job.HasGroup = !Wanted.Holds.empty();
+  Job.Holds = Wanted.Holds;
+  using Submitted = EngineModel::Submitted;
+  using Why = AttemptRefused::Why;
+  const Submitted Answer = Engine.SaysLeaving
+                               ? Submitted::Leaving
+                               : Engine.Model.submit(Job, this->now());
+  if (Answer != Submitted::Accepted) {
+    const Why Reason = Answer == Submitted::Busy      ? Why::Busy
+                       : Answer == Submitted::Leaving ? Why::Leaving
+                                                      : Why::NoMemory;
+    return this->endAfter(
+        this->Net.delay(Engine.Listing.Id.Value, Try.From->name()), Try,
+        AttemptRefused{Reason});
   }
-  this->started(From, Life, Job.Attempt);
+  this->started(Try);
   EngineStream Stream;
   Stream.Listener = Job.Attempt;
-  Stream.Host = From.name();
-  Stream.HostLife = Life;
+  Stream.Host = Try.From->name();
+  Stream.HostLife = Try.Life;
   Stream.Content = Head.Content;
-  Stream.Deadline = Job.Deadline;
+  Stream.Deadline = Wanted.Deadline;
   Stream.FirstIndex = Stream.Produced = Job.StartIndex;
   Engine.Streams[Job.Attempt] = Stream;
   this->schedulePump(Engine);
@@ -171,21 +186,17 @@
 
 void VirtualDeployment::attachOnEngine(FakeEngine &Engine,
                                        const DispatchAttempt &Wanted,
-                                       VirtualHost &From, Incarnation Life) {
+                                       const VirtualTry &Try) {
   this->pump(Engine);
   const auto Found =
       Engine.Streams.find(Engine.startedAs(Wanted.AttachTo.value()));
   if (Found == Engine.Streams.end())
-    return this->Queue.after(
-        this->Net.delay(Engine.Listing.Id.Value, From.name()),
-        [&From, Life, Attempt = Wanted.Attempt] {
-          From.whenRunning(
-              Life, [&From, Attempt] { From.breakAttempt(Attempt, false); });
-        });
+    return this->breakAfter(
+        this->Net.delay(Engine.Listing.Id.Value, Try.From->name()), Try, false);
   EngineStream &Stream = Found->second;
   Stream.Listener = Wanted.Attempt;
-  Stream.Host = From.name();
-  Stream.HostLife = Life;
+  Stream.Host = Try.From->name();
+  Stream.HostLife = Try.Life;
   Stream.Deadline = Wanted.Deadline;
   Stream.Broken = false;
   if (Stream.Produced > Wanted.NextIndex || Stream.Ended)
@@ -242,10 +253,8 @@
   const bool Truncated = Engine.ToTruncate > 0 && Engine.ToTruncate--;
   if (Truncated || this->Net.isCut(Engine.Listing.Id.Value, To.name())) {
     Stream.Broken = true;
-    return this->Queue.after(AnswerTimeout, [&To, Life,
-                                             Attempt = Chunks.Connection] {
-      To.whenRunning(Life, [&To, Attempt] { To.breakAttempt(Attempt, false); });
-    });
+    return this->breakAfter(AnswerTimeout, {&To, Life, Chunks.Connection, {}},
+                            false);
   }
   if (Engine.ToCross > 0 && Engine.Streams.size() > 1) {
     --Engine.ToCross;
@@ -262,42 +271,16 @@
   Give(Chunks);
 }
 
-void VirtualDeployment::toApplication(VirtualHost &From,
-                                      const DispatchAttempt &Wanted,
-                                      const RequestHead &Head) {
-  const Incarnation Life = From.life();
-  const std::string Name = Wanted.Upstream.Value;
-  const auto Found = this->Applications.find(Name);
-  if (Found != this->Applications.end())
-    this->judgeDispatch(From, Name, Found->second.LeftAt);
-  const Way Reached =
-      this->travel(From.name(), Name,
-                   [this, &From, Life, Attempt = Wanted.Attempt, Head, Name] {
-                     this->runOnApplication(this->Applications.at(Name),
-                                            Attempt, Head, From, Life);
-                   });
-  if (Reached == Way::Open)
-    return;
-  const Duration Delay =
-      Reached == Way::Cut ? AnswerTimeout : 2 * this->Net.Far;
-  this->Queue.after(Delay, [&From, Life, Attempt = Wanted.Attempt] {
-    From.whenRunning(Life, [&From, Attempt] {
-      From.endAttempt(Attempt, AttemptNeverSent{});
-    });
-  });
-}
-
 void VirtualDeployment::runOnApplication(FakeApplication &Application,
-                                         const AttemptId &Attempt,
                                          const RequestHead &Head,
-                                         VirtualHost &From, Incarnation Life) {
+                                         const VirtualTry &Try) {
   AttemptOutcome Outcome = AttemptComplete{1, "done"};
   Duration Delay = Application.RunTime;
   if (Application.SaysLeaving) {
     Outcome = AttemptRefused{AttemptRefused::Why::Leaving};
     Delay = Duration();
   } else {
-    this->started(From, Life, Attempt);
+    this->started(Try);
     if (Head.Operation)
       ++Application.Runs[Head.Operation->Value];
     if (Application.RunsToFail > 0 && Application.RunsToFail--)
@@ -307,21 +290,14 @@
       Delay = AnswerTimeout;
     }
   }
-  this->Queue.after(Delay, [this, &Application, &From, Life, Attempt, Outcome,
+  this->Queue.after(Delay, [this, &Application, Try, Outcome,
                             Started = Application.Listing.Life] {
-    AttemptOutcome Seen = Outcome;
-    if (!Application.Alive || Application.Listing.Life != Started)
-      Seen = AttemptBroken{0, true};
     const std::string &Name = Application.Listing.Id.Value;
-    const bool Cut = this->Net.isCut(Name, From.name());
-    if (Cut)
-      Seen = AttemptBroken{};
-    this->Queue.after(Cut ? AnswerTimeout : this->Net.delay(Name, From.name()),
-                      [&From, Life, Attempt, Seen] {
-                        From.whenRunning(Life, [&From, Attempt, Seen] {
-                          From.endAttempt(Attempt, Seen);
-                        });
-                      });
+    const bool Died = !Application.Alive || Application.Listing.Life != Started;
+    if (this->Net.isCut(Name, Try.From->name()))
+      return this->endAfter(AnswerTimeout, Try, AttemptBroken{});
+    this->endAfter(this->Net.delay(Name, Try.From->name()), Try,
+                   Died ? AttemptBroken{0, true} : Outcome);
   });
 }
 
@@ -348,122 +324,4 @@
                      CancelAnswered{Wanted.Attempt, Wanted.Upstream, false});
 }
 
-// --- reports
-
-void VirtualDeployment::pollLoad(VirtualHost &From, const PollLoad &Wanted) {
-  const Incarnation Life = From.life();
-  const std::string Name = Wanted.Upstream.Value;
-  const auto Answered = std::make_shared<bool>(false);
-  const Way Reached =
-      this->travel(From.name(), Name, [this, &From, Life, Name, Answered] {
-        if (this->Net.isCut(Name, From.name()) ||
-            std::exchange(*Answered, true))
-          return;
-        const auto Engine = this->Engines.find(Name);
-        if (Engine != this->Engines.end())
-          this->reply(Name, From, Life,
-                      LoadReported{Engine->second.report(this->now())});
-        else
-          this->reply(
-              Name, From, Life,
-              LoadReported{this->Applications.at(Name).report(this->now())});
-      });
-  if (Reached == Way::Refused)
-    return this->replyAfter(2 * this->Net.Far, From, Life,
-                            LoadPollFailed{Wanted.Upstream, true});
-  this->Queue.after(AnswerTimeout, [this, &From, Life, Answered, Wanted] {
-    if (!std::exchange(*Answered, true))
-      this->replyAfter(Duration(), From, Life,
-                       LoadPollFailed{Wanted.Upstream, false});
-  });
-}
-
-void VirtualDeployment::pollCache(VirtualHost &From,
-                                  const PollCacheEvents &Wanted) {
-  const Incarnation Life = From.life();
-  const std::string Name = Wanted.Upstream.Value;
-  if (!this->Engines.contains(Name))
-    return;
-  this->travel(From.name(), Name, [this, &From, Life, Wanted, Name] {
-    FakeEngine &Engine = this->Engines.at(Name);
-    if (this->Net.isCut(Name, From.name()))
-      return;
-    auto Events =
-        Engine.Model.cacheEventsAfter(Wanted.AfterSequence, this->now());
-    if (Engine.CacheEventLoss > 0)
-      std::erase_if(Events, [&](const CacheEvent &) {
-        return this->Numbers.fraction() < Engine.CacheEventLoss;
-      });
-    this->reply(Name, From, Life,
-                CacheEventsReported{Wanted.Upstream, Engine.Listing.Life,
-                                    std::move(Events)});
-  });
-}
-
-// --- memory and orders
-
-void VirtualDeployment::takeHold(VirtualHost &From, const TakeHold &Wanted) {
-  const Incarnation Life = From.life();
-  const std::string Name = Wanted.Upstream.Value;
-  HoldAnswered Answer{Wanted.Hold, Wanted.Upstream, HoldResult::Unknown};
-  const Way Reached = this->travel(
-      From.name(), Name, [this, &From, Life, Wanted, Name, Answer]() mutable {
-        FakeEngine &Engine = this->Engines.at(Name);
-        this->pump(Engine);
-        const bool Taken = Engine.Model.takeHold(
-            Wanted.Hold, From.name(), Wanted.Tokens, Wanted.Deadline);
-        Answer.Result = Taken ? HoldResult::Granted : HoldResult::Refused;
-        const bool Lost =
-            Engine.HoldAnswersToLose > 0 && Engine.HoldAnswersToLose--;
-        if (!Lost && !this->Net.isCut(Name, From.name()))
-          return this->reply(Name, From, Life, Answer);
-        Answer.Result = HoldResult::Unknown;
-        this->replyAfter(AnswerTimeout, From, Life, Answer);
-      });
-  if (Reached == Way::Open)
-    return;
-  if (Reached == Way::Refused)
-    Answer.Result = HoldResult::Refused;
-  this->replyAfter(AnswerTimeout, From, Life, Answer);
-}
-
-void VirtualDeployment::releaseHold(VirtualHost &From,
-                                    const ReleaseHold &Wanted) {
-  const std::string Name = Wanted.Upstream.Value;
-  this->travel(From.name(), Name, [this, Wanted, Name] {
-    FakeEngine &Engine = this->Engines.at(Name);
-    this->pump(Engine);
-    Engine.Model.releaseHold(Wanted.Hold);
-    this->schedulePump(Engine);
-  });
-}
-
-void VirtualDeployment::order(VirtualHost &From, const OrderUpstream &Wanted) {
-  const Incarnation Life = From.life();
-  const std::string Name = Wanted.Upstream.Value;
-  OrderAnswered Answer{Wanted.Order, Wanted.Upstream, OrderResult::Failed, 0};
-  if (this->now() > Wanted.ValidUntil)
-    return this->replyAfter(Duration(), From, Life, Answer);
-  const Way Reached = this->travel(
-      From.name(), Name, [this, &From, Life, Wanted, Name, Answer]() mutable {
-        FakeEngine &Engine = this->Engines.at(Name);
-        this->pump(Engine);
-        Answer.Result = Engine.Model.order(Wanted.Fencing, Wanted.Body);
-        Answer.HighestFencing = Engine.Model.report(this->now()).HighestFencing;
-        Engine.Orders.push_back({this->now(), Wanted.Fencing,
-                                 Answer.Result == OrderResult::Accepted});
-        const bool Lost =
-            Engine.OrderAnswersToLose > 0 && Engine.OrderAnswersToLose--;
-        if (!Lost && !this->Net.isCut(Name, From.name()))
-          return this->reply(Name, From, Life, Answer);
-        Answer.Result = OrderResult::Unknown;
-        this->replyAfter(AnswerTimeout, From, Life, Answer);
-      });
-  if (Reached == Way::Open)
-    return;
-  if (Reached == Way::Cut)
-    Answer.Result = OrderResult::Unknown;
-  this->replyAfter(AnswerTimeout, From, Life, Answer);
-}
-
 } // namespace banyanpick
