--- a/src/plugins/fleet/FleetPlugin.cpp
+++ b/src/plugins/fleet/FleetPlugin.cpp
@@ -123,14 +123,23 @@
 }
 
 void FleetPlugin::memberChanged(const Member &Changed, Time, Actions &Out) {
-  if (Changed.State != MemberState::Alive)
-    return;
   // It may be new, or have missed the notices while it was paused or cut off.
+  if (Changed.State == MemberState::Alive)
+    this->remindOfLeaving(Changed.Listing.Id, Out);
+}
+
+void FleetPlugin::remindOfLeaving(const HostId &Peer, Actions &Out) const {
   for (const Upstream &Each : this->Table.upstreams())
     if (Each.State == UpstreamState::Leaving)
-      Out.add(SendToPeer{
-          Changed.Listing.Id,
-          UpstreamNotice{Each.Listing.Id, Each.Listing.Life, true, false}});
+      Out.add(SendToPeer{Peer, UpstreamNotice{Each.Listing.Id,
+                                              Each.Listing.Life, true, false}});
+}
+
+void FleetPlugin::remindNextPeer(Actions &Out) {
+  // Notices may be lost; each peer in turn hears them again.
+  const std::vector<HostId> Peers = this->Members->livePeers();
+  if (!Peers.empty())
+    this->remindOfLeaving(Peers[this->Reminded++ % Peers.size()], Out);
 }
 
 void FleetPlugin::contribute(StatusReport &Report, Time Now) const {
@@ -239,6 +248,7 @@
   this->NextPoll = Now + this->PollInterval;
   if (Now >= this->JudgeFrom)
     this->Table.age(Now);
+  this->remindNextPeer(Out);
   this->Followers.update(*this->Members);
   const bool All = this->followsAll();
   for (const Upstream &Each : this->Table.upstreams())
--- a/src/plugins/fleet/FleetPlugin.h
+++ b/src/plugins/fleet/FleetPlugin.h
@@ -76,10 +76,14 @@
   std::vector<HostId> toldOfWork() const;
   Duration tellInterval() const;
   void refreshWork(const UpstreamId &On);
+  /// Tells the peer which upstreams are leaving.
+  void remindOfLeaving(const HostId &Peer, Actions &Out) const;
+  void remindNextPeer(Actions &Out);
   void announceChanges(Time Now, Actions &Out);
   bool followsAll() const;
   bool isFollowed(const UpstreamListing &Listing) const;
 
+  std::uint64_t Reminded = 0; ///< Peers reminded of leaving upstreams.
   const MembershipView *Members = nullptr;
   Services *Offered = nullptr;
   UpstreamTable Table;
