Measure what the entry host adds to a stream

Cause: the relay's latency and its memory for a stream were not known. Change: relay_bench runs engines, an entry host and callers in one process and takes turns between the direct path and the relayed one; the whole host on loopback is shared with the process's tests.

--- a/tests/auto/daemon/DaemonTest.cpp
+++ b/tests/auto/daemon/DaemonTest.cpp
@@ -4,12 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "FakePlatform.h"
-#include "app/Daemon.h"
-#include "app/SettingsFile.h"
-#include "auto/http/RawPeer.h"
-#include "catalogue/CatalogueJson.h"
-#include "catalogue/KeyDigest.h"
+#include "LocalHost.h"
 
 using namespace banyanpick;
 
@@ -17,119 +12,8 @@
 
 using nlohmann::json;
 
-std::string settingsText(const Address &Platform) {
-  const CurveKeyPair Keys = makeCurveKeyPair();
-  return fmt::format("[host]\nname = h\nzone = z\ncallers = 127.0.0.1:0\n"
-                     "peers = 127.0.0.1:0\n"
-                     "[platform]\nlog = {0}\nhost_list = {0}\n"
-                     "[peers]\ncurve_public_key = {1}\ncurve_secret_key = {2}\n"
-                     "[operators]\nroot_key = secret\n"
-                     "[logging]\nlevel = error\n",
-                     text(Platform), Keys.PublicKey, Keys.SecretKey);
-}
-
-Settings settingsFor(const Address &Platform) {
-  std::vector<SettingsProblem> Problems;
-  auto Result = readDaemonSettings(settingsText(Platform), Problems);
-  for (const SettingsProblem &Each : Problems)
-    ADD_FAILURE() << Each.Section << " " << Each.Key << " " << Each.Message;
-  return Result.value();
-}
-
-ChangeSet catalogue() {
-  const OwnerId Root("root");
-  ModelEntry Model;
-  Model.Weights = "w";
-  ClassEntry Short;
-  Short.TargetName = "m";
-  Short.MaxPromptTokens = 100'000;
-  Short.MaxOutputTokens = 1000;
-  Short.FirstTokenBase = seconds(20);
-  Short.AnswerBase = seconds(40);
-  ClassEntry Desk = Short;
-  Desk.Target = TargetKind::Application;
-  Desk.TargetName = "desk";
-  TeamEntry Team;
-  Team.Key = digestOfKey("key", "00000000000000000000000000000001");
-  Team.Classes = {ClassId("short"), ClassId("desk")};
-  ChangeSet Result;
-  Result.Id.Value = "00000000000000000000000000000001";
-  Result.Author = Root;
-  const auto Declare = [&](EntryKind Kind, const char *Name, EntryBody Body) {
-    Change &Each = Result.Changes.emplace_back();
-    Each.Key = {Kind, Name};
-    Each.Owner = Root;
-    Each.Body = std::move(Body);
-  };
-  Declare(EntryKind::Model, "m", Model);
-  Declare(EntryKind::Class, "short", Short);
-  Declare(EntryKind::Class, "desk", Desk);
-  Declare(EntryKind::Team, "t", Team);
-  return Result;
-}
-
-/// One daemon with its catalogue in force, for all tests of this file.
-class Host {
-public:
-  Host() : Process(settingsFor(this->Platform.at()), Incarnation(1), 1) {
-    const std::string Set = dumpJson(toJson(catalogue()));
-    this->repeatUntil("accepted", [&] {
-      return this->post("/v1/operator/changes", "root.secret", Set);
-    });
-    this->repeatUntil("whole",
-                      [&] { return this->complete(R"("max_tokens":1)"); });
-  }
-
-  /// Throws when no answer within a minute has the text.
-  void repeatUntil(std::string_view Text,
-                   const std::function<std::string()> &Ask) {
-    constexpr int MostTries = 1200;
-    std::string Answer;
-    for (int Try = 0; Try < MostTries; ++Try) {
-      Answer = Ask();
-      if (Answer.find(Text) != std::string::npos)
-        return;
-      std::this_thread::sleep_for(milliseconds(50));
-    }
-    throw std::runtime_error("no such answer: " + Answer);
-  }
-
-  Address callers() const { return {"127.0.0.1", this->Process.callersPort()}; }
-  Address peers() const { return {"127.0.0.1", this->Process.peersPort()}; }
-
-  /// The whole answer with its header.
-  std::string ask(const std::string &Request) {
-    RawPeer Peer(this->callers());
-    Peer.send(Request);
-    return Peer.readAll();
-  }
-  std::string post(const std::string &Target, const std::string &Key,
-                   const std::string &Body) {
-    return this->ask(head("POST", Target, Key) + "Content-Length: " +
-                     std::to_string(Body.size()) + "\r\n\r\n" + Body);
-  }
-  std::string get(const std::string &Target, const std::string &Key = "") {
-    return this->ask(head("GET", Target, Key) + "\r\n");
-  }
-  std::string complete(const std::string &Members) {
-    return this->post("/v1/completions", "t.key",
-                      R"({"class":"short","prompt":"p",)" + Members + "}");
-  }
-  bool isHealthy() { return this->get("/health").ends_with("ok\n"); }
-
-  static std::string head(const std::string &Method, const std::string &Target,
-                          const std::string &Key) {
-    return Method + " " + Target +
-           " HTTP/1.1\r\nConnection: close\r\nAuthorization: Bearer " + Key +
-           "\r\n";
-  }
-
-  FakePlatform Platform;
-  Daemon Process;
-};
-
-Host &host() {
-  static Host Only;
+LocalHost &host() {
+  static LocalHost Only;
   return Only;
 }
 
@@ -185,7 +69,7 @@
     RawPeer Caller(host().callers());
     const std::string Body =
         R"({"class":"short","prompt":"p","max_tokens":60,"stream":true})";
-    Caller.send(Host::head("POST", "/v1/completions", "t.key") +
+    Caller.send(LocalHost::head("POST", "/v1/completions", "t.key") +
                 "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
                 Body);
     std::string Got;
@@ -243,7 +127,7 @@
 }
 
 TEST(Daemon, StopsGracefully) {
-  auto Own = std::make_unique<Host>();
+  auto Own = std::make_unique<LocalHost>();
   Own->Process.askToStop();
   Own->Process.run(); // Hangs if it never stops.
 }
--- a/tests/auto/daemon/FakePlatform.h
+++ b/tests/auto/daemon/FakePlatform.h
@@ -28,11 +28,14 @@
             limits()) {}
 
   Address at() const { return this->Platform.at(); }
+  Address engineAt() const { return this->Engine.at(); }
 
   /// How long the engine takes for a chunk.
   std::atomic<int> ChunkMs = 0;
   /// Completions that the engine cuts before the end mark.
   std::atomic<int> CutsLeft = 0;
+  /// Chunks are the steady clock's nanoseconds instead of their index.
+  std::atomic<bool> Stamps = false;
 
 private:
   using json = nlohmann::json;
@@ -41,7 +44,7 @@
     HttpSettings Result = smallLimits();
     Result.MaxBodyBytes = 1 << 20;
     Result.TotalBodyBytes = 1 << 24;
-    Result.MaxConnections = 256;
+    Result.MaxConnections = 4096;
     Result.IdleTimeout = seconds(60);
     return Result;
   }
@@ -143,6 +146,15 @@
             {"holds", json::array()}};
   }
 
+  std::string chunkEvent(const std::string &Attempt, std::uint64_t Index) {
+    const auto Now = std::chrono::steady_clock::now().time_since_epoch();
+    const std::string Text =
+        this->Stamps ? std::to_string(Now.count()) : fmt::format("t{} ", Index);
+    return fmt::format(
+        "data: {{\"attempt\":\"{}\",\"index\":{},\"text\":\"{}\"}}\n\n",
+        Attempt, Index, Text);
+  }
+
   Task<void> complete(HttpExchange &Each) {
     const json Asked = parseBoundedJson(Each.body());
     const std::string Attempt(Each.header("X-Attempt"));
@@ -154,9 +166,7 @@
          ++Index) {
       Timer.expires_after(milliseconds(this->ChunkMs));
       co_await Timer.async_wait(net::use_awaitable);
-      const std::string Event = fmt::format(
-          "data: {{\"attempt\":\"{}\",\"index\":{},\"text\":\"t{} \"}}\n\n",
-          Attempt, Index, Index);
+      const std::string Event = this->chunkEvent(Attempt, Index);
       co_await Each.sendEvents(Event);
       if (Cuts && Index >= Count / 2)
         co_return; // Without an end: the connection is closed.
--- /dev/null
+++ b/tests/bench/relay/RelayBench.cpp
@@ -0,0 +1,192 @@
+/// \file
+/// What the entry host adds to a stream: the time of a chunk and of a request
+/// from engine to caller, directly and through the host in turns of one run,
+/// and the memory of an open stream. docs/MEASURING.md explains the figures.
+#include "auto/daemon/LocalHost.h"
+#include "http/ClientStream.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+DEFINE_uint64(requests_per_second, 500, "arrivals");
+DEFINE_uint64(chunks, 40, "chunks of each answer");
+DEFINE_uint64(chunk_ms, 5, "time between two chunks");
+DEFINE_uint64(seconds, 5, "length of each turn");
+DEFINE_uint64(turns, 2, "turns of each kind");
+DEFINE_uint64(open_streams, 400, "streams held open to measure memory");
+
+namespace banyanpick {
+
+namespace {
+
+using Steady = std::chrono::steady_clock;
+
+std::int64_t nowNs() { return Steady::now().time_since_epoch().count(); }
+
+/// Latencies of one kind of path, in microseconds.
+struct Samples {
+  std::vector<double> Chunks;      ///< Engine's write to caller's read.
+  std::vector<double> FirstChunks; ///< Request's start to first chunk.
+  std::uint64_t Whole = 0;
+  std::uint64_t Others = 0;
+};
+
+double quantile(std::vector<double> Values, double Part) {
+  if (Values.empty())
+    return 0;
+  const auto At = static_cast<std::ptrdiff_t>(
+      Part * static_cast<double>(Values.size() - 1));
+  std::nth_element(Values.begin(), Values.begin() + At, Values.end());
+  return Values[static_cast<std::size_t>(At)];
+}
+
+/// Where requests go and what they carry.
+struct Path {
+  Address At;
+  ClientRequest Request;
+};
+
+void take(const ServerEvent &Each, std::int64_t Start, bool &First,
+          Samples &Into) {
+  if (Each.Type == "end")
+    ++Into.Whole;
+  if (!Each.Type.empty())
+    return;
+  const std::int64_t Now = nowNs();
+  const auto Data = nlohmann::json::parse(Each.Data);
+  const std::int64_t Sent = std::stoll(Data["text"].get<std::string>());
+  Into.Chunks.push_back(static_cast<double>(Now - Sent) / 1e3);
+  if (First)
+    Into.FirstChunks.push_back(static_cast<double>(Now - Start) / 1e3);
+  First = false;
+}
+
+Task<void> runOne(const Path &Way, Samples &Into) {
+  const net::any_io_executor Executor = co_await net::this_coro::executor;
+  ClientStream Stream(Executor, 65536);
+  const std::int64_t Start = nowNs();
+  ClientRequest Request = Way.Request;
+  const auto Failure =
+      co_await Stream.open(Way.At, std::move(Request), seconds(5), seconds(60));
+  if (Failure || Stream.status() != 200) {
+    ++Into.Others;
+    co_return;
+  }
+  bool First = true;
+  std::vector<ServerEvent> Events;
+  auto State = ClientStream::ReadState::GoesOn;
+  while (State == ClientStream::ReadState::GoesOn) {
+    Events.clear();
+    State = co_await Stream.readEvents(Events);
+    for (const ServerEvent &Each : Events)
+      take(Each, Start, First, Into);
+  }
+}
+
+/// Sends requests at the given rate for one turn, and waits for their ends.
+void runTurn(const Path &Way, Samples &Into) {
+  net::io_context Io(1);
+  const auto Pause =
+      std::chrono::nanoseconds(1'000'000'000) / FLAGS_requests_per_second;
+  const auto Count = FLAGS_requests_per_second * FLAGS_seconds;
+  const auto Arrivals = [&]() -> Task<void> {
+    net::steady_timer Timer(Io, Steady::now());
+    for (std::uint64_t I = 0; I < Count; ++I) {
+      net::co_spawn(Io, runOne(Way, Into), net::detached);
+      Timer.expires_at(Timer.expiry() + Pause);
+      co_await Timer.async_wait(net::use_awaitable);
+    }
+  };
+  net::co_spawn(Io, Arrivals(), net::detached);
+  Io.run();
+}
+
+double residentBytes() {
+  std::ifstream In("/proc/self/statm");
+  double Total = 0;
+  double Resident = 0;
+  In >> Total >> Resident;
+  return Resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+/// How the process grows by one open stream over the path.
+double bytesPerStream(const Path &Way) {
+  net::io_context Io(1);
+  Samples Ignored;
+  const double Before = residentBytes();
+  for (std::uint64_t I = 0; I < FLAGS_open_streams; ++I)
+    net::co_spawn(Io, runOne(Way, Ignored), net::detached);
+  Io.run_for(seconds(3));
+  return (residentBytes() - Before) / static_cast<double>(FLAGS_open_streams);
+}
+
+std::string bodyFor(bool Direct, std::uint64_t Chunks) {
+  const std::string Prompt(4096, 'p');
+  nlohmann::json Body{{"prompt", Prompt}, {"max_tokens", Chunks}};
+  if (Direct)
+    Body.update({{"model", "m"}, {"start_index", 0}});
+  else
+    Body.update({{"class", "short"}, {"stream", true}});
+  return dumpJson(Body);
+}
+
+Path pathTo(const Address &At, bool Direct, std::uint64_t Chunks) {
+  Path Result;
+  Result.At = At;
+  Result.Request.Method = http::verb::post;
+  Result.Request.Target = "/v1/completions";
+  Result.Request.Headers = {{"Authorization", "Bearer t.key"},
+                            {"X-Attempt", "1-1"}};
+  Result.Request.Body = bodyFor(Direct, Chunks);
+  return Result;
+}
+
+void print(const char *Name, const Samples &Of) {
+  fmt::print("{:<12} {:>9} {:>7} {:>10.0f} {:>10.0f} {:>12.0f} {:>12.0f}\n",
+             Name, Of.Whole, Of.Others, quantile(Of.Chunks, 0.5),
+             quantile(Of.Chunks, 0.99), quantile(Of.FirstChunks, 0.5),
+             quantile(Of.FirstChunks, 0.99));
+}
+
+int measure() {
+  LocalHost Host;
+  Host.Platform.ChunkMs = static_cast<int>(FLAGS_chunk_ms);
+  Host.Platform.Stamps = true;
+  const Address Engine = Host.Platform.engineAt();
+  const Path Direct = pathTo(Engine, true, FLAGS_chunks);
+  const Path Relayed = pathTo(Host.callers(), false, FLAGS_chunks);
+  Samples OfDirect;
+  Samples OfRelayed;
+  for (std::uint64_t Turn = 0; Turn < FLAGS_turns; ++Turn) {
+    runTurn(Direct, OfDirect);
+    runTurn(Relayed, OfRelayed);
+  }
+  fmt::print("{} requests/s, {} chunks/s, microseconds\n"
+             "path             whole  others  chunk p50  chunk p99  first p50  "
+             "  first p99\n",
+             FLAGS_requests_per_second,
+             FLAGS_requests_per_second * FLAGS_chunks);
+  print("direct", OfDirect);
+  print("entry host", OfRelayed);
+  fmt::print("added p50: {:.0f} us a chunk, {:.0f} us a request\n",
+             quantile(OfRelayed.Chunks, 0.5) - quantile(OfDirect.Chunks, 0.5),
+             quantile(OfRelayed.FirstChunks, 0.5) -
+                 quantile(OfDirect.FirstChunks, 0.5));
+  Host.Platform.ChunkMs = 1000;
+  const double ByDirect = bytesPerStream(pathTo(Engine, true, 100));
+  const double ByRelayed = bytesPerStream(pathTo(Host.callers(), false, 100));
+  fmt::print("memory of an open stream: {:.1f} KB in the entry host ({:.1f} KB "
+             "with caller and engine, {:.1f} KB of them alone)\n",
+             (ByRelayed - ByDirect) / 1024, ByRelayed / 1024, ByDirect / 1024);
+  return OfRelayed.Whole > 0 ? 0 : 1;
+}
+
+} // namespace
+} // namespace banyanpick
+
+int main(int Count, char **Values) {
+  gflags::ParseCommandLineFlags(&Count, &Values, true);
+  return banyanpick::measure();
+}
