Keep the process alive when an address or a coroutine fails

Cause: a peer's address that ZeroMQ refuses, and anything thrown in a traffic coroutine, ended the process. Change: such a peer is passed over and told in the log; a traffic thread goes on with its other connections and logs the broken invariant. A test gives the network an address that nobody can connect to.

--- a/src/app/TrafficThread.cpp
+++ b/src/app/TrafficThread.cpp
@@ -1,5 +1,8 @@
 #include "app/TrafficThread.h"
 
+#include "base/EventNumbers.h"
+#include "logging/LineLog.h"
+
 namespace banyanpick {
 
 TrafficThread::TrafficThread(std::uint64_t Index, std::uint64_t Count,
@@ -15,7 +18,22 @@
 TrafficThread::~TrafficThread() { this->stop(); }
 
 void TrafficThread::start() {
-  this->Thread = std::thread([this] { this->Io.run(); });
+  this->Thread = std::thread([this] { this->run(); });
+}
+
+void TrafficThread::run() {
+  while (!this->Io.stopped()) {
+    try {
+      this->Io.run();
+    } catch (const std::exception &Failure) {
+      // What threw is lost; the other connections of the thread go on.
+      const std::string Why = "traffic does not throw: ";
+      writeLogLine(logEvent(events::InvariantBroken)
+                       .with("invariant", Why + Failure.what())
+                       .build(),
+                   this->Uses.Clock.now());
+    }
+  }
 }
 
 void TrafficThread::stop() {
--- a/src/libs/peers/PeerNetwork.cpp
+++ b/src/libs/peers/PeerNetwork.cpp
@@ -164,12 +164,13 @@
 void PeerNetwork::take(zmq::message_t &Payload) {
   try {
     PeerMessage Message = decodePeerMessage(Payload.to_string_view());
-    const std::string_view User = Payload.gets("User-Id");
+    const char *Proved = Payload.gets("User-Id");
+    const std::string_view User = Proved ? Proved : "";
     if (User != AnyHost && User != Message.From.Value)
       throw Error(ErrorKind::NotAllowed, "the sender's key is another host's",
                   "give each host its own key pair");
     this->Tell.OnMessage(std::move(Message));
-  } catch (const Error &Failure) {
+  } catch (const std::exception &Failure) {
     this->Tell.OnMalformed(Failure.what());
   }
 }
@@ -185,7 +186,16 @@
   });
   for (const auto &[Host, Listing] : Wanted)
     if (!this->Links.contains(Host))
-      this->Links.emplace(Host, Link{Listing->Peers, this->makeLink(*Listing)});
+      this->addLink(*Listing);
+}
+
+void PeerNetwork::addLink(const HostListing &Peer) {
+  try {
+    this->Links.emplace(Peer.Id, Link{Peer.Peers, this->makeLink(Peer)});
+  } catch (const zmq::error_t &Failure) {
+    // The host list may name an address that can't be connected to.
+    this->Tell.OnMalformed("peer " + Peer.Id.Value + ": " + Failure.what());
+  }
 }
 
 zmq::socket_t PeerNetwork::makeLink(const HostListing &Peer) {
--- a/src/libs/peers/PeerNetwork.h
+++ b/src/libs/peers/PeerNetwork.h
@@ -53,6 +53,7 @@
   void receiveAll();
   void take(zmq::message_t &Payload);
   void connectTo(std::span<const HostListing> Peers);
+  void addLink(const HostListing &Peer);
   zmq::socket_t makeLink(const HostListing &Peer);
   void wake();
 
--- a/tests/auto/daemon/PeerNetworkTest.cpp
+++ b/tests/auto/daemon/PeerNetworkTest.cpp
@@ -122,6 +122,17 @@
   EXPECT_FALSE(InboxOfB.waitForMessage(std::chrono::milliseconds(0)));
 }
 
+TEST(PeerNetwork, AnAddressNobodyCanConnectToIsPassedOver) {
+  Inbox InboxOfA;
+  PeerNetwork A(HostId("a"), Incarnation(1), AnyPort,
+                settingsWith(makeCurveKeyPair(), ""), InboxOfA.listener());
+  HostListing Wrong;
+  Wrong.Id.Value = "b";
+  Wrong.Peers = {"not an address", 1};
+  A.connect({Wrong});
+  EXPECT_TRUE(InboxOfA.waitForMalformed(Long));
+}
+
 TEST(PeerNetwork, MalformedKeysAreRefused) {
   EXPECT_THROW(AllowedKeys::parse("short"), Error);
   EXPECT_THROW(AllowedKeys::parse("host " + std::string(40, ' ')), Error);
