--- a/tests/process/FailureTest.cpp
+++ b/tests/process/FailureTest.cpp
@@ -2,11 +2,15 @@
 /// Failures of real processes: kills, freezes, outages of the log and bad
 /// bytes. No verdict depends on how fast anything runs.
 #include "process/Deployment.h"
+#include "standins/HttpServer.h"
 #include "standins/WireText.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <csignal>
 #include <future>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace banyanpick::process {
 namespace {
@@ -53,6 +57,15 @@
   return Answer.is_object() ? Answer.value("answer", "") : "";
 }
 
+/// Sends the bytes as they are and hangs up.
+void sendRaw(const std::string &Address, const std::string &Bytes) {
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::socket Line(Io);
+  boost::system::error_code Ignored;
+  Line.connect(standins::parseEndpoint(Address), Ignored);
+  boost::asio::write(Line, boost::asio::buffer(Bytes), Ignored);
+}
+
 class Failure : public testing::Test {
 protected:
   /// Runs the item in the background, from the host's point of view first.
@@ -159,5 +172,20 @@
   EXPECT_EQ(this->All.runsOf(Key), 1U);
 }
 
+TEST_F(Failure, BadBytesAtEveryPortLeaveTheHostServing) {
+  rc::check("a host answers after any bytes", [this] {
+    const auto Bytes = *rc::gen::container<std::string>(
+        rc::gen::oneOf(rc::gen::arbitrary<char>(),
+                       rc::gen::elementOf(std::string("GETPOST /{}\":\r\n"))));
+    Member &Target = this->All.host(0);
+    sendRaw(Target.Address, Bytes);
+    sendRaw(Target.Address, "POST /v1/completions HTTP/1.1\r\n\r\n" + Bytes);
+    sendRaw(Target.Peers, Bytes);
+    RC_ASSERT(Target.Process->isAlive());
+  });
+  expectWhole(this->runBeside(longStream()).get());
+  EXPECT_TRUE(this->All.host(0).Process->isAlive());
+}
+
 } // namespace
 } // namespace banyanpick::process
