--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -14,6 +14,7 @@
                            const std::string &OutputFile) {
   Arguments.insert(Arguments.begin(), Program);
   std::vector<char *> Raw;
+  Raw.reserve(Arguments.size() + 1);
   for (std::string &Each : Arguments)
     Raw.push_back(Each.data());
   Raw.push_back(nullptr);
--- a/tests/process/Deployment.cpp
+++ b/tests/process/Deployment.cpp
@@ -130,7 +130,7 @@
 
 std::string Deployment::writeFile(const std::string &Name,
                                   const std::string &Text) const {
-  const std::string Path = this->Directory + "/" + Name;
+  std::string Path = this->Directory + "/" + Name;
   std::ofstream(Path) << Text;
   return Path;
 }
