--- a/src/app/StatusJson.h
+++ b/src/app/StatusJson.h
@@ -1,5 +1,5 @@
 /// \file
-/// Answers to operators as JSON.
+/// Answers to operators as HTTP answers.
 #pragma once
 
 #include "http/HttpExchange.h"
--- a/src/libs/catalogue/CataloguePage.cpp
+++ b/src/libs/catalogue/CataloguePage.cpp
@@ -11,7 +11,7 @@
 
 std::string sectionOf(EntryKind Kind) {
   std::string Result = fmt::format(
-      "\n### [{} NAME]\n\n| key | default | meaning |\n| --- | --- | --- |\n"
+      "\n## [{} NAME]\n\n| key | default | meaning |\n| --- | --- | --- |\n"
       "| `owner` | {} | The owner, who alone may change the entry. |\n",
       name(Kind), Kind == EntryKind::Owner ? "`root`" : "required");
   for (const FieldText &Each : fieldTexts(emptyBody(Kind))) {
@@ -27,7 +27,8 @@
 
 std::string cataloguePage() {
   std::string Result =
-      "\n## Catalogue\n\n"
+      "# Catalogue\n\nMade by `banyanpick fields`; a test holds the two "
+      "together.\n"
       "Operators' files for `banyanpick apply`. Durations have a unit (`us`,\n"
       "`ms`, `s`, `min`, `h`), sizes may have one (`KB`, `MB`, `GB`). A line\n"
       "that begins with a blank goes on with the value of the line before it.\n"
--- a/src/libs/catalogue/CataloguePage.h
+++ b/src/libs/catalogue/CataloguePage.h
@@ -6,7 +6,7 @@
 
 namespace banyanpick {
 
-/// A chapter "Catalogue" that follows the settings' page.
+/// The whole of docs/CATALOGUE.md.
 std::string cataloguePage();
 
 } // namespace banyanpick
--- a/src/libs/settings/SettingValue.cpp
+++ b/src/libs/settings/SettingValue.cpp
@@ -58,6 +58,8 @@
     Units = SpanUnits;
   if (Kind == SettingKind::Size)
     Units = SizeUnits;
+  if (Kind == SettingKind::Span && Number == 0)
+    return "0s";
   std::string Result = numberText(Number);
   for (const Unit &Each : Units) {
     const double Count = Number / Each.Factor;
--- a/src/tools/CommandTable.cpp
+++ b/src/tools/CommandTable.cpp
@@ -8,11 +8,13 @@
 
 namespace {
 
-constexpr std::array<CommandHelp, 11> Commands{{
+constexpr std::array<CommandHelp, 12> Commands{{
     {"check", "FILE", 1, "", "Checks a file of declarations; needs no host.",
      R"(Every problem is reported with file, line, key, allowed values and remedy.
 FILE may be - for standard input.
 )"},
+    {"fields", "", 0, "",
+     "Prints the keys of a file of declarations, as a page.", ""},
     {"apply", "FILE", 1, "--prune --timeout --change_id",
      "Brings the catalogue to what FILE declares.",
      R"(Changes the entries of the key's owner and leaves those of others alone.
--- a/src/tools/LocalCommands.cpp
+++ b/src/tools/LocalCommands.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "base/Text.h"
+#include "catalogue/CataloguePage.h"
 #include "catalogue/EntryValue.h"
 #include "catalogue/KeyDigest.h"
 #include "tools/DeclarationFile.h"
@@ -68,6 +69,11 @@
   return Result;
 }
 
+Outcome fields() {
+  const std::string Page = cataloguePage();
+  return {ExitCode::Ok, Page, {{"page", Page}}};
+}
+
 Outcome keys() {
   std::array<char, CurveKeyCharacters> Public{};
   std::array<char, CurveKeyCharacters> Secret{};
--- a/src/tools/LocalCommands.h
+++ b/src/tools/LocalCommands.h
@@ -16,6 +16,9 @@
 /// or of a new one. Throws Error(BadInput) when the key is malformed.
 Outcome digest(const Options &Given, std::string_view PresentedKey);
 
+/// `fields`: the page of what may stand in a file of declarations.
+Outcome fields();
+
 /// `keys`: a new CURVE key pair for an entry host.
 Outcome keys();
 
--- a/src/tools/Main.cpp
+++ b/src/tools/Main.cpp
@@ -28,6 +28,8 @@
     return check(Given, readWholeFile(Given.Arguments.at(0)));
   if (Name == "keys")
     return keys();
+  if (Name == "fields")
+    return fields();
   const bool NeedsKey = Given.NewKeyName.empty() && Given.Key.empty();
   return digest(Given, NeedsKey ? readWholeFile("-") : Given.Key);
 }
@@ -58,7 +60,8 @@
 
 Outcome run(const CommandLine &Asked) {
   const std::string_view Name = Asked.Command->Name;
-  const bool IsLocal = Name == "check" || Name == "digest" || Name == "keys";
+  const bool IsLocal =
+      Name == "check" || Name == "digest" || Name == "keys" || Name == "fields";
   return IsLocal ? runLocal(Asked.Given, Name) : runRemote(Asked);
 }
 
