--- a/src/app/ActionRouter.cpp
+++ b/src/app/ActionRouter.cpp
@@ -69,23 +69,28 @@
 }
 
 void ActionRouter::perform(AcceptRequest Wanted) {
-  this->postTo(Wanted.Request.Value, std::move(Wanted));
+  const std::uint64_t Id = Wanted.Request.Value;
+  this->postTo(Id, std::move(Wanted));
 }
 
 void ActionRouter::perform(AnswerRequest Wanted) {
-  this->postTo(Wanted.Request.Value, std::move(Wanted));
+  const std::uint64_t Id = Wanted.Request.Value;
+  this->postTo(Id, std::move(Wanted));
 }
 
 void ActionRouter::perform(RedirectCaller Wanted) {
-  this->postTo(Wanted.Request.Value, std::move(Wanted));
+  const std::uint64_t Id = Wanted.Request.Value;
+  this->postTo(Id, std::move(Wanted));
 }
 
 void ActionRouter::perform(AnswerResolve Wanted) {
-  this->postTo(Wanted.Id.Value, std::move(Wanted));
+  const std::uint64_t Id = Wanted.Id.Value;
+  this->postTo(Id, std::move(Wanted));
 }
 
 void ActionRouter::perform(AnswerOperator Wanted) {
-  this->postTo(Wanted.Id.Value, std::move(Wanted));
+  const std::uint64_t Id = Wanted.Id.Value;
+  this->postTo(Id, std::move(Wanted));
 }
 
 void ActionRouter::perform(SendToPeer Wanted) {
@@ -96,11 +101,11 @@
   this->Peers.connect(std::move(Wanted.Peers));
 }
 
-void ActionRouter::perform(WriteLogLine Wanted) {
+void ActionRouter::perform(const WriteLogLine &Wanted) {
   writeLogLine(Wanted.Line, this->Clock.now());
 }
 
-void ActionRouter::perform(RecordMeasurement Wanted) {
+void ActionRouter::perform(const RecordMeasurement &Wanted) {
   this->Measured.record(Wanted);
 }
 
--- a/src/app/ActionRouter.h
+++ b/src/app/ActionRouter.h
@@ -30,7 +30,7 @@
   void perform(DispatchAttempt Wanted);
   void perform(CancelAttempt Wanted);
   void perform(JoinStream Wanted);
-  void perform(WriteLogLine Wanted);
+  void perform(const WriteLogLine &Wanted);
   void perform(AcceptRequest Wanted);
   void perform(AnswerRequest Wanted);
   void perform(RedirectCaller Wanted);
@@ -38,7 +38,7 @@
   void perform(AnswerOperator Wanted);
   void perform(SendToPeer Wanted);
   void perform(ConnectPeers Wanted);
-  void perform(RecordMeasurement Wanted);
+  void perform(const RecordMeasurement &Wanted);
   void perform(StopNow Wanted);
   template <class ToUpstream> void perform(ToUpstream Wanted);
   void perform(ReadHostList Wanted) { this->postTo(0, Wanted); }
--- a/src/plugins/claims/ClaimsPlugin.cpp
+++ b/src/plugins/claims/ClaimsPlugin.cpp
@@ -393,8 +393,8 @@
     this->denyWaiting(Name, this->notSettled(), Now, Out);
 }
 
-void ClaimsPlugin::decide(const RequestId &Id, ClaimVerdict Verdict, Time Now,
-                          Actions &Out) {
+void ClaimsPlugin::decide(const RequestId &Id, const ClaimVerdict &Verdict,
+                          Time Now, Actions &Out) {
   const bool Granted = std::holds_alternative<ClaimGranted>(Verdict);
   Out.log(logEvent(events::ClaimDecided)
               .with("request", Id.Value)
--- a/src/plugins/claims/ClaimsPlugin.h
+++ b/src/plugins/claims/ClaimsPlugin.h
@@ -78,7 +78,7 @@
   void giveBack(const OperationName &Name, const RecordId &Claim, Time Now,
                 Actions &Out);
   void giveUpLate(Time Now, Actions &Out);
-  void decide(const RequestId &Id, ClaimVerdict Verdict, Time Now,
+  void decide(const RequestId &Id, const ClaimVerdict &Verdict, Time Now,
               Actions &Out);
 
   Services *Offered = nullptr;
--- a/src/plugins/fairness/LaneKey.cpp
+++ b/src/plugins/fairness/LaneKey.cpp
@@ -21,15 +21,17 @@
 } // namespace
 
 std::strong_ordering LaneKey::operator<=>(const LaneKey &Other) const {
-  if (const auto Order = Other.Urgency <=> this->Urgency; Order != 0)
+  if (const auto Order = Other.Urgency <=> this->Urgency; std::is_neq(Order))
     return Order;
-  if (const auto Order = this->LengthBucket <=> Other.LengthBucket; Order != 0)
+  if (const auto Order = this->LengthBucket <=> Other.LengthBucket;
+      std::is_neq(Order))
     return Order;
-  if (const auto Order = this->IsIsolated <=> Other.IsIsolated; Order != 0)
+  if (const auto Order = this->IsIsolated <=> Other.IsIsolated;
+      std::is_neq(Order))
     return Order;
-  if (const auto Order = this->IsHeld <=> Other.IsHeld; Order != 0)
+  if (const auto Order = this->IsHeld <=> Other.IsHeld; std::is_neq(Order))
     return Order;
-  if (const auto Order = this->Target <=> Other.Target; Order != 0)
+  if (const auto Order = this->Target <=> Other.Target; std::is_neq(Order))
     return Order;
   return this->TargetName <=> Other.TargetName;
 }
--- a/src/plugins/limits/ShareView.cpp
+++ b/src/plugins/limits/ShareView.cpp
@@ -32,7 +32,7 @@
 /// The hosts that hold shares, most preferred first.
 std::vector<HostId> holders(const TeamId &Team, const TeamEntry &Limits,
                             std::span<const ShareHost> Hosts) {
-  const auto All =
+  auto All =
       chosen(Team, Limits, Hosts, [](const ShareHost &) { return true; });
   const auto Living =
       std::count_if(All.begin(), All.end(), [&](const HostId &Each) {
--- a/src/plugins/log/AppendQueue.cpp
+++ b/src/plugins/log/AppendQueue.cpp
@@ -92,7 +92,7 @@
   this->InFlight.reset();
   switch (Answer.Result) {
   case AppendResult::Taken:
-    return this->landed(std::move(Items));
+    return this->landed(Items);
   case AppendResult::Refused:
     return this->refused(std::move(Items), Now);
   case AppendResult::Unknown:
@@ -162,7 +162,7 @@
   return Batch;
 }
 
-void AppendQueue::landed(std::vector<Item> Items) {
+void AppendQueue::landed(const std::vector<Item> &Items) {
   for (const Item &Each : Items)
     this->settle(Each.Record.Id, true);
 }
--- a/src/plugins/log/AppendQueue.h
+++ b/src/plugins/log/AppendQueue.h
@@ -95,7 +95,7 @@
 
   void send(Time Now, Actions &Out);
   std::vector<Item> nextBatch();
-  void landed(std::vector<Item> Items);
+  void landed(const std::vector<Item> &Items);
   void refused(std::vector<Item> Items, Time Now);
   void unknown(std::vector<Item> Items, Time Now);
   void settle(const RecordId &Id, bool Taken);
--- a/src/plugins/membership/PeerTable.cpp
+++ b/src/plugins/membership/PeerTable.cpp
@@ -258,8 +258,9 @@
                       Now < Record.UnlistedAt + this->Timeouts.ForgetAfter;
     if (Keep)
       continue;
-    this->Members.erase(this->Members.begin() + At);
-    this->Records.erase(this->Records.begin() + At);
+    const auto Position = static_cast<std::ptrdiff_t>(At);
+    this->Members.erase(this->Members.begin() + Position);
+    this->Records.erase(this->Records.begin() + Position);
   }
 }
 
--- a/src/plugins/reclaim/OrphanWatch.h
+++ b/src/plugins/reclaim/OrphanWatch.h
@@ -44,6 +44,7 @@
     std::uint64_t OwnerLife = 0;
     std::uint64_t Sequence = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang 14 misreads defaults.
     auto operator<=>(const Key &) const = default;
   };
   struct Seen {
--- a/src/plugins/routing/RoutingPlugin.cpp
+++ b/src/plugins/routing/RoutingPlugin.cpp
@@ -44,8 +44,8 @@
                                 const SelectionLimits &Limits, Time Now,
                                 Actions &Out) {
   if (Wanted.Class.Target == TargetKind::Application) {
-    const Selection Chosen = chooseApplication(*this->Fleet, Wanted, Limits,
-                                               this->SelfZone, *this->Numbers);
+    Selection Chosen = chooseApplication(*this->Fleet, Wanted, Limits,
+                                         this->SelfZone, *this->Numbers);
     if (const auto *Choice = std::get_if<Selected>(&Chosen))
       this->logChoice(Wanted, *Choice, {}, Out);
     return Chosen;
@@ -143,6 +143,7 @@
   if (Compared.empty())
     return NothingFits{this->Fleet->enginesWith(Model).empty(), LookAgain};
   std::vector<std::uint32_t> Positions;
+  Positions.reserve(Compared.size());
   for (const Candidate &Each : Compared)
     Positions.push_back(Each.Position);
 
--- a/tests/auto/daemon/PeerNetworkTest.cpp
+++ b/tests/auto/daemon/PeerNetworkTest.cpp
@@ -47,7 +47,7 @@
 
 /// For networks that only send.
 PeerNetwork::Listener deaf() {
-  return {[](PeerMessage) {}, [](std::string_view) {}};
+  return {[](const PeerMessage &) {}, [](std::string_view) {}};
 }
 
 PeerSettings settingsWith(const CurveKeyPair &Own, std::string_view Allowed) {
--- a/tests/auto/quarantine/QuarantineTest.cpp
+++ b/tests/auto/quarantine/QuarantineTest.cpp
@@ -241,7 +241,7 @@
   }
   QuarantineList Learning(seconds(1800));
   const auto Order = *rc::gen::container<std::vector<int>>(
-      Count * 2, rc::gen::inRange(0, Count));
+      std::size_t(2) * Count, rc::gen::inRange(0, Count));
   for (const int Index : Order)
     Learning.merge(Told[static_cast<std::size_t>(Index)], Now);
   Learning.merge(Told.back(), Now);
--- a/tests/auto/random/RandomTest.cpp
+++ b/tests/auto/random/RandomTest.cpp
@@ -3,6 +3,7 @@
 #include "harness/RandomScenario.h"
 #include "harness/ScenarioRunner.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -33,7 +34,7 @@
   ScenarioRunner Runner(Text);
   Runner.run();
   for (const std::string &Each : Runner.failures())
-    RC_FAIL(Each + "\n" + Text);
+    RC_FAIL(fmt::format("{}\n{}", Each, Text));
 }
 
 TEST(RandomTest, PromisesHoldUnderManyFaults) {
--- a/tests/auto/resolve/ResolveTest.cpp
+++ b/tests/auto/resolve/ResolveTest.cpp
@@ -103,6 +103,7 @@
 RC_GTEST_PROP(HostChoiceTest, NamesAtMostTheWantedNearestFirst, ()) {
   std::vector<CallerHost> Hosts;
   const int Count = *rc::gen::inRange(0, 20);
+  Hosts.reserve(static_cast<std::size_t>(Count));
   for (int Index = 0; Index < Count; ++Index)
     Hosts.push_back(host(Index, *rc::gen::element<std::string>("z", "y")));
   const auto Most = *rc::gen::inRange<std::size_t>(1, 6);
--- a/tests/auto/tools/CommandLineTest.cpp
+++ b/tests/auto/tools/CommandLineTest.cpp
@@ -14,6 +14,7 @@
 CommandLine parse(std::vector<std::string> Words) {
   Words.insert(Words.begin(), "banyanpick");
   std::vector<char *> Pointers;
+  Pointers.reserve(Words.size());
   for (std::string &Each : Words)
     Pointers.push_back(Each.data());
   return parseCommandLine(static_cast<int>(Pointers.size()), Pointers.data());
