Mend the linter's last two findings

Cause: a vector grown in a loop, and an unsigned offset of an iterator. Change: reserve, and a signed offset; behaviour stays. Measured: builds without warnings.

--- a/src/libs/peers/ZapGate.cpp
+++ b/src/libs/peers/ZapGate.cpp
@@ -62,6 +62,7 @@
       Allows ? "200" : "400", Allows ? "OK" : "not allowed",
       Allows ? User : "",     ""};
   std::vector<zmq::const_buffer> Frames;
+  Frames.reserve(Answer.size());
   for (const std::string &Each : Answer)
     Frames.push_back(zmq::buffer(Each));
   zmq::send_multipart(this->Requests, Frames, zmq::send_flags::dontwait);
--- a/tests/bench/slopes/DecisionSlopes.cpp
+++ b/tests/bench/slopes/DecisionSlopes.cpp
@@ -32,9 +32,10 @@
 
 double quantile(std::vector<double> Values, double Part) {
   const auto At =
-      static_cast<std::size_t>(Part * static_cast<double>(Values.size() - 1));
-  std::nth_element(Values.begin(), Values.begin() + At, Values.end());
-  return Values[At];
+      Values.begin() + static_cast<std::ptrdiff_t>(
+                           Part * static_cast<double>(Values.size() - 1));
+  std::nth_element(Values.begin(), At, Values.end());
+  return *At;
 }
 
 AttemptId attemptIn(const std::vector<Action> &Wanted) {
