--- a/src/plugins/routing/WorkBook.cpp
+++ b/src/plugins/routing/WorkBook.cpp
@@ -5,7 +5,7 @@
 namespace banyanpick {
 
 void WorkBook::sent(const UpstreamId &Engine, SentWork Work) {
-  this->ByEngine[Engine].push_back(std::move(Work));
+  this->ByEngine[Engine].push_back(Work);
 }
 
 void WorkBook::firstToken(const UpstreamId &Engine, const AttemptId &Attempt) {
