--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -88,6 +88,8 @@
                                             "this process was paused"};
 inline constexpr EventKind HostNameTaken{
     504, LogLevel::Error, "another process uses this host's name"};
+inline constexpr EventKind UpstreamChanged{510, LogLevel::Info,
+                                           "upstream changed state"};
 
 // 6xx: placement and orders
 inline constexpr EventKind GroupTaken{660, LogLevel::Info,
--- /dev/null
+++ b/tests/auto/fleet/FleetBench.h
@@ -0,0 +1,84 @@
+/// \file
+/// The fleet plug-in among fakes, with upstreams that answer its polls.
+#pragma once
+
+#include "fakes/PluginViews.h"
+#include "fakes/RequestMaker.h"
+#include "plugins/fleet/FleetPlugin.h"
+
+#include <map>
+#include <optional>
+
+namespace banyanpick {
+
+class FleetBench : public PluginBench<FleetPlugin> {
+public:
+  FleetBench() : PluginBench<FleetPlugin>("host-a") {}
+
+  /// An engine as the host list shows it.
+  static UpstreamListing engine(const std::string &Name,
+                                std::uint64_t Life = 1) {
+    UpstreamListing Result;
+    Result.Id = UpstreamId(Name);
+    Result.Life = Incarnation(Life);
+    Result.Zone = ZoneId("z");
+    return Result;
+  }
+  static LoadReport report(const std::string &Name, std::uint64_t Life,
+                           Time MeasuredAt) {
+    LoadReport Result;
+    Result.Id = UpstreamId(Name);
+    Result.Life = Incarnation(Life);
+    Result.MeasuredAt = MeasuredAt;
+    Result.Models = {ModelId("m")};
+    return Result;
+  }
+
+  std::vector<Action> feed(const Event &What) {
+    Actions Out;
+    this->Tested.handle(What, this->Now, Out);
+    return Out.take();
+  }
+  void list(std::vector<UpstreamListing> Upstreams) {
+    this->Listed = std::move(Upstreams);
+    this->feed(HostListRead{{}, this->Listed});
+  }
+  /// The engine answers a poll now.
+  std::vector<Action> answer(const std::string &Name, std::uint64_t Life = 1) {
+    return this->feed(LoadReported{report(Name, Life, this->Now)});
+  }
+  UpstreamState state(const std::string &Name) const {
+    return this->Tested.find(UpstreamId(Name))->State;
+  }
+  /// Passes time; the host list is read again, polls stay unanswered.
+  std::vector<Action> pass(Duration Span) {
+    std::vector<Action> Result;
+    for (const Time End = this->Now + Span; this->Now < End;) {
+      this->Now += milliseconds(100);
+      for (Action &Each : this->feed(HostListRead{{}, this->Listed}))
+        Result.push_back(std::move(Each));
+    }
+    return Result;
+  }
+
+  Time Now = Time(seconds(1000));
+  std::vector<UpstreamListing> Listed;
+};
+
+template <class Wanted> std::size_t countOf(const std::vector<Action> &Among) {
+  std::size_t Result = 0;
+  for (const Action &Each : Among)
+    Result += std::holds_alternative<Wanted>(Each);
+  return Result;
+}
+
+/// How many of the messages sent have this body.
+template <class Body> std::size_t sentOf(const std::vector<Action> &Among) {
+  std::size_t Result = 0;
+  for (const Action &Each : Among)
+    if (const auto *Sent = std::get_if<SendToPeer>(&Each))
+      Result += std::holds_alternative<Body>(Sent->Body);
+  return Result;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/fleet/FleetRelayTest.cpp
@@ -0,0 +1,89 @@
+/// \file
+/// With many entry hosts few poll an upstream and pass its load on.
+#include <gtest/gtest.h>
+
+#include "FleetBench.h"
+
+namespace banyanpick {
+namespace {
+
+constexpr int Hosts = 20;
+constexpr int Engines = 100;
+
+/// One of the many hosts of a zone, with all engines listed.
+struct ManyHosts {
+  explicit ManyHosts(int Index) : Bench(name(Index)) {
+    for (int Other = 0; Other < Hosts; ++Other)
+      if (Other != Index)
+        this->Bench.Members.add(HostId(name(Other)));
+    this->Bench.start();
+    HostListRead List;
+    for (int Engine = 0; Engine < Engines; ++Engine)
+      List.Upstreams.push_back(
+          FleetBench::engine("e" + std::to_string(Engine)));
+    this->feed(List);
+  }
+  static std::string name(int Index) { return "h" + std::to_string(Index); }
+  std::vector<Action> feed(const Event &What) {
+    Actions Out;
+    this->Bench.Tested.handle(What, this->Now, Out);
+    return Out.take();
+  }
+  std::vector<UpstreamId> polled() {
+    this->Now += seconds(1);
+    std::vector<UpstreamId> Result;
+    for (const Action &Each : this->feed(Tick{}))
+      if (const auto *Poll = std::get_if<PollLoad>(&Each))
+        Result.push_back(Poll->Upstream);
+    return Result;
+  }
+
+  Time Now = Time(seconds(1000));
+  PluginBench<FleetPlugin> Bench;
+};
+
+TEST(FleetRelayTest, TwoHostsPollEachEngine) {
+  std::map<UpstreamId, int> Pollers;
+  for (int Index = 0; Index < Hosts; ++Index) {
+    ManyHosts Of(Index);
+    // Polls of the first round are unanswered; count them after the timeout.
+    Of.Now += seconds(2);
+    for (const UpstreamId &Each : Of.polled())
+      ++Pollers[Each];
+  }
+  EXPECT_EQ(Pollers.size(), static_cast<std::size_t>(Engines));
+  for (const auto &[Engine, Count] : Pollers)
+    EXPECT_EQ(Count, 2) << Engine.Value;
+}
+
+TEST(FleetRelayTest, OneOfThemPassesAReportOnOnce) {
+  const LoadReport Report = FleetBench::report("e7", 1, Time(seconds(1000)));
+  int Relaying = 0;
+  for (int Index = 0; Index < Hosts; ++Index) {
+    ManyHosts Of(Index);
+    const auto First = Of.feed(LoadReported{Report});
+    Relaying += sentOf<LoadRelayed>(First) == Hosts - 1;
+    EXPECT_EQ(sentOf<LoadRelayed>(Of.feed(LoadReported{Report})), 0u);
+  }
+  EXPECT_EQ(Relaying, 1);
+}
+
+TEST(FleetRelayTest, RelayedReportMakesLiveAndAnOlderOneChangesNothing) {
+  ManyHosts Of(0);
+  const auto Hear = [&](const LoadReport &Report) {
+    Of.feed(PeerMessageReceived{
+        {HostId("h1"), Incarnation(1), LoadRelayed{Report}}});
+  };
+  LoadReport Newer = FleetBench::report("e7", 1, Time(seconds(1000)));
+  Newer.Running = 5;
+  Hear(Newer);
+  const Upstream &Seen = *Of.Bench.Tested.find(UpstreamId("e7"));
+  EXPECT_EQ(Seen.State, UpstreamState::Live);
+  LoadReport Older = FleetBench::report("e7", 9, Time(seconds(999)));
+  Hear(Older);
+  EXPECT_EQ(Seen.Listing.Life, Incarnation(1));
+  EXPECT_EQ(Seen.Report.Running, 5u);
+}
+
+} // namespace
+} // namespace banyanpick
