--- a/src/plugins/fleet/FleetPlugin.cpp
+++ b/src/plugins/fleet/FleetPlugin.cpp
@@ -205,8 +205,10 @@
   const bool Urgent = Report.Life != Of.Relayed.Life ||
                       Report.Leaving != Of.Relayed.Leaving ||
                       Report.Models != Of.Relayed.Models;
-  const Duration Wait = differsMuch(Report, Of.Relayed) ? this->RelayInterval
-                                                        : this->StaleAfter / 2;
+  // Half of what receivers wait before they call the upstream unknown.
+  const Duration Wait = differsMuch(Report, Of.Relayed)
+                            ? this->RelayInterval
+                            : this->StaleAfter * 3 / 2;
   if (!Mine || (!Urgent && Now < Of.RelayedAt + Wait))
     return;
   Of.RelayedAt = Now;
@@ -331,7 +333,7 @@
            "Up to so many entry hosts, each polls every upstream; with more, "
            "two of each zone do and pass the reports on.",
            1, 1024},
-          {In, "relay_interval", SettingKind::Span, "1s",
+          {In, "relay_interval", SettingKind::Span, "2s",
            "How often a changed report is passed on at most.", 10e3, 60e6},
           {In, "work_interval", SettingKind::Span, "200ms",
            "How often peers are told of work sent to upstreams.", 10e3, 10e6},
--- a/src/plugins/fleet/UpstreamTable.cpp
+++ b/src/plugins/fleet/UpstreamTable.cpp
@@ -8,6 +8,8 @@
 
 /// Lives over that are remembered of one upstream.
 constexpr std::size_t MostPastLives = 8;
+/// Relayed reports come more rarely than own polls are answered.
+constexpr int RelayedStaleFactor = 3;
 /// Refused connections in a row after which nothing listens there.
 constexpr std::uint32_t RefusalsOfTheDead = 2;
 
@@ -97,6 +99,7 @@
     this->changeLife(At, Report.Life);
   Record &Kept = this->Records[At];
   Kept.OwnReportAt = Now;
+  Kept.LastWasRelayed = false;
   Kept.Dead = false;
   Kept.Refusals = 0;
   this->store(At, Report, Now);
@@ -113,6 +116,7 @@
     this->changeLife(At, Report.Life);
   if (Kept.Dead && Report.MeasuredAt > Kept.DeadAt)
     Kept.Dead = false;
+  Kept.LastWasRelayed = true;
   LoadReport Joined = Report;
   Joined.Holds = Of.Report.Holds; // Peers pass them not on.
   this->store(At, Joined, Now);
--- a/src/plugins/fleet/UpstreamTable.h
+++ b/src/plugins/fleet/UpstreamTable.h
@@ -67,8 +67,9 @@
     Time DeadAt{};
     Time OwnReportAt{};
     Time UnlistedAt = Never;
-    std::uint32_t Refusals = 0; ///< Since the last report.
-    bool HeardFromPeer = false; ///< The last sign came from a peer.
+    bool LastWasRelayed = false; ///< The last report came from a peer.
+    std::uint32_t Refusals = 0;  ///< Since the last report.
+    bool HeardFromPeer = false;  ///< The last sign came from a peer.
   };
 
   bool takeListing(std::uint32_t At, const UpstreamListing &Listing, Time Now);
--- a/tests/auto/fleet/FleetRelayTest.cpp
+++ b/tests/auto/fleet/FleetRelayTest.cpp
@@ -79,6 +79,9 @@
   Hear(Newer);
   const Upstream &Seen = *Of.Bench.Tested.find(UpstreamId("e7"));
   EXPECT_EQ(Seen.State, UpstreamState::Live);
+  Of.Now += seconds(6);
+  Of.feed(Tick{});
+  EXPECT_EQ(Seen.State, UpstreamState::Live) << "the next may be on its way";
   LoadReport Older = FleetBench::report("e7", 9, Time(seconds(999)));
   Hear(Older);
   EXPECT_EQ(Seen.Listing.Life, Incarnation(1));
