--- a/src/app/ActionRouter.cpp
+++ b/src/app/ActionRouter.cpp
@@ -1,5 +1,6 @@
 #include "app/ActionRouter.h"
 
+#include "base/EventNumbers.h"
 #include "logging/LineLog.h"
 
 namespace banyanpick {
@@ -109,6 +110,14 @@
   this->Measured.record(Wanted);
 }
 
+void ActionRouter::perform(const GatewayAction &) {
+  // No plug-in of a gateway is part of a kernel that serves a catalogue.
+  writeLogLine(logEvent(events::InvariantBroken)
+                   .with("invariant", "only a gateway relays")
+                   .build(),
+               this->Clock.now());
+}
+
 void ActionRouter::perform(StopNow) { this->OnStop(); }
 
 } // namespace banyanpick
--- a/src/app/ActionRouter.h
+++ b/src/app/ActionRouter.h
@@ -2,6 +2,7 @@
 /// Carries the kernel's actions to the threads that do them.
 #pragma once
 
+#include "app/ActionPerformer.h"
 #include "app/TrafficThread.h"
 #include "peers/PeerNetwork.h"
 
@@ -12,7 +13,7 @@
 namespace banyanpick {
 
 /// Used on the control thread only.
-class ActionRouter {
+class ActionRouter : public ActionPerformer {
 public:
   /// \p OnStop is called when the process may end.
   ActionRouter(std::span<const std::unique_ptr<TrafficThread>> Threads,
@@ -21,10 +22,12 @@
 
   /// Carries them out in their order; those that concern one request reach
   /// its thread in that order.
-  void perform(std::vector<Action> Wanted);
+  void perform(std::vector<Action> Wanted) override;
 
   /// The try ended by itself.
-  void forget(const AttemptId &Attempt) { this->Attempts.erase(Attempt); }
+  void forget(const AttemptId &Attempt) override {
+    this->Attempts.erase(Attempt);
+  }
 
 private:
   void perform(DispatchAttempt Wanted);
@@ -40,6 +43,7 @@
   void perform(ConnectPeers Wanted);
   void perform(const RecordMeasurement &Wanted);
   void perform(StopNow Wanted);
+  void perform(const GatewayAction &Wanted);
   template <class ToUpstream> void perform(ToUpstream Wanted);
   void perform(ReadHostList Wanted) { this->postTo(0, Wanted); }
   void perform(ReadLog Wanted) { this->postTo(0, Wanted); }
--- a/src/app/AttemptTable.h
+++ b/src/app/AttemptTable.h
@@ -7,9 +7,9 @@
 #include "app/RelayEntry.h"
 #include "app/TrafficSettings.h"
 #include "metrics/Metrics.h"
-#include "platform/EngineAttempt.h"
-#include "platform/ServiceCall.h"
-#include "platform/UpstreamClient.h"
+#include "native/EngineAttempt.h"
+#include "native/ServiceCall.h"
+#include "native/UpstreamClient.h"
 
 #include <unordered_map>
 
--- a/src/app/Control.cpp
+++ b/src/app/Control.cpp
@@ -10,7 +10,7 @@
 /// What the actor holds. Used on its thread only.
 struct ControlParts {
   std::unique_ptr<Kernel> Owned;
-  ActionRouter &Router;
+  ActionPerformer &Router;
   HostState &State;
   const ProcessClock &Clock;
   Time WakeAt = Never; ///< When the wake message under way will come.
@@ -25,7 +25,9 @@
     const Services &Offered = this->Owned->services();
     const auto *Catalogue = Offered.find<CatalogueView>();
     const auto *Drain = Offered.find<DrainView>();
-    this->State.Ready = Catalogue && Catalogue->isReady();
+    const auto *InForce = Offered.find<InForceView>();
+    this->State.Ready = InForce ? InForce->isReady()
+                                : Catalogue && Catalogue->isReady();
     this->State.Current = Catalogue && Catalogue->isCurrent(this->Clock.now());
     this->State.Leaving = Drain && Drain->isLeaving();
   }
@@ -72,7 +74,7 @@
 
 Control::~Control() { this->stop(); }
 
-void Control::start(std::unique_ptr<Kernel> Owned, ActionRouter &Router,
+void Control::start(std::unique_ptr<Kernel> Owned, ActionPerformer &Router,
                     HostState &State) {
   this->System = std::make_unique<caf::actor_system>(this->Config);
   auto Parts = std::make_shared<ControlParts>(
--- a/src/app/Control.h
+++ b/src/app/Control.h
@@ -3,8 +3,10 @@
 /// kernel.
 #pragma once
 
-#include "app/ActionRouter.h"
+#include "app/ActionPerformer.h"
+#include "app/EventSink.h"
 #include "app/HostState.h"
+#include "app/ProcessClock.h"
 #include "kernel/Kernel.h"
 
 #include <caf/all.hpp>
@@ -29,7 +31,7 @@
   ~Control() override;
 
   /// Makes the actor, which takes the kernel over.
-  void start(std::unique_ptr<Kernel> Owned, ActionRouter &Router,
+  void start(std::unique_ptr<Kernel> Owned, ActionPerformer &Router,
              HostState &State);
   /// Ends the actor and waits for its thread.
   void stop();
--- a/src/app/Daemon.h
+++ b/src/app/Daemon.h
@@ -2,6 +2,7 @@
 /// The entry host's process, put together.
 #pragma once
 
+#include "app/ActionRouter.h"
 #include "app/Control.h"
 #include "app/Routes.h"
 #include "http/HttpServer.h"
--- /dev/null
+++ b/src/app/GatewaySettings.h
@@ -0,0 +1,40 @@
+/// \file
+/// Settings of a host that serves as a gateway.
+#pragma once
+
+#include "kernel/Plugin.h"
+#include "relay/EngineRun.h"
+#include "relay/KeyedFollower.h"
+#include "settings/Settings.h"
+
+#include <optional>
+#include <vector>
+
+namespace banyanpick {
+
+struct GatewaySettings {
+  std::string Protocol;
+  Address Directory;
+  Address Readiness;
+  std::optional<Address> Metrics;
+  Address Store;
+  EngineRunLimits Runs;
+  FollowPace Declarations;
+  FollowPace Engines;
+  Duration LinkIdle{};
+  std::size_t LinksPerUpstream = 0;
+  Duration ReportTimeout{};
+  Duration SettingsLook{};
+  Duration FlushAtStop{};
+};
+
+/// The settings of section [gateway].
+std::vector<SettingDeclaration> gatewaySettingDeclarations();
+
+/// How the host serves, by [host] serving.
+Serving servingFrom(const Settings &Values);
+
+/// Throws Error(BadInput) when an address is missing or malformed.
+GatewaySettings gatewaySettings(const Settings &Values);
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/app/GatewayTraffic.cpp
@@ -0,0 +1,354 @@
+#include "app/GatewayTraffic.h"
+
+#include "app/HostRecord.h"
+#include "base/EventNumbers.h"
+#include "base/Visitor.h"
+#include "logging/LineLog.h"
+
+namespace banyanpick {
+
+namespace {
+
+/// How long a question for hosts may take; callers wait a second.
+constexpr milliseconds ResolveTimeout(900);
+
+/// Reports and answers to orders are small; a larger one is not read.
+constexpr std::size_t LargestReport = 256ULL * 1024;
+
+StoreSeen seen(StoreSeen::Part Of, bool Reachable, std::string_view Why) {
+  return {Of, Reachable, std::string(Why)};
+}
+
+} // namespace
+
+GatewayTraffic::GatewayTraffic(const GatewayContext &Uses)
+    : Uses(Uses), Io(1), Work(net::make_work_guard(this->Io)),
+      Store(Uses.Protocol.openStore(this->Io.get_executor(),
+                                    Uses.Values.Store)),
+      Client(this->Io.get_executor(), LargestReport),
+      Links(this->Io.get_executor(), Uses.Values.LinkIdle,
+            Uses.Values.LinksPerUpstream),
+      Resolves(this->Io.get_executor()) {}
+
+GatewayTraffic::~GatewayTraffic() { this->stop(); }
+
+void GatewayTraffic::start(HttpServer &CallersServer) {
+  this->Server = &CallersServer;
+  this->followDeclarations();
+  this->followEngines();
+  net::co_spawn(this->Io, this->announce(true), net::detached);
+  this->Thread = std::thread([this] { this->work(); });
+}
+
+void GatewayTraffic::stop() {
+  this->Io.stop();
+  if (this->Thread.joinable())
+    this->Thread.join();
+}
+
+void GatewayTraffic::work() {
+  while (!this->Io.stopped()) {
+    try {
+      this->Io.run();
+    } catch (const std::exception &Failure) {
+      // What threw is lost; the other connections go on.
+      const std::string Why = "traffic does not throw: ";
+      writeLogLine(logEvent(events::InvariantBroken)
+                       .with("invariant", Why + Failure.what())
+                       .build(),
+                   this->Uses.Clock.now());
+    }
+  }
+}
+
+void GatewayTraffic::post(std::vector<Action> Wanted) {
+  net::post(this->Io, [this, Wanted = std::move(Wanted)] {
+    for (const Action &Each : Wanted)
+      this->perform(Each);
+  });
+}
+
+void GatewayTraffic::perform(const Action &Wanted) {
+  match(
+      Wanted, [&](const GatewayAction &Is) { this->perform(Is); },
+      [&](const AnswerResolve &Is) {
+        this->Resolves.answer(Is.Id.Value, Is);
+      },
+      [&](const ReadHostList &) {
+        net::co_spawn(this->Io, this->readHosts(), net::detached);
+      },
+      [](const auto &) {});
+}
+
+void GatewayTraffic::perform(const GatewayAction &Wanted) {
+  match(
+      Wanted, [&](const DispatchRelay &Is) { this->dispatch(Is); },
+      [&](const CancelRelay &Is) {
+        const auto Found = this->Runs.find(Is.Attempt);
+        if (Found != this->Runs.end())
+          Found->second->cancel();
+      },
+      [&](const RefuseRelay &Is) {
+        if (const auto Side = this->caller(Is.Request))
+          Side->refuse(this->Uses.Protocol.callers().answerTo(Is));
+      },
+      [&](const DeliverFailure &Is) {
+        if (const auto Side = this->caller(Is.Request))
+          Side->deliverFailure(Is.Attempt);
+      },
+      [&](const BreakRelay &Is) {
+        if (const auto Side = this->caller(Is.Request))
+          Side->breakOff();
+      },
+      [&](const DecodeConfiguration &Is) {
+        this->decode(Is.Document, BeliefSource::Peer);
+      },
+      [&](const LimitCallers &Is) { this->Server->setLimits(Is.Limits); },
+      [&](const PaceRegistry &Is) {
+        FollowPace Pace = this->Uses.Values.Engines;
+        Pace.LeastInterval = Is.Interval;
+        this->Engines->setPace(Pace);
+      },
+      [&](const AskReport &Is) {
+        net::co_spawn(this->Io, this->askReport(Is), net::detached);
+      },
+      [&](const ReserveMemory &Is) {
+        net::co_spawn(this->Io, this->reserve(Is), net::detached);
+      },
+      [&](const ReleaseMemory &Is) {
+        net::co_spawn(this->Io, this->release(Is), net::detached);
+      },
+      [&](const CloseCallers &) { this->Server->closeAfterAnswers(); },
+      [&](const AnnounceHost &Is) {
+        net::co_spawn(this->Io, this->announce(Is.Present), net::detached);
+      });
+}
+
+std::shared_ptr<CallerSide>
+GatewayTraffic::caller(const RequestId &Id) const {
+  const auto Found = this->Callers.find(Id);
+  return Found == this->Callers.end() ? nullptr : Found->second;
+}
+
+Task<void> GatewayTraffic::relay(HttpExchange &Each) {
+  RelayHead Head = this->Uses.Protocol.callers().readHead(Each.request());
+  Head.Id = RequestId(++this->LastId);
+  const RequestId Id = Head.Id;
+  const auto Side = std::make_shared<CallerSide>(Each, Id);
+  this->Callers[Id] = Side;
+  Each.onHangUp([this, Id] {
+    this->Uses.Events.send(CallerGone{Id});
+    if (const auto Gone = this->caller(Id))
+      Gone->hungUp();
+  });
+  this->Uses.Events.send(GatewayEvent(RelayArrived{std::move(Head)}));
+  co_await Side->finished();
+  this->Callers.erase(Id);
+  co_await Side->sendDecided();
+}
+
+Task<void> GatewayTraffic::resolve(HttpExchange &Each) {
+  ResolveAsked Asked = this->Uses.Protocol.callers().readQuestion(Each);
+  Asked.Id = ResolveQuestionId(++this->LastId);
+  const std::uint64_t Id = Asked.Id.Value;
+  this->Uses.Events.send(std::move(Asked));
+  const auto Answer = co_await this->Resolves.wait(Id, ResolveTimeout);
+  if (!Answer || Answer->Hosts.empty())
+    throw Error(ErrorKind::Unavailable, "no host is known that takes requests",
+                "ask another host, or again in a moment");
+  HttpAnswer Given = this->Uses.Protocol.callers().answerTo(*Answer);
+  co_await Each.respond(std::move(Given));
+}
+
+void GatewayTraffic::dispatch(const DispatchRelay &Order) {
+  const auto Side = this->caller(Order.Request);
+  if (!Side) {
+    this->Uses.Events.send(
+        GatewayEvent(RelayEnded{Order.Attempt, RelayNeverSent{}}));
+    return;
+  }
+  auto Run = std::make_shared<EngineRun>(
+      this->Io.get_executor(), Order, Side, this->Links,
+      this->Uses.Protocol.engines(), this->Uses.Values.Runs);
+  this->Runs[Order.Attempt] = Run;
+  net::co_spawn(this->Io, this->runTry(std::move(Run), Order), net::detached);
+}
+
+Task<void> GatewayTraffic::runTry(std::shared_ptr<EngineRun> Run,
+                                  DispatchRelay Order) {
+  const Duration Left = Order.Deadline - this->Uses.Clock.now();
+  RelayOutcome Outcome = co_await Run->run(Left, [this, Id = Order.Attempt] {
+    this->Uses.Events.send(GatewayEvent(RelayBegan{Id}));
+  });
+  this->Runs.erase(Order.Attempt);
+  if (!Run->isCancelled())
+    this->Uses.Events.send(
+        GatewayEvent(RelayEnded{Order.Attempt, std::move(Outcome)}));
+}
+
+void GatewayTraffic::decode(const std::string &Document, BeliefSource From) {
+  try {
+    this->Uses.Events.send(GatewayEvent(ConfigurationRead{
+        this->Uses.Protocol.documents().readConfiguration(Document), From}));
+  } catch (const Error &Failure) {
+    this->Uses.Events.send(
+        GatewayEvent(ConfigurationUnreadable{Failure.what()}));
+  }
+}
+
+void GatewayTraffic::followDeclarations() {
+  KeyedFollower::Listener Tell;
+  Tell.OnRecords = [this](std::span<const KeyedRecord> Records, bool,
+                          LogOffset) {
+    for (const KeyedRecord &Each : Records)
+      if (Each.Value &&
+          this->Uses.Protocol.documents().isConfiguration(Each.Key))
+        this->decode(*Each.Value, BeliefSource::Store);
+  };
+  Tell.OnReachable = [this](bool Reachable, std::string_view Why) {
+    this->Uses.Events.send(GatewayEvent(
+        seen(StoreSeen::Part::Configuration, Reachable, Why)));
+  };
+  this->Declarations = std::make_shared<KeyedFollower>(
+      this->Io.get_executor(), *this->Store, StoreTopic::Declarations,
+      this->Uses.Values.Declarations, std::move(Tell));
+  this->Declarations->start();
+}
+
+void GatewayTraffic::followEngines() {
+  KeyedFollower::Listener Tell;
+  Tell.OnRecords = [this](std::span<const KeyedRecord> Records, bool Complete,
+                          LogOffset UpTo) {
+    this->takeEngines(Records, Complete, UpTo);
+  };
+  Tell.OnReachable = [this](bool Reachable, std::string_view Why) {
+    this->Uses.Events.send(
+        GatewayEvent(seen(StoreSeen::Part::Engines, Reachable, Why)));
+  };
+  this->Engines = std::make_shared<KeyedFollower>(
+      this->Io.get_executor(), *this->Store, StoreTopic::Engines,
+      this->Uses.Values.Engines, std::move(Tell));
+  this->Engines->start();
+}
+
+void GatewayTraffic::takeEngines(std::span<const KeyedRecord> Records,
+                                 bool Complete, LogOffset UpTo) {
+  EnginesRead Read;
+  Read.Complete = Complete;
+  Read.UpTo = UpTo;
+  for (const KeyedRecord &Each : Records) {
+    EngineChange Change;
+    Change.Offset = Each.Offset;
+    Change.Removed = !Each.Value;
+    Change.Engine.Id = UpstreamId(Each.Key);
+    try {
+      if (Each.Value)
+        Change.Engine = this->Uses.Protocol.documents().readEngine(
+            Each.Key, *Each.Value);
+    } catch (const Error &Failure) {
+      this->count("registrations_malformed", "");
+      writeLogLine(logEvent(events::RegistrationUnreadable)
+                       .with("engine", Each.Key)
+                       .with("why", Failure.what())
+                       .build(),
+                   this->Uses.Clock.now());
+      continue;
+    }
+    Read.Changes.push_back(std::move(Change));
+  }
+  this->Uses.Events.send(GatewayEvent(std::move(Read)));
+}
+
+Task<void> GatewayTraffic::askReport(AskReport Wanted) {
+  const EngineProtocol &Protocol = this->Uses.Protocol.engines();
+  const ClientResult Result =
+      co_await this->Client.call(Wanted.At, Protocol.reportRequest(),
+                                 this->Uses.Values.ReportTimeout);
+  const auto *Answer = std::get_if<ClientAnswer>(&Result);
+  constexpr unsigned Ok = 200;
+  try {
+    if (Answer && Answer->Status == Ok) {
+      this->Uses.Events.send(GatewayEvent(
+          EngineReported{Protocol.readReport(Wanted.Engine, Answer->Body)}));
+      co_return;
+    }
+  } catch (const Error &Failure) {
+    this->count("reports_malformed", Wanted.Engine.Value);
+  }
+  this->Uses.Events.send(GatewayEvent(EngineReportFailed{Wanted.Engine}));
+}
+
+Task<void> GatewayTraffic::reserve(ReserveMemory Wanted) {
+  const EngineProtocol &Protocol = this->Uses.Protocol.engines();
+  // An order over a connection that closes meanwhile is lost without a sign.
+  const ClientResult Result = co_await this->Client.call(
+      Wanted.At, Protocol.requestFor(Wanted), this->Uses.Values.ReportTimeout,
+      HttpClient::Reuse::No);
+  ReservationAnswered Answered{Wanted.Engine, Wanted.Name,
+                               ReservationResult::Unknown};
+  if (const auto *Answer = std::get_if<ClientAnswer>(&Result))
+    Answered.Result = Protocol.readReservation(*Answer);
+  else if (surelyNotSent(std::get<ClientFailure>(Result)))
+    Answered.Result = ReservationResult::Refused;
+  this->Uses.Events.send(GatewayEvent(std::move(Answered)));
+}
+
+Task<void> GatewayTraffic::release(ReleaseMemory Wanted) {
+  const ClientResult Result = co_await this->Client.call(
+      Wanted.At, this->Uses.Protocol.engines().requestFor(Wanted),
+      this->Uses.Values.ReportTimeout, HttpClient::Reuse::No);
+  this->count("releases",
+              std::holds_alternative<ClientAnswer>(Result) ? "answered"
+                                                           : "unanswered");
+}
+
+Task<void> GatewayTraffic::readHosts() {
+  HostListRead Read;
+  std::string After;
+  for (bool More = true; More;) {
+    NewestResult Result = co_await this->Store->newest(StoreTopic::Hosts, After);
+    if (std::holds_alternative<StoreFailure>(Result)) {
+      this->Uses.Events.send(HostListReadFailed{});
+      co_return;
+    }
+    const NewestPage &Page = std::get<NewestPage>(Result);
+    for (const KeyedRecord &Each : Page.Records)
+      if (auto Host = readHostRecord(Each))
+        Read.Hosts.push_back(std::move(*Host));
+    More = Page.More && !Page.Records.empty();
+    if (More)
+      After = Page.Records.back().Key;
+  }
+  this->Uses.Events.send(std::move(Read));
+}
+
+Task<void> GatewayTraffic::announce(bool Present) {
+  const Identity &Self = this->Uses.Self;
+  net::steady_timer Pause(this->Io);
+  Duration Retry = this->Uses.Values.Engines.RetryFirst;
+  for (;;) {
+    KeyedRecord Record = writeHostRecord(
+        {Self.Host, Self.Zone, Self.Callers, Self.Peers, false});
+    if (!Present)
+      Record.Value.reset();
+    const StoreAppendResult Result =
+        co_await this->Store->append(StoreTopic::Hosts, std::move(Record));
+    this->count("announcements", std::holds_alternative<AppendTaken>(Result)
+                                     ? "taken"
+                                     : "failed");
+    // A host that stops is found dead by its peers if this is lost.
+    if (std::holds_alternative<AppendTaken>(Result) || !Present)
+      co_return;
+    Pause.expires_after(Retry);
+    Retry = std::min(Retry * 2, this->Uses.Values.Engines.RetryMost);
+    ErrorCode Ignored;
+    co_await Pause.async_wait(into(Ignored));
+  }
+}
+
+void GatewayTraffic::count(std::string_view Name, std::string_view Label) {
+  this->Uses.Measured.record(
+      {RecordMeasurement::Kind::Count, Name, std::string(Label), 1});
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/app/HostRecord.cpp
@@ -0,0 +1,34 @@
+#include "app/HostRecord.h"
+
+#include "base/Error.h"
+#include "http/AddressText.h"
+
+#include <sstream>
+
+namespace banyanpick {
+
+KeyedRecord writeHostRecord(const HostListing &Host) {
+  return {Host.Id.Value,
+          text(Host.Callers) + " " + text(Host.Peers) + " " + Host.Zone.Value,
+          0};
+}
+
+std::optional<HostListing> readHostRecord(const KeyedRecord &Record) {
+  if (!Record.Value)
+    return std::nullopt;
+  std::istringstream In(*Record.Value);
+  std::string Callers;
+  std::string Peers;
+  HostListing Result;
+  In >> Callers >> Peers >> Result.Zone.Value;
+  try {
+    Result.Id.Value = Record.Key;
+    Result.Callers = addressFromText(Callers);
+    Result.Peers = addressFromText(Peers);
+  } catch (const Error &) {
+    return std::nullopt;
+  }
+  return Result;
+}
+
+} // namespace banyanpick
--- a/src/app/Main.cpp
+++ b/src/app/Main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// banyanpickd: the entry host's process.
 #include "app/Daemon.h"
+#include "app/GatewayDaemon.h"
 #include "app/SettingsFile.h"
 #include "app/TrafficSettings.h"
 #include "logging/LineLog.h"
@@ -30,6 +31,12 @@
 
 int runDaemon(const Settings &Values) {
   configureLog(Values);
+  if (servingFrom(Values) == Serving::Gateway) {
+    GatewayDaemon Host(Values, FLAGS_settings, Incarnation(randomNumber()),
+                       randomNumber());
+    Host.run();
+    return 0;
+  }
   Daemon Host(Values, Incarnation(randomNumber()), randomNumber());
   Host.run();
   return 0;
--- a/src/app/OperatorService.cpp
+++ b/src/app/OperatorService.cpp
@@ -3,7 +3,7 @@
 #include "app/StatusJson.h"
 #include "catalogue/CatalogueJson.h"
 #include "http/BoundedJson.h"
-#include "platform/IdText.h"
+#include "native/IdText.h"
 
 namespace banyanpick {
 
--- a/src/app/SettingsFile.cpp
+++ b/src/app/SettingsFile.cpp
@@ -1,11 +1,12 @@
 #include "app/SettingsFile.h"
 
+#include "app/GatewaySettings.h"
 #include "app/TrafficSettings.h"
 #include "base/Error.h"
 #include "http/HttpSettings.h"
 #include "http/TlsServer.h"
 #include "peers/PeerSettings.h"
-#include "platform/PlatformSettings.h"
+#include "native/PlatformSettings.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -51,6 +52,8 @@
   check([&] { identityFrom(Result, Incarnation(1)); }, Problems);
   check([&] { platformSettings(Result); }, Problems);
   check([&] { peerSettings(Result); }, Problems);
+  if (servingFrom(Result) == Serving::Gateway)
+    check([&] { gatewaySettings(Result); }, Problems);
   check([&] { makeTlsContext(httpSettings(Result)); }, Problems);
   if (!Problems.empty())
     return std::nullopt;
--- a/src/app/TrafficSettings.cpp
+++ b/src/app/TrafficSettings.cpp
@@ -1,12 +1,13 @@
 #include "app/TrafficSettings.h"
 
+#include "app/GatewaySettings.h"
 #include "base/Error.h"
 #include "http/AddressText.h"
 #include "http/HttpSettings.h"
 #include "kernel/PluginRegistry.h"
 #include "logging/LineLog.h"
 #include "peers/PeerSettings.h"
-#include "platform/PlatformSettings.h"
+#include "native/PlatformSettings.h"
 
 namespace banyanpick {
 
@@ -95,6 +96,7 @@
 
 std::vector<SettingDeclaration> daemonSettingDeclarations() {
   std::vector<SettingDeclaration> Result = trafficSettingDeclarations();
+  append(Result, gatewaySettingDeclarations());
   append(Result, httpSettingDeclarations());
   append(Result, platformSettingDeclarations());
   append(Result, peerSettingDeclarations());
--- a/src/app/TrafficThread.h
+++ b/src/app/TrafficThread.h
@@ -5,7 +5,7 @@
 #include "app/AttemptTable.h"
 #include "app/QuestionTable.h"
 #include "app/RelayTable.h"
-#include "platform/LogClient.h"
+#include "native/LogClient.h"
 
 #include <thread>
 
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -31,6 +31,14 @@
                                            "invariant broken"};
 inline constexpr EventKind BadPeerMessage{104, LogLevel::Warning,
                                           "malformed peer message dropped"};
+inline constexpr EventKind SettingsReloaded{105, LogLevel::Info,
+                                            "settings reloaded"};
+inline constexpr EventKind SettingsRejected{
+    106, LogLevel::Error, "changed settings rejected; the old ones stay"};
+inline constexpr EventKind LinesDropped{107, LogLevel::Warning,
+                                        "log lines dropped"};
+inline constexpr EventKind ProcessSuspended{108, LogLevel::Warning,
+                                            "this machine was suspended"};
 
 // 2xx: requests
 inline constexpr EventKind RequestAdmitted{200, LogLevel::Info,
@@ -127,5 +135,40 @@
 inline constexpr EventKind LimitShareGiven{710, LogLevel::Debug,
                                            "share of a limit given"};
 
+// 8xx: gateway
+inline constexpr EventKind ConfigurationInForce{800, LogLevel::Info,
+                                                "configuration in force"};
+inline constexpr EventKind ConfigurationUnreadable{
+    801, LogLevel::Error, "configuration unreadable; the old one stays"};
+inline constexpr EventKind StoreReachable{802, LogLevel::Info,
+                                          "store reachable"};
+inline constexpr EventKind StoreUnreachable{803, LogLevel::Warning,
+                                            "store unreachable"};
+inline constexpr EventKind RegistrationUnreadable{
+    804, LogLevel::Warning, "registration unreadable"};
+inline constexpr EventKind EngineChanged{810, LogLevel::Info,
+                                         "engine changed standing"};
+inline constexpr EventKind EngineAvoided{811, LogLevel::Warning,
+                                         "engine avoided"};
+inline constexpr EventKind EngineTrusted{812, LogLevel::Info,
+                                         "engine trusted again"};
+inline constexpr EventKind RelayReceived{820, LogLevel::Info,
+                                         "relayed request received"};
+inline constexpr EventKind RelaySent{821, LogLevel::Info,
+                                     "relayed request sent"};
+inline constexpr EventKind RelayTryEnded{822, LogLevel::Info, "try ended"};
+inline constexpr EventKind RelayAnswered{823, LogLevel::Info,
+                                         "relayed request ended"};
+inline constexpr EventKind RelayWaits{824, LogLevel::Info,
+                                      "relayed request waits for an engine"};
+inline constexpr EventKind ContentCrashed{830, LogLevel::Warning,
+                                          "content crashed an engine"};
+inline constexpr EventKind MemoryReserved{840, LogLevel::Info,
+                                          "engine memory reserved"};
+inline constexpr EventKind MemoryReleased{841, LogLevel::Info,
+                                          "engine memory released"};
+inline constexpr EventKind MemoryReclaimed{
+    842, LogLevel::Warning, "abandoned engine memory released"};
+
 } // namespace events
 } // namespace banyanpick
--- /dev/null
+++ b/src/libs/gateway/RelayedRequest.cpp
@@ -0,0 +1,37 @@
+#include "gateway/RelayedRequest.h"
+
+namespace banyanpick {
+
+std::string_view name(RefusalKind Kind) {
+  switch (Kind) {
+  case RefusalKind::NoSuchRoute:
+    return "no_route";
+  case RefusalKind::UnknownKey:
+    return "unknown_key";
+  case RefusalKind::NotRun:
+    return "not_run";
+  case RefusalKind::OutcomeUnknown:
+    return "outcome_unknown";
+  case RefusalKind::TimedOut:
+    return "timed_out";
+  }
+  return "unknown";
+}
+
+std::string_view name(RelayBroken::Why Reason) {
+  switch (Reason) {
+  case RelayBroken::Why::Reset:
+    return "reset";
+  case RelayBroken::Why::Silent:
+    return "silent";
+  case RelayBroken::Why::Malformed:
+    return "malformed";
+  case RelayBroken::Why::Foreign:
+    return "foreign";
+  case RelayBroken::Why::Spoilt:
+    return "spoilt";
+  }
+  return "unknown";
+}
+
+} // namespace banyanpick
--- a/src/libs/http/ClientStream.cpp
+++ b/src/libs/http/ClientStream.cpp
@@ -1,6 +1,7 @@
 #include "http/ClientStream.h"
 
 #include "http/AddressText.h"
+#include "http/SocketOptions.h"
 
 #include <limits>
 
@@ -19,8 +20,7 @@
     co_return failureOfConnect(Failure);
   if (this->Cancelled)
     co_return ClientFailure::NotConnected;
-  ErrorCode Ignored;
-  this->Link.socket().set_option(Tcp::no_delay(true), Ignored);
+  tuneConnection(this->Link.socket());
   this->Link.expires_after(Timeout);
   {
     const auto Request = beastRequest(std::move(Given), text(At));
--- a/src/libs/http/Connection.cpp
+++ b/src/libs/http/Connection.cpp
@@ -1,5 +1,7 @@
 #include "http/Connection.h"
 
+#include "http/SocketOptions.h"
+
 #include <array>
 #include <boost/beast/ssl.hpp>
 #include <type_traits>
@@ -118,6 +120,12 @@
     co_return;
   }
 
+  void breakOff() override {
+    ErrorCode Ignored;
+    this->socket().set_option(net::socket_base::linger(true, 0), Ignored);
+    this->socket().close(Ignored);
+  }
+
   net::any_io_executor executor() override {
     return this->Under.get_executor();
   }
@@ -139,8 +147,7 @@
 std::shared_ptr<Connection> makeConnection(Tcp::socket Socket,
                                            net::ssl::context *Tls,
                                            std::uint64_t MaxHeaderBytes) {
-  ErrorCode Ignored;
-  Socket.set_option(Tcp::no_delay(true), Ignored);
+  tuneConnection(Socket);
   PlainStream Plain(std::move(Socket));
   if (!Tls)
     return std::make_shared<BasicConnection<PlainStream>>(std::move(Plain),
--- a/src/libs/http/Connection.h
+++ b/src/libs/http/Connection.h
@@ -38,6 +38,8 @@
   /// Only while no other operation is running.
   virtual void stopWatching() = 0;
   virtual Task<void> close(Duration Timeout) = 0;
+  /// Resets the connection at once; running operations fail.
+  virtual void breakOff() = 0;
   virtual net::any_io_executor executor() = 0;
 };
 
--- a/src/libs/http/HttpClient.cpp
+++ b/src/libs/http/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpClient.h"
 
 #include "http/AddressText.h"
+#include "http/SocketOptions.h"
 
 #include <array>
 
@@ -60,8 +61,7 @@
   co_await Link->async_connect(endpointOf(At), into(Failure));
   if (Failure)
     co_return failureOfConnect(Failure);
-  ErrorCode Ignored;
-  Link->socket().set_option(Tcp::no_delay(true), Ignored);
+  tuneConnection(Link->socket());
   co_return co_await this->exchange(At, Given, std::move(Link));
 }
 
--- a/src/libs/http/HttpExchange.cpp
+++ b/src/libs/http/HttpExchange.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpExchange.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace banyanpick {
@@ -22,8 +23,10 @@
   return 500;
 }
 
-std::string retryAfterText(Duration After) {
+std::string retryAfterText(Duration After, bool Fractional) {
   constexpr Duration::rep Second = 1'000'000;
+  if (Fractional)
+    return fmt::format("{:.3f}", inSeconds(After));
   return std::to_string((After.count() + Second - 1) / Second);
 }
 
@@ -64,9 +67,9 @@
                             this->Asked.version());
   Answer.set(http::field::content_type, Given.ContentType);
   if (Given.RetryAfter > Duration(0))
-    Answer.set(http::field::retry_after, retryAfterText(Given.RetryAfter));
+    Answer.set(http::field::retry_after, retryAfterText(Given.RetryAfter, Given.FractionalRetry));
   this->addHeaders(Answer);
-  Answer.keep_alive(this->Asked.keep_alive());
+  Answer.keep_alive(this->wantsKeepAlive());
   Answer.body() = std::move(Given.Body);
   Answer.prepare_payload();
   this->KeepsAlive = this->KeepsAlive && Answer.keep_alive();
@@ -82,7 +85,7 @@
   Answer.set(http::field::content_type, "text/event-stream");
   Answer.set(http::field::cache_control, "no-store");
   this->addHeaders(Answer);
-  Answer.keep_alive(this->Asked.keep_alive());
+  Answer.keep_alive(this->wantsKeepAlive());
   Answer.chunked(true);
   this->KeepsAlive = this->KeepsAlive && Answer.keep_alive();
   const ErrorCode Failure =
@@ -90,6 +93,46 @@
   co_return this->note(Failure);
 }
 
+bool HttpExchange::wantsKeepAlive() const {
+  return this->Asked.keep_alive() && !this->Values.CloseAfterAnswer;
+}
+
+Task<bool> HttpExchange::respond(RelayedAnswer Given) {
+  this->stopWatching();
+  this->Answered = true;
+  Connection::Answer Answer(std::move(Given.Head));
+  Answer.version(this->Asked.version());
+  this->addHeaders(Answer);
+  Answer.keep_alive(this->wantsKeepAlive());
+  Answer.body() = std::move(Given.Body);
+  Answer.prepare_payload();
+  this->KeepsAlive = this->KeepsAlive && Answer.keep_alive();
+  const ErrorCode Failure =
+      co_await this->Peer->writeAnswer(Answer, this->Values.WriteTimeout);
+  co_return this->note(Failure);
+}
+
+Task<bool> HttpExchange::beginEvents(http::response_header<> Head) {
+  this->Answered = true;
+  this->EventsOpen = true;
+  Connection::Header Answer(std::move(Head));
+  Answer.version(this->Asked.version());
+  this->addHeaders(Answer);
+  Answer.keep_alive(this->wantsKeepAlive());
+  Answer.chunked(true);
+  this->KeepsAlive = this->KeepsAlive && Answer.keep_alive();
+  const ErrorCode Failure =
+      co_await this->Peer->writeHeader(Answer, this->Values.WriteTimeout);
+  co_return this->note(Failure);
+}
+
+void HttpExchange::breakOff() {
+  this->stopWatching();
+  this->Answered = true;
+  this->KeepsAlive = false;
+  this->Peer->breakOff();
+}
+
 Task<bool> HttpExchange::sendEvents(std::string_view Formatted) {
   const ErrorCode Failure =
       co_await this->Peer->writeChunk(Formatted, this->Values.WriteTimeout);
--- a/src/libs/http/HttpExchange.h
+++ b/src/libs/http/HttpExchange.h
@@ -20,6 +20,15 @@
   std::string Body;
   std::string ContentType = "application/json";
   Duration RetryAfter{}; ///< Zero: no such header.
+  /// Callers of this protocol read fractions of a second in Retry-After.
+  bool FractionalRetry = false;
+};
+
+/// An answer of another server that is passed on: its status, its headers but
+/// those of its connection, and its body.
+struct RelayedAnswer {
+  http::response_header<> Head;
+  std::string Body;
 };
 
 /// `{"error": {"kind": K, "message": M}}`.
@@ -42,6 +51,8 @@
   HttpExchange(const HttpExchange &) = delete;
   HttpExchange &operator=(const HttpExchange &) = delete;
 
+  /// Everything that the caller sent.
+  const Request &request() const { return this->Asked; }
   http::verb method() const { return this->Asked.method(); }
   const HttpTarget &target() const { return this->Asks; }
   std::string_view header(std::string_view Name) const;
@@ -56,12 +67,20 @@
   /// Sends a whole answer. False: the peer is gone.
   Task<bool> respond(HttpAnswer Given);
 
+  /// Sends a whole answer of another server.
+  Task<bool> respond(RelayedAnswer Given);
+
   /// Starts an answer of server-sent events.
   Task<bool> beginEvents();
+  /// Starts the answer in chunks that another server began.
+  Task<bool> beginEvents(http::response_header<> Head);
   /// Sends events already formatted; ends when the peer's window took them.
   Task<bool> sendEvents(std::string_view Formatted);
   Task<bool> endEvents();
 
+  /// Ends the connection, so that an answer that has begun does not look whole.
+  void breakOff();
+
   /// Calls \p Then when the peer hangs up before this exchange ends.
   void onHangUp(std::function<void()> Then);
 
@@ -80,6 +99,9 @@
   bool note(const ErrorCode &Failure);
   void stopWatching();
   template <class Answer> void addHeaders(Answer &To) const;
+  /// Whether the connection is kept after this answer, by the caller's word and
+  /// the server's settings.
+  bool wantsKeepAlive() const;
 
   std::shared_ptr<Connection> Peer;
   Request Asked;
--- a/src/libs/http/HttpServer.cpp
+++ b/src/libs/http/HttpServer.cpp
@@ -84,6 +84,17 @@
   });
 }
 
+void HttpServer::setLimits(const CallerLimits &Given) {
+  if (Given.HeaderBytes > 0)
+    this->Values.MaxHeaderBytes = Given.HeaderBytes;
+  if (Given.BodyBytes > 0)
+    this->Values.MaxBodyBytes = Given.BodyBytes;
+  if (Given.HeaderTimeout > Duration(0))
+    this->Values.HeaderTimeout = Given.HeaderTimeout;
+  if (Given.IdleTimeout > Duration(0))
+    this->Values.IdleTimeout = Given.IdleTimeout;
+}
+
 Task<void> HttpServer::acceptAll() {
   net::steady_timer Pause(this->Acceptor.get_executor());
   std::size_t Next = 0;
@@ -131,7 +142,7 @@
       co_await this->refuse(*Peer, answerToReadFailure(Failure));
     co_return false;
   }
-  if (Parser.chunked()) {
+  if (Parser.chunked() && !this->Values.TakesChunkedBodies) {
     co_await this->refuse(*Peer,
                           errorAnswer(411, ErrorKind::BadInput,
                                       "the length of the body is missing; send "
@@ -143,8 +154,11 @@
 
 Task<bool> HttpServer::serveBody(std::shared_ptr<Connection> Peer,
                                  Connection::Parser &Parser) {
+  // A body in chunks counts as the largest one until its size is known.
   const auto Length = Parser.content_length();
-  const BodyBudget::Share Share = this->Bodies.take(Length ? *Length : 0);
+  const std::uint64_t Expected =
+      Parser.chunked() ? this->Values.MaxBodyBytes : (Length ? *Length : 0);
+  BodyBudget::Share Share = this->Bodies.take(Expected);
   if (!Share) {
     co_await this->refuse(
         *Peer, errorAnswer(503, ErrorKind::Unavailable,
@@ -152,6 +166,17 @@
                            "second or use another host"));
     co_return false;
   }
+  if (!co_await this->readBody(Peer, Parser))
+    co_return false;
+  if (Parser.chunked()) {
+    Share = BodyBudget::Share();
+    Share = this->Bodies.take(Parser.get().body().size());
+  }
+  co_return co_await this->serveRequest(Peer, Parser.release());
+}
+
+Task<bool> HttpServer::readBody(std::shared_ptr<Connection> Peer,
+                                Connection::Parser &Parser) {
   const auto Expect = Parser.get()[http::field::expect];
   if (beast::iequals(Expect, "100-continue") && !Parser.is_done()) {
     Connection::Header Continue(http::status::continue_, 11);
@@ -162,12 +187,9 @@
   }
   const ErrorCode Failure =
       co_await Peer->readBody(Parser, this->Values.BodyTimeout);
-  if (Failure) {
-    if (canBeTold(Failure))
-      co_await this->refuse(*Peer, answerToReadFailure(Failure));
-    co_return false;
-  }
-  co_return co_await this->serveRequest(Peer, Parser.release());
+  if (Failure && canBeTold(Failure))
+    co_await this->refuse(*Peer, answerToReadFailure(Failure));
+  co_return !Failure;
 }
 
 Task<bool> HttpServer::serveRequest(std::shared_ptr<Connection> Peer,
--- a/src/libs/http/HttpServer.h
+++ b/src/libs/http/HttpServer.h
@@ -2,6 +2,7 @@
 /// The server for callers and operators.
 #pragma once
 
+#include "gateway/Configuration.h"
 #include "http/HttpExchange.h"
 #include "kernel/Upstream.h"
 
@@ -32,6 +33,14 @@
   /// Accepts no more connections. On any thread.
   void stop();
 
+  /// Bounds for requests read from now on. On the server's thread, when it has
+  /// only one.
+  void setLimits(const CallerLimits &Given);
+
+  /// From now on each answer tells the caller that its connection closes. On
+  /// the server's thread, when it has only one.
+  void closeAfterAnswers() { this->Values.CloseAfterAnswer = true; }
+
   std::uint64_t connections() const { return this->Open.load(); }
   std::uint64_t bodyBytes() const { return this->Bodies.taken(); }
 
@@ -42,6 +51,9 @@
   Task<bool> serveOne(std::shared_ptr<Connection> Peer);
   Task<bool> serveBody(std::shared_ptr<Connection> Peer,
                        Connection::Parser &Parser);
+  /// Reads the body under the bound on all bodies; false: the connection ends.
+  Task<bool> readBody(std::shared_ptr<Connection> Peer,
+                      Connection::Parser &Parser);
   Task<bool> serveRequest(std::shared_ptr<Connection> Peer,
                           HttpExchange::Request Asked);
   Task<void> refuse(Connection &Peer, HttpAnswer Given);
--- a/src/libs/http/HttpSettings.h
+++ b/src/libs/http/HttpSettings.h
@@ -19,6 +19,8 @@
   Duration BodyTimeout{};
   Duration IdleTimeout{};
   Duration WriteTimeout{};
+  bool TakesChunkedBodies = false;
+  bool CloseAfterAnswer = false; ///< No connection is kept.
   std::string TlsCertificate; ///< File; empty: no TLS.
   std::string TlsKey;         ///< File.
 };
--- a/src/libs/kernel/Action.h
+++ b/src/libs/kernel/Action.h
@@ -201,7 +201,8 @@
                  AnswerResolve, DispatchAttempt, CancelAttempt, PollLoad,
                  PollCacheEvents, TakeHold, ReleaseHold, OrderUpstream,
                  ReadHostList, ReadLog, AppendToLog, SendToPeer, ConnectPeers,
-                 AnswerOperator, WriteLogLine, RecordMeasurement, StopNow>;
+                 AnswerOperator, WriteLogLine, RecordMeasurement, StopNow,
+                 GatewayAction>;
 
 /// The actions of one event, in the order they are to be carried out.
 class Actions {
--- a/src/libs/kernel/Event.h
+++ b/src/libs/kernel/Event.h
@@ -3,6 +3,7 @@
 /// turns I/O into these and hands them in with the present time.
 #pragma once
 
+#include "gateway/GatewayEvent.h"
 #include "kernel/LogRecord.h"
 #include "kernel/Operator.h"
 #include "kernel/PeerMessage.h"
@@ -131,6 +132,6 @@
                  LoadPollFailed, CacheEventsReported, HoldAnswered,
                  OrderAnswered, HostListRead, HostListReadFailed, LogRead,
                  LogReadFailed, AppendAnswered, PeerMessageReceived,
-                 OperatorAsked, StopAsked>;
+                 OperatorAsked, StopAsked, GatewayEvent>;
 
 } // namespace banyanpick
--- /dev/null
+++ b/src/libs/kernel/GatewayServices.h
@@ -0,0 +1,136 @@
+/// \file
+/// What the plug-ins of a gateway offer each other.
+#pragma once
+
+#include "gateway/RouteTable.h"
+#include "kernel/Services.h"
+
+#include <span>
+
+namespace banyanpick {
+
+/// The configuration in force.
+class RouteView {
+public:
+  virtual ~RouteView() = default;
+  /// Null until a configuration is known.
+  virtual const RouteTable *routes() const = 0;
+};
+
+/// Whether an upstream may get work.
+enum class EngineStanding {
+  Usable,
+  Missing, ///< Its registration vanished beside an outage of the store; it may
+           ///< live. Used only when nothing else is there.
+  Leaving, ///< It said so, or another one has its address.
+};
+
+/// The standing's name in logs.
+std::string_view name(EngineStanding Standing);
+
+/// One upstream that is registered, or was until lately.
+struct KnownEngine {
+  EngineRecord Record;
+  EngineStanding Standing = EngineStanding::Usable;
+  LogOffset Offset = 0; ///< Of the last change taken in.
+  Time Since{};         ///< When the standing last changed.
+};
+
+/// Who the upstreams are.
+class EngineDirectory {
+public:
+  virtual ~EngineDirectory() = default;
+  /// The upstream, or null when it is gone.
+  virtual const KnownEngine *find(const UpstreamId &Id) const = 0;
+  /// All of the service that are not gone, ordered by id.
+  virtual std::span<const KnownEngine *const>
+  ofService(const ServiceId &Service) const = 0;
+  /// The upstream refused a request that named it: another has its address.
+  virtual void addressTaken(const UpstreamId &Id, Time Now, Actions &Out) = 0;
+};
+
+/// Told when an upstream comes, changes its standing or goes.
+class EngineObserver {
+public:
+  virtual ~EngineObserver() = default;
+  virtual void engineChanged(const KnownEngine &, Time, Actions &) {}
+  virtual void engineGone(const UpstreamId &, Time, Actions &) {}
+};
+
+/// One try of a relayed request on one upstream.
+struct RelayTry {
+  AttemptId Id;
+  RequestId Request;
+  UpstreamId Engine;
+  ServiceId Service;
+  std::vector<JointEngine> Helpers; ///< That read a part of its prompt.
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t OutputTokens = 0; ///< At most.
+  Fingerprint Content;
+  Time SentAt{};
+  Duration Predicted{}; ///< From sending to the first event; zero: unknown.
+  bool Began = false;   ///< The first event went to the caller.
+};
+
+/// Told of each step of each try.
+class RelayObserver {
+public:
+  virtual ~RelayObserver() = default;
+  virtual void trySent(const RelayTry &, Time, Actions &) {}
+  virtual void tryBegan(const RelayTry &, Time, Actions &) {}
+  virtual void tryEnded(const RelayTry &, const RelayOutcome &, Time,
+                        Actions &) {}
+  /// Given up here; its connection is closed.
+  virtual void tryCancelled(const RelayTry &, Time, Actions &) {}
+};
+
+/// Which upstreams fail what they are given.
+class EngineTrustView {
+public:
+  virtual ~EngineTrustView() = default;
+  /// Whether work should go elsewhere if it can.
+  virtual bool isAvoided(const UpstreamId &Id, Time Now) const = 0;
+};
+
+/// Which contents crash upstreams.
+class CrashView {
+public:
+  virtual ~CrashView() = default;
+  virtual bool isQuarantined(Fingerprint Content, Time Now) const = 0;
+};
+
+/// What is wanted of an upstream for one try.
+struct EngineWanted {
+  ServiceId Service;
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t OutputTokens = 0;
+  Duration Objective{};
+  Time ArrivedAt{};
+  std::span<const UpstreamId> Excluded; ///< Not on these.
+};
+
+/// The upstream for one try.
+struct EngineChosen {
+  UpstreamId Engine;
+  std::vector<JointEngine> Helpers;
+  std::optional<std::uint32_t> Urgency;
+  Duration Predicted{}; ///< To the first event; zero: unknown.
+};
+
+/// Chooses upstreams.
+class EngineSelector {
+public:
+  virtual ~EngineSelector() = default;
+  /// Nothing when no upstream can take it now.
+  virtual std::optional<EngineChosen> choose(const EngineWanted &Wanted,
+                                             Time Now) = 0;
+};
+
+/// How much this gateway has under way.
+class RelayCount {
+public:
+  virtual ~RelayCount() = default;
+  virtual std::size_t running() const = 0;
+};
+
+} // namespace banyanpick
--- a/src/libs/kernel/Kernel.cpp
+++ b/src/libs/kernel/Kernel.cpp
@@ -7,11 +7,12 @@
 
 namespace banyanpick {
 
-Kernel::Kernel(Identity SelfGiven, Settings ValuesGiven, std::uint64_t Seed)
+Kernel::Kernel(Identity SelfGiven, Settings ValuesGiven, std::uint64_t Seed,
+               Serving How)
     : Self(std::move(SelfGiven)), Values(std::move(ValuesGiven)),
       Numbers(Seed) {
   PluginContext Context(this->Self, this->Values, this->Offered, this->Numbers);
-  for (const PluginDescription &Each : registeredPlugins()) {
+  for (const PluginDescription &Each : pluginsFor(How)) {
     this->Plugins.push_back(Each.Make());
     this->Plugins.back()->initialize(Context);
   }
--- a/src/libs/kernel/Kernel.h
+++ b/src/libs/kernel/Kernel.h
@@ -15,8 +15,9 @@
 /// the same actions.
 class Kernel {
 public:
-  /// Makes and initializes all registered plug-ins.
-  Kernel(Identity Self, Settings Values, std::uint64_t Seed);
+  /// Makes and initializes all registered plug-ins that serve so.
+  Kernel(Identity Self, Settings Values, std::uint64_t Seed,
+         Serving How = Serving::Catalogue);
   ~Kernel();
   Kernel(const Kernel &) = delete;
   Kernel &operator=(const Kernel &) = delete;
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -5,6 +5,7 @@
 
 #include "base/StrongId.h"
 #include "base/Time.h"
+#include "gateway/EngineRecord.h"
 #include "kernel/LogRecord.h"
 #include "kernel/Upstream.h"
 
@@ -39,6 +40,12 @@
   LogOffset InForce = 0; ///< Catalogue offset in force on the sender.
   Time LogConfirmedAt{}; ///< When the sender last knew that it was current.
   std::vector<MemberRumour> Rumours;
+  /// Where the sender is, and some others that it knows, for hosts that find
+  /// each other without a host list.
+  std::vector<HostListing> Known;
+  /// Changes of the service registry before this offset are known here.
+  LogOffset EnginesKnownTo = 0;
+  bool ReachesStore = false; ///< The sender reads the registry itself.
 
   bool operator==(const Heartbeat &) const = default;
 };
@@ -171,11 +178,59 @@
   bool operator==(const RecordsToAppend &) const = default;
 };
 
+/// "Send me the configuration if yours is newer than this version."
+struct ConfigurationAsked {
+  std::uint64_t NewerThan = 0;
+
+  bool operator==(const ConfigurationAsked &) const = default;
+};
+
+/// A configuration as its operator wrote it, for hosts cut off from the store.
+struct ConfigurationRelayed {
+  std::uint64_t Version = 0;
+  std::string Document;
+
+  bool operator==(const ConfigurationRelayed &) const = default;
+};
+
+/// "Send me what changed in the service registry from this offset on."
+struct EnginesAsked {
+  LogOffset From = 0;
+
+  bool operator==(const EnginesAsked &) const = default;
+};
+
+/// Registrations that changed since the offset asked for.
+struct EnginesRelayed {
+  std::vector<EngineChange> Changes;
+  LogOffset UpTo = 0;
+
+  bool operator==(const EnginesRelayed &) const = default;
+};
+
+/// What the sender has running on engines, in all, as of now.
+struct EngineWork {
+  struct Item {
+    UpstreamId Engine;
+    double ReadMs = 0; ///< Prompt reading still to do there, predicted.
+    std::uint32_t Reading = 0; ///< Requests whose first token is awaited.
+    std::uint32_t Writing = 0;
+    std::uint64_t MemoryTokens = 0; ///< That they take and will take.
+    bool LongRead = false; ///< A long prompt is being read there.
+
+    bool operator==(const Item &) const = default;
+  };
+  std::vector<Item> Items; ///< Engines not named have nothing of the sender.
+
+  bool operator==(const EngineWork &) const = default;
+};
+
 using PeerMessageBody =
     std::variant<Heartbeat, WorkSent, TeamUsage, LimitShare, RecordsRelayed,
                  RecordsAsked, CatalogueRelayed, QuarantineNotice,
                  UpstreamNotice, LoadRelayed, StreamHandover, HandoverTaken,
-                 RecordsToAppend>;
+                 RecordsToAppend, ConfigurationAsked, ConfigurationRelayed,
+                 EnginesAsked, EnginesRelayed, EngineWork>;
 
 /// A message with its sender.
 struct PeerMessage {
--- a/src/libs/kernel/Plugin.h
+++ b/src/libs/kernel/Plugin.h
@@ -67,6 +67,14 @@
   virtual void checkInvariants(InvariantMonitor &, Time) const {}
 };
 
+/// The protocols that a kernel can serve: the product's own, with a catalogue
+/// kept in a log, or as a gateway that relays requests whole by declared
+/// routes.
+enum class Serving { Catalogue, Gateway };
+
+/// Which kernels a plug-in is a part of.
+enum class PluginUse { Catalogue, Gateway, Both };
+
 /// What is known of a plug-in before it is made.
 struct PluginDescription {
   std::string_view Name;
@@ -74,6 +82,7 @@
   /// The settings it reads, with their defaults.
   std::vector<SettingDeclaration> (*DeclareSettings)();
   std::unique_ptr<Plugin> (*Make)();
+  PluginUse Use = PluginUse::Catalogue;
 };
 
 } // namespace banyanpick
--- a/src/libs/kernel/PluginRegistry.cpp
+++ b/src/libs/kernel/PluginRegistry.cpp
@@ -57,6 +57,12 @@
   std::vector<PluginDescription> Result;
 };
 
+bool isUsed(const PluginDescription &Each, Serving How) {
+  if (Each.Use == PluginUse::Both)
+    return true;
+  return (Each.Use == PluginUse::Gateway) == (How == Serving::Gateway);
+}
+
 } // namespace
 
 PluginRegistration::PluginRegistration(PluginDescription Description) {
@@ -67,6 +73,14 @@
   return DependencyOrder(registrations()).ordered();
 }
 
+std::vector<PluginDescription> pluginsFor(Serving How) {
+  std::vector<PluginDescription> Used;
+  for (const PluginDescription &Each : registrations())
+    if (isUsed(Each, How))
+      Used.push_back(Each);
+  return DependencyOrder(Used).ordered();
+}
+
 std::vector<SettingDeclaration> pluginSettings() {
   std::vector<SettingDeclaration> Result;
   for (const PluginDescription &Each : registeredPlugins()) {
--- a/src/libs/kernel/PluginRegistry.h
+++ b/src/libs/kernel/PluginRegistry.h
@@ -19,6 +19,9 @@
 /// Error(Internal) when a dependency is missing or in a circle.
 std::vector<PluginDescription> registeredPlugins();
 
+/// Those that a kernel serving so is made of, in that order.
+std::vector<PluginDescription> pluginsFor(Serving How);
+
 /// The settings of all plug-ins, in that order.
 std::vector<SettingDeclaration> pluginSettings();
 
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -38,6 +38,28 @@
   LogOffset InForce = 0;
   Time LastHeard{};
   Time LogConfirmedAt{}; ///< From its heartbeat.
+  LogOffset EnginesKnownTo = 0; ///< From its heartbeat.
+  bool ReachesStore = false;    ///< From its heartbeat.
+};
+
+/// The declarations that a gateway serves by, as its heartbeats tell them.
+class InForceView {
+public:
+  virtual ~InForceView() = default;
+  /// Whether this host may take requests.
+  virtual bool isReady() const = 0;
+  /// The version in force; 0 when there is none.
+  virtual std::uint64_t version() const = 0;
+};
+
+/// How far this host follows the service registry.
+class RegistryProgress {
+public:
+  virtual ~RegistryProgress() = default;
+  /// All changes before this offset are known.
+  virtual LogOffset knownTo() const = 0;
+  /// Whether this host reads the store itself.
+  virtual bool reachesStore(Time Now) const = 0;
 };
 
 /// Who the entry hosts are.
--- a/src/libs/logging/LineLog.cpp
+++ b/src/libs/logging/LineLog.cpp
@@ -1,11 +1,14 @@
 #include "logging/LineLog.h"
 
+#include "logging/LineWriter.h"
+
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <cstdio>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <unistd.h>
 
 namespace banyanpick {
 
@@ -99,9 +102,8 @@
 void writeLogLine(const LogEvent &Line, Time Now) {
   if (Line.Level < Threshold)
     return;
-  const std::string Text = formatLogLine(Line, Now) + "\n";
-  // One call a line, so that lines of two threads never mix.
-  std::fwrite(Text.data(), 1, Text.size(), stderr);
+  static LineWriter Writer(STDOUT_FILENO);
+  Writer.write(formatLogLine(Line, Now) + "\n", Now);
 }
 
 std::string formatLogLine(const LogEvent &Line, Time Now) {
--- a/src/libs/logging/LineLog.h
+++ b/src/libs/logging/LineLog.h
@@ -1,5 +1,5 @@
 /// \file
-/// Log events as lines on standard error.
+/// Log events as lines on standard output.
 #pragma once
 
 #include "base/LogEvent.h"
@@ -18,7 +18,8 @@
 /// whole process. Call it before other threads write.
 void configureLog(const Settings &Values);
 
-/// Writes the line to standard error; may be called from any thread.
+/// Writes the line to standard output; may be called from any thread. Never
+/// waits for a reader: lines that find no room are counted and left out.
 void writeLogLine(const LogEvent &Line, Time Now);
 
 /// The line without its end:
--- a/src/libs/platform/EngineAttempt.cpp
+++ b/src/libs/native/EngineAttempt.cpp
@@ -1,8 +1,8 @@
-#include "platform/EngineAttempt.h"
+#include "native/EngineAttempt.h"
 
 #include "http/AddressText.h"
 #include "http/BoundedJson.h"
-#include "platform/JsonField.h"
+#include "native/JsonField.h"
 
 #include <fmt/format.h>
 
--- a/src/libs/platform/EngineAttempt.h
+++ b/src/libs/native/EngineAttempt.h
@@ -4,8 +4,8 @@
 
 #include "http/ClientStream.h"
 #include "kernel/Action.h"
-#include "platform/PlatformSettings.h"
-#include "platform/StreamAssembler.h"
+#include "native/PlatformSettings.h"
+#include "native/StreamAssembler.h"
 
 namespace banyanpick {
 
--- a/src/libs/platform/HostListJson.cpp
+++ b/src/libs/native/HostListJson.cpp
@@ -1,8 +1,8 @@
-#include "platform/HostListJson.h"
+#include "native/HostListJson.h"
 
 #include "http/AddressText.h"
 #include "http/BoundedJson.h"
-#include "platform/JsonField.h"
+#include "native/JsonField.h"
 
 namespace banyanpick {
 
--- a/src/libs/platform/IdText.cpp
+++ b/src/libs/native/IdText.cpp
@@ -1,4 +1,4 @@
-#include "platform/IdText.h"
+#include "native/IdText.h"
 
 #include <charconv>
 #include <fmt/format.h>
--- a/src/libs/platform/JsonField.h
+++ b/src/libs/native/JsonField.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/Error.h"
-#include "platform/IdText.h"
+#include "native/IdText.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libs/platform/LoadReportJson.cpp
+++ b/src/libs/native/LoadReportJson.cpp
@@ -1,7 +1,7 @@
-#include "platform/LoadReportJson.h"
+#include "native/LoadReportJson.h"
 
 #include "http/BoundedJson.h"
-#include "platform/JsonField.h"
+#include "native/JsonField.h"
 
 namespace banyanpick {
 
--- a/src/libs/platform/LogClient.cpp
+++ b/src/libs/native/LogClient.cpp
@@ -1,8 +1,8 @@
-#include "platform/LogClient.h"
+#include "native/LogClient.h"
 
 #include "http/BoundedJson.h"
-#include "platform/HostListJson.h"
-#include "platform/JsonField.h"
+#include "native/HostListJson.h"
+#include "native/JsonField.h"
 #include "wire/LogCodec.h"
 
 #include <algorithm>
--- a/src/libs/platform/LogClient.h
+++ b/src/libs/native/LogClient.h
@@ -4,7 +4,7 @@
 
 #include "http/HttpClient.h"
 #include "kernel/Action.h"
-#include "platform/PlatformSettings.h"
+#include "native/PlatformSettings.h"
 
 namespace banyanpick {
 
--- a/src/libs/platform/PlatformSettings.cpp
+++ b/src/libs/native/PlatformSettings.cpp
@@ -1,4 +1,4 @@
-#include "platform/PlatformSettings.h"
+#include "native/PlatformSettings.h"
 
 #include "http/AddressText.h"
 
--- a/src/libs/platform/ServiceCall.cpp
+++ b/src/libs/native/ServiceCall.cpp
@@ -1,8 +1,8 @@
-#include "platform/ServiceCall.h"
+#include "native/ServiceCall.h"
 
 #include "http/BoundedJson.h"
-#include "platform/EngineAttempt.h"
-#include "platform/JsonField.h"
+#include "native/EngineAttempt.h"
+#include "native/JsonField.h"
 
 namespace banyanpick {
 
--- a/src/libs/platform/ServiceCall.h
+++ b/src/libs/native/ServiceCall.h
@@ -4,7 +4,7 @@
 
 #include "http/ClientStream.h"
 #include "kernel/Action.h"
-#include "platform/PlatformSettings.h"
+#include "native/PlatformSettings.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libs/platform/StreamAssembler.cpp
+++ b/src/libs/native/StreamAssembler.cpp
@@ -1,4 +1,4 @@
-#include "platform/StreamAssembler.h"
+#include "native/StreamAssembler.h"
 
 namespace banyanpick {
 
--- a/src/libs/platform/UpstreamClient.cpp
+++ b/src/libs/native/UpstreamClient.cpp
@@ -1,9 +1,9 @@
-#include "platform/UpstreamClient.h"
+#include "native/UpstreamClient.h"
 
 #include "base/Visitor.h"
 #include "http/BoundedJson.h"
-#include "platform/JsonField.h"
-#include "platform/LoadReportJson.h"
+#include "native/JsonField.h"
+#include "native/LoadReportJson.h"
 
 #include <fmt/format.h>
 
--- a/src/libs/peers/PeerNetwork.cpp
+++ b/src/libs/peers/PeerNetwork.cpp
@@ -59,9 +59,11 @@
 void PeerNetwork::bind(const Address &Listen) {
   zmq::socket_t &Socket = this->Router;
   Socket.set(zmq::sockopt::linger, 0);
-  Socket.set(zmq::sockopt::curve_server, true);
-  Socket.set(zmq::sockopt::curve_secretkey, this->Values.Own.SecretKey);
-  Socket.set(zmq::sockopt::zap_domain, "banyanpick");
+  if (this->Values.Encrypted) {
+    Socket.set(zmq::sockopt::curve_server, true);
+    Socket.set(zmq::sockopt::curve_secretkey, this->Values.Own.SecretKey);
+    Socket.set(zmq::sockopt::zap_domain, "banyanpick");
+  }
   Socket.set(zmq::sockopt::maxmsgsize,
              static_cast<std::int64_t>(this->Values.MaxMessageBytes));
   Socket.set(zmq::sockopt::rcvhwm,
@@ -166,7 +168,7 @@
     PeerMessage Message = decodePeerMessage(Payload.to_string_view());
     const char *Proved = Payload.gets("User-Id");
     const std::string_view User = Proved ? Proved : "";
-    if (User != AnyHost && User != Message.From.Value)
+    if (this->Values.Encrypted && User != AnyHost && User != Message.From.Value)
       throw Error(ErrorKind::NotAllowed, "the sender's key is another host's",
                   "give each host its own key pair");
     this->Tell.OnMessage(std::move(Message));
@@ -198,17 +200,22 @@
   }
 }
 
-zmq::socket_t PeerNetwork::makeLink(const HostListing &Peer) {
-  zmq::socket_t Socket(this->Context, zmq::socket_type::dealer);
+void PeerNetwork::proveTo(const HostListing &Peer, zmq::socket_t &Socket) const {
   const std::string ServerKey =
       this->Values.Allowed.keyOf(Peer.Id).value_or(this->Values.Own.PublicKey);
+  Socket.set(zmq::sockopt::curve_serverkey, ServerKey);
+  Socket.set(zmq::sockopt::curve_publickey, this->Values.Own.PublicKey);
+  Socket.set(zmq::sockopt::curve_secretkey, this->Values.Own.SecretKey);
+}
+
+zmq::socket_t PeerNetwork::makeLink(const HostListing &Peer) {
+  zmq::socket_t Socket(this->Context, zmq::socket_type::dealer);
+  if (this->Values.Encrypted)
+    this->proveTo(Peer, Socket);
   Socket.set(zmq::sockopt::linger, 0);
   Socket.set(zmq::sockopt::immediate, true);
   Socket.set(zmq::sockopt::sndhwm,
              static_cast<int>(this->Values.QueueMessages));
-  Socket.set(zmq::sockopt::curve_serverkey, ServerKey);
-  Socket.set(zmq::sockopt::curve_publickey, this->Values.Own.PublicKey);
-  Socket.set(zmq::sockopt::curve_secretkey, this->Values.Own.SecretKey);
   Socket.set(zmq::sockopt::reconnect_ivl, inMilliseconds(ReconnectFirst));
   Socket.set(zmq::sockopt::reconnect_ivl_max, inMilliseconds(ReconnectMost));
   Socket.set(zmq::sockopt::handshake_ivl, inMilliseconds(HandshakeTimeout));
--- a/src/libs/peers/PeerNetwork.h
+++ b/src/libs/peers/PeerNetwork.h
@@ -55,6 +55,7 @@
   void connectTo(std::span<const HostListing> Peers);
   void addLink(const HostListing &Peer);
   zmq::socket_t makeLink(const HostListing &Peer);
+  void proveTo(const HostListing &Peer, zmq::socket_t &Socket) const;
   void wake();
 
   const HostId Self;
--- a/src/libs/peers/PeerSettings.cpp
+++ b/src/libs/peers/PeerSettings.cpp
@@ -11,7 +11,6 @@
   Result.Section = "peers";
   Result.Key = std::move(Key);
   Result.Help = std::move(Help);
-  Result.Required = true;
   return Result;
 }
 
@@ -21,7 +20,8 @@
     throw Error(ErrorKind::BadInput,
                 "[peers] " + std::string(Name) + " is not a CURVE key",
                 "give 40 characters of Z85; banyanpick keys "
-                "prints a new pair");
+                "prints a new pair; or set encryption to none where the "
+                "network between hosts is trusted");
   return Key;
 }
 
@@ -29,6 +29,13 @@
 
 std::vector<SettingDeclaration> peerSettingDeclarations() {
   return {
+      {.Section = "peers",
+       .Key = "encryption",
+       .Kind = SettingKind::Choice,
+       .Default = "curve",
+       .Help = "Whether hosts prove themselves to each other with CURVE keys, "
+               "which then must be given, or trust their network.",
+       .Choices = {"curve", "none"}},
       keySetting("curve_public_key",
                  "Public CURVE key of this host (Z85). Hosts may share one "
                  "pair; `banyanpick keys` prints a new one."),
@@ -47,12 +54,15 @@
 
 PeerSettings peerSettings(const Settings &Values) {
   PeerSettings Result;
+  Result.MaxMessageBytes = Values.size("peers", "max_message_bytes");
+  Result.QueueMessages = Values.whole("peers", "queue_messages");
+  Result.Encrypted = Values.text("peers", "encryption") == "curve";
+  if (!Result.Encrypted)
+    return Result;
   Result.Own.PublicKey = keyOf(Values, "curve_public_key");
   Result.Own.SecretKey = keyOf(Values, "curve_secret_key");
   Result.Allowed = AllowedKeys::parse(Values.text("peers", "allowed_keys"));
   Result.Allowed.add(Result.Own.PublicKey);
-  Result.MaxMessageBytes = Values.size("peers", "max_message_bytes");
-  Result.QueueMessages = Values.whole("peers", "queue_messages");
   return Result;
 }
 
--- a/src/libs/peers/PeerSettings.h
+++ b/src/libs/peers/PeerSettings.h
@@ -8,6 +8,7 @@
 namespace banyanpick {
 
 struct PeerSettings {
+  bool Encrypted = true; ///< False: the keys are not used.
   CurveKeyPair Own;
   AllowedKeys Allowed; ///< The own public key is always among them.
   std::uint64_t MaxMessageBytes = 0;
--- /dev/null
+++ b/src/libs/relay/CallerSide.h
@@ -0,0 +1,82 @@
+/// \file
+/// One relayed request on the traffic thread: what the caller sent, and its
+/// answer on the way.
+#pragma once
+
+#include "http/HttpExchange.h"
+#include "http/Signal.h"
+#include "kernel/Action.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace banyanpick {
+
+/// Lives as long as the caller's side or a try needs it; the exchange is not
+/// used once finished() has returned. Used on one thread.
+class CallerSide {
+public:
+  CallerSide(HttpExchange &Each, RequestId Id)
+      : Each(&Each), Id(Id), News(Each.executor()) {}
+
+  const RequestId &id() const { return this->Id; }
+  const HttpExchange::Request &asked() const { return this->Each->request(); }
+
+  /// Whether something may still be sent to the caller.
+  bool isOpen() const { return !this->Done; }
+  /// The caller has closed its connection.
+  void hungUp() { this->breakOff(); }
+
+  // --- from an upstream's answer; false: the caller is gone
+
+  Task<bool> deliver(RelayedAnswer Given);
+  Task<bool> begin(http::response_header<> Head);
+  Task<bool> send(std::string_view Events);
+  Task<bool> end();
+  bool hasBegun() const { return this->Begun; }
+
+  // --- decided by control
+
+  /// Gives the answer that control made.
+  void refuse(HttpAnswer Given);
+  void keepFailure(const AttemptId &Try, RelayedAnswer Given);
+  void deliverFailure(const AttemptId &Try);
+  void breakOff();
+
+  /// Waits until there is a final answer to send or all was sent, and nothing
+  /// uses the caller's connection any more.
+  Task<void> finished();
+  /// Sends what control decided on, if that is what ends the request.
+  Task<void> sendDecided();
+
+private:
+  /// Counts an operation on the caller's connection while it lives.
+  class Using {
+  public:
+    explicit Using(CallerSide &Of) : Of(Of) { ++Of.Operations; }
+    ~Using() {
+      --this->Of.Operations;
+      this->Of.News.notify();
+    }
+    Using(const Using &) = delete;
+    Using &operator=(const Using &) = delete;
+
+  private:
+    CallerSide &Of;
+  };
+
+  void finish();
+
+  HttpExchange *Each;
+  RequestId Id;
+  Signal News;
+  std::size_t Operations = 0;
+  bool Begun = false;
+  bool Done = false;
+  std::optional<HttpAnswer> Refusal;
+  std::optional<RelayedAnswer> Failure;
+  std::map<AttemptId, RelayedAnswer> Kept;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/relay/EngineRun.h
@@ -0,0 +1,74 @@
+/// \file
+/// One try on the traffic thread: the request to an upstream and the reading
+/// of its answer.
+#pragma once
+
+#include "relay/CallerSide.h"
+#include "relay/EngineLinkPool.h"
+#include "relay/EventBorders.h"
+#include "relay/GatewayProtocol.h"
+
+#include <functional>
+
+namespace banyanpick {
+
+/// Bounds of one try.
+struct EngineRunLimits {
+  Duration ConnectTimeout{};
+  std::size_t WholeAnswerBytes = 0; ///< Larger plain answers are failures.
+  std::size_t EventBytes = 0;       ///< A larger event is a failure.
+};
+
+/// Runs once. Used on the thread of its executor.
+class EngineRun : public std::enable_shared_from_this<EngineRun> {
+public:
+  EngineRun(const net::any_io_executor &Executor, DispatchRelay Order,
+            std::shared_ptr<CallerSide> Caller, EngineLinkPool &Pool,
+            const EngineProtocol &Protocol, const EngineRunLimits &Limits);
+
+  /// Gives how it ended. \p OnBegan is called when the first event went to the
+  /// caller. \p Left is how long the upstream may take.
+  Task<RelayOutcome> run(Duration Left, std::function<void()> OnBegan);
+
+  /// Closes the connection; run() ends.
+  void cancel();
+  bool isCancelled() const { return this->Cancelled; }
+
+private:
+  using Parser = http::response_parser<http::buffer_body>;
+
+  Task<bool> connect();
+  /// False: the connection failed; the answer may be there all the same.
+  Task<bool> sendRequest(Duration Left);
+  Task<ErrorCode> readHead(Parser &Into);
+  /// Reads body bytes; a view of what came.
+  Task<std::string_view> readPiece(Parser &From);
+  Task<RelayOutcome> exchange(Duration Left, std::function<void()> OnBegan);
+  Task<RelayOutcome> relayWhole(Parser &From, bool IsFailure);
+  Task<RelayOutcome> relayEvents(Parser &From, std::function<void()> OnBegan);
+  RelayOutcome broken(RelayBroken::Why Reason) const;
+  RelayOutcome brokenBy(const ErrorCode &Failure) const;
+  void keepLink(const Parser &From);
+  void armSilence(Duration Limit);
+
+  static constexpr std::size_t ReadBytes = 8192;
+
+  net::any_io_executor Executor;
+  DispatchRelay Order;
+  std::shared_ptr<CallerSide> Caller;
+  EngineLinkPool &Pool;
+  const EngineProtocol &Protocol;
+  const EngineRunLimits &Limits;
+  std::shared_ptr<EngineLink> Link;
+  net::steady_timer Watch;
+  EventBorders Borders;
+  std::array<char, ReadBytes> Piece{};
+  ErrorCode ReadFailure;
+  bool Sent = false;       ///< The whole request was written.
+  bool AnyByteSent = false;
+  bool Cancelled = false;
+  bool TimedOut = false;
+  bool Began = false;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/relay/KeyedFollower.h
@@ -0,0 +1,60 @@
+/// \file
+/// Follows one topic of the store.
+#pragma once
+
+#include "relay/OrderedStore.h"
+
+#include <functional>
+#include <memory>
+#include <span>
+
+namespace banyanpick {
+
+/// How a topic is followed.
+struct FollowPace {
+  Duration LeastInterval{}; ///< Between the starts of two reads.
+  Duration Wait{};          ///< How long a read waits for a record.
+  Duration RetryFirst{};    ///< After a failure; doubles with each.
+  Duration RetryMost{};
+};
+
+/// Lists all keys, then reads what is written from there on. Starts over when
+/// records were lost before they were read. Tries again for ever.
+class KeyedFollower : public std::enable_shared_from_this<KeyedFollower> {
+public:
+  /// What it tells; called on the executor's thread.
+  struct Listener {
+    /// \p Complete: these are all keys that there are, as of \p UpTo.
+    std::function<void(std::span<const KeyedRecord> Records, bool Complete,
+                       LogOffset UpTo)>
+        OnRecords;
+    std::function<void(bool Reachable, std::string_view Why)> OnReachable;
+  };
+
+  KeyedFollower(const net::any_io_executor &Executor, OrderedStore &Store,
+                StoreTopic Topic, FollowPace Pace, Listener Tell);
+
+  void start();
+  void setPace(FollowPace Given) { this->Pace = Given; }
+
+private:
+  Task<void> run();
+  /// False: it failed.
+  Task<bool> list();
+  Task<bool> readOn();
+  Task<void> sleep(Duration For);
+  void note(const StoreFailure &Failure);
+  void noteReachable();
+
+  net::any_io_executor Executor;
+  OrderedStore &Store;
+  StoreTopic Topic;
+  FollowPace Pace;
+  Listener Tell;
+  net::steady_timer Timer;
+  bool Listed = false;
+  LogOffset NextOffset = 0;
+  std::optional<bool> Reachable;
+};
+
+} // namespace banyanpick
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -11,6 +11,36 @@
 namespace wire {
 namespace {
 
+/// Ports are sixteen bits; a larger number is no port.
+constexpr std::uint32_t HighestPort = 65535;
+
+void write(const Address &From, SocketAddress &Out) {
+  Out.set_ip(From.Ip);
+  Out.set_port(From.Port);
+}
+
+Address read(const SocketAddress &In) {
+  if (In.port() > HighestPort)
+    throwMalformed("a port is out of range");
+  return {In.ip(), static_cast<std::uint16_t>(In.port())};
+}
+
+void write(const HostListing &From, Listing &Out) {
+  Out.set_host(From.Id.Value);
+  Out.set_zone(From.Zone.Value);
+  write(From.Callers, *Out.mutable_callers());
+  write(From.Peers, *Out.mutable_peers());
+}
+
+HostListing read(const Listing &In) {
+  HostListing Result;
+  Result.Id.Value = In.host();
+  Result.Zone.Value = In.zone();
+  Result.Callers = read(In.callers());
+  Result.Peers = read(In.peers());
+  return Result;
+}
+
 void write(const banyanpick::Heartbeat &Body, Envelope &Envelope) {
   Heartbeat &Out = *Envelope.mutable_heartbeat();
   Out.set_sequence(Body.Sequence);
@@ -28,6 +58,10 @@
     Item.set_version(Each.Version);
     Item.set_state(static_cast<std::uint32_t>(Each.State));
   }
+  for (const HostListing &Each : Body.Known)
+    write(Each, *Out.add_known());
+  Out.set_engines_known_to(Body.EnginesKnownTo);
+  Out.set_reaches_store(Body.ReachesStore);
 }
 
 void write(const banyanpick::WorkSent &Body, Envelope &Envelope) {
@@ -121,6 +155,76 @@
   Envelope.set_records_to_append(encodeLogBatch(Body.Records));
 }
 
+void write(const banyanpick::ConfigurationAsked &Body, Envelope &Envelope) {
+  Envelope.mutable_configuration_asked()->set_newer_than(Body.NewerThan);
+}
+
+void write(const banyanpick::ConfigurationRelayed &Body, Envelope &Envelope) {
+  Envelope.mutable_configuration_relayed()->set_version(Body.Version);
+  Envelope.mutable_configuration_relayed()->set_document(Body.Document);
+}
+
+void write(const banyanpick::EnginesAsked &Body, Envelope &Envelope) {
+  Envelope.mutable_engines_asked()->set_from_offset(Body.From);
+}
+
+void write(const banyanpick::EnginesRelayed &Body, Envelope &Envelope) {
+  EnginesRelayed &Out = *Envelope.mutable_engines_relayed();
+  Out.set_up_to(Body.UpTo);
+  for (const EngineChange &Each : Body.Changes) {
+    EnginesRelayed::Change &Item = *Out.add_changes();
+    Item.set_id(Each.Engine.Id.Value);
+    Item.set_service(Each.Engine.Service.Value);
+    write(Each.Engine.At, *Item.mutable_at());
+    Item.set_zone(Each.Engine.Zone.Value);
+    Item.set_slots(Each.Engine.Slots);
+    Item.set_draining(Each.Engine.Draining);
+    Item.set_removed(Each.Removed);
+    Item.set_offset(Each.Offset);
+  }
+}
+
+void write(const banyanpick::EngineWork &Body, Envelope &Envelope) {
+  EngineWork &Out = *Envelope.mutable_engine_work();
+  for (const auto &Each : Body.Items) {
+    EngineWork::Item &Item = *Out.add_items();
+    Item.set_engine(Each.Engine.Value);
+    Item.set_read_ms(static_cast<float>(Each.ReadMs));
+    Item.set_reading(Each.Reading);
+    Item.set_writing(Each.Writing);
+    Item.set_memory_tokens(Each.MemoryTokens);
+    Item.set_long_read(Each.LongRead);
+  }
+}
+
+banyanpick::EnginesRelayed read(const EnginesRelayed &In) {
+  banyanpick::EnginesRelayed Result;
+  Result.UpTo = In.up_to();
+  for (const EnginesRelayed::Change &Each : In.changes()) {
+    EngineChange Item;
+    Item.Engine.Id.Value = Each.id();
+    Item.Engine.Service.Value = Each.service();
+    Item.Engine.At = read(Each.at());
+    Item.Engine.Zone.Value = Each.zone();
+    Item.Engine.Slots = Each.slots();
+    Item.Engine.Draining = Each.draining();
+    Item.Removed = Each.removed();
+    Item.Offset = Each.offset();
+    Result.Changes.push_back(std::move(Item));
+  }
+  return Result;
+}
+
+banyanpick::EngineWork read(const EngineWork &In) {
+  banyanpick::EngineWork Result;
+  for (const EngineWork::Item &Each : In.items())
+    Result.Items.push_back({UpstreamId(Each.engine()),
+                            checkedNumber(Each.read_ms()), Each.reading(),
+                            Each.writing(), Each.memory_tokens(),
+                            Each.long_read()});
+  return Result;
+}
+
 banyanpick::Heartbeat read(const Heartbeat &In) {
   banyanpick::Heartbeat Result;
   Result.Sequence = In.sequence();
@@ -135,6 +239,10 @@
     Result.Rumours.push_back({HostId(Each.host()), Incarnation(Each.life()),
                               Each.version(),
                               checkedEnum(Each.state(), MemberState::Leaving)});
+  for (const Listing &Each : In.known())
+    Result.Known.push_back(read(Each));
+  Result.EnginesKnownTo = In.engines_known_to();
+  Result.ReachesStore = In.reaches_store();
   return Result;
 }
 
@@ -223,6 +331,19 @@
     return banyanpick::HandoverTaken{In.handover_taken().resume_token()};
   case Envelope::kRecordsToAppend:
     return banyanpick::RecordsToAppend{decodeLogBatch(In.records_to_append())};
+  case Envelope::kConfigurationAsked:
+    return banyanpick::ConfigurationAsked{
+        In.configuration_asked().newer_than()};
+  case Envelope::kConfigurationRelayed:
+    return banyanpick::ConfigurationRelayed{
+        In.configuration_relayed().version(),
+        In.configuration_relayed().document()};
+  case Envelope::kEnginesAsked:
+    return banyanpick::EnginesAsked{In.engines_asked().from_offset()};
+  case Envelope::kEnginesRelayed:
+    return read(In.engines_relayed());
+  case Envelope::kEngineWork:
+    return read(In.engine_work());
   case Envelope::BODY_NOT_SET:
     break;
   }
--- /dev/null
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -0,0 +1,40 @@
+/// \file
+/// The plug-in that keeps contents from crashing one upstream after another.
+#pragma once
+
+#include "kernel/GatewayServices.h"
+#include "kernel/Plugin.h"
+#include "plugins/crashes/CrashBook.h"
+
+namespace banyanpick {
+
+/// Tells every crash to all peers, and all crashes to each host that starts.
+class CrashesPlugin : public Plugin,
+                      public CrashView,
+                      public RelayObserver,
+                      public EngineObserver,
+                      public MembershipObserver {
+public:
+  void initialize(PluginContext &Context) override;
+  void handle(const Event &What, Time Now, Actions &Out) override;
+  Time nextWake() const override { return Never; }
+
+  bool isQuarantined(Fingerprint Content, Time Now) const override;
+  void tryEnded(const RelayTry &Each, const RelayOutcome &Outcome, Time Now,
+                Actions &Out) override;
+  void engineGone(const UpstreamId &Id, Time Now, Actions &Out) override;
+  void memberChanged(const Member &Changed, Time Now, Actions &Out) override;
+
+  static std::vector<SettingDeclaration> settings();
+
+private:
+  void confirm(const UpstreamId &Engine, Time Now, Actions &Out);
+  void log(const Crash &Each, std::string_view From, Actions &Out) const;
+
+  const MembershipView *Members = nullptr;
+  CrashBook Book;
+  Duration KeepFor{};
+  std::map<HostId, Incarnation> Told; ///< Lives that were told everything.
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/departure/DeparturePlugin.cpp
@@ -0,0 +1,93 @@
+#include "plugins/departure/DeparturePlugin.h"
+
+#include "base/EventNumbers.h"
+#include "base/Visitor.h"
+#include "kernel/PluginRegistry.h"
+
+namespace banyanpick {
+
+void DeparturePlugin::initialize(PluginContext &Context) {
+  const Settings &Values = Context.settings();
+  const std::string_view In = "departure";
+  this->Offered = &Context.services();
+  this->Linger = Values.span(In, "linger");
+  this->Grace = Values.span(In, "grace");
+  this->LookInterval = Values.span(In, "look_interval");
+  Context.services().provide<DrainView>(*this);
+}
+
+void DeparturePlugin::start(Time, Actions &) {
+  this->Running = &this->Offered->get<RelayCount>();
+}
+
+void DeparturePlugin::handle(const Event &What, Time Now, Actions &Out) {
+  match(
+      What,
+      [&](const StopAsked &) {
+        if (!this->isLeaving())
+          this->leave(Now, Out);
+      },
+      [](const auto &) {});
+  if (Now >= this->NextLook)
+    this->look(Now, Out);
+}
+
+Time DeparturePlugin::nextWake() const { return this->NextLook; }
+
+void DeparturePlugin::leave(Time Now, Actions &Out) {
+  this->LeavingSince = Now;
+  this->NextLook = Now;
+  Out.add(GatewayAction(CloseCallers{}));
+  Out.add(GatewayAction(AnnounceHost{false}));
+  Out.log(logEvent(events::DrainBegun)
+              .with("running", this->Running->running())
+              .build());
+}
+
+void DeparturePlugin::look(Time Now, Actions &Out) {
+  this->NextLook = Now + this->LookInterval;
+  const bool Idle = this->Running->running() == 0 &&
+                    Now >= this->LeavingSince + this->Linger;
+  const bool Late = Now >= this->LeavingSince + this->Grace;
+  if (this->Ended || (!Idle && !Late))
+    return;
+  this->Ended = true;
+  this->NextLook = Never;
+  Out.log(logEvent(events::DrainEnded)
+              .with("running", this->Running->running())
+              .with("after_us", (Now - this->LeavingSince).count())
+              .build());
+  Out.add(StopNow{});
+}
+
+std::vector<SettingDeclaration> DeparturePlugin::settings() {
+  constexpr auto Span = SettingKind::Span;
+  const std::string In = "departure";
+  return {
+      {In, "linger", Span, "3500ms",
+       "How long a stopping host goes on taking requests: three times the "
+       "directory's ttl, for callers that keep answers long, and a margin.",
+       0, 600e6},
+      {In, "grace", Span, "7500ms",
+       "After so long a stopping host ends even with requests running; less "
+       "than what the operator waits before killing it.",
+       0, 3600e6},
+      {In, "look_interval", Span, "50ms",
+       "How often a stopping host looks whether it can end.", 1e3, 10e6},
+  };
+}
+
+namespace {
+
+const PluginRegistration
+    Registration({"departure",
+                  {},
+                  DeparturePlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
+                    return std::make_unique<DeparturePlugin>();
+                  },
+                  PluginUse::Gateway});
+
+} // namespace
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/engineload/EngineLoad.h
@@ -0,0 +1,56 @@
+/// \file
+/// What runs on one engine, as far as this host and its peers sent it.
+#pragma once
+
+#include "kernel/GatewayServices.h"
+
+#include <map>
+#include <vector>
+
+namespace banyanpick {
+
+/// The work of one try on one engine.
+struct LoadItem {
+  AttemptId Try;
+  double ReadMs = 0; ///< To its first token, alone; 0 once it writes.
+  std::uint64_t MemoryTokens = 0;
+  bool IsLong = false;
+  bool Writes = false;
+};
+
+/// Reads are taken to be done in the order in which they came.
+class EngineLoad {
+public:
+  void add(const LoadItem &Item, Time Now);
+  /// The try's first token came.
+  void began(const AttemptId &Try, Time Now);
+  void remove(const AttemptId &Try, Time Now);
+  void takePeer(const HostId &Peer, const EngineWork::Item &Work, Time Now);
+  void forgetPeer(const HostId &Peer) { this->Peers.erase(Peer); }
+
+  /// Reading still to do, by everybody, in milliseconds.
+  double backlogMs(Time Now) const;
+  std::uint32_t reading() const;
+  std::uint32_t writing() const;
+  std::uint64_t memoryTokens() const;
+  bool hasLongRead() const;
+
+  /// What this host has there, for its peers.
+  EngineWork::Item ownWork(const UpstreamId &Engine, Time Now) const;
+  bool hasOwn() const { return !this->Own.empty(); }
+  bool isIdle() const { return this->Own.empty() && this->Peers.empty(); }
+
+private:
+  struct PeerWork {
+    EngineWork::Item Work;
+    Time At{};
+  };
+
+  double ownBacklogMs(Time Now) const;
+
+  std::vector<LoadItem> Own;
+  Time HeadSince{}; ///< Since when the first read of Own is under way.
+  std::map<HostId, PeerWork> Peers;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -0,0 +1,70 @@
+/// \file
+/// The plug-in that knows what runs on the upstreams and chooses among them.
+#pragma once
+
+#include "kernel/GatewayServices.h"
+#include "kernel/Plugin.h"
+#include "plugins/engineload/EngineLoad.h"
+
+namespace banyanpick {
+
+/// Keeps a model of every engine from what all hosts say they sent, and gives
+/// each request the engine that is predicted to begin its answer first.
+class EngineLoadPlugin : public Plugin,
+                         public EngineSelector,
+                         public RelayObserver,
+                         public EngineObserver,
+                         public MembershipObserver {
+public:
+  void initialize(PluginContext &Context) override;
+  void start(Time Now, Actions &Out) override;
+  void handle(const Event &What, Time Now, Actions &Out) override;
+  Time nextWake() const override { return this->NextTelling; }
+
+  std::optional<EngineChosen> choose(const EngineWanted &Wanted,
+                                     Time Now) override;
+
+  void trySent(const RelayTry &Each, Time Now, Actions &Out) override;
+  void tryBegan(const RelayTry &Each, Time Now, Actions &Out) override;
+  void tryEnded(const RelayTry &Each, const RelayOutcome &Outcome, Time Now,
+                Actions &Out) override;
+  void tryCancelled(const RelayTry &Each, Time Now, Actions &Out) override;
+  void engineGone(const UpstreamId &Id, Time Now, Actions &Out) override;
+  void memberChanged(const Member &Changed, Time Now, Actions &Out) override;
+
+  static std::vector<SettingDeclaration> settings();
+
+private:
+  /// One engine that may get the request, with what speaks for it.
+  struct Candidate {
+    const KnownEngine *Engine = nullptr;
+    double CostMs = 0;
+    double FirstEventMs = 0;
+  };
+
+  const EngineParameters *parametersOf(const ServiceId &Service) const;
+  Candidate weigh(const KnownEngine &Each, const EngineWanted &Wanted,
+                  const EngineParameters *Model, Time Now);
+  std::optional<Candidate> best(const EngineWanted &Wanted, bool Avoided,
+                                Time Now);
+  void remove(const RelayTry &Each, Time Now);
+  void takePeerWork(const HostId &From, const EngineWork &Work, Time Now);
+  void tell(Time Now, Actions &Out);
+  void noteChange(Time Now);
+
+  Services *Offered = nullptr;
+  const MembershipView *Members = nullptr;
+  const RouteView *Declared = nullptr;
+  const EngineDirectory *Directory = nullptr;
+  const EngineTrustView *Trust = nullptr;
+  Random *Numbers = nullptr;
+  ZoneId OwnZone;
+  Duration TellInterval{};
+  double JitterMs = 0;
+  double OtherZoneMs = 0;
+  std::map<UpstreamId, EngineLoad> Loads;
+  Time NextTelling = Never;
+  Time LastTelling{};
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/engines/EnginesPlugin.cpp
@@ -0,0 +1,205 @@
+#include "plugins/engines/EnginesPlugin.h"
+
+#include "base/EventNumbers.h"
+#include "base/Visitor.h"
+#include "kernel/PluginRegistry.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+void EnginesPlugin::initialize(PluginContext &Context) {
+  const Settings &Values = Context.settings();
+  const std::string_view In = "engines";
+  this->Offered = &Context.services();
+  this->Members = &Context.services().get<MembershipView>();
+  this->Table = EngineTable(
+      {Values.span(In, "missing_for"), Values.span(In, "keep_removed")});
+  this->LookInterval = Values.span(In, "peer_look_interval");
+  this->DoubtFor = Values.span(In, "doubt_for");
+  this->ReachableFor = Values.span(In, "reachable_for");
+  Context.services().provide<EngineDirectory>(*this);
+  Context.services().provide<RegistryProgress>(*this);
+}
+
+void EnginesPlugin::start(Time Now, Actions &) { this->NextLook = Now; }
+
+void EnginesPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  match(
+      What,
+      [&](const GatewayEvent &Is) {
+        if (const auto *Read = std::get_if<EnginesRead>(&Is))
+          this->take(*Read, Now, Out);
+        if (const auto *Seen = std::get_if<StoreSeen>(&Is))
+          this->note(*Seen, Now, Out);
+      },
+      [&](const PeerMessageReceived &Is) {
+        this->takePeerMessage(Is.Message, Now, Out);
+      },
+      [](const auto &) {});
+  for (const UpstreamId &Gone : this->Table.age(Now))
+    this->tellGone(Gone, "silence", Now, Out);
+  if (Now >= this->NextLook)
+    this->look(Now, Out);
+}
+
+Time EnginesPlugin::nextWake() const {
+  return std::min(this->NextLook, this->Table.nextAge());
+}
+
+bool EnginesPlugin::reachesStore(Time Now) const {
+  return this->LastRead != Time{} && Now < this->LastRead + this->ReachableFor;
+}
+
+void EnginesPlugin::take(const EnginesRead &Read, Time Now, Actions &Out) {
+  this->LastRead = Now;
+  this->apply(Read.Changes, "store", Now, Out);
+  if (Read.Complete)
+    this->apply(this->Table.missingFrom(Read.Changes, Read.UpTo), "listing",
+                Now, Out);
+  this->KnownTo = std::max(this->KnownTo, Read.UpTo);
+}
+
+void EnginesPlugin::note(const StoreSeen &Seen, Time Now, Actions &Out) {
+  if (Seen.Of != StoreSeen::Part::Engines)
+    return;
+  if (!Seen.Reachable)
+    this->LastFailed = Now;
+  if (Seen.Reachable == this->Reachable)
+    return;
+  this->Reachable = Seen.Reachable;
+  Out.log(logEvent(Seen.Reachable ? events::StoreReachable
+                                  : events::StoreUnreachable)
+              .with("for", "engines")
+              .with("why", Seen.Why)
+              .with("known_to", this->KnownTo)
+              .build());
+}
+
+void EnginesPlugin::takePeerMessage(const PeerMessage &Message, Time Now,
+                                    Actions &Out) {
+  match(
+      Message.Body,
+      [&](const EnginesAsked &Asked) {
+        if (this->KnownTo <= Asked.From)
+          return;
+        Out.add(SendToPeer{
+            Message.From,
+            EnginesRelayed{this->Table.changesFrom(Asked.From),
+                           this->KnownTo}});
+      },
+      [&](const EnginesRelayed &Relayed) {
+        if (Relayed.UpTo <= this->KnownTo)
+          return;
+        this->apply(Relayed.Changes, Message.From.Value, Now, Out);
+        this->KnownTo = Relayed.UpTo;
+      },
+      [](const auto &) {});
+}
+
+void EnginesPlugin::apply(std::span<const EngineChange> Changes,
+                          std::string_view From, Time Now, Actions &Out) {
+  const bool Doubtful = this->isDoubtful(Now);
+  for (const EngineChange &Each : Changes) {
+    switch (this->Table.apply(Each, Doubtful, Now)) {
+    case EngineTable::Effect::None:
+      break;
+    case EngineTable::Effect::Changed:
+      this->tell(Each.Engine.Id, From, Now, Out);
+      break;
+    case EngineTable::Effect::Gone:
+      this->tellGone(Each.Engine.Id, From, Now, Out);
+      break;
+    }
+  }
+}
+
+void EnginesPlugin::addressTaken(const UpstreamId &Id, Time Now,
+                                 Actions &Out) {
+  if (this->Table.setLeaving(Id, Now))
+    this->tell(Id, "refusal", Now, Out);
+}
+
+void EnginesPlugin::tell(const UpstreamId &Id, std::string_view From, Time Now,
+                         Actions &Out) {
+  const KnownEngine *Changed = this->Table.find(Id);
+  if (!Changed)
+    return;
+  Out.log(logEvent(events::EngineChanged)
+              .with("engine", Id.Value)
+              .with("service", Changed->Record.Service.Value)
+              .with("standing", name(Changed->Standing))
+              .with("from", From)
+              .with("offset", Changed->Offset)
+              .build());
+  for (EngineObserver *Each : this->Offered->list<EngineObserver>().all())
+    Each->engineChanged(*Changed, Now, Out);
+}
+
+void EnginesPlugin::tellGone(const UpstreamId &Id, std::string_view From,
+                             Time Now, Actions &Out) {
+  Out.log(logEvent(events::EngineChanged)
+              .with("engine", Id.Value)
+              .with("standing", "gone")
+              .with("from", From)
+              .with("offset", this->KnownTo)
+              .build());
+  for (EngineObserver *Each : this->Offered->list<EngineObserver>().all())
+    Each->engineGone(Id, Now, Out);
+}
+
+void EnginesPlugin::look(Time Now, Actions &Out) {
+  this->NextLook = Now + this->LookInterval;
+  if (this->reachesStore(Now))
+    return;
+  const Member *Best = nullptr;
+  for (const Member &Each : this->Members->peers())
+    if (Each.State != MemberState::Dead && Each.EnginesKnownTo > this->KnownTo &&
+        (!Best || Each.EnginesKnownTo > Best->EnginesKnownTo))
+      Best = &Each;
+  if (Best)
+    Out.add(SendToPeer{Best->Listing.Id, EnginesAsked{this->KnownTo}});
+}
+
+bool EnginesPlugin::isDoubtful(Time Now) const {
+  return this->LastFailed != Time{} && Now < this->LastFailed + this->DoubtFor;
+}
+
+std::vector<SettingDeclaration> EnginesPlugin::settings() {
+  constexpr auto Span = SettingKind::Span;
+  const std::string In = "engines";
+  return {
+      {In, "missing_for", Span, "2s",
+       "How long an upstream whose registration vanished beside an outage of "
+       "the store may still be used; the registry's operators say within how "
+       "long it is back.",
+       0, 60e6},
+      {In, "doubt_for", Span, "4s",
+       "How long after an outage of the store a vanished registration may be "
+       "one that could not be renewed: the outage's end and one renewal.",
+       0, 60e6},
+      {In, "keep_removed", Span, "1min",
+       "How long peers are told of upstreams that are gone.", 1e6, 3600e6},
+      {In, "peer_look_interval", Span, "400ms",
+       "How often a host that the store does not answer asks a peer.", 50e3,
+       10e6},
+      {In, "reachable_for", Span, "1500ms",
+       "After so long without an answer, the store counts as out of reach.",
+       100e3, 60e6},
+  };
+}
+
+namespace {
+
+const PluginRegistration
+    Registration({"engines",
+                  {"membership"},
+                  EnginesPlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
+                    return std::make_unique<EnginesPlugin>();
+                  },
+                  PluginUse::Gateway});
+
+} // namespace
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/engines/EnginesPlugin.h
@@ -0,0 +1,62 @@
+/// \file
+/// The plug-in that knows the upstreams behind a gateway.
+#pragma once
+
+#include "kernel/GatewayServices.h"
+#include "kernel/Plugin.h"
+#include "plugins/engines/EngineTable.h"
+
+namespace banyanpick {
+
+/// Follows the service registry: from the store, or from peers when the store
+/// does not answer this host.
+class EnginesPlugin : public Plugin,
+                      public EngineDirectory,
+                      public RegistryProgress {
+public:
+  void initialize(PluginContext &Context) override;
+  void start(Time Now, Actions &Out) override;
+  void handle(const Event &What, Time Now, Actions &Out) override;
+  Time nextWake() const override;
+
+  const KnownEngine *find(const UpstreamId &Id) const override {
+    return this->Table.find(Id);
+  }
+  std::span<const KnownEngine *const>
+  ofService(const ServiceId &Service) const override {
+    return this->Table.ofService(Service);
+  }
+  void addressTaken(const UpstreamId &Id, Time Now, Actions &Out) override;
+  LogOffset knownTo() const override { return this->KnownTo; }
+  bool reachesStore(Time Now) const override;
+
+  static std::vector<SettingDeclaration> settings();
+
+private:
+  void take(const EnginesRead &Read, Time Now, Actions &Out);
+  void note(const StoreSeen &Seen, Time Now, Actions &Out);
+  void takePeerMessage(const PeerMessage &Message, Time Now, Actions &Out);
+  void apply(std::span<const EngineChange> Changes, std::string_view From,
+             Time Now, Actions &Out);
+  void tell(const UpstreamId &Id, std::string_view From, Time Now,
+            Actions &Out);
+  void tellGone(const UpstreamId &Id, std::string_view From, Time Now,
+                Actions &Out);
+  /// Asks a peer that is further, while the store does not answer.
+  void look(Time Now, Actions &Out);
+  bool isDoubtful(Time Now) const;
+
+  Services *Offered = nullptr;
+  const MembershipView *Members = nullptr;
+  EngineTable Table;
+  LogOffset KnownTo = 0;
+  Duration LookInterval{};
+  Duration DoubtFor{};
+  Duration ReachableFor{};
+  Time NextLook{};
+  Time LastRead = Time{};   ///< From the store itself.
+  Time LastFailed = Time{}; ///< The store did not answer.
+  bool Reachable = false;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/enginetrust/EngineTrustPlugin.cpp
@@ -0,0 +1,121 @@
+#include "plugins/enginetrust/EngineTrustPlugin.h"
+
+#include "base/EventNumbers.h"
+#include "kernel/PluginRegistry.h"
+
+namespace banyanpick {
+
+namespace {
+
+/// Weight of one answer in a service's usual share of failures: the memory of
+/// some fifty answers.
+constexpr double ServiceMemory = 0.02;
+
+std::string_view name(TrustRecord::Verdict What) {
+  switch (What) {
+  case TrustRecord::Verdict::Sound:
+    return "sound";
+  case TrustRecord::Verdict::Failing:
+    return "failing";
+  case TrustRecord::Verdict::Broken:
+    return "broken";
+  case TrustRecord::Verdict::Silent:
+    return "silent";
+  case TrustRecord::Verdict::Neutral:
+    return "neutral";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+void EngineTrustPlugin::initialize(PluginContext &Context) {
+  const Settings &Values = Context.settings();
+  const std::string_view In = "engine_trust";
+  this->Limits.FirstPause = Values.span(In, "first_pause");
+  this->Limits.LongestPause = Values.span(In, "longest_pause");
+  this->Limits.SuspectShare = Values.fraction(In, "suspect_share");
+  this->Limits.Memory = Values.fraction(In, "memory");
+  Context.services().provide<EngineTrustView>(*this);
+  Context.services().list<RelayObserver>().add(*this);
+  Context.services().list<EngineObserver>().add(*this);
+}
+
+bool EngineTrustPlugin::isAvoided(const UpstreamId &Id, Time Now) const {
+  const auto Found = this->Records.find(Id);
+  return Found != this->Records.end() && Found->second.isAvoided(Now);
+}
+
+void EngineTrustPlugin::tryEnded(const RelayTry &Each,
+                                 const RelayOutcome &Outcome, Time Now,
+                                 Actions &Out) {
+  const TrustRecord::Verdict What = verdictOf(Outcome);
+  ServiceShare &Usual = this->Services[Each.Service];
+  if (What == TrustRecord::Verdict::Sound ||
+      What == TrustRecord::Verdict::Failing) {
+    const double Failed = What == TrustRecord::Verdict::Failing ? 1 : 0;
+    Usual.Failures += ServiceMemory * (Failed - Usual.Failures);
+  }
+  TrustRecord &Of = this->Records[Each.Engine];
+  const bool Before = Of.avoidUntil() != Time{};
+  const Time Until = Of.avoidUntil();
+  Of.take(What, Usual.Failures, this->Limits, Now);
+  if (Of.avoidUntil() != Until) {
+    Out.count("engines_avoided", name(What));
+    Out.log(logEvent(events::EngineAvoided)
+                .with("engine", Each.Engine.Value)
+                .with("after", name(What))
+                .with("in_a_row", Of.failuresInARow())
+                .with("failure_share", Of.failureShare())
+                .with("usual_share", Usual.Failures)
+                .with("for_us", (Of.avoidUntil() - Now).count())
+                .build());
+  } else if (Before && What == TrustRecord::Verdict::Sound) {
+    Out.log(logEvent(events::EngineTrusted)
+                .with("engine", Each.Engine.Value)
+                .with("failure_share", Of.failureShare())
+                .build());
+    this->Records.erase(Each.Engine);
+  }
+}
+
+void EngineTrustPlugin::engineGone(const UpstreamId &Id, Time, Actions &) {
+  this->Records.erase(Id);
+}
+
+std::vector<SettingDeclaration> EngineTrustPlugin::settings() {
+  constexpr auto Span = SettingKind::Span;
+  constexpr auto Fraction = SettingKind::Fraction;
+  const std::string In = "engine_trust";
+  return {
+      {In, "first_pause", Span, "500ms",
+       "How long an upstream is avoided after it failed; doubles with each "
+       "further failure. Long enough for a restart to be seen.",
+       10e3, 60e6},
+      {In, "longest_pause", Span, "4s",
+       "The longest time an upstream is avoided before it gets a try again.",
+       10e3, 600e6},
+      {In, "suspect_share", Fraction, "0.25",
+       "An upstream whose failures exceed its service's usual share by so much "
+       "is avoided.",
+       0.01, 1},
+      {In, "memory", Fraction, "0.2",
+       "Weight of the newest answer in an upstream's share of failures.", 0.01,
+       1},
+  };
+}
+
+namespace {
+
+const PluginRegistration
+    Registration({"engine_trust",
+                  {},
+                  EngineTrustPlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
+                    return std::make_unique<EngineTrustPlugin>();
+                  },
+                  PluginUse::Gateway});
+
+} // namespace
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/enginetrust/EngineTrustPlugin.h
@@ -0,0 +1,41 @@
+/// \file
+/// The plug-in that keeps work away from upstreams that fail it.
+#pragma once
+
+#include "kernel/GatewayServices.h"
+#include "kernel/Plugin.h"
+#include "plugins/enginetrust/TrustRecord.h"
+
+#include <map>
+
+namespace banyanpick {
+
+/// An avoided upstream gets a try again after its pause; each further failure
+/// doubles the pause, one sound answer ends it.
+class EngineTrustPlugin : public Plugin,
+                          public EngineTrustView,
+                          public RelayObserver,
+                          public EngineObserver {
+public:
+  void initialize(PluginContext &Context) override;
+  void handle(const Event &, Time, Actions &) override {}
+
+  bool isAvoided(const UpstreamId &Id, Time Now) const override;
+  void tryEnded(const RelayTry &Each, const RelayOutcome &Outcome, Time Now,
+                Actions &Out) override;
+  void engineGone(const UpstreamId &Id, Time Now, Actions &Out) override;
+
+  static std::vector<SettingDeclaration> settings();
+
+private:
+  /// Moving average over a whole service.
+  struct ServiceShare {
+    double Failures = 0;
+  };
+
+  TrustLimits Limits;
+  std::map<UpstreamId, TrustRecord> Records;
+  std::map<ServiceId, ServiceShare> Services;
+};
+
+} // namespace banyanpick
--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -14,6 +14,13 @@
 /// A rumour rides on this many heartbeats for each doubling of the hosts.
 constexpr std::uint32_t TimesToldPerDoubling = 3;
 
+/// Other hosts named in each heartbeat where hosts find each other by hearing:
+/// enough that a newcomer is known to all of sixteen within a few intervals.
+constexpr std::size_t HostsNamed = 2;
+
+/// Hosts named to a newcomer at once.
+constexpr std::size_t HostsNamedToNewcomer = 32;
+
 std::string_view name(MemberState State) {
   switch (State) {
   case MemberState::Alive:
@@ -47,12 +54,19 @@
   this->Probes = ProbeRound(
       {Values.whole(In, "full_mesh_hosts"), Values.whole(In, "fanout")},
       Context.random());
+  this->Gossips = Values.text(In, "discovery") == "gossip";
+  this->Seeds = SeedContacts(Values.text(In, "seeds"), this->Own.Peers);
+  this->Numbers = &Context.random();
   Context.services().provide<MembershipView>(*this);
   Context.services().list<StatusContributor>().add(*this);
 }
 
-void MembershipPlugin::start(Time, Actions &) {
+void MembershipPlugin::start(Time, Actions &Out) {
   this->Declared = this->Offered->find<CatalogueView>();
+  this->InForce = this->Offered->find<InForceView>();
+  this->Registry = this->Offered->find<RegistryProgress>();
+  if (this->Gossips)
+    this->connect(Out);
 }
 
 void MembershipPlugin::handle(const Event &What, Time Now, Actions &Out) {
@@ -67,17 +81,30 @@
         if (const auto *Beat = std::get_if<Heartbeat>(&Is.Message.Body))
           this->takeHeartbeat(Is.Message, *Beat, Now, Out);
       },
-      [&](const StopAsked &) { this->leave(Now, Out); }, [](const auto &) {});
+      [&](const StopAsked &) { this->leave(Now, Out); },
+      [&](const GatewayEvent &Is) {
+        if (const auto *Reload = std::get_if<SettingsReloaded>(&Is))
+          this->Seeds = SeedContacts(
+              Reload->Values->text("membership", "seeds"), this->Own.Peers);
+      },
+      [](const auto &) {});
   if (Now >= this->NextListRead) {
     this->NextListRead = Now + this->ListInterval;
     Out.add(ReadHostList{});
   }
-  if (Now >= this->NextBeat)
+  if (Now >= this->NextBeat || this->hasNews())
     this->beat(Now, Out);
   this->announceChanges(Now, Out);
 }
 
+bool MembershipPlugin::hasNews() const {
+  return this->InForce && (this->InForce->version() != this->ToldVersion ||
+                           this->InForce->isReady() != this->ToldReady);
+}
+
 Time MembershipPlugin::nextWake() const {
+  if (this->hasNews())
+    return Time{};
   return std::min(this->NextListRead, this->NextBeat);
 }
 
@@ -129,13 +156,59 @@
     Out.log(logEvent(events::HostListReachable).build());
   this->ListReachable = true;
   this->ListRead = true;
+  if (this->Gossips) {
+    this->learn(List.Hosts, Now, Out);
+    return;
+  }
   if (!this->Peers.takeList(List.Hosts, Now))
     return;
+  this->connect(Out);
+  this->NextBeat = Now;
+}
+
+void MembershipPlugin::learn(std::span<const HostListing> Known, Time Now,
+                             Actions &Out) {
+  bool Changed = false;
+  for (const HostListing &Each : Known) {
+    if (!this->Peers.position(Each.Id))
+      Changed |= this->Peers.learn(Each, Now);
+  }
+  if (!Changed)
+    return;
+  this->connect(Out);
+  this->NextBeat = Now;
+}
+
+void MembershipPlugin::connect(Actions &Out) const {
   ConnectPeers Wanted;
   for (const Member &Each : this->Peers.members())
     Wanted.Peers.push_back(Each.Listing);
+  for (HostListing &Each : this->Seeds.unknown(this->Peers.members()))
+    Wanted.Peers.push_back(std::move(Each));
   Out.add(std::move(Wanted));
-  this->NextBeat = Now;
+}
+
+HostListing MembershipPlugin::ownListing() const {
+  return {this->Own.Host, this->Own.Zone, this->Own.Callers, this->Own.Peers,
+          false};
+}
+
+std::vector<HostListing> MembershipPlugin::listingsFor(bool Newcomer) {
+  std::vector<HostListing> Result;
+  if (!this->Gossips)
+    return Result;
+  Result.push_back(this->ownListing());
+  std::vector<const Member *> Living;
+  for (const Member &Each : this->Peers.members())
+    if (Each.State != MemberState::Dead && Each.Life != Incarnation())
+      Living.push_back(&Each);
+  std::size_t Left = Newcomer ? HostsNamedToNewcomer : HostsNamed;
+  while (Left-- > 0 && !Living.empty()) {
+    const std::size_t Pick = this->Numbers->below(Living.size());
+    Result.push_back(Living[Pick]->Listing);
+    Living.erase(Living.begin() + static_cast<std::ptrdiff_t>(Pick));
+  }
+  return Result;
 }
 
 void MembershipPlugin::takeHeartbeat(const PeerMessage &Message,
@@ -148,14 +221,24 @@
                   .build());
     return;
   }
+  bool Newcomer = false;
+  if (this->Gossips && !Beat.Known.empty()) {
+    const HostListing &Sender = Beat.Known.front();
+    if (Sender.Id == Message.From && this->Peers.learn(Sender, Now)) {
+      Newcomer = true;
+      this->connect(Out);
+    }
+    this->learn(std::span(Beat.Known).subspan(1), Now, Out);
+  }
   const auto From = this->Peers.position(Message.From);
   if (!From)
     return; // Not in the host list yet; it will ask again.
+  Newcomer = Newcomer || this->Peers.member(*From).Life != Message.FromLife;
   this->Peers.takeHeartbeat(*From, Message.FromLife, Beat, Now);
   for (const MemberRumour &Each : Beat.Rumours)
     this->takeRumour(Each, Now);
   if (!Beat.Acknowledges) {
-    this->send(*From, Beat.Sequence, Now, Out);
+    this->send(*From, Beat.Sequence, Newcomer, Now, Out);
     return;
   }
   ++this->Answered;
@@ -200,29 +283,57 @@
   }
   this->LastBeat = Now;
   this->NextBeat = Now + this->BeatInterval;
+  if (this->InForce) {
+    this->ToldVersion = this->InForce->version();
+    this->ToldReady = this->InForce->isReady();
+  }
   this->Peers.age(Now);
   this->Asked /= 2;
   this->Answered /= 2;
   for (const std::size_t To : this->Probes.next(this->Peers)) {
-    this->send(To, std::nullopt, Now, Out);
+    this->send(To, std::nullopt, false, Now, Out);
     ++this->Asked;
   }
+  if (this->Gossips)
+    this->greetSeeds(Now, Out);
 }
 
-void MembershipPlugin::send(std::size_t To,
-                            std::optional<std::uint64_t> Answered, Time Now,
-                            Actions &Out) {
+void MembershipPlugin::greetSeeds(Time Now, Actions &Out) {
+  for (const HostListing &Each : this->Seeds.unknown(this->Peers.members())) {
+    Heartbeat Beat = this->makeBeat(Now);
+    Beat.Sequence = ++this->Sequence;
+    Beat.Known = this->listingsFor(false);
+    Out.add(SendToPeer{Each.Id, std::move(Beat)});
+  }
+}
+
+Heartbeat MembershipPlugin::makeBeat(Time Now) {
   Heartbeat Beat;
-  Beat.Acknowledges = Answered.has_value();
-  Beat.Sequence = Answered ? *Answered : ++this->Sequence;
   Beat.Zone = this->Own.Zone;
   Beat.Version = this->OwnVersion;
   Beat.Leaving = this->Leaving;
-  if (this->Declared) {
+  if (this->InForce) {
+    Beat.Ready = this->InForce->isReady();
+    Beat.InForce = this->InForce->version();
+  } else if (this->Declared) {
     Beat.Ready = this->Declared->isReady() && this->Declared->isCurrent(Now);
     Beat.InForce = this->Declared->catalogue().offset();
     Beat.LogConfirmedAt = this->Declared->confirmedAt();
   }
+  if (this->Registry) {
+    Beat.EnginesKnownTo = this->Registry->knownTo();
+    Beat.ReachesStore = this->Registry->reachesStore(Now);
+  }
+  return Beat;
+}
+
+void MembershipPlugin::send(std::size_t To,
+                            std::optional<std::uint64_t> Answered,
+                            bool Newcomer, Time Now, Actions &Out) {
+  Heartbeat Beat = this->makeBeat(Now);
+  Beat.Acknowledges = Answered.has_value();
+  Beat.Sequence = Answered ? *Answered : ++this->Sequence;
+  Beat.Known = this->listingsFor(Newcomer);
   Beat.Rumours = this->rumoursFor(To);
   if (!Answered)
     this->Peers.noteProbe(To, Beat.Sequence, Now);
@@ -273,7 +384,18 @@
 
 std::vector<SettingDeclaration> MembershipPlugin::settings() {
   const std::string In = "membership";
-  return {{In, "host_list_interval", SettingKind::Span, "1s",
+  return {{.Section = In,
+           .Key = "discovery",
+           .Kind = SettingKind::Choice,
+           .Default = "list",
+           .Help = "How entry hosts find each other: only as the host list "
+                   "says, or by hearing of each other from seeds and peers, "
+                   "too.",
+           .Choices = {"list", "gossip"}},
+          {In, "seeds", SettingKind::Text, "",
+           "Where peers may be found at the start (ip:port, divided by "
+           "commas); for discovery by gossip."},
+          {In, "host_list_interval", SettingKind::Span, "1s",
            "How often the platform's host list is read.", 50e3, 60e6},
           {In, "heartbeat_interval", SettingKind::Span, "500ms",
            "How often heartbeats are sent to other entry hosts.", 50e3, 10e6},
@@ -307,7 +429,8 @@
                   MembershipPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<MembershipPlugin>();
-                  }});
+                  },
+                  PluginUse::Both});
 
 } // namespace
 
--- a/src/plugins/membership/MembershipPlugin.h
+++ b/src/plugins/membership/MembershipPlugin.h
@@ -6,6 +6,7 @@
 #include "plugins/membership/PeerTable.h"
 #include "plugins/membership/ProbeRound.h"
 #include "plugins/membership/RumourQueue.h"
+#include "plugins/membership/SeedContacts.h"
 
 namespace banyanpick {
 
@@ -38,14 +39,24 @@
 
 private:
   void takeList(const HostListRead &List, Time Now, Actions &Out);
+  /// Takes in hosts that are only heard of; reconnects when any is new.
+  void learn(std::span<const HostListing> Known, Time Now, Actions &Out);
+  void connect(Actions &Out) const;
+  HostListing ownListing() const;
+  /// The own listing, and some of others; all of them for \p Newcomer.
+  std::vector<HostListing> listingsFor(bool Newcomer);
+  Heartbeat makeBeat(Time Now);
+  void greetSeeds(Time Now, Actions &Out);
+  /// Whether peers should hear at once what is in force here.
+  bool hasNews() const;
   void takeHeartbeat(const PeerMessage &Message, const Heartbeat &Beat,
                      Time Now, Actions &Out);
   void takeRumour(const MemberRumour &Rumour, Time Now);
   void refute(const MemberRumour &Rumour);
   void leave(Time Now, Actions &Out);
   void beat(Time Now, Actions &Out);
-  void send(std::size_t To, std::optional<std::uint64_t> Answered, Time Now,
-            Actions &Out);
+  void send(std::size_t To, std::optional<std::uint64_t> Answered,
+            bool Newcomer, Time Now, Actions &Out);
   std::vector<MemberRumour> rumoursFor(std::size_t To);
   MemberRumour rumourOf(std::size_t At) const;
   MemberRumour ownRumour() const;
@@ -54,6 +65,13 @@
   Identity Own;
   Services *Offered = nullptr;
   const CatalogueView *Declared = nullptr;
+  const InForceView *InForce = nullptr;
+  const RegistryProgress *Registry = nullptr;
+  Random *Numbers = nullptr;
+  SeedContacts Seeds;
+  std::uint64_t ToldVersion = 0;
+  bool ToldReady = false;
+  bool Gossips = false; ///< Hosts are found by hearing of them.
   PeerTable Peers;
   ProbeRound Probes;
   RumourQueue News;
--- a/src/plugins/membership/PeerTable.cpp
+++ b/src/plugins/membership/PeerTable.cpp
@@ -73,6 +73,20 @@
   return PlacesChanged;
 }
 
+bool PeerTable::learn(const HostListing &Listing, Time Now) {
+  if (Listing.Id == this->Self.Host)
+    return false;
+  const auto Found = this->position(Listing.Id);
+  if (Found && this->Members[*Found].Listing == Listing)
+    return false;
+  const std::size_t At = Found ? *Found : this->insert(Listing, Now);
+  this->Members[At].Listing = Listing;
+  // No list names it, so it is forgotten some time after its death.
+  this->Records[At].UnlistedAt = Now;
+  this->publish(At);
+  return true;
+}
+
 void PeerTable::takeHeartbeat(std::size_t At, Incarnation Life,
                               const Heartbeat &Beat, Time Now) {
   Member &Of = this->Members[At];
@@ -98,6 +112,8 @@
   Of.Ready = Beat.Ready;
   Of.InForce = Beat.InForce;
   Of.LogConfirmedAt = std::max(Of.LogConfirmedAt, Beat.LogConfirmedAt);
+  Of.EnginesKnownTo = Beat.EnginesKnownTo;
+  Of.ReachesStore = Beat.ReachesStore;
   if (Differs)
     this->changeOf(Of.Listing.Id);
   this->believe(At, {Beat.Version, LifeBelief::Standing::Alive, Beat.Leaving},
--- a/src/plugins/membership/PeerTable.h
+++ b/src/plugins/membership/PeerTable.h
@@ -60,6 +60,9 @@
 
   /// Takes the host list in; true when who is there or where has changed.
   bool takeList(std::span<const HostListing> Listed, Time Now);
+  /// Takes one host in that is not known yet, or is elsewhere now; true when
+  /// that changed anything.
+  bool learn(const HostListing &Listing, Time Now);
   /// Takes a heartbeat of the peer in.
   void takeHeartbeat(std::size_t At, Incarnation Life, const Heartbeat &Beat,
                      Time Now);
--- /dev/null
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -0,0 +1,523 @@
+#include "plugins/relays/RelaysPlugin.h"
+
+#include "base/EventNumbers.h"
+#include "base/Visitor.h"
+#include "gateway/RequestClass.h"
+#include "kernel/PluginRegistry.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// Time that a caller waits who does not say how long.
+constexpr seconds UnknownRemaining(30);
+
+/// A request with less time left is not sent to another upstream: the way
+/// there and the shortest work.
+constexpr milliseconds ShortestTry(20);
+
+std::string_view outcomeName(const RelayOutcome &Outcome) {
+  return match(
+      Outcome, [](const RelayNeverSent &) { return std::string_view("unsent"); },
+      [](const RelayNotRun &Is) {
+        return std::string_view(Is.OtherEngine ? "other_engine" : "not_run");
+      },
+      [](const RelayDelivered &) { return std::string_view("delivered"); },
+      [](const RelayFailed &) { return std::string_view("failed"); },
+      [](const RelayBroken &Is) { return name(Is.Reason); });
+}
+
+std::uint32_t statusOf(const RelayOutcome &Outcome) {
+  return match(
+      Outcome, [](const RelayNotRun &Is) { return Is.Status; },
+      [](const RelayDelivered &Is) { return Is.Status; },
+      [](const RelayFailed &Is) { return Is.Status; },
+      [](const auto &) { return std::uint32_t(0); });
+}
+
+} // namespace
+
+void RelaysPlugin::initialize(PluginContext &Context) {
+  this->Offered = &Context.services();
+  this->Own = Context.self();
+  this->Members = &Context.services().get<MembershipView>();
+  this->Declared = &Context.services().get<RouteView>();
+  this->Directory = &Context.services().get<EngineDirectory>();
+  this->Selector = &Context.services().get<EngineSelector>();
+  this->Crashes = &Context.services().get<CrashView>();
+  this->Numbers = &Context.random();
+  this->Times = relayTimes(Context.settings());
+  this->Allowance = RetryAllowance(retryBudgetLimits(Context.settings()));
+  Context.services().provide<RelayCount>(*this);
+}
+
+void RelaysPlugin::start(Time, Actions &) {}
+
+void RelaysPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  match(
+      What,
+      [&](const GatewayEvent &Is) {
+        match(
+            Is,
+            [&](const RelayArrived &Each) {
+              this->receive(Each.Head, Now, Out);
+            },
+            [&](const RelayBegan &Each) { this->began(Each, Now, Out); },
+            [&](const RelayEnded &Each) { this->ended(Each, Now, Out); },
+            [&](const SettingsReloaded &Each) {
+              this->Times = relayTimes(*Each.Values);
+              this->Allowance.setLimits(retryBudgetLimits(*Each.Values));
+            },
+            [](const auto &) {});
+      },
+      [&](const CallerGone &Is) { this->callerGone(Is.Request, Now, Out); },
+      [&](const StopAsked &) {
+        this->LeavingSince = std::min(this->LeavingSince, Now);
+      },
+      [](const auto &) {});
+  if (Now < this->NextLook)
+    return;
+  this->NextLook = Never;
+  for (const RequestId &Id : this->Running.ids())
+    if (RunningRelay *Each = this->Running.find(Id))
+      this->look(*Each, Now, Out);
+}
+
+Time RelaysPlugin::nextWake() const { return this->NextLook; }
+
+void RelaysPlugin::receive(const RelayHead &Head, Time Now, Actions &Out) {
+  const RouteTable *Routes = this->Declared->routes();
+  if (!Routes) {
+    this->refuse(Head.Id, RefusalKind::NotRun, this->Times.ComeBack,
+                 "no configuration is known here yet", Out);
+    return;
+  }
+  const RouteEntry *Route = Routes->find(Head.Host, Head.Path);
+  if (!Route) {
+    this->refuse(Head.Id, RefusalKind::NoSuchRoute, Duration(0),
+                 "no route takes this host and path", Out);
+    return;
+  }
+  const KeyOwner *Owner = Routes->ownerOf(Head.Key);
+  if (Routes->configuration().NeedsKeys && !Route->Public && !Owner) {
+    this->refuse(Head.Id, RefusalKind::UnknownKey, Duration(0),
+                 "the key is missing or unknown", Out);
+    return;
+  }
+  this->admit(Head, *Route, Owner, Now, Out);
+}
+
+void RelaysPlugin::admit(const RelayHead &Head, const RouteEntry &Route,
+                         const KeyOwner *Owner, Time Now, Actions &Out) {
+  RunningRelay Each;
+  Each.Head = Head;
+  Each.Route = Route;
+  Each.Service = this->serviceFor(Route);
+  Each.Rank = Owner && Owner->Rank ? *Owner->Rank : Route.Rank;
+  if (Owner)
+    Each.Team = Owner->Team;
+  Each.NeedsKey = this->Declared->routes()->configuration().NeedsKeys;
+  Each.ConfigurationVersion = this->Declared->routes()->version();
+  Each.ArrivedAt = Now;
+  Each.LastEvent = Head.LastEvent;
+  const Duration Remaining = Head.Remaining.value_or(UnknownRemaining);
+  const bool Limited = Route.TimeLimit > Duration(0);
+  Each.RouteEnds = Limited && Route.TimeLimit <= Remaining;
+  Each.Deadline = Now + (Each.RouteEnds ? Route.TimeLimit : Remaining);
+  this->Allowance.noteRequest(Each.Service, Now);
+  Out.log(logEvent(events::RelayReceived)
+              .with("request", Head.Id.Value)
+              .with("caller_attempt", Head.CallerAttempt)
+              .with("route", Route.Name)
+              .with("service", Each.Service.Value)
+              .with("team", Each.Team.Value)
+              .with("prompt_tokens", Head.PromptTokens)
+              .with("time_us", (Each.Deadline - Now).count())
+              .with("version", Each.ConfigurationVersion)
+              .build());
+  if (this->Crashes->isQuarantined(Head.Content, Now)) {
+    this->refuse(Head.Id, RefusalKind::NotRun, seconds(5),
+                 "this content crashed engines and is not run", Out);
+    return;
+  }
+  if (this->isLeavingLate(Now)) {
+    this->refuse(Head.Id, RefusalKind::NotRun, milliseconds(10),
+                 "this host stops; ask for another one", Out);
+    return;
+  }
+  this->send(this->Running.add(std::move(Each)), Now, Out);
+}
+
+void RelaysPlugin::send(RunningRelay &Each, Time Now, Actions &Out) {
+  if (Each.Sends >= this->Times.MostSends ||
+      Each.Deadline - Now < ShortestTry) {
+    const RefusalKind Kind =
+        Each.mayHaveRun() ? RefusalKind::OutcomeUnknown : RefusalKind::NotRun;
+    this->finish(Each, Kind, "tries or time used up", Now, Out);
+    return;
+  }
+  std::vector<UpstreamId> Excluded = Each.RanOn;
+  Excluded.insert(Excluded.end(), Each.NotRunOn.begin(), Each.NotRunOn.end());
+  EngineWanted Wanted;
+  Wanted.Service = Each.Service;
+  Wanted.PromptTokens = Each.Head.PromptTokens;
+  Wanted.OutputTokens = Each.Head.MaxOutputTokens;
+  Wanted.Objective = Each.Route.Objective;
+  Wanted.ArrivedAt = Each.ArrivedAt;
+  Wanted.Excluded = Excluded;
+  const auto Chosen = this->Selector->choose(Wanted, Now);
+  if (!Chosen) {
+    this->wait(Each, Now, Out);
+    return;
+  }
+  this->dispatch(Each, *Chosen, Now, Out);
+}
+
+void RelaysPlugin::dispatch(RunningRelay &Each, const EngineChosen &Chosen,
+                            Time Now, Actions &Out) {
+  const KnownEngine *Engine = this->Directory->find(Chosen.Engine);
+  Each.WaitingSince = Never;
+  ++Each.Sends;
+  RelayTry Try;
+  Try.Id = {this->Own.Life, ++this->Tries};
+  Try.Request = Each.Head.Id;
+  Try.Engine = Chosen.Engine;
+  Try.Service = Each.Service;
+  Try.Helpers = Chosen.Helpers;
+  Try.PromptTokens = Each.Head.PromptTokens;
+  Try.OutputTokens = Each.Head.MaxOutputTokens;
+  Try.Content = Each.Head.Content;
+  Try.SentAt = Now;
+  Try.Predicted = Chosen.Predicted;
+
+  DispatchRelay Order;
+  Order.Attempt = Try.Id;
+  Order.Request = Each.Head.Id;
+  Order.Engine = Chosen.Engine;
+  Order.At = Engine->Record.At;
+  Order.Team = Each.Team;
+  Order.DropKey = Each.NeedsKey;
+  Order.Deadline = Each.Deadline;
+  Order.Urgency = Chosen.Urgency;
+  Order.LastEvent = Each.LastEvent;
+  Order.Helpers = Chosen.Helpers;
+  // A kept connection that its upstream closes meanwhile loses the request;
+  // only what may run twice can bear that.
+  Order.Fresh = !Each.isIdempotent();
+  Order.Stream = Each.Route.Kind == RequestKind::Stream;
+  Each.PatienceUntil =
+      Each.isIdempotent() ? Now + this->patience(Each, Chosen) : Never;
+  Out.add(GatewayAction(Order));
+  Out.log(logEvent(events::RelaySent)
+              .with("request", Each.Head.Id.Value)
+              .with("try", Try.Id.Sequence)
+              .with("engine", Chosen.Engine.Value)
+              .with("helpers", Chosen.Helpers.size())
+              .with("sends", Each.Sends)
+              .with("standing", name(Engine->Standing))
+              .with("offset", Engine->Offset)
+              .with("predicted_us", Chosen.Predicted.count())
+              .build());
+  Each.Live = Try;
+  this->Running.link(Try.Id, Each.Head.Id);
+  for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
+    Observer->trySent(Try, Now, Out);
+  this->noteWake(Each, Now);
+}
+
+void RelaysPlugin::wait(RunningRelay &Each, Time Now, Actions &Out) {
+  if (Each.WaitingSince == Never) {
+    Each.WaitingSince = Now;
+    Out.count("relays_waited");
+    Out.log(logEvent(events::RelayWaits)
+                .with("request", Each.Head.Id.Value)
+                .with("service", Each.Service.Value)
+                .with("ran_on", Each.RanOn.size())
+                .with("not_run_on", Each.NotRunOn.size())
+                .build());
+  }
+  const Duration Hold = std::max(
+      this->Times.HoldShortest,
+      fromSeconds(inSeconds(Each.Deadline - Each.ArrivedAt) *
+                  this->Times.HoldShare));
+  if (Now >= Each.WaitingSince + Hold) {
+    const RefusalKind Kind =
+        Each.mayHaveRun() ? RefusalKind::OutcomeUnknown : RefusalKind::NotRun;
+    this->finish(Each, Kind, "no engine could take it", Now, Out);
+    return;
+  }
+  // Those that refused may take it at the next look.
+  Each.NotRunOn.clear();
+  this->noteWake(Each, Now);
+}
+
+void RelaysPlugin::began(const RelayBegan &Is, Time Now, Actions &Out) {
+  RunningRelay *Each = this->Running.owner(Is.Attempt);
+  if (!Each || !Each->Live)
+    return;
+  if (!Each->Began)
+    Out.add(RecordMeasurement{
+        RecordMeasurement::Kind::Histogram, "relay_first_event_seconds",
+        std::string(name(promptSize(Each->Head.PromptTokens))),
+        inSeconds(Now - Each->ArrivedAt)});
+  Each->Began = true;
+  Each->Live->Began = true;
+  Each->PatienceUntil = Never;
+  for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
+    Observer->tryBegan(*Each->Live, Now, Out);
+}
+
+void RelaysPlugin::ended(const RelayEnded &Is, Time Now, Actions &Out) {
+  RunningRelay *Each = this->Running.owner(Is.Attempt);
+  if (!Each || !Each->Live || Each->Live->Id != Is.Attempt)
+    return;
+  const RelayTry Ended = *Each->Live;
+  this->Running.unlink(Ended.Id);
+  Each->Live.reset();
+  Each->PatienceUntil = Never;
+  this->logTry(*Each, Ended, Is.Outcome, Now, Out);
+  if (const auto *Other = std::get_if<RelayNotRun>(&Is.Outcome))
+    if (Other->OtherEngine)
+      this->Directory->addressTaken(Ended.Engine, Now, Out);
+  for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
+    Observer->tryEnded(Ended, Is.Outcome, Now, Out);
+  this->follow(*Each, Ended, Is.Outcome, Now, Out);
+}
+
+void RelaysPlugin::follow(RunningRelay &Each, const RelayTry &Ended,
+                          const RelayOutcome &Outcome, Time Now,
+                          Actions &Out) {
+  match(
+      verdictOn(Each, Ended, Outcome),
+      [&](const RelayIsDone &) {
+        this->logEnd(Each, "delivered", "", Now, Out);
+        this->Running.remove(Each.Head.Id);
+      },
+      [&](const TryAgain &Again) {
+        const bool Allowed =
+            !Again.Arrived ||
+            this->Allowance.take(Each.Service, this->hosts(), Now);
+        if (Allowed) {
+          this->send(Each, Now, Out);
+          return;
+        }
+        Out.count("retries_refused", Each.Service.Value);
+        this->finish(Each,
+                     Each.mayHaveRun() ? RefusalKind::OutcomeUnknown
+                                       : RefusalKind::NotRun,
+                     "the budget of repeats is used up", Now, Out);
+      },
+      [&](const GiveUp &End) {
+        this->finish(Each, End.Kind, "no other try is allowed", Now, Out);
+      });
+}
+
+void RelaysPlugin::finish(RunningRelay &Each, RefusalKind Kind,
+                          std::string_view Why, Time Now, Actions &Out) {
+  const RequestId Id = Each.Head.Id;
+  if (Each.Live)
+    this->cancelTry(Each, Now, Out);
+  if (Each.Began) {
+    this->logEnd(Each, "broken_off", Why, Now, Out);
+    Out.add(GatewayAction(BreakRelay{Id}));
+  } else if (Each.KeptFailure) {
+    this->logEnd(Each, "failure_delivered", Why, Now, Out);
+    Out.add(GatewayAction(DeliverFailure{Id, *Each.KeptFailure}));
+  } else {
+    this->logEnd(Each, name(Kind), Why, Now, Out);
+    Out.add(
+        GatewayAction(RefuseRelay{Id, Kind,
+                                  Kind == RefusalKind::NotRun
+                                      ? this->Times.ComeBack
+                                      : Duration(0),
+                                  std::string(Why)}));
+  }
+  this->Running.remove(Id);
+}
+
+void RelaysPlugin::refuse(const RequestId &Id, RefusalKind Kind,
+                          Duration RetryAfter, std::string_view Why,
+                          Actions &Out) {
+  Out.count("relays_ended", name(Kind));
+  Out.log(logEvent(events::RelayAnswered)
+              .with("request", Id.Value)
+              .with("how", name(Kind))
+              .with("why", Why)
+              .with("version",
+                    this->Declared->routes() ? this->Declared->routes()->version()
+                                             : 0)
+              .build());
+  Out.add(GatewayAction(RefuseRelay{Id, Kind, RetryAfter, std::string(Why)}));
+}
+
+void RelaysPlugin::cancelTry(RunningRelay &Each, Time Now, Actions &Out) {
+  Out.add(GatewayAction(CancelRelay{Each.Live->Id}));
+  for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
+    Observer->tryCancelled(*Each.Live, Now, Out);
+  this->Running.unlink(Each.Live->Id);
+  Each.Live.reset();
+  Each.PatienceUntil = Never;
+}
+
+void RelaysPlugin::callerGone(const RequestId &Id, Time Now, Actions &Out) {
+  RunningRelay *Each = this->Running.find(Id);
+  if (!Each)
+    return;
+  if (Each->Live)
+    this->cancelTry(*Each, Now, Out);
+  this->logEnd(*Each, "caller_gone", "", Now, Out);
+  this->Running.remove(Id);
+}
+
+void RelaysPlugin::look(RunningRelay &Each, Time Now, Actions &Out) {
+  const Duration Slack =
+      Each.Live ? this->Times.GiveUpSlack : Duration(0);
+  if (Now >= Each.Deadline + Slack) {
+    const bool Sent = Each.Live || Each.mayHaveRun();
+    this->finish(Each, Sent ? RefusalKind::TimedOut : RefusalKind::NotRun,
+                 Each.RouteEnds ? "the route's time limit" : "the caller's time",
+                 Now, Out);
+    return;
+  }
+  if (Each.Live && Now >= Each.PatienceUntil) {
+    this->loseLiveTry(Each, Now, Out);
+    return;
+  }
+  if (!Each.Live && Each.WaitingSince != Never) {
+    this->send(Each, Now, Out);
+    return;
+  }
+  this->noteWake(Each, Now);
+}
+
+void RelaysPlugin::loseLiveTry(RunningRelay &Each, Time Now, Actions &Out) {
+  Each.PatienceUntil = Never;
+  const bool OneMore = Each.RanOn.size() + 1 < Each.Route.Attempts;
+  std::vector<UpstreamId> Excluded = Each.RanOn;
+  Excluded.push_back(Each.Live->Engine);
+  EngineWanted Wanted;
+  Wanted.Service = Each.Service;
+  Wanted.PromptTokens = Each.Head.PromptTokens;
+  Wanted.Excluded = Excluded;
+  // A try is only given up for a better one.
+  if (!OneMore || !this->Selector->choose(Wanted, Now) ||
+      !this->Allowance.take(Each.Service, this->hosts(), Now)) {
+    this->noteWake(Each, Now);
+    return;
+  }
+  const RelayTry Lost = *Each.Live;
+  const RelayOutcome Outcome =
+      RelayBroken{RelayBroken::Why::Silent, false, std::nullopt};
+  this->logTry(Each, Lost, Outcome, Now, Out);
+  Out.add(GatewayAction(CancelRelay{Lost.Id}));
+  for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
+    Observer->tryEnded(Lost, Outcome, Now, Out);
+  this->Running.unlink(Lost.Id);
+  Each.Live.reset();
+  Each.RanOn.push_back(Lost.Engine);
+  this->send(Each, Now, Out);
+}
+
+Time RelaysPlugin::wakeOf(const RunningRelay &Each) const {
+  Time Result = Each.Deadline +
+                (Each.Live ? this->Times.GiveUpSlack : Duration(0));
+  if (Each.Live)
+    Result = std::min(Result, Each.PatienceUntil);
+  return Result;
+}
+
+void RelaysPlugin::noteWake(const RunningRelay &Each, Time Now) {
+  this->NextLook = std::min(this->NextLook, this->wakeOf(Each));
+  if (!Each.Live && Each.WaitingSince != Never)
+    this->NextLook =
+        std::min(this->NextLook, Now + this->Times.WaitPause);
+}
+
+Duration RelaysPlugin::patience(const RunningRelay &Each,
+                                const EngineChosen &Chosen) const {
+  const double Expected = std::max(inSeconds(Chosen.Predicted),
+                                   inSeconds(Each.Route.Objective));
+  return fromSeconds(Expected * this->Times.PatienceFactor) +
+         this->Times.PatienceMargin;
+}
+
+bool RelaysPlugin::isLeavingLate(Time Now) const {
+  return this->LeavingSince != Never &&
+         Now >= this->LeavingSince + this->Times.RefuseAfterLeaving;
+}
+
+std::size_t RelaysPlugin::hosts() const {
+  // The dead are counted while they are remembered: what they repeated is
+  // still in the window.
+  return this->Members->peers().size() + 1;
+}
+
+ServiceId RelaysPlugin::serviceFor(const RouteEntry &Route) {
+  double Sum = 0;
+  for (const WeightedService &Each : Route.Split)
+    Sum += Each.Weight;
+  double Left = this->Numbers->fraction() * Sum;
+  for (const WeightedService &Each : Route.Split) {
+    if (Left < Each.Weight)
+      return Each.Service;
+    Left -= Each.Weight;
+  }
+  return Route.Split.empty() ? ServiceId() : Route.Split.front().Service;
+}
+
+void RelaysPlugin::logTry(const RunningRelay &Of, const RelayTry &Ended,
+                          const RelayOutcome &Outcome, Time Now,
+                          Actions &Out) const {
+  Out.count("tries_ended", outcomeName(Outcome));
+  Out.log(logEvent(events::RelayTryEnded)
+              .with("request", Of.Head.Id.Value)
+              .with("try", Ended.Id.Sequence)
+              .with("engine", Ended.Engine.Value)
+              .with("how", outcomeName(Outcome))
+              .with("status", statusOf(Outcome))
+              .with("after_us", (Now - Ended.SentAt).count())
+              .build());
+}
+
+void RelaysPlugin::logEnd(const RunningRelay &Each, std::string_view How,
+                          std::string_view Why, Time Now, Actions &Out) const {
+  Out.count("relays_ended", How);
+  Out.add(RecordMeasurement{RecordMeasurement::Kind::Histogram,
+                            "relay_seconds", std::string(How),
+                            inSeconds(Now - Each.ArrivedAt)});
+  Out.log(logEvent(events::RelayAnswered)
+              .with("request", Each.Head.Id.Value)
+              .with("caller_attempt", Each.Head.CallerAttempt)
+              .with("how", How)
+              .with("why", Why)
+              .with("sends", Each.Sends)
+              .with("ran_on", Each.RanOn.size())
+              .with("after_us", (Now - Each.ArrivedAt).count())
+              .build());
+}
+
+void RelaysPlugin::checkInvariants(InvariantMonitor &Monitor, Time) const {
+  Monitor.require(this->Running.size() < 100'000,
+                  "relayed requests end in the end");
+}
+
+std::vector<SettingDeclaration> RelaysPlugin::settings() {
+  return relaysSettings();
+}
+
+namespace {
+
+const PluginRegistration
+    Registration({"relays",
+                  {"crashes", "engine_load", "engines", "membership", "routes"},
+                  RelaysPlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
+                    return std::make_unique<RelaysPlugin>();
+                  },
+                  PluginUse::Gateway});
+
+} // namespace
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -0,0 +1,96 @@
+/// \file
+/// The plug-in that takes relayed requests from their arrival to their end.
+#pragma once
+
+#include "kernel/GatewayServices.h"
+#include "kernel/Plugin.h"
+#include "plugins/relays/RetryAllowance.h"
+#include "plugins/relays/RunningRelay.h"
+#include "plugins/relays/TryVerdict.h"
+
+namespace banyanpick {
+
+/// The settings of section [relays].
+struct RelayTimes {
+  Duration HoldShortest{};
+  double HoldShare = 0;
+  Duration WaitPause{};
+  Duration ComeBack{};
+  Duration GiveUpSlack{};
+  Duration PatienceMargin{};
+  double PatienceFactor = 0;
+  Duration RefuseAfterLeaving{};
+  std::uint32_t MostSends = 0;
+};
+
+/// What is not idempotent is sent on only where it surely did not run. Every
+/// request gets its final answer at once when nothing more can be done for it.
+class RelaysPlugin : public Plugin, public RelayCount {
+public:
+  void initialize(PluginContext &Context) override;
+  void start(Time Now, Actions &Out) override;
+  void handle(const Event &What, Time Now, Actions &Out) override;
+  Time nextWake() const override;
+  void checkInvariants(InvariantMonitor &Monitor, Time Now) const override;
+
+  std::size_t running() const override { return this->Running.size(); }
+
+  static std::vector<SettingDeclaration> settings();
+
+private:
+  void receive(const RelayHead &Head, Time Now, Actions &Out);
+  void admit(const RelayHead &Head, const RouteEntry &Route,
+             const KeyOwner *Owner, Time Now, Actions &Out);
+  /// Sends it to an upstream, or lets it wait for one.
+  void send(RunningRelay &Each, Time Now, Actions &Out);
+  void dispatch(RunningRelay &Each, const EngineChosen &Chosen, Time Now,
+                Actions &Out);
+  void wait(RunningRelay &Each, Time Now, Actions &Out);
+  void began(const RelayBegan &Is, Time Now, Actions &Out);
+  void ended(const RelayEnded &Is, Time Now, Actions &Out);
+  void follow(RunningRelay &Each, const RelayTry &Ended,
+              const RelayOutcome &Outcome, Time Now, Actions &Out);
+  /// Ends it without another try.
+  void finish(RunningRelay &Each, RefusalKind Kind, std::string_view Why,
+              Time Now, Actions &Out);
+  void refuse(const RequestId &Id, RefusalKind Kind, Duration RetryAfter,
+              std::string_view Why, Actions &Out);
+  /// Drops the live try.
+  void cancelTry(RunningRelay &Each, Time Now, Actions &Out);
+  void callerGone(const RequestId &Id, Time Now, Actions &Out);
+  void look(RunningRelay &Each, Time Now, Actions &Out);
+  void loseLiveTry(RunningRelay &Each, Time Now, Actions &Out);
+  Time wakeOf(const RunningRelay &Each) const;
+  void noteWake(const RunningRelay &Each, Time Now);
+  Duration patience(const RunningRelay &Each,
+                    const EngineChosen &Chosen) const;
+  bool isLeavingLate(Time Now) const;
+  std::size_t hosts() const;
+  ServiceId serviceFor(const RouteEntry &Route);
+  void logTry(const RunningRelay &Of, const RelayTry &Ended,
+              const RelayOutcome &Outcome, Time Now, Actions &Out) const;
+  void logEnd(const RunningRelay &Each, std::string_view How,
+              std::string_view Why, Time Now, Actions &Out) const;
+
+  Services *Offered = nullptr;
+  Identity Own;
+  const MembershipView *Members = nullptr;
+  const RouteView *Declared = nullptr;
+  EngineDirectory *Directory = nullptr;
+  EngineSelector *Selector = nullptr;
+  const CrashView *Crashes = nullptr;
+  Random *Numbers = nullptr;
+  RelayTimes Times;
+  RetryAllowance Allowance;
+  RunningRelays Running;
+  std::uint64_t Tries = 0;
+  Time LeavingSince = Never;
+  Time NextLook = Never;
+};
+
+/// The settings with their defaults.
+std::vector<SettingDeclaration> relaysSettings();
+RelayTimes relayTimes(const Settings &Values);
+RetryBudgetLimits retryBudgetLimits(const Settings &Values);
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -0,0 +1,83 @@
+#include "plugins/relays/RelaysPlugin.h"
+
+namespace banyanpick {
+
+namespace {
+
+constexpr std::string_view Section = "relays";
+constexpr std::string_view BudgetSection = "retry_budget";
+
+} // namespace
+
+std::vector<SettingDeclaration> relaysSettings() {
+  constexpr auto Span = SettingKind::Span;
+  constexpr auto Whole = SettingKind::Whole;
+  constexpr auto Fraction = SettingKind::Fraction;
+  const std::string In(Section);
+  const std::string Budget(BudgetSection);
+  return {
+      {In, "hold_shortest", Span, "500ms",
+       "A request that no upstream can take waits at least so long for one: "
+       "a restart of an upstream shows within it.",
+       0, 60e6},
+      {In, "hold_share", Fraction, "0.4",
+       "It waits no longer than this share of the time it has.", 0, 1},
+      {In, "wait_pause", Span, "40ms",
+       "How often a waiting request looks for an upstream.", 1e3, 10e6},
+      {In, "come_back", Span, "300ms",
+       "When callers whose requests did not run should come back.", 0, 60e6},
+      {In, "give_up_slack", Span, "30ms",
+       "How long after a deadline an upstream's own answer to it is still "
+       "awaited: the way from the upstream.",
+       0, 10e6},
+      {In, "patience_margin", Span, "700ms",
+       "An idempotent request is tried elsewhere when its answer has not begun "
+       "so long after its prediction times patience_factor.",
+       1e3, 60e6},
+      {In, "patience_factor", Fraction, "2.5",
+       "How many times longer than predicted the beginning of an answer may "
+       "take.",
+       1, 100},
+      {In, "refuse_after_leaving", Span, "6s",
+       "A stopping host that callers still come to after so long refuses, as "
+       "it could not finish.",
+       0, 600e6},
+      {In, "most_sends", Whole, "8",
+       "A request is handed to connections at most so often, whatever came of "
+       "it.",
+       1, 100},
+      {Budget, "ratio", Fraction, "0.2",
+       "Requests that a service gets more than once, against all its requests.",
+       0, 10},
+      {Budget, "constant", Whole, "100",
+       "So many more are allowed in a window, over all hosts.", 0, 1e6},
+      {Budget, "window", Span, "10s", "The window of the budget.", 100e3,
+       3600e6},
+  };
+}
+
+RelayTimes relayTimes(const Settings &Values) {
+  RelayTimes Result;
+  Result.HoldShortest = Values.span(Section, "hold_shortest");
+  Result.HoldShare = Values.fraction(Section, "hold_share");
+  Result.WaitPause = Values.span(Section, "wait_pause");
+  Result.ComeBack = Values.span(Section, "come_back");
+  Result.GiveUpSlack = Values.span(Section, "give_up_slack");
+  Result.PatienceMargin = Values.span(Section, "patience_margin");
+  Result.PatienceFactor = Values.fraction(Section, "patience_factor");
+  Result.RefuseAfterLeaving = Values.span(Section, "refuse_after_leaving");
+  Result.MostSends =
+      static_cast<std::uint32_t>(Values.whole(Section, "most_sends"));
+  return Result;
+}
+
+RetryBudgetLimits retryBudgetLimits(const Settings &Values) {
+  RetryBudgetLimits Result;
+  Result.Ratio = Values.fraction(BudgetSection, "ratio");
+  Result.Constant =
+      static_cast<double>(Values.whole(BudgetSection, "constant"));
+  Result.Window = Values.span(BudgetSection, "window");
+  return Result;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/relays/RetryAllowance.cpp
@@ -0,0 +1,55 @@
+#include "plugins/relays/RetryAllowance.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// Slices of a window: a repeat leaves the window late by one slice at most.
+constexpr int SlicesPerWindow = 20;
+
+/// Kept unused, for repeats on their way while the window slides.
+constexpr double UsedShare = 0.9;
+
+} // namespace
+
+RetryAllowance::Slice &RetryAllowance::current(const ServiceId &Service,
+                                               Time Now) {
+  std::deque<Slice> &All = this->Slices[Service];
+  const Duration Length = this->Limits.Window / SlicesPerWindow;
+  // One slice more than the window, so that the sum is never short.
+  while (!All.empty() && All.front().From + this->Limits.Window + Length < Now)
+    All.pop_front();
+  if (All.empty() || Now >= All.back().From + Length)
+    All.push_back({Now, 0, 0});
+  return All.back();
+}
+
+void RetryAllowance::noteRequest(const ServiceId &Service, Time Now) {
+  ++this->current(Service, Now).Requests;
+}
+
+bool RetryAllowance::take(const ServiceId &Service, std::size_t Hosts,
+                          Time Now) {
+  Slice &Latest = this->current(Service, Now);
+  double Requests = 0;
+  double Repeats = 0;
+  for (const Slice &Each : this->Slices[Service]) {
+    Requests += Each.Requests;
+    Repeats += Each.Repeats;
+  }
+  const double Constant = this->Limits.Constant * UsedShare /
+                          static_cast<double>(std::max<std::size_t>(Hosts, 1));
+  if (Repeats + 1 > this->Limits.Ratio * UsedShare * Requests + Constant)
+    return false;
+  ++Latest.Repeats;
+  return true;
+}
+
+void RetryAllowance::giveBack(const ServiceId &Service, Time Now) {
+  Slice &Latest = this->current(Service, Now);
+  --Latest.Repeats;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/relays/RunningRelay.h
@@ -0,0 +1,66 @@
+/// \file
+/// One relayed request while it is under way here.
+#pragma once
+
+#include "kernel/GatewayServices.h"
+
+#include <map>
+#include <memory>
+
+namespace banyanpick {
+
+/// A request with what is known of its tries.
+struct RunningRelay {
+  RelayHead Head;
+  RouteEntry Route; ///< As it was when the request came.
+  ServiceId Service;
+  TeamId Team;
+  std::uint64_t ConfigurationVersion = 0;
+  std::uint32_t Rank = 0;
+  bool NeedsKey = false;
+  Time ArrivedAt{};
+  Time Deadline{}; ///< Of the caller or the route, whichever is first.
+  bool RouteEnds = false; ///< The route's time limit is first.
+
+  std::optional<RelayTry> Live;
+  Time PatienceUntil = Never; ///< The live try is given up then.
+  std::vector<UpstreamId> RanOn;   ///< Where it ran or may have run.
+  std::vector<UpstreamId> NotRunOn; ///< Where it surely did not, of late.
+  std::uint32_t Sends = 0;
+  bool Began = false; ///< A part of the answer went to the caller.
+  std::optional<std::uint64_t> LastEvent; ///< The last event passed on.
+  std::optional<AttemptId> KeptFailure; ///< An upstream's failure to deliver
+                                        ///< if nothing better comes.
+  Time WaitingSince = Never; ///< No upstream could take it since.
+
+  /// Whether a second run does no harm.
+  bool isIdempotent() const {
+    return this->Route.Kind == RequestKind::Repeatable ||
+           (this->Route.Kind == RequestKind::Stream && this->Route.Resumable);
+  }
+  bool mayHaveRun() const { return !this->RanOn.empty(); }
+  /// Whether another upstream may run it, too.
+  bool mayRunAgain() const {
+    return this->isIdempotent() && this->RanOn.size() < this->Route.Attempts;
+  }
+};
+
+/// The requests under way, by their ids and by their live tries.
+class RunningRelays {
+public:
+  RunningRelay &add(RunningRelay Each);
+  RunningRelay *find(const RequestId &Id);
+  RunningRelay *owner(const AttemptId &Try);
+  void link(const AttemptId &Try, const RequestId &Id);
+  void unlink(const AttemptId &Try) { this->ByTry.erase(Try); }
+  void remove(const RequestId &Id);
+  std::size_t size() const { return this->ById.size(); }
+  /// Ids in their order, for loops that may remove.
+  std::vector<RequestId> ids() const;
+
+private:
+  std::map<RequestId, RunningRelay> ById;
+  std::map<AttemptId, RequestId> ByTry;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/relays/TryVerdict.cpp
@@ -0,0 +1,46 @@
+#include "plugins/relays/TryVerdict.h"
+
+#include "base/Visitor.h"
+
+namespace banyanpick {
+
+namespace {
+
+/// The first status that stands for a failure of the upstream: another one
+/// may do better. Lower ones say that the request itself is wrong.
+constexpr std::uint32_t FirstServerError = 500;
+
+} // namespace
+
+TryVerdict verdictOn(RunningRelay &Of, const RelayTry &Ended,
+                     const RelayOutcome &Outcome) {
+  return match(
+      Outcome,
+      [&](const RelayNeverSent &) -> TryVerdict {
+        Of.NotRunOn.push_back(Ended.Engine);
+        return TryAgain{false};
+      },
+      [&](const RelayNotRun &) -> TryVerdict {
+        Of.NotRunOn.push_back(Ended.Engine);
+        return TryAgain{true};
+      },
+      [&](const RelayDelivered &) -> TryVerdict { return RelayIsDone{}; },
+      [&](const RelayFailed &Is) -> TryVerdict {
+        Of.RanOn.push_back(Ended.Engine);
+        Of.KeptFailure = Ended.Id;
+        if (Is.Status >= FirstServerError && Of.mayRunAgain())
+          return TryAgain{true};
+        return GiveUp{RefusalKind::OutcomeUnknown};
+      },
+      [&](const RelayBroken &Is) -> TryVerdict {
+        Of.RanOn.push_back(Ended.Engine);
+        Of.Began = Of.Began || Is.Began;
+        if (Is.LastEvent)
+          Of.LastEvent = Is.LastEvent;
+        if (Of.mayRunAgain())
+          return TryAgain{true};
+        return GiveUp{RefusalKind::OutcomeUnknown};
+      });
+}
+
+} // namespace banyanpick
--- a/tests/auto/http/AttemptTest.cpp
+++ b/tests/auto/http/AttemptTest.cpp
@@ -4,10 +4,10 @@
 #include <rapidcheck/gtest.h>
 
 #include "LocalServer.h"
-#include "platform/EngineAttempt.h"
-#include "platform/IdText.h"
-#include "platform/LogClient.h"
-#include "platform/ServiceCall.h"
+#include "native/EngineAttempt.h"
+#include "native/IdText.h"
+#include "native/LogClient.h"
+#include "native/ServiceCall.h"
 
 #include <fmt/format.h>
 
--- a/tests/auto/http/TextFormsTest.cpp
+++ b/tests/auto/http/TextFormsTest.cpp
@@ -7,7 +7,7 @@
 #include "http/AddressText.h"
 #include "http/EventParser.h"
 #include "http/HttpTarget.h"
-#include "platform/StreamAssembler.h"
+#include "native/StreamAssembler.h"
 
 using namespace banyanpick;
 
