Mend gossip without CURVE; resume a stream from what its caller has

Ruled out: the engines' ids, which rise by one. Registrations change only with their content, so a read that waits replaces polling.

--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -58,10 +58,11 @@
        KB * KB * KB},
       {In, "declarations_wait", Span, "10s",
        "How long one read for declarations waits for a change.", 0, Hour},
-      {In, "engines_interval", Span, "600ms",
-       "How often the registry is read: under a third of the time in which "
-       "upstreams that leave must get nothing new.",
-       10e3, Hour},
+      {In, "engines_interval", Span, "50ms",
+       "The registry is read no more often than this, however much changes.",
+       1e3, Hour},
+      {In, "engines_wait", Span, "10s",
+       "How long one read of the registry waits for a change.", 0, Hour},
       {In, "retry_first", Span, "100ms",
        "How soon a store that failed is asked again, at first.", 1e3, Hour},
       {In, "retry_most", Span, "800ms",
@@ -99,8 +100,9 @@
   const Duration RetryMost = Values.span(Section, "retry_most");
   Result.Declarations = {Duration(0), Values.span(Section, "declarations_wait"),
                          RetryFirst, RetryMost};
-  const Duration Interval = Values.span(Section, "engines_interval");
-  Result.Engines = {Interval, Interval, RetryFirst, RetryMost};
+  Result.Engines = {Values.span(Section, "engines_interval"),
+                    Values.span(Section, "engines_wait"), RetryFirst,
+                    RetryMost};
   Result.LinkIdle = Values.span(Section, "link_idle");
   Result.LinksPerUpstream = Values.whole(Section, "links_per_upstream");
   Result.ReportTimeout = Values.span(Section, "report_timeout");
--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -163,8 +163,9 @@
 void GatewayTraffic::dispatch(const DispatchRelay &Order) {
   const auto Side = this->caller(Order.Request);
   if (!Side) {
+    // The caller has its answer or is gone; control learns that, too.
     this->Uses.Events.send(
-        GatewayEvent(RelayEnded{Order.Attempt, RelayNeverSent{}}));
+        GatewayEvent(RelayEnded{Order.Attempt, RelayDelivered{}}));
     return;
   }
   auto Run = std::make_shared<EngineRun>(
--- a/src/libs/peers/PeerNetwork.cpp
+++ b/src/libs/peers/PeerNetwork.cpp
@@ -32,6 +32,15 @@
   return "tcp://" + Ip + ":" + std::to_string(At.Port);
 }
 
+/// Throws unless the key that the sender proved is its own or everybody's.
+void requireProof(zmq::message_t &Payload, const HostId &From) {
+  const char *Proved = Payload.gets("User-Id");
+  const std::string_view User = Proved ? Proved : "";
+  if (User != AnyHost && User != From.Value)
+    throw Error(ErrorKind::NotAllowed, "the sender's key is another host's",
+                "give each host its own key pair");
+}
+
 } // namespace
 
 PeerNetwork::PeerNetwork(HostId SelfGiven, Incarnation LifeGiven,
@@ -166,11 +175,8 @@
 void PeerNetwork::take(zmq::message_t &Payload) {
   try {
     PeerMessage Message = decodePeerMessage(Payload.to_string_view());
-    const char *Proved = Payload.gets("User-Id");
-    const std::string_view User = Proved ? Proved : "";
-    if (this->Values.Encrypted && User != AnyHost && User != Message.From.Value)
-      throw Error(ErrorKind::NotAllowed, "the sender's key is another host's",
-                  "give each host its own key pair");
+    if (this->Values.Encrypted)
+      requireProof(Payload, Message.From);
     this->Tell.OnMessage(std::move(Message));
   } catch (const std::exception &Failure) {
     this->Tell.OnMalformed(Failure.what());
--- a/src/libs/relay/CallerSide.cpp
+++ b/src/libs/relay/CallerSide.cpp
@@ -3,9 +3,10 @@
 namespace banyanpick {
 
 Task<bool> CallerSide::deliver(RelayedAnswer Given) {
-  if (!this->isOpen())
+  if (this->isAnswered())
     co_return false;
   const Using Now(*this);
+  this->Answering = true;
   const bool Sent = co_await this->Each->respond(std::move(Given));
   this->finish();
   co_return Sent;
@@ -19,10 +20,12 @@
   co_return co_await this->Each->beginEvents(std::move(Head));
 }
 
-Task<bool> CallerSide::send(std::string_view Events) {
+Task<bool> CallerSide::send(std::string_view Events,
+                            std::optional<std::uint64_t> LastId) {
   if (!this->isOpen())
     co_return false;
   const Using Now(*this);
+  this->LastEvent = LastId;
   co_return co_await this->Each->sendEvents(Events);
 }
 
@@ -30,6 +33,7 @@
   if (!this->isOpen())
     co_return false;
   const Using Now(*this);
+  this->Answering = true;
   const bool Sent = co_await this->Each->endEvents();
   this->finish();
   co_return Sent;
@@ -57,6 +61,11 @@
   this->finish();
 }
 
+Task<void> CallerSide::idle() {
+  while (this->Operations > 0)
+    co_await this->News.wait();
+}
+
 Task<void> CallerSide::finished() {
   while (!this->Done || this->Operations > 0)
     co_await this->News.wait();
--- a/src/libs/relay/CallerSide.h
+++ b/src/libs/relay/CallerSide.h
@@ -32,9 +32,17 @@
 
   Task<bool> deliver(RelayedAnswer Given);
   Task<bool> begin(http::response_header<> Head);
-  Task<bool> send(std::string_view Events);
+  /// \p LastId is the id of the last of the events.
+  Task<bool> send(std::string_view Events, std::optional<std::uint64_t> LastId);
   Task<bool> end();
   bool hasBegun() const { return this->Begun; }
+  /// The last event that went to the caller or is on its way there. Control
+  /// may not know of it yet when it gives a try up.
+  std::optional<std::uint64_t> lastEvent() const { return this->LastEvent; }
+  /// Whether a whole answer is on its way; nothing else may be sent then.
+  bool isAnswered() const { return this->Answering || this->Done; }
+  /// Waits until nothing is being sent.
+  Task<void> idle();
 
   // --- decided by control
 
@@ -72,6 +80,8 @@
   RequestId Id;
   Signal News;
   std::size_t Operations = 0;
+  std::optional<std::uint64_t> LastEvent;
+  bool Answering = false;
   bool Begun = false;
   bool Done = false;
   std::optional<HttpAnswer> Refusal;
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -49,8 +49,14 @@
 
 Task<RelayOutcome> EngineRun::run(Duration Left,
                                   std::function<void()> OnBegan) {
-  if (this->Cancelled || !this->Caller->isOpen())
+  // A try that was given up may still be sending what it had read.
+  co_await this->Caller->idle();
+  if (this->Caller->isAnswered())
+    co_return RelayDelivered{};
+  if (this->Cancelled)
     co_return RelayNeverSent{};
+  if (this->Caller->lastEvent())
+    this->Order.LastEvent = this->Caller->lastEvent();
   if (!this->Order.Fresh)
     this->Link = this->Pool.takeKept(this->Order.Engine);
   if (!this->Link && !co_await this->connect())
@@ -190,6 +196,8 @@
     if (Given.Body.size() > this->Limits.WholeAnswerBytes)
       co_return this->broken(RelayBroken::Why::Spoilt);
   }
+  if (this->Cancelled)
+    co_return this->broken(RelayBroken::Why::Reset);
   this->keepLink(From);
   const std::uint32_t Status = Given.Head.result_int();
   if (this->Caller->hasBegun())
@@ -211,6 +219,8 @@
   while (!From.is_done()) {
     const std::string Events =
         this->Borders.feed(co_await this->readPiece(From));
+    if (this->Cancelled)
+      co_return this->broken(RelayBroken::Why::Reset);
     if (!this->Borders.isInOrder() ||
         this->Borders.unfinished() > this->Limits.EventBytes)
       co_return this->broken(RelayBroken::Why::Spoilt);
@@ -218,7 +228,7 @@
       if (!this->Caller->hasBegun() &&
           !co_await this->Caller->begin(std::move(Head)))
         co_return this->broken(RelayBroken::Why::Reset);
-      if (!co_await this->Caller->send(Events))
+      if (!co_await this->Caller->send(Events, this->Borders.lastId()))
         co_return this->broken(RelayBroken::Why::Reset);
       this->Order.LastEvent = this->Borders.lastId();
       if (!this->Began)
--- a/src/plugins/engines/EnginesPlugin.cpp
+++ b/src/plugins/engines/EnginesPlugin.cpp
@@ -48,7 +48,7 @@
 }
 
 bool EnginesPlugin::reachesStore(Time Now) const {
-  return this->LastRead != Time{} && Now < this->LastRead + this->ReachableFor;
+  return this->Reachable && Now < this->LastRead + this->ReachableFor;
 }
 
 void EnginesPlugin::take(const EnginesRead &Read, Time Now, Actions &Out) {
@@ -183,8 +183,9 @@
       {In, "peer_look_interval", Span, "400ms",
        "How often a host that the store does not answer asks a peer.", 50e3,
        10e6},
-      {In, "reachable_for", Span, "1500ms",
-       "After so long without an answer, the store counts as out of reach.",
+      {In, "reachable_for", Span, "12s",
+       "After so long without an answer, the store counts as out of reach; "
+       "longer than one read waits.",
        100e3, 60e6},
   };
 }
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -216,6 +216,7 @@
               .with("engine", Chosen.Engine.Value)
               .with("helpers", Chosen.Helpers.size())
               .with("sends", Each.Sends)
+              .with("after_event", Each.LastEvent.value_or(0))
               .with("standing", name(Engine->Standing))
               .with("offset", Engine->Offset)
               .with("predicted_us", Chosen.Predicted.count())
