--- a/src/libs/gateway/RelayedRequest.cpp
+++ b/src/libs/gateway/RelayedRequest.cpp
@@ -34,4 +34,12 @@
   return "unknown";
 }
 
+UpstreamId culpritOf(const RelayNotRun &Is, const UpstreamId &Engine,
+                     std::span<const JointEngine> Helpers) {
+  for (const JointEngine &Each : Helpers)
+    if (Is.FailedAt == Each.At)
+      return Each.Engine;
+  return Engine;
+}
+
 } // namespace banyanpick
--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -6,6 +6,7 @@
 #include "gateway/EngineRecord.h"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -110,11 +111,15 @@
   bool OtherEngine = false;   ///< Another upstream has the address now.
   std::uint32_t Status = 0;   ///< Of its answer.
   Duration RetryAfter{};      ///< Zero: it did not tell.
-  std::string FailedAddress;  ///< The engine at fault, when it is another.
+  std::optional<Address> FailedAt; ///< The engine at fault, when it told.
 
   bool operator==(const RelayNotRun &) const = default;
 };
 
+/// The engine at fault: a helper, or else \p Engine itself.
+UpstreamId culpritOf(const RelayNotRun &Is, const UpstreamId &Engine,
+                     std::span<const JointEngine> Helpers);
+
 /// The upstream's whole answer went to the caller.
 struct RelayDelivered {
   std::uint32_t Status = 200;
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -216,7 +216,7 @@
     std::uint32_t Reading = 0; ///< Requests whose first token is awaited.
     std::uint32_t Writing = 0;
     std::uint64_t MemoryTokens = 0; ///< That they take and will take.
-    bool LongRead = false; ///< A long prompt is being read there.
+    std::uint32_t ShortRunning = 0; ///< Of them, those with short prompts.
 
     bool operator==(const Item &) const = default;
   };
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -193,7 +193,7 @@
     Item.set_reading(Each.Reading);
     Item.set_writing(Each.Writing);
     Item.set_memory_tokens(Each.MemoryTokens);
-    Item.set_long_read(Each.LongRead);
+    Item.set_short_running(Each.ShortRunning);
   }
 }
 
@@ -221,7 +221,7 @@
     Result.Items.push_back({UpstreamId(Each.engine()),
                             checkedNumber(Each.read_ms()), Each.reading(),
                             Each.writing(), Each.memory_tokens(),
-                            Each.long_read()});
+                            Each.short_running()});
   return Result;
 }
 
--- a/src/plugins/engineload/EngineLoad.cpp
+++ b/src/plugins/engineload/EngineLoad.cpp
@@ -105,13 +105,13 @@
   return Sum;
 }
 
-bool EngineLoad::hasLongRead() const {
-  const bool Here = std::ranges::any_of(this->Own, [](const LoadItem &Each) {
-    return Each.IsLong && !Each.Writes;
-  });
-  return Here || std::ranges::any_of(this->Peers, [](const auto &Each) {
-           return Each.second.Work.LongRead;
-         });
+std::uint32_t EngineLoad::shortRunning() const {
+  std::uint32_t Sum = 0;
+  for (const LoadItem &Each : this->Own)
+    Sum += Each.Size == PromptSize::Short ? 1 : 0;
+  for (const auto &[Peer, Each] : this->Peers)
+    Sum += Each.Work.ShortRunning;
+  return Sum;
 }
 
 EngineWork::Item EngineLoad::ownWork(const UpstreamId &Engine,
@@ -122,7 +122,7 @@
   for (const LoadItem &Each : this->Own) {
     ++(Each.Writes ? Result.Writing : Result.Reading);
     Result.MemoryTokens += Each.MemoryTokens;
-    Result.LongRead = Result.LongRead || (Each.IsLong && !Each.Writes);
+    Result.ShortRunning += Each.Size == PromptSize::Short ? 1 : 0;
   }
   return Result;
 }
--- a/src/plugins/engineload/EngineLoad.h
+++ b/src/plugins/engineload/EngineLoad.h
@@ -2,6 +2,7 @@
 /// What runs on one engine, as far as this host and its peers sent it.
 #pragma once
 
+#include "gateway/RequestClass.h"
 #include "kernel/GatewayServices.h"
 
 #include <map>
@@ -14,7 +15,7 @@
   AttemptId Try;
   double ReadMs = 0; ///< To its first token, alone; 0 once it writes.
   std::uint64_t MemoryTokens = 0;
-  bool IsLong = false;
+  PromptSize Size = PromptSize::None;
   bool Writes = false;
 };
 
@@ -33,7 +34,8 @@
   std::uint32_t reading() const;
   std::uint32_t writing() const;
   std::uint64_t memoryTokens() const;
-  bool hasLongRead() const;
+  /// Requests with short prompts, read or written.
+  std::uint32_t shortRunning() const;
 
   /// What this host has there, for its peers.
   EngineWork::Item ownWork(const UpstreamId &Engine, Time Now) const;
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -6,6 +6,7 @@
 #include "plugins/engineload/ReadCost.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace banyanpick {
 
@@ -19,10 +20,31 @@
 /// and its answer.
 constexpr std::uint64_t WriterContextTokens = 6000;
 
+/// Of 0 to 9, 0 first; admission to a full batch goes by it.
+constexpr std::uint32_t ShortUrgency = 2;
+constexpr std::uint32_t LongUrgency = 5;
+
 Duration fromMilliseconds(double Value) {
   return Duration(static_cast<Duration::rep>(Value * 1e3));
 }
 
+PlacementWeights weightsFrom(const Settings &Values) {
+  const std::string_view In = "placement";
+  PlacementWeights Result;
+  Result.PositionMs = Values.fraction(In, "position_ms");
+  Result.RunningMs = Values.fraction(In, "running_ms");
+  Result.CrowdedMs = Values.fraction(In, "crowded_ms");
+  Result.EasyRunning =
+      static_cast<std::uint32_t>(Values.whole(In, "easy_running"));
+  Result.MostRunning =
+      static_cast<std::uint32_t>(Values.whole(In, "most_running"));
+  Result.FullMs = Values.fraction(In, "full_ms");
+  Result.LongestPartMs = Values.fraction(In, "longest_part_ms");
+  Result.HarmMs = Values.fraction(In, "harm_ms");
+  Result.MostHelpers = Values.whole(In, "most_helpers");
+  return Result;
+}
+
 } // namespace
 
 void EngineLoadPlugin::initialize(PluginContext &Context) {
@@ -38,6 +60,7 @@
   this->TellInterval = Values.span(In, "tell_interval");
   this->JitterMs = Values.fraction(In, "jitter_ms");
   this->OtherZoneMs = Values.fraction(In, "other_zone_ms");
+  this->Weights = weightsFrom(Values);
   Context.services().provide<EngineSelector>(*this);
   Context.services().list<RelayObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
@@ -60,62 +83,85 @@
 
 std::optional<EngineChosen>
 EngineLoadPlugin::choose(const EngineWanted &Wanted, Time Now) {
-  std::optional<Candidate> Found = this->best(Wanted, false, Now);
+  const EngineParameters *Model = this->parametersOf(Wanted.Service);
+  std::vector<EngineState> States = this->states(Wanted, Model, false, Now);
   // Better one that failed lately than none.
-  if (!Found)
-    Found = this->best(Wanted, true, Now);
-  if (!Found)
+  if (States.empty())
+    States = this->states(Wanted, Model, true, Now);
+  if (States.empty())
     return std::nullopt;
+  return this->chooseAmong(States, Wanted, Model);
+}
+
+std::optional<EngineChosen>
+EngineLoadPlugin::chooseAmong(std::span<const EngineState> States,
+                              const EngineWanted &Wanted,
+                              const EngineParameters *Model) {
+  const double ReadMs =
+      Model ? readMs(*Model, Wanted.PromptTokens) : UnknownWorkMs;
+  const std::uint64_t Tokens = Wanted.PromptTokens + Wanted.OutputTokens;
+  const PromptSize Size = promptSize(Wanted.PromptTokens);
+  const bool Joint = Size == PromptSize::Middle || Size == PromptSize::Long;
+  const Placed Place = Model && Joint
+                           ? placeLong(States, ReadMs, Tokens, this->Weights)
+                           : placeShort(States, ReadMs, Tokens, this->Weights);
   EngineChosen Result;
-  Result.Engine = Found->Engine->Record.Id;
-  Result.Predicted = fromMilliseconds(Found->FirstEventMs);
+  Result.Engine = States[Place.At].Engine->Record.Id;
+  for (const std::size_t At : Place.Helpers) {
+    const EngineRecord &Helper = States[At].Engine->Record;
+    Result.Helpers.push_back({Helper.Id, Helper.At, ""});
+  }
+  if (Model) {
+    Result.Predicted = fromMilliseconds(Place.FirstTokenMs);
+    Result.Urgency = Joint ? LongUrgency : ShortUrgency;
+  }
   return Result;
 }
 
-std::optional<EngineLoadPlugin::Candidate>
-EngineLoadPlugin::best(const EngineWanted &Wanted, bool Avoided, Time Now) {
-  const EngineParameters *Model = this->parametersOf(Wanted.Service);
-  std::optional<Candidate> Result;
+std::vector<EngineState>
+EngineLoadPlugin::states(const EngineWanted &Wanted,
+                         const EngineParameters *Model, bool Avoided,
+                         Time Now) {
+  std::vector<EngineState> Result;
+  std::size_t Position = 0;
   for (const KnownEngine *Each : this->Directory->ofService(Wanted.Service)) {
     const bool Out = Each->Standing == EngineStanding::Leaving ||
                      (Each->Standing == EngineStanding::Missing && !Avoided) ||
                      std::ranges::count(Wanted.Excluded, Each->Record.Id) != 0;
     if (Out || (!Avoided && this->Trust->isAvoided(Each->Record.Id, Now)))
       continue;
-    const Candidate Next = this->weigh(*Each, Wanted, Model, Now);
-    if (!Result || Next.CostMs < Result->CostMs)
-      Result = Next;
+    Result.push_back(this->stateOf(*Each, Model, Now));
+    Result.back().Position = Position++;
   }
   return Result;
 }
 
-EngineLoadPlugin::Candidate
-EngineLoadPlugin::weigh(const KnownEngine &Each, const EngineWanted &Wanted,
-                        const EngineParameters *Model, Time Now) {
-  Candidate Result;
+EngineState EngineLoadPlugin::stateOf(const KnownEngine &Each,
+                                      const EngineParameters *Model,
+                                      Time Now) {
+  EngineState Result;
   Result.Engine = &Each;
   const auto Found = this->Loads.find(Each.Record.Id);
   const EngineLoad None;
   const EngineLoad &Load = Found == this->Loads.end() ? None : Found->second;
+  Result.Running = Load.reading() + Load.writing();
+  Result.ShortRunning = Load.shortRunning();
   if (Model) {
-    const double OwnMs = readMs(*Model, Wanted.PromptTokens);
-    const double PassMs = writePassMs(*Model, Load.writing(),
-                                      Load.writing() * WriterContextTokens);
-    Result.FirstEventMs = Load.backlogMs(Now) + OwnMs + PassMs;
-    Result.CostMs = Result.FirstEventMs;
-    const std::uint64_t Needed =
-        Load.memoryTokens() + Wanted.PromptTokens + Wanted.OutputTokens;
-    // Where memory is short the newest is thrown out and read again.
-    if (Needed > Model->MemoryTokens)
-      Result.CostMs += 1000;
+    Result.BacklogMs = Load.backlogMs(Now);
+    Result.PassMs = writePassMs(*Model, Load.writing(),
+                                Load.writing() * WriterContextTokens);
+    const std::uint64_t Used = Load.memoryTokens();
+    Result.FreeTokens =
+        Used < Model->MemoryTokens ? Model->MemoryTokens - Used : 0;
   } else {
-    const std::uint32_t Busy = Load.reading() + Load.writing();
-    Result.CostMs = UnknownWorkMs * Busy / std::max(Each.Record.Slots, 1U);
+    Result.BacklogMs = UnknownWorkMs * Result.Running /
+                       std::max(Each.Record.Slots, 1U);
+    Result.FreeTokens = std::numeric_limits<std::uint64_t>::max();
   }
   if (Each.Record.Zone != this->OwnZone)
-    Result.CostMs += this->OtherZoneMs;
+    Result.ExtraMs += this->OtherZoneMs;
   // Hosts that see the same do not all choose the same.
-  Result.CostMs += this->Numbers->fraction() * this->JitterMs;
+  Result.ExtraMs += this->Numbers->fraction() * this->JitterMs;
   return Result;
 }
 
@@ -127,18 +173,28 @@
 }
 
 void EngineLoadPlugin::trySent(const RelayTry &Each, Time Now, Actions &) {
+  this->add(Each, Now);
+  this->noteChange(Now);
+}
+
+void EngineLoadPlugin::add(const RelayTry &Each, Time Now) {
   const EngineParameters *Model = this->parametersOf(Each.Service);
+  const auto Parts = static_cast<double>(Each.Helpers.size() + 1);
   LoadItem Item;
   Item.Try = Each.Id;
-  Item.ReadMs = Model ? readMs(*Model, Each.PromptTokens) : 0;
+  Item.ReadMs = Model ? readMs(*Model, Each.PromptTokens) / Parts : 0;
+  Item.Size = promptSize(Each.PromptTokens);
+  LoadItem Part = Item;
   Item.MemoryTokens = Each.PromptTokens + Each.OutputTokens;
-  Item.IsLong = promptSize(Each.PromptTokens) == PromptSize::Long;
   this->Loads[Each.Engine].add(Item, Now);
-  this->noteChange(Now);
+  for (const JointEngine &Helper : Each.Helpers)
+    this->Loads[Helper.Engine].add(Part, Now);
 }
 
 void EngineLoadPlugin::tryBegan(const RelayTry &Each, Time Now, Actions &) {
   this->Loads[Each.Engine].began(Each.Id, Now);
+  for (const JointEngine &Helper : Each.Helpers)
+    this->Loads[Helper.Engine].remove(Each.Id, Now);
   this->noteChange(Now);
 }
 
@@ -153,10 +209,9 @@
 }
 
 void EngineLoadPlugin::remove(const RelayTry &Each, Time Now) {
-  const auto Found = this->Loads.find(Each.Engine);
-  if (Found == this->Loads.end())
-    return;
-  Found->second.remove(Each.Id, Now);
+  this->Loads[Each.Engine].remove(Each.Id, Now);
+  for (const JointEngine &Helper : Each.Helpers)
+    this->Loads[Helper.Engine].remove(Each.Id, Now);
   this->noteChange(Now);
 }
 
@@ -201,7 +256,9 @@
 }
 
 std::vector<SettingDeclaration> EngineLoadPlugin::settings() {
+  constexpr auto Fraction = SettingKind::Fraction;
   const std::string In = "engine_load";
+  const std::string Place = "placement";
   return {
       {In, "tell_interval", SettingKind::Span, "100ms",
        "Peers are told at most so often what this host has running on engines; "
@@ -215,6 +272,37 @@
        "What an engine in another data centre must be better by "
        "(milliseconds): the way there and back, and what the bytes cost.",
        0, 1000},
+      {Place, "position_ms", Fraction, "10",
+       "How much later (milliseconds) a short prompt's first token may be on "
+       "an engine one place further to the front of the common order; short "
+       "ones gather there.",
+       0, 1000},
+      {Place, "running_ms", Fraction, "2",
+       "What a request that runs on an engine counts (milliseconds) for one "
+       "more, up to easy_running,",
+       0, 1000},
+      {Place, "crowded_ms", Fraction, "15",
+       "and for each beyond: at twelve and more a pass takes so much longer "
+       "that pauses show.",
+       0, 1000},
+      {Place, "easy_running", SettingKind::Whole, "8",
+       "Requests on one engine that hardly slow each other.", 0, 1000},
+      {Place, "most_running", SettingKind::Whole, "15",
+       "An engine with so many counts as full: its batch holds one more.", 1,
+       1000},
+      {Place, "full_ms", Fraction, "1000",
+       "What a full engine, or one short of memory, counts (milliseconds).", 0,
+       100000},
+      {Place, "longest_part_ms", Fraction, "200",
+       "A prompt is read on so many engines that no part takes longer than "
+       "this (milliseconds): an answer nearby may pause by 250 ms.",
+       1, 100000},
+      {Place, "harm_ms", Fraction, "60",
+       "What a short request counts (milliseconds) that a part of a longer "
+       "prompt would hold up.",
+       0, 100000},
+      {Place, "most_helpers", SettingKind::Whole, "16",
+       "Engines that help to read one prompt, at most.", 0, 64},
   };
 }
 
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -5,6 +5,7 @@
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
 #include "plugins/engineload/EngineLoad.h"
+#include "plugins/engineload/Placement.h"
 
 namespace banyanpick {
 
@@ -35,18 +36,18 @@
   static std::vector<SettingDeclaration> settings();
 
 private:
-  /// One engine that may get the request, with what speaks for it.
-  struct Candidate {
-    const KnownEngine *Engine = nullptr;
-    double CostMs = 0;
-    double FirstEventMs = 0;
-  };
-
   const EngineParameters *parametersOf(const ServiceId &Service) const;
-  Candidate weigh(const KnownEngine &Each, const EngineWanted &Wanted,
-                  const EngineParameters *Model, Time Now);
-  std::optional<Candidate> best(const EngineWanted &Wanted, bool Avoided,
-                                Time Now);
+  /// The engines that may get the request.
+  std::vector<EngineState> states(const EngineWanted &Wanted,
+                                  const EngineParameters *Model, bool Avoided,
+                                  Time Now);
+  EngineState stateOf(const KnownEngine &Each, const EngineParameters *Model,
+                      Time Now);
+  std::optional<EngineChosen> chooseAmong(std::span<const EngineState> States,
+                                          const EngineWanted &Wanted,
+                                          const EngineParameters *Model);
+  /// Adds the try's work to its engine and its helpers.
+  void add(const RelayTry &Each, Time Now);
   void remove(const RelayTry &Each, Time Now);
   void takePeerWork(const HostId &From, const EngineWork &Work, Time Now);
   void tell(Time Now, Actions &Out);
@@ -62,6 +63,7 @@
   Duration TellInterval{};
   double JitterMs = 0;
   double OtherZoneMs = 0;
+  PlacementWeights Weights;
   std::map<UpstreamId, EngineLoad> Loads;
   Time NextTelling = Never;
   Time LastTelling{};
--- a/src/plugins/engines/EnginesPlugin.cpp
+++ b/src/plugins/engines/EnginesPlugin.cpp
@@ -150,8 +150,8 @@
 
 void EnginesPlugin::look(Time Now, Actions &Out) {
   this->NextLook = Now + this->LookInterval;
-  if (this->reachesStore(Now))
-    return;
+  // Even a host that reads the store asks: its read may hang on a connection
+  // that went silent.
   const Member *Best = nullptr;
   for (const Member &Each : this->Members->peers())
     if (Each.State != MemberState::Dead && Each.EnginesKnownTo > this->KnownTo &&
--- a/src/plugins/engines/EnginesPlugin.h
+++ b/src/plugins/engines/EnginesPlugin.h
@@ -42,7 +42,7 @@
             Actions &Out);
   void tellGone(const UpstreamId &Id, std::string_view From, Time Now,
                 Actions &Out);
-  /// Asks a peer that is further, while the store does not answer.
+  /// Asks a peer that is further.
   void look(Time Now, Actions &Out);
   bool isDoubtful(Time Now) const;
 
--- a/src/plugins/enginetrust/EngineTrustPlugin.cpp
+++ b/src/plugins/enginetrust/EngineTrustPlugin.cpp
@@ -49,33 +49,44 @@
 void EngineTrustPlugin::tryEnded(const RelayTry &Each,
                                  const RelayOutcome &Outcome, Time Now,
                                  Actions &Out) {
-  const TrustRecord::Verdict What = verdictOf(Outcome);
-  ServiceShare &Usual = this->Services[Each.Service];
+  if (const auto *NotRun = std::get_if<RelayNotRun>(&Outcome)) {
+    const UpstreamId At = culpritOf(*NotRun, Each.Engine, Each.Helpers);
+    if (At != Each.Engine)
+      this->judge(At, Each.Service, TrustRecord::Verdict::Silent, Now, Out);
+    return;
+  }
+  this->judge(Each.Engine, Each.Service, verdictOf(Outcome), Now, Out);
+}
+
+void EngineTrustPlugin::judge(const UpstreamId &Engine,
+                              const ServiceId &Service,
+                              TrustRecord::Verdict What, Time Now,
+                              Actions &Out) {
+  ServiceShare &Usual = this->Services[Service];
   if (What == TrustRecord::Verdict::Sound ||
       What == TrustRecord::Verdict::Failing) {
     const double Failed = What == TrustRecord::Verdict::Failing ? 1 : 0;
     Usual.Failures += ServiceMemory * (Failed - Usual.Failures);
   }
-  TrustRecord &Of = this->Records[Each.Engine];
-  const bool Before = Of.avoidUntil() != Time{};
+  TrustRecord &Of = this->Records[Engine];
   const Time Until = Of.avoidUntil();
   Of.take(What, Usual.Failures, this->Limits, Now);
   if (Of.avoidUntil() != Until) {
     Out.count("engines_avoided", name(What));
     Out.log(logEvent(events::EngineAvoided)
-                .with("engine", Each.Engine.Value)
+                .with("engine", Engine.Value)
                 .with("after", name(What))
                 .with("in_a_row", Of.failuresInARow())
                 .with("failure_share", Of.failureShare())
                 .with("usual_share", Usual.Failures)
                 .with("for_us", (Of.avoidUntil() - Now).count())
                 .build());
-  } else if (Before && What == TrustRecord::Verdict::Sound) {
+  } else if (Until != Time{} && What == TrustRecord::Verdict::Sound) {
     Out.log(logEvent(events::EngineTrusted)
-                .with("engine", Each.Engine.Value)
+                .with("engine", Engine.Value)
                 .with("failure_share", Of.failureShare())
                 .build());
-    this->Records.erase(Each.Engine);
+    this->Records.erase(Engine);
   }
 }
 
--- a/src/plugins/enginetrust/EngineTrustPlugin.h
+++ b/src/plugins/enginetrust/EngineTrustPlugin.h
@@ -28,6 +28,9 @@
   static std::vector<SettingDeclaration> settings();
 
 private:
+  void judge(const UpstreamId &Engine, const ServiceId &Service,
+             TrustRecord::Verdict What, Time Now, Actions &Out);
+
   /// Moving average over a whole service.
   struct ServiceShare {
     double Failures = 0;
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -281,7 +281,8 @@
   this->logTry(*Each, Ended, Is.Outcome, Now, Out);
   if (const auto *Other = std::get_if<RelayNotRun>(&Is.Outcome))
     if (Other->OtherEngine)
-      this->Directory->addressTaken(Ended.Engine, Now, Out);
+      this->Directory->addressTaken(
+          culpritOf(*Other, Ended.Engine, Ended.Helpers), Now, Out);
   for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
     Observer->tryEnded(Ended, Is.Outcome, Now, Out);
   this->follow(*Each, Ended, Is.Outcome, Now, Out);
@@ -478,6 +479,8 @@
               .with("engine", Ended.Engine.Value)
               .with("how", outcomeName(Outcome))
               .with("status", statusOf(Outcome))
+              .with("helpers", Ended.Helpers.size())
+              .with("predicted_us", Ended.Predicted.count())
               .with("after_us", (Now - Ended.SentAt).count())
               .build());
 }
--- a/src/plugins/relays/TryVerdict.cpp
+++ b/src/plugins/relays/TryVerdict.cpp
@@ -20,8 +20,8 @@
         Of.NotRunOn.push_back(Ended.Engine);
         return TryAgain{false};
       },
-      [&](const RelayNotRun &) -> TryVerdict {
-        Of.NotRunOn.push_back(Ended.Engine);
+      [&](const RelayNotRun &Is) -> TryVerdict {
+        Of.NotRunOn.push_back(culpritOf(Is, Ended.Engine, Ended.Helpers));
         return TryAgain{true};
       },
       [&](const RelayDelivered &) -> TryVerdict { return RelayIsDone{}; },
