--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -35,6 +35,7 @@
   UpstreamId Engine;
   Address At;
   std::string Reservation; ///< Empty: it reads a part and keeps nothing.
+  std::uint64_t Tokens = 0; ///< Memory set aside under the reservation.
 
   bool operator==(const JointEngine &) const = default;
 };
@@ -123,6 +124,7 @@
 /// The upstream's whole answer went to the caller.
 struct RelayDelivered {
   std::uint32_t Status = 200;
+  Duration LongestPause{}; ///< Between two reads of a stream's events.
 
   bool operator==(const RelayDelivered &) const = default;
 };
--- a/src/libs/gateway/RequestClass.h
+++ b/src/libs/gateway/RequestClass.h
@@ -19,6 +19,11 @@
 /// The size of a prompt of so many tokens; None for requests without one.
 PromptSize promptSize(std::uint64_t Tokens);
 
+/// Whether answers to such prompts may pause only briefly.
+inline bool isSwift(PromptSize Size) {
+  return Size == PromptSize::Short || Size == PromptSize::Middle;
+}
+
 /// The size's name in logs and metrics.
 std::string_view name(PromptSize Size);
 
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -105,13 +105,16 @@
   std::uint64_t PromptTokens = 0;
   std::uint64_t OutputTokens = 0;
   Duration Objective{};
-  Time ArrivedAt{};
+  Duration Waited{}; ///< Since it arrived.
+  Duration Left{};   ///< Until its time is over.
   std::span<const UpstreamId> Excluded; ///< Not on these.
 };
 
 /// The upstream for one try.
 struct EngineChosen {
   UpstreamId Engine;
+  /// Those with Tokens must set so much memory aside before the try is sent;
+  /// the upstream itself is then the first of them.
   std::vector<JointEngine> Helpers;
   std::optional<std::uint32_t> Urgency;
   Duration Predicted{}; ///< To the first event; zero: unknown.
@@ -126,6 +129,28 @@
                                              Time Now) = 0;
 };
 
+/// Sets memory aside on engines for a prompt that one engine can't hold.
+class MemoryKeeper {
+public:
+  virtual ~MemoryKeeper() = default;
+  /// Asks for the memory of all \p Shares that name Tokens. Answered by
+  /// MemoryObserver::memoryDecided(), not before it returns.
+  virtual void acquire(const RequestId &Id, std::span<const JointEngine> Shares,
+                       Time Now, Actions &Out) = 0;
+  /// Lets go what is held or asked for; idempotent.
+  virtual void release(const RequestId &Id, Time Now, Actions &Out) = 0;
+};
+
+class MemoryObserver {
+public:
+  virtual ~MemoryObserver() = default;
+  /// \p Shares have their reservations; empty when they could not all be had,
+  /// and nothing is held then.
+  virtual void memoryDecided(const RequestId &Id,
+                             std::span<const JointEngine> Shares, Time Now,
+                             Actions &Out) = 0;
+};
+
 /// How much this gateway has under way.
 class RelayCount {
 public:
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -216,7 +216,8 @@
     std::uint32_t Reading = 0; ///< Requests whose first token is awaited.
     std::uint32_t Writing = 0;
     std::uint64_t MemoryTokens = 0; ///< That they take and will take.
-    std::uint32_t ShortRunning = 0; ///< Of them, those with short prompts.
+    std::uint32_t SwiftRunning = 0; ///< With short or middle prompts.
+    std::uint32_t LongWriting = 0;  ///< Answers to long prompts.
 
     bool operator==(const Item &) const = default;
   };
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -207,7 +207,7 @@
     co_return RelayFailed{Status};
   }
   co_await this->Caller->deliver(std::move(Given));
-  co_return RelayDelivered{Status};
+  co_return RelayDelivered{Status, Duration(0)};
 }
 
 Task<RelayOutcome> EngineRun::relayEvents(Parser &From,
@@ -225,6 +225,7 @@
         this->Borders.unfinished() > this->Limits.EventBytes)
       co_return this->broken(RelayBroken::Why::Spoilt);
     if (!Events.empty()) {
+      this->notePause();
       if (!this->Caller->hasBegun() &&
           !co_await this->Caller->begin(std::move(Head)))
         co_return this->broken(RelayBroken::Why::Reset);
@@ -245,7 +246,16 @@
       !co_await this->Caller->begin(std::move(Head)))
     co_return this->broken(RelayBroken::Why::Reset);
   co_await this->Caller->end();
-  co_return RelayDelivered{From.get().result_int()};
+  co_return RelayDelivered{From.get().result_int(), this->LongestPause};
+}
+
+void EngineRun::notePause() {
+  const auto Now = std::chrono::steady_clock::now();
+  if (this->Began)
+    this->LongestPause =
+        std::max(this->LongestPause, std::chrono::duration_cast<Duration>(
+                                         Now - this->LastEventsAt));
+  this->LastEventsAt = Now;
 }
 
 RelayOutcome EngineRun::broken(RelayBroken::Why Reason) const {
--- a/src/libs/relay/EngineRun.h
+++ b/src/libs/relay/EngineRun.h
@@ -49,6 +49,7 @@
   RelayOutcome broken(RelayBroken::Why Reason) const;
   RelayOutcome brokenBy(const ErrorCode &Failure) const;
   void keepLink(const Parser &From);
+  void notePause();
   void armSilence(Duration Limit);
 
   static constexpr std::size_t ReadBytes = 8192;
@@ -64,6 +65,8 @@
   EventBorders Borders;
   std::array<char, ReadBytes> Piece{};
   ErrorCode ReadFailure;
+  std::chrono::steady_clock::time_point LastEventsAt{};
+  Duration LongestPause{};
   bool Sent = false;       ///< The whole request was written.
   bool AnyByteSent = false;
   bool Cancelled = false;
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -193,7 +193,8 @@
     Item.set_reading(Each.Reading);
     Item.set_writing(Each.Writing);
     Item.set_memory_tokens(Each.MemoryTokens);
-    Item.set_short_running(Each.ShortRunning);
+    Item.set_swift_running(Each.SwiftRunning);
+    Item.set_long_writing(Each.LongWriting);
   }
 }
 
@@ -221,7 +222,7 @@
     Result.Items.push_back({UpstreamId(Each.engine()),
                             checkedNumber(Each.read_ms()), Each.reading(),
                             Each.writing(), Each.memory_tokens(),
-                            Each.short_running()});
+                            Each.swift_running(), Each.long_writing()});
   return Result;
 }
 
--- a/src/plugins/engineload/EngineLoad.cpp
+++ b/src/plugins/engineload/EngineLoad.cpp
@@ -105,12 +105,21 @@
   return Sum;
 }
 
-std::uint32_t EngineLoad::shortRunning() const {
+std::uint32_t EngineLoad::swiftRunning() const {
   std::uint32_t Sum = 0;
   for (const LoadItem &Each : this->Own)
-    Sum += Each.Size == PromptSize::Short ? 1 : 0;
+    Sum += isSwift(Each.Size) ? 1 : 0;
   for (const auto &[Peer, Each] : this->Peers)
-    Sum += Each.Work.ShortRunning;
+    Sum += Each.Work.SwiftRunning;
+  return Sum;
+}
+
+std::uint32_t EngineLoad::longWriting() const {
+  std::uint32_t Sum = 0;
+  for (const LoadItem &Each : this->Own)
+    Sum += Each.Writes && Each.Size == PromptSize::Long ? 1 : 0;
+  for (const auto &[Peer, Each] : this->Peers)
+    Sum += Each.Work.LongWriting;
   return Sum;
 }
 
@@ -122,7 +131,8 @@
   for (const LoadItem &Each : this->Own) {
     ++(Each.Writes ? Result.Writing : Result.Reading);
     Result.MemoryTokens += Each.MemoryTokens;
-    Result.ShortRunning += Each.Size == PromptSize::Short ? 1 : 0;
+    Result.SwiftRunning += isSwift(Each.Size) ? 1 : 0;
+    Result.LongWriting += Each.Writes && Each.Size == PromptSize::Long ? 1 : 0;
   }
   return Result;
 }
--- a/src/plugins/engineload/EngineLoad.h
+++ b/src/plugins/engineload/EngineLoad.h
@@ -34,8 +34,10 @@
   std::uint32_t reading() const;
   std::uint32_t writing() const;
   std::uint64_t memoryTokens() const;
-  /// Requests with short prompts, read or written.
-  std::uint32_t shortRunning() const;
+  /// Requests with short or middle prompts, read or written.
+  std::uint32_t swiftRunning() const;
+  /// Requests with long prompts whose answers are written.
+  std::uint32_t longWriting() const;
 
   /// What this host has there, for its peers.
   EngineWork::Item ownWork(const UpstreamId &Engine, Time Now) const;
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -21,13 +21,27 @@
 constexpr std::uint64_t WriterContextTokens = 6000;
 
 /// Of 0 to 9, 0 first; admission to a full batch goes by it.
-constexpr std::uint32_t ShortUrgency = 2;
-constexpr std::uint32_t LongUrgency = 5;
+std::uint32_t urgencyOf(PromptSize Size) {
+  constexpr std::uint32_t Short = 2;
+  constexpr std::uint32_t Middle = 4;
+  constexpr std::uint32_t Long = 5;
+  if (Size == PromptSize::Long)
+    return Long;
+  return Size == PromptSize::Middle ? Middle : Short;
+}
+
+/// Share of the time left that a prompt which is late may be read in; its
+/// answer is written in what remains.
+constexpr double LateShare = 0.55;
 
 Duration fromMilliseconds(double Value) {
   return Duration(static_cast<Duration::rep>(Value * 1e3));
 }
 
+double inMilliseconds(Duration Value) {
+  return static_cast<double>(Value.count()) / 1e3;
+}
+
 PlacementWeights weightsFrom(const Settings &Values) {
   const std::string_view In = "placement";
   PlacementWeights Result;
@@ -39,8 +53,14 @@
   Result.MostRunning =
       static_cast<std::uint32_t>(Values.whole(In, "most_running"));
   Result.FullMs = Values.fraction(In, "full_ms");
+  Result.SwiftPartMs = Values.fraction(In, "swift_part_ms");
+  Result.PauseMs = Values.fraction(In, "pause_ms");
+  Result.PauseCostMs = Values.fraction(In, "pause_cost_ms");
+  Result.LongPauseMs = Values.fraction(In, "long_pause_ms");
   Result.LongestPartMs = Values.fraction(In, "longest_part_ms");
-  Result.HarmMs = Values.fraction(In, "harm_ms");
+  Result.BudgetShare = Values.fraction(In, "budget_share");
+  Result.MostHeldUp =
+      static_cast<std::uint32_t>(Values.whole(In, "most_held_up"));
   Result.MostHelpers = Values.whole(In, "most_helpers");
   return Result;
 }
@@ -101,19 +121,28 @@
       Model ? readMs(*Model, Wanted.PromptTokens) : UnknownWorkMs;
   const std::uint64_t Tokens = Wanted.PromptTokens + Wanted.OutputTokens;
   const PromptSize Size = promptSize(Wanted.PromptTokens);
-  const bool Joint = Size == PromptSize::Middle || Size == PromptSize::Long;
-  const Placed Place = Model && Joint
-                           ? placeLong(States, ReadMs, Tokens, this->Weights)
-                           : placeShort(States, ReadMs, Tokens, this->Weights);
+  PlacementTimes Times;
+  Times.ObjectiveMs = inMilliseconds(Wanted.Objective - Wanted.Waited);
+  Times.BudgetMs = Times.ObjectiveMs * this->Weights.BudgetShare;
+  Times.LateMs = inMilliseconds(Wanted.Left) * LateShare;
+  const bool Huge = Model && Tokens > Model->MemoryTokens;
+  const bool Long = Model && Size == PromptSize::Long;
+  const Placed Place =
+      Huge ? placeHuge(States, ReadMs, Tokens, Model->MemoryTokens, Times,
+                       this->Weights)
+      : Long ? placeLong(States, ReadMs, Tokens, Times, this->Weights)
+             : placeSwift(States, ReadMs, Tokens, this->Weights);
   EngineChosen Result;
   Result.Engine = States[Place.At].Engine->Record.Id;
   for (const std::size_t At : Place.Helpers) {
     const EngineRecord &Helper = States[At].Engine->Record;
-    Result.Helpers.push_back({Helper.Id, Helper.At, ""});
+    const bool Keeps = Result.Helpers.size() < Place.Keepers;
+    Result.Helpers.push_back(
+        {Helper.Id, Helper.At, "", Keeps ? Place.KeptTokens : 0});
   }
   if (Model) {
     Result.Predicted = fromMilliseconds(Place.FirstTokenMs);
-    Result.Urgency = Joint ? LongUrgency : ShortUrgency;
+    Result.Urgency = urgencyOf(Size);
   }
   return Result;
 }
@@ -145,7 +174,8 @@
   const EngineLoad None;
   const EngineLoad &Load = Found == this->Loads.end() ? None : Found->second;
   Result.Running = Load.reading() + Load.writing();
-  Result.ShortRunning = Load.shortRunning();
+  Result.SwiftRunning = Load.swiftRunning();
+  Result.LongWriting = Load.longWriting();
   if (Model) {
     Result.BacklogMs = Load.backlogMs(Now);
     Result.PassMs = writePassMs(*Model, Load.writing(),
@@ -179,22 +209,36 @@
 
 void EngineLoadPlugin::add(const RelayTry &Each, Time Now) {
   const EngineParameters *Model = this->parametersOf(Each.Service);
-  const auto Parts = static_cast<double>(Each.Helpers.size() + 1);
+  const bool ListsItself =
+      !Each.Helpers.empty() && Each.Helpers.front().Engine == Each.Engine;
+  const auto Parts =
+      static_cast<double>(Each.Helpers.size() + (ListsItself ? 0 : 1));
   LoadItem Item;
   Item.Try = Each.Id;
   Item.ReadMs = Model ? readMs(*Model, Each.PromptTokens) / Parts : 0;
   Item.Size = promptSize(Each.PromptTokens);
   LoadItem Part = Item;
-  Item.MemoryTokens = Each.PromptTokens + Each.OutputTokens;
+  Item.MemoryTokens = ListsItself ? Each.Helpers.front().Tokens
+                                  : Each.PromptTokens + Each.OutputTokens;
   this->Loads[Each.Engine].add(Item, Now);
-  for (const JointEngine &Helper : Each.Helpers)
-    this->Loads[Helper.Engine].add(Part, Now);
+  for (const JointEngine &Helper : Each.Helpers) {
+    Part.MemoryTokens = Helper.Tokens;
+    if (Helper.Engine != Each.Engine)
+      this->Loads[Helper.Engine].add(Part, Now);
+  }
 }
 
 void EngineLoadPlugin::tryBegan(const RelayTry &Each, Time Now, Actions &) {
   this->Loads[Each.Engine].began(Each.Id, Now);
-  for (const JointEngine &Helper : Each.Helpers)
-    this->Loads[Helper.Engine].remove(Each.Id, Now);
+  for (const JointEngine &Helper : Each.Helpers) {
+    if (Helper.Engine == Each.Engine)
+      continue;
+    // What it keeps stays there while the answer is written.
+    if (Helper.Tokens > 0)
+      this->Loads[Helper.Engine].began(Each.Id, Now);
+    else
+      this->Loads[Helper.Engine].remove(Each.Id, Now);
+  }
   this->noteChange(Now);
 }
 
@@ -260,11 +304,11 @@
   const std::string In = "engine_load";
   const std::string Place = "placement";
   return {
-      {In, "tell_interval", SettingKind::Span, "100ms",
+      {In, "tell_interval", SettingKind::Span, "30ms",
        "Peers are told at most so often what this host has running on engines; "
        "short beside the reading of a prompt.",
        1e3, 60e6},
-      {In, "jitter_ms", SettingKind::Fraction, "10",
+      {In, "jitter_ms", SettingKind::Fraction, "25",
        "Engines whose predicted first tokens are no further apart than this "
        "(milliseconds) are chosen among at random, as all hosts see alike.",
        0, 1000},
@@ -293,14 +337,33 @@
       {Place, "full_ms", Fraction, "1000",
        "What a full engine, or one short of memory, counts (milliseconds).", 0,
        100000},
-      {Place, "longest_part_ms", Fraction, "200",
+      {Place, "swift_part_ms", Fraction, "60",
+       "Short and middle prompts that take longer to read (milliseconds) are "
+       "shared with clear engines.",
+       1, 100000},
+      {Place, "pause_ms", Fraction, "220",
+       "A pass that takes longer (milliseconds) makes short answers pause too "
+       "long, at 250 ms.",
+       1, 100000},
+      {Place, "pause_cost_ms", Fraction, "25",
+       "What each request held up by such a pass counts (milliseconds).", 0,
+       100000},
+      {Place, "long_pause_ms", Fraction, "900",
+       "A pass that takes longer (milliseconds) makes long answers pause too "
+       "long, at a second.",
+       1, 100000},
+      {Place, "longest_part_ms", Fraction, "300",
        "A prompt is read on so many engines that no part takes longer than "
-       "this (milliseconds): an answer nearby may pause by 250 ms.",
+       "this (milliseconds): other long answers may pause by a second.",
        1, 100000},
-      {Place, "harm_ms", Fraction, "60",
-       "What a short request counts (milliseconds) that a part of a longer "
-       "prompt would hold up.",
-       0, 100000},
+      {Place, "budget_share", Fraction, "0.7",
+       "Share of its objective that a long prompt may need before engines "
+       "with swift requests are taken for it, too.",
+       0, 10},
+      {Place, "most_held_up", SettingKind::Whole, "12",
+       "Swift requests that one long prompt may hold up to be in time: it is "
+       "worth some twelve of them.",
+       0, 1000},
       {Place, "most_helpers", SettingKind::Whole, "16",
        "Engines that help to read one prompt, at most.", 0, 64},
   };
--- a/src/plugins/engineload/Placement.cpp
+++ b/src/plugins/engineload/Placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <tuple>
 
 namespace banyanpick {
 
@@ -21,23 +22,87 @@
   return Tokens > Of.FreeTokens ? Weights.FullMs : 0;
 }
 
-/// What a part of so many milliseconds costs on the engine.
-double partMs(const EngineState &Of, double PartMs,
-              const PlacementWeights &Weights) {
-  return Of.BacklogMs + PartMs + Of.PassMs + Of.ShortRunning * Weights.HarmMs;
+/// What a pass with so much more reading does to those that write there.
+double pauseMs(const EngineState &Of, double ReadMs,
+               const PlacementWeights &Weights) {
+  const bool Long = Of.BacklogMs + ReadMs + Of.PassMs > Weights.PauseMs;
+  return Long ? Of.SwiftRunning * Weights.PauseCostMs : 0;
+}
+
+/// When a part could begin there.
+double startMs(const EngineState &Of) { return Of.BacklogMs + Of.PassMs; }
+
+/// A number of engines of an order, and when they would have read all parts.
+struct PartCount {
+  std::size_t Engines = 1;
+  double FirstTokenMs = 0;
+};
+
+/// As many of the first \p Most engines of the order as end soonest: each more
+/// shortens the parts, and may be busier.
+PartCount soonest(std::span<const EngineState> States,
+                  std::span<const std::size_t> Order, std::size_t Most,
+                  double ReadMs) {
+  PartCount Best;
+  double SlowestMs = 0;
+  for (std::size_t Taken = 1; Taken <= Most; ++Taken) {
+    SlowestMs = std::max(SlowestMs, startMs(States[Order[Taken - 1]]));
+    const double Ms = SlowestMs + ReadMs / static_cast<double>(Taken);
+    if (Taken == 1 || Ms < Best.FirstTokenMs)
+      Best = {Taken, Ms};
+  }
+  return Best;
+}
+
+/// As few of the first \p Most engines of the order as end by \p LatestMs, or
+/// all of them.
+PartCount fewest(std::span<const EngineState> States,
+                 std::span<const std::size_t> Order, std::size_t Most,
+                 double ReadMs, double LatestMs) {
+  PartCount Result;
+  double SlowestMs = 0;
+  for (std::size_t Taken = 1; Taken <= Most; ++Taken) {
+    SlowestMs = std::max(SlowestMs, startMs(States[Order[Taken - 1]]));
+    Result = {Taken, SlowestMs + ReadMs / static_cast<double>(Taken)};
+    if (Result.FirstTokenMs <= LatestMs)
+      break;
+  }
+  return Result;
+}
+
+/// Clear engines that could read a part at once, the soonest first.
+std::vector<std::size_t> idleHelpers(std::span<const EngineState> States,
+                                     double MostMs) {
+  std::vector<std::size_t> Result;
+  for (std::size_t At = 0; At < States.size(); ++At)
+    if (States[At].isClear() && startMs(States[At]) <= MostMs)
+      Result.push_back(At);
+  std::ranges::sort(Result, {}, [&](std::size_t At) {
+    return std::pair(startMs(States[At]), -double(States[At].Position));
+  });
+  return Result;
 }
 
 } // namespace
 
-Placed placeShort(std::span<const EngineState> States, double ReadMs,
+Placed placeSwift(std::span<const EngineState> States, double ReadMs,
                   std::uint64_t Tokens, const PlacementWeights &Weights) {
+  std::vector<std::size_t> Helpers;
+  const double Parts = std::ceil(ReadMs / std::max(Weights.SwiftPartMs, 1.0));
+  if (Parts > 1)
+    Helpers = idleHelpers(States, ReadMs);
+  Helpers.resize(std::min(
+      {Helpers.size(), static_cast<std::size_t>(Parts) - 1,
+       Weights.MostHelpers}));
+  const double PartMs = ReadMs / static_cast<double>(Helpers.size() + 1);
   Placed Best;
   double BestCost = 0;
   for (std::size_t At = 0; At < States.size(); ++At) {
     const EngineState &Each = States[At];
-    const double FirstMs = Each.BacklogMs + ReadMs + Each.PassMs;
+    const double FirstMs = Each.BacklogMs + PartMs + Each.PassMs;
     const double Cost = FirstMs + Each.ExtraMs + crowdMs(Each, Weights) +
                         memoryMs(Each, Tokens, Weights) +
+                        pauseMs(Each, PartMs, Weights) +
                         static_cast<double>(Each.Position) * Weights.PositionMs;
     if (At != 0 && Cost >= BestCost)
       continue;
@@ -45,49 +110,105 @@
     Best.At = At;
     Best.FirstTokenMs = FirstMs;
   }
+  for (const std::size_t At : Helpers)
+    if (At != Best.At)
+      Best.Helpers.push_back(At);
   return Best;
 }
 
 Placed placeLong(std::span<const EngineState> States, double ReadMs,
-                 std::uint64_t Tokens, const PlacementWeights &Weights) {
-  // The engines in the order in which they would be taken.
+                 std::uint64_t Tokens, double BudgetMs,
+                 const PlacementWeights &Weights) {
+  const double PartMs = std::min(ReadMs, Weights.LongestPartMs);
+  const auto HoldsUp = [&](const EngineState &Each) {
+    return Each.SwiftRunning +
+           (Each.LongWriting > 0 &&
+                    startMs(Each) + PartMs > Weights.LongPauseMs
+                ? 1
+                : 0);
+  };
+  // The engines in the order in which they would be taken: those where nothing
+  // is held up by when they are free, then those where least is.
   std::vector<std::size_t> Order(States.size());
   std::iota(Order.begin(), Order.end(), 0);
   std::ranges::sort(Order, {}, [&](std::size_t At) {
-    return partMs(States[At], 0, Weights) + States[At].ExtraMs;
+    const EngineState &Each = States[At];
+    return std::pair(HoldsUp(Each), startMs(Each) + Each.ExtraMs);
   });
+  const auto Clear =
+      static_cast<std::size_t>(std::ranges::count_if(States, [&](const auto &Each) {
+        return HoldsUp(Each) == 0;
+      }));
   const auto Wanted = static_cast<std::size_t>(
       std::ceil(ReadMs / std::max(Weights.LongestPartMs, 1.0)));
   const std::size_t Most =
       std::min({std::max<std::size_t>(Wanted, 1), Order.size(),
                 Weights.MostHelpers + 1});
-  // As many as end soonest: each more shortens the parts, and may be busier.
-  std::size_t Count = 1;
-  double BestMs = 0;
-  double SlowestMs = 0;
-  for (std::size_t Taken = 1; Taken <= Most; ++Taken) {
-    const EngineState &Last = States[Order[Taken - 1]];
-    SlowestMs = std::max(SlowestMs, partMs(Last, 0, Weights));
-    const double Ms = SlowestMs + ReadMs / static_cast<double>(Taken);
-    if (Taken != 1 && Ms >= BestMs)
-      continue;
-    BestMs = Ms;
-    Count = Taken;
+  const std::size_t Least = std::max<std::size_t>(Clear, 1);
+  PartCount Best = soonest(States, Order, std::min(Least, Most), ReadMs);
+  std::uint32_t HeldUp = 0;
+  for (std::size_t Allowed = Least + 1;
+       Allowed <= Order.size() && Best.FirstTokenMs > Times.BudgetMs;
+       ++Allowed) {
+    HeldUp += States[Order[Allowed - 1]].SwiftRunning;
+    if (HeldUp > Weights.MostHeldUp)
+      break;
+    const PartCount Next =
+        soonest(States, Order, std::min(Allowed, Most), ReadMs);
+    if (Next.FirstTokenMs < Best.FirstTokenMs)
+      Best = Next;
   }
-  Order.resize(Count);
+  if (Best.FirstTokenMs > Times.ObjectiveMs)
+    Best = fewest(States, Order, std::min(Least, Most), ReadMs, Times.LateMs);
+  Order.resize(Best.Engines);
   // The first engine keeps the whole prompt; that with most memory free.
   const auto First = std::ranges::max_element(Order, {}, [&](std::size_t At) {
     const EngineState &Each = States[At];
-    const double Roomy = Tokens <= Each.FreeTokens ? 0 : -Weights.FullMs;
-    return Roomy - crowdMs(Each, Weights) - Each.ExtraMs;
+    return -memoryMs(Each, Tokens, Weights) - crowdMs(Each, Weights) -
+           Each.ExtraMs;
   });
   Placed Result;
   Result.At = *First;
-  Result.FirstTokenMs = BestMs;
+  Result.FirstTokenMs = Best.FirstTokenMs;
   for (const std::size_t At : Order)
     if (At != Result.At)
       Result.Helpers.push_back(At);
   return Result;
 }
 
+Placed placeHuge(std::span<const EngineState> States, double ReadMs,
+                 std::uint64_t Tokens, std::uint64_t EngineTokens,
+                 const PlacementTimes &Times, const PlacementWeights &Weights) {
+  /// What an engine gives away at most: small reservations of others and
+  /// rounding to blocks need the rest.
+  constexpr double UsableShare = 0.85;
+  const double Usable = static_cast<double>(EngineTokens) * UsableShare;
+  const auto Keepers = static_cast<std::size_t>(
+      std::ceil(static_cast<double>(Tokens) / std::max(Usable, 1.0)));
+  std::vector<std::size_t> Order(States.size());
+  std::iota(Order.begin(), Order.end(), 0);
+  std::ranges::sort(Order, {}, [&](std::size_t At) {
+    const EngineState &Each = States[At];
+    return std::tuple(Each.SwiftRunning, -static_cast<double>(Each.FreeTokens),
+                      startMs(Each) + Each.ExtraMs);
+  });
+  const auto Clear = static_cast<std::size_t>(
+      std::ranges::count_if(States, &EngineState::isClear));
+  const std::size_t Most = std::min(
+      {Order.size(), std::max(Clear, Keepers), Weights.MostHelpers});
+  PartCount Best = soonest(States, Order, Most, ReadMs);
+  if (Best.FirstTokenMs > Times.ObjectiveMs)
+    Best = fewest(States, Order, Most, ReadMs, Times.LateMs);
+  Order.resize(std::min(std::max(Best.Engines, Keepers), Order.size()));
+  Placed Result;
+  Result.At = Order.front();
+  Result.Helpers = Order;
+  Result.Keepers = std::min(Keepers, Order.size());
+  /// Tokens are kept in blocks; a share is rounded up by some.
+  constexpr std::uint64_t Rounding = 64;
+  Result.KeptTokens = Tokens / Result.Keepers + Rounding;
+  Result.FirstTokenMs = Best.FirstTokenMs;
+  return Result;
+}
+
 } // namespace banyanpick
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -46,6 +46,8 @@
   this->Declared = &Context.services().get<RouteView>();
   this->Directory = &Context.services().get<EngineDirectory>();
   this->Selector = &Context.services().get<EngineSelector>();
+  this->Memory = &Context.services().get<MemoryKeeper>();
+  Context.services().list<MemoryObserver>().add(*this);
   this->Crashes = &Context.services().get<CrashView>();
   this->Numbers = &Context.random();
   this->Times = relayTimes(Context.settings());
@@ -165,14 +167,46 @@
   Wanted.PromptTokens = Each.Head.PromptTokens;
   Wanted.OutputTokens = Each.Head.MaxOutputTokens;
   Wanted.Objective = Each.Route.Objective;
-  Wanted.ArrivedAt = Each.ArrivedAt;
+  Wanted.Waited = Now - Each.ArrivedAt;
+  Wanted.Left = Each.Deadline - Now;
   Wanted.Excluded = Excluded;
   const auto Chosen = this->Selector->choose(Wanted, Now);
   if (!Chosen) {
     this->wait(Each, Now, Out);
     return;
   }
-  this->dispatch(Each, *Chosen, Now, Out);
+  const bool NeedsMemory = std::ranges::any_of(
+      Chosen->Helpers, [](const JointEngine &One) { return One.Tokens > 0; });
+  if (!NeedsMemory) {
+    this->dispatch(Each, *Chosen, Now, Out);
+    return;
+  }
+  Each.Reserving = *Chosen;
+  this->Memory->acquire(Each.Head.Id, Chosen->Helpers, Now, Out);
+  this->noteWake(Each, Now);
+}
+
+void RelaysPlugin::memoryDecided(const RequestId &Id,
+                                 std::span<const JointEngine> Shares, Time Now,
+                                 Actions &Out) {
+  RunningRelay *Each = this->Running.find(Id);
+  if (!Each || !Each->Reserving) {
+    this->Memory->release(Id, Now, Out);
+    return;
+  }
+  EngineChosen Chosen = *Each->Reserving;
+  Each->Reserving.reset();
+  const bool Gone =
+      std::ranges::any_of(Chosen.Helpers, [&](const JointEngine &One) {
+        return !this->Directory->find(One.Engine);
+      });
+  if (Shares.empty() || Gone) {
+    this->Memory->release(Id, Now, Out);
+    this->wait(*Each, Now, Out);
+    return;
+  }
+  Chosen.Helpers.assign(Shares.begin(), Shares.end());
+  this->dispatch(*Each, Chosen, Now, Out);
 }
 
 void RelaysPlugin::dispatch(RunningRelay &Each, const EngineChosen &Chosen,
@@ -258,6 +292,8 @@
   RunningRelay *Each = this->Running.owner(Is.Attempt);
   if (!Each || !Each->Live)
     return;
+  if (!Each->Began)
+    Each->FirstEvent = Now - Each->ArrivedAt;
   if (!Each->Began)
     Out.add(RecordMeasurement{
         RecordMeasurement::Kind::Histogram, "relay_first_event_seconds",
@@ -278,6 +314,7 @@
   this->Running.unlink(Ended.Id);
   Each->Live.reset();
   Each->PatienceUntil = Never;
+  this->Memory->release(Each->Head.Id, Now, Out);
   this->logTry(*Each, Ended, Is.Outcome, Now, Out);
   if (const auto *Other = std::get_if<RelayNotRun>(&Is.Outcome))
     if (Other->OtherEngine)
@@ -321,6 +358,7 @@
   const RequestId Id = Each.Head.Id;
   if (Each.Live)
     this->cancelTry(Each, Now, Out);
+  this->Memory->release(Id, Now, Out);
   if (Each.Began) {
     this->logEnd(Each, "broken_off", Why, Now, Out);
     Out.add(GatewayAction(BreakRelay{Id}));
@@ -369,6 +407,7 @@
     return;
   if (Each->Live)
     this->cancelTry(*Each, Now, Out);
+  this->Memory->release(Id, Now, Out);
   this->logEnd(*Each, "caller_gone", "", Now, Out);
   this->Running.remove(Id);
 }
@@ -387,7 +426,7 @@
     this->loseLiveTry(Each, Now, Out);
     return;
   }
-  if (!Each.Live && Each.WaitingSince != Never) {
+  if (!Each.Live && !Each.Reserving && Each.WaitingSince != Never) {
     this->send(Each, Now, Out);
     return;
   }
@@ -418,6 +457,7 @@
     Observer->tryEnded(Lost, Outcome, Now, Out);
   this->Running.unlink(Lost.Id);
   Each.Live.reset();
+  this->Memory->release(Each.Head.Id, Now, Out);
   Each.RanOn.push_back(Lost.Engine);
   this->send(Each, Now, Out);
 }
@@ -432,7 +472,7 @@
 
 void RelaysPlugin::noteWake(const RunningRelay &Each, Time Now) {
   this->NextLook = std::min(this->NextLook, this->wakeOf(Each));
-  if (!Each.Live && Each.WaitingSince != Never)
+  if (!Each.Live && !Each.Reserving && Each.WaitingSince != Never)
     this->NextLook =
         std::min(this->NextLook, Now + this->Times.WaitPause);
 }
@@ -498,6 +538,9 @@
               .with("why", Why)
               .with("sends", Each.Sends)
               .with("ran_on", Each.RanOn.size())
+              .with("prompt_tokens", Each.Head.PromptTokens)
+              .with("first_event_us", Each.FirstEvent.count())
+              .with("longest_pause_us", Each.LongestPause.count())
               .with("after_us", (Now - Each.ArrivedAt).count())
               .build());
 }
@@ -515,7 +558,8 @@
 
 const PluginRegistration
     Registration({"relays",
-                  {"crashes", "engine_load", "engines", "membership", "routes"},
+                  {"crashes", "engine_load", "engine_memory", "engines",
+                   "membership", "routes"},
                   RelaysPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<RelaysPlugin>();
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -25,7 +25,9 @@
 
 /// What is not idempotent is sent on only where it surely did not run. Every
 /// request gets its final answer at once when nothing more can be done for it.
-class RelaysPlugin : public Plugin, public RelayCount {
+class RelaysPlugin : public Plugin,
+                     public RelayCount,
+                     public MemoryObserver {
 public:
   void initialize(PluginContext &Context) override;
   void start(Time Now, Actions &Out) override;
@@ -35,6 +37,9 @@
 
   std::size_t running() const override { return this->Running.size(); }
 
+  void memoryDecided(const RequestId &Id, std::span<const JointEngine> Shares,
+                     Time Now, Actions &Out) override;
+
   static std::vector<SettingDeclaration> settings();
 
 private:
@@ -78,6 +83,7 @@
   const RouteView *Declared = nullptr;
   EngineDirectory *Directory = nullptr;
   EngineSelector *Selector = nullptr;
+  MemoryKeeper *Memory = nullptr;
   const CrashView *Crashes = nullptr;
   Random *Numbers = nullptr;
   RelayTimes Times;
--- a/src/plugins/relays/RunningRelay.h
+++ b/src/plugins/relays/RunningRelay.h
@@ -27,10 +27,13 @@
   std::vector<UpstreamId> RanOn;   ///< Where it ran or may have run.
   std::vector<UpstreamId> NotRunOn; ///< Where it surely did not, of late.
   std::uint32_t Sends = 0;
+  std::optional<EngineChosen> Reserving; ///< Memory is being set aside for it.
   bool Began = false; ///< A part of the answer went to the caller.
   std::optional<std::uint64_t> LastEvent; ///< The last event passed on.
   std::optional<AttemptId> KeptFailure; ///< An upstream's failure to deliver
                                         ///< if nothing better comes.
+  Duration FirstEvent{};   ///< From arrival; zero: not yet.
+  Duration LongestPause{}; ///< Between events.
   Time WaitingSince = Never; ///< No upstream could take it since.
 
   /// Whether a second run does no harm.
--- a/src/plugins/relays/TryVerdict.cpp
+++ b/src/plugins/relays/TryVerdict.cpp
@@ -24,7 +24,10 @@
         Of.NotRunOn.push_back(culpritOf(Is, Ended.Engine, Ended.Helpers));
         return TryAgain{true};
       },
-      [&](const RelayDelivered &) -> TryVerdict { return RelayIsDone{}; },
+      [&](const RelayDelivered &Is) -> TryVerdict {
+        Of.LongestPause = Is.LongestPause;
+        return RelayIsDone{};
+      },
       [&](const RelayFailed &Is) -> TryVerdict {
         Of.RanOn.push_back(Ended.Engine);
         Of.KeptFailure = Ended.Id;
