--- a/src/plugins/engineload/Placement.cpp
+++ b/src/plugins/engineload/Placement.cpp
@@ -117,7 +117,7 @@
 }
 
 Placed placeLong(std::span<const EngineState> States, double ReadMs,
-                 std::uint64_t Tokens, double BudgetMs,
+                 std::uint64_t Tokens, const PlacementTimes &Times,
                  const PlacementWeights &Weights) {
   const double PartMs = std::min(ReadMs, Weights.LongestPartMs);
   const auto HoldsUp = [&](const EngineState &Each) {
