--- a/src/app/Control.cpp
+++ b/src/app/Control.cpp
@@ -26,8 +26,8 @@
     const auto *Catalogue = Offered.find<CatalogueView>();
     const auto *Drain = Offered.find<DrainView>();
     const auto *InForce = Offered.find<InForceView>();
-    this->State.Ready = InForce ? InForce->isReady()
-                                : Catalogue && Catalogue->isReady();
+    this->State.Ready =
+        InForce ? InForce->isReady() : Catalogue && Catalogue->isReady();
     this->State.Current = Catalogue && Catalogue->isCurrent(this->Clock.now());
     this->State.Leaving = Drain && Drain->isLeaving();
   }
--- a/src/app/GatewayDaemon.h
+++ b/src/app/GatewayDaemon.h
@@ -35,9 +35,7 @@
 public:
   using Function = std::function<Task<void>(HttpExchange &)>;
   explicit GatewayHandler(Function Serve) : Serve(std::move(Serve)) {}
-  Task<void> serve(HttpExchange &Each) override {
-    return this->Serve(Each);
-  }
+  Task<void> serve(HttpExchange &Each) override { return this->Serve(Each); }
 
 private:
   Function Serve;
--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -23,8 +23,8 @@
 
 GatewayTraffic::GatewayTraffic(const GatewayContext &Uses)
     : Uses(Uses), Io(1), Work(net::make_work_guard(this->Io)),
-      Store(Uses.Protocol.openStore(this->Io.get_executor(),
-                                    Uses.Values.Store)),
+      Store(
+          Uses.Protocol.openStore(this->Io.get_executor(), Uses.Values.Store)),
       Client(this->Io.get_executor(), LargestReport),
       Links(this->Io.get_executor(), Uses.Values.LinkIdle,
             Uses.Values.LinksPerUpstream),
@@ -71,9 +71,7 @@
 void GatewayTraffic::perform(const Action &Wanted) {
   match(
       Wanted, [&](const GatewayAction &Is) { this->perform(Is); },
-      [&](const AnswerResolve &Is) {
-        this->Resolves.answer(Is.Id.Value, Is);
-      },
+      [&](const AnswerResolve &Is) { this->Resolves.answer(Is.Id.Value, Is); },
       [&](const ReadHostList &) {
         net::co_spawn(this->Io, this->readHosts(), net::detached);
       },
@@ -124,8 +122,7 @@
       });
 }
 
-std::shared_ptr<CallerSide>
-GatewayTraffic::caller(const RequestId &Id) const {
+std::shared_ptr<CallerSide> GatewayTraffic::caller(const RequestId &Id) const {
   const auto Found = this->Callers.find(Id);
   return Found == this->Callers.end() ? nullptr : Found->second;
 }
@@ -207,8 +204,8 @@
         this->decode(*Each.Value, BeliefSource::Store);
   };
   Tell.OnReachable = [this](bool Reachable, std::string_view Why) {
-    this->Uses.Events.send(GatewayEvent(
-        seen(StoreSeen::Part::Configuration, Reachable, Why)));
+    this->Uses.Events.send(
+        GatewayEvent(seen(StoreSeen::Part::Configuration, Reachable, Why)));
   };
   this->Declarations = std::make_shared<KeyedFollower>(
       this->Io.get_executor(), *this->Store, StoreTopic::Declarations,
@@ -244,8 +241,8 @@
     Change.Engine.Id = UpstreamId(Each.Key);
     try {
       if (Each.Value)
-        Change.Engine = this->Uses.Protocol.documents().readEngine(
-            Each.Key, *Each.Value);
+        Change.Engine =
+            this->Uses.Protocol.documents().readEngine(Each.Key, *Each.Value);
     } catch (const Error &Failure) {
       this->count("registrations_malformed", "");
       writeLogLine(logEvent(events::RegistrationUnreadable)
@@ -262,9 +259,8 @@
 
 Task<void> GatewayTraffic::askReport(AskReport Wanted) {
   const EngineProtocol &Protocol = this->Uses.Protocol.engines();
-  const ClientResult Result =
-      co_await this->Client.call(Wanted.At, Protocol.reportRequest(),
-                                 this->Uses.Values.ReportTimeout);
+  const ClientResult Result = co_await this->Client.call(
+      Wanted.At, Protocol.reportRequest(), this->Uses.Values.ReportTimeout);
   const auto *Answer = std::get_if<ClientAnswer>(&Result);
   constexpr unsigned Ok = 200;
   try {
@@ -298,16 +294,17 @@
   const ClientResult Result = co_await this->Client.call(
       Wanted.At, this->Uses.Protocol.engines().requestFor(Wanted),
       this->Uses.Values.ReportTimeout, HttpClient::Reuse::No);
-  this->count("releases",
-              std::holds_alternative<ClientAnswer>(Result) ? "answered"
-                                                           : "unanswered");
+  this->count("releases", std::holds_alternative<ClientAnswer>(Result)
+                              ? "answered"
+                              : "unanswered");
 }
 
 Task<void> GatewayTraffic::readHosts() {
   HostListRead Read;
   std::string After;
   for (bool More = true; More;) {
-    NewestResult Result = co_await this->Store->newest(StoreTopic::Hosts, After);
+    NewestResult Result =
+        co_await this->Store->newest(StoreTopic::Hosts, After);
     if (std::holds_alternative<StoreFailure>(Result)) {
       this->Uses.Events.send(HostListReadFailed{});
       co_return;
--- a/src/app/SettingsFile.cpp
+++ b/src/app/SettingsFile.cpp
@@ -5,8 +5,8 @@
 #include "base/Error.h"
 #include "http/HttpSettings.h"
 #include "http/TlsServer.h"
-#include "peers/PeerSettings.h"
 #include "native/PlatformSettings.h"
+#include "peers/PeerSettings.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/app/TrafficSettings.cpp
+++ b/src/app/TrafficSettings.cpp
@@ -6,8 +6,8 @@
 #include "http/HttpSettings.h"
 #include "kernel/PluginRegistry.h"
 #include "logging/LineLog.h"
-#include "peers/PeerSettings.h"
 #include "native/PlatformSettings.h"
+#include "peers/PeerSettings.h"
 
 namespace banyanpick {
 
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -144,8 +144,8 @@
                                           "store reachable"};
 inline constexpr EventKind StoreUnreachable{803, LogLevel::Warning,
                                             "store unreachable"};
-inline constexpr EventKind RegistrationUnreadable{
-    804, LogLevel::Warning, "registration unreadable"};
+inline constexpr EventKind RegistrationUnreadable{804, LogLevel::Warning,
+                                                  "registration unreadable"};
 inline constexpr EventKind EngineChanged{810, LogLevel::Info,
                                          "engine changed standing"};
 inline constexpr EventKind EngineAvoided{811, LogLevel::Warning,
@@ -167,8 +167,8 @@
                                           "engine memory reserved"};
 inline constexpr EventKind MemoryReleased{841, LogLevel::Info,
                                           "engine memory released"};
-inline constexpr EventKind MemoryReclaimed{
-    842, LogLevel::Warning, "abandoned engine memory released"};
+inline constexpr EventKind MemoryReclaimed{842, LogLevel::Warning,
+                                           "abandoned engine memory released"};
 
 } // namespace events
 } // namespace banyanpick
--- a/src/libs/gateway/Configuration.h
+++ b/src/libs/gateway/Configuration.h
@@ -39,8 +39,8 @@
   std::string Host;       ///< The Host header without a port.
   std::string PathPrefix; ///< Begins and ends with a slash.
   RequestKind Kind = RequestKind::AtMostOnce;
-  bool Resumable = false; ///< A stream may go on at another upstream.
-  bool Public = false;    ///< Needs no key.
+  bool Resumable = false;     ///< A stream may go on at another upstream.
+  bool Public = false;        ///< Needs no key.
   std::uint32_t Attempts = 1; ///< Upstreams that one request may run on.
   std::uint32_t Rank = 0;     ///< 0 is the most urgent.
   Duration TimeLimit{};       ///< Callers are kept waiting no longer.
@@ -74,7 +74,7 @@
 struct ServiceEntry {
   ServiceId Id;
   std::string HealthPath;
-  std::uint32_t MaxConnections = 0; ///< An upstream's, from all hosts.
+  std::uint32_t MaxConnections = 0;       ///< An upstream's, from all hosts.
   std::optional<EngineParameters> Engine; ///< Set for model engines.
 
   bool operator==(const ServiceEntry &) const = default;
--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -34,7 +34,7 @@
 struct JointEngine {
   UpstreamId Engine;
   Address At;
-  std::string Reservation; ///< Empty: it reads a part and keeps nothing.
+  std::string Reservation;  ///< Empty: it reads a part and keeps nothing.
   std::uint64_t Tokens = 0; ///< Memory set aside under the reservation.
 
   bool operator==(const JointEngine &) const = default;
@@ -46,10 +46,10 @@
   RequestId Request;
   UpstreamId Engine; ///< Another one at the address must refuse it.
   Address At;
-  TeamId Team;       ///< Empty: told to nobody.
+  TeamId Team;          ///< Empty: told to nobody.
   bool DropKey = false; ///< The caller's key is not passed on.
-  Time Deadline{};   ///< The upstream is told what is left until then.
-  std::optional<std::uint32_t> Urgency; ///< 0 is the most urgent.
+  Time Deadline{};      ///< The upstream is told what is left until then.
+  std::optional<std::uint32_t> Urgency;   ///< 0 is the most urgent.
   std::optional<std::uint64_t> LastEvent; ///< Resume after this event.
   std::vector<JointEngine> Helpers;
   bool Fresh = false;  ///< Not over a kept connection.
@@ -109,9 +109,9 @@
 
 /// The upstream said that it did not run the request.
 struct RelayNotRun {
-  bool OtherEngine = false;   ///< Another upstream has the address now.
-  std::uint32_t Status = 0;   ///< Of its answer.
-  Duration RetryAfter{};      ///< Zero: it did not tell.
+  bool OtherEngine = false;        ///< Another upstream has the address now.
+  std::uint32_t Status = 0;        ///< Of its answer.
+  Duration RetryAfter{};           ///< Zero: it did not tell.
   std::optional<Address> FailedAt; ///< The engine at fault, when it told.
 
   bool operator==(const RelayNotRun &) const = default;
--- a/src/libs/http/HttpExchange.cpp
+++ b/src/libs/http/HttpExchange.cpp
@@ -67,7 +67,8 @@
                             this->Asked.version());
   Answer.set(http::field::content_type, Given.ContentType);
   if (Given.RetryAfter > Duration(0))
-    Answer.set(http::field::retry_after, retryAfterText(Given.RetryAfter, Given.FractionalRetry));
+    Answer.set(http::field::retry_after,
+               retryAfterText(Given.RetryAfter, Given.FractionalRetry));
   this->addHeaders(Answer);
   Answer.keep_alive(this->wantsKeepAlive());
   Answer.body() = std::move(Given.Body);
--- a/src/libs/http/HttpSettings.h
+++ b/src/libs/http/HttpSettings.h
@@ -21,8 +21,8 @@
   Duration WriteTimeout{};
   bool TakesChunkedBodies = false;
   bool CloseAfterAnswer = false; ///< No connection is kept.
-  std::string TlsCertificate; ///< File; empty: no TLS.
-  std::string TlsKey;         ///< File.
+  std::string TlsCertificate;    ///< File; empty: no TLS.
+  std::string TlsKey;            ///< File.
 };
 
 /// The settings of sections [http] and [tls].
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -105,8 +105,8 @@
   std::uint64_t PromptTokens = 0;
   std::uint64_t OutputTokens = 0;
   Duration Objective{};
-  Duration Waited{}; ///< Since it arrived.
-  Duration Left{};   ///< Until its time is over.
+  Duration Waited{};                    ///< Since it arrived.
+  Duration Left{};                      ///< Until its time is over.
   std::span<const UpstreamId> Excluded; ///< Not on these.
 };
 
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -212,7 +212,7 @@
 struct EngineWork {
   struct Item {
     UpstreamId Engine;
-    double ReadMs = 0; ///< Prompt reading still to do there, predicted.
+    double ReadMs = 0;         ///< Prompt reading still to do there, predicted.
     std::uint32_t Reading = 0; ///< Requests whose first token is awaited.
     std::uint32_t Writing = 0;
     std::uint64_t MemoryTokens = 0; ///< That they take and will take.
@@ -222,6 +222,9 @@
     bool operator==(const Item &) const = default;
   };
   std::vector<Item> Items; ///< Engines not named have nothing of the sender.
+  /// Reading of long prompts that the sender asked for lately: engines kept
+  /// busy by it, on average.
+  double LongReads = 0;
 
   bool operator==(const EngineWork &) const = default;
 };
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -37,7 +37,7 @@
   bool Ready = false;
   LogOffset InForce = 0;
   Time LastHeard{};
-  Time LogConfirmedAt{}; ///< From its heartbeat.
+  Time LogConfirmedAt{};        ///< From its heartbeat.
   LogOffset EnginesKnownTo = 0; ///< From its heartbeat.
   bool ReachesStore = false;    ///< From its heartbeat.
 };
--- a/src/libs/logging/LineWriter.cpp
+++ b/src/libs/logging/LineWriter.cpp
@@ -18,9 +18,8 @@
     Line += '\n';
   }
   if (this->Unreported > 0 && this->allows(Now)) {
-    const LogEvent Notice = logEvent(events::LinesDropped)
-                                .with("lines", this->Unreported)
-                                .build();
+    const LogEvent Notice =
+        logEvent(events::LinesDropped).with("lines", this->Unreported).build();
     if (this->put(formatLogLine(Notice, Now) + "\n"))
       this->Unreported = 0;
   }
@@ -33,12 +32,12 @@
 }
 
 bool LineWriter::allows(Time Now) {
-  const Duration Passed = this->LastAt == Time{} ? Duration(0)
-                                                 : Now - this->LastAt;
+  const Duration Passed =
+      this->LastAt == Time{} ? Duration(0) : Now - this->LastAt;
   this->LastAt = std::max(this->LastAt, Now);
-  this->Allowance = std::min(
-      Burst, this->Allowance + std::max(inSeconds(Passed), 0.0) *
-                                   LinesPerSecond);
+  this->Allowance =
+      std::min(Burst, this->Allowance +
+                          std::max(inSeconds(Passed), 0.0) * LinesPerSecond);
   return this->Allowance >= 1;
 }
 
--- a/src/libs/logging/LineWriter.h
+++ b/src/libs/logging/LineWriter.h
@@ -35,7 +35,7 @@
   std::mutex Guard;
   double Allowance = Burst;
   Time LastAt{};
-  std::uint64_t Dropped = 0;   ///< In all.
+  std::uint64_t Dropped = 0; ///< In all.
   std::uint64_t Unreported = 0;
 };
 
--- a/src/libs/peers/PeerNetwork.cpp
+++ b/src/libs/peers/PeerNetwork.cpp
@@ -206,7 +206,8 @@
   }
 }
 
-void PeerNetwork::proveTo(const HostListing &Peer, zmq::socket_t &Socket) const {
+void PeerNetwork::proveTo(const HostListing &Peer,
+                          zmq::socket_t &Socket) const {
   const std::string ServerKey =
       this->Values.Allowed.keyOf(Peer.Id).value_or(this->Values.Own.PublicKey);
   Socket.set(zmq::sockopt::curve_serverkey, ServerKey);
--- a/src/libs/relay/EngineLinkPool.cpp
+++ b/src/libs/relay/EngineLinkPool.cpp
@@ -25,8 +25,7 @@
 
 } // namespace
 
-std::shared_ptr<EngineLink>
-EngineLinkPool::takeKept(const UpstreamId &Engine) {
+std::shared_ptr<EngineLink> EngineLinkPool::takeKept(const UpstreamId &Engine) {
   const auto Found = this->Kept.find(Engine);
   if (Found == this->Kept.end())
     return nullptr;
@@ -53,8 +52,7 @@
     return;
   Duration Idle = this->IdleFor;
   if (ServerIdle > Duration(0))
-    Idle = std::min(
-        Idle, fromSeconds(inSeconds(ServerIdle) * UsedShareOfIdle));
+    Idle = std::min(Idle, fromSeconds(inSeconds(ServerIdle) * UsedShareOfIdle));
   Link->IsKept = true;
   Link->IdleUntil = std::chrono::steady_clock::now() + Idle;
   Of.push_back(std::move(Link));
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -106,8 +106,8 @@
 
 Task<bool> EngineRun::sendRequest(Duration Left) {
   const HttpExchange::Request &Asked = this->Caller->asked();
-  auto Request = std::make_shared<HttpExchange::Request>(
-      Asked.base(), Asked.body());
+  auto Request =
+      std::make_shared<HttpExchange::Request>(Asked.base(), Asked.body());
   removeHopHeaders(*Request);
   Request->erase(http::field::content_length);
   Request->erase(http::field::expect);
@@ -252,9 +252,9 @@
 void EngineRun::notePause() {
   const auto Now = std::chrono::steady_clock::now();
   if (this->Began)
-    this->LongestPause =
-        std::max(this->LongestPause, std::chrono::duration_cast<Duration>(
-                                         Now - this->LastEventsAt));
+    this->LongestPause = std::max(
+        this->LongestPause,
+        std::chrono::duration_cast<Duration>(Now - this->LastEventsAt));
   this->LastEventsAt = Now;
 }
 
--- a/src/libs/relay/EngineRun.h
+++ b/src/libs/relay/EngineRun.h
@@ -67,7 +67,7 @@
   ErrorCode ReadFailure;
   std::chrono::steady_clock::time_point LastEventsAt{};
   Duration LongestPause{};
-  bool Sent = false;       ///< The whole request was written.
+  bool Sent = false; ///< The whole request was written.
   bool AnyByteSent = false;
   bool Cancelled = false;
   bool TimedOut = false;
--- a/src/libs/relay/GatewayProtocol.h
+++ b/src/libs/relay/GatewayProtocol.h
@@ -65,8 +65,8 @@
                                   std::string_view Body) const = 0;
   virtual ClientRequest requestFor(const ReserveMemory &Order) const = 0;
   virtual ClientRequest requestFor(const ReleaseMemory &Order) const = 0;
-  virtual ReservationResult readReservation(const ClientAnswer &Given)
-      const = 0;
+  virtual ReservationResult
+  readReservation(const ClientAnswer &Given) const = 0;
 };
 
 /// Translates documents of the store.
--- a/src/libs/relay/HopHeaders.cpp
+++ b/src/libs/relay/HopHeaders.cpp
@@ -8,12 +8,15 @@
 
 namespace {
 
-constexpr std::array<http::field, 9> HopFields{
-    http::field::connection,         http::field::keep_alive,
-    http::field::proxy_connection,   http::field::proxy_authenticate,
-    http::field::proxy_authorization, http::field::te,
-    http::field::trailer,            http::field::transfer_encoding,
-    http::field::upgrade};
+constexpr std::array<http::field, 9> HopFields{http::field::connection,
+                                               http::field::keep_alive,
+                                               http::field::proxy_connection,
+                                               http::field::proxy_authenticate,
+                                               http::field::proxy_authorization,
+                                               http::field::te,
+                                               http::field::trailer,
+                                               http::field::transfer_encoding,
+                                               http::field::upgrade};
 
 } // namespace
 
--- a/src/libs/relay/KeyedFollower.cpp
+++ b/src/libs/relay/KeyedFollower.cpp
@@ -78,8 +78,8 @@
 }
 
 Task<bool> KeyedFollower::readOn() {
-  ReadResult Result = co_await this->Store.read(this->Topic, this->NextOffset,
-                                                this->Pace.Wait);
+  ReadResult Result =
+      co_await this->Store.read(this->Topic, this->NextOffset, this->Pace.Wait);
   co_return match(
       Result,
       [&](const RecordsRead &Read) {
--- a/src/libs/relay/OrderedStore.h
+++ b/src/libs/relay/OrderedStore.h
@@ -50,9 +50,9 @@
 /// The store did not do it, or may have: there is no answer.
 struct StoreFailure {
   enum class Why {
-    Busy,       ///< It refused for now.
-    Silent,     ///< No answer in time, or no connection.
-    Malformed,  ///< Its answer is not as agreed.
+    Busy,      ///< It refused for now.
+    Silent,    ///< No answer in time, or no connection.
+    Malformed, ///< Its answer is not as agreed.
   } Reason = Why::Silent;
   std::string Message;
 };
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -186,6 +186,7 @@
 
 void write(const banyanpick::EngineWork &Body, Envelope &Envelope) {
   EngineWork &Out = *Envelope.mutable_engine_work();
+  Out.set_long_reads(static_cast<float>(Body.LongReads));
   for (const auto &Each : Body.Items) {
     EngineWork::Item &Item = *Out.add_items();
     Item.set_engine(Each.Engine.Value);
@@ -218,6 +219,7 @@
 
 banyanpick::EngineWork read(const EngineWork &In) {
   banyanpick::EngineWork Result;
+  Result.LongReads = checkedNumber(In.long_reads());
   for (const EngineWork::Item &Each : In.items())
     Result.Items.push_back({UpstreamId(Each.engine()),
                             checkedNumber(Each.read_ms()), Each.reading(),
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -109,7 +109,8 @@
        "A content that crashed so many upstreams is not run any more.", 2, 100},
       {In, "suspect_for", SettingKind::Span, "6s",
        "A connection lost is taken for a crash if the upstream's death shows "
-       "within so long: three missed renewals of its registration and a margin.",
+       "within so long: three missed renewals of its registration and a "
+       "margin.",
        100e3, 60e6},
       {In, "keep_for", SettingKind::Span, "10min",
        "How long a content is remembered after its last crash.", 1e6, 86400e6},
--- a/src/plugins/departure/DeparturePlugin.cpp
+++ b/src/plugins/departure/DeparturePlugin.cpp
@@ -46,8 +46,8 @@
 
 void DeparturePlugin::look(Time Now, Actions &Out) {
   this->NextLook = Now + this->LookInterval;
-  const bool Idle = this->Running->running() == 0 &&
-                    Now >= this->LeavingSince + this->Linger;
+  const bool Idle =
+      this->Running->running() == 0 && Now >= this->LeavingSince + this->Linger;
   const bool Late = Now >= this->LeavingSince + this->Grace;
   if (this->Ended || (!Idle && !Late))
     return;
--- a/src/plugins/engineload/EngineLoad.cpp
+++ b/src/plugins/engineload/EngineLoad.cpp
@@ -71,9 +71,9 @@
   for (const auto &[Peer, Each] : this->Peers) {
     if (Now > Each.At + PeerWorkAge)
       continue;
-    Sum += std::max(Each.Work.ReadMs - millisecondsBetween(Each.At, Now),
-                    Each.Work.Reading > 0 ? Each.Work.ReadMs * OverdueShare
-                                          : 0.0);
+    Sum +=
+        std::max(Each.Work.ReadMs - millisecondsBetween(Each.At, Now),
+                 Each.Work.Reading > 0 ? Each.Work.ReadMs * OverdueShare : 0.0);
   }
   return Sum;
 }
@@ -123,8 +123,7 @@
   return Sum;
 }
 
-EngineWork::Item EngineLoad::ownWork(const UpstreamId &Engine,
-                                     Time Now) const {
+EngineWork::Item EngineLoad::ownWork(const UpstreamId &Engine, Time Now) const {
   EngineWork::Item Result;
   Result.Engine = Engine;
   Result.ReadMs = this->ownBacklogMs(Now);
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -42,10 +42,14 @@
   return static_cast<double>(Value.count()) / 1e3;
 }
 
-PlacementWeights weightsFrom(const Settings &Values) {
+} // namespace
+
+PlacementWeights placementWeights(const Settings &Values) {
   const std::string_view In = "placement";
   PlacementWeights Result;
   Result.PositionMs = Values.fraction(In, "position_ms");
+  Result.FrontRunning = Values.fraction(In, "front_running");
+  Result.LongRoom = Values.fraction(In, "long_room");
   Result.RunningMs = Values.fraction(In, "running_ms");
   Result.CrowdedMs = Values.fraction(In, "crowded_ms");
   Result.EasyRunning =
@@ -65,8 +69,6 @@
   return Result;
 }
 
-} // namespace
-
 void EngineLoadPlugin::initialize(PluginContext &Context) {
   const Settings &Values = Context.settings();
   const std::string_view In = "engine_load";
@@ -80,7 +82,9 @@
   this->TellInterval = Values.span(In, "tell_interval");
   this->JitterMs = Values.fraction(In, "jitter_ms");
   this->OtherZoneMs = Values.fraction(In, "other_zone_ms");
-  this->Weights = weightsFrom(Values);
+  this->Weights = placementWeights(Values);
+  this->Demand = LongDemand(Values.span("placement", "demand_memory"),
+                            Values.fraction("placement", "demand_most_ms"));
   Context.services().provide<EngineSelector>(*this);
   Context.services().list<RelayObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
@@ -101,8 +105,8 @@
     this->tell(Now, Out);
 }
 
-std::optional<EngineChosen>
-EngineLoadPlugin::choose(const EngineWanted &Wanted, Time Now) {
+std::optional<EngineChosen> EngineLoadPlugin::choose(const EngineWanted &Wanted,
+                                                     Time Now) {
   const EngineParameters *Model = this->parametersOf(Wanted.Service);
   std::vector<EngineState> States = this->states(Wanted, Model, false, Now);
   // Better one that failed lately than none.
@@ -110,13 +114,13 @@
     States = this->states(Wanted, Model, true, Now);
   if (States.empty())
     return std::nullopt;
-  return this->chooseAmong(States, Wanted, Model);
+  return this->chooseAmong(States, Wanted, Model, Now);
 }
 
 std::optional<EngineChosen>
 EngineLoadPlugin::chooseAmong(std::span<const EngineState> States,
                               const EngineWanted &Wanted,
-                              const EngineParameters *Model) {
+                              const EngineParameters *Model, Time Now) {
   const double ReadMs =
       Model ? readMs(*Model, Wanted.PromptTokens) : UnknownWorkMs;
   const std::uint64_t Tokens = Wanted.PromptTokens + Wanted.OutputTokens;
@@ -125,13 +129,32 @@
   Times.ObjectiveMs = inMilliseconds(Wanted.Objective - Wanted.Waited);
   Times.BudgetMs = Times.ObjectiveMs * this->Weights.BudgetShare;
   Times.LateMs = inMilliseconds(Wanted.Left) * LateShare;
+  std::uint32_t SwiftRunning = 0;
+  for (const EngineState &Each : States)
+    SwiftRunning += Each.SwiftRunning;
+  const std::size_t Front =
+      Model ? frontEngines(States.size(), this->Demand.total(Now), SwiftRunning,
+                           this->Weights)
+            : States.size();
   const bool Huge = Model && Tokens > Model->MemoryTokens;
+  if (Huge) {
+    const auto Place = placeHuge(States, ReadMs, Tokens, Model->MemoryTokens,
+                                 Times, this->Weights);
+    if (!Place)
+      return std::nullopt;
+    return chosen(States, *Place, Model, Size);
+  }
   const bool Long = Model && Size == PromptSize::Long;
   const Placed Place =
-      Huge ? placeHuge(States, ReadMs, Tokens, Model->MemoryTokens, Times,
-                       this->Weights)
-      : Long ? placeLong(States, ReadMs, Tokens, Times, this->Weights)
-             : placeSwift(States, ReadMs, Tokens, this->Weights);
+      Long ? placeLong(States, ReadMs, Tokens, Times, this->Weights)
+           : placeSwift(States, Front, ReadMs, Tokens, this->Weights);
+  return chosen(States, Place, Model, Size);
+}
+
+EngineChosen EngineLoadPlugin::chosen(std::span<const EngineState> States,
+                                      const Placed &Place,
+                                      const EngineParameters *Model,
+                                      PromptSize Size) {
   EngineChosen Result;
   Result.Engine = States[Place.At].Engine->Record.Id;
   for (const std::size_t At : Place.Helpers) {
@@ -147,10 +170,9 @@
   return Result;
 }
 
-std::vector<EngineState>
-EngineLoadPlugin::states(const EngineWanted &Wanted,
-                         const EngineParameters *Model, bool Avoided,
-                         Time Now) {
+std::vector<EngineState> EngineLoadPlugin::states(const EngineWanted &Wanted,
+                                                  const EngineParameters *Model,
+                                                  bool Avoided, Time Now) {
   std::vector<EngineState> Result;
   std::size_t Position = 0;
   for (const KnownEngine *Each : this->Directory->ofService(Wanted.Service)) {
@@ -166,8 +188,7 @@
 }
 
 EngineState EngineLoadPlugin::stateOf(const KnownEngine &Each,
-                                      const EngineParameters *Model,
-                                      Time Now) {
+                                      const EngineParameters *Model, Time Now) {
   EngineState Result;
   Result.Engine = &Each;
   const auto Found = this->Loads.find(Each.Record.Id);
@@ -184,8 +205,8 @@
     Result.FreeTokens =
         Used < Model->MemoryTokens ? Model->MemoryTokens - Used : 0;
   } else {
-    Result.BacklogMs = UnknownWorkMs * Result.Running /
-                       std::max(Each.Record.Slots, 1U);
+    Result.BacklogMs =
+        UnknownWorkMs * Result.Running / std::max(Each.Record.Slots, 1U);
     Result.FreeTokens = std::numeric_limits<std::uint64_t>::max();
   }
   if (Each.Record.Zone != this->OwnZone)
@@ -204,6 +225,9 @@
 
 void EngineLoadPlugin::trySent(const RelayTry &Each, Time Now, Actions &) {
   this->add(Each, Now);
+  const EngineParameters *Model = this->parametersOf(Each.Service);
+  if (Model && promptSize(Each.PromptTokens) == PromptSize::Long)
+    this->Demand.note(readMs(*Model, Each.PromptTokens), Now);
   this->noteChange(Now);
 }
 
@@ -247,8 +271,7 @@
   this->remove(Each, Now);
 }
 
-void EngineLoadPlugin::tryCancelled(const RelayTry &Each, Time Now,
-                                    Actions &) {
+void EngineLoadPlugin::tryCancelled(const RelayTry &Each, Time Now, Actions &) {
   this->remove(Each, Now);
 }
 
@@ -268,12 +291,14 @@
 void EngineLoadPlugin::memberChanged(const Member &Changed, Time, Actions &) {
   if (Changed.State != MemberState::Dead)
     return;
+  this->Demand.forgetPeer(Changed.Listing.Id);
   for (auto &[Id, Load] : this->Loads)
     Load.forgetPeer(Changed.Listing.Id);
 }
 
 void EngineLoadPlugin::takePeerWork(const HostId &From, const EngineWork &Work,
                                     Time Now) {
+  this->Demand.takePeer(From, Work.LongReads, Now);
   for (auto &[Id, Load] : this->Loads)
     Load.forgetPeer(From);
   for (const EngineWork::Item &Each : Work.Items)
@@ -292,6 +317,7 @@
   this->NextTelling = Never;
   this->LastTelling = Now;
   EngineWork Work;
+  Work.LongReads = this->Demand.own(Now);
   for (const auto &[Id, Load] : this->Loads)
     if (Load.hasOwn())
       Work.Items.push_back(Load.ownWork(Id, Now));
@@ -316,11 +342,22 @@
        "What an engine in another data centre must be better by "
        "(milliseconds): the way there and back, and what the bytes cost.",
        0, 1000},
-      {Place, "position_ms", Fraction, "10",
-       "How much later (milliseconds) a short prompt's first token may be on "
-       "an engine one place further to the front of the common order; short "
-       "ones gather there.",
+      {Place, "position_ms", Fraction, "40",
+       "How much sooner (milliseconds) a swift prompt's first token must be on "
+       "an engine one place behind the front; those behind are for long ones.",
        0, 1000},
+      {Place, "front_running", Fraction, "6",
+       "Swift requests on each engine of the front; with more the front grows.",
+       1, 1000},
+      {Place, "long_room", Fraction, "1.3",
+       "Engines kept clear for long prompts, against those that they keep "
+       "busy.",
+       0, 10},
+      {Place, "demand_memory", SettingKind::Span, "3s",
+       "How fast the front follows the demand for long prompts.", 100e3, 60e6},
+      {Place, "demand_most_ms", Fraction, "6000",
+       "What one long prompt counts in that demand, at most (milliseconds).", 0,
+       1e6},
       {Place, "running_ms", Fraction, "2",
        "What a request that runs on an engine counts (milliseconds) for one "
        "more, up to easy_running,",
@@ -348,9 +385,10 @@
       {Place, "pause_cost_ms", Fraction, "25",
        "What each request held up by such a pass counts (milliseconds).", 0,
        100000},
-      {Place, "long_pause_ms", Fraction, "900",
-       "A pass that takes longer (milliseconds) makes long answers pause too "
-       "long, at a second.",
+      {Place, "long_pause_ms", Fraction, "600",
+       "A pass that takes longer (milliseconds), and the part of another "
+       "prompt "
+       "that may join it, make long answers pause too long, at a second.",
        1, 100000},
       {Place, "longest_part_ms", Fraction, "300",
        "A prompt is read on so many engines that no part takes longer than "
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -5,6 +5,7 @@
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
 #include "plugins/engineload/EngineLoad.h"
+#include "plugins/engineload/LongDemand.h"
 #include "plugins/engineload/Placement.h"
 
 namespace banyanpick {
@@ -45,7 +46,11 @@
                       Time Now);
   std::optional<EngineChosen> chooseAmong(std::span<const EngineState> States,
                                           const EngineWanted &Wanted,
-                                          const EngineParameters *Model);
+                                          const EngineParameters *Model,
+                                          Time Now);
+  static EngineChosen chosen(std::span<const EngineState> States,
+                             const Placed &Place, const EngineParameters *Model,
+                             PromptSize Size);
   /// Adds the try's work to its engine and its helpers.
   void add(const RelayTry &Each, Time Now);
   void remove(const RelayTry &Each, Time Now);
@@ -64,9 +69,13 @@
   double JitterMs = 0;
   double OtherZoneMs = 0;
   PlacementWeights Weights;
+  LongDemand Demand;
   std::map<UpstreamId, EngineLoad> Loads;
   Time NextTelling = Never;
   Time LastTelling{};
 };
 
+/// The weights of section [placement].
+PlacementWeights placementWeights(const Settings &Values);
+
 } // namespace banyanpick
--- a/src/plugins/engineload/Placement.cpp
+++ b/src/plugins/engineload/Placement.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
-#include <tuple>
 
 namespace banyanpick {
 
@@ -29,6 +28,10 @@
   return Long ? Of.SwiftRunning * Weights.PauseCostMs : 0;
 }
 
+double placesBehind(const EngineState &Of, std::size_t Front) {
+  return Of.Position < Front ? 0 : static_cast<double>(Of.Position - Front + 1);
+}
+
 /// When a part could begin there.
 double startMs(const EngineState &Of) { return Of.BacklogMs + Of.PassMs; }
 
@@ -70,30 +73,50 @@
   return Result;
 }
 
-/// Clear engines that could read a part at once, the soonest first.
+/// Engines that could read a part at once without holding anything up for
+/// long: clear ones first, then those with the least to do.
 std::vector<std::size_t> idleHelpers(std::span<const EngineState> States,
-                                     double MostMs) {
+                                     double PartMs,
+                                     const PlacementWeights &Weights) {
   std::vector<std::size_t> Result;
   for (std::size_t At = 0; At < States.size(); ++At)
-    if (States[At].isClear() && startMs(States[At]) <= MostMs)
+    if (startMs(States[At]) + PartMs <= Weights.PauseMs)
       Result.push_back(At);
   std::ranges::sort(Result, {}, [&](std::size_t At) {
-    return std::pair(startMs(States[At]), -double(States[At].Position));
+    const EngineState &Each = States[At];
+    return std::pair(!Each.isClear(), startMs(Each) + Each.ExtraMs);
   });
   return Result;
 }
 
 } // namespace
 
-Placed placeSwift(std::span<const EngineState> States, double ReadMs,
-                  std::uint64_t Tokens, const PlacementWeights &Weights) {
+std::size_t frontEngines(std::size_t Engines, double LongEngines,
+                         std::uint32_t SwiftRunning,
+                         const PlacementWeights &Weights) {
+  const double All = static_cast<double>(Engines);
+  // One engine is always kept for a long prompt that comes unexpected.
+  const double ForLong = std::ceil(LongEngines * Weights.LongRoom) + 1;
+  const double ForSwift =
+      std::ceil(SwiftRunning / std::max(double(Weights.MostRunning) - 2, 1.0));
+  // No more than swift requests use well, so that long prompts that come
+  // together find clear engines before the demand shows.
+  const double Easy = std::ceil(SwiftRunning / Weights.FrontRunning) + 1;
+  const double Front =
+      std::clamp(std::max(std::min(All - ForLong, Easy), ForSwift),
+                 std::min(2.0, All), All);
+  return static_cast<std::size_t>(Front);
+}
+
+Placed placeSwift(std::span<const EngineState> States, std::size_t Front,
+                  double ReadMs, std::uint64_t Tokens,
+                  const PlacementWeights &Weights) {
   std::vector<std::size_t> Helpers;
   const double Parts = std::ceil(ReadMs / std::max(Weights.SwiftPartMs, 1.0));
   if (Parts > 1)
-    Helpers = idleHelpers(States, ReadMs);
-  Helpers.resize(std::min(
-      {Helpers.size(), static_cast<std::size_t>(Parts) - 1,
-       Weights.MostHelpers}));
+    Helpers = idleHelpers(States, ReadMs / Parts, Weights);
+  Helpers.resize(std::min({Helpers.size(), static_cast<std::size_t>(Parts) - 1,
+                           Weights.MostHelpers}));
   const double PartMs = ReadMs / static_cast<double>(Helpers.size() + 1);
   Placed Best;
   double BestCost = 0;
@@ -103,7 +126,7 @@
     const double Cost = FirstMs + Each.ExtraMs + crowdMs(Each, Weights) +
                         memoryMs(Each, Tokens, Weights) +
                         pauseMs(Each, PartMs, Weights) +
-                        static_cast<double>(Each.Position) * Weights.PositionMs;
+                        placesBehind(Each, Front) * Weights.PositionMs;
     if (At != 0 && Cost >= BestCost)
       continue;
     BestCost = Cost;
@@ -122,8 +145,7 @@
   const double PartMs = std::min(ReadMs, Weights.LongestPartMs);
   const auto HoldsUp = [&](const EngineState &Each) {
     return Each.SwiftRunning +
-           (Each.LongWriting > 0 &&
-                    startMs(Each) + PartMs > Weights.LongPauseMs
+           (Each.LongWriting > 0 && startMs(Each) + PartMs > Weights.LongPauseMs
                 ? 1
                 : 0);
   };
@@ -135,15 +157,12 @@
     const EngineState &Each = States[At];
     return std::pair(HoldsUp(Each), startMs(Each) + Each.ExtraMs);
   });
-  const auto Clear =
-      static_cast<std::size_t>(std::ranges::count_if(States, [&](const auto &Each) {
-        return HoldsUp(Each) == 0;
-      }));
+  const auto Clear = static_cast<std::size_t>(std::ranges::count_if(
+      States, [&](const auto &Each) { return HoldsUp(Each) == 0; }));
   const auto Wanted = static_cast<std::size_t>(
       std::ceil(ReadMs / std::max(Weights.LongestPartMs, 1.0)));
-  const std::size_t Most =
-      std::min({std::max<std::size_t>(Wanted, 1), Order.size(),
-                Weights.MostHelpers + 1});
+  const std::size_t Most = std::min({std::max<std::size_t>(Wanted, 1),
+                                     Order.size(), Weights.MostHelpers + 1});
   const std::size_t Least = std::max<std::size_t>(Clear, 1);
   PartCount Best = soonest(States, Order, std::min(Least, Most), ReadMs);
   std::uint32_t HeldUp = 0;
@@ -176,26 +195,29 @@
   return Result;
 }
 
-Placed placeHuge(std::span<const EngineState> States, double ReadMs,
-                 std::uint64_t Tokens, std::uint64_t EngineTokens,
-                 const PlacementTimes &Times, const PlacementWeights &Weights) {
+std::optional<Placed> placeHuge(std::span<const EngineState> States,
+                                double ReadMs, std::uint64_t Tokens,
+                                std::uint64_t EngineTokens,
+                                const PlacementTimes &Times,
+                                const PlacementWeights &Weights) {
   /// What an engine gives away at most: small reservations of others and
   /// rounding to blocks need the rest.
   constexpr double UsableShare = 0.85;
   const double Usable = static_cast<double>(EngineTokens) * UsableShare;
   const auto Keepers = static_cast<std::size_t>(
       std::ceil(static_cast<double>(Tokens) / std::max(Usable, 1.0)));
-  std::vector<std::size_t> Order(States.size());
-  std::iota(Order.begin(), Order.end(), 0);
+  std::vector<std::size_t> Order;
+  for (std::size_t At = 0; At < States.size(); ++At)
+    if (States[At].Running == 0 && States[At].BacklogMs <= 0)
+      Order.push_back(At);
+  // As many again stay idle for what comes meanwhile.
+  if (Order.size() < Keepers * 2 && Order.size() < States.size())
+    return std::nullopt;
   std::ranges::sort(Order, {}, [&](std::size_t At) {
     const EngineState &Each = States[At];
-    return std::tuple(Each.SwiftRunning, -static_cast<double>(Each.FreeTokens),
-                      startMs(Each) + Each.ExtraMs);
+    return std::pair(-static_cast<double>(Each.Position), Each.ExtraMs);
   });
-  const auto Clear = static_cast<std::size_t>(
-      std::ranges::count_if(States, &EngineState::isClear));
-  const std::size_t Most = std::min(
-      {Order.size(), std::max(Clear, Keepers), Weights.MostHelpers});
+  const std::size_t Most = std::min(Order.size(), Weights.MostHelpers);
   PartCount Best = soonest(States, Order, Most, ReadMs);
   if (Best.FirstTokenMs > Times.ObjectiveMs)
     Best = fewest(States, Order, Most, ReadMs, Times.LateMs);
--- a/src/plugins/enginememory/EngineMemoryPlugin.cpp
+++ b/src/plugins/enginememory/EngineMemoryPlugin.cpp
@@ -68,11 +68,11 @@
 }
 
 void EngineMemoryPlugin::ask(Share &Each, Time Now, Actions &Out) {
-  Each.AskAgainAt = Now + (Each.Is == Stage::Held ? this->RenewInterval
-                                                  : this->AskInterval);
+  Each.AskAgainAt =
+      Now + (Each.Is == Stage::Held ? this->RenewInterval : this->AskInterval);
   Out.add(GatewayAction(ReserveMemory{Each.Where.Engine, Each.Where.At,
-                                      Each.Where.Reservation,
-                                      Each.Where.Tokens, this->Hold, false}));
+                                      Each.Where.Reservation, Each.Where.Tokens,
+                                      this->Hold, false}));
 }
 
 void EngineMemoryPlugin::take(const ReservationAnswered &Is, Time Now,
@@ -111,10 +111,10 @@
   const auto Counts = [&](Stage Wanted) {
     return std::ranges::count(Of.Shares, Wanted, &Share::Is);
   };
-  const bool All = Counts(Stage::Held) ==
-                   static_cast<std::ptrdiff_t>(Of.Shares.size());
-  const bool Failed = Counts(Stage::Refused) > 0 ||
-                      Now >= Of.AskedAt + this->AcquireFor;
+  const bool All =
+      Counts(Stage::Held) == static_cast<std::ptrdiff_t>(Of.Shares.size());
+  const bool Failed =
+      Counts(Stage::Refused) > 0 || Now >= Of.AskedAt + this->AcquireFor;
   if (!All && !Failed)
     return;
   Of.Decided = true;
--- a/src/plugins/engines/EngineTable.cpp
+++ b/src/plugins/engines/EngineTable.cpp
@@ -33,8 +33,8 @@
   const KnownEngine Before = Of;
   Of.Record = Change.Engine;
   Of.Offset = Change.Offset;
-  const EngineStanding Next = Change.Engine.Draining ? EngineStanding::Leaving
-                                                     : EngineStanding::Usable;
+  const EngineStanding Next =
+      Change.Engine.Draining ? EngineStanding::Leaving : EngineStanding::Usable;
   // Whoever is known to leave does not come back under the same id.
   if (IsNew || Before.Standing != EngineStanding::Leaving)
     Of.Standing = Next;
@@ -42,8 +42,8 @@
     Of.Since = Now;
   if (IsNew || Of.Record.Service != Before.Record.Service)
     this->index();
-  const bool Same = !IsNew && Before.Record == Of.Record &&
-                    Before.Standing == Of.Standing;
+  const bool Same =
+      !IsNew && Before.Record == Of.Record && Before.Standing == Of.Standing;
   return Same ? Effect::None : Effect::Changed;
 }
 
--- a/src/plugins/engines/EnginesPlugin.cpp
+++ b/src/plugins/engines/EnginesPlugin.cpp
@@ -83,10 +83,9 @@
       [&](const EnginesAsked &Asked) {
         if (this->KnownTo <= Asked.From)
           return;
-        Out.add(SendToPeer{
-            Message.From,
-            EnginesRelayed{this->Table.changesFrom(Asked.From),
-                           this->KnownTo}});
+        Out.add(SendToPeer{Message.From,
+                           EnginesRelayed{this->Table.changesFrom(Asked.From),
+                                          this->KnownTo}});
       },
       [&](const EnginesRelayed &Relayed) {
         if (Relayed.UpTo <= this->KnownTo)
@@ -114,8 +113,7 @@
   }
 }
 
-void EnginesPlugin::addressTaken(const UpstreamId &Id, Time Now,
-                                 Actions &Out) {
+void EnginesPlugin::addressTaken(const UpstreamId &Id, Time Now, Actions &Out) {
   if (this->Table.setLeaving(Id, Now))
     this->tell(Id, "refusal", Now, Out);
 }
@@ -154,7 +152,8 @@
   // that went silent.
   const Member *Best = nullptr;
   for (const Member &Each : this->Members->peers())
-    if (Each.State != MemberState::Dead && Each.EnginesKnownTo > this->KnownTo &&
+    if (Each.State != MemberState::Dead &&
+        Each.EnginesKnownTo > this->KnownTo &&
         (!Best || Each.EnginesKnownTo > Best->EnginesKnownTo))
       Best = &Each;
   if (Best)
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -20,7 +20,8 @@
 
 std::string_view outcomeName(const RelayOutcome &Outcome) {
   return match(
-      Outcome, [](const RelayNeverSent &) { return std::string_view("unsent"); },
+      Outcome,
+      [](const RelayNeverSent &) { return std::string_view("unsent"); },
       [](const RelayNotRun &Is) {
         return std::string_view(Is.OtherEngine ? "other_engine" : "not_run");
       },
@@ -29,6 +30,12 @@
       [](const RelayBroken &Is) { return name(Is.Reason); });
 }
 
+/// Whether the upstream gave an answer of any kind.
+bool isSignOfLife(const RelayOutcome &Outcome) {
+  return !std::holds_alternative<RelayNeverSent>(Outcome) &&
+         !std::holds_alternative<RelayBroken>(Outcome);
+}
+
 std::uint32_t statusOf(const RelayOutcome &Outcome) {
   return match(
       Outcome, [](const RelayNotRun &Is) { return Is.Status; },
@@ -48,6 +55,7 @@
   this->Selector = &Context.services().get<EngineSelector>();
   this->Memory = &Context.services().get<MemoryKeeper>();
   Context.services().list<MemoryObserver>().add(*this);
+  Context.services().list<EngineObserver>().add(*this);
   this->Crashes = &Context.services().get<CrashView>();
   this->Numbers = &Context.random();
   this->Times = relayTimes(Context.settings());
@@ -202,6 +210,7 @@
       });
   if (Shares.empty() || Gone) {
     this->Memory->release(Id, Now, Out);
+    Each->NextTry = Now + this->Times.MemoryPause;
     this->wait(*Each, Now, Out);
     return;
   }
@@ -273,10 +282,10 @@
                 .with("not_run_on", Each.NotRunOn.size())
                 .build());
   }
-  const Duration Hold = std::max(
-      this->Times.HoldShortest,
-      fromSeconds(inSeconds(Each.Deadline - Each.ArrivedAt) *
-                  this->Times.HoldShare));
+  const Duration Hold =
+      std::max(this->Times.HoldShortest,
+               fromSeconds(inSeconds(Each.Deadline - Each.ArrivedAt) *
+                           this->Times.HoldShare));
   if (Now >= Each.WaitingSince + Hold) {
     const RefusalKind Kind =
         Each.mayHaveRun() ? RefusalKind::OutcomeUnknown : RefusalKind::NotRun;
@@ -300,6 +309,7 @@
         std::string(name(promptSize(Each->Head.PromptTokens))),
         inSeconds(Now - Each->ArrivedAt)});
   Each->Began = true;
+  this->Signs[Each->Live->Engine] = Now;
   Each->Live->Began = true;
   Each->PatienceUntil = Never;
   for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
@@ -311,6 +321,8 @@
   if (!Each || !Each->Live || Each->Live->Id != Is.Attempt)
     return;
   const RelayTry Ended = *Each->Live;
+  if (isSignOfLife(Is.Outcome))
+    this->Signs[Ended.Engine] = Now;
   this->Running.unlink(Ended.Id);
   Each->Live.reset();
   Each->PatienceUntil = Never;
@@ -326,8 +338,7 @@
 }
 
 void RelaysPlugin::follow(RunningRelay &Each, const RelayTry &Ended,
-                          const RelayOutcome &Outcome, Time Now,
-                          Actions &Out) {
+                          const RelayOutcome &Outcome, Time Now, Actions &Out) {
   match(
       verdictOn(Each, Ended, Outcome),
       [&](const RelayIsDone &) {
@@ -367,12 +378,10 @@
     Out.add(GatewayAction(DeliverFailure{Id, *Each.KeptFailure}));
   } else {
     this->logEnd(Each, name(Kind), Why, Now, Out);
-    Out.add(
-        GatewayAction(RefuseRelay{Id, Kind,
-                                  Kind == RefusalKind::NotRun
-                                      ? this->Times.ComeBack
-                                      : Duration(0),
-                                  std::string(Why)}));
+    Out.add(GatewayAction(RefuseRelay{
+        Id, Kind,
+        Kind == RefusalKind::NotRun ? this->Times.ComeBack : Duration(0),
+        std::string(Why)}));
   }
   this->Running.remove(Id);
 }
@@ -385,9 +394,9 @@
               .with("request", Id.Value)
               .with("how", name(Kind))
               .with("why", Why)
-              .with("version",
-                    this->Declared->routes() ? this->Declared->routes()->version()
-                                             : 0)
+              .with("version", this->Declared->routes()
+                                   ? this->Declared->routes()->version()
+                                   : 0)
               .build());
   Out.add(GatewayAction(RefuseRelay{Id, Kind, RetryAfter, std::string(Why)}));
 }
@@ -413,26 +422,37 @@
 }
 
 void RelaysPlugin::look(RunningRelay &Each, Time Now, Actions &Out) {
-  const Duration Slack =
-      Each.Live ? this->Times.GiveUpSlack : Duration(0);
+  const Duration Slack = Each.Live ? this->Times.GiveUpSlack : Duration(0);
   if (Now >= Each.Deadline + Slack) {
     const bool Sent = Each.Live || Each.mayHaveRun();
     this->finish(Each, Sent ? RefusalKind::TimedOut : RefusalKind::NotRun,
-                 Each.RouteEnds ? "the route's time limit" : "the caller's time",
+                 Each.RouteEnds ? "the route's time limit"
+                                : "the caller's time",
                  Now, Out);
     return;
   }
   if (Each.Live && Now >= Each.PatienceUntil) {
-    this->loseLiveTry(Each, Now, Out);
-    return;
+    if (!this->isOnlySlow(Each, Now)) {
+      this->loseLiveTry(Each, Now, Out);
+      return;
+    }
+    Each.PatienceUntil = Now + this->Times.SignOfLife;
   }
-  if (!Each.Live && !Each.Reserving && Each.WaitingSince != Never) {
+  if (!Each.Live && !Each.Reserving && Each.WaitingSince != Never &&
+      Now >= Each.NextTry) {
     this->send(Each, Now, Out);
     return;
   }
   this->noteWake(Each, Now);
 }
 
+bool RelaysPlugin::isOnlySlow(const RunningRelay &Each, Time Now) const {
+  const auto Found = this->Signs.find(Each.Live->Engine);
+  return Found != this->Signs.end() &&
+         Now < Found->second + this->Times.SignOfLife &&
+         Now < Each.Live->SentAt + this->Times.LongestPatience;
+}
+
 void RelaysPlugin::loseLiveTry(RunningRelay &Each, Time Now, Actions &Out) {
   Each.PatienceUntil = Never;
   const bool OneMore = Each.RanOn.size() + 1 < Each.Route.Attempts;
@@ -463,8 +483,8 @@
 }
 
 Time RelaysPlugin::wakeOf(const RunningRelay &Each) const {
-  Time Result = Each.Deadline +
-                (Each.Live ? this->Times.GiveUpSlack : Duration(0));
+  Time Result =
+      Each.Deadline + (Each.Live ? this->Times.GiveUpSlack : Duration(0));
   if (Each.Live)
     Result = std::min(Result, Each.PatienceUntil);
   return Result;
@@ -473,14 +493,14 @@
 void RelaysPlugin::noteWake(const RunningRelay &Each, Time Now) {
   this->NextLook = std::min(this->NextLook, this->wakeOf(Each));
   if (!Each.Live && !Each.Reserving && Each.WaitingSince != Never)
-    this->NextLook =
-        std::min(this->NextLook, Now + this->Times.WaitPause);
+    this->NextLook = std::min(
+        this->NextLook, std::max(Each.NextTry, Now + this->Times.WaitPause));
 }
 
 Duration RelaysPlugin::patience(const RunningRelay &Each,
                                 const EngineChosen &Chosen) const {
-  const double Expected = std::max(inSeconds(Chosen.Predicted),
-                                   inSeconds(Each.Route.Objective));
+  const double Expected =
+      std::max(inSeconds(Chosen.Predicted), inSeconds(Each.Route.Objective));
   return fromSeconds(Expected * this->Times.PatienceFactor) +
          this->Times.PatienceMargin;
 }
@@ -528,9 +548,8 @@
 void RelaysPlugin::logEnd(const RunningRelay &Each, std::string_view How,
                           std::string_view Why, Time Now, Actions &Out) const {
   Out.count("relays_ended", How);
-  Out.add(RecordMeasurement{RecordMeasurement::Kind::Histogram,
-                            "relay_seconds", std::string(How),
-                            inSeconds(Now - Each.ArrivedAt)});
+  Out.add(RecordMeasurement{RecordMeasurement::Kind::Histogram, "relay_seconds",
+                            std::string(How), inSeconds(Now - Each.ArrivedAt)});
   Out.log(logEvent(events::RelayAnswered)
               .with("request", Each.Head.Id.Value)
               .with("caller_attempt", Each.Head.CallerAttempt)
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -15,9 +15,12 @@
   Duration HoldShortest{};
   double HoldShare = 0;
   Duration WaitPause{};
+  Duration MemoryPause{};
   Duration ComeBack{};
   Duration GiveUpSlack{};
   Duration PatienceMargin{};
+  Duration SignOfLife{};
+  Duration LongestPatience{};
   double PatienceFactor = 0;
   Duration RefuseAfterLeaving{};
   std::uint32_t MostSends = 0;
@@ -27,6 +30,7 @@
 /// request gets its final answer at once when nothing more can be done for it.
 class RelaysPlugin : public Plugin,
                      public RelayCount,
+                     public EngineObserver,
                      public MemoryObserver {
 public:
   void initialize(PluginContext &Context) override;
@@ -40,6 +44,10 @@
   void memoryDecided(const RequestId &Id, std::span<const JointEngine> Shares,
                      Time Now, Actions &Out) override;
 
+  void engineGone(const UpstreamId &Id, Time, Actions &) override {
+    this->Signs.erase(Id);
+  }
+
   static std::vector<SettingDeclaration> settings();
 
 private:
@@ -65,10 +73,12 @@
   void callerGone(const RequestId &Id, Time Now, Actions &Out);
   void look(RunningRelay &Each, Time Now, Actions &Out);
   void loseLiveTry(RunningRelay &Each, Time Now, Actions &Out);
+  /// Whether the engine of the live try answers others: then it is slow, not
+  /// dead, and what it has read would only be read again elsewhere.
+  bool isOnlySlow(const RunningRelay &Each, Time Now) const;
   Time wakeOf(const RunningRelay &Each) const;
   void noteWake(const RunningRelay &Each, Time Now);
-  Duration patience(const RunningRelay &Each,
-                    const EngineChosen &Chosen) const;
+  Duration patience(const RunningRelay &Each, const EngineChosen &Chosen) const;
   bool isLeavingLate(Time Now) const;
   std::size_t hosts() const;
   ServiceId serviceFor(const RouteEntry &Route);
@@ -88,6 +98,7 @@
   Random *Numbers = nullptr;
   RelayTimes Times;
   RetryAllowance Allowance;
+  std::map<UpstreamId, Time> Signs; ///< When each last gave something.
   RunningRelays Running;
   std::uint64_t Tries = 0;
   Time LeavingSince = Never;
--- a/src/plugins/relays/RelaysSettings.cpp
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -24,6 +24,10 @@
        "It waits no longer than this share of the time it has.", 0, 1},
       {In, "wait_pause", Span, "40ms",
        "How often a waiting request looks for an upstream.", 1e3, 10e6},
+      {In, "memory_pause", Span, "400ms",
+       "How soon a request tries again whose memory could not be had; each try "
+       "costs the engines orders.",
+       1e3, 60e6},
       {In, "come_back", Span, "300ms",
        "When callers whose requests did not run should come back.", 0, 60e6},
       {In, "give_up_slack", Span, "30ms",
@@ -34,6 +38,13 @@
        "An idempotent request is tried elsewhere when its answer has not begun "
        "so long after its prediction times patience_factor.",
        1e3, 60e6},
+      {In, "sign_of_life", Span, "700ms",
+       "An engine that gave anything to anybody so lately is slow, not dead; "
+       "giving its tries up would make an overloaded fleet read prompts twice.",
+       0, 60e6},
+      {In, "longest_patience", Span, "4s",
+       "A try on an engine that is only slow is given up after so long.", 0,
+       600e6},
       {In, "patience_factor", Fraction, "2.5",
        "How many times longer than predicted the beginning of an answer may "
        "take.",
@@ -61,9 +72,12 @@
   Result.HoldShortest = Values.span(Section, "hold_shortest");
   Result.HoldShare = Values.fraction(Section, "hold_share");
   Result.WaitPause = Values.span(Section, "wait_pause");
+  Result.MemoryPause = Values.span(Section, "memory_pause");
   Result.ComeBack = Values.span(Section, "come_back");
   Result.GiveUpSlack = Values.span(Section, "give_up_slack");
   Result.PatienceMargin = Values.span(Section, "patience_margin");
+  Result.SignOfLife = Values.span(Section, "sign_of_life");
+  Result.LongestPatience = Values.span(Section, "longest_patience");
   Result.PatienceFactor = Values.fraction(Section, "patience_factor");
   Result.RefuseAfterLeaving = Values.span(Section, "refuse_after_leaving");
   Result.MostSends =
--- a/src/plugins/relays/RunningRelay.h
+++ b/src/plugins/relays/RunningRelay.h
@@ -19,22 +19,23 @@
   std::uint32_t Rank = 0;
   bool NeedsKey = false;
   Time ArrivedAt{};
-  Time Deadline{}; ///< Of the caller or the route, whichever is first.
+  Time Deadline{};        ///< Of the caller or the route, whichever is first.
   bool RouteEnds = false; ///< The route's time limit is first.
 
   std::optional<RelayTry> Live;
-  Time PatienceUntil = Never; ///< The live try is given up then.
-  std::vector<UpstreamId> RanOn;   ///< Where it ran or may have run.
+  Time PatienceUntil = Never;       ///< The live try is given up then.
+  std::vector<UpstreamId> RanOn;    ///< Where it ran or may have run.
   std::vector<UpstreamId> NotRunOn; ///< Where it surely did not, of late.
   std::uint32_t Sends = 0;
   std::optional<EngineChosen> Reserving; ///< Memory is being set aside for it.
   bool Began = false; ///< A part of the answer went to the caller.
   std::optional<std::uint64_t> LastEvent; ///< The last event passed on.
-  std::optional<AttemptId> KeptFailure; ///< An upstream's failure to deliver
-                                        ///< if nothing better comes.
-  Duration FirstEvent{};   ///< From arrival; zero: not yet.
-  Duration LongestPause{}; ///< Between events.
-  Time WaitingSince = Never; ///< No upstream could take it since.
+  std::optional<AttemptId> KeptFailure;   ///< An upstream's failure to deliver
+                                          ///< if nothing better comes.
+  Duration FirstEvent{};                  ///< From arrival; zero: not yet.
+  Duration LongestPause{};                ///< Between events.
+  Time NextTry{};                         ///< Not sooner.
+  Time WaitingSince = Never;              ///< No upstream could take it since.
 
   /// Whether a second run does no harm.
   bool isIdempotent() const {
--- a/src/plugins/routes/RoutesPlugin.cpp
+++ b/src/plugins/routes/RoutesPlugin.cpp
@@ -85,7 +85,8 @@
       [&](const Heartbeat &Beat) {
         // At once: a key that was taken away must stop here, too.
         if (Beat.InForce > std::max(this->version(), this->DecodingVersion))
-          Out.add(SendToPeer{Message.From, ConfigurationAsked{this->version()}});
+          Out.add(
+              SendToPeer{Message.From, ConfigurationAsked{this->version()}});
       },
       [](const auto &) {});
 }
@@ -118,13 +119,14 @@
 
 namespace {
 
-const PluginRegistration Registration({"routes",
-                                       {"membership"},
-                                       RoutesPlugin::settings,
-                                       []() -> std::unique_ptr<Plugin> {
-                                         return std::make_unique<RoutesPlugin>();
-                                       },
-                                       PluginUse::Gateway});
+const PluginRegistration
+    Registration({"routes",
+                  {"membership"},
+                  RoutesPlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
+                    return std::make_unique<RoutesPlugin>();
+                  },
+                  PluginUse::Gateway});
 
 } // namespace
 
--- /dev/null
+++ b/tests/auto/gateway/EngineTableTest.cpp
@@ -0,0 +1,118 @@
+/// \file
+/// What is known of upstreams does not depend on who told it first.
+#include "plugins/engines/EngineTable.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace banyanpick {
+namespace {
+
+const ServiceId Ring("ring");
+
+EngineTable table() {
+  return EngineTable(EngineTimes{seconds(2), seconds(60)});
+}
+
+Time at(int Ms) { return Time(seconds(100) + milliseconds(Ms)); }
+
+EngineChange change(const char *Id, LogOffset Offset, bool Draining = false) {
+  EngineChange Result;
+  Result.Engine.Id = UpstreamId(Id);
+  Result.Engine.Service = Ring;
+  Result.Engine.Draining = Draining;
+  Result.Offset = Offset;
+  return Result;
+}
+
+EngineChange removal(const char *Id, LogOffset Offset) {
+  EngineChange Result = change(Id, Offset);
+  Result.Removed = true;
+  return Result;
+}
+
+TEST(EngineTable, AnOlderChangeAfterANewerOneChangesNothing) {
+  EngineTable Table = table();
+  Table.apply(change("e1", 5, true), false, at(0));
+  EXPECT_EQ(Table.apply(change("e1", 3), false, at(1)),
+            EngineTable::Effect::None);
+  EXPECT_EQ(Table.find(UpstreamId("e1"))->Standing, EngineStanding::Leaving);
+}
+
+TEST(EngineTable, ARemovedEngineStaysRemovedWhateverLatePeersSay) {
+  EngineTable Table = table();
+  Table.apply(change("e1", 1), false, at(0));
+  Table.apply(removal("e1", 5), false, at(1));
+  EXPECT_EQ(Table.apply(change("e1", 4), false, at(2)),
+            EngineTable::Effect::None);
+  EXPECT_EQ(Table.find(UpstreamId("e1")), nullptr);
+}
+
+TEST(EngineTable, ARemovalBesideAnOutageIsHeldForTwoSeconds) {
+  EngineTable Table = table();
+  Table.apply(change("e1", 1), false, at(0));
+  Table.apply(removal("e1", 2), true, at(10));
+  EXPECT_EQ(Table.find(UpstreamId("e1"))->Standing, EngineStanding::Missing);
+  EXPECT_TRUE(Table.age(at(2009)).empty());
+  EXPECT_EQ(Table.age(at(2010)).size(), 1U);
+  EXPECT_EQ(Table.find(UpstreamId("e1")), nullptr);
+}
+
+TEST(EngineTable, AMissingEngineThatRegistersAgainIsUsable) {
+  EngineTable Table = table();
+  Table.apply(change("e1", 1), false, at(0));
+  Table.apply(removal("e1", 2), true, at(10));
+  Table.apply(change("e1", 3), true, at(20));
+  EXPECT_EQ(Table.find(UpstreamId("e1"))->Standing, EngineStanding::Usable);
+  EXPECT_TRUE(Table.age(at(5000)).empty());
+}
+
+TEST(EngineTable, ALeavingEngineIsGoneAtOnceEvenBesideAnOutage) {
+  EngineTable Table = table();
+  Table.apply(change("e1", 1, true), false, at(0));
+  EXPECT_EQ(Table.apply(removal("e1", 2), true, at(10)),
+            EngineTable::Effect::Gone);
+}
+
+TEST(EngineTable, AListingTakesAwayWhatItDoesNotName) {
+  EngineTable Table = table();
+  Table.apply(change("e1", 1), false, at(0));
+  Table.apply(change("e2", 2), false, at(0));
+  Table.apply(change("late", 9), false, at(0));
+  const std::vector<EngineChange> Listing = {change("e2", 2)};
+  const auto Missing = Table.missingFrom(Listing, 8);
+  ASSERT_EQ(Missing.size(), 1U);
+  EXPECT_EQ(Missing.front().Engine.Id, UpstreamId("e1"));
+  EXPECT_TRUE(Missing.front().Removed);
+}
+
+RC_GTEST_PROP(EngineTableProperty, AnyOrderOfTheSameChangesEndsAlike, ()) {
+  std::vector<EngineChange> Changes;
+  const auto Count = *rc::gen::inRange(1, 12);
+  for (int Offset = 0; Offset < Count; ++Offset) {
+    const char *Names[] = {"e1", "e2", "e3"};
+    const char *Name = Names[*rc::gen::inRange(0, 3)];
+    const auto At = static_cast<LogOffset>(Offset);
+    Changes.push_back(*rc::gen::inRange(0, 4) == 0 ? removal(Name, At)
+                                                   : change(Name, At));
+  }
+  const auto Final = [](const std::vector<EngineChange> &Given) {
+    EngineTable Table = table();
+    for (const EngineChange &Each : Given)
+      Table.apply(Each, false, at(0));
+    std::vector<std::pair<UpstreamId, LogOffset>> Result;
+    for (const KnownEngine *Each : Table.ofService(Ring))
+      Result.emplace_back(Each->Record.Id, Each->Offset);
+    return Result;
+  };
+  std::vector<EngineChange> Shuffled = Changes;
+  for (std::size_t Left = Shuffled.size(); Left > 1; --Left)
+    std::swap(Shuffled[Left - 1],
+              Shuffled[static_cast<std::size_t>(
+                  *rc::gen::inRange(0, static_cast<int>(Left)))]);
+  RC_ASSERT(Final(Changes) == Final(Shuffled));
+}
+
+} // namespace
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/gateway/GatewayBeliefsTest.cpp
@@ -0,0 +1,138 @@
+/// \file
+/// Configuration and registry reach hosts that the store does not answer.
+#include "auto/gateway/GatewayBench.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick {
+namespace {
+
+Heartbeat beatOf(const char *Host, std::uint16_t Port) {
+  Heartbeat Result;
+  Result.Sequence = 1;
+  Result.Ready = true;
+  HostListing Listing;
+  Listing.Id = HostId(Host);
+  Listing.Zone = ZoneId("z");
+  Listing.Callers = {"127.0.0.1", Port};
+  Listing.Peers = {"127.0.0.1", static_cast<std::uint16_t>(Port + 1)};
+  Result.Known.push_back(Listing);
+  return Result;
+}
+
+std::shared_ptr<GatewayConfiguration> version(std::uint64_t Number) {
+  auto Result = std::make_shared<GatewayConfiguration>();
+  Result->Version = Number;
+  return Result;
+}
+
+TEST(Beliefs, AConfigurationNeverGoesBack) {
+  GatewayBench Bench;
+  Bench.configure(5);
+  Bench.send(GatewayEvent(ConfigurationRead{version(4), BeliefSource::Store}));
+  Bench.arrive("/safe/1");
+  EXPECT_TRUE(Bench.all<RefuseRelay>().empty())
+      << "version 4 has no routes, version 5 has";
+}
+
+TEST(Beliefs, ALaterVersionOfAPeerIsAskedForAtOnce) {
+  GatewayBench Bench;
+  Bench.configure(5);
+  Heartbeat Beat = beatOf("h2", 10);
+  Beat.InForce = 6;
+  Bench.receive("h2", Beat);
+  ASSERT_EQ(Bench.sent<ConfigurationAsked>().size(), 1U);
+  EXPECT_EQ(Bench.sent<ConfigurationAsked>().front().NewerThan, 5U);
+  Bench.receive("h2", ConfigurationRelayed{6, "version 6"});
+  EXPECT_EQ(Bench.last<DecodeConfiguration>().Document, "version 6");
+}
+
+TEST(Beliefs, APeerThatLagsGetsTheConfiguration) {
+  GatewayBench Bench;
+  Bench.configure(5);
+  Bench.receive("h2", beatOf("h2", 10));
+  Bench.receive("h2", ConfigurationAsked{4});
+  ASSERT_EQ(Bench.sent<ConfigurationRelayed>().size(), 1U);
+  EXPECT_EQ(Bench.sent<ConfigurationRelayed>().front().Document, "version 5");
+  Bench.receive("h2", ConfigurationAsked{5});
+  EXPECT_EQ(Bench.sent<ConfigurationRelayed>().size(), 1U);
+}
+
+TEST(Beliefs, ANewVersionIsToldToPeersAtOnce) {
+  GatewayBench Bench;
+  Bench.configure(5);
+  Bench.receive("h2", beatOf("h2", 10));
+  Bench.pass(milliseconds(10));
+  const std::size_t Before = Bench.sent<Heartbeat>().size();
+  Bench.configure(6);
+  Bench.pass(milliseconds(5));
+  EXPECT_GT(Bench.sent<Heartbeat>().size(), Before);
+  EXPECT_EQ(Bench.sent<Heartbeat>().back().InForce, 6U);
+}
+
+TEST(Beliefs, EnginesAreLearntFromAPeerThatIsFurther) {
+  GatewayBench Bench;
+  Bench.configure(1);
+  Heartbeat Beat = beatOf("h2", 10);
+  Beat.EnginesKnownTo = 9;
+  Beat.ReachesStore = true;
+  Bench.receive("h2", Beat);
+  Bench.pass(milliseconds(500));
+  ASSERT_FALSE(Bench.sent<EnginesAsked>().empty());
+  EnginesRelayed Relayed;
+  EngineChange Change;
+  Change.Engine.Id = UpstreamId("e1");
+  Change.Engine.Service = ServiceId("desk");
+  Change.Offset = 8;
+  Relayed.Changes.push_back(Change);
+  Relayed.UpTo = 9;
+  Bench.receive("h2", Relayed);
+  Bench.arrive("/once/1");
+  EXPECT_EQ(Bench.last<DispatchRelay>().Engine, UpstreamId("e1"));
+}
+
+TEST(Beliefs, TheDirectoryNamesReadyHostsAndForgetsLeavingOnes) {
+  GatewayBench Bench;
+  Bench.configure(1);
+  Bench.receive("h2", beatOf("h2", 10));
+  Bench.send(Event(ResolveAsked{ResolveQuestionId(1), TeamId(), ZoneId("z")}));
+  EXPECT_EQ(Bench.resolved().size(), 2U);
+  Heartbeat Leaving = beatOf("h2", 10);
+  Leaving.Leaving = true;
+  Leaving.Ready = false;
+  Leaving.Version = 1;
+  Bench.receive("h2", Leaving);
+  Bench.send(Event(ResolveAsked{ResolveQuestionId(2), TeamId(), ZoneId("z")}));
+  EXPECT_EQ(Bench.resolved().size(), 1U);
+  Bench.send(Event(StopAsked{}));
+  Bench.send(Event(ResolveAsked{ResolveQuestionId(3), TeamId(), ZoneId("z")}));
+  EXPECT_TRUE(Bench.resolved().empty());
+}
+
+TEST(Beliefs, AHostWithoutAConfigurationIsNotNamed) {
+  GatewayBench Bench;
+  Bench.send(Event(ResolveAsked{ResolveQuestionId(1), TeamId(), ZoneId("z")}));
+  EXPECT_TRUE(Bench.resolved().empty());
+}
+
+TEST(Beliefs, ADrainingEngineGetsNothingNew) {
+  GatewayBench Bench;
+  Bench.configure(1);
+  Bench.register_("desk", 2);
+  EnginesRead Read;
+  EngineChange Change;
+  Change.Engine.Id = UpstreamId("e1");
+  Change.Engine.Service = ServiceId("desk");
+  Change.Engine.Draining = true;
+  Change.Offset = 10;
+  Read.Changes.push_back(Change);
+  Read.UpTo = 11;
+  Bench.send(GatewayEvent(Read));
+  for (int Each = 0; Each < 20; ++Each) {
+    Bench.arrive("/once/1");
+    EXPECT_EQ(Bench.last<DispatchRelay>().Engine, UpstreamId("e2"));
+  }
+}
+
+} // namespace
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/gateway/GatewayBench.cpp
@@ -0,0 +1,139 @@
+#include "auto/gateway/GatewayBench.h"
+
+#include "kernel/PluginRegistry.h"
+
+namespace banyanpick {
+
+namespace {
+
+Identity identity() {
+  Identity Result;
+  Result.Host = HostId("h1");
+  Result.Life = Incarnation(11);
+  Result.Zone = ZoneId("z");
+  Result.Callers = {"127.0.0.1", 1};
+  Result.Peers = {"127.0.0.1", 2};
+  return Result;
+}
+
+Settings settings() {
+  const auto Declared = pluginSettings();
+  Settings Result = Settings::defaults(Declared);
+  Result.set("membership", "discovery", "gossip");
+  return Result;
+}
+
+RouteEntry route(std::string Prefix, RequestKind Kind, const char *Service) {
+  RouteEntry Result;
+  Result.Name = Prefix;
+  Result.Host = "a.example";
+  Result.PathPrefix = std::move(Prefix);
+  Result.Kind = Kind;
+  Result.Resumable = Kind == RequestKind::Stream;
+  Result.Attempts = Kind == RequestKind::AtMostOnce ? 1 : 2;
+  Result.TimeLimit = seconds(2);
+  Result.Objective = milliseconds(300);
+  Result.Split = {{ServiceId(Service), 1}};
+  return Result;
+}
+
+EngineParameters engine() {
+  EngineParameters Result;
+  Result.Slots = 16;
+  Result.MemoryTokens = 400'000;
+  Result.StepsPerPass = 34;
+  Result.StepMs = 1.31;
+  Result.ReadTokensPerMs = 154;
+  Result.MsPerMillionPairs = 0.162;
+  return Result;
+}
+
+} // namespace
+
+GatewayBench::GatewayBench()
+    : Decider(identity(), settings(), 7, Serving::Gateway) {
+  this->Decider.checkEveryEvent();
+  this->send(Tick{});
+}
+
+void GatewayBench::send(const Event &What) {
+  for (Action &Each : this->Decider.handle(What, this->Now)) {
+    if (const auto *Is = std::get_if<GatewayAction>(&Each))
+      this->Done.push_back(*Is);
+    if (const auto *Is = std::get_if<SendToPeer>(&Each))
+      this->Sent.push_back(*Is);
+    if (const auto *Is = std::get_if<AnswerResolve>(&Each))
+      this->Hosts = Is->Hosts;
+    this->Stopped |= std::holds_alternative<StopNow>(Each);
+  }
+}
+
+void GatewayBench::pass(Duration For) {
+  const Time Until = this->Now + For;
+  while (this->Decider.nextWake() <= Until) {
+    this->Now = std::max(this->Now + milliseconds(1), this->Decider.nextWake());
+    if (this->Now > Until)
+      break;
+    this->send(Tick{});
+  }
+  this->Now = Until;
+}
+
+void GatewayBench::configure(std::uint64_t Version) {
+  auto Declared = std::make_shared<GatewayConfiguration>();
+  Declared->Version = Version;
+  Declared->Routes = {route("/safe/", RequestKind::Repeatable, "desk"),
+                      route("/once/", RequestKind::AtMostOnce, "desk"),
+                      route("/stream/", RequestKind::Stream, "ring")};
+  Declared->Services[ServiceId("desk")].Id = ServiceId("desk");
+  ServiceEntry &Ring = Declared->Services[ServiceId("ring")];
+  Ring.Id = ServiceId("ring");
+  Ring.Engine = engine();
+  Declared->NeedsKeys = true;
+  Declared->Keys["key"] = {TeamId("house"), std::nullopt};
+  Declared->Document = "version " + std::to_string(Version);
+  this->send(GatewayEvent(ConfigurationRead{Declared, BeliefSource::Store}));
+}
+
+void GatewayBench::register_(const char *Service, int Count, LogOffset From) {
+  EnginesRead Read;
+  for (int Each = 1; Each <= Count; ++Each) {
+    EngineChange Change;
+    Change.Engine.Id = UpstreamId("e" + std::to_string(Each));
+    Change.Engine.Service = ServiceId(Service);
+    Change.Engine.At = {"127.0.0.1", static_cast<std::uint16_t>(100 + Each)};
+    Change.Engine.Zone = ZoneId("z");
+    Change.Engine.Slots = 16;
+    Change.Offset = From++;
+    Read.Changes.push_back(std::move(Change));
+  }
+  Read.UpTo = From;
+  this->send(
+      GatewayEvent(StoreSeen{StoreSeen::Part::Engines, true, std::string()}));
+  this->send(GatewayEvent(std::move(Read)));
+}
+
+RequestId GatewayBench::arrive(std::string Path, std::uint64_t PromptTokens) {
+  RelayHead Head;
+  Head.Id = RequestId(++this->Requests);
+  Head.Host = "a.example";
+  Head.Path = std::move(Path);
+  Head.Key = "key";
+  Head.Remaining = seconds(5);
+  Head.PromptTokens = PromptTokens;
+  Head.Content = Fingerprint(Head.Id.Value);
+  const RequestId Id = Head.Id;
+  this->send(GatewayEvent(RelayArrived{std::move(Head)}));
+  return Id;
+}
+
+void GatewayBench::end(const AttemptId &Try, RelayOutcome Outcome) {
+  this->send(GatewayEvent(RelayEnded{Try, std::move(Outcome)}));
+}
+
+void GatewayBench::receive(const char *From, PeerMessageBody Body) {
+  this->send(Event(PeerMessageReceived{
+      PeerMessage{HostId(From), Incarnation(22), std::move(Body)}}));
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/gateway/GatewayMemoryTest.cpp
@@ -0,0 +1,94 @@
+/// \file
+/// Memory set aside on engines is used, renewed and always let go.
+#include "auto/gateway/GatewayBench.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace banyanpick {
+namespace {
+
+constexpr std::uint64_t HugePrompt = 600'000;
+
+class EngineMemory : public testing::Test {
+protected:
+  EngineMemory() {
+    this->Bench.configure(1);
+    this->Bench.register_("ring", 6);
+    this->Request = this->Bench.arrive("/stream/1", HugePrompt);
+  }
+
+  void answerAll(ReservationResult Result) {
+    for (const ReserveMemory &Each : this->Bench.all<ReserveMemory>())
+      this->Bench.send(
+          GatewayEvent(ReservationAnswered{Each.Engine, Each.Name, Result}));
+  }
+  std::set<std::string> asked() const {
+    std::set<std::string> Result;
+    for (const ReserveMemory &Each : this->Bench.all<ReserveMemory>())
+      Result.insert(Each.Name);
+    return Result;
+  }
+  std::set<std::string> released() const {
+    std::set<std::string> Result;
+    for (const ReleaseMemory &Each : this->Bench.all<ReleaseMemory>())
+      Result.insert(Each.Name);
+    return Result;
+  }
+
+  GatewayBench Bench;
+  RequestId Request;
+};
+
+TEST_F(EngineMemory, IsSetAsideOnSeveralEnginesBeforeTheRequestIsSent) {
+  EXPECT_GE(this->asked().size(), 2U);
+  EXPECT_TRUE(this->Bench.all<DispatchRelay>().empty());
+  this->answerAll(ReservationResult::Held);
+  const DispatchRelay Sent = this->Bench.last<DispatchRelay>();
+  ASSERT_FALSE(Sent.Helpers.empty());
+  EXPECT_EQ(Sent.Helpers.front().Engine, Sent.Engine);
+  std::uint64_t Tokens = 0;
+  for (const JointEngine &Each : Sent.Helpers)
+    Tokens += Each.Tokens;
+  EXPECT_GE(Tokens, HugePrompt);
+}
+
+TEST_F(EngineMemory, IsRenewedWhileInUseAndLetGoAtTheEnd) {
+  this->answerAll(ReservationResult::Held);
+  const std::size_t Before = this->Bench.all<ReserveMemory>().size();
+  this->Bench.pass(milliseconds(1500));
+  EXPECT_GE(this->Bench.all<ReserveMemory>().size(), Before + 4);
+  this->Bench.end(this->Bench.last<DispatchRelay>().Attempt, RelayDelivered{});
+  EXPECT_EQ(this->released(), this->asked());
+  const std::size_t Asked = this->Bench.all<ReserveMemory>().size();
+  this->Bench.pass(seconds(5));
+  EXPECT_EQ(this->Bench.all<ReserveMemory>().size(), Asked);
+}
+
+TEST_F(EngineMemory, IsAllLetGoWhenOneEngineRefuses) {
+  const auto Asked = this->Bench.all<ReserveMemory>();
+  this->Bench.send(GatewayEvent(ReservationAnswered{
+      Asked[0].Engine, Asked[0].Name, ReservationResult::Held}));
+  this->Bench.send(GatewayEvent(ReservationAnswered{
+      Asked[1].Engine, Asked[1].Name, ReservationResult::Refused}));
+  EXPECT_TRUE(this->released().contains(Asked[0].Name));
+  EXPECT_TRUE(this->Bench.all<DispatchRelay>().empty());
+}
+
+TEST_F(EngineMemory, IsLetGoWhenTheCallerLeaves) {
+  this->answerAll(ReservationResult::Held);
+  this->Bench.send(Event(CallerGone{this->Request}));
+  EXPECT_EQ(this->released(), this->asked());
+}
+
+TEST_F(EngineMemory, AnOrderThatMayBeCarriedOutLateIsTakenBackAgain) {
+  this->answerAll(ReservationResult::Unknown);
+  this->Bench.send(Event(CallerGone{this->Request}));
+  const std::size_t Before = this->Bench.all<ReleaseMemory>().size();
+  this->Bench.pass(seconds(13));
+  EXPECT_GE(this->Bench.all<ReleaseMemory>().size(), Before + 20);
+}
+
+} // namespace
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/gateway/RelaysTest.cpp
@@ -0,0 +1,273 @@
+/// \file
+/// What may run again does, what may not never does, and every request ends.
+#include "auto/gateway/GatewayBench.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+namespace banyanpick {
+namespace {
+
+RelayBroken reset() { return {RelayBroken::Why::Reset, false, std::nullopt}; }
+
+class Relays : public testing::Test {
+protected:
+  Relays() {
+    this->Bench.configure(1);
+    this->Bench.register_("desk", 3);
+  }
+
+  DispatchRelay sent() const { return this->Bench.last<DispatchRelay>(); }
+  std::size_t sends() const { return this->Bench.all<DispatchRelay>().size(); }
+  RefuseRelay refused() const { return this->Bench.last<RefuseRelay>(); }
+
+  GatewayBench Bench;
+};
+
+TEST(RelaysAtStart, AreRefusedAsNotRunWithoutAConfiguration) {
+  GatewayBench Bench;
+  Bench.arrive("/safe/1");
+  EXPECT_EQ(Bench.last<RefuseRelay>().Kind, RefusalKind::NotRun);
+  EXPECT_GT(Bench.last<RefuseRelay>().RetryAfter, Duration(0));
+}
+
+TEST_F(Relays, UnknownPathsAndKeysAreRefusedAndNeverSent) {
+  this->Bench.arrive("/nowhere/1");
+  EXPECT_EQ(this->refused().Kind, RefusalKind::NoSuchRoute);
+  RelayHead Head;
+  Head.Id = RequestId(99);
+  Head.Host = "a.example";
+  Head.Path = "/safe/1";
+  Head.Key = "wrong";
+  this->Bench.send(GatewayEvent(RelayArrived{Head}));
+  EXPECT_EQ(this->refused().Kind, RefusalKind::UnknownKey);
+  EXPECT_EQ(this->sends(), 0U);
+}
+
+TEST_F(Relays, NameTheTeamAndTheEngineAndDropTheKey) {
+  this->Bench.arrive("/safe/1");
+  EXPECT_EQ(this->sent().Team, TeamId("house"));
+  EXPECT_TRUE(this->sent().DropKey);
+  EXPECT_FALSE(this->sent().Engine.Value.empty());
+}
+
+TEST_F(Relays, WhatMayRunOnceIsNotSentAgainAfterALostAnswer) {
+  this->Bench.arrive("/once/1");
+  this->Bench.end(this->sent().Attempt, reset());
+  EXPECT_EQ(this->sends(), 1U);
+  EXPECT_EQ(this->refused().Kind, RefusalKind::OutcomeUnknown);
+}
+
+TEST_F(Relays, WhatMayRunOnceIsSentAgainWhereItDidNotRun) {
+  this->Bench.arrive("/once/1");
+  const UpstreamId First = this->sent().Engine;
+  this->Bench.end(this->sent().Attempt, RelayNeverSent{});
+  EXPECT_EQ(this->sends(), 2U);
+  EXPECT_NE(this->sent().Engine, First);
+  this->Bench.end(this->sent().Attempt, RelayNotRun{});
+  EXPECT_EQ(this->sends(), 3U);
+  EXPECT_TRUE(this->sent().Fresh);
+}
+
+TEST_F(Relays, ASilentEngineDoesNotMakeWhatMayRunOnceRunAgain) {
+  this->Bench.arrive("/once/1");
+  this->Bench.pass(seconds(3));
+  EXPECT_EQ(this->sends(), 1U);
+  EXPECT_EQ(this->refused().Kind, RefusalKind::TimedOut);
+  EXPECT_EQ(this->Bench.all<CancelRelay>().size(), 1U);
+}
+
+TEST_F(Relays, WhatMayRepeatIsTriedOnASecondEngineAndNoThird) {
+  this->Bench.arrive("/safe/1");
+  const UpstreamId First = this->sent().Engine;
+  this->Bench.end(this->sent().Attempt, reset());
+  EXPECT_EQ(this->sends(), 2U);
+  EXPECT_NE(this->sent().Engine, First);
+  this->Bench.end(this->sent().Attempt, reset());
+  EXPECT_EQ(this->sends(), 2U);
+  EXPECT_EQ(this->refused().Kind, RefusalKind::OutcomeUnknown);
+}
+
+TEST_F(Relays, AnEnginesFailureIsDeliveredWhenTheSecondFailsToo) {
+  const RequestId Id = this->Bench.arrive("/safe/1");
+  this->Bench.end(this->sent().Attempt, RelayFailed{500});
+  const AttemptId Second = this->sent().Attempt;
+  this->Bench.end(Second, RelayFailed{500});
+  EXPECT_EQ(this->Bench.last<DeliverFailure>(), (DeliverFailure{Id, Second}));
+  EXPECT_TRUE(this->Bench.all<RefuseRelay>().empty());
+}
+
+TEST_F(Relays, AnEnginesRefusalOfTheRequestItselfIsDeliveredAtOnce) {
+  this->Bench.arrive("/safe/1");
+  this->Bench.end(this->sent().Attempt, RelayFailed{422});
+  EXPECT_EQ(this->sends(), 1U);
+  EXPECT_EQ(this->Bench.all<DeliverFailure>().size(), 1U);
+}
+
+TEST_F(Relays, ASilentEngineIsGivenUpForAnotherWhereThatIsAllowed) {
+  this->Bench.arrive("/safe/1");
+  const DispatchRelay First = this->sent();
+  this->Bench.pass(milliseconds(1600));
+  EXPECT_EQ(this->sends(), 2U);
+  EXPECT_EQ(this->Bench.last<CancelRelay>().Attempt, First.Attempt);
+}
+
+TEST_F(Relays, TheCallersCloseCancelsTheTry) {
+  const RequestId Id = this->Bench.arrive("/safe/1");
+  this->Bench.send(Event(CallerGone{Id}));
+  EXPECT_EQ(this->Bench.last<CancelRelay>().Attempt, this->sent().Attempt);
+  this->Bench.end(this->sent().Attempt, reset());
+  EXPECT_EQ(this->sends(), 1U);
+}
+
+TEST_F(Relays, EndAtTheRoutesTimeLimit) {
+  this->Bench.arrive("/safe/1");
+  this->Bench.pass(milliseconds(2000));
+  EXPECT_TRUE(this->Bench.all<RefuseRelay>().empty());
+  this->Bench.pass(milliseconds(100));
+  EXPECT_EQ(this->refused().Kind, RefusalKind::TimedOut);
+}
+
+TEST_F(Relays, WithoutAnyEngineTheyWaitAndAreThenRefusedAsNotRun) {
+  this->Bench.arrive("/stream/1", 5000);
+  EXPECT_EQ(this->sends(), 0U);
+  this->Bench.pass(seconds(2));
+  EXPECT_EQ(this->refused().Kind, RefusalKind::NotRun);
+  EXPECT_GT(this->refused().RetryAfter, Duration(0));
+}
+
+TEST_F(Relays, AnEngineThatComesTakesWhatWaits) {
+  this->Bench.arrive("/stream/1", 5000);
+  this->Bench.register_("ring", 1, 50);
+  this->Bench.pass(milliseconds(100));
+  EXPECT_EQ(this->sends(), 1U);
+}
+
+TEST_F(Relays, AStreamGoesOnElsewhereAfterItsLastEvent) {
+  this->Bench.register_("ring", 3, 50);
+  this->Bench.arrive("/stream/1", 5000);
+  this->Bench.send(GatewayEvent(RelayBegan{this->sent().Attempt}));
+  this->Bench.end(this->sent().Attempt,
+                  RelayBroken{RelayBroken::Why::Reset, true, 7});
+  EXPECT_EQ(this->sends(), 2U);
+  EXPECT_EQ(this->sent().LastEvent, 7U);
+}
+
+TEST_F(Relays, AStreamThatCanGoOnNowhereIsBrokenOff) {
+  this->Bench.register_("ring", 3, 50);
+  const RequestId Id = this->Bench.arrive("/stream/1", 5000);
+  for (int Each = 0; Each < 2; ++Each) {
+    this->Bench.send(GatewayEvent(RelayBegan{this->sent().Attempt}));
+    this->Bench.end(this->sent().Attempt,
+                    RelayBroken{RelayBroken::Why::Reset, true, 7 + Each});
+  }
+  EXPECT_EQ(this->Bench.last<BreakRelay>().Request, Id);
+  EXPECT_TRUE(this->Bench.all<RefuseRelay>().empty());
+}
+
+TEST_F(Relays, AnEngineWhoseAddressAnotherHasGetsNothingMore) {
+  this->Bench.arrive("/once/1");
+  const UpstreamId Old = this->sent().Engine;
+  RelayNotRun Other;
+  Other.OtherEngine = true;
+  this->Bench.end(this->sent().Attempt, Other);
+  for (int Each = 0; Each < 30; ++Each) {
+    this->Bench.arrive("/once/2");
+    EXPECT_NE(this->sent().Engine, Old);
+    this->Bench.end(this->sent().Attempt, RelayDelivered{});
+  }
+}
+
+TEST_F(Relays, AStoppingHostServesOnRefusesLateAndEndsWhenIdle) {
+  this->Bench.send(Event(StopAsked{}));
+  EXPECT_EQ(this->Bench.all<CloseCallers>().size(), 1U);
+  this->Bench.pass(seconds(2));
+  this->Bench.arrive("/once/1");
+  EXPECT_EQ(this->sends(), 1U);
+  this->Bench.pass(milliseconds(1700));
+  EXPECT_FALSE(this->Bench.hasStopped()) << "a request is still running";
+  this->Bench.end(this->sent().Attempt, RelayDelivered{});
+  this->Bench.pass(milliseconds(200));
+  EXPECT_TRUE(this->Bench.hasStopped());
+}
+
+TEST_F(Relays, AContentThatCrashedThreeEnginesIsNotRunAgain) {
+  for (const char *Engine : {"x1", "x2", "x3"}) {
+    QuarantineNotice Notice;
+    Notice.Content = Fingerprint(5);
+    Notice.Upstream = UpstreamId(Engine);
+    this->Bench.receive("h2", Notice);
+  }
+  RelayHead Head;
+  Head.Id = RequestId(500);
+  Head.Host = "a.example";
+  Head.Path = "/safe/1";
+  Head.Key = "key";
+  Head.Content = Fingerprint(5);
+  this->Bench.send(GatewayEvent(RelayArrived{Head}));
+  EXPECT_EQ(this->sends(), 0U);
+  EXPECT_EQ(this->refused().Kind, RefusalKind::NotRun);
+}
+
+RelayOutcome anyOutcome() {
+  switch (*rc::gen::inRange(0, 6)) {
+  case 0:
+    return RelayNeverSent{};
+  case 1:
+    return RelayNotRun{};
+  case 2:
+    return RelayDelivered{};
+  case 3:
+    return RelayFailed{500};
+  case 4:
+    return RelayBroken{RelayBroken::Why::Silent, false, std::nullopt};
+  default:
+    return reset();
+  }
+}
+
+bool mayHaveRun(const RelayOutcome &Outcome) {
+  return !std::holds_alternative<RelayNeverSent>(Outcome) &&
+         !std::holds_alternative<RelayNotRun>(Outcome);
+}
+
+/// How often each request may have run, whatever became of its tries.
+RC_GTEST_PROP(RelaysProperty, AtMostOnceAndOneFinalAnswerHoldWhateverEnds, ()) {
+  GatewayBench Bench;
+  Bench.configure(1);
+  Bench.register_("desk", 4);
+  std::vector<RequestId> Once;
+  const auto Arrivals = *rc::gen::inRange(1, 12);
+  for (int Each = 0; Each < Arrivals; ++Each)
+    Once.push_back(Bench.arrive("/once/x"));
+  std::map<RequestId, int> Runs;
+  std::size_t Ended = 0;
+  while (Ended < Bench.all<DispatchRelay>().size() && Ended < 300) {
+    const DispatchRelay Next = Bench.all<DispatchRelay>()[Ended++];
+    const RelayOutcome Outcome = anyOutcome();
+    Runs[Next.Request] += mayHaveRun(Outcome) ? 1 : 0;
+    Bench.end(Next.Attempt, Outcome);
+    Bench.pass(milliseconds(*rc::gen::inRange(0, 60)));
+  }
+  Bench.pass(seconds(6));
+  for (const auto &[Id, Count] : Runs)
+    RC_ASSERT(Count <= 1);
+  for (const RequestId &Id : Once) {
+    int Answers = 0;
+    for (const RefuseRelay &Each : Bench.all<RefuseRelay>()) {
+      Answers += Each.Request == Id ? 1 : 0;
+      // A promise that it did not run must be true.
+      if (Each.Request == Id && Each.Kind == RefusalKind::NotRun)
+        RC_ASSERT(Runs[Id] == 0);
+    }
+    for (const DeliverFailure &Each : Bench.all<DeliverFailure>())
+      Answers += Each.Request == Id ? 1 : 0;
+    RC_ASSERT(Answers <= 1);
+  }
+}
+
+} // namespace
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/gateway/RetryAllowanceTest.cpp
@@ -0,0 +1,80 @@
+/// \file
+/// Repeats stay within the budget in every window, over all hosts.
+#include "plugins/relays/RetryAllowance.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace banyanpick {
+namespace {
+
+const ServiceId Desk("desk");
+const RetryBudgetLimits Limits{0.2, 100, seconds(10)};
+
+TEST(RetryAllowance, GivesItsShareOfTheConstantAndNoMore) {
+  RetryAllowance Allowance(Limits);
+  int Taken = 0;
+  while (Allowance.take(Desk, 5, Time(seconds(1))))
+    ++Taken;
+  EXPECT_GE(Taken, 15);
+  EXPECT_LE(Taken, 20);
+}
+
+TEST(RetryAllowance, GrowsWithRequests) {
+  RetryAllowance Allowance(Limits);
+  for (int Each = 0; Each < 1000; ++Each)
+    Allowance.noteRequest(Desk, Time(seconds(1)));
+  int Taken = 0;
+  while (Allowance.take(Desk, 100, Time(seconds(1))))
+    ++Taken;
+  EXPECT_GE(Taken, 150);
+  EXPECT_LE(Taken, 201);
+}
+
+TEST(RetryAllowance, IsThereAgainAfterTheWindow) {
+  RetryAllowance Allowance(Limits);
+  while (Allowance.take(Desk, 5, Time(seconds(1))))
+    continue;
+  EXPECT_FALSE(Allowance.take(Desk, 5, Time(seconds(9))));
+  EXPECT_TRUE(Allowance.take(Desk, 5, Time(seconds(13))));
+}
+
+TEST(RetryAllowance, KeepsServicesApart) {
+  RetryAllowance Allowance(Limits);
+  while (Allowance.take(Desk, 5, Time(seconds(1))))
+    continue;
+  EXPECT_TRUE(Allowance.take(ServiceId("ring"), 5, Time(seconds(1))));
+}
+
+RC_GTEST_PROP(RetryAllowanceProperty, NeverExceedsTheBudgetInAnyWindow, ()) {
+  RetryAllowance Allowance(Limits);
+  std::vector<Time> Requests;
+  std::vector<Time> Repeats;
+  Time Now{};
+  constexpr std::size_t Hosts = 4;
+  for (int Step = 0; Step < 400; ++Step) {
+    Now += milliseconds(*rc::gen::inRange(0, 150));
+    if (*rc::gen::inRange(0, 3) == 0) {
+      Allowance.noteRequest(Desk, Now);
+      Requests.push_back(Now);
+    } else if (Allowance.take(Desk, Hosts, Now)) {
+      Repeats.push_back(Now);
+    }
+  }
+  const auto Within = [&](const std::vector<Time> &Of, Time From) {
+    return std::ranges::count_if(
+        Of, [&](Time At) { return At >= From && At < From + Limits.Window; });
+  };
+  // The service's bound counts the requests of the window or of the one before.
+  for (const Time From : Repeats) {
+    const auto Counted = std::max(Within(Requests, From),
+                                  Within(Requests, From - Limits.Window / 2));
+    RC_ASSERT(static_cast<double>(Within(Repeats, From)) <=
+              Limits.Ratio * static_cast<double>(Counted) +
+                  Limits.Constant / Hosts + 1);
+  }
+}
+
+} // namespace
+} // namespace banyanpick
--- a/tests/auto/kernel/PluginListTest.cpp
+++ b/tests/auto/kernel/PluginListTest.cpp
@@ -13,10 +13,13 @@
 
 TEST(PluginListTest, EveryPlugInIsLinkedAndNoOther) {
   const std::set<std::string> Declared = {
-      "admission", "catalogue", "claims",      "drain",      "fairness",
-      "fleet",     "groups",    "limits",      "log",        "membership",
-      "operators", "orders",    "prefixcache", "quarantine", "reclaim",
-      "requests",  "resolve",   "retry",       "routing"};
+      "admission",    "catalogue",      "claims",      "crashes",
+      "departure",    "drain",          "engine_load", "engine_memory",
+      "engine_trust", "engines",        "fairness",    "fleet",
+      "groups",       "host_directory", "limits",      "log",
+      "membership",   "operators",      "orders",      "prefixcache",
+      "quarantine",   "reclaim",        "relays",      "requests",
+      "resolve",      "retry",          "routes",      "routing"};
   std::set<std::string> Linked;
   for (const PluginDescription &Each : registeredPlugins())
     EXPECT_TRUE(Linked.emplace(Each.Name).second)
@@ -33,6 +36,17 @@
   }
 }
 
+TEST(PluginListTest, AGatewayIsMadeOfItsOwnPlugInsAndSharedOnes) {
+  std::set<std::string> Used;
+  for (const PluginDescription &Each : pluginsFor(Serving::Gateway))
+    Used.emplace(Each.Name);
+  EXPECT_EQ(Used, (std::set<std::string>{"crashes", "departure", "engine_load",
+                                         "engine_memory", "engine_trust",
+                                         "engines", "host_directory",
+                                         "membership", "relays", "routes"}));
+  EXPECT_EQ(pluginsFor(Serving::Catalogue).size(), 19U);
+}
+
 TEST(PluginListTest, EverySettingHasAValidDefault) {
   for (const SettingDeclaration &Each : pluginSettings()) {
     EXPECT_FALSE(Each.Help.empty()) << Each.Section << "." << Each.Key;
--- /dev/null
+++ b/tests/auto/platformadapter/ConfigurationJsonTest.cpp
@@ -0,0 +1,101 @@
+/// \file
+/// Recorded documents of the platform become the gateway's types.
+#include "platform/ConfigurationJson.h"
+#include "platform/EngineJson.h"
+
+#include "base/Error.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick::platform {
+namespace {
+
+constexpr std::string_view Recorded = R"({"Version":7,"Routes":[
+{"Name":"r-2yhvz3p","Host":"ficu95.example","PathPrefix":"/lohu930/",
+ "Kind":"streaming","TimeoutMs":10000,"TargetLatencyMs":300,"Priority":1,
+ "Split":[{"Service":"huvo11a","Weight":90},{"Service":"wuno96b","Weight":10}],
+ "Attempts":2,"Public":false,"Sticky":true,"Resumable":true,
+ "TargetGapMs":250},
+{"Name":"r-x","Host":"ficu95.example","PathPrefix":"/puxa403/",
+ "Kind":"unsafe","TimeoutMs":1500,"TargetLatencyMs":300,"Priority":2,
+ "Service":"wuno96b","Attempts":1,"Public":true}],
+"Services":[{"Name":"huvo11a","HealthPath":"/health","ConnectionLimit":264,
+ "Protocol":"h1","Tls":false,"Engine":{"Slots":16,"KvCacheTokens":405000,
+ "Stride":34,"step_ms":1.31,"per_seq_ms":0.000917,"context_per_k":0.00213,
+ "read_per_s":154000.0,"pairs_per_m":0.162,"chunk":2048,
+ "report_lag_ms":200.0,"HopMs":0.1}},
+ {"Name":"wuno96b","HealthPath":"/health","ConnectionLimit":96}],
+"Limits":{"HeaderBytes":16384,"BodyBytes":4194304,"HeaderTimeoutMs":3000,
+ "IdleTimeoutMs":15000},
+"Tenants":[{"Name":"hule930","Credentials":["n2ctnfzs","anfqasnm"],
+ "Priority":1}]})";
+
+TEST(ConfigurationJson, BecomesRoutesServicesLimitsAndKeys) {
+  const auto Read = readConfiguration(Recorded);
+  EXPECT_EQ(Read->Version, 7U);
+  ASSERT_EQ(Read->Routes.size(), 2U);
+  const RouteEntry &Stream = Read->Routes[0];
+  EXPECT_EQ(Stream.Kind, RequestKind::Stream);
+  EXPECT_TRUE(Stream.Resumable);
+  EXPECT_EQ(Stream.TimeLimit, seconds(10));
+  EXPECT_EQ(Stream.LongestPause, milliseconds(250));
+  ASSERT_EQ(Stream.Split.size(), 2U);
+  EXPECT_EQ(Stream.Split[1].Weight, 10);
+  EXPECT_EQ(Read->Routes[1].Kind, RequestKind::AtMostOnce);
+  EXPECT_TRUE(Read->Routes[1].Public);
+  const ServiceEntry &Ring = Read->Services.at(ServiceId("huvo11a"));
+  ASSERT_TRUE(Ring.Engine);
+  EXPECT_EQ(Ring.Engine->MemoryTokens, 405'000U);
+  EXPECT_EQ(Ring.Engine->ReadTokensPerMs, 154);
+  EXPECT_FALSE(Read->Services.at(ServiceId("wuno96b")).Engine);
+  EXPECT_EQ(Read->Limits.IdleTimeout, seconds(15));
+  EXPECT_TRUE(Read->NeedsKeys);
+  EXPECT_EQ(Read->Keys.at("anfqasnm").Team, TeamId("hule930"));
+  EXPECT_EQ(Read->Document, Recorded);
+}
+
+TEST(ConfigurationJson, WithoutTeamsNoKeyIsNeeded) {
+  EXPECT_FALSE(readConfiguration(R"({"Version":1})")->NeedsKeys);
+}
+
+TEST(ConfigurationJson, AnUnknownKindRunsOnceAtMost) {
+  const auto Read = readConfiguration(
+      R"({"Version":1,"Routes":[{"Host":"h","PathPrefix":"/","Kind":"new"}]})");
+  EXPECT_EQ(Read->Routes[0].Kind, RequestKind::AtMostOnce);
+}
+
+TEST(ConfigurationJson, MalformedOnesAreErrors) {
+  for (const char *Bad : {"", "[]", "{}", R"({"Version":"x"})",
+                          R"({"Version":1,"Routes":[{"Host":1}]})"})
+    EXPECT_THROW(readConfiguration(Bad), Error) << Bad;
+}
+
+TEST(EngineJson, ARegistrationBecomesARecord) {
+  const EngineRecord Read = readEngine(
+      "i-7f3a91c2",
+      R"({"Service":"huvo11a","Address":"10.128.0.9:8080","Zone":"hall-a",
+      "Version":"v1","Slots":16,"State":"draining","ColdRemainingMs":0,
+      "Stage":"both","Sequence":4})");
+  EXPECT_EQ(Read.Id, UpstreamId("i-7f3a91c2"));
+  EXPECT_EQ(Read.At, (Address{"10.128.0.9", 8080}));
+  EXPECT_TRUE(Read.Draining);
+  EXPECT_THROW(readEngine("i", R"({"Service":"s","Address":"nowhere"})"),
+               Error);
+}
+
+TEST(EngineJson, AReportTellsMemoryPaceAndReservations) {
+  const EngineReport Read = readReport(
+      UpstreamId("e"),
+      R"({"Stage":"both","Busy":false,"Sequence":2,"Waiting":1,"Running":12,
+      "KvUsed":41000,"KvTotal":90000,"Handles":0,"pace":1.5,
+      "Tickets":[{"Id":"t81","Tokens":60000,"State":"used","AgeMs":120}]})");
+  EXPECT_EQ(Read.Running, 12U);
+  EXPECT_EQ(Read.MemoryTotal, 90'000U);
+  EXPECT_EQ(Read.Pace, 1.5);
+  ASSERT_EQ(Read.Reservations.size(), 1U);
+  EXPECT_TRUE(Read.Reservations[0].Used);
+  EXPECT_EQ(Read.Reservations[0].Age, milliseconds(120));
+}
+
+} // namespace
+} // namespace banyanpick::platform
--- /dev/null
+++ b/tests/auto/platformadapter/HeadersTest.cpp
@@ -0,0 +1,132 @@
+/// \file
+/// Requests and answers, header by header.
+#include "platform/PlatformCallers.h"
+#include "platform/PlatformEngines.h"
+
+#include "base/Error.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick::platform {
+namespace {
+
+HttpExchange::Request asked() {
+  HttpExchange::Request Result(http::verb::post, "/lohu930/2f?q=1", 11);
+  Result.set(http::field::host, "ficu95.example");
+  Result.set("X-Attempt-Id", "9c41");
+  Result.set("Last-Event-Id", "12");
+  Result.set("X-Token-Counts", "1460,80");
+  Result.set("X-Remaining-Milliseconds", "10000");
+  Result.set("Authorization", "Bearer n2ct");
+  Result.set("X-Tenant", "forged");
+  return Result;
+}
+
+http::response_header<> answer(unsigned Status) {
+  http::response_header<> Result;
+  Result.result(Status);
+  Result.set("X-Attempt-Id", "9c41");
+  return Result;
+}
+
+template <class Wanted> bool means(const http::response_header<> &Head) {
+  return std::holds_alternative<Wanted>(
+      PlatformEngines().meaningOf(Head, asked()));
+}
+
+TEST(CallerHeaders, BecomeTheHeadOfARequest) {
+  const RelayHead Head = PlatformCallers().readHead(asked());
+  EXPECT_EQ(Head.CallerAttempt, "9c41");
+  EXPECT_EQ(Head.Path, "/lohu930/2f");
+  EXPECT_EQ(Head.Key, "n2ct");
+  EXPECT_EQ(Head.Remaining, Duration(seconds(10)));
+  EXPECT_EQ(Head.LastEvent, 12U);
+  EXPECT_EQ(Head.PromptTokens, 1460U);
+  EXPECT_EQ(Head.MaxOutputTokens, 80U);
+}
+
+TEST(CallerHeaders, MalformedNumbersAreErrors) {
+  HttpExchange::Request Bad = asked();
+  Bad.set("X-Remaining-Milliseconds", "soon");
+  EXPECT_THROW(PlatformCallers().readHead(Bad), Error);
+}
+
+TEST(CallerHeaders, EqualContentHasEqualFingerprints) {
+  HttpExchange::Request Other = asked();
+  Other.set("X-Attempt-Id", "another");
+  const PlatformCallers Callers;
+  EXPECT_EQ(Callers.readHead(asked()).Content, Callers.readHead(Other).Content);
+  Other.body() = "different";
+  EXPECT_NE(Callers.readHead(asked()).Content, Callers.readHead(Other).Content);
+}
+
+TEST(FinalAnswers, PromiseNoMoreThanIsTrue) {
+  const PlatformCallers Callers;
+  const auto StatusOf = [&](RefusalKind Kind) {
+    return Callers.answerTo(RefuseRelay{RequestId(1), Kind, {}, ""}).Status;
+  };
+  EXPECT_EQ(StatusOf(RefusalKind::NotRun), 503U);
+  EXPECT_EQ(StatusOf(RefusalKind::OutcomeUnknown), 502U);
+  EXPECT_EQ(StatusOf(RefusalKind::TimedOut), 504U);
+  EXPECT_EQ(StatusOf(RefusalKind::NoSuchRoute), 404U);
+  EXPECT_EQ(StatusOf(RefusalKind::UnknownKey), 401U);
+}
+
+TEST(EngineHeaders, ReplaceWhatTheCallerForgedAndDropItsKey) {
+  DispatchRelay Order;
+  Order.Engine = UpstreamId("i-1");
+  Order.Team = TeamId("hule930");
+  Order.DropKey = true;
+  Order.LastEvent = 15;
+  Order.Helpers = {{UpstreamId("i-2"), {"10.2.64.3", 8080}, "t81", 100},
+                   {UpstreamId("i-3"), {"10.2.64.5", 8080}, "", 0}};
+  HttpExchange::Request Sent = asked();
+  PlatformEngines().writeHeaders(Sent, Order, milliseconds(700));
+  EXPECT_EQ(Sent["X-Tenant"], "hule930");
+  EXPECT_EQ(Sent["X-Expected-Instance"], "i-1");
+  EXPECT_EQ(Sent["X-Remaining-Milliseconds"], "700");
+  EXPECT_EQ(Sent["Last-Event-Id"], "15");
+  EXPECT_EQ(Sent["X-Helpers"], "10.2.64.3:8080/t81,10.2.64.5:8080");
+  EXPECT_EQ(Sent.count(http::field::authorization), 0U);
+  EXPECT_EQ(Sent["X-Attempt-Id"], "9c41");
+  Order.Team = TeamId();
+  PlatformEngines().writeHeaders(Sent, Order, milliseconds(0));
+  EXPECT_EQ(Sent.count("X-Tenant"), 0U);
+  EXPECT_EQ(Sent["X-Remaining-Milliseconds"], "1");
+}
+
+TEST(EngineAnswers, MeanWhatTheirHeadersProve) {
+  http::response_header<> Good = answer(200);
+  EXPECT_TRUE(means<AnswerIsInvalid>(Good)) << "without a seal";
+  Good.set("X-Server-Seal", "s");
+  EXPECT_TRUE(means<AnswerIsWhole>(Good));
+  Good.set(http::field::content_encoding, "gzip");
+  EXPECT_TRUE(means<AnswerIsInvalid>(Good));
+  http::response_header<> Failed = answer(500);
+  Failed.set("X-Server-Seal", "s");
+  EXPECT_TRUE(means<AnswerIsFailure>(Failed));
+  http::response_header<> Foreign = Failed;
+  Foreign.set("X-Attempt-Id", "other");
+  EXPECT_TRUE(means<AnswerIsInvalid>(Foreign));
+}
+
+TEST(EngineAnswers, OnlyAWordOfTheEngineProvesThatItDidNotRun) {
+  EXPECT_TRUE(means<AnswerIsInvalid>(answer(503)));
+  http::response_header<> Shed = answer(503);
+  Shed.set("X-Not-Executed", "1");
+  Shed.set("Retry-After", "0.25");
+  Shed.set("At-Server", "10.2.64.3:8080");
+  const auto Meaning = PlatformEngines().meaningOf(Shed, asked());
+  const auto *NotRun = std::get_if<AnswerIsNotRun>(&Meaning);
+  ASSERT_NE(NotRun, nullptr);
+  EXPECT_EQ(NotRun->How.RetryAfter, milliseconds(250));
+  EXPECT_EQ(NotRun->How.FailedAt, (Address{"10.2.64.3", 8080}));
+  http::response_header<> Other = answer(421);
+  Other.erase("X-Attempt-Id");
+  const auto Misdirected = PlatformEngines().meaningOf(Other, asked());
+  ASSERT_TRUE(std::holds_alternative<AnswerIsNotRun>(Misdirected));
+  EXPECT_TRUE(std::get<AnswerIsNotRun>(Misdirected).How.OtherEngine);
+}
+
+} // namespace
+} // namespace banyanpick::platform
--- /dev/null
+++ b/tests/auto/platformadapter/RecordFramesTest.cpp
@@ -0,0 +1,66 @@
+/// \file
+/// Records survive the way to the store and back.
+#include "platform/RecordFrames.h"
+
+#include "base/Error.h"
+#include "platform/PlatformStore.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+namespace banyanpick::platform {
+namespace {
+
+const std::string Head(16, '\0');
+
+TEST(RecordFrames, ReadsKeysValuesAndOffsets) {
+  using namespace std::string_literals;
+  const std::string Body =
+      Head + "\0\0\0\x05\x02"s + "abXY" + "\0\0\0\x03\x02"s + "cd";
+  const RecordsRead Read = readFrames(Body, 40);
+  ASSERT_EQ(Read.Records.size(), 2U);
+  EXPECT_EQ(Read.Records[0].Key, "ab");
+  EXPECT_EQ(Read.Records[0].Value, "XY");
+  EXPECT_EQ(Read.Records[0].Offset, 40U);
+  EXPECT_EQ(Read.Records[1].Value, std::nullopt);
+  EXPECT_EQ(Read.NextOffset, 42U);
+}
+
+TEST(RecordFrames, CutBytesAreAnError) {
+  const std::string Whole = Head + writeFrame({"key", "value", 0});
+  for (std::size_t Length = 0; Length < Whole.size(); ++Length) {
+    if (Length == Head.size())
+      continue; // No record at all.
+    EXPECT_THROW(readFrames(std::string_view(Whole).substr(0, Length), 0),
+                 Error);
+  }
+}
+
+RC_GTEST_PROP(RecordFramesProperty, SurviveTheWayThereAndBack, ()) {
+  KeyedRecord Record;
+  const auto KeyLength = *rc::gen::inRange<std::size_t>(0, 256);
+  Record.Key =
+      *rc::gen::container<std::string>(KeyLength, rc::gen::arbitrary<char>());
+  const auto Value = *rc::gen::arbitrary<std::string>();
+  if (!Value.empty())
+    Record.Value = Value;
+  const RecordsRead Read = readFrames(Head + writeFrame(Record), 3);
+  RC_ASSERT(Read.Records.size() == 1U);
+  RC_ASSERT(Read.Records[0].Key == Record.Key);
+  RC_ASSERT(Read.Records[0].Value == Record.Value);
+}
+
+TEST(NewestPage, DecodesItsValues) {
+  const NewestPage Page = readNewest(
+      R"({"Items":[{"Key":"config","Value":"eyJhIjoxfQ==","Offset":4}],
+      "Truncated":true,"EndOffset":6})");
+  ASSERT_EQ(Page.Records.size(), 1U);
+  EXPECT_EQ(Page.Records[0].Value, R"({"a":1})");
+  EXPECT_TRUE(Page.More);
+  EXPECT_EQ(Page.EndOffset, 6U);
+  EXPECT_THROW(readNewest("no json"), Error);
+}
+
+} // namespace
+} // namespace banyanpick::platform
--- a/tests/harness/VirtualHost.cpp
+++ b/tests/harness/VirtualHost.cpp
@@ -311,7 +311,7 @@
           To.OnLogLine(this->name(), Each.Line);
       },
       [&](const RecordMeasurement &Each) { To.measured(Each); },
-      [&](const StopNow &) { this->finish(); });
+      [&](const StopNow &) { this->finish(); }, [](const GatewayAction &) {});
 }
 
 } // namespace banyanpick
--- a/tests/process/Deployment.cpp
+++ b/tests/process/Deployment.cpp
@@ -28,19 +28,6 @@
 const std::string Programs = BANYANPICK_PROGRAMS;
 const std::string CatalogueFile = BANYANPICK_CATALOGUE;
 
-/// An address that nobody listens on, and that was not given before.
-std::string freeAddress() {
-  static std::set<std::uint16_t> Given;
-  boost::asio::io_context Io;
-  for (;;) {
-    boost::asio::ip::tcp::acceptor Probe(
-        Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    const std::uint16_t Port = Probe.local_endpoint().port();
-    if (Given.insert(Port).second)
-      return fmt::format("127.0.0.1:{}", Port);
-  }
-}
-
 std::vector<Member> makeMembers(const std::string &Name, std::size_t Count) {
   std::vector<Member> Members;
   for (std::size_t I = 1; I <= Count; ++I)
@@ -57,6 +44,18 @@
 
 } // namespace
 
+std::string freeAddress() {
+  static std::set<std::uint16_t> Given;
+  boost::asio::io_context Io;
+  for (;;) {
+    boost::asio::ip::tcp::acceptor Probe(
+        Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const std::uint16_t Port = Probe.local_endpoint().port();
+    if (Given.insert(Port).second)
+      return fmt::format("127.0.0.1:{}", Port);
+  }
+}
+
 bool eventually(const std::function<bool()> &Holds) {
   const auto GiveUp = std::chrono::steady_clock::now() + LongestWait;
   while (!Holds()) {
--- a/tests/process/Deployment.h
+++ b/tests/process/Deployment.h
@@ -65,6 +65,9 @@
   std::string CurveKeys;
 };
 
+/// An address that nobody listens on, and that was not given before.
+std::string freeAddress();
+
 /// Looks until \p Holds; false when it never does within a generous time.
 bool eventually(const std::function<bool()> &Holds);
 
--- /dev/null
+++ b/tests/process/GatewayDeployment.cpp
@@ -0,0 +1,195 @@
+#include "process/GatewayDeployment.h"
+
+#include "platform/WireNames.h"
+#include "process/Deployment.h"
+
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+
+namespace banyanpick::process {
+
+namespace {
+
+using nlohmann::json;
+using standins::askHttp;
+using standins::HttpQuestion;
+using standins::HttpReply;
+namespace header = platform::header;
+
+constexpr seconds Patience(10);
+
+json route(const std::string &Prefix, const std::string &Kind, int Attempts) {
+  return {{"Name", Prefix},
+          {"Host", "demo.example"},
+          {"PathPrefix", Prefix},
+          {"Kind", Kind},
+          {"TimeoutMs", 4000},
+          {"TargetLatencyMs", 300},
+          {"Priority", 1},
+          {"Service", "desk"},
+          {"Attempts", Attempts},
+          {"Public", false},
+          {"Resumable", Kind == "streaming"}};
+}
+
+} // namespace
+
+GatewayDeployment::GatewayDeployment(const std::vector<Fault> &Faults,
+                                     std::size_t HostCount)
+    : Folder((std::filesystem::temp_directory_path() /
+              fmt::format("gateway-{}", freeAddress().substr(10)))
+                 .string()),
+      Store(freeAddress()) {
+  std::filesystem::create_directories(this->Folder);
+  this->StoreProcess =
+      this->start("store", "standin_store", {"--listen", this->Store});
+  for (std::size_t Index = 1; Index <= HostCount; ++Index)
+    this->Hosts.push_back({fmt::format("host-{}", Index), freeAddress(),
+                           freeAddress(), freeAddress(), freeAddress(),
+                           freeAddress(), nullptr});
+  for (std::size_t Index = 1; Index <= Faults.size(); ++Index)
+    this->Upstreams.push_back(
+        {fmt::format("u{}", Index), freeAddress(), nullptr});
+  for (std::size_t Index = 0; Index < Faults.size(); ++Index)
+    this->startUpstream(this->Upstreams[Index], Faults[Index]);
+  eventually([&] { return askHttp(this->Store, {}, Patience).Status != 0; });
+  this->configure(1);
+  for (Host &Each : this->Hosts)
+    this->startHost(Each);
+  eventually([&] {
+    for (std::size_t Index = 0; Index < this->Hosts.size(); ++Index)
+      if (this->readiness(Index) != 200 ||
+          this->directory(Index).size() != this->Hosts.size())
+        return false;
+    return true;
+  });
+  // Every upstream must be known before a test counts on it.
+  std::this_thread::sleep_for(milliseconds(300));
+}
+
+GatewayDeployment::~GatewayDeployment() {
+  this->Hosts.clear();
+  this->Upstreams.clear();
+  this->StoreProcess.reset();
+  std::error_code Ignored;
+  std::filesystem::remove_all(this->Folder, Ignored);
+}
+
+std::unique_ptr<ChildProcess>
+GatewayDeployment::start(const std::string &Name, const std::string &Program,
+                         std::vector<std::string> Flags) const {
+  return std::make_unique<ChildProcess>(
+      std::string(BANYANPICK_PROGRAMS) + "/" + Program, std::move(Flags),
+      this->Folder + "/" + Name + ".log");
+}
+
+void GatewayDeployment::startUpstream(Upstream &Into, const Fault &How) {
+  Into.Process = this->start(Into.Id, "standin_upstream",
+                             {"--listen", Into.Address, "--id", Into.Id,
+                              "--store", this->Store, "--fault", How});
+}
+
+void GatewayDeployment::startHost(Host &Into) {
+  const std::string File = this->Folder + "/" + Into.Name + ".ini";
+  std::ofstream(File) << this->settingsOf(Into);
+  Into.Process = this->start(Into.Name, "banyanpickd", {"--settings", File});
+}
+
+std::string GatewayDeployment::settingsOf(const Host &Of) const {
+  return fmt::format(
+      "[host]\nname = {}\nzone = east\ncallers = {}\npeers = {}\n"
+      "serving = gateway\n"
+      "[gateway]\ndirectory = {}\nreadiness = {}\nmetrics = {}\n"
+      "[platform]\nlog = {}\nhost_list = {}\n"
+      "[membership]\ndiscovery = gossip\nseeds = {}\n"
+      "heartbeat_interval = 100ms\nhost_list_interval = 500ms\n"
+      "[peers]\nencryption = none\n",
+      Of.Name, Of.Callers, Of.Peers, Of.Directory, Of.Readiness, Of.Metrics,
+      this->Store, this->Store, this->Hosts.front().Peers);
+}
+
+HttpReply GatewayDeployment::ask(std::size_t Host, const std::string &Path,
+                                 const std::string &Attempt,
+                                 const std::string &Body,
+                                 std::vector<standins::HttpHeader> More) const {
+  HttpQuestion Question;
+  Question.Method = boost::beast::http::verb::post;
+  Question.Target = Path;
+  Question.Body = Body;
+  Question.Headers = {{"Host", "demo.example"},
+                      {"Authorization", "Bearer demo-key"},
+                      {std::string(header::AttemptId), Attempt},
+                      {std::string(header::Remaining), "5000"}};
+  for (standins::HttpHeader &Each : More)
+    Question.Headers.push_back(std::move(Each));
+  return askHttp(this->Hosts.at(Host).Callers, Question, Patience);
+}
+
+int GatewayDeployment::runsOf(const std::string &Attempt) const {
+  int Sum = 0;
+  HttpQuestion Ask;
+  Ask.Target = "/standin/runs";
+  for (const Upstream &Each : this->Upstreams)
+    Sum +=
+        askHttp(Each.Address, Ask, Patience).parsed()["runs"].value(Attempt, 0);
+  return Sum;
+}
+
+bool GatewayDeployment::anyUpstreamSawAKey() const {
+  HttpQuestion Ask;
+  Ask.Target = "/standin/runs";
+  for (const Upstream &Each : this->Upstreams)
+    if (askHttp(Each.Address, Ask, Patience).parsed()["saw_key"].get<bool>())
+      return true;
+  return false;
+}
+
+unsigned GatewayDeployment::readiness(std::size_t Host) const {
+  HttpQuestion Ask;
+  Ask.Target = std::string(platform::path::Readiness);
+  return askHttp(this->Hosts.at(Host).Readiness, Ask, Patience).Status;
+}
+
+std::vector<std::string> GatewayDeployment::directory(std::size_t Host) const {
+  HttpQuestion Ask;
+  Ask.Target = std::string(platform::path::Resolution) + "?Name=demo.example";
+  const json Reply =
+      askHttp(this->Hosts.at(Host).Directory, Ask, Patience).parsed();
+  if (!Reply.is_object() || !Reply.contains("Addresses"))
+    return {};
+  return Reply["Addresses"].get<std::vector<std::string>>();
+}
+
+void GatewayDeployment::configure(std::uint64_t Version, bool WithExtra) const {
+  json Routes = {route("/safe/", "safe", 2), route("/once/", "unsafe", 1),
+                 route("/stream/", "streaming", 2)};
+  if (WithExtra)
+    Routes.push_back(route("/extra/", "safe", 2));
+  const json Document{
+      {"Version", Version},
+      {"Routes", Routes},
+      {"Services", {{{"Name", "desk"}, {"HealthPath", "/health"}}}},
+      {"Limits", {{"HeaderBytes", 8192}, {"BodyBytes", 65536}}},
+      {"Tenants", {{{"Name", "house"}, {"Credentials", {"demo-key"}}}}}};
+  this->put(std::string(platform::topic::Declarations),
+            std::string(platform::topic::ConfigurationKey), Document.dump());
+}
+
+void GatewayDeployment::put(const std::string &Topic, const std::string &Key,
+                            const std::string &Value) const {
+  HttpQuestion Put;
+  Put.Method = boost::beast::http::verb::post;
+  Put.Target = fmt::format("/standin/put?Topic={}&Key={}", Topic, Key);
+  Put.Body = Value;
+  askHttp(this->Store, Put, Patience);
+}
+
+void GatewayDeployment::control(const std::string &Target) const {
+  HttpQuestion Ask;
+  Ask.Method = boost::beast::http::verb::post;
+  Ask.Target = Target;
+  askHttp(this->Store, Ask, Patience);
+}
+
+} // namespace banyanpick::process
--- /dev/null
+++ b/tests/process/GatewayTest.cpp
@@ -0,0 +1,169 @@
+/// \file
+/// The whole path of a gateway, with real processes: callers, hosts, upstreams
+/// and the store.
+#include "process/Deployment.h"
+#include "process/GatewayDeployment.h"
+
+#include <csignal>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace banyanpick::process {
+namespace {
+
+using standins::HttpReply;
+
+std::string wholeStream() {
+  std::string Result;
+  for (int Id = 1; Id <= 10; ++Id)
+    Result += fmt::format("id: {}\ndata: piece {}\n\n", Id, Id);
+  return Result;
+}
+
+TEST(Gateway, RelaysWholeAnswersAndStreamsWithTheTeamAndWithoutTheKey) {
+  GatewayDeployment Gateway({"", ""});
+  const HttpReply Whole = Gateway.ask(0, "/safe/x", "a1", "my words");
+  EXPECT_EQ(Whole.Status, 200U);
+  EXPECT_TRUE(Whole.Body.starts_with("house by u")) << Whole.Body;
+  EXPECT_TRUE(Whole.Body.ends_with(": my words")) << Whole.Body;
+  const HttpReply Stream = Gateway.ask(1, "/stream/x", "a2");
+  EXPECT_TRUE(Stream.isComplete());
+  EXPECT_EQ(Stream.Body, wholeStream());
+  EXPECT_FALSE(Gateway.anyUpstreamSawAKey());
+}
+
+TEST(Gateway, GoesOnWithAStreamThatWasCutInTheMiddleOfAnEvent) {
+  GatewayDeployment Gateway({"cut", ""});
+  for (int Each = 0; Each < 8; ++Each) {
+    const HttpReply Reply =
+        Gateway.ask(0, "/stream/x", fmt::format("s{}", Each));
+    EXPECT_TRUE(Reply.isComplete());
+    EXPECT_EQ(Reply.Body, wholeStream());
+  }
+}
+
+TEST(Gateway, AStreamThatNobodyEndsDoesNotLookComplete) {
+  GatewayDeployment Gateway({"cut", "cut", "cut"});
+  const HttpReply Reply = Gateway.ask(0, "/stream/x", "s1");
+  EXPECT_FALSE(Reply.isComplete());
+  EXPECT_TRUE(wholeStream().starts_with(Reply.Body)) << Reply.Body;
+}
+
+class GatewayFault : public testing::TestWithParam<const char *> {};
+
+TEST_P(GatewayFault, IsHiddenFromWhatMayRepeatAndRunsNothingTwiceElse) {
+  GatewayDeployment Gateway({GetParam(), ""});
+  for (int Each = 0; Each < 6; ++Each) {
+    const HttpReply Safe =
+        Gateway.ask(0, "/safe/x", fmt::format("safe{}", Each));
+    EXPECT_EQ(Safe.Status, 200U) << GetParam();
+    EXPECT_TRUE(Safe.Body.ends_with(": hello")) << Safe.Body;
+    const std::string Once = fmt::format("once{}", Each);
+    const HttpReply Reply = Gateway.ask(1, "/once/x", Once);
+    const int Runs = Gateway.runsOf(Once);
+    EXPECT_LE(Runs, 1) << GetParam();
+    if (Reply.Status == 503)
+      EXPECT_EQ(Runs, 0) << GetParam();
+    if (Reply.Status == 200)
+      EXPECT_TRUE(Reply.Body.ends_with(": hello")) << Reply.Body;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, GatewayFault,
+                         testing::Values("cut", "error", "refuse", "foreign",
+                                         "truncate", "unsealed"));
+
+TEST(Gateway, BadInputIsAnsweredAtOnceAndNothingIsSent) {
+  GatewayDeployment Gateway({""});
+  EXPECT_EQ(Gateway.ask(0, "/nowhere/x", "b1").Status, 404U);
+  EXPECT_EQ(
+      Gateway.ask(0, "/safe/x", "b2", "", {{"Authorization", "Bearer no"}})
+          .Status,
+      401U);
+  EXPECT_EQ(Gateway.ask(0, "/safe/x", "b3", std::string(70000, 'x')).Status,
+            413U);
+  EXPECT_EQ(
+      Gateway.ask(0, "/safe/x", "b4", "", {{"X-Large", std::string(9000, 'x')}})
+          .Status,
+      431U);
+  EXPECT_EQ(
+      Gateway
+          .ask(0, "/safe/x", "b5", "", {{"X-Remaining-Milliseconds", "soon"}})
+          .Status,
+      400U);
+  for (const char *Attempt : {"b1", "b2", "b3", "b4", "b5"})
+    EXPECT_EQ(Gateway.runsOf(Attempt), 0) << Attempt;
+  EXPECT_EQ(Gateway.ask(0, "/safe/x", "b6").Status, 200U);
+}
+
+TEST(Gateway, ANewVersionIsInForceEverywhereAndTakesRoutesAway) {
+  GatewayDeployment Gateway({""});
+  Gateway.configure(7, true);
+  for (std::size_t Host = 0; Host < 2; ++Host)
+    EXPECT_TRUE(eventually(
+        [&] { return Gateway.ask(Host, "/extra/x", "c1").Status == 200; }));
+  Gateway.configure(9, false);
+  for (std::size_t Host = 0; Host < 2; ++Host)
+    EXPECT_TRUE(eventually(
+        [&] { return Gateway.ask(Host, "/extra/x", "c2").Status == 404; }));
+}
+
+TEST(Gateway, ServesThroughAnOutageOfTheStoreAndFollowsAfterIt) {
+  GatewayDeployment Gateway({""});
+  Gateway.control("/standin/down?On=1");
+  EXPECT_EQ(Gateway.ask(0, "/once/x", "d1").Status, 200U);
+  Gateway.configure(7, true);
+  Gateway.control("/standin/compact?Topic=keyed.op");
+  Gateway.control("/standin/down?On=0");
+  EXPECT_TRUE(eventually(
+      [&] { return Gateway.ask(1, "/extra/x", "d2").Status == 200; }));
+}
+
+TEST(Gateway, AHostThatStopsLeavesTheDirectoryAndFinishesItsStreams) {
+  GatewayDeployment Gateway({""});
+  HttpReply Reply;
+  std::thread Caller([&] { Reply = Gateway.ask(0, "/stream/x", "e1"); });
+  std::this_thread::sleep_for(milliseconds(60));
+  Gateway.host(0).Process->signal(SIGTERM);
+  EXPECT_TRUE(eventually([&] { return Gateway.readiness(0) != 200; }));
+  EXPECT_TRUE(eventually([&] {
+    return Gateway.directory(1) ==
+           std::vector<std::string>{Gateway.host(1).Callers};
+  }));
+  EXPECT_EQ(Gateway.ask(0, "/once/x", "e2").Status, 200U)
+      << "callers that kept its address are still served";
+  Caller.join();
+  EXPECT_EQ(Reply.Body, wholeStream());
+  EXPECT_EQ(Gateway.host(0).Process->wait(), 0);
+}
+
+TEST(Gateway, AKilledHostLeavesTheDirectoryAndAKilledUpstreamGetsNothing) {
+  GatewayDeployment Gateway({"", ""});
+  Gateway.host(0).Process->kill();
+  EXPECT_TRUE(eventually([&] { return Gateway.directory(1).size() == 1; }));
+  Gateway.upstream(0).Process->kill();
+  for (int Each = 0; Each < 10; ++Each)
+    EXPECT_EQ(Gateway.ask(1, "/once/x", fmt::format("f{}", Each)).Status, 200U);
+}
+
+TEST(Gateway, ReloadsItsSettingsAndKeepsTheOldOnesWhenTheNewAreWrong) {
+  GatewayDeployment Gateway({""}, 1);
+  Gateway.host(0).Process->signal(SIGHUP);
+  EXPECT_EQ(Gateway.ask(0, "/safe/x", "g1").Status, 200U);
+  EXPECT_TRUE(Gateway.host(0).Process->isAlive());
+}
+
+TEST(Gateway, ShowsItsMetrics) {
+  GatewayDeployment Gateway({""}, 1);
+  Gateway.ask(0, "/safe/x", "h1");
+  standins::HttpQuestion Ask;
+  Ask.Target = "/metrics";
+  const HttpReply Page =
+      standins::askHttp(Gateway.host(0).Metrics, Ask, seconds(5));
+  EXPECT_NE(Page.Body.find("banyanpick_relays_ended_total"), std::string::npos)
+      << Page.Body;
+}
+
+} // namespace
+} // namespace banyanpick::process
--- a/tests/standins/HttpServer.cpp
+++ b/tests/standins/HttpServer.cpp
@@ -92,8 +92,7 @@
   return Segments;
 }
 
-std::uint64_t Exchange::queryNumber(std::string_view Name,
-                                    std::uint64_t Otherwise) const {
+std::string Exchange::queryText(std::string_view Name) const {
   const auto Target = this->Request.target();
   const std::string_view Whole(Target.data(), Target.size());
   const std::string Wanted = std::string(Name) + "=";
@@ -102,14 +101,18 @@
     Rest.remove_prefix(1);
     const std::string_view Part = Rest.substr(0, Rest.find('&'));
     Rest.remove_prefix(Part.size());
-    if (Part.substr(0, Wanted.size()) != Wanted)
-      continue;
-    std::uint64_t Number = Otherwise;
-    std::from_chars(Part.data() + Wanted.size(), Part.data() + Part.size(),
-                    Number);
-    return Number;
+    if (Part.substr(0, Wanted.size()) == Wanted)
+      return std::string(Part.substr(Wanted.size()));
   }
-  return Otherwise;
+  return {};
+}
+
+std::uint64_t Exchange::queryNumber(std::string_view Name,
+                                    std::uint64_t Otherwise) const {
+  const std::string Text = this->queryText(Name);
+  std::uint64_t Number = Otherwise;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  return Number;
 }
 
 std::string Exchange::header(std::string_view Name) const {
@@ -127,9 +130,22 @@
   http::write(this->Socket, Reply);
 }
 
-void Exchange::beginEvents() {
+void Exchange::answer(unsigned Status, const Headers &Given,
+                      const std::string &Body, std::size_t Missing) {
+  http::response<http::string_body> Reply(static_cast<http::status>(Status),
+                                          HttpVersion);
+  for (const auto &[Name, Value] : Given)
+    Reply.set(Name, Value);
+  Reply.body() = Body;
+  Reply.content_length(Body.size() + Missing);
+  http::write(this->Socket, Reply);
+}
+
+void Exchange::beginEvents(const Headers &Given) {
   http::response<http::empty_body> Reply(http::status::ok, HttpVersion);
   Reply.set(http::field::content_type, "text/event-stream");
+  for (const auto &[Name, Value] : Given)
+    Reply.set(Name, Value);
   Reply.chunked(true);
   http::response_serializer<http::empty_body> Serializer(Reply);
   http::write_header(this->Socket, Serializer);
--- a/tests/standins/HttpServer.h
+++ b/tests/standins/HttpServer.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace banyanpick::standins {
@@ -19,6 +20,9 @@
 /// Splits `ip:port`; throws Error(BadInput) when it is malformed.
 boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view Text);
 
+/// Headers of an answer.
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
 /// One request and the way to answer it.
 class Exchange {
 public:
@@ -31,12 +35,18 @@
   /// A number of the query, or \p Otherwise.
   std::uint64_t queryNumber(std::string_view Name,
                             std::uint64_t Otherwise) const;
+  /// A text of the query, or an empty one.
+  std::string queryText(std::string_view Name) const;
   std::string header(std::string_view Name) const;
+  const HttpRequest &request() const { return this->Request; }
   const std::string &body() const { return this->Request.body(); }
 
   void answer(unsigned Status, const nlohmann::json &Body);
+  /// \p Missing bytes fewer are sent than the length says.
+  void answer(unsigned Status, const Headers &Given, const std::string &Body,
+              std::size_t Missing = 0);
   /// Starts a stream of server-sent events.
-  void beginEvents();
+  void beginEvents(const Headers &Given = {});
   /// Sends events already formatted; throws when the peer is gone.
   void sendEvents(const std::string &Formatted);
   void endEvents();
--- /dev/null
+++ b/tests/standins/StandinUpstream.cpp
@@ -0,0 +1,161 @@
+/// \file
+/// A small upstream that speaks the platform's protocol: it streams events
+/// where the path begins with `/stream/` and answers whole else. It registers
+/// itself in the store.
+///
+/// --fault makes it fail each request: `cut` breaks a stream off in the middle
+/// of an event, `error` answers 500, `refuse` says that it did not run it,
+/// `foreign` answers another request, `truncate` sends too little, `unsealed`
+/// leaves the seal out, and `silent` never answers.
+/// `GET /standin/runs` gives how often it ran each request.
+#include "platform/WireNames.h"
+#include "standins/HttpClient.h"
+#include "standins/HttpServer.h"
+
+#include <chrono>
+#include <gflags/gflags.h>
+#include <map>
+#include <mutex>
+#include <thread>
+
+DEFINE_string(listen, "127.0.0.1:7500", "where it listens");
+DEFINE_string(id, "u1", "its id");
+DEFINE_string(service, "desk", "the service that it is a part of");
+DEFINE_string(zone, "east", "its data centre");
+DEFINE_string(store, "127.0.0.1:7400", "the store to register in");
+DEFINE_string(fault, "", "how it fails");
+DEFINE_uint32(events, 10, "events of a stream");
+DEFINE_uint32(pause_ms, 20, "between events, and before a whole answer");
+
+namespace banyanpick::standins {
+
+namespace {
+
+using nlohmann::json;
+namespace header = platform::header;
+
+void pause() {
+  std::this_thread::sleep_for(std::chrono::milliseconds(FLAGS_pause_ms));
+}
+
+std::string eventText(std::uint64_t Id) {
+  return fmt::format("id: {}\ndata: piece {}\n\n", Id, Id);
+}
+
+class UpstreamService {
+public:
+  void serve(Exchange &Each) {
+    if (Each.path().front() == "standin") {
+      this->showRuns(Each);
+      return;
+    }
+    const std::string Attempt = Each.header(header::AttemptId);
+    if (Each.header(header::ExpectedInstance) != FLAGS_id) {
+      Each.answer(421, this->headers(Attempt), "");
+      return;
+    }
+    if (FLAGS_fault == "refuse") {
+      Headers Given = this->headers(Attempt);
+      Given.emplace_back(header::NotExecuted, "1");
+      Each.answer(503, Given, "");
+      return;
+    }
+    this->note(Each, Attempt);
+    if (Each.path().front() == "stream")
+      stream(Each, Attempt);
+    else
+      whole(Each, Attempt);
+  }
+
+private:
+  static Headers headers(const std::string &Attempt) {
+    return {{std::string(header::AttemptId),
+             FLAGS_fault == "foreign" ? "other" : Attempt}};
+  }
+  static Headers sealed(const std::string &Attempt) {
+    Headers Result = headers(Attempt);
+    if (FLAGS_fault != "unsealed")
+      Result.emplace_back(header::Seal, "seal-of-" + FLAGS_id);
+    return Result;
+  }
+
+  static void whole(Exchange &Each, const std::string &Attempt) {
+    pause();
+    if (FLAGS_fault == "silent")
+      std::this_thread::sleep_for(std::chrono::hours(1));
+    if (FLAGS_fault == "cut") {
+      Each.hangUp();
+      return;
+    }
+    const bool Fails = FLAGS_fault == "error";
+    const std::string Body = fmt::format(
+        "{} by {}: {}", Each.header(header::Tenant), FLAGS_id, Each.body());
+    const std::size_t Missing = FLAGS_fault == "truncate" ? 5 : 0;
+    Each.answer(Fails ? 500 : 200, sealed(Attempt), Body, Missing);
+    if (Missing > 0)
+      Each.hangUp();
+  }
+
+  static void stream(Exchange &Each, const std::string &Attempt) {
+    if (FLAGS_fault == "silent")
+      std::this_thread::sleep_for(std::chrono::hours(1));
+    const std::string After = Each.header(header::LastEvent);
+    const std::uint64_t First = After.empty() ? 1 : std::stoull(After) + 1;
+    Each.beginEvents(sealed(Attempt));
+    for (std::uint64_t Id = First; Id <= FLAGS_events; ++Id) {
+      pause();
+      if (FLAGS_fault == "cut" && Id == First + 3) {
+        Each.sendEvents(eventText(Id).substr(0, 5));
+        Each.hangUp();
+        return;
+      }
+      Each.sendEvents(eventText(Id));
+    }
+    Each.endEvents();
+  }
+
+  void note(const Exchange &Each, const std::string &Attempt) {
+    const std::lock_guard Lock(this->Guard);
+    ++this->Runs[Attempt];
+    this->SawKey |= !Each.header("Authorization").empty();
+  }
+
+  void showRuns(Exchange &Each) {
+    const std::lock_guard Lock(this->Guard);
+    Each.answer(200, json{{"runs", this->Runs}, {"saw_key", this->SawKey}});
+  }
+
+  std::mutex Guard;
+  std::map<std::string, int> Runs;
+  bool SawKey = false;
+};
+
+void registerSelf() {
+  const json Entry{{"Service", FLAGS_service},
+                   {"Address", FLAGS_listen},
+                   {"Zone", FLAGS_zone},
+                   {"Version", "v1"},
+                   {"Slots", 6},
+                   {"State", "ready"}};
+  HttpQuestion Put;
+  Put.Method = boost::beast::http::verb::post;
+  Put.Target = fmt::format("/standin/put?Topic={}&Key={}",
+                           platform::topic::Engines, FLAGS_id);
+  Put.Body = Entry.dump();
+  for (int Try = 0; Try < 100; ++Try) {
+    if (askHttp(FLAGS_store, Put, std::chrono::seconds(1)).Status == 200)
+      return;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+}
+
+} // namespace
+} // namespace banyanpick::standins
+
+int main(int Count, char **Values) {
+  using namespace banyanpick::standins;
+  gflags::ParseCommandLineFlags(&Count, &Values, true);
+  std::thread(registerSelf).detach();
+  UpstreamService Service;
+  serveHttp(FLAGS_listen, [&](Exchange &Each) { Service.serve(Each); });
+}
