--- a/src/app/SettingsFile.cpp
+++ b/src/app/SettingsFile.cpp
@@ -47,6 +47,7 @@
                    std::vector<SettingsProblem> &Problems) {
   const auto Declarations = daemonSettingDeclarations();
   Settings Result = readSettings(Text, Declarations, Problems);
+  std::ranges::copy(missingPeerKeys(Result), std::back_inserter(Problems));
   if (!Problems.empty())
     return std::nullopt;
   check([&] { identityFrom(Result, Incarnation(1)); }, Problems);
--- a/src/libs/peers/PeerSettings.cpp
+++ b/src/libs/peers/PeerSettings.cpp
@@ -52,6 +52,17 @@
   };
 }
 
+std::vector<SettingsProblem> missingPeerKeys(const Settings &Values) {
+  std::vector<SettingsProblem> Result;
+  if (Values.text("peers", "encryption") != "curve")
+    return Result;
+  for (const char *Key : {"curve_public_key", "curve_secret_key"})
+    if (Values.text("peers", Key).empty())
+      Result.push_back(
+          {0, "peers", Key, "is missing; banyanpick keys prints a new pair"});
+  return Result;
+}
+
 PeerSettings peerSettings(const Settings &Values) {
   PeerSettings Result;
   Result.MaxMessageBytes = Values.size("peers", "max_message_bytes");
--- a/tests/auto/daemon/PeerNetworkTest.cpp
+++ b/tests/auto/daemon/PeerNetworkTest.cpp
@@ -94,6 +94,16 @@
             (PeerMessage{HostId("a"), Incarnation(1), RecordsAsked{7}}));
 }
 
+TEST(PeerNetwork, HostsWithoutEncryptionTalk) {
+  PeerSettings Plain{{}, {}, 65536, 100, false};
+  Inbox InboxOfB;
+  PeerNetwork A(HostId("a"), Incarnation(1), AnyPort, Plain, deaf());
+  PeerNetwork B(HostId("b"), Incarnation(2), AnyPort, Plain,
+                InboxOfB.listener());
+  A.connect({listingOf("b", B)});
+  EXPECT_TRUE(reaches(A, "b", InboxOfB, Long));
+}
+
 TEST(PeerNetwork, AnUnknownKeyGetsNothing) {
   const CurveKeyPair KeysOfB = makeCurveKeyPair();
   Inbox InboxOfB;
--- a/tests/auto/gateway/RetryAllowanceTest.cpp
+++ b/tests/auto/gateway/RetryAllowanceTest.cpp
@@ -2,6 +2,8 @@
 /// Repeats stay within the budget in every window, over all hosts.
 #include "plugins/relays/RetryAllowance.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include <rapidcheck/gtest.h>
--- a/tests/auto/logging/LineLogTest.cpp
+++ b/tests/auto/logging/LineLogTest.cpp
@@ -1,7 +1,9 @@
 #include "logging/LineLog.h"
+#include "logging/LineWriter.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <unistd.h>
 
 namespace banyanpick {
 namespace {
@@ -42,12 +44,44 @@
   Settings Values = Settings::defaults(loggingSettings());
   ASSERT_EQ(Values.set("logging", "level", "warning"), "");
   configureLog(Values);
-  testing::internal::CaptureStderr();
+  testing::internal::CaptureStdout();
   writeLogLine(LogEventBuilder(LogLevel::Info, 1, "quiet").build(), Noon);
   writeLogLine(LogEventBuilder(LogLevel::Error, 2, "loud").build(), Noon);
-  const std::string Written = testing::internal::GetCapturedStderr();
+  const std::string Written = testing::internal::GetCapturedStdout();
   EXPECT_EQ(Written, "2025-12-02T12:00:00.000042Z error 2 \"loud\"\n");
 }
 
+TEST(LineWriter, NeverWaitsForAReaderAndTellsWhatItLeftOut) {
+  int Ends[2];
+  ASSERT_EQ(pipe(Ends), 0);
+  LineWriter Writer(Ends[1]);
+  const std::string Line(1000, 'x');
+  Time Now = Noon;
+  for (int Each = 0; Each < 200; ++Each)
+    Writer.write(Line + "\n", Now);
+  EXPECT_GT(Writer.dropped(), 0U) << "nobody reads the pipe";
+  std::string Read(1 << 20, '\0');
+  ASSERT_GT(read(Ends[0], Read.data(), Read.size()), 0);
+  Now += seconds(1);
+  Writer.write("next\n", Now);
+  const auto Count = read(Ends[0], Read.data(), Read.size());
+  Read.resize(static_cast<std::size_t>(std::max<ssize_t>(Count, 0)));
+  EXPECT_NE(Read.find("\"log lines dropped\" lines="), std::string::npos);
+  EXPECT_TRUE(Read.ends_with("next\n"));
+  close(Ends[0]);
+  close(Ends[1]);
+}
+
+TEST(LineWriter, BoundsItsRate) {
+  int Ends[2];
+  ASSERT_EQ(pipe(Ends), 0);
+  LineWriter Writer(Ends[1]);
+  for (int Each = 0; Each < 5000; ++Each)
+    Writer.write("a\n", Noon);
+  EXPECT_GE(Writer.dropped(), 5000U - 2000U);
+  close(Ends[0]);
+  close(Ends[1]);
+}
+
 } // namespace
 } // namespace banyanpick
--- a/tests/process/GatewayDeployment.cpp
+++ b/tests/process/GatewayDeployment.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
+#include <thread>
 
 namespace banyanpick::process {
 
@@ -53,7 +54,10 @@
         {fmt::format("u{}", Index), freeAddress(), nullptr});
   for (std::size_t Index = 0; Index < Faults.size(); ++Index)
     this->startUpstream(this->Upstreams[Index], Faults[Index]);
-  eventually([&] { return askHttp(this->Store, {}, Patience).Status != 0; });
+  HttpQuestion Ping;
+  Ping.Target = "/standin/ping";
+  eventually(
+      [&] { return askHttp(this->Store, Ping, Patience).Status == 200; });
   this->configure(1);
   for (Host &Each : this->Hosts)
     this->startHost(Each);
--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -13,6 +13,7 @@
 #include "standins/HttpServer.h"
 
 #include <chrono>
+#include <fmt/format.h>
 #include <gflags/gflags.h>
 #include <map>
 #include <mutex>
