--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -226,8 +226,7 @@
       co_return this->broken(RelayBroken::Why::Spoilt);
     if (!Events.empty()) {
       this->notePause();
-      if (!this->Caller->hasBegun() &&
-          !co_await this->Caller->begin(std::move(Head)))
+      if (!this->Caller->hasBegun() && !co_await this->Caller->begin(Head))
         co_return this->broken(RelayBroken::Why::Reset);
       if (!co_await this->Caller->send(Events, this->Borders.lastId()))
         co_return this->broken(RelayBroken::Why::Reset);
@@ -242,8 +241,7 @@
   if (this->Borders.unfinished() > 0)
     co_return this->broken(RelayBroken::Why::Spoilt);
   this->keepLink(From);
-  if (!this->Caller->hasBegun() &&
-      !co_await this->Caller->begin(std::move(Head)))
+  if (!this->Caller->hasBegun() && !co_await this->Caller->begin(Head))
     co_return this->broken(RelayBroken::Why::Reset);
   co_await this->Caller->end();
   co_return RelayDelivered{From.get().result_int(), this->LongestPause};
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -325,23 +325,13 @@
     Out.add(SendToPeer{Peer, Work});
 }
 
-std::vector<SettingDeclaration> EngineLoadPlugin::settings() {
+namespace {
+
+/// How swift prompts are spread.
+std::vector<SettingDeclaration> swiftSettings() {
   constexpr auto Fraction = SettingKind::Fraction;
-  const std::string In = "engine_load";
   const std::string Place = "placement";
   return {
-      {In, "tell_interval", SettingKind::Span, "30ms",
-       "Peers are told at most so often what this host has running on engines; "
-       "short beside the reading of a prompt.",
-       1e3, 60e6},
-      {In, "jitter_ms", SettingKind::Fraction, "25",
-       "Engines whose predicted first tokens are no further apart than this "
-       "(milliseconds) are chosen among at random, as all hosts see alike.",
-       0, 1000},
-      {In, "other_zone_ms", SettingKind::Fraction, "4",
-       "What an engine in another data centre must be better by "
-       "(milliseconds): the way there and back, and what the bytes cost.",
-       0, 1000},
       {Place, "position_ms", Fraction, "40",
        "How much sooner (milliseconds) a swift prompt's first token must be on "
        "an engine one place behind the front; those behind are for long ones.",
@@ -371,6 +361,14 @@
       {Place, "most_running", SettingKind::Whole, "15",
        "An engine with so many counts as full: its batch holds one more.", 1,
        1000},
+  };
+}
+
+/// How longer prompts are shared, and the bounds for both.
+std::vector<SettingDeclaration> longSettings() {
+  constexpr auto Fraction = SettingKind::Fraction;
+  const std::string Place = "placement";
+  return {
       {Place, "full_ms", Fraction, "1000",
        "What a full engine, or one short of memory, counts (milliseconds).", 0,
        100000},
@@ -407,6 +405,37 @@
   };
 }
 
+} // namespace
+
+std::vector<SettingDeclaration> placementSettings() {
+  std::vector<SettingDeclaration> Result = swiftSettings();
+  const std::vector<SettingDeclaration> More = longSettings();
+  Result.insert(Result.end(), More.begin(), More.end());
+  return Result;
+}
+
+std::vector<SettingDeclaration> EngineLoadPlugin::settings() {
+  constexpr auto Fraction = SettingKind::Fraction;
+  const std::string In = "engine_load";
+  std::vector<SettingDeclaration> Result = {
+      {In, "tell_interval", SettingKind::Span, "30ms",
+       "Peers are told at most so often what this host has running on engines; "
+       "short beside the reading of a prompt.",
+       1e3, 60e6},
+      {In, "jitter_ms", SettingKind::Fraction, "25",
+       "Engines whose predicted first tokens are no further apart than this "
+       "(milliseconds) are chosen among at random, as all hosts see alike.",
+       0, 1000},
+      {In, "other_zone_ms", SettingKind::Fraction, "4",
+       "What an engine in another data centre must be better by "
+       "(milliseconds): the way there and back, and what the bytes cost.",
+       0, 1000},
+  };
+  const std::vector<SettingDeclaration> More = placementSettings();
+  Result.insert(Result.end(), More.begin(), More.end());
+  return Result;
+}
+
 namespace {
 
 const PluginRegistration
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -75,6 +75,9 @@
   Time LastTelling{};
 };
 
+/// The settings of section [placement].
+std::vector<SettingDeclaration> placementSettings();
+
 /// The weights of section [placement].
 PlacementWeights placementWeights(const Settings &Values);
 
--- a/tests/auto/gateway/GatewayBeliefsTest.cpp
+++ b/tests/auto/gateway/GatewayBeliefsTest.cpp
@@ -118,7 +118,7 @@
 TEST(Beliefs, ADrainingEngineGetsNothingNew) {
   GatewayBench Bench;
   Bench.configure(1);
-  Bench.register_("desk", 2);
+  Bench.enlist("desk", 2);
   EnginesRead Read;
   EngineChange Change;
   Change.Engine.Id = UpstreamId("e1");
--- a/tests/auto/gateway/GatewayBench.cpp
+++ b/tests/auto/gateway/GatewayBench.cpp
@@ -95,7 +95,7 @@
   this->send(GatewayEvent(ConfigurationRead{Declared, BeliefSource::Store}));
 }
 
-void GatewayBench::register_(const char *Service, int Count, LogOffset From) {
+void GatewayBench::enlist(const char *Service, int Count, LogOffset From) {
   EnginesRead Read;
   for (int Each = 1; Each <= Count; ++Each) {
     EngineChange Change;
--- a/tests/auto/gateway/GatewayBench.h
+++ b/tests/auto/gateway/GatewayBench.h
@@ -24,7 +24,7 @@
 
   void configure(std::uint64_t Version);
   /// Engines named `e1`, `e2` ... of the service, all in the host's zone.
-  void register_(const char *Service, int Count, LogOffset From = 0);
+  void enlist(const char *Service, int Count, LogOffset From = 0);
   /// A request to the path, with its key.
   RequestId arrive(std::string Path, std::uint64_t PromptTokens = 0);
   void end(const AttemptId &Try, RelayOutcome Outcome);
--- a/tests/auto/gateway/GatewayMemoryTest.cpp
+++ b/tests/auto/gateway/GatewayMemoryTest.cpp
@@ -15,7 +15,7 @@
 protected:
   EngineMemory() {
     this->Bench.configure(1);
-    this->Bench.register_("ring", 6);
+    this->Bench.enlist("ring", 6);
     this->Request = this->Bench.arrive("/stream/1", HugePrompt);
   }
 
--- a/tests/auto/gateway/RelaysTest.cpp
+++ b/tests/auto/gateway/RelaysTest.cpp
@@ -17,7 +17,7 @@
 protected:
   Relays() {
     this->Bench.configure(1);
-    this->Bench.register_("desk", 3);
+    this->Bench.enlist("desk", 3);
   }
 
   DispatchRelay sent() const { return this->Bench.last<DispatchRelay>(); }
@@ -141,13 +141,13 @@
 
 TEST_F(Relays, AnEngineThatComesTakesWhatWaits) {
   this->Bench.arrive("/stream/1", 5000);
-  this->Bench.register_("ring", 1, 50);
+  this->Bench.enlist("ring", 1, 50);
   this->Bench.pass(milliseconds(100));
   EXPECT_EQ(this->sends(), 1U);
 }
 
 TEST_F(Relays, AStreamGoesOnElsewhereAfterItsLastEvent) {
-  this->Bench.register_("ring", 3, 50);
+  this->Bench.enlist("ring", 3, 50);
   this->Bench.arrive("/stream/1", 5000);
   this->Bench.send(GatewayEvent(RelayBegan{this->sent().Attempt}));
   this->Bench.end(this->sent().Attempt,
@@ -157,7 +157,7 @@
 }
 
 TEST_F(Relays, AStreamThatCanGoOnNowhereIsBrokenOff) {
-  this->Bench.register_("ring", 3, 50);
+  this->Bench.enlist("ring", 3, 50);
   const RequestId Id = this->Bench.arrive("/stream/1", 5000);
   for (int Each = 0; Each < 2; ++Each) {
     this->Bench.send(GatewayEvent(RelayBegan{this->sent().Attempt}));
@@ -238,9 +238,10 @@
 RC_GTEST_PROP(RelaysProperty, AtMostOnceAndOneFinalAnswerHoldWhateverEnds, ()) {
   GatewayBench Bench;
   Bench.configure(1);
-  Bench.register_("desk", 4);
+  Bench.enlist("desk", 4);
   std::vector<RequestId> Once;
   const auto Arrivals = *rc::gen::inRange(1, 12);
+  Once.reserve(static_cast<std::size_t>(Arrivals));
   for (int Each = 0; Each < Arrivals; ++Each)
     Once.push_back(Bench.arrive("/once/x"));
   std::map<RequestId, int> Runs;
