--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -100,19 +100,19 @@
 void RelaysPlugin::receive(const RelayHead &Head, Time Now, Actions &Out) {
   const RouteTable *Routes = this->Declared->routes();
   if (!Routes) {
-    this->refuse(Head.Id, RefusalKind::NotRun, this->Times.ComeBack,
+    this->refuse(Head, RefusalKind::NotRun, this->Times.ComeBack,
                  "no configuration is known here yet", Out);
     return;
   }
   const RouteEntry *Route = Routes->find(Head.Host, Head.Path);
   if (!Route) {
-    this->refuse(Head.Id, RefusalKind::NoSuchRoute, Duration(0),
+    this->refuse(Head, RefusalKind::NoSuchRoute, Duration(0),
                  "no route takes this host and path", Out);
     return;
   }
   const KeyOwner *Owner = Routes->ownerOf(Head.Key);
   if (Routes->configuration().NeedsKeys && !Route->Public && !Owner) {
-    this->refuse(Head.Id, RefusalKind::UnknownKey, Duration(0),
+    this->refuse(Head, RefusalKind::UnknownKey, Duration(0),
                  "the key is missing or unknown", Out);
     return;
   }
@@ -148,12 +148,12 @@
               .with("version", Each.ConfigurationVersion)
               .build());
   if (this->Crashes->isQuarantined(Head.Content, Now)) {
-    this->refuse(Head.Id, RefusalKind::NotRun, seconds(5),
+    this->refuse(Head, RefusalKind::NotRun, seconds(5),
                  "this content crashed engines and is not run", Out);
     return;
   }
   if (this->isLeavingLate(Now)) {
-    this->refuse(Head.Id, RefusalKind::NotRun, milliseconds(10),
+    this->refuse(Head, RefusalKind::NotRun, milliseconds(10),
                  "this host stops; ask for another one", Out);
     return;
   }
@@ -386,19 +386,23 @@
   this->Running.remove(Id);
 }
 
-void RelaysPlugin::refuse(const RequestId &Id, RefusalKind Kind,
+void RelaysPlugin::refuse(const RelayHead &Head, RefusalKind Kind,
                           Duration RetryAfter, std::string_view Why,
                           Actions &Out) {
   Out.count("relays_ended", name(Kind));
   Out.log(logEvent(events::RelayAnswered)
-              .with("request", Id.Value)
+              .with("request", Head.Id.Value)
+              .with("caller_attempt", Head.CallerAttempt)
+              .with("host_name", Head.Host)
+              .with("path", Head.Path)
               .with("how", name(Kind))
               .with("why", Why)
               .with("version", this->Declared->routes()
                                    ? this->Declared->routes()->version()
                                    : 0)
               .build());
-  Out.add(GatewayAction(RefuseRelay{Id, Kind, RetryAfter, std::string(Why)}));
+  Out.add(
+      GatewayAction(RefuseRelay{Head.Id, Kind, RetryAfter, std::string(Why)}));
 }
 
 void RelaysPlugin::cancelTry(RunningRelay &Each, Time Now, Actions &Out) {
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -66,7 +66,7 @@
   /// Ends it without another try.
   void finish(RunningRelay &Each, RefusalKind Kind, std::string_view Why,
               Time Now, Actions &Out);
-  void refuse(const RequestId &Id, RefusalKind Kind, Duration RetryAfter,
+  void refuse(const RelayHead &Head, RefusalKind Kind, Duration RetryAfter,
               std::string_view Why, Actions &Out);
   /// Drops the live try.
   void cancelTry(RunningRelay &Each, Time Now, Actions &Out);
