--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -37,8 +37,6 @@
     106, LogLevel::Error, "changed settings rejected; the old ones stay"};
 inline constexpr EventKind LinesDropped{107, LogLevel::Warning,
                                         "log lines dropped"};
-inline constexpr EventKind ProcessSuspended{108, LogLevel::Warning,
-                                            "this machine was suspended"};
 
 // 2xx: requests
 inline constexpr EventKind RequestAdmitted{200, LogLevel::Info,
@@ -167,8 +165,6 @@
                                           "engine memory reserved"};
 inline constexpr EventKind MemoryReleased{841, LogLevel::Info,
                                           "engine memory released"};
-inline constexpr EventKind MemoryReclaimed{842, LogLevel::Warning,
-                                           "abandoned engine memory released"};
 
 } // namespace events
 } // namespace banyanpick
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -415,7 +415,6 @@
 }
 
 std::vector<SettingDeclaration> EngineLoadPlugin::settings() {
-  constexpr auto Fraction = SettingKind::Fraction;
   const std::string In = "engine_load";
   std::vector<SettingDeclaration> Result = {
       {In, "tell_interval", SettingKind::Span, "30ms",
