Add a soak of the real programs under random faults

scripts/soak SEED SECONDS starts hosts, a store and upstreams as processes, puts loopback proxies before and behind the hosts, and plays a plan of faults drawn from the seed: signals, links that delay, reset or go silent one way, a store that refuses, hangs and forgets, changes in series. Promises are checked from what callers got and upstreams ran.

--- a/tests/process/Deployment.cpp
+++ b/tests/process/Deployment.cpp
@@ -6,7 +6,7 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
-#include <set>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -45,14 +45,27 @@
 } // namespace
 
 std::string freeAddress() {
-  static std::set<std::uint16_t> Given;
+  // Below the ports that systems give to outgoing connections: a process that
+  // is started again must find its port free.
+  constexpr std::uint16_t First = 15000;
+  constexpr std::uint16_t Last = 31999;
+  static std::uint16_t Next =
+      First +
+      static_cast<std::uint16_t>(std::random_device()() % (Last - First));
   boost::asio::io_context Io;
   for (;;) {
-    boost::asio::ip::tcp::acceptor Probe(
-        Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    const std::uint16_t Port = Probe.local_endpoint().port();
-    if (Given.insert(Port).second)
-      return fmt::format("127.0.0.1:{}", Port);
+    Next = Next >= Last ? First : Next + 1;
+    boost::asio::ip::tcp::acceptor Probe(Io);
+    const boost::asio::ip::tcp::endpoint At(
+        boost::asio::ip::make_address("127.0.0.1"), Next);
+    boost::system::error_code Taken;
+    Probe.open(At.protocol());
+    Probe.set_option(boost::asio::socket_base::reuse_address(true));
+    Probe.bind(At, Taken);
+    if (!Taken)
+      Probe.listen(1, Taken);
+    if (!Taken)
+      return fmt::format("127.0.0.1:{}", Next);
   }
 }
 
--- a/tests/process/GatewayDeployment.cpp
+++ b/tests/process/GatewayDeployment.cpp
@@ -37,7 +37,8 @@
 } // namespace
 
 GatewayDeployment::GatewayDeployment(const std::vector<Fault> &Faults,
-                                     std::size_t HostCount)
+                                     std::size_t HostCount,
+                                     const GatewayLinks &Links)
     : Folder((std::filesystem::temp_directory_path() /
               fmt::format("gateway-{}", freeAddress().substr(10)))
                  .string()),
@@ -45,13 +46,16 @@
   std::filesystem::create_directories(this->Folder);
   this->StoreProcess =
       this->start("store", "standin_store", {"--listen", this->Store});
-  for (std::size_t Index = 1; Index <= HostCount; ++Index)
-    this->Hosts.push_back({fmt::format("host-{}", Index), freeAddress(),
+  for (std::size_t Index = 0; Index < HostCount; ++Index)
+    this->Hosts.push_back({fmt::format("host-{}", Index + 1), freeAddress(),
                            freeAddress(), freeAddress(), freeAddress(),
-                           freeAddress(), nullptr});
-  for (std::size_t Index = 1; Index <= Faults.size(); ++Index)
-    this->Upstreams.push_back(
-        {fmt::format("u{}", Index), freeAddress(), nullptr});
+                           freeAddress(), Links.ToStore(Index, this->Store),
+                           nullptr});
+  for (std::size_t Index = 0; Index < Faults.size(); ++Index) {
+    const std::string At = freeAddress();
+    this->Upstreams.push_back({fmt::format("u{}", Index + 1), At,
+                               Links.ToUpstream(Index, At), nullptr});
+  }
   for (std::size_t Index = 0; Index < Faults.size(); ++Index)
     this->startUpstream(this->Upstreams[Index], Faults[Index]);
   HttpQuestion Ping;
@@ -77,7 +81,35 @@
   this->Upstreams.clear();
   this->StoreProcess.reset();
   std::error_code Ignored;
-  std::filesystem::remove_all(this->Folder, Ignored);
+  if (!this->KeepsFolder)
+    std::filesystem::remove_all(this->Folder, Ignored);
+}
+
+std::string GatewayDeployment::keepLogs() {
+  this->KeepsFolder = true;
+  return this->Folder;
+}
+
+void GatewayDeployment::replaceUpstream(Upstream &Into) {
+  Into.Id = fmt::format("{}r{}", Into.Id.substr(0, Into.Id.find('r')),
+                        ++this->Replacements);
+  this->startUpstream(Into, "");
+}
+
+void GatewayDeployment::unregister(const std::string &Id) const {
+  this->put(std::string(platform::topic::Engines), Id, "");
+}
+
+std::map<std::string, int> GatewayDeployment::recordedRuns() const {
+  std::map<std::string, int> Result;
+  for (const auto &File : std::filesystem::directory_iterator(this->Folder)) {
+    if (File.path().extension() != ".runs")
+      continue;
+    std::ifstream In(File.path());
+    for (std::string Attempt; std::getline(In, Attempt);)
+      ++Result[Attempt];
+  }
+  return Result;
 }
 
 std::unique_ptr<ChildProcess>
@@ -89,9 +121,11 @@
 }
 
 void GatewayDeployment::startUpstream(Upstream &Into, const Fault &How) {
-  Into.Process = this->start(Into.Id, "standin_upstream",
-                             {"--listen", Into.Address, "--id", Into.Id,
-                              "--store", this->Store, "--fault", How});
+  Into.Process =
+      this->start(Into.Id, "standin_upstream",
+                  {"--listen", Into.Address, "--id", Into.Id, "--registered",
+                   Into.Registered, "--store", this->Store, "--fault", How,
+                   "--runs_file", this->Folder + "/" + Into.Id + ".runs"});
 }
 
 void GatewayDeployment::startHost(Host &Into) {
@@ -110,7 +144,7 @@
       "heartbeat_interval = 100ms\nhost_list_interval = 500ms\n"
       "[peers]\nencryption = none\n",
       Of.Name, Of.Callers, Of.Peers, Of.Directory, Of.Readiness, Of.Metrics,
-      this->Store, this->Store, this->Hosts.front().Peers);
+      Of.Store, Of.Store, this->Hosts.front().Peers);
 }
 
 HttpReply GatewayDeployment::ask(std::size_t Host, const std::string &Path,
--- a/tests/process/GatewayDeployment.h
+++ b/tests/process/GatewayDeployment.h
@@ -6,12 +6,21 @@
 #include "standins/HttpClient.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace banyanpick::process {
 
+/// What lies between the processes: each gives the address to use for a target.
+struct GatewayLinks {
+  std::function<std::string(std::size_t Host, const std::string &Store)>
+      ToStore = [](std::size_t, const std::string &At) { return At; };
+  std::function<std::string(std::size_t Upstream, const std::string &At)>
+      ToUpstream = [](std::size_t, const std::string &At) { return At; };
+};
+
 /// Two hosts before the upstreams that a test names.
 class GatewayDeployment {
 public:
@@ -22,11 +31,13 @@
     std::string Readiness;
     std::string Metrics;
     std::string Peers;
+    std::string Store; ///< Where it reaches the store.
     std::unique_ptr<ChildProcess> Process;
   };
   struct Upstream {
     std::string Id;
     std::string Address;
+    std::string Registered; ///< Where hosts reach it.
     std::unique_ptr<ChildProcess> Process;
   };
   /// How one upstream of the only service behaves; see standin_upstream.
@@ -34,9 +45,26 @@
 
   /// Starts everything and waits until each host is ready.
   explicit GatewayDeployment(const std::vector<Fault> &Faults,
-                             std::size_t HostCount = 2);
+                             std::size_t HostCount = 2,
+                             const GatewayLinks &Links = {});
   ~GatewayDeployment();
 
+  std::size_t hosts() const { return this->Hosts.size(); }
+  std::size_t upstreams() const { return this->Upstreams.size(); }
+  ChildProcess &store() { return *this->StoreProcess; }
+
+  /// Starts the host's process anew, at the same addresses.
+  void startHost(Host &Into);
+  /// Starts another upstream at the same address; its id is new.
+  void replaceUpstream(Upstream &Into);
+  /// Takes the upstream out of the registry.
+  void unregister(const std::string &Id) const;
+
+  /// How often each attempt ran, also on upstreams that are gone.
+  std::map<std::string, int> recordedRuns() const;
+  /// Leaves the processes' output behind; the folder's path.
+  std::string keepLogs();
+
   Host &host(std::size_t Index) { return this->Hosts.at(Index); }
   Upstream &upstream(std::size_t Index) { return this->Upstreams.at(Index); }
 
@@ -57,7 +85,6 @@
   void control(const std::string &Target) const;
 
 private:
-  void startHost(Host &Into);
   void startUpstream(Upstream &Into, const Fault &How);
   std::string settingsOf(const Host &Of) const;
   std::unique_ptr<ChildProcess> start(const std::string &Name,
@@ -65,6 +92,8 @@
                                       std::vector<std::string> Flags) const;
 
   std::string Folder;
+  bool KeepsFolder = false;
+  std::size_t Replacements = 0;
   std::string Store;
   std::unique_ptr<ChildProcess> StoreProcess;
   std::vector<Host> Hosts;
--- /dev/null
+++ b/tests/soak/LoopbackProxy.h
@@ -0,0 +1,77 @@
+/// \file
+/// A TCP proxy on loopback that spoils what passes through it.
+#pragma once
+
+#include "base/Time.h"
+
+// Before Asio's coroutines, which use std::exchange without including it.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace banyanpick::soak {
+
+/// Everything passes as it comes.
+struct SoundLink {};
+/// Each piece waits so long, in both directions.
+struct DelayedLink {
+  Duration By{};
+};
+/// Open connections are reset, and new ones as soon as they are made.
+struct ResettingLink {};
+/// Nothing passes in the named directions until the fault ends.
+struct SilentLink {
+  bool ToServer = false;
+  bool ToClient = false;
+};
+
+using LinkFault =
+    std::variant<SoundLink, DelayedLink, ResettingLink, SilentLink>;
+
+/// Forwards each connection to one target, on a thread of its own.
+class LoopbackProxy {
+public:
+  /// Both are `ip:port`.
+  LoopbackProxy(const std::string &Listen, const std::string &Target);
+  ~LoopbackProxy();
+  LoopbackProxy(const LoopbackProxy &) = delete;
+  LoopbackProxy &operator=(const LoopbackProxy &) = delete;
+
+  /// May be called from any thread; holds for open connections, too.
+  void set(const LinkFault &Fault);
+  const std::string &address() const { return this->Address; }
+
+private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  /// The two ends of one connection.
+  struct Pipe {
+    Socket Client;
+    Socket Server;
+
+    void close();
+    void reset();
+  };
+
+  boost::asio::awaitable<void> acceptAll();
+  boost::asio::awaitable<void> connect(std::shared_ptr<Pipe> Each);
+  boost::asio::awaitable<void> carry(std::shared_ptr<Pipe> Each, bool ToServer);
+  boost::asio::awaitable<void> holdBack(bool ToServer);
+
+  std::string Address;
+  boost::asio::io_context Io{1};
+  boost::asio::ip::tcp::endpoint Target;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  LinkFault Now;
+  std::vector<std::weak_ptr<Pipe>> Open;
+  std::thread Runner;
+};
+
+} // namespace banyanpick::soak
--- /dev/null
+++ b/tests/soak/SoakTest.cpp
@@ -0,0 +1,47 @@
+/// \file
+/// Short soaks with fixed seeds, and the plan itself.
+#include "soak/SoakRun.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace banyanpick::soak {
+namespace {
+
+/// Seeds that once broke a promise stay here, each with the cause.
+class Soak : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(Soak, BreaksNoPromise) {
+  const SoakReport Report = runSoak(GetParam(), seconds(8), {});
+  for (const std::string &Each : Report.Violations)
+    ADD_FAILURE() << Each << "; logs in " << Report.Logs;
+  EXPECT_GT(Report.Whole, Report.Sent / 2);
+  EXPECT_GT(Report.Faults, 4U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fixed, Soak, testing::Values(1, 2));
+
+TEST(FaultPlan, OneSeedGivesOnePlanAndAnotherAnother) {
+  const auto describeAll = [](std::uint64_t Seed) {
+    std::string Result;
+    for (const PlannedFault &Each : planFaults(Seed, seconds(30), 3, 4))
+      Result += fmt::format("{} {} {}\n", Each.At.count(), Each.For.count(),
+                            describe(Each.What));
+    return Result;
+  };
+  EXPECT_EQ(describeAll(7), describeAll(7));
+  EXPECT_NE(describeAll(7), describeAll(8));
+}
+
+TEST(FaultPlan, FaultsOverlapAndEndInTime) {
+  const auto Plan = planFaults(3, seconds(60), 3, 4);
+  std::size_t Overlaps = 0;
+  for (std::size_t Each = 1; Each < Plan.size(); ++Each)
+    Overlaps += Plan[Each].At < Plan[Each - 1].At + Plan[Each - 1].For ? 1 : 0;
+  EXPECT_GT(Overlaps, Plan.size() / 4);
+  for (const PlannedFault &Each : Plan)
+    EXPECT_LE(Each.At + Each.For, Duration(seconds(60) + seconds(1)));
+}
+
+} // namespace
+} // namespace banyanpick::soak
--- /dev/null
+++ b/tests/soak/SoakTraffic.cpp
@@ -0,0 +1,138 @@
+#include "soak/SoakTraffic.h"
+
+#include "platform/WireNames.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace banyanpick::soak {
+
+namespace {
+
+namespace header = platform::header;
+using standins::askHttp;
+using standins::HttpQuestion;
+
+/// Events of a stream, as the stand-in sends them by default.
+constexpr int StreamEvents = 10;
+/// How long a caller uses what a directory said, and how long at most: three
+/// times the second that hosts name.
+constexpr seconds AskAgainAfter(1);
+constexpr seconds KeepAtMost(3);
+constexpr milliseconds DirectoryPatience(300);
+/// A connection that says nothing for so long beyond its limit is given up.
+constexpr seconds ReadSlack(3);
+
+std::string pathOf(CallKind Kind) {
+  switch (Kind) {
+  case CallKind::Safe:
+    return "/safe/x";
+  case CallKind::Once:
+    return "/once/x";
+  case CallKind::Stream:
+    return "/stream/x";
+  }
+  return "/";
+}
+
+std::vector<std::string> askDirectory(const std::string &At) {
+  HttpQuestion Ask;
+  Ask.Target = std::string(platform::path::Resolution) + "?Name=demo.example";
+  const auto Reply = askHttp(At, Ask, DirectoryPatience).parsed();
+  if (!Reply.is_object() || !Reply.contains("Addresses"))
+    return {};
+  return Reply["Addresses"].get<std::vector<std::string>>();
+}
+
+} // namespace
+
+std::string wholeStream() {
+  std::string Result;
+  for (int Id = 1; Id <= StreamEvents; ++Id)
+    Result += fmt::format("id: {}\ndata: piece {}\n\n", Id, Id);
+  return Result;
+}
+
+SoakTraffic::SoakTraffic(
+    process::GatewayDeployment &Deployed,
+    std::span<const std::unique_ptr<LoopbackProxy>> CallerLinks,
+    std::uint64_t Seed, std::size_t Callers)
+    : Deployed(Deployed), CallerLinks(CallerLinks) {
+  for (std::size_t Each = 0; Each < Callers; ++Each)
+    this->Threads.emplace_back([this, Seed, Each] { this->run(Seed + Each); });
+}
+
+SoakTraffic::~SoakTraffic() { this->finish(); }
+
+std::vector<CallRecord> SoakTraffic::finish() {
+  this->Ends = true;
+  for (std::thread &Each : this->Threads)
+    Each.join();
+  this->Threads.clear();
+  return std::move(this->Records);
+}
+
+CallRecord SoakTraffic::callOnce(CallKind Kind, std::size_t Host,
+                                 Duration Limit) {
+  CallRecord Result;
+  const std::uint64_t Number = ++this->Calls;
+  Result.Kind = Kind;
+  Result.Attempt = fmt::format("a{}", Number);
+  Result.Payload = fmt::format("payload-{}", Number);
+  Result.Host = Host;
+  Result.Limit = Limit;
+  HttpQuestion Ask;
+  Ask.Method = boost::beast::http::verb::post;
+  Ask.Target = pathOf(Kind);
+  Ask.Body = Result.Payload;
+  const auto LimitMs = std::chrono::duration_cast<milliseconds>(Limit).count();
+  Ask.Headers = {{"Host", "demo.example"},
+                 {"Authorization", "Bearer demo-key"},
+                 {std::string(header::AttemptId), Result.Attempt},
+                 {std::string(header::Remaining), std::to_string(LimitMs)}};
+  Result.Start = Clock::now();
+  Result.Reply =
+      askHttp(this->CallerLinks[Host]->address(), Ask, Limit + ReadSlack);
+  Result.End = Clock::now();
+  return Result;
+}
+
+std::optional<std::size_t>
+SoakTraffic::pickHost(std::mt19937_64 &Numbers, std::vector<std::string> &Known,
+                      Clock::time_point &KnownAt) const {
+  const auto Now = Clock::now();
+  if (Known.empty() || Now >= KnownAt + AskAgainAfter) {
+    auto &Asked = this->Deployed.host(Numbers() % this->Deployed.hosts());
+    std::vector<std::string> Named = askDirectory(Asked.Directory);
+    if (!Named.empty()) {
+      Known = std::move(Named);
+      KnownAt = Now;
+    }
+  }
+  if (Known.empty() || Now >= KnownAt + KeepAtMost)
+    return std::nullopt;
+  const std::string &Picked = Known[Numbers() % Known.size()];
+  for (std::size_t Index = 0; Index < this->Deployed.hosts(); ++Index)
+    if (this->Deployed.host(Index).Callers == Picked)
+      return Index;
+  return std::nullopt;
+}
+
+void SoakTraffic::run(std::uint64_t Seed) {
+  std::mt19937_64 Numbers(Seed);
+  std::vector<std::string> Known;
+  Clock::time_point KnownAt;
+  while (!this->Ends) {
+    std::this_thread::sleep_for(milliseconds(Numbers() % 40));
+    const auto Host = this->pickHost(Numbers, Known, KnownAt);
+    if (!Host)
+      continue;
+    const auto Kind = static_cast<CallKind>(Numbers() % 3);
+    const Duration Limit = milliseconds(500 + Numbers() % 3500);
+    CallRecord Record = this->callOnce(Kind, *Host, Limit);
+    const std::lock_guard Lock(this->Guard);
+    this->Records.push_back(std::move(Record));
+  }
+}
+
+} // namespace banyanpick::soak
--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -14,12 +14,15 @@
 
 #include <chrono>
 #include <fmt/format.h>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <map>
 #include <mutex>
 #include <thread>
 
 DEFINE_string(listen, "127.0.0.1:7500", "where it listens");
+DEFINE_string(registered, "", "where hosts reach it, if not there");
+DEFINE_string(runs_file, "", "where it notes each request that it runs");
 DEFINE_string(id, "u1", "its id");
 DEFINE_string(service, "desk", "the service that it is a part of");
 DEFINE_string(zone, "east", "its data centre");
@@ -118,6 +121,8 @@
   void note(const Exchange &Each, const std::string &Attempt) {
     const std::lock_guard Lock(this->Guard);
     ++this->Runs[Attempt];
+    if (this->RunsFile.is_open())
+      this->RunsFile << Attempt << std::endl;
     this->SawKey |= !Each.header("Authorization").empty();
   }
 
@@ -128,16 +133,18 @@
 
   std::mutex Guard;
   std::map<std::string, int> Runs;
+  std::ofstream RunsFile{FLAGS_runs_file, std::ios::app};
   bool SawKey = false;
 };
 
 void registerSelf() {
-  const json Entry{{"Service", FLAGS_service},
-                   {"Address", FLAGS_listen},
-                   {"Zone", FLAGS_zone},
-                   {"Version", "v1"},
-                   {"Slots", 6},
-                   {"State", "ready"}};
+  const json Entry{
+      {"Service", FLAGS_service},
+      {"Address", FLAGS_registered.empty() ? FLAGS_listen : FLAGS_registered},
+      {"Zone", FLAGS_zone},
+      {"Version", "v1"},
+      {"Slots", 6},
+      {"State", "ready"}};
   HttpQuestion Put;
   Put.Method = boost::beast::http::verb::post;
   Put.Target = fmt::format("/standin/put?Topic={}&Key={}",
