Keep serving when the peers' thread takes a signal

Ruled out: the pause itself (pauses without another signal end nothing; poll goes on after them).

Cause: any thread may take a signal that waits for the process; then zmq::poll ends with EINTR, which cppzmq throws. A busy host could die of a SIGTERM or SIGHUP in the same way.

--- a/src/libs/peers/PeerNetwork.cpp
+++ b/src/libs/peers/PeerNetwork.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 #include "wire/PeerCodec.h"
 
+#include <cerrno>
 #include <sys/eventfd.h>
 #include <unistd.h>
 #include <zmq_addon.hpp>
@@ -123,20 +124,31 @@
 
 void PeerNetwork::run() {
   for (;;) {
-    std::array<zmq::pollitem_t, 3> Items{
-        {{this->Gate.socket().handle(), 0, ZMQ_POLLIN, 0},
-         {this->Router.handle(), 0, ZMQ_POLLIN, 0},
-         {nullptr, this->WakeDescriptor, ZMQ_POLLIN, 0}}};
-    zmq::poll(Items, milliseconds(-1));
-    this->Gate.answerAll();
-    this->receiveAll();
-    this->takeCommands();
+    try {
+      this->waitAndServe();
+    } catch (const zmq::error_t &Failure) {
+      // Any thread may be the one that takes a signal, and its wait ends so;
+      // without this a SIGTERM or SIGHUP could end the whole process.
+      if (Failure.num() != EINTR)
+        throw;
+    }
     const std::lock_guard Lock(this->Guard);
     if (this->Stopping)
       return;
   }
 }
 
+void PeerNetwork::waitAndServe() {
+  std::array<zmq::pollitem_t, 3> Items{
+      {{this->Gate.socket().handle(), 0, ZMQ_POLLIN, 0},
+       {this->Router.handle(), 0, ZMQ_POLLIN, 0},
+       {nullptr, this->WakeDescriptor, ZMQ_POLLIN, 0}}};
+  zmq::poll(Items, milliseconds(-1));
+  this->Gate.answerAll();
+  this->receiveAll();
+  this->takeCommands();
+}
+
 void PeerNetwork::takeCommands() {
   std::uint64_t Count = 0;
   [[maybe_unused]] const auto Ignored =
--- a/src/libs/peers/PeerNetwork.h
+++ b/src/libs/peers/PeerNetwork.h
@@ -49,6 +49,8 @@
 
   void bind(const Address &Listen);
   void run();
+  /// Waits for something to do, and does it.
+  void waitAndServe();
   void takeCommands();
   void receiveAll();
   void take(zmq::message_t &Payload);
--- a/tests/process/GatewayTest.cpp
+++ b/tests/process/GatewayTest.cpp
@@ -154,6 +154,26 @@
   EXPECT_TRUE(Gateway.host(0).Process->isAlive());
 }
 
+TEST(Gateway, SignalsThatWaitedForAPausedHostDoNotEndIt) {
+  GatewayDeployment Gateway({""});
+  ChildProcess &Paused = *Gateway.host(0).Process;
+  // Any thread may take such a signal, and its wait is interrupted.
+  for (int Each = 0; Each < 20; ++Each) {
+    Paused.signal(SIGSTOP);
+    Paused.signal(SIGHUP);
+    std::this_thread::sleep_for(milliseconds(20));
+    Paused.signal(SIGCONT);
+    std::this_thread::sleep_for(milliseconds(20));
+    ASSERT_TRUE(Paused.isAlive()) << "after pause " << Each;
+  }
+  EXPECT_EQ(Gateway.ask(0, "/once/x", "p1").Status, 200U);
+  Paused.signal(SIGSTOP);
+  Paused.signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(50));
+  Paused.signal(SIGCONT);
+  EXPECT_EQ(Paused.wait(), 0);
+}
+
 TEST(Gateway, ShowsItsMetrics) {
   GatewayDeployment Gateway({""}, 1);
   Gateway.ask(0, "/safe/x", "h1");
