--- a/src/libs/http/AddressText.h
+++ b/src/libs/http/AddressText.h
@@ -1,22 +1,12 @@
 /// \file
-/// Addresses as text and as endpoints.
+/// Addresses as endpoints; as text see kernel/AddressText.h.
 #pragma once
 
 #include "http/Asio.h"
-#include "kernel/Upstream.h"
-
-#include <string>
-#include <string_view>
+#include "kernel/AddressText.h"
 
 namespace banyanpick {
 
-/// Reads `ip:port`, with brackets around an IPv6 number. Throws
-/// Error(BadInput) when it is none.
-Address addressFromText(std::string_view Text);
-
-/// The inverse of addressFromText().
-std::string text(const Address &At);
-
 /// Throws Error(BadInput) when the IP number is malformed.
 Tcp::endpoint endpointOf(const Address &At);
 
