Count the time of a suspended machine

The steady clock stands still meanwhile, so limits of requests sent on after it would have been too long and beliefs too young by it. Not measured apart.

--- a/src/app/ProcessClock.h
+++ b/src/app/ProcessClock.h
@@ -4,28 +4,34 @@
 
 #include "base/Time.h"
 
-#include <chrono>
+#include <ctime>
 
 namespace banyanpick {
 
-/// Never runs backwards, whatever is done to the wall clock meanwhile. Safe
-/// from any thread.
+/// Never runs backwards, whatever is done to the wall clock meanwhile, and
+/// counts the time for which the machine was suspended: limits of requests and
+/// the age of what is known go on then. Safe from any thread.
 class ProcessClock {
 public:
   ProcessClock()
-      : WallAtStart(std::chrono::duration_cast<Duration>(
-            std::chrono::system_clock::now().time_since_epoch())),
-        SteadyAtStart(std::chrono::steady_clock::now()) {}
+      : WallAtStart(readClock(CLOCK_REALTIME)),
+        BootAtStart(readClock(CLOCK_BOOTTIME)) {}
 
   Time now() const {
-    const auto Passed = std::chrono::steady_clock::now() - this->SteadyAtStart;
-    return Time(this->WallAtStart +
-                std::chrono::duration_cast<Duration>(Passed));
+    return Time(this->WallAtStart + readClock(CLOCK_BOOTTIME) -
+                this->BootAtStart);
   }
 
 private:
+  static Duration readClock(clockid_t Which) {
+    timespec Read{};
+    clock_gettime(Which, &Read);
+    return std::chrono::duration_cast<Duration>(
+        seconds(Read.tv_sec) + std::chrono::nanoseconds(Read.tv_nsec));
+  }
+
   const Duration WallAtStart;
-  const std::chrono::steady_clock::time_point SteadyAtStart;
+  const Duration BootAtStart;
 };
 
 } // namespace banyanpick
