--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -102,11 +102,6 @@
         this->decode(Is.Document, BeliefSource::Peer);
       },
       [&](const LimitCallers &Is) { this->Server->setLimits(Is.Limits); },
-      [&](const PaceRegistry &Is) {
-        FollowPace Pace = this->Uses.Values.Engines;
-        Pace.LeastInterval = Is.Interval;
-        this->Engines->setPace(Pace);
-      },
       [&](const AskReport &Is) {
         net::co_spawn(this->Io, this->askReport(Is), net::detached);
       },
@@ -271,6 +266,11 @@
     }
   } catch (const Error &Failure) {
     this->count("reports_malformed", Wanted.Engine.Value);
+    writeLogLine(logEvent(events::ReportUnreadable)
+                     .with("engine", Wanted.Engine.Value)
+                     .with("why", Failure.what())
+                     .build(),
+                 this->Uses.Clock.now());
   }
   this->Uses.Events.send(GatewayEvent(EngineReportFailed{Wanted.Engine}));
 }
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -144,12 +144,16 @@
                                             "store unreachable"};
 inline constexpr EventKind RegistrationUnreadable{804, LogLevel::Warning,
                                                   "registration unreadable"};
+inline constexpr EventKind ReportUnreadable{805, LogLevel::Warning,
+                                            "engine report unreadable"};
 inline constexpr EventKind EngineChanged{810, LogLevel::Info,
                                          "engine changed standing"};
 inline constexpr EventKind EngineAvoided{811, LogLevel::Warning,
                                          "engine avoided"};
 inline constexpr EventKind EngineTrusted{812, LogLevel::Info,
                                          "engine trusted again"};
+inline constexpr EventKind EnginePaceChanged{813, LogLevel::Info,
+                                             "engine works at another pace"};
 inline constexpr EventKind RelayReceived{820, LogLevel::Info,
                                          "relayed request received"};
 inline constexpr EventKind RelaySent{821, LogLevel::Info,
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -92,12 +92,8 @@
 
   bool operator==(const LimitCallers &) const = default;
 };
-/// How often the registry is read from now on.
-struct PaceRegistry {
-  Duration Interval{};
-
-  bool operator==(const PaceRegistry &) const = default;
-};
+/// Ask an engine for its own figures; answered by EngineReported or
+/// EngineReportFailed.
 struct AskReport {
   UpstreamId Engine;
   Address At;
@@ -135,8 +131,7 @@
 
 using GatewayAction =
     std::variant<DispatchRelay, CancelRelay, RefuseRelay, DeliverFailure,
-                 BreakRelay, DecodeConfiguration, LimitCallers, PaceRegistry,
-                 AskReport, ReserveMemory, ReleaseMemory, CloseCallers,
-                 AnnounceHost>;
+                 BreakRelay, DecodeConfiguration, LimitCallers, AskReport,
+                 ReserveMemory, ReleaseMemory, CloseCallers, AnnounceHost>;
 
 } // namespace banyanpick
--- a/src/libs/relay/KeyedFollower.h
+++ b/src/libs/relay/KeyedFollower.h
@@ -35,7 +35,6 @@
                 StoreTopic Topic, FollowPace Pace, Listener Tell);
 
   void start();
-  void setPace(FollowPace Given) { this->Pace = Given; }
 
 private:
   Task<void> run();
