--- /dev/null
+++ b/src/plugins/relays/RelayLines.cpp
@@ -0,0 +1,119 @@
+#include "plugins/relays/RelayLines.h"
+
+#include "base/EventNumbers.h"
+#include "base/Visitor.h"
+
+namespace banyanpick {
+
+namespace {
+
+std::string_view outcomeName(const RelayOutcome &Outcome) {
+  return match(
+      Outcome,
+      [](const RelayNeverSent &) { return std::string_view("unsent"); },
+      [](const RelayNotRun &Is) {
+        return std::string_view(Is.OtherEngine ? "other_engine" : "not_run");
+      },
+      [](const RelayDelivered &) { return std::string_view("delivered"); },
+      [](const RelayFailed &) { return std::string_view("failed"); },
+      [](const RelayBroken &Is) { return name(Is.Reason); });
+}
+
+std::uint32_t statusOf(const RelayOutcome &Outcome) {
+  return match(
+      Outcome, [](const RelayNotRun &Is) { return Is.Status; },
+      [](const RelayDelivered &Is) { return Is.Status; },
+      [](const RelayFailed &Is) { return Is.Status; },
+      [](const auto &) { return std::uint32_t(0); });
+}
+
+} // namespace
+
+void logReceived(const RunningRelay &Of, std::string_view RouteName, Time Now,
+                 Actions &Out) {
+  Out.log(logEvent(events::RelayReceived)
+              .with("request", Of.Head.Id.Value)
+              .with("caller_attempt", Of.Head.CallerAttempt)
+              .with("route", RouteName)
+              .with("service", Of.Service.Value)
+              .with("team", Of.Team.Value)
+              .with("prompt_tokens", Of.Head.PromptTokens)
+              .with("time_us", (Of.Deadline - Now).count())
+              .with("version", Of.ConfigurationVersion)
+              .build());
+}
+
+void logRefused(const RelayHead &Head, RefusalKind Kind, std::string_view Why,
+                std::uint64_t Version, Actions &Out) {
+  Out.count("relays_ended", name(Kind));
+  Out.log(logEvent(events::RelayAnswered)
+              .with("request", Head.Id.Value)
+              .with("caller_attempt", Head.CallerAttempt)
+              .with("host_name", Head.Host)
+              .with("path", Head.Path)
+              .with("how", name(Kind))
+              .with("why", Why)
+              .with("version", Version)
+              .build());
+}
+
+void logSent(const RunningRelay &Of, const RelayTry &Try,
+             const KnownEngine &Engine, Actions &Out) {
+  Out.log(logEvent(events::RelaySent)
+              .with("request", Of.Head.Id.Value)
+              .with("try", Try.Id.Sequence)
+              .with("engine", Try.Engine.Value)
+              .with("helpers", Try.Helpers.size())
+              .with("sends", Of.Sends)
+              .with("after_event", Of.LastEvent.value_or(0))
+              .with("standing", name(Engine.Standing))
+              .with("offset", Engine.Offset)
+              .with("predicted_us", Try.Predicted.count())
+              .build());
+}
+
+void logWaits(const RunningRelay &Of, Actions &Out) {
+  Out.count("relays_waited");
+  Out.log(logEvent(events::RelayWaits)
+              .with("request", Of.Head.Id.Value)
+              .with("service", Of.Service.Value)
+              .with("ran_on", Of.RanOn.size())
+              .with("not_run_on", Of.NotRunOn.size())
+              .build());
+}
+
+void logTryEnded(const RunningRelay &Of, const RelayTry &Ended,
+                 const RelayOutcome &Outcome, Time Now, Actions &Out) {
+  Out.count("tries_ended", outcomeName(Outcome));
+  Out.log(logEvent(events::RelayTryEnded)
+              .with("request", Of.Head.Id.Value)
+              .with("try", Ended.Id.Sequence)
+              .with("engine", Ended.Engine.Value)
+              .with("how", outcomeName(Outcome))
+              .with("status", statusOf(Outcome))
+              .with("helpers", Ended.Helpers.size())
+              .with("predicted_us", Ended.Predicted.count())
+              .with("after_us", (Now - Ended.SentAt).count())
+              .build());
+}
+
+void logEnd(const RunningRelay &Of, std::string_view How, std::string_view Why,
+            Time Now, Actions &Out) {
+  Out.count("relays_ended", How);
+  Out.add(RecordMeasurement{RecordMeasurement::Kind::Histogram, "relay_seconds",
+                            std::string(How), inSeconds(Now - Of.ArrivedAt)});
+  Out.log(logEvent(events::RelayAnswered)
+              .with("request", Of.Head.Id.Value)
+              .with("caller_attempt", Of.Head.CallerAttempt)
+              .with("how", How)
+              .with("why", Why)
+              .with("sends", Of.Sends)
+              .with("ran_on", Of.RanOn.size())
+              .with("prompt_tokens", Of.Head.PromptTokens)
+              .with("first_event_us", Of.FirstEvent.count())
+              .with("longest_pause_us", Of.LongestPause.count())
+              .with("after_us", (Now - Of.ArrivedAt).count())
+              .build());
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/relays/RelayLines.h
@@ -0,0 +1,25 @@
+/// \file
+/// The log lines and counters of a relayed request's way, each with what
+/// decided it. docs/EVENTS.md lists the events.
+#pragma once
+
+#include "plugins/relays/RunningRelay.h"
+
+#include <string_view>
+
+namespace banyanpick {
+
+void logReceived(const RunningRelay &Of, std::string_view RouteName, Time Now,
+                 Actions &Out);
+/// A request that is refused before anything is tried.
+void logRefused(const RelayHead &Head, RefusalKind Kind, std::string_view Why,
+                std::uint64_t Version, Actions &Out);
+void logSent(const RunningRelay &Of, const RelayTry &Try,
+             const KnownEngine &Engine, Actions &Out);
+void logWaits(const RunningRelay &Of, Actions &Out);
+void logTryEnded(const RunningRelay &Of, const RelayTry &Ended,
+                 const RelayOutcome &Outcome, Time Now, Actions &Out);
+void logEnd(const RunningRelay &Of, std::string_view How, std::string_view Why,
+            Time Now, Actions &Out);
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/relays/RelayOrders.cpp
@@ -0,0 +1,54 @@
+#include "plugins/relays/RelayOrders.h"
+
+namespace banyanpick {
+
+EngineWanted wantedFor(const RunningRelay &Of,
+                       std::span<const UpstreamId> Excluded, Time Now) {
+  EngineWanted Result;
+  Result.Service = Of.Service;
+  Result.PromptTokens = Of.Head.PromptTokens;
+  Result.OutputTokens = Of.Head.MaxOutputTokens;
+  Result.Objective = Of.Terms.Objective;
+  Result.Waited = Now - Of.ArrivedAt;
+  Result.Left = Of.Deadline - Now;
+  Result.Excluded = Excluded;
+  return Result;
+}
+
+RelayTry makeTry(const RunningRelay &Of, const EngineChosen &Chosen,
+                 const AttemptId &Id, Time Now) {
+  RelayTry Result;
+  Result.Id = Id;
+  Result.Request = Of.Head.Id;
+  Result.Engine = Chosen.Engine;
+  Result.Service = Of.Service;
+  Result.Helpers = Chosen.Helpers;
+  Result.PromptTokens = Of.Head.PromptTokens;
+  Result.OutputTokens = Of.Head.MaxOutputTokens;
+  Result.Content = Of.Head.Content;
+  Result.SentAt = Now;
+  Result.Predicted = Chosen.Predicted;
+  return Result;
+}
+
+DispatchRelay makeOrder(const RunningRelay &Of, const RelayTry &Try,
+                        const EngineChosen &Chosen, const Address &At) {
+  DispatchRelay Result;
+  Result.Attempt = Try.Id;
+  Result.Request = Of.Head.Id;
+  Result.Engine = Chosen.Engine;
+  Result.At = At;
+  Result.Team = Of.Team;
+  Result.DropKey = Of.NeedsKey;
+  Result.Deadline = Of.Deadline;
+  Result.Urgency = Chosen.Urgency;
+  Result.LastEvent = Of.LastEvent;
+  Result.Helpers = Chosen.Helpers;
+  // A kept connection that its upstream closes meanwhile loses the request;
+  // only what may run twice can bear that.
+  Result.Fresh = !Of.isIdempotent();
+  Result.Stream = Of.Terms.Kind == RequestKind::Stream;
+  return Result;
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/relays/RelayOrders.h
@@ -0,0 +1,22 @@
+/// \file
+/// What is asked of the selector and ordered of the traffic for one try.
+#pragma once
+
+#include "plugins/relays/RunningRelay.h"
+
+#include <span>
+
+namespace banyanpick {
+
+/// The upstream that the request wants now. \p Excluded must outlive it.
+EngineWanted wantedFor(const RunningRelay &Of,
+                       std::span<const UpstreamId> Excluded, Time Now);
+
+RelayTry makeTry(const RunningRelay &Of, const EngineChosen &Chosen,
+                 const AttemptId &Id, Time Now);
+
+/// The order to send the try to the upstream at \p At.
+DispatchRelay makeOrder(const RunningRelay &Of, const RelayTry &Try,
+                        const EngineChosen &Chosen, const Address &At);
+
+} // namespace banyanpick
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -1,9 +1,10 @@
 #include "plugins/relays/RelaysPlugin.h"
 
-#include "base/EventNumbers.h"
 #include "base/Visitor.h"
 #include "gateway/RequestClass.h"
 #include "kernel/PluginRegistry.h"
+#include "plugins/relays/RelayLines.h"
+#include "plugins/relays/RelayOrders.h"
 
 #include <algorithm>
 
@@ -18,32 +19,12 @@
 /// there and the shortest work.
 constexpr milliseconds ShortestTry(20);
 
-std::string_view outcomeName(const RelayOutcome &Outcome) {
-  return match(
-      Outcome,
-      [](const RelayNeverSent &) { return std::string_view("unsent"); },
-      [](const RelayNotRun &Is) {
-        return std::string_view(Is.OtherEngine ? "other_engine" : "not_run");
-      },
-      [](const RelayDelivered &) { return std::string_view("delivered"); },
-      [](const RelayFailed &) { return std::string_view("failed"); },
-      [](const RelayBroken &Is) { return name(Is.Reason); });
-}
-
 /// Whether the upstream gave an answer of any kind.
 bool isSignOfLife(const RelayOutcome &Outcome) {
   return !std::holds_alternative<RelayNeverSent>(Outcome) &&
          !std::holds_alternative<RelayBroken>(Outcome);
 }
 
-std::uint32_t statusOf(const RelayOutcome &Outcome) {
-  return match(
-      Outcome, [](const RelayNotRun &Is) { return Is.Status; },
-      [](const RelayDelivered &Is) { return Is.Status; },
-      [](const RelayFailed &Is) { return Is.Status; },
-      [](const auto &) { return std::uint32_t(0); });
-}
-
 } // namespace
 
 void RelaysPlugin::initialize(PluginContext &Context) {
@@ -123,7 +104,7 @@
                          const KeyOwner *Owner, Time Now, Actions &Out) {
   RunningRelay Each;
   Each.Head = Head;
-  Each.Route = Route;
+  Each.Terms = {Route.Kind, Route.Resumable, Route.Attempts, Route.Objective};
   Each.Service = this->serviceFor(Route);
   Each.Rank = Owner && Owner->Rank ? *Owner->Rank : Route.Rank;
   if (Owner)
@@ -137,16 +118,7 @@
   Each.RouteEnds = Limited && Route.TimeLimit <= Remaining;
   Each.Deadline = Now + (Each.RouteEnds ? Route.TimeLimit : Remaining);
   this->Allowance.noteRequest(Each.Service, Now);
-  Out.log(logEvent(events::RelayReceived)
-              .with("request", Head.Id.Value)
-              .with("caller_attempt", Head.CallerAttempt)
-              .with("route", Route.Name)
-              .with("service", Each.Service.Value)
-              .with("team", Each.Team.Value)
-              .with("prompt_tokens", Head.PromptTokens)
-              .with("time_us", (Each.Deadline - Now).count())
-              .with("version", Each.ConfigurationVersion)
-              .build());
+  logReceived(Each, Route.Name, Now, Out);
   if (this->Crashes->isQuarantined(Head.Content, Now)) {
     this->refuse(Head, RefusalKind::NotRun, seconds(5),
                  "this content crashed engines and is not run", Out);
@@ -163,22 +135,13 @@
 void RelaysPlugin::send(RunningRelay &Each, Time Now, Actions &Out) {
   if (Each.Sends >= this->Times.MostSends ||
       Each.Deadline - Now < ShortestTry) {
-    const RefusalKind Kind =
-        Each.mayHaveRun() ? RefusalKind::OutcomeUnknown : RefusalKind::NotRun;
-    this->finish(Each, Kind, "tries or time used up", Now, Out);
+    this->finish(Each, Each.refusal(), "tries or time used up", Now, Out);
     return;
   }
   std::vector<UpstreamId> Excluded = Each.RanOn;
   Excluded.insert(Excluded.end(), Each.NotRunOn.begin(), Each.NotRunOn.end());
-  EngineWanted Wanted;
-  Wanted.Service = Each.Service;
-  Wanted.PromptTokens = Each.Head.PromptTokens;
-  Wanted.OutputTokens = Each.Head.MaxOutputTokens;
-  Wanted.Objective = Each.Route.Objective;
-  Wanted.Waited = Now - Each.ArrivedAt;
-  Wanted.Left = Each.Deadline - Now;
-  Wanted.Excluded = Excluded;
-  const auto Chosen = this->Selector->choose(Wanted, Now);
+  const auto Chosen =
+      this->Selector->choose(wantedFor(Each, Excluded, Now), Now);
   if (!Chosen) {
     this->wait(Each, Now, Out);
     return;
@@ -223,47 +186,12 @@
   const KnownEngine *Engine = this->Directory->find(Chosen.Engine);
   Each.WaitingSince = Never;
   ++Each.Sends;
-  RelayTry Try;
-  Try.Id = {this->Own.Life, ++this->Tries};
-  Try.Request = Each.Head.Id;
-  Try.Engine = Chosen.Engine;
-  Try.Service = Each.Service;
-  Try.Helpers = Chosen.Helpers;
-  Try.PromptTokens = Each.Head.PromptTokens;
-  Try.OutputTokens = Each.Head.MaxOutputTokens;
-  Try.Content = Each.Head.Content;
-  Try.SentAt = Now;
-  Try.Predicted = Chosen.Predicted;
-
-  DispatchRelay Order;
-  Order.Attempt = Try.Id;
-  Order.Request = Each.Head.Id;
-  Order.Engine = Chosen.Engine;
-  Order.At = Engine->Record.At;
-  Order.Team = Each.Team;
-  Order.DropKey = Each.NeedsKey;
-  Order.Deadline = Each.Deadline;
-  Order.Urgency = Chosen.Urgency;
-  Order.LastEvent = Each.LastEvent;
-  Order.Helpers = Chosen.Helpers;
-  // A kept connection that its upstream closes meanwhile loses the request;
-  // only what may run twice can bear that.
-  Order.Fresh = !Each.isIdempotent();
-  Order.Stream = Each.Route.Kind == RequestKind::Stream;
+  const RelayTry Try =
+      makeTry(Each, Chosen, {this->Own.Life, ++this->Tries}, Now);
   Each.PatienceUntil =
       Each.isIdempotent() ? Now + this->patience(Each, Chosen) : Never;
-  Out.add(GatewayAction(Order));
-  Out.log(logEvent(events::RelaySent)
-              .with("request", Each.Head.Id.Value)
-              .with("try", Try.Id.Sequence)
-              .with("engine", Chosen.Engine.Value)
-              .with("helpers", Chosen.Helpers.size())
-              .with("sends", Each.Sends)
-              .with("after_event", Each.LastEvent.value_or(0))
-              .with("standing", name(Engine->Standing))
-              .with("offset", Engine->Offset)
-              .with("predicted_us", Chosen.Predicted.count())
-              .build());
+  Out.add(GatewayAction(makeOrder(Each, Try, Chosen, Engine->Record.At)));
+  logSent(Each, Try, *Engine, Out);
   Each.Live = Try;
   this->Running.link(Try.Id, Each.Head.Id);
   for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
@@ -274,22 +202,14 @@
 void RelaysPlugin::wait(RunningRelay &Each, Time Now, Actions &Out) {
   if (Each.WaitingSince == Never) {
     Each.WaitingSince = Now;
-    Out.count("relays_waited");
-    Out.log(logEvent(events::RelayWaits)
-                .with("request", Each.Head.Id.Value)
-                .with("service", Each.Service.Value)
-                .with("ran_on", Each.RanOn.size())
-                .with("not_run_on", Each.NotRunOn.size())
-                .build());
+    logWaits(Each, Out);
   }
   const Duration Hold =
       std::max(this->Times.HoldShortest,
                fromSeconds(inSeconds(Each.Deadline - Each.ArrivedAt) *
                            this->Times.HoldShare));
   if (Now >= Each.WaitingSince + Hold) {
-    const RefusalKind Kind =
-        Each.mayHaveRun() ? RefusalKind::OutcomeUnknown : RefusalKind::NotRun;
-    this->finish(Each, Kind, "no engine could take it", Now, Out);
+    this->finish(Each, Each.refusal(), "no engine could take it", Now, Out);
     return;
   }
   // Those that refused may take it at the next look.
@@ -327,7 +247,7 @@
   Each->Live.reset();
   Each->PatienceUntil = Never;
   this->Memory->release(Each->Head.Id, Now, Out);
-  this->logTry(*Each, Ended, Is.Outcome, Now, Out);
+  logTryEnded(*Each, Ended, Is.Outcome, Now, Out);
   if (const auto *Other = std::get_if<RelayNotRun>(&Is.Outcome))
     if (Other->OtherEngine)
       this->Directory->addressTaken(
@@ -342,7 +262,7 @@
   match(
       verdictOn(Each, Ended, Outcome),
       [&](const RelayIsDone &) {
-        this->logEnd(Each, "delivered", "", Now, Out);
+        logEnd(Each, "delivered", "", Now, Out);
         this->Running.remove(Each.Head.Id);
       },
       [&](const TryAgain &Again) {
@@ -354,10 +274,8 @@
           return;
         }
         Out.count("retries_refused", Each.Service.Value);
-        this->finish(Each,
-                     Each.mayHaveRun() ? RefusalKind::OutcomeUnknown
-                                       : RefusalKind::NotRun,
-                     "the budget of repeats is used up", Now, Out);
+        this->finish(Each, Each.refusal(), "the budget of repeats is used up",
+                     Now, Out);
       },
       [&](const GiveUp &End) {
         this->finish(Each, End.Kind, "no other try is allowed", Now, Out);
@@ -371,13 +289,13 @@
     this->cancelTry(Each, Now, Out);
   this->Memory->release(Id, Now, Out);
   if (Each.Began) {
-    this->logEnd(Each, "broken_off", Why, Now, Out);
+    logEnd(Each, "broken_off", Why, Now, Out);
     Out.add(GatewayAction(BreakRelay{Id}));
   } else if (Each.KeptFailure) {
-    this->logEnd(Each, "failure_delivered", Why, Now, Out);
+    logEnd(Each, "failure_delivered", Why, Now, Out);
     Out.add(GatewayAction(DeliverFailure{Id, *Each.KeptFailure}));
   } else {
-    this->logEnd(Each, name(Kind), Why, Now, Out);
+    logEnd(Each, name(Kind), Why, Now, Out);
     Out.add(GatewayAction(RefuseRelay{
         Id, Kind,
         Kind == RefusalKind::NotRun ? this->Times.ComeBack : Duration(0),
@@ -389,18 +307,8 @@
 void RelaysPlugin::refuse(const RelayHead &Head, RefusalKind Kind,
                           Duration RetryAfter, std::string_view Why,
                           Actions &Out) {
-  Out.count("relays_ended", name(Kind));
-  Out.log(logEvent(events::RelayAnswered)
-              .with("request", Head.Id.Value)
-              .with("caller_attempt", Head.CallerAttempt)
-              .with("host_name", Head.Host)
-              .with("path", Head.Path)
-              .with("how", name(Kind))
-              .with("why", Why)
-              .with("version", this->Declared->routes()
-                                   ? this->Declared->routes()->version()
-                                   : 0)
-              .build());
+  const RouteTable *Routes = this->Declared->routes();
+  logRefused(Head, Kind, Why, Routes ? Routes->version() : 0, Out);
   Out.add(
       GatewayAction(RefuseRelay{Head.Id, Kind, RetryAfter, std::string(Why)}));
 }
@@ -421,7 +329,7 @@
   if (Each->Live)
     this->cancelTry(*Each, Now, Out);
   this->Memory->release(Id, Now, Out);
-  this->logEnd(*Each, "caller_gone", "", Now, Out);
+  logEnd(*Each, "caller_gone", "", Now, Out);
   this->Running.remove(Id);
 }
 
@@ -459,15 +367,12 @@
 
 void RelaysPlugin::loseLiveTry(RunningRelay &Each, Time Now, Actions &Out) {
   Each.PatienceUntil = Never;
-  const bool OneMore = Each.RanOn.size() + 1 < Each.Route.Attempts;
+  const bool OneMore = Each.RanOn.size() + 1 < Each.Terms.Attempts;
   std::vector<UpstreamId> Excluded = Each.RanOn;
   Excluded.push_back(Each.Live->Engine);
-  EngineWanted Wanted;
-  Wanted.Service = Each.Service;
-  Wanted.PromptTokens = Each.Head.PromptTokens;
-  Wanted.Excluded = Excluded;
   // A try is only given up for a better one.
-  if (!OneMore || !this->Selector->choose(Wanted, Now) ||
+  if (!OneMore ||
+      !this->Selector->choose(wantedFor(Each, Excluded, Now), Now) ||
       !this->Allowance.take(Each.Service, this->hosts(), Now)) {
     this->noteWake(Each, Now);
     return;
@@ -475,7 +380,7 @@
   const RelayTry Lost = *Each.Live;
   const RelayOutcome Outcome =
       RelayBroken{RelayBroken::Why::Silent, false, std::nullopt};
-  this->logTry(Each, Lost, Outcome, Now, Out);
+  logTryEnded(Each, Lost, Outcome, Now, Out);
   Out.add(GatewayAction(CancelRelay{Lost.Id}));
   for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
     Observer->tryEnded(Lost, Outcome, Now, Out);
@@ -504,7 +409,7 @@
 Duration RelaysPlugin::patience(const RunningRelay &Each,
                                 const EngineChosen &Chosen) const {
   const double Expected =
-      std::max(inSeconds(Chosen.Predicted), inSeconds(Each.Route.Objective));
+      std::max(inSeconds(Chosen.Predicted), inSeconds(Each.Terms.Objective));
   return fromSeconds(Expected * this->Times.PatienceFactor) +
          this->Times.PatienceMargin;
 }
@@ -533,41 +438,6 @@
   return Route.Split.empty() ? ServiceId() : Route.Split.front().Service;
 }
 
-void RelaysPlugin::logTry(const RunningRelay &Of, const RelayTry &Ended,
-                          const RelayOutcome &Outcome, Time Now,
-                          Actions &Out) const {
-  Out.count("tries_ended", outcomeName(Outcome));
-  Out.log(logEvent(events::RelayTryEnded)
-              .with("request", Of.Head.Id.Value)
-              .with("try", Ended.Id.Sequence)
-              .with("engine", Ended.Engine.Value)
-              .with("how", outcomeName(Outcome))
-              .with("status", statusOf(Outcome))
-              .with("helpers", Ended.Helpers.size())
-              .with("predicted_us", Ended.Predicted.count())
-              .with("after_us", (Now - Ended.SentAt).count())
-              .build());
-}
-
-void RelaysPlugin::logEnd(const RunningRelay &Each, std::string_view How,
-                          std::string_view Why, Time Now, Actions &Out) const {
-  Out.count("relays_ended", How);
-  Out.add(RecordMeasurement{RecordMeasurement::Kind::Histogram, "relay_seconds",
-                            std::string(How), inSeconds(Now - Each.ArrivedAt)});
-  Out.log(logEvent(events::RelayAnswered)
-              .with("request", Each.Head.Id.Value)
-              .with("caller_attempt", Each.Head.CallerAttempt)
-              .with("how", How)
-              .with("why", Why)
-              .with("sends", Each.Sends)
-              .with("ran_on", Each.RanOn.size())
-              .with("prompt_tokens", Each.Head.PromptTokens)
-              .with("first_event_us", Each.FirstEvent.count())
-              .with("longest_pause_us", Each.LongestPause.count())
-              .with("after_us", (Now - Each.ArrivedAt).count())
-              .build());
-}
-
 void RelaysPlugin::checkInvariants(InvariantMonitor &Monitor, Time) const {
   Monitor.require(this->Running.size() < 100'000,
                   "relayed requests end in the end");
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -82,10 +82,6 @@
   bool isLeavingLate(Time Now) const;
   std::size_t hosts() const;
   ServiceId serviceFor(const RouteEntry &Route);
-  void logTry(const RunningRelay &Of, const RelayTry &Ended,
-              const RelayOutcome &Outcome, Time Now, Actions &Out) const;
-  void logEnd(const RunningRelay &Each, std::string_view How,
-              std::string_view Why, Time Now, Actions &Out) const;
 
   Services *Offered = nullptr;
   Identity Own;
--- a/src/plugins/relays/RunningRelay.h
+++ b/src/plugins/relays/RunningRelay.h
@@ -9,10 +9,18 @@
 
 namespace banyanpick {
 
+/// What its route allows, as it was when the request came.
+struct RelayTerms {
+  RequestKind Kind = RequestKind::AtMostOnce;
+  bool Resumable = false;     ///< A stream may go on at another upstream.
+  std::uint32_t Attempts = 1; ///< Upstreams that it may run on.
+  Duration Objective{};       ///< To the whole answer or the first event.
+};
+
 /// A request with what is known of its tries.
 struct RunningRelay {
   RelayHead Head;
-  RouteEntry Route; ///< As it was when the request came.
+  RelayTerms Terms;
   ServiceId Service;
   TeamId Team;
   std::uint64_t ConfigurationVersion = 0;
@@ -39,13 +47,18 @@
 
   /// Whether a second run does no harm.
   bool isIdempotent() const {
-    return this->Route.Kind == RequestKind::Repeatable ||
-           (this->Route.Kind == RequestKind::Stream && this->Route.Resumable);
+    return this->Terms.Kind == RequestKind::Repeatable ||
+           (this->Terms.Kind == RequestKind::Stream && this->Terms.Resumable);
   }
   bool mayHaveRun() const { return !this->RanOn.empty(); }
+  /// How it ends when nothing more can be done for it.
+  RefusalKind refusal() const {
+    return this->mayHaveRun() ? RefusalKind::OutcomeUnknown
+                              : RefusalKind::NotRun;
+  }
   /// Whether another upstream may run it, too.
   bool mayRunAgain() const {
-    return this->isIdempotent() && this->RanOn.size() < this->Route.Attempts;
+    return this->isIdempotent() && this->RanOn.size() < this->Terms.Attempts;
   }
 };
 
