Ask late engines for their pace; bound what hosts tell of their work

Cause: an engine that turned slow kept its share of the prompts until tries on it broke, and work was told to every peer at each change, which grows with the square of the hosts.

An engine whose answer begins late is asked for its report, at most every two seconds; its pace stretches what is predicted there, here and on peers.

--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -225,6 +225,15 @@
   /// Reading of long prompts that the sender asked for lately: engines kept
   /// busy by it, on average.
   double LongReads = 0;
+  /// An engine that works at another pace than declared, as its own report to
+  /// the sender says.
+  struct Pace {
+    UpstreamId Engine;
+    double Factor = 1; ///< How many times longer its work takes.
+
+    bool operator==(const Pace &) const = default;
+  };
+  std::vector<Pace> Paces;
 
   bool operator==(const EngineWork &) const = default;
 };
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -197,6 +197,11 @@
     Item.set_swift_running(Each.SwiftRunning);
     Item.set_long_writing(Each.LongWriting);
   }
+  for (const auto &Each : Body.Paces) {
+    EngineWork::Pace &Pace = *Out.add_paces();
+    Pace.set_engine(Each.Engine.Value);
+    Pace.set_factor(static_cast<float>(Each.Factor));
+  }
 }
 
 banyanpick::EnginesRelayed read(const EnginesRelayed &In) {
@@ -225,6 +230,9 @@
                             checkedNumber(Each.read_ms()), Each.reading(),
                             Each.writing(), Each.memory_tokens(),
                             Each.swift_running(), Each.long_writing()});
+  for (const EngineWork::Pace &Each : In.paces())
+    Result.Paces.push_back(
+        {UpstreamId(Each.engine()), checkedNumber(Each.factor())});
   return Result;
 }
 
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -1,5 +1,6 @@
 #include "plugins/engineload/EngineLoadPlugin.h"
 
+#include "base/EventNumbers.h"
 #include "base/Visitor.h"
 #include "gateway/RequestClass.h"
 #include "kernel/PluginRegistry.h"
@@ -44,31 +45,6 @@
 
 } // namespace
 
-PlacementWeights placementWeights(const Settings &Values) {
-  const std::string_view In = "placement";
-  PlacementWeights Result;
-  Result.PositionMs = Values.fraction(In, "position_ms");
-  Result.FrontRunning = Values.fraction(In, "front_running");
-  Result.LongRoom = Values.fraction(In, "long_room");
-  Result.RunningMs = Values.fraction(In, "running_ms");
-  Result.CrowdedMs = Values.fraction(In, "crowded_ms");
-  Result.EasyRunning =
-      static_cast<std::uint32_t>(Values.whole(In, "easy_running"));
-  Result.MostRunning =
-      static_cast<std::uint32_t>(Values.whole(In, "most_running"));
-  Result.FullMs = Values.fraction(In, "full_ms");
-  Result.SwiftPartMs = Values.fraction(In, "swift_part_ms");
-  Result.PauseMs = Values.fraction(In, "pause_ms");
-  Result.PauseCostMs = Values.fraction(In, "pause_cost_ms");
-  Result.LongPauseMs = Values.fraction(In, "long_pause_ms");
-  Result.LongestPartMs = Values.fraction(In, "longest_part_ms");
-  Result.BudgetShare = Values.fraction(In, "budget_share");
-  Result.MostHeldUp =
-      static_cast<std::uint32_t>(Values.whole(In, "most_held_up"));
-  Result.MostHelpers = Values.whole(In, "most_helpers");
-  return Result;
-}
-
 void EngineLoadPlugin::initialize(PluginContext &Context) {
   const Settings &Values = Context.settings();
   const std::string_view In = "engine_load";
@@ -79,7 +55,16 @@
   this->Trust = &Context.services().get<EngineTrustView>();
   this->Numbers = &Context.random();
   this->OwnZone = Context.self().Zone;
-  this->TellInterval = Values.span(In, "tell_interval");
+  this->Tells = TellBudget(Values.span(In, "tell_interval"),
+                           static_cast<double>(Values.whole(In, "tell_rate")));
+  this->TellSoonMs = Values.fraction(In, "tell_soon_ms");
+  this->Least = {Values.whole(In, "group_hosts"),
+                 Values.whole(In, "group_engines")};
+  this->Paces = EnginePaces({Values.span(In, "pace_ask_interval"),
+                             Values.span(In, "pace_least_pause"),
+                             Values.span(In, "pace_keep")});
+  this->LateShare = Values.fraction(In, "late_share");
+  this->LateBy = Values.span(In, "late_by");
   this->JitterMs = Values.fraction(In, "jitter_ms");
   this->OtherZoneMs = Values.fraction(In, "other_zone_ms");
   this->Weights = placementWeights(Values);
@@ -100,20 +85,66 @@
         if (const auto *Work = std::get_if<EngineWork>(&Is.Message.Body))
           this->takePeerWork(Is.Message.From, *Work, Now);
       },
+      [&](const GatewayEvent &Is) {
+        if (const auto *Reported = std::get_if<EngineReported>(&Is))
+          this->takeReport(Reported->Report, Now, Out);
+      },
       [](const auto &) {});
-  if (Now >= this->NextTelling)
+  for (const UpstreamId &Engine : this->Paces.due(Now))
+    this->askReport(Engine, Out);
+  if (Now >= this->Tells.next())
     this->tell(Now, Out);
 }
 
+Time EngineLoadPlugin::nextWake() const {
+  return std::min(this->Tells.next(), this->Paces.nextDue());
+}
+
+void EngineLoadPlugin::askReport(const UpstreamId &Engine, Actions &Out) const {
+  if (const KnownEngine *Known = this->Directory->find(Engine))
+    Out.add(GatewayAction(AskReport{Engine, Known->Record.At}));
+}
+
+void EngineLoadPlugin::takeReport(const EngineReport &Report, Time Now,
+                                  Actions &Out) {
+  if (!this->Paces.takeReport(Report, Now))
+    return;
+  Out.log(logEvent(events::EnginePaceChanged)
+              .with("engine", Report.Engine.Value)
+              .with("pace", Report.Pace)
+              .with("waiting", Report.Waiting)
+              .with("running", Report.Running)
+              .build());
+  this->noteChange(true, Now);
+}
+
+void EngineLoadPlugin::noteFirstToken(const RelayTry &Each, Time Now,
+                                      Actions &Out) {
+  const Duration Took = Now - Each.SentAt;
+  const bool Late =
+      Each.Predicted > Duration(0) && Took > Each.Predicted + this->LateBy &&
+      inSeconds(Took) > inSeconds(Each.Predicted) * this->LateShare;
+  if (!Late)
+    return;
+  if (this->Paces.noteLate(Each.Engine, Now))
+    this->askReport(Each.Engine, Out);
+}
+
 std::optional<EngineChosen> EngineLoadPlugin::choose(const EngineWanted &Wanted,
                                                      Time Now) {
   const EngineParameters *Model = this->parametersOf(Wanted.Service);
-  std::vector<EngineState> States = this->states(Wanted, Model, false, Now);
+  if (Model && this->Group.Of.groups() > 1) {
+    const auto Near = this->states(Wanted, Model, {false, true}, Now);
+    const auto Chosen = this->chooseAmong(Near, Wanted, Model, Now);
+    // The group's engines are known best; others help when those are busy.
+    if (Chosen && Chosen->Predicted <= Wanted.Objective - Wanted.Waited)
+      return Chosen;
+  }
+  std::vector<EngineState> States =
+      this->states(Wanted, Model, {false, false}, Now);
   // Better one that failed lately than none.
   if (States.empty())
-    States = this->states(Wanted, Model, true, Now);
-  if (States.empty())
-    return std::nullopt;
+    States = this->states(Wanted, Model, {true, false}, Now);
   return this->chooseAmong(States, Wanted, Model, Now);
 }
 
@@ -121,6 +152,8 @@
 EngineLoadPlugin::chooseAmong(std::span<const EngineState> States,
                               const EngineWanted &Wanted,
                               const EngineParameters *Model, Time Now) {
+  if (States.empty())
+    return std::nullopt;
   const double ReadMs =
       Model ? readMs(*Model, Wanted.PromptTokens) : UnknownWorkMs;
   const std::uint64_t Tokens = Wanted.PromptTokens + Wanted.OutputTokens;
@@ -172,17 +205,22 @@
 
 std::vector<EngineState> EngineLoadPlugin::states(const EngineWanted &Wanted,
                                                   const EngineParameters *Model,
-                                                  bool Avoided, Time Now) {
+                                                  const Reach &Taken,
+                                                  Time Now) {
   std::vector<EngineState> Result;
-  std::size_t Position = 0;
+  std::size_t InOrder = 0;
   for (const KnownEngine *Each : this->Directory->ofService(Wanted.Service)) {
+    const bool OfGroup = this->Group.Of.hasEngine(InOrder++);
+    const bool Missing = Each->Standing == EngineStanding::Missing ||
+                         this->Trust->isAvoided(Each->Record.Id, Now);
     const bool Out = Each->Standing == EngineStanding::Leaving ||
-                     (Each->Standing == EngineStanding::Missing && !Avoided) ||
+                     (Missing && !Taken.Avoided) ||
+                     (!OfGroup && Taken.GroupOnly) ||
                      std::ranges::count(Wanted.Excluded, Each->Record.Id) != 0;
-    if (Out || (!Avoided && this->Trust->isAvoided(Each->Record.Id, Now)))
+    if (Out)
       continue;
     Result.push_back(this->stateOf(*Each, Model, Now));
-    Result.back().Position = Position++;
+    Result.back().Position = Result.size() - 1;
   }
   return Result;
 }
@@ -198,9 +236,11 @@
   Result.SwiftRunning = Load.swiftRunning();
   Result.LongWriting = Load.longWriting();
   if (Model) {
-    Result.BacklogMs = Load.backlogMs(Now);
+    Result.Pace = this->Paces.of(Each.Record.Id, Now);
+    Result.BacklogMs = Load.backlogMs(Now) * Result.Pace;
     Result.PassMs = writePassMs(*Model, Load.writing(),
-                                Load.writing() * WriterContextTokens);
+                                Load.writing() * WriterContextTokens) *
+                    Result.Pace;
     const std::uint64_t Used = Load.memoryTokens();
     Result.FreeTokens =
         Used < Model->MemoryTokens ? Model->MemoryTokens - Used : 0;
@@ -228,7 +268,7 @@
   const EngineParameters *Model = this->parametersOf(Each.Service);
   if (Model && promptSize(Each.PromptTokens) == PromptSize::Long)
     this->Demand.note(readMs(*Model, Each.PromptTokens), Now);
-  this->noteChange(Now);
+  this->noteChange(this->isToldSoon(Each), Now);
 }
 
 void EngineLoadPlugin::add(const RelayTry &Each, Time Now) {
@@ -252,7 +292,8 @@
   }
 }
 
-void EngineLoadPlugin::tryBegan(const RelayTry &Each, Time Now, Actions &) {
+void EngineLoadPlugin::tryBegan(const RelayTry &Each, Time Now, Actions &Out) {
+  this->noteFirstToken(Each, Now, Out);
   this->Loads[Each.Engine].began(Each.Id, Now);
   for (const JointEngine &Helper : Each.Helpers) {
     if (Helper.Engine == Each.Engine)
@@ -263,7 +304,12 @@
     else
       this->Loads[Helper.Engine].remove(Each.Id, Now);
   }
-  this->noteChange(Now);
+  this->noteChange(this->isToldSoon(Each), Now);
+}
+
+bool EngineLoadPlugin::isToldSoon(const RelayTry &Each) const {
+  const EngineParameters *Model = this->parametersOf(Each.Service);
+  return Model && readMs(*Model, Each.PromptTokens) >= this->TellSoonMs;
 }
 
 void EngineLoadPlugin::tryEnded(const RelayTry &Each, const RelayOutcome &,
@@ -279,16 +325,18 @@
   this->Loads[Each.Engine].remove(Each.Id, Now);
   for (const JointEngine &Helper : Each.Helpers)
     this->Loads[Helper.Engine].remove(Each.Id, Now);
-  this->noteChange(Now);
+  this->noteChange(this->isToldSoon(Each), Now);
 }
 
 void EngineLoadPlugin::engineGone(const UpstreamId &Id, Time, Actions &) {
+  this->Paces.forget(Id);
   const auto Found = this->Loads.find(Id);
   if (Found != this->Loads.end() && !Found->second.hasOwn())
     this->Loads.erase(Found);
 }
 
 void EngineLoadPlugin::memberChanged(const Member &Changed, Time, Actions &) {
+  this->regroup();
   if (Changed.State != MemberState::Dead)
     return;
   this->Demand.forgetPeer(Changed.Listing.Id);
@@ -299,6 +347,8 @@
 void EngineLoadPlugin::takePeerWork(const HostId &From, const EngineWork &Work,
                                     Time Now) {
   this->Demand.takePeer(From, Work.LongReads, Now);
+  for (const EngineWork::Pace &Each : Work.Paces)
+    this->Paces.takePeer(Each, Now);
   for (auto &[Id, Load] : this->Loads)
     Load.forgetPeer(From);
   for (const EngineWork::Item &Each : Work.Items)
@@ -307,132 +357,37 @@
                 [](const auto &Each) { return Each.second.isIdle(); });
 }
 
-void EngineLoadPlugin::noteChange(Time Now) {
-  if (this->NextTelling != Never)
-    return;
-  this->NextTelling = std::max(Now, this->LastTelling + this->TellInterval);
+void EngineLoadPlugin::noteChange(bool Soon, Time Now) {
+  this->Tells.noteChange(Soon, this->Group.Peers.size(), Now);
 }
 
 void EngineLoadPlugin::tell(Time Now, Actions &Out) {
-  this->NextTelling = Never;
-  this->LastTelling = Now;
+  this->Tells.noteTold(Now);
   EngineWork Work;
   Work.LongReads = this->Demand.own(Now);
+  Work.Paces = this->Paces.own(Now);
   for (const auto &[Id, Load] : this->Loads)
     if (Load.hasOwn())
       Work.Items.push_back(Load.ownWork(Id, Now));
-  for (const HostId &Peer : this->Members->livePeers())
+  this->regroup();
+  for (const HostId &Peer : this->Group.Peers)
     Out.add(SendToPeer{Peer, Work});
 }
 
-namespace {
-
-/// How swift prompts are spread.
-std::vector<SettingDeclaration> swiftSettings() {
-  constexpr auto Fraction = SettingKind::Fraction;
-  const std::string Place = "placement";
-  return {
-      {Place, "position_ms", Fraction, "40",
-       "How much sooner (milliseconds) a swift prompt's first token must be on "
-       "an engine one place behind the front; those behind are for long ones.",
-       0, 1000},
-      {Place, "front_running", Fraction, "6",
-       "Swift requests on each engine of the front; with more the front grows.",
-       1, 1000},
-      {Place, "long_room", Fraction, "1.3",
-       "Engines kept clear for long prompts, against those that they keep "
-       "busy.",
-       0, 10},
-      {Place, "demand_memory", SettingKind::Span, "3s",
-       "How fast the front follows the demand for long prompts.", 100e3, 60e6},
-      {Place, "demand_most_ms", Fraction, "6000",
-       "What one long prompt counts in that demand, at most (milliseconds).", 0,
-       1e6},
-      {Place, "running_ms", Fraction, "2",
-       "What a request that runs on an engine counts (milliseconds) for one "
-       "more, up to easy_running,",
-       0, 1000},
-      {Place, "crowded_ms", Fraction, "15",
-       "and for each beyond: at twelve and more a pass takes so much longer "
-       "that pauses show.",
-       0, 1000},
-      {Place, "easy_running", SettingKind::Whole, "8",
-       "Requests on one engine that hardly slow each other.", 0, 1000},
-      {Place, "most_running", SettingKind::Whole, "15",
-       "An engine with so many counts as full: its batch holds one more.", 1,
-       1000},
-  };
-}
-
-/// How longer prompts are shared, and the bounds for both.
-std::vector<SettingDeclaration> longSettings() {
-  constexpr auto Fraction = SettingKind::Fraction;
-  const std::string Place = "placement";
-  return {
-      {Place, "full_ms", Fraction, "1000",
-       "What a full engine, or one short of memory, counts (milliseconds).", 0,
-       100000},
-      {Place, "swift_part_ms", Fraction, "60",
-       "Short and middle prompts that take longer to read (milliseconds) are "
-       "shared with clear engines.",
-       1, 100000},
-      {Place, "pause_ms", Fraction, "220",
-       "A pass that takes longer (milliseconds) makes short answers pause too "
-       "long, at 250 ms.",
-       1, 100000},
-      {Place, "pause_cost_ms", Fraction, "25",
-       "What each request held up by such a pass counts (milliseconds).", 0,
-       100000},
-      {Place, "long_pause_ms", Fraction, "600",
-       "A pass that takes longer (milliseconds), and the part of another "
-       "prompt "
-       "that may join it, make long answers pause too long, at a second.",
-       1, 100000},
-      {Place, "longest_part_ms", Fraction, "300",
-       "A prompt is read on so many engines that no part takes longer than "
-       "this (milliseconds): other long answers may pause by a second.",
-       1, 100000},
-      {Place, "budget_share", Fraction, "0.7",
-       "Share of its objective that a long prompt may need before engines "
-       "with swift requests are taken for it, too.",
-       0, 10},
-      {Place, "most_held_up", SettingKind::Whole, "12",
-       "Swift requests that one long prompt may hold up to be in time: it is "
-       "worth some twelve of them.",
-       0, 1000},
-      {Place, "most_helpers", SettingKind::Whole, "16",
-       "Engines that help to read one prompt, at most.", 0, 64},
-  };
-}
-
-} // namespace
-
-std::vector<SettingDeclaration> placementSettings() {
-  std::vector<SettingDeclaration> Result = swiftSettings();
-  const std::vector<SettingDeclaration> More = longSettings();
-  Result.insert(Result.end(), More.begin(), More.end());
-  return Result;
-}
-
-std::vector<SettingDeclaration> EngineLoadPlugin::settings() {
-  const std::string In = "engine_load";
-  std::vector<SettingDeclaration> Result = {
-      {In, "tell_interval", SettingKind::Span, "30ms",
-       "Peers are told at most so often what this host has running on engines; "
-       "short beside the reading of a prompt.",
-       1e3, 60e6},
-      {In, "jitter_ms", SettingKind::Fraction, "25",
-       "Engines whose predicted first tokens are no further apart than this "
-       "(milliseconds) are chosen among at random, as all hosts see alike.",
-       0, 1000},
-      {In, "other_zone_ms", SettingKind::Fraction, "4",
-       "What an engine in another data centre must be better by "
-       "(milliseconds): the way there and back, and what the bytes cost.",
-       0, 1000},
-  };
-  const std::vector<SettingDeclaration> More = placementSettings();
-  Result.insert(Result.end(), More.begin(), More.end());
-  return Result;
+void EngineLoadPlugin::regroup() {
+  // Models' engines are what hosts must agree on; other services are small.
+  std::size_t Engines = 0;
+  if (const RouteTable *Routes = this->Declared->routes())
+    for (const auto &[Id, Entry] : Routes->configuration().Services)
+      if (Entry.Engine)
+        Engines = std::max(Engines, this->Directory->ofService(Id).size());
+  const std::vector<HostId> Living = this->Members->livePeers();
+  this->Group.Of =
+      WorkGroup(this->Members->self(), Living, Engines, this->Least);
+  this->Group.Peers.clear();
+  for (std::size_t At = 0; At < Living.size(); ++At)
+    if (this->Group.Of.hasHost(At))
+      this->Group.Peers.push_back(Living[At]);
 }
 
 namespace {
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -5,8 +5,11 @@
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
 #include "plugins/engineload/EngineLoad.h"
+#include "plugins/engineload/EnginePaces.h"
 #include "plugins/engineload/LongDemand.h"
 #include "plugins/engineload/Placement.h"
+#include "plugins/engineload/TellBudget.h"
+#include "plugins/engineload/WorkGroup.h"
 
 namespace banyanpick {
 
@@ -21,7 +24,7 @@
   void initialize(PluginContext &Context) override;
   void start(Time Now, Actions &Out) override;
   void handle(const Event &What, Time Now, Actions &Out) override;
-  Time nextWake() const override { return this->NextTelling; }
+  Time nextWake() const override;
 
   std::optional<EngineChosen> choose(const EngineWanted &Wanted,
                                      Time Now) override;
@@ -37,11 +40,22 @@
   static std::vector<SettingDeclaration> settings();
 
 private:
+  /// Which engines a request may get.
+  struct Reach {
+    bool Avoided = false;   ///< Also those that failed lately.
+    bool GroupOnly = false; ///< Only those of this host's group.
+  };
+  /// The hosts that this one works together with.
+  struct OwnGroup {
+    WorkGroup Of;
+    std::vector<HostId> Peers;
+  };
+
   const EngineParameters *parametersOf(const ServiceId &Service) const;
   /// The engines that may get the request.
   std::vector<EngineState> states(const EngineWanted &Wanted,
-                                  const EngineParameters *Model, bool Avoided,
-                                  Time Now);
+                                  const EngineParameters *Model,
+                                  const Reach &Taken, Time Now);
   EngineState stateOf(const KnownEngine &Each, const EngineParameters *Model,
                       Time Now);
   std::optional<EngineChosen> chooseAmong(std::span<const EngineState> States,
@@ -56,7 +70,14 @@
   void remove(const RelayTry &Each, Time Now);
   void takePeerWork(const HostId &From, const EngineWork &Work, Time Now);
   void tell(Time Now, Actions &Out);
-  void noteChange(Time Now);
+  /// \p Soon: peers should know at once.
+  void noteChange(bool Soon, Time Now);
+  bool isToldSoon(const RelayTry &Each) const;
+  void regroup();
+  void askReport(const UpstreamId &Engine, Actions &Out) const;
+  void takeReport(const EngineReport &Report, Time Now, Actions &Out);
+  /// Asks the engine for its pace when the first token came late.
+  void noteFirstToken(const RelayTry &Each, Time Now, Actions &Out);
 
   Services *Offered = nullptr;
   const MembershipView *Members = nullptr;
@@ -65,14 +86,18 @@
   const EngineTrustView *Trust = nullptr;
   Random *Numbers = nullptr;
   ZoneId OwnZone;
-  Duration TellInterval{};
+  double TellSoonMs = 0;
+  GroupSize Least;
+  double LateShare = 0;
+  Duration LateBy{};
   double JitterMs = 0;
   double OtherZoneMs = 0;
   PlacementWeights Weights;
   LongDemand Demand;
   std::map<UpstreamId, EngineLoad> Loads;
-  Time NextTelling = Never;
-  Time LastTelling{};
+  EnginePaces Paces;
+  TellBudget Tells;
+  OwnGroup Group;
 };
 
 /// The settings of section [placement].
--- /dev/null
+++ b/src/plugins/engineload/EnginePaces.cpp
@@ -0,0 +1,86 @@
+#include "plugins/engineload/EnginePaces.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace banyanpick {
+
+namespace {
+
+/// A pace nearer to the declared one is as good as that: model error.
+constexpr double SlowFrom = 1.15;
+
+} // namespace
+
+bool EnginePaces::noteLate(const UpstreamId &Engine, Time Now) {
+  Seen &Of = this->ById[Engine];
+  const bool Soon = Now < Of.AskedAt + this->Limits.AskInterval ||
+                    Now < this->AskedAt + this->Limits.LeastPause;
+  if (Soon)
+    return false;
+  Of.AskedAt = Now;
+  this->AskedAt = Now;
+  return true;
+}
+
+std::vector<UpstreamId> EnginePaces::due(Time Now) {
+  std::vector<UpstreamId> Result;
+  for (auto &[Id, Of] : this->ById) {
+    if (!Of.Own || !this->isSlow(Of, Now) ||
+        Now < Of.AskedAt + this->Limits.AskInterval)
+      continue;
+    Of.AskedAt = Now;
+    Result.push_back(Id);
+  }
+  return Result;
+}
+
+Time EnginePaces::nextDue() const {
+  Time Result = Never;
+  for (const auto &[Id, Of] : this->ById)
+    if (Of.Own && Of.Factor >= SlowFrom)
+      Result = std::min(Result, Of.AskedAt + this->Limits.AskInterval);
+  return Result;
+}
+
+bool EnginePaces::takeReport(const EngineReport &Report, Time Now) {
+  Seen &Of = this->ById[Report.Engine];
+  const double Before = Of.Own ? Of.Factor : 1;
+  // Nobody works faster than declared by much; zero would make work free.
+  Of.Factor = std::max(Report.Pace, 0.5);
+  Of.HeardAt = Now;
+  Of.Own = true;
+  constexpr double News = 0.1;
+  return std::abs(Of.Factor - Before) >= News;
+}
+
+void EnginePaces::takePeer(const EngineWork::Pace &Seen, Time Now) {
+  EnginePaces::Seen &Of = this->ById[Seen.Engine];
+  // What the engine itself told this host lately is at least as new.
+  if (Of.Own && Now < Of.HeardAt + this->Limits.AskInterval)
+    return;
+  Of.Factor = std::max(Seen.Factor, 0.5);
+  Of.HeardAt = Now;
+  Of.Own = false;
+}
+
+double EnginePaces::of(const UpstreamId &Engine, Time Now) const {
+  const auto Found = this->ById.find(Engine);
+  return Found != this->ById.end() && this->isSlow(Found->second, Now)
+             ? Found->second.Factor
+             : 1;
+}
+
+std::vector<EngineWork::Pace> EnginePaces::own(Time Now) const {
+  std::vector<EngineWork::Pace> Result;
+  for (const auto &[Id, Of] : this->ById)
+    if (Of.Own && this->isSlow(Of, Now))
+      Result.push_back({Id, Of.Factor});
+  return Result;
+}
+
+bool EnginePaces::isSlow(const Seen &Of, Time Now) const {
+  return Of.Factor >= SlowFrom && Now < Of.HeardAt + this->Limits.Keep;
+}
+
+} // namespace banyanpick
--- a/src/plugins/engineload/Placement.cpp
+++ b/src/plugins/engineload/Placement.cpp
@@ -35,6 +35,21 @@
 /// When a part could begin there.
 double startMs(const EngineState &Of) { return Of.BacklogMs + Of.PassMs; }
 
+/// When a part would be read there.
+double endMs(const EngineState &Of, double PartMs) {
+  return startMs(Of) + PartMs * Of.Pace;
+}
+
+/// When the last of the engines would have read its even part.
+double lastEndMs(std::span<const EngineState> States,
+                 std::span<const std::size_t> Taken, double ReadMs) {
+  const double PartMs = ReadMs / static_cast<double>(Taken.size());
+  double Result = 0;
+  for (const std::size_t At : Taken)
+    Result = std::max(Result, endMs(States[At], PartMs));
+  return Result;
+}
+
 /// A number of engines of an order, and when they would have read all parts.
 struct PartCount {
   std::size_t Engines = 1;
@@ -47,10 +62,8 @@
                   std::span<const std::size_t> Order, std::size_t Most,
                   double ReadMs) {
   PartCount Best;
-  double SlowestMs = 0;
   for (std::size_t Taken = 1; Taken <= Most; ++Taken) {
-    SlowestMs = std::max(SlowestMs, startMs(States[Order[Taken - 1]]));
-    const double Ms = SlowestMs + ReadMs / static_cast<double>(Taken);
+    const double Ms = lastEndMs(States, Order.first(Taken), ReadMs);
     if (Taken == 1 || Ms < Best.FirstTokenMs)
       Best = {Taken, Ms};
   }
@@ -63,10 +76,8 @@
                  std::span<const std::size_t> Order, std::size_t Most,
                  double ReadMs, double LatestMs) {
   PartCount Result;
-  double SlowestMs = 0;
   for (std::size_t Taken = 1; Taken <= Most; ++Taken) {
-    SlowestMs = std::max(SlowestMs, startMs(States[Order[Taken - 1]]));
-    Result = {Taken, SlowestMs + ReadMs / static_cast<double>(Taken)};
+    Result = {Taken, lastEndMs(States, Order.first(Taken), ReadMs)};
     if (Result.FirstTokenMs <= LatestMs)
       break;
   }
@@ -80,7 +91,7 @@
                                      const PlacementWeights &Weights) {
   std::vector<std::size_t> Result;
   for (std::size_t At = 0; At < States.size(); ++At)
-    if (startMs(States[At]) + PartMs <= Weights.PauseMs)
+    if (endMs(States[At], PartMs) <= Weights.PauseMs)
       Result.push_back(At);
   std::ranges::sort(Result, {}, [&](std::size_t At) {
     const EngineState &Each = States[At];
@@ -122,7 +133,7 @@
   double BestCost = 0;
   for (std::size_t At = 0; At < States.size(); ++At) {
     const EngineState &Each = States[At];
-    const double FirstMs = Each.BacklogMs + PartMs + Each.PassMs;
+    const double FirstMs = endMs(Each, PartMs);
     const double Cost = FirstMs + Each.ExtraMs + crowdMs(Each, Weights) +
                         memoryMs(Each, Tokens, Weights) +
                         pauseMs(Each, PartMs, Weights) +
@@ -145,7 +156,7 @@
   const double PartMs = std::min(ReadMs, Weights.LongestPartMs);
   const auto HoldsUp = [&](const EngineState &Each) {
     return Each.SwiftRunning +
-           (Each.LongWriting > 0 && startMs(Each) + PartMs > Weights.LongPauseMs
+           (Each.LongWriting > 0 && endMs(Each, PartMs) > Weights.LongPauseMs
                 ? 1
                 : 0);
   };
@@ -155,7 +166,7 @@
   std::iota(Order.begin(), Order.end(), 0);
   std::ranges::sort(Order, {}, [&](std::size_t At) {
     const EngineState &Each = States[At];
-    return std::pair(HoldsUp(Each), startMs(Each) + Each.ExtraMs);
+    return std::pair(HoldsUp(Each), endMs(Each, PartMs) + Each.ExtraMs);
   });
   const auto Clear = static_cast<std::size_t>(std::ranges::count_if(
       States, [&](const auto &Each) { return HoldsUp(Each) == 0; }));
--- a/src/plugins/engineload/Placement.h
+++ b/src/plugins/engineload/Placement.h
@@ -17,6 +17,8 @@
   std::size_t Position = 0; ///< In the order that all hosts share.
   double BacklogMs = 0;     ///< Reading to be done before anything new.
   double PassMs = 0;        ///< One pass over those that write.
+  double Pace = 1;          ///< How many times longer than declared reading
+                            ///< takes there; the two above allow for it.
   std::uint32_t Running = 0;
   /// Requests whose answers may pause only briefly: those with short and
   /// middle prompts.
--- /dev/null
+++ b/src/plugins/engineload/TellBudget.h
@@ -0,0 +1,43 @@
+/// \file
+/// When peers are told what runs on upstreams.
+#pragma once
+
+#include "base/Time.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace banyanpick {
+
+/// Bounds what a host tells its peers. Long work is told soon, as it decides
+/// where the next long prompt can be read in time; short work waits until the
+/// messages fit the rate.
+class TellBudget {
+public:
+  TellBudget() = default;
+  /// \p PerSecond messages are sent for short work, at most.
+  TellBudget(Duration Shortest, double PerSecond)
+      : Shortest(Shortest), PerSecond(PerSecond) {}
+
+  /// Something changed; \p Soon: of long work.
+  void noteChange(bool Soon, std::size_t Peers, Time Now) {
+    const Duration Spread =
+        fromSeconds(static_cast<double>(Peers) / this->PerSecond);
+    const Duration Pause =
+        Soon ? this->Shortest : std::max(this->Shortest, Spread);
+    this->Next = std::min(this->Next, std::max(Now, this->Last + Pause));
+  }
+  void noteTold(Time Now) {
+    this->Last = Now;
+    this->Next = Never;
+  }
+  Time next() const { return this->Next; }
+
+private:
+  Duration Shortest{};
+  double PerSecond = 1;
+  Time Last{};
+  Time Next = Never;
+};
+
+} // namespace banyanpick
--- /dev/null
+++ b/tests/auto/gateway/EnginePacesTest.cpp
@@ -0,0 +1,77 @@
+#include "plugins/engineload/EnginePaces.h"
+
+#include "auto/gateway/GatewayBench.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick {
+namespace {
+
+const UpstreamId First("e1");
+const UpstreamId Second("e2");
+const Time Start(seconds(1000));
+
+EnginePaces paces() {
+  return EnginePaces({seconds(2), milliseconds(250), seconds(5)});
+}
+
+EngineReport report(const UpstreamId &Engine, double Pace) {
+  EngineReport Result;
+  Result.Engine = Engine;
+  Result.Pace = Pace;
+  return Result;
+}
+
+TEST(EnginePaces, AsksNoEngineOftenAndNotAllAtOnce) {
+  EnginePaces Of = paces();
+  EXPECT_TRUE(Of.noteLate(First, Start));
+  EXPECT_FALSE(Of.noteLate(Second, Start + milliseconds(100)));
+  EXPECT_TRUE(Of.noteLate(Second, Start + milliseconds(300)));
+  EXPECT_FALSE(Of.noteLate(First, Start + milliseconds(1900)));
+  EXPECT_TRUE(Of.noteLate(First, Start + milliseconds(2000)));
+}
+
+TEST(EnginePaces, ASlowEngineIsAskedAgainUntilItIsNot) {
+  EnginePaces Of = paces();
+  Of.noteLate(First, Start);
+  EXPECT_TRUE(Of.takeReport(report(First, 3), Start));
+  EXPECT_DOUBLE_EQ(Of.of(First, Start + seconds(1)), 3);
+  EXPECT_EQ(Of.nextDue(), Start + seconds(2));
+  EXPECT_EQ(Of.due(Start + seconds(2)), std::vector<UpstreamId>{First});
+  EXPECT_TRUE(Of.takeReport(report(First, 1), Start + seconds(2)));
+  EXPECT_DOUBLE_EQ(Of.of(First, Start + seconds(3)), 1);
+  EXPECT_EQ(Of.nextDue(), Never);
+}
+
+TEST(EnginePaces, WhatWasHeardIsForgottenInTheEnd) {
+  EnginePaces Of = paces();
+  Of.takePeer({First, 4}, Start);
+  EXPECT_DOUBLE_EQ(Of.of(First, Start + seconds(4)), 4);
+  EXPECT_DOUBLE_EQ(Of.of(First, Start + seconds(5)), 1);
+  EXPECT_TRUE(Of.own(Start).empty()) << "peers are told of one's own only";
+}
+
+TEST(EnginePaces, AnAnswerThatBeginsLateLeadsToAQuestionAndToOtherEngines) {
+  GatewayBench Bench;
+  Bench.configure(1);
+  Bench.enlist("ring", 2);
+  constexpr std::uint64_t Tokens = 40'000;
+  Bench.arrive("/stream/x", Tokens);
+  const DispatchRelay Slow = Bench.last<DispatchRelay>();
+  Bench.pass(milliseconds(700));
+  Bench.send(GatewayEvent(RelayBegan{Slow.Attempt}));
+  ASSERT_EQ(Bench.all<AskReport>().size(), 1U);
+  EXPECT_EQ(Bench.last<AskReport>().Engine, Slow.Engine);
+  Bench.end(Slow.Attempt, RelayDelivered{});
+  Bench.send(GatewayEvent(EngineReported{report(Slow.Engine, 6)}));
+  for (int Each = 0; Each < 5; ++Each) {
+    Bench.arrive("/stream/x", Tokens);
+    const DispatchRelay Next = Bench.last<DispatchRelay>();
+    EXPECT_NE(Next.Engine, Slow.Engine);
+    Bench.send(GatewayEvent(RelayBegan{Next.Attempt}));
+    Bench.end(Next.Attempt, RelayDelivered{});
+  }
+}
+
+} // namespace
+} // namespace banyanpick
