Tell short work at once among a hundred hosts

Cause: at 400 messages a second each of 89 hosts told of its short work every 220 ms; choices by older knowledge met on the same engines.

--- a/src/plugins/engineload/EngineLoadSettings.cpp
+++ b/src/plugins/engineload/EngineLoadSettings.cpp
@@ -125,9 +125,10 @@
   constexpr auto Span = SettingKind::Span;
   const std::string In = "engine_load";
   return {
-      {In, "tell_rate", Whole, "400",
-       "Messages a second to peers for short work: some 40 KB/s and one "
-       "percent of a core.",
+      {In, "tell_rate", Whole, "5000",
+       "Messages a second to peers for short work, at most; fewer made first "
+       "tokens late among 89 hosts, where 400 a second told of it every 220 "
+       "ms.",
        1, 1e6},
       {In, "tell_soon_ms", SettingKind::Fraction, "100",
        "Work that takes longer (milliseconds) is told without regard to "
