Model an engine's reads of all hosts as one queue

Cause: each host told how much of its own reading was left, counted down as if it had the engine alone, and all peers' figures were counted down side by side. Five hosts' parts of 300 ms on one engine looked done after 300 ms. Ruled out: engines slower than declared (no report said so), late word of peers (30 ms). Reads of over 3 s also fell out of peers' sight.

Hosts tell whole reads now, the model takes one of them as under way, and work is told again each second while there is any.

--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -217,8 +217,10 @@
 struct EngineWork {
   struct Item {
     UpstreamId Engine;
-    double ReadMs = 0;         ///< Prompt reading still to do there, predicted.
-    std::uint32_t Reading = 0; ///< Requests whose first token is awaited.
+    /// Prompts whose first token is awaited take so long to read, each from its
+    /// start to its end: nobody but the engine knows how far it is.
+    double ReadMs = 0;
+    std::uint32_t Reading = 0; ///< So many are they.
     std::uint32_t Writing = 0;
     std::uint64_t MemoryTokens = 0; ///< That they take and will take.
     std::uint32_t SwiftRunning = 0; ///< With short or middle prompts.
--- a/src/plugins/engineload/EngineLoad.cpp
+++ b/src/plugins/engineload/EngineLoad.cpp
@@ -10,7 +10,8 @@
 /// share of its prediction.
 constexpr double OverdueShare = 0.1;
 
-/// What peers say is worth nothing after so long; they tell far more often.
+/// What peers say is worth nothing after so long; while they have work they
+/// tell it three times as often.
 constexpr seconds PeerWorkAge(3);
 
 double millisecondsBetween(Time From, Time To) {
@@ -20,62 +21,79 @@
 } // namespace
 
 void EngineLoad::add(const LoadItem &Item, Time Now) {
-  const bool NothingRead = std::ranges::all_of(
-      this->Own, [](const LoadItem &Each) { return Each.Writes; });
-  if (NothingRead)
-    this->HeadSince = Now;
+  const Reads Before = this->allReads(Now);
   this->Own.push_back(Item);
+  this->noteReads(Before, Now);
 }
 
 void EngineLoad::began(const AttemptId &Try, Time Now) {
   const auto Found = std::ranges::find(this->Own, Try, &LoadItem::Try);
   if (Found == this->Own.end() || Found->Writes)
     return;
+  const Reads Before = this->allReads(Now);
   Found->Writes = true;
   Found->ReadMs = 0;
-  this->HeadSince = Now;
+  this->noteReads(Before, Now);
 }
 
 void EngineLoad::remove(const AttemptId &Try, Time Now) {
   const auto Found = std::ranges::find(this->Own, Try, &LoadItem::Try);
   if (Found == this->Own.end())
     return;
-  if (!Found->Writes)
-    this->HeadSince = Now;
+  const Reads Before = this->allReads(Now);
   this->Own.erase(Found);
+  this->noteReads(Before, Now);
 }
 
 void EngineLoad::takePeer(const HostId &Peer, const EngineWork::Item &Work,
                           Time Now) {
+  const Reads Before = this->allReads(Now);
   this->Peers[Peer] = {Work, Now};
+  this->noteReads(Before, Now);
+}
+
+void EngineLoad::forgetPeer(const HostId &Peer, Time Now) {
+  const Reads Before = this->allReads(Now);
+  this->Peers.erase(Peer);
+  this->noteReads(Before, Now);
 }
 
-double EngineLoad::ownBacklogMs(Time Now) const {
-  double Sum = 0;
-  bool Head = true;
+EngineLoad::Reads EngineLoad::ownReads() const {
+  Reads Result;
   for (const LoadItem &Each : this->Own) {
     if (Each.Writes)
       continue;
-    double Left = Each.ReadMs;
-    if (Head)
-      Left = std::max(Left - millisecondsBetween(this->HeadSince, Now),
-                      Each.ReadMs * OverdueShare);
-    Head = false;
-    Sum += Left;
+    Result.Ms += Each.ReadMs;
+    ++Result.Count;
   }
-  return Sum;
+  return Result;
 }
 
-double EngineLoad::backlogMs(Time Now) const {
-  double Sum = this->ownBacklogMs(Now);
+EngineLoad::Reads EngineLoad::allReads(Time Now) const {
+  Reads Result = this->ownReads();
   for (const auto &[Peer, Each] : this->Peers) {
     if (Now > Each.At + PeerWorkAge)
       continue;
-    Sum +=
-        std::max(Each.Work.ReadMs - millisecondsBetween(Each.At, Now),
-                 Each.Work.Reading > 0 ? Each.Work.ReadMs * OverdueShare : 0.0);
+    Result.Ms += Each.Work.ReadMs;
+    Result.Count += Each.Work.Reading;
   }
-  return Sum;
+  return Result;
+}
+
+void EngineLoad::noteReads(const Reads &Before, Time Now) {
+  if (Before.Count == 0 || this->allReads(Now).Count < Before.Count)
+    this->HeadSince = Now;
+}
+
+double EngineLoad::backlogMs(Time Now) const {
+  const Reads All = this->allReads(Now);
+  if (All.Count == 0)
+    return 0;
+  // Which of them is under way is not known; the mean stands for it.
+  const double HeadMs = All.Ms / All.Count;
+  const double DoneMs = std::min(millisecondsBetween(this->HeadSince, Now),
+                                 HeadMs * (1 - OverdueShare));
+  return All.Ms - DoneMs;
 }
 
 std::uint32_t EngineLoad::reading() const {
@@ -123,10 +141,10 @@
   return Sum;
 }
 
-EngineWork::Item EngineLoad::ownWork(const UpstreamId &Engine, Time Now) const {
+EngineWork::Item EngineLoad::ownWork(const UpstreamId &Engine) const {
   EngineWork::Item Result;
   Result.Engine = Engine;
-  Result.ReadMs = this->ownBacklogMs(Now);
+  Result.ReadMs = this->ownReads().Ms;
   for (const LoadItem &Each : this->Own) {
     ++(Each.Writes ? Result.Writing : Result.Reading);
     Result.MemoryTokens += Each.MemoryTokens;
--- a/src/plugins/engineload/EngineLoad.h
+++ b/src/plugins/engineload/EngineLoad.h
@@ -19,7 +19,8 @@
   bool Writes = false;
 };
 
-/// Reads are taken to be done in the order in which they came.
+/// Reads of all hosts are taken to be done one after the other, as the engine
+/// does them.
 class EngineLoad {
 public:
   void add(const LoadItem &Item, Time Now);
@@ -27,7 +28,7 @@
   void began(const AttemptId &Try, Time Now);
   void remove(const AttemptId &Try, Time Now);
   void takePeer(const HostId &Peer, const EngineWork::Item &Work, Time Now);
-  void forgetPeer(const HostId &Peer) { this->Peers.erase(Peer); }
+  void forgetPeer(const HostId &Peer, Time Now);
 
   /// Reading still to do, by everybody, in milliseconds.
   double backlogMs(Time Now) const;
@@ -40,7 +41,7 @@
   std::uint32_t longWriting() const;
 
   /// What this host has there, for its peers.
-  EngineWork::Item ownWork(const UpstreamId &Engine, Time Now) const;
+  EngineWork::Item ownWork(const UpstreamId &Engine) const;
   bool hasOwn() const { return !this->Own.empty(); }
   bool isIdle() const { return this->Own.empty() && this->Peers.empty(); }
 
@@ -50,10 +51,19 @@
     Time At{};
   };
 
-  double ownBacklogMs(Time Now) const;
+  /// What is to be read, by everybody.
+  struct Reads {
+    double Ms = 0;
+    std::uint32_t Count = 0;
+  };
+
+  Reads ownReads() const;
+  Reads allReads(Time Now) const;
+  /// The next read begins when one has ended, or none was under way.
+  void noteReads(const Reads &Before, Time Now);
 
   std::vector<LoadItem> Own;
-  Time HeadSince{}; ///< Since when the first read of Own is under way.
+  Time HeadSince{}; ///< Since when the read under way is.
   std::map<HostId, PeerWork> Peers;
 };
 
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace banyanpick {
 
@@ -335,13 +336,14 @@
     this->Loads.erase(Found);
 }
 
-void EngineLoadPlugin::memberChanged(const Member &Changed, Time, Actions &) {
+void EngineLoadPlugin::memberChanged(const Member &Changed, Time Now,
+                                     Actions &) {
   this->regroup();
   if (Changed.State != MemberState::Dead)
     return;
   this->Demand.forgetPeer(Changed.Listing.Id);
   for (auto &[Id, Load] : this->Loads)
-    Load.forgetPeer(Changed.Listing.Id);
+    Load.forgetPeer(Changed.Listing.Id, Now);
 }
 
 void EngineLoadPlugin::takePeerWork(const HostId &From, const EngineWork &Work,
@@ -349,10 +351,14 @@
   this->Demand.takePeer(From, Work.LongReads, Now);
   for (const EngineWork::Pace &Each : Work.Paces)
     this->Paces.takePeer(Each, Now);
-  for (auto &[Id, Load] : this->Loads)
-    Load.forgetPeer(From);
-  for (const EngineWork::Item &Each : Work.Items)
+  std::set<UpstreamId> Named;
+  for (const EngineWork::Item &Each : Work.Items) {
     this->Loads[Each.Engine].takePeer(From, Each, Now);
+    Named.insert(Each.Engine);
+  }
+  for (auto &[Id, Load] : this->Loads)
+    if (!Named.contains(Id))
+      Load.forgetPeer(From, Now);
   std::erase_if(this->Loads,
                 [](const auto &Each) { return Each.second.isIdle(); });
 }
@@ -362,13 +368,13 @@
 }
 
 void EngineLoadPlugin::tell(Time Now, Actions &Out) {
-  this->Tells.noteTold(Now);
   EngineWork Work;
   Work.LongReads = this->Demand.own(Now);
   Work.Paces = this->Paces.own(Now);
   for (const auto &[Id, Load] : this->Loads)
     if (Load.hasOwn())
-      Work.Items.push_back(Load.ownWork(Id, Now));
+      Work.Items.push_back(Load.ownWork(Id));
+  this->Tells.noteTold(!Work.Items.empty(), Now);
   this->regroup();
   for (const HostId &Peer : this->Group.Peers)
     Out.add(SendToPeer{Peer, Work});
--- a/src/plugins/engineload/TellBudget.h
+++ b/src/plugins/engineload/TellBudget.h
@@ -27,13 +27,18 @@
         Soon ? this->Shortest : std::max(this->Shortest, Spread);
     this->Next = std::min(this->Next, std::max(Now, this->Last + Pause));
   }
-  void noteTold(Time Now) {
+  /// \p HasWork: it is told again after a while, as a message may be lost and
+  /// what is old counts for nothing.
+  void noteTold(bool HasWork, Time Now) {
     this->Last = Now;
-    this->Next = Never;
+    this->Next = HasWork ? Now + RepeatInterval : Never;
   }
   Time next() const { return this->Next; }
 
 private:
+  /// A third of the age at which peers disregard what was told.
+  static constexpr seconds RepeatInterval{1};
+
   Duration Shortest{};
   double PerSecond = 1;
   Time Last{};
--- a/tests/auto/gateway/PlacementTest.cpp
+++ b/tests/auto/gateway/PlacementTest.cpp
@@ -133,6 +133,22 @@
   EXPECT_EQ(Load.swiftRunning(), 2U);
 }
 
+TEST(EngineLoad, ReadsOfSeveralHostsAreDoneOneAfterTheOther) {
+  EngineLoad Load;
+  const Time Start(seconds(5));
+  EngineWork::Item Work;
+  Work.ReadMs = 300;
+  Work.Reading = 1;
+  for (const char *Peer : {"h2", "h3", "h4", "h5"})
+    Load.takePeer(HostId(Peer), Work, Start);
+  EXPECT_NEAR(Load.backlogMs(Start), 1200, 0.1);
+  EXPECT_NEAR(Load.backlogMs(Start + milliseconds(200)), 1000, 0.1);
+  // One host tells that its prompt is read.
+  Load.takePeer(HostId("h2"), {}, Start + milliseconds(300));
+  EXPECT_NEAR(Load.backlogMs(Start + milliseconds(300)), 900, 0.1);
+  EXPECT_NEAR(Load.backlogMs(Start + milliseconds(400)), 800, 0.1);
+}
+
 TEST(EngineLoad, TakesPeersWordUntilItIsOld) {
   EngineLoad Load;
   const Time Start(seconds(5));
--- a/tests/auto/gateway/WorkGroupTest.cpp
+++ b/tests/auto/gateway/WorkGroupTest.cpp
@@ -65,7 +65,7 @@
   const Time Start(seconds(1000));
   Of.noteChange(false, 100, Start);
   EXPECT_EQ(Of.next(), Start) << "nothing was told for long";
-  Of.noteTold(Start);
+  Of.noteTold(false, Start);
   EXPECT_EQ(Of.next(), Never);
   Of.noteChange(false, 100, Start + milliseconds(1));
   EXPECT_EQ(Of.next(), Start + milliseconds(250))
@@ -74,5 +74,12 @@
   EXPECT_EQ(Of.next(), Start + milliseconds(30));
 }
 
+TEST(TellBudget, WorkIsToldAgainWhileThereIsAny) {
+  TellBudget Of(milliseconds(30), 400);
+  const Time Start(seconds(1000));
+  Of.noteTold(true, Start);
+  EXPECT_EQ(Of.next(), Start + seconds(1));
+}
+
 } // namespace
 } // namespace banyanpick
