Hold what no engine can take for a tenth of its time

Cause: prompts that found no idle engines waited for 0.4 of their time, then were refused too late for the caller's second try.

--- a/src/plugins/relays/RelaysSettings.cpp
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -20,8 +20,10 @@
        "A request that no upstream can take waits at least so long for one: "
        "a restart of an upstream shows within it.",
        0, 60e6},
-      {In, "hold_share", Fraction, "0.4",
-       "It waits no longer than this share of the time it has.", 0, 1},
+      {In, "hold_share", Fraction, "0.1",
+       "It waits no longer than this share of the time it has; at four times "
+       "that, callers came back too late for their second try.",
+       0, 1},
       {In, "wait_pause", Span, "40ms",
        "How often a waiting request looks for an upstream.", 1e3, 10e6},
       {In, "memory_pause", Span, "400ms",
