Do not read a request whose caller has left

Cause: a caller's hang-up ends the request on the traffic thread at once, and control cancels the try a moment later. A try whose connection was made, or whose answer's head came, in between read the request from an exchange that was gone. Ruled out: the pause before it, which only gathers such events into one turn of the loop.

--- a/src/libs/relay/CallerSide.h
+++ b/src/libs/relay/CallerSide.h
@@ -21,7 +21,11 @@
       : Each(&Each), Id(Id), News(Each.executor()) {}
 
   const RequestId &id() const { return this->Id; }
-  const HttpExchange::Request &asked() const { return this->Each->request(); }
+  /// What the caller sent; null once the request has ended, as the exchange may
+  /// be gone then. Not to be kept over a wait.
+  const HttpExchange::Request *asked() const {
+    return this->Done ? nullptr : &this->Each->request();
+  }
 
   /// Whether something may still be sent to the caller.
   bool isOpen() const { return !this->Done; }
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -61,7 +61,11 @@
     this->Link = this->Pool.takeKept(this->Order.Engine);
   if (!this->Link && !co_await this->connect())
     co_return RelayNeverSent{};
-  RelayOutcome Result = co_await this->exchange(Left, std::move(OnBegan));
+  // The caller may have left while the connection was made, before control
+  // could cancel the try.
+  RelayOutcome Result = RelayNeverSent{};
+  if (this->Caller->asked())
+    Result = co_await this->exchange(Left, std::move(OnBegan));
   this->Watch.cancel();
   if (this->Link) {
     ErrorCode Ignored;
@@ -105,7 +109,7 @@
 }
 
 Task<bool> EngineRun::sendRequest(Duration Left) {
-  const HttpExchange::Request &Asked = this->Caller->asked();
+  const HttpExchange::Request &Asked = *this->Caller->asked();
   auto Request =
       std::make_shared<HttpExchange::Request>(Asked.base(), Asked.body());
   removeHopHeaders(*Request);
@@ -170,8 +174,10 @@
   if (Failure)
     co_return this->brokenBy(Failure);
   const http::response_header<> &Head = Answer.get();
-  const AnswerMeaning Meaning =
-      this->Protocol.meaningOf(Head, this->Caller->asked());
+  const HttpExchange::Request *Asked = this->Caller->asked();
+  if (!Asked)
+    co_return this->broken(RelayBroken::Why::Reset);
+  const AnswerMeaning Meaning = this->Protocol.meaningOf(Head, *Asked);
   if (const auto *NotRun = std::get_if<AnswerIsNotRun>(&Meaning)) {
     // Its body, if any, is not worth reading for the connection's sake.
     co_return NotRun->How;
--- a/tests/process/GatewayTest.cpp
+++ b/tests/process/GatewayTest.cpp
@@ -3,7 +3,10 @@
 /// and the store.
 #include "process/Deployment.h"
 #include "process/GatewayDeployment.h"
+#include "standins/HttpServer.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <csignal>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -174,6 +177,38 @@
   EXPECT_EQ(Paused.wait(), 0);
 }
 
+/// Sends a whole request and leaves without waiting for the answer.
+void askAndLeave(const std::string &Address, const std::string &Path,
+                 int Number, Duration LeaveAfter) {
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::socket Socket(Io);
+  boost::system::error_code Ignored;
+  Socket.connect(standins::parseEndpoint(Address), Ignored);
+  const std::string Request = fmt::format(
+      "POST {} HTTP/1.1\r\nHost: demo.example\r\n"
+      "Authorization: Bearer demo-key\r\nX-Attempt-Id: left{}\r\n"
+      "X-Remaining-Milliseconds: 3000\r\nContent-Length: 5\r\n\r\nhello",
+      Path, Number);
+  boost::asio::write(Socket, boost::asio::buffer(Request), Ignored);
+  std::this_thread::sleep_for(LeaveAfter);
+}
+
+TEST(Gateway, CallersThatLeaveAtOnceDoNotEndIt) {
+  GatewayDeployment Gateway({"", ""});
+  ChildProcess &Host = *Gateway.host(0).Process;
+  std::vector<std::thread> Callers;
+  for (int Caller = 0; Caller < 8; ++Caller)
+    Callers.emplace_back([&, Caller] {
+      for (int Each = 0; Each < 300 && Host.isAlive(); ++Each)
+        askAndLeave(Gateway.host(0).Callers, Each % 2 ? "/once/x" : "/safe/x",
+                    Caller * 1000 + Each, std::chrono::microseconds(Each));
+    });
+  for (std::thread &Each : Callers)
+    Each.join();
+  ASSERT_TRUE(Host.isAlive());
+  EXPECT_EQ(Gateway.ask(0, "/once/x", "stayed").Status, 200U);
+}
+
 TEST(Gateway, ShowsItsMetrics) {
   GatewayDeployment Gateway({""}, 1);
   Gateway.ask(0, "/safe/x", "h1");
