--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -136,7 +136,7 @@
   const EngineParameters *Model = this->parametersOf(Wanted.Service);
   if (Model && this->Group.Of.groups() > 1) {
     const auto Near = this->states(Wanted, Model, {false, true}, Now);
-    const auto Chosen = this->chooseAmong(Near, Wanted, Model, Now);
+    auto Chosen = this->chooseAmong(Near, Wanted, Model, Now);
     // The group's engines are known best; others help when those are busy.
     if (Chosen && Chosen->Predicted <= Wanted.Objective - Wanted.Waited)
       return Chosen;
--- a/src/plugins/storereaders/StoreReadersPlugin.cpp
+++ b/src/plugins/storereaders/StoreReadersPlugin.cpp
@@ -100,14 +100,14 @@
 }
 
 bool StoreReadersPlugin::isChosen() const {
-  const auto candidate = [](const HostId &Host, const ZoneId &Zone) {
+  const auto MakeCandidate = [](const HostId &Host, const ZoneId &Zone) {
     return Candidate{&Host, &Zone, rendezvousWeight("store", Host.Value), 0};
   };
   std::vector<Candidate> Hosts{
-      candidate(this->Members->self(), this->Members->selfZone())};
+      MakeCandidate(this->Members->self(), this->Members->selfZone())};
   for (const Member &Each : this->Members->peers())
     if (Each.State == MemberState::Alive)
-      Hosts.push_back(candidate(Each.Listing.Id, Each.Listing.Zone));
+      Hosts.push_back(MakeCandidate(Each.Listing.Id, Each.Listing.Zone));
   sortByChoice(Hosts);
   const auto Chosen =
       std::span(Hosts).first(std::min(Hosts.size(), this->Readers));
--- a/tests/auto/gatewayrandom/GatewayWorld.cpp
+++ b/tests/auto/gatewayrandom/GatewayWorld.cpp
@@ -298,19 +298,19 @@
   Host &Each = this->Hosts[At];
   if (!Each.Decider || Each.Life != Life || !Each.Follows)
     return;
-  const auto again = [this, At, Life](Duration Delay) {
+  const auto Again = [this, At, Life](Duration Delay) {
     this->after(Delay, [this, At, Life] { this->readStore(At, Life); });
   };
   if (this->Store.Down || Each.CutFromStore) {
     this->noteStore(At, false);
-    again(StoreRetry);
+    Again(StoreRetry);
     return;
   }
   const Time Now = this->Queue.now();
   const bool News = !Each.Listed || Each.Next < this->Store.end() ||
                     Each.SeenVersion < this->Store.version();
   if (!News && Now < Each.ReadUntil) {
-    again(ReadPause);
+    Again(ReadPause);
     return;
   }
   this->noteStore(At, true);
@@ -328,7 +328,7 @@
                                        BeliefSource::Store}));
   }
   this->send(At, Life, GatewayEvent(std::move(Read)));
-  again(ReadPause);
+  Again(ReadPause);
 }
 
 void GatewayWorld::noteStore(std::size_t At, bool Reachable) {
--- a/tests/auto/gatewayrandom/GatewayWorld.h
+++ b/tests/auto/gatewayrandom/GatewayWorld.h
@@ -98,6 +98,9 @@
   void arrive();
   void troubleNext(Time Until);
   void beginTrouble();
+  void pauseHost(std::size_t At, Duration For);
+  void cutFromPeers(std::size_t At, Duration For);
+  void replaceUpstream(std::size_t Which, Duration For);
   void after(Duration Delay, std::function<void()> Todo);
 
   // Judgement.
--- a/tests/auto/gatewayrandom/WorldFaults.cpp
+++ b/tests/auto/gatewayrandom/WorldFaults.cpp
@@ -24,8 +24,6 @@
       milliseconds(100 + this->Numbers.below(LongestFault.count() - 100));
   const std::size_t At = this->Numbers.below(this->Hosts.size());
   const std::size_t Which = this->Numbers.below(this->Upstreams.All.size());
-  Host &Each = this->Hosts[At];
-  WorldUpstream &Up = this->Upstreams.All[Which];
   switch (this->Numbers.below(9)) {
   case 0:
     this->killHost(At);
@@ -35,23 +33,14 @@
     });
     return;
   case 1:
-    Each.PausedUntil =
-        this->Queue.now() + std::min<Duration>(For, LongestPause);
-    for (const auto &Call : this->Calls)
-      if (Call->Host == At && !Call->EndedAt)
-        Call->Disturbed = true;
+    this->pauseHost(At, std::min<Duration>(For, LongestPause));
     return;
   case 2:
-    Each.CutFromStore = true;
+    this->Hosts[At].CutFromStore = true;
     this->after(For, [this, At] { this->Hosts[At].CutFromStore = false; });
     return;
   case 3:
-    Each.HearsPeers = this->Numbers.below(2) == 0;
-    Each.ReachesPeers = Each.HearsPeers ? false : this->Numbers.below(2) == 0;
-    this->after(For, [this, At] {
-      this->Hosts[At].HearsPeers = true;
-      this->Hosts[At].ReachesPeers = true;
-    });
+    this->cutFromPeers(At, For);
     return;
   case 4:
     this->Store.Down = true;
@@ -60,21 +49,12 @@
   case 5:
     this->Store.declare();
     return;
-  case 6: {
-    if (!Up.Up)
-      return;
-    Up.Up = false;
-    ++Up.Life;
-    this->Store.strike(Up.Record.Id);
-    this->after(For, [this, Which] {
-      WorldUpstream &Back = this->Upstreams.All[Which];
-      this->Upstreams.replace(Back);
-      this->Store.enlist(Back.Record);
-    });
+  case 6:
+    this->replaceUpstream(Which, For);
     return;
-  }
   default:
-    Up.Mood = static_cast<UpstreamMood>(1 + this->Numbers.below(4));
+    this->Upstreams.All[Which].Mood =
+        static_cast<UpstreamMood>(1 + this->Numbers.below(4));
     this->after(For, [this, Which] {
       this->Upstreams.All[Which].Mood = UpstreamMood::Sound;
     });
@@ -82,4 +62,35 @@
   }
 }
 
+void GatewayWorld::pauseHost(std::size_t At, Duration For) {
+  this->Hosts[At].PausedUntil = this->Queue.now() + For;
+  for (const auto &Call : this->Calls)
+    if (Call->Host == At && !Call->EndedAt)
+      Call->Disturbed = true;
+}
+
+void GatewayWorld::cutFromPeers(std::size_t At, Duration For) {
+  Host &Each = this->Hosts[At];
+  Each.HearsPeers = this->Numbers.below(2) == 0;
+  Each.ReachesPeers = !Each.HearsPeers && this->Numbers.below(2) == 0;
+  this->after(For, [this, At] {
+    this->Hosts[At].HearsPeers = true;
+    this->Hosts[At].ReachesPeers = true;
+  });
+}
+
+void GatewayWorld::replaceUpstream(std::size_t Which, Duration For) {
+  WorldUpstream &Each = this->Upstreams.All[Which];
+  if (!Each.Up)
+    return;
+  Each.Up = false;
+  ++Each.Life;
+  this->Store.strike(Each.Record.Id);
+  this->after(For, [this, Which] {
+    WorldUpstream &Back = this->Upstreams.All[Which];
+    this->Upstreams.replace(Back);
+    this->Store.enlist(Back.Record);
+  });
+}
+
 } // namespace banyanpick
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -22,15 +22,15 @@
 INSTANTIATE_TEST_SUITE_P(Fixed, Soak, testing::Values(1, 2));
 
 TEST(FaultPlan, OneSeedGivesOnePlanAndAnotherAnother) {
-  const auto describeAll = [](std::uint64_t Seed) {
+  const auto DescribeAll = [](std::uint64_t Seed) {
     std::string Result;
     for (const PlannedFault &Each : planFaults(Seed, seconds(30), 3, 4))
       Result += fmt::format("{} {} {}\n", Each.At.count(), Each.For.count(),
                             describe(Each.What));
     return Result;
   };
-  EXPECT_EQ(describeAll(7), describeAll(7));
-  EXPECT_NE(describeAll(7), describeAll(8));
+  EXPECT_EQ(DescribeAll(7), DescribeAll(7));
+  EXPECT_NE(DescribeAll(7), DescribeAll(8));
 }
 
 TEST(FaultPlan, FaultsOverlapAndEndInTime) {
