Go on elsewhere with a stream that falls silent

Ruled out: a host that held events back (the engine's own trace ends there).

A stream with another try left is given up after 3 s of silence, 8 s after a long prompt, and goes on after its last event. The new test failed before (three of ten events) and passes.

--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -54,6 +54,9 @@
   std::vector<JointEngine> Helpers;
   bool Fresh = false;  ///< Not over a kept connection.
   bool Stream = false; ///< The answer is a series of events.
+  /// A stream that gives nothing for so long after its first event is given up
+  /// as silent; zero: never.
+  Duration MostSilence{};
 
   bool operator==(const DispatchRelay &) const = default;
 };
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -223,8 +223,11 @@
   removeHopHeaders(Head);
   Head.erase(http::field::content_length);
   while (!From.is_done()) {
+    if (this->Began && this->Order.MostSilence > Duration(0))
+      this->armSilence(this->Order.MostSilence);
     const std::string Events =
         this->Borders.feed(co_await this->readPiece(From));
+    this->Watch.cancel();
     if (this->Cancelled)
       co_return this->broken(RelayBroken::Why::Reset);
     if (!this->Borders.isInOrder() ||
--- a/src/plugins/relays/RelayOrders.cpp
+++ b/src/plugins/relays/RelayOrders.cpp
@@ -1,5 +1,7 @@
 #include "plugins/relays/RelayOrders.h"
 
+#include "gateway/RequestClass.h"
+
 namespace banyanpick {
 
 EngineWanted wantedFor(const RunningRelay &Of,
@@ -32,7 +34,8 @@
 }
 
 DispatchRelay makeOrder(const RunningRelay &Of, const RelayTry &Try,
-                        const EngineChosen &Chosen, const Address &At) {
+                        const EngineChosen &Chosen, const Address &At,
+                        const StreamSilence &Most) {
   DispatchRelay Result;
   Result.Attempt = Try.Id;
   Result.Request = Of.Head.Id;
@@ -48,6 +51,11 @@
   // only what may run twice can bear that.
   Result.Fresh = !Of.isIdempotent();
   Result.Stream = Of.Terms.Kind == RequestKind::Stream;
+  // Without another try there is nothing to gain by giving up.
+  const bool MayGoOn = Of.RanOn.size() + 1 < Of.Terms.Attempts;
+  const bool IsLong = promptSize(Of.Head.PromptTokens) == PromptSize::Long;
+  if (Result.Stream && Of.isIdempotent() && MayGoOn)
+    Result.MostSilence = IsLong ? Most.Long : Most.Swift;
   return Result;
 }
 
--- a/src/plugins/relays/RelayOrders.h
+++ b/src/plugins/relays/RelayOrders.h
@@ -8,6 +8,13 @@
 
 namespace banyanpick {
 
+/// How long a stream may give nothing once it has begun; then it goes on
+/// elsewhere.
+struct StreamSilence {
+  Duration Swift{}; ///< After short and middle prompts.
+  Duration Long{};  ///< After long ones, which are dear to read again.
+};
+
 /// The upstream that the request wants now. \p Excluded must outlive it.
 EngineWanted wantedFor(const RunningRelay &Of,
                        std::span<const UpstreamId> Excluded, Time Now);
@@ -17,6 +24,7 @@
 
 /// The order to send the try to the upstream at \p At.
 DispatchRelay makeOrder(const RunningRelay &Of, const RelayTry &Try,
-                        const EngineChosen &Chosen, const Address &At);
+                        const EngineChosen &Chosen, const Address &At,
+                        const StreamSilence &Most);
 
 } // namespace banyanpick
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -4,7 +4,6 @@
 #include "gateway/RequestClass.h"
 #include "kernel/PluginRegistry.h"
 #include "plugins/relays/RelayLines.h"
-#include "plugins/relays/RelayOrders.h"
 
 #include <algorithm>
 
@@ -190,7 +189,8 @@
       makeTry(Each, Chosen, {this->Own.Life, ++this->Tries}, Now);
   Each.PatienceUntil =
       Each.isIdempotent() ? Now + this->patience(Each, Chosen) : Never;
-  Out.add(GatewayAction(makeOrder(Each, Try, Chosen, Engine->Record.At)));
+  Out.add(GatewayAction(
+      makeOrder(Each, Try, Chosen, Engine->Record.At, this->Times.Silence)));
   logSent(Each, Try, *Engine, Out);
   Each.Live = Try;
   this->Running.link(Try.Id, Each.Head.Id);
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -4,6 +4,7 @@
 
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
+#include "plugins/relays/RelayOrders.h"
 #include "plugins/relays/RetryAllowance.h"
 #include "plugins/relays/RunningRelay.h"
 #include "plugins/relays/TryVerdict.h"
@@ -21,6 +22,7 @@
   Duration PatienceMargin{};
   Duration SignOfLife{};
   Duration LongestPatience{};
+  StreamSilence Silence;
   double PatienceFactor = 0;
   Duration RefuseAfterLeaving{};
   std::uint32_t MostSends = 0;
--- a/src/plugins/relays/RelaysSettings.cpp
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -47,6 +47,14 @@
       {In, "longest_patience", Span, "4s",
        "A try on an engine that is only slow is given up after so long.", 0,
        600e6},
+      {In, "silence_swift", Span, "3s",
+       "A stream after a short or middle prompt that gives nothing for so long "
+       "goes on at another engine; beside large reads pauses of 2.4 s were "
+       "seen.",
+       100e3, 600e6},
+      {In, "silence_long", Span, "8s",
+       "The same after a long prompt, which takes seconds to read again.",
+       100e3, 600e6},
       {In, "patience_factor", Fraction, "2.5",
        "How many times longer than predicted the beginning of an answer may "
        "take.",
@@ -80,6 +88,8 @@
   Result.PatienceMargin = Values.span(Section, "patience_margin");
   Result.SignOfLife = Values.span(Section, "sign_of_life");
   Result.LongestPatience = Values.span(Section, "longest_patience");
+  Result.Silence = {Values.span(Section, "silence_swift"),
+                    Values.span(Section, "silence_long")};
   Result.PatienceFactor = Values.fraction(Section, "patience_factor");
   Result.RefuseAfterLeaving = Values.span(Section, "refuse_after_leaving");
   Result.MostSends =
--- a/tests/process/GatewayTest.cpp
+++ b/tests/process/GatewayTest.cpp
@@ -46,6 +46,16 @@
   }
 }
 
+TEST(Gateway, GoesOnWithAStreamThatFellSilent) {
+  GatewayDeployment Gateway({"stall", ""});
+  for (int Each = 0; Each < 4; ++Each) {
+    const HttpReply Reply =
+        Gateway.ask(0, "/stream/x", fmt::format("q{}", Each));
+    EXPECT_TRUE(Reply.isComplete());
+    EXPECT_EQ(Reply.Body, wholeStream());
+  }
+}
+
 TEST(Gateway, AStreamThatNobodyEndsDoesNotLookComplete) {
   GatewayDeployment Gateway({"cut", "cut", "cut"});
   const HttpReply Reply = Gateway.ask(0, "/stream/x", "s1");
@@ -196,8 +206,10 @@
 TEST(Gateway, CallersThatLeaveAtOnceDoNotEndIt) {
   GatewayDeployment Gateway({"", ""});
   ChildProcess &Host = *Gateway.host(0).Process;
+  constexpr int CallerCount = 8;
   std::vector<std::thread> Callers;
-  for (int Caller = 0; Caller < 8; ++Caller)
+  Callers.reserve(CallerCount);
+  for (int Caller = 0; Caller < CallerCount; ++Caller)
     Callers.emplace_back([&, Caller] {
       for (int Each = 0; Each < 300 && Host.isAlive(); ++Each)
         askAndLeave(Gateway.host(0).Callers, Each % 2 ? "/once/x" : "/safe/x",
--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -6,7 +6,8 @@
 /// --fault makes it fail each request: `cut` breaks a stream off in the middle
 /// of an event, `error` answers 500, `refuse` says that it did not run it,
 /// `foreign` answers another request, `truncate` sends too little, `unsealed`
-/// leaves the seal out, and `silent` never answers.
+/// leaves the seal out, `silent` never answers, and `stall` gives three events
+/// of a stream and nothing more.
 /// `GET /standin/runs` gives how often it ran each request.
 #include "platform/WireNames.h"
 #include "standins/HttpClient.h"
@@ -108,6 +109,8 @@
     Each.beginEvents(sealed(Attempt));
     for (std::uint64_t Id = First; Id <= FLAGS_events; ++Id) {
       pause();
+      if (FLAGS_fault == "stall" && Id == First + 3)
+        std::this_thread::sleep_for(std::chrono::hours(1));
       if (FLAGS_fault == "cut" && Id == First + 3) {
         Each.sendEvents(eventText(Id).substr(0, 5));
         Each.hangUp();
