--- a/src/plugins/relays/RelaysSettings.cpp
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -7,14 +7,11 @@
 constexpr std::string_view Section = "relays";
 constexpr std::string_view BudgetSection = "retry_budget";
 
-} // namespace
-
-std::vector<SettingDeclaration> relaysSettings() {
+/// How long a request waits for an upstream, and a try for its answer.
+std::vector<SettingDeclaration> waitingSettings() {
   constexpr auto Span = SettingKind::Span;
-  constexpr auto Whole = SettingKind::Whole;
   constexpr auto Fraction = SettingKind::Fraction;
   const std::string In(Section);
-  const std::string Budget(BudgetSection);
   return {
       {In, "hold_shortest", Span, "500ms",
        "A request that no upstream can take waits at least so long for one: "
@@ -59,6 +56,16 @@
        "How many times longer than predicted the beginning of an answer may "
        "take.",
        1, 100},
+  };
+}
+
+/// How much is done for one request, and for all that are tried again.
+std::vector<SettingDeclaration> boundSettings() {
+  constexpr auto Span = SettingKind::Span;
+  constexpr auto Whole = SettingKind::Whole;
+  const std::string In(Section);
+  const std::string Budget(BudgetSection);
+  return {
       {In, "refuse_after_leaving", Span, "6s",
        "A stopping host that callers still come to after so long refuses, as "
        "it could not finish.",
@@ -67,7 +74,7 @@
        "A request is handed to connections at most so often, whatever came of "
        "it.",
        1, 100},
-      {Budget, "ratio", Fraction, "0.2",
+      {Budget, "ratio", SettingKind::Fraction, "0.2",
        "Requests that a service gets more than once, against all its requests.",
        0, 10},
       {Budget, "constant", Whole, "100",
@@ -77,6 +84,15 @@
   };
 }
 
+} // namespace
+
+std::vector<SettingDeclaration> relaysSettings() {
+  std::vector<SettingDeclaration> Result = waitingSettings();
+  const std::vector<SettingDeclaration> More = boundSettings();
+  Result.insert(Result.end(), More.begin(), More.end());
+  return Result;
+}
+
 RelayTimes relayTimes(const Settings &Values) {
   RelayTimes Result;
   Result.HoldShortest = Values.span(Section, "hold_shortest");
