Wait for the count that the metrics test looks for

Traced: in the check beside load the page came without the counter. The test is stricter otherwise: the count must be 1 and labelled as delivered.

--- a/tests/process/GatewayTest.cpp
+++ b/tests/process/GatewayTest.cpp
@@ -226,10 +226,14 @@
   Gateway.ask(0, "/safe/x", "h1");
   standins::HttpQuestion Ask;
   Ask.Target = "/metrics";
-  const HttpReply Page =
-      standins::askHttp(Gateway.host(0).Metrics, Ask, seconds(5));
-  EXPECT_NE(Page.Body.find("banyanpick_relays_ended_total"), std::string::npos)
-      << Page.Body;
+  // Control counts the end a moment after the caller has its answer.
+  std::string Page;
+  EXPECT_TRUE(eventually([&] {
+    Page = standins::askHttp(Gateway.host(0).Metrics, Ask, seconds(5)).Body;
+    return Page.find(
+               "banyanpick_relays_ended_total{label=\"delivered\"} 1\n") !=
+           std::string::npos;
+  })) << Page;
 }
 
 } // namespace
