--- a/src/libs/http/HttpExchange.cpp
+++ b/src/libs/http/HttpExchange.cpp
@@ -61,37 +61,21 @@
 }
 
 Task<bool> HttpExchange::respond(HttpAnswer Given) {
-  this->stopWatching();
-  this->Answered = true;
   Connection::Answer Answer(static_cast<http::status>(Given.Status),
                             this->Asked.version());
   Answer.set(http::field::content_type, Given.ContentType);
   if (Given.RetryAfter > Duration(0))
     Answer.set(http::field::retry_after,
                retryAfterText(Given.RetryAfter, Given.FractionalRetry));
-  this->addHeaders(Answer);
-  Answer.keep_alive(this->wantsKeepAlive());
   Answer.body() = std::move(Given.Body);
-  Answer.prepare_payload();
-  this->KeepsAlive = this->KeepsAlive && Answer.keep_alive();
-  const ErrorCode Failure =
-      co_await this->Peer->writeAnswer(Answer, this->Values.WriteTimeout);
-  co_return this->note(Failure);
+  co_return co_await this->writeAnswer(std::move(Answer));
 }
 
 Task<bool> HttpExchange::beginEvents() {
-  this->Answered = true;
-  this->EventsOpen = true;
   Connection::Header Answer(http::status::ok, this->Asked.version());
   Answer.set(http::field::content_type, "text/event-stream");
   Answer.set(http::field::cache_control, "no-store");
-  this->addHeaders(Answer);
-  Answer.keep_alive(this->wantsKeepAlive());
-  Answer.chunked(true);
-  this->KeepsAlive = this->KeepsAlive && Answer.keep_alive();
-  const ErrorCode Failure =
-      co_await this->Peer->writeHeader(Answer, this->Values.WriteTimeout);
-  co_return this->note(Failure);
+  co_return co_await this->writeEventsHead(std::move(Answer));
 }
 
 bool HttpExchange::wantsKeepAlive() const {
@@ -99,13 +83,23 @@
 }
 
 Task<bool> HttpExchange::respond(RelayedAnswer Given) {
-  this->stopWatching();
-  this->Answered = true;
   Connection::Answer Answer(std::move(Given.Head));
   Answer.version(this->Asked.version());
+  Answer.body() = std::move(Given.Body);
+  co_return co_await this->writeAnswer(std::move(Answer));
+}
+
+Task<bool> HttpExchange::beginEvents(http::response_header<> Head) {
+  Connection::Header Answer(std::move(Head));
+  Answer.version(this->Asked.version());
+  co_return co_await this->writeEventsHead(std::move(Answer));
+}
+
+Task<bool> HttpExchange::writeAnswer(Connection::Answer Answer) {
+  this->stopWatching();
+  this->Answered = true;
   this->addHeaders(Answer);
   Answer.keep_alive(this->wantsKeepAlive());
-  Answer.body() = std::move(Given.Body);
   Answer.prepare_payload();
   this->KeepsAlive = this->KeepsAlive && Answer.keep_alive();
   const ErrorCode Failure =
@@ -113,17 +107,15 @@
   co_return this->note(Failure);
 }
 
-Task<bool> HttpExchange::beginEvents(http::response_header<> Head) {
+Task<bool> HttpExchange::writeEventsHead(Connection::Header Head) {
   this->Answered = true;
   this->EventsOpen = true;
-  Connection::Header Answer(std::move(Head));
-  Answer.version(this->Asked.version());
-  this->addHeaders(Answer);
-  Answer.keep_alive(this->wantsKeepAlive());
-  Answer.chunked(true);
-  this->KeepsAlive = this->KeepsAlive && Answer.keep_alive();
+  this->addHeaders(Head);
+  Head.keep_alive(this->wantsKeepAlive());
+  Head.chunked(true);
+  this->KeepsAlive = this->KeepsAlive && Head.keep_alive();
   const ErrorCode Failure =
-      co_await this->Peer->writeHeader(Answer, this->Values.WriteTimeout);
+      co_await this->Peer->writeHeader(Head, this->Values.WriteTimeout);
   co_return this->note(Failure);
 }
 
--- a/src/libs/http/HttpExchange.h
+++ b/src/libs/http/HttpExchange.h
@@ -98,6 +98,10 @@
                           std::shared_ptr<HangUpWatch> Watch);
   bool note(const ErrorCode &Failure);
   void stopWatching();
+  /// What all whole answers have in common.
+  Task<bool> writeAnswer(Connection::Answer Answer);
+  /// What the beginnings of all streams of events have in common.
+  Task<bool> writeEventsHead(Connection::Header Head);
   template <class Answer> void addHeaders(Answer &To) const;
   /// Whether the connection is kept after this answer, by the caller's word and
   /// the server's settings.
