--- a/src/libs/native/LogClient.cpp
+++ b/src/libs/native/LogClient.cpp
@@ -1,5 +1,6 @@
 #include "native/LogClient.h"
 
+#include "base/Base64.h"
 #include "http/BoundedJson.h"
 #include "native/HostListJson.h"
 #include "native/JsonField.h"
@@ -7,7 +8,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <sodium.h>
 
 namespace banyanpick {
 
@@ -19,20 +19,6 @@
 constexpr unsigned Ok = 200;
 constexpr unsigned Unavailable = 503;
 
-std::string fromBase64(const std::string &Text) {
-  std::string Bytes(Text.size(), '\0');
-  std::size_t Size = 0;
-  const int Failure =
-      sodium_base642bin(reinterpret_cast<unsigned char *>(Bytes.data()),
-                        Bytes.size(), Text.data(), Text.size(), nullptr, &Size,
-                        nullptr, sodium_base64_VARIANT_ORIGINAL);
-  if (Failure != 0)
-    throw Error(ErrorKind::BadInput, "a record is not in base64",
-                "see docs/PROTOCOLS.md");
-  Bytes.resize(Size);
-  return Bytes;
-}
-
 void addRecords(const json &Given, LogRead &Into) {
   const LogOffset Offset = Given.at("offset").get<LogOffset>();
   Into.NextOffset = std::max(Into.NextOffset, Offset + 1);
--- a/tests/auto/daemon/FakePlatform.h
+++ b/tests/auto/daemon/FakePlatform.h
@@ -3,11 +3,11 @@
 #pragma once
 
 #include "auto/http/LocalServer.h"
+#include "base/Base64.h"
 #include "http/AddressText.h"
 #include "http/BoundedJson.h"
 
 #include <fmt/format.h>
-#include <sodium.h>
 
 namespace banyanpick {
 
@@ -71,22 +71,12 @@
     const auto From = Each.target().number("from", 1);
     for (std::uint64_t I = std::max<std::uint64_t>(From, 1);
          I <= this->Log.size(); ++I)
-      Records.push_back({{"offset", I}, {"bytes", base64(this->Log[I - 1])}});
+      Records.push_back({{"offset", I}, {"bytes", toBase64(this->Log[I - 1])}});
     return answerWith({{"start", 1},
                        {"end", this->Log.size() + 1},
                        {"records", std::move(Records)}});
   }
 
-  static std::string base64(const std::string &Bytes) {
-    constexpr int Variant = sodium_base64_VARIANT_ORIGINAL;
-    std::string Result(sodium_base64_encoded_len(Bytes.size(), Variant), '\0');
-    sodium_bin2base64(Result.data(), Result.size(),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      Bytes.size(), Variant);
-    Result.pop_back();
-    return Result;
-  }
-
   static json upstreamJson(const char *Id, const char *Kind,
                            const Address &At) {
     return {{"id", Id},       {"life", "e"}, {"kind", Kind},
--- a/tests/standins/StandinPlatform.cpp
+++ b/tests/standins/StandinPlatform.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Stand-in for the platform: the append-only log and the host list.
+#include "base/Base64.h"
 #include "standins/HttpServer.h"
 #include "standins/PlatformLog.h"
 #include "standins/WireText.h"
@@ -7,7 +8,6 @@
 #include <fstream>
 #include <gflags/gflags.h>
 #include <mutex>
-#include <sodium.h>
 #include <thread>
 
 DEFINE_string(listen, "127.0.0.1:7200", "address to serve, ip:port");
@@ -23,16 +23,6 @@
 
 constexpr std::uint64_t LongestWaitMs = 30'000;
 
-std::string toBase64(const std::string &Bytes) {
-  constexpr int Variant = sodium_base64_VARIANT_ORIGINAL;
-  std::string Text(sodium_base64_encoded_len(Bytes.size(), Variant), '\0');
-  sodium_bin2base64(Text.data(), Text.size(),
-                    reinterpret_cast<const unsigned char *>(Bytes.data()),
-                    Bytes.size(), Variant);
-  Text.pop_back(); // The terminator that libsodium counts in.
-  return Text;
-}
-
 class Platform {
 public:
   Platform(std::uint64_t RetainRecords, json Hosts)
--- a/tests/standins/StandinStore.cpp
+++ b/tests/standins/StandinStore.cpp
@@ -5,13 +5,13 @@
 /// the operator or an upstream would (an empty body drops the key),
 /// `POST /standin/compact?Topic=T` drops a topic's history, and
 /// `POST /standin/down?On=1` makes it refuse everything else.
+#include "base/Base64.h"
 #include "platform/RecordFrames.h"
 #include "platform/WireNames.h"
 #include "standins/HttpServer.h"
 #include "standins/KeyedTopics.h"
 
 #include <atomic>
-#include <boost/beast/core/detail/base64.hpp>
 #include <gflags/gflags.h>
 
 DEFINE_string(listen, "127.0.0.1:7400", "where it listens");
@@ -22,13 +22,6 @@
 
 using nlohmann::json;
 
-std::string base64(const std::string &Text) {
-  namespace codec = boost::beast::detail::base64;
-  std::string Result(codec::encoded_size(Text.size()), '\0');
-  Result.resize(codec::encode(Result.data(), Text.data(), Text.size()));
-  return Result;
-}
-
 std::string bigEndian(std::uint64_t Number) {
   std::string Result;
   for (int Byte = 7; Byte >= 0; --Byte)
@@ -100,7 +93,7 @@
     const LogOffset End = this->Topics.end(Topic);
     for (const KeyedRecord &Record : this->Topics.newest(Topic))
       Items.push_back({{"Key", Record.Key},
-                       {"Value", base64(*Record.Value)},
+                       {"Value", toBase64(*Record.Value)},
                        {"Offset", Record.Offset}});
     Each.answer(
         200, json{{"Items", Items}, {"Truncated", false}, {"EndOffset", End}});
