Take the store's newest reading from heartbeats once

It was kept for each member and searched over all of them at every event, twice where hosts are many. The plug-in that owns it takes it from each heartbeat.

--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -39,7 +39,6 @@
   Time LastHeard{};
   Time LogConfirmedAt{};        ///< From its heartbeat.
   LogOffset EnginesKnownTo = 0; ///< From its heartbeat.
-  Time StoreConfirmedAt{};      ///< From its heartbeat; see StoreFreshness.
 };
 
 /// The declarations that a gateway serves by, as its heartbeats tell them.
--- a/src/plugins/membership/PeerTable.cpp
+++ b/src/plugins/membership/PeerTable.cpp
@@ -113,8 +113,6 @@
   Of.InForce = Beat.InForce;
   Of.LogConfirmedAt = std::max(Of.LogConfirmedAt, Beat.LogConfirmedAt);
   Of.EnginesKnownTo = Beat.EnginesKnownTo;
-  if (Beat.StoreAge != Duration::max())
-    Of.StoreConfirmedAt = std::max(Of.StoreConfirmedAt, Now - Beat.StoreAge);
   if (Differs)
     this->changeOf(Of.Listing.Id);
   this->believe(At, {Beat.Version, LifeBelief::Standing::Alive, Beat.Leaving},
--- a/src/plugins/storereaders/StoreReadersPlugin.cpp
+++ b/src/plugins/storereaders/StoreReadersPlugin.cpp
@@ -2,6 +2,7 @@
 
 #include "base/EventNumbers.h"
 #include "base/RendezvousHash.h"
+#include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 
 #include <algorithm>
@@ -52,35 +53,33 @@
 }
 
 void StoreReadersPlugin::handle(const Event &What, Time Now, Actions &Out) {
-  if (const auto *Is = std::get_if<GatewayEvent>(&What))
-    this->note(*Is, Now);
+  match(
+      What,
+      [&](const GatewayEvent &Is) {
+        if (std::holds_alternative<EnginesRead>(Is))
+          this->Confirmed = Now;
+      },
+      [&](const PeerMessageReceived &Is) {
+        const auto *Beat = std::get_if<Heartbeat>(&Is.Message.Body);
+        if (Beat && Beat->StoreAge != Duration::max())
+          this->Confirmed = std::max(this->Confirmed, Now - Beat->StoreAge);
+      },
+      [](const auto &) {});
   if (Now >= this->NextLook)
     this->look(Now, Out);
 }
 
-void StoreReadersPlugin::note(const GatewayEvent &What, Time Now) {
-  if (std::holds_alternative<EnginesRead>(What))
-    this->OwnRead = Now;
-}
-
-Time StoreReadersPlugin::storeConfirmedAt() const {
-  Time Result = this->OwnRead;
-  for (const Member &Each : this->Members->peers())
-    Result = std::max(Result, Each.StoreConfirmedAt);
-  return Result;
-}
-
 void StoreReadersPlugin::look(Time Now, Actions &Out) {
   this->NextLook = Now + this->LookInterval;
   const std::string_view Why = this->reason(Now);
   if (Why.empty() != this->Reads)
     return;
   this->Reads = !Why.empty();
-  const Time Confirmed = this->storeConfirmedAt();
   Out.log(logEvent(this->Reads ? events::StoreFollowed : events::StoreLeft)
               .with("why", this->Reads ? Why : "others read it")
-              .with("confirmed_us_ago",
-                    Confirmed == Time{} ? -1 : (Now - Confirmed).count())
+              .with("confirmed_us_ago", this->Confirmed == Time{}
+                                            ? -1
+                                            : (Now - this->Confirmed).count())
               .with("hosts", this->Members->peers().size() + 1)
               .build());
   Out.count("store_reading_changed", this->Reads ? "on" : "off");
@@ -94,7 +93,7 @@
     return "chosen";
   if (!this->hearsPeers(Now))
     return "no peer is heard";
-  if (Now > this->storeConfirmedAt() + this->MostAge)
+  if (Now > this->Confirmed + this->MostAge)
     return "nobody is known to read it";
   return {};
 }
--- a/src/plugins/storereaders/StoreReadersPlugin.h
+++ b/src/plugins/storereaders/StoreReadersPlugin.h
@@ -5,8 +5,6 @@
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
 
-#include <array>
-
 namespace banyanpick {
 
 /// A few hosts follow the store and the others hear from them, so that the
@@ -20,12 +18,11 @@
   void handle(const Event &What, Time Now, Actions &Out) override;
   Time nextWake() const override { return this->NextLook; }
 
-  Time storeConfirmedAt() const override;
+  Time storeConfirmedAt() const override { return this->Confirmed; }
 
   static std::vector<SettingDeclaration> settings();
 
 private:
-  void note(const GatewayEvent &What, Time Now);
   void look(Time Now, Actions &Out);
   /// Why this host reads the store now; empty when it need not.
   std::string_view reason(Time Now) const;
@@ -40,7 +37,7 @@
   Duration MostAge{};
   Duration MostSilence{};
   Time NextLook{};
-  Time OwnRead{};
+  Time Confirmed{}; ///< The newest reading known here, by any host.
   bool Reads = true;
 };
 
