--- a/src/plugins/engineload/EnginePaces.cpp
+++ b/src/plugins/engineload/EnginePaces.cpp
@@ -10,6 +10,9 @@
 /// A pace nearer to the declared one is as good as that: model error.
 constexpr double SlowFrom = 1.15;
 
+/// Nobody works faster than declared by much; zero would make work free.
+constexpr double Fastest = 0.5;
+
 } // namespace
 
 bool EnginePaces::noteLate(const UpstreamId &Engine, Time Now) {
@@ -46,8 +49,7 @@
 bool EnginePaces::takeReport(const EngineReport &Report, Time Now) {
   Seen &Of = this->ById[Report.Engine];
   const double Before = Of.Own ? Of.Factor : 1;
-  // Nobody works faster than declared by much; zero would make work free.
-  Of.Factor = std::max(Report.Pace, 0.5);
+  Of.Factor = std::max(Report.Pace, Fastest);
   Of.HeardAt = Now;
   Of.Own = true;
   constexpr double News = 0.1;
@@ -59,7 +61,7 @@
   // What the engine itself told this host lately is at least as new.
   if (Of.Own && Now < Of.HeardAt + this->Limits.AskInterval)
     return;
-  Of.Factor = std::max(Seen.Factor, 0.5);
+  Of.Factor = std::max(Seen.Factor, Fastest);
   Of.HeardAt = Now;
   Of.Own = false;
 }
