--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -240,23 +240,29 @@
   RunningRelay *Each = this->Running.owner(Is.Attempt);
   if (!Each || !Each->Live || Each->Live->Id != Is.Attempt)
     return;
-  const RelayTry Ended = *Each->Live;
   if (isSignOfLife(Is.Outcome))
-    this->Signs[Ended.Engine] = Now;
-  this->Running.unlink(Ended.Id);
-  Each->Live.reset();
-  Each->PatienceUntil = Never;
-  this->Memory->release(Each->Head.Id, Now, Out);
-  logTryEnded(*Each, Ended, Is.Outcome, Now, Out);
+    this->Signs[Each->Live->Engine] = Now;
   if (const auto *Other = std::get_if<RelayNotRun>(&Is.Outcome))
     if (Other->OtherEngine)
       this->Directory->addressTaken(
-          culpritOf(*Other, Ended.Engine, Ended.Helpers), Now, Out);
-  for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
-    Observer->tryEnded(Ended, Is.Outcome, Now, Out);
+          culpritOf(*Other, Each->Live->Engine, Each->Live->Helpers), Now, Out);
+  const RelayTry Ended = this->endTry(*Each, Is.Outcome, Now, Out);
   this->follow(*Each, Ended, Is.Outcome, Now, Out);
 }
 
+RelayTry RelaysPlugin::endTry(RunningRelay &Each, const RelayOutcome &Outcome,
+                              Time Now, Actions &Out) {
+  RelayTry Ended = *Each.Live;
+  this->Running.unlink(Ended.Id);
+  Each.Live.reset();
+  Each.PatienceUntil = Never;
+  this->Memory->release(Each.Head.Id, Now, Out);
+  logTryEnded(Each, Ended, Outcome, Now, Out);
+  for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
+    Observer->tryEnded(Ended, Outcome, Now, Out);
+  return Ended;
+}
+
 void RelaysPlugin::follow(RunningRelay &Each, const RelayTry &Ended,
                           const RelayOutcome &Outcome, Time Now, Actions &Out) {
   match(
@@ -377,16 +383,10 @@
     this->noteWake(Each, Now);
     return;
   }
-  const RelayTry Lost = *Each.Live;
-  const RelayOutcome Outcome =
-      RelayBroken{RelayBroken::Why::Silent, false, std::nullopt};
-  logTryEnded(Each, Lost, Outcome, Now, Out);
-  Out.add(GatewayAction(CancelRelay{Lost.Id}));
-  for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
-    Observer->tryEnded(Lost, Outcome, Now, Out);
-  this->Running.unlink(Lost.Id);
-  Each.Live.reset();
-  this->Memory->release(Each.Head.Id, Now, Out);
+  Out.add(GatewayAction(CancelRelay{Each.Live->Id}));
+  const RelayTry Lost = this->endTry(
+      Each, RelayBroken{RelayBroken::Why::Silent, false, std::nullopt}, Now,
+      Out);
   Each.RanOn.push_back(Lost.Engine);
   this->send(Each, Now, Out);
 }
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -63,6 +63,9 @@
   void wait(RunningRelay &Each, Time Now, Actions &Out);
   void began(const RelayBegan &Is, Time Now, Actions &Out);
   void ended(const RelayEnded &Is, Time Now, Actions &Out);
+  /// The live try is over; everybody is told how it ended.
+  RelayTry endTry(RunningRelay &Each, const RelayOutcome &Outcome, Time Now,
+                  Actions &Out);
   void follow(RunningRelay &Each, const RelayTry &Ended,
               const RelayOutcome &Outcome, Time Now, Actions &Out);
   /// Ends it without another try.
