--- a/tests/process/GatewayDeployment.cpp
+++ b/tests/process/GatewayDeployment.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/WireNames.h"
 #include "process/Deployment.h"
+#include "standins/GatewayDemo.h"
 
 #include <filesystem>
 #include <fmt/format.h>
@@ -16,9 +17,10 @@
 using standins::askHttp;
 using standins::HttpQuestion;
 using standins::HttpReply;
-namespace header = platform::header;
 
 constexpr seconds Patience(10);
+/// What callers say that they will wait.
+constexpr seconds CallerWaits(5);
 
 json route(const std::string &Prefix, const std::string &Kind, int Attempts) {
   return {{"Name", Prefix},
@@ -151,14 +153,8 @@
                                  const std::string &Attempt,
                                  const std::string &Body,
                                  std::vector<standins::HttpHeader> More) const {
-  HttpQuestion Question;
-  Question.Method = boost::beast::http::verb::post;
-  Question.Target = Path;
-  Question.Body = Body;
-  Question.Headers = {{"Host", "demo.example"},
-                      {"Authorization", "Bearer demo-key"},
-                      {std::string(header::AttemptId), Attempt},
-                      {std::string(header::Remaining), "5000"}};
+  HttpQuestion Question =
+      standins::demoQuestion({}, Path, Attempt, Body, CallerWaits);
   for (standins::HttpHeader &Each : More)
     Question.Headers.push_back(std::move(Each));
   return askHttp(this->Hosts.at(Host).Callers, Question, Patience);
@@ -189,11 +185,12 @@
   return askHttp(this->Hosts.at(Host).Readiness, Ask, Patience).Status;
 }
 
-std::vector<std::string> GatewayDeployment::directory(std::size_t Host) const {
+std::vector<std::string> GatewayDeployment::directory(std::size_t Host,
+                                                      Duration Limit) const {
   HttpQuestion Ask;
   Ask.Target = std::string(platform::path::Resolution) + "?Name=demo.example";
   const json Reply =
-      askHttp(this->Hosts.at(Host).Directory, Ask, Patience).parsed();
+      askHttp(this->Hosts.at(Host).Directory, Ask, Limit).parsed();
   if (!Reply.is_object() || !Reply.contains("Addresses"))
     return {};
   return Reply["Addresses"].get<std::vector<std::string>>();
--- a/tests/process/GatewayDeployment.h
+++ b/tests/process/GatewayDeployment.h
@@ -77,7 +77,9 @@
   int runsOf(const std::string &Attempt) const;
   bool anyUpstreamSawAKey() const;
   unsigned readiness(std::size_t Host) const;
-  std::vector<std::string> directory(std::size_t Host) const;
+  /// The hosts that it names, if it does so within the limit.
+  std::vector<std::string> directory(std::size_t Host,
+                                     Duration Limit = seconds(10)) const;
   /// Writes the configuration's next version with or without `/extra/`.
   void configure(std::uint64_t Version, bool WithExtra = false) const;
   void put(const std::string &Topic, const std::string &Key,
--- a/tests/process/GatewayTest.cpp
+++ b/tests/process/GatewayTest.cpp
@@ -3,6 +3,7 @@
 /// and the store.
 #include "process/Deployment.h"
 #include "process/GatewayDeployment.h"
+#include "standins/GatewayDemo.h"
 #include "standins/HttpServer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -15,15 +16,9 @@
 namespace banyanpick::process {
 namespace {
 
+using standins::demoStream;
 using standins::HttpReply;
 
-std::string wholeStream() {
-  std::string Result;
-  for (int Id = 1; Id <= 10; ++Id)
-    Result += fmt::format("id: {}\ndata: piece {}\n\n", Id, Id);
-  return Result;
-}
-
 TEST(Gateway, RelaysWholeAnswersAndStreamsWithTheTeamAndWithoutTheKey) {
   GatewayDeployment Gateway({"", ""});
   const HttpReply Whole = Gateway.ask(0, "/safe/x", "a1", "my words");
@@ -32,7 +27,7 @@
   EXPECT_TRUE(Whole.Body.ends_with(": my words")) << Whole.Body;
   const HttpReply Stream = Gateway.ask(1, "/stream/x", "a2");
   EXPECT_TRUE(Stream.isComplete());
-  EXPECT_EQ(Stream.Body, wholeStream());
+  EXPECT_EQ(Stream.Body, demoStream());
   EXPECT_FALSE(Gateway.anyUpstreamSawAKey());
 }
 
@@ -42,7 +37,7 @@
     const HttpReply Reply =
         Gateway.ask(0, "/stream/x", fmt::format("s{}", Each));
     EXPECT_TRUE(Reply.isComplete());
-    EXPECT_EQ(Reply.Body, wholeStream());
+    EXPECT_EQ(Reply.Body, demoStream());
   }
 }
 
@@ -52,7 +47,7 @@
     const HttpReply Reply =
         Gateway.ask(0, "/stream/x", fmt::format("q{}", Each));
     EXPECT_TRUE(Reply.isComplete());
-    EXPECT_EQ(Reply.Body, wholeStream());
+    EXPECT_EQ(Reply.Body, demoStream());
   }
 }
 
@@ -60,7 +55,7 @@
   GatewayDeployment Gateway({"cut", "cut", "cut"});
   const HttpReply Reply = Gateway.ask(0, "/stream/x", "s1");
   EXPECT_FALSE(Reply.isComplete());
-  EXPECT_TRUE(wholeStream().starts_with(Reply.Body)) << Reply.Body;
+  EXPECT_TRUE(demoStream().starts_with(Reply.Body)) << Reply.Body;
 }
 
 class GatewayFault : public testing::TestWithParam<const char *> {};
@@ -147,7 +142,7 @@
   EXPECT_EQ(Gateway.ask(0, "/once/x", "e2").Status, 200U)
       << "callers that kept its address are still served";
   Caller.join();
-  EXPECT_EQ(Reply.Body, wholeStream());
+  EXPECT_EQ(Reply.Body, demoStream());
   EXPECT_EQ(Gateway.host(0).Process->wait(), 0);
 }
 
--- a/tests/soak/LoopbackProxy.cpp
+++ b/tests/soak/LoopbackProxy.cpp
@@ -1,6 +1,5 @@
 #include "soak/LoopbackProxy.h"
 
-#include "base/Visitor.h"
 #include "standins/HttpServer.h"
 
 #include <array>
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -2,17 +2,17 @@
 
 #include "process/Deployment.h"
 #include "soak/FaultInjector.h"
+#include "standins/GatewayDemo.h"
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <optional>
 
 namespace banyanpick::soak {
 
 namespace {
 
 using process::GatewayDeployment;
-using standins::HttpReply;
+using standins::demoStream;
 
 /// An answer may come so much after its caller's limit: both sides' timers and
 /// a machine that runs other things.
@@ -86,7 +86,7 @@
   if (!Of.Reply.isComplete() || Of.Reply.Status != 200)
     return false;
   return Of.Kind == CallKind::Stream
-             ? Of.Reply.Body == wholeStream()
+             ? Of.Reply.Body == demoStream()
              : Of.Reply.Body.ends_with(": " + Of.Payload);
 }
 
@@ -114,7 +114,7 @@
     if (Of.Reply.isComplete() && Of.Reply.Status == 200 && !isWhole(Of))
       Add("a complete answer that is not whole, or another's");
     if (Of.Kind == CallKind::Stream && Of.Reply.Status == 200 &&
-        !wholeStream().starts_with(Of.Reply.Body))
+        !demoStream().starts_with(Of.Reply.Body))
       Add("a stream out of order");
     if (this->isUndisturbed(Of)) {
       if (!Of.Reply.isComplete())
--- a/tests/soak/SoakTraffic.cpp
+++ b/tests/soak/SoakTraffic.cpp
@@ -1,6 +1,6 @@
 #include "soak/SoakTraffic.h"
 
-#include "platform/WireNames.h"
+#include "standins/GatewayDemo.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -9,12 +9,8 @@
 
 namespace {
 
-namespace header = platform::header;
 using standins::askHttp;
-using standins::HttpQuestion;
 
-/// Events of a stream, as the stand-in sends them by default.
-constexpr int StreamEvents = 10;
 /// How long a caller uses what a directory said, and how long at most: three
 /// times the second that hosts name.
 constexpr seconds AskAgainAfter(1);
@@ -35,24 +31,8 @@
   return "/";
 }
 
-std::vector<std::string> askDirectory(const std::string &At) {
-  HttpQuestion Ask;
-  Ask.Target = std::string(platform::path::Resolution) + "?Name=demo.example";
-  const auto Reply = askHttp(At, Ask, DirectoryPatience).parsed();
-  if (!Reply.is_object() || !Reply.contains("Addresses"))
-    return {};
-  return Reply["Addresses"].get<std::vector<std::string>>();
-}
-
 } // namespace
 
-std::string wholeStream() {
-  std::string Result;
-  for (int Id = 1; Id <= StreamEvents; ++Id)
-    Result += fmt::format("id: {}\ndata: piece {}\n\n", Id, Id);
-  return Result;
-}
-
 SoakTraffic::SoakTraffic(
     process::GatewayDeployment &Deployed,
     std::span<const std::unique_ptr<LoopbackProxy>> CallerLinks,
@@ -81,15 +61,8 @@
   Result.Payload = fmt::format("payload-{}", Number);
   Result.Host = Host;
   Result.Limit = Limit;
-  HttpQuestion Ask;
-  Ask.Method = boost::beast::http::verb::post;
-  Ask.Target = pathOf(Kind);
-  Ask.Body = Result.Payload;
-  const auto LimitMs = std::chrono::duration_cast<milliseconds>(Limit).count();
-  Ask.Headers = {{"Host", "demo.example"},
-                 {"Authorization", "Bearer demo-key"},
-                 {std::string(header::AttemptId), Result.Attempt},
-                 {std::string(header::Remaining), std::to_string(LimitMs)}};
+  const standins::HttpQuestion Ask = standins::demoQuestion(
+      {}, pathOf(Kind), Result.Attempt, Result.Payload, Limit);
   Result.Start = Clock::now();
   Result.Reply =
       askHttp(this->CallerLinks[Host]->address(), Ask, Limit + ReadSlack);
@@ -102,8 +75,8 @@
                       Clock::time_point &KnownAt) const {
   const auto Now = Clock::now();
   if (Known.empty() || Now >= KnownAt + AskAgainAfter) {
-    auto &Asked = this->Deployed.host(Numbers() % this->Deployed.hosts());
-    std::vector<std::string> Named = askDirectory(Asked.Directory);
+    std::vector<std::string> Named = this->Deployed.directory(
+        Numbers() % this->Deployed.hosts(), DirectoryPatience);
     if (!Named.empty()) {
       Known = std::move(Named);
       KnownAt = Now;
--- a/tests/soak/SoakTraffic.h
+++ b/tests/soak/SoakTraffic.h
@@ -61,7 +61,4 @@
   std::vector<std::thread> Threads;
 };
 
-/// The whole answer to a stream.
-std::string wholeStream();
-
 } // namespace banyanpick::soak
--- a/tests/standins/GatewayCaller.cpp
+++ b/tests/standins/GatewayCaller.cpp
@@ -4,7 +4,7 @@
 /// them. Ends with one line:
 ///   demo: sent=N whole=N refused=N failed=N lost=0 doubled=0 crossed=0
 #include "platform/WireNames.h"
-#include "standins/HttpClient.h"
+#include "standins/GatewayDemo.h"
 
 #include <atomic>
 #include <chrono>
@@ -21,14 +21,14 @@
 DEFINE_string(key, "demo-key", "the caller's key");
 DEFINE_uint32(requests, 300, "how many are sent");
 DEFINE_uint32(span_ms, 15000, "over how long");
-DEFINE_uint32(events, 10, "events of a whole stream");
+DEFINE_uint32(events, banyanpick::standins::DemoEvents,
+              "events of a whole stream");
 
 namespace banyanpick::standins {
 
 namespace {
 
 using nlohmann::json;
-namespace header = platform::header;
 
 /// A caller's patience with one request.
 constexpr seconds Deadline(8);
@@ -71,33 +71,16 @@
   return {};
 }
 
-std::string wholeStream() {
-  std::string Result;
-  for (std::uint32_t Id = 1; Id <= FLAGS_events; ++Id)
-    Result += fmt::format("id: {}\ndata: piece {}\n\n", Id, Id);
-  return Result;
-}
-
 /// Whether the body is the answer to this very request, whole.
 bool isOwn(Kind Of, const std::string &Body, const std::string &Payload) {
-  return Of == Kind::Stream ? Body == wholeStream()
+  return Of == Kind::Stream ? Body == demoStream(FLAGS_events)
                             : Body.ends_with(": " + Payload);
 }
 
-HttpQuestion questionOf(Kind Of, const std::string &Payload,
-                        const std::string &Attempt, Duration Left) {
-  HttpQuestion Result;
-  Result.Method = boost::beast::http::verb::post;
-  Result.Target = Of == Kind::Safe   ? "/safe/x"
-                  : Of == Kind::Once ? "/once/x"
-                                     : "/stream/x";
-  Result.Body = Payload;
-  const auto LeftMs = std::chrono::duration_cast<milliseconds>(Left).count();
-  Result.Headers = {{"Host", FLAGS_host},
-                    {"Authorization", "Bearer " + FLAGS_key},
-                    {std::string(header::AttemptId), Attempt},
-                    {std::string(header::Remaining), std::to_string(LeftMs)}};
-  return Result;
+std::string pathOf(Kind Of) {
+  if (Of == Kind::Stream)
+    return "/stream/x";
+  return Of == Kind::Safe ? "/safe/x" : "/once/x";
 }
 
 void sendOne(std::uint32_t Number, Counts &Into) {
@@ -113,8 +96,9 @@
       continue;
     const HttpReply Reply =
         askHttp(At,
-                questionOf(Of, Payload, fmt::format("demo-{}-{}", Number, Try),
-                           Deadline - Passed),
+                demoQuestion({FLAGS_host, FLAGS_key}, pathOf(Of),
+                             fmt::format("demo-{}-{}", Number, Try), Payload,
+                             Deadline - Passed),
                 Deadline - Passed);
     if (Reply.isComplete() && Reply.Status == 200) {
       ++(isOwn(Of, Reply.Body, Payload) ? Into.Whole : Into.Crossed);
--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -10,7 +10,7 @@
 /// of a stream and nothing more.
 /// `GET /standin/runs` gives how often it ran each request.
 #include "platform/WireNames.h"
-#include "standins/HttpClient.h"
+#include "standins/GatewayDemo.h"
 #include "standins/HttpServer.h"
 
 #include <chrono>
@@ -29,7 +29,7 @@
 DEFINE_string(zone, "east", "its data centre");
 DEFINE_string(store, "127.0.0.1:7400", "the store to register in");
 DEFINE_string(fault, "", "how it fails");
-DEFINE_uint32(events, 10, "events of a stream");
+DEFINE_uint32(events, banyanpick::standins::DemoEvents, "events of a stream");
 DEFINE_uint32(pause_ms, 20, "between events, and before a whole answer");
 
 namespace banyanpick::standins {
@@ -43,10 +43,6 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(FLAGS_pause_ms));
 }
 
-std::string eventText(std::uint64_t Id) {
-  return fmt::format("id: {}\ndata: piece {}\n\n", Id, Id);
-}
-
 class UpstreamService {
 public:
   void serve(Exchange &Each) {
@@ -112,11 +108,11 @@
       if (FLAGS_fault == "stall" && Id == First + 3)
         std::this_thread::sleep_for(std::chrono::hours(1));
       if (FLAGS_fault == "cut" && Id == First + 3) {
-        Each.sendEvents(eventText(Id).substr(0, 5));
+        Each.sendEvents(demoEvent(Id).substr(0, 5));
         Each.hangUp();
         return;
       }
-      Each.sendEvents(eventText(Id));
+      Each.sendEvents(demoEvent(Id));
     }
     Each.endEvents();
   }
