Tell an engine's lives apart by its birth; take unreadable records as no engine

Cause: engines may start again under the id they had. One that was known to leave stayed unused for ever, and what its earlier life was reading was given up only when its silence showed. A registration that could not be read left the older one in use, and a record without its key made every later read fail.

An engine's id inside the product is now that of one life (name and birth), so all beliefs end with it; the first of store, peers and reports to name a later life ends the earlier one. Tests: news of two lives in every order, a life told by a report, reborn while reading for others, reservations of the old life, mutated documents.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -223,20 +223,27 @@
   for (const KeyedRecord &Each : Records) {
     EngineChange Change;
     Change.Offset = Each.Offset;
-    Change.Removed = !Each.Value;
+    // What cannot be read names no engine to use, so the key's engine counts as
+    // removed until it registers anew.
+    Change.Removed = true;
     Change.Engine.Id = UpstreamId(Each.Key);
     try {
-      if (Each.Value)
+      if (Each.Key.empty())
+        throw Error(ErrorKind::BadInput, "a record has no key",
+                    "have its writer mend it");
+      if (Each.Value) {
         Change.Engine =
             this->Uses.Protocol.documents().readEngine(Each.Key, *Each.Value);
+        Change.Removed = false;
+      }
     } catch (const Error &Failure) {
       this->count("registrations_malformed", "");
       writeLogLine(logEvent(events::RegistrationUnreadable)
                        .with("engine", Each.Key)
+                       .with("offset", Each.Offset)
                        .with("why", Failure.what())
                        .build(),
                    this->Uses.Clock.now());
-      continue;
     }
     Read.Changes.push_back(std::move(Change));
   }
--- a/src/libs/gateway/EngineRecord.h
+++ b/src/libs/gateway/EngineRecord.h
@@ -10,8 +10,8 @@
 
 namespace banyanpick {
 
-/// One upstream as it registered itself. Each start is a new id, so the id
-/// stands for one life; the address may be used again by another one later.
+/// One upstream as it registered itself. The id stands for one life of it (see
+/// EngineLife.h); the address may be used again by another one later.
 struct EngineRecord {
   UpstreamId Id;
   ServiceId Service;
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -55,6 +55,9 @@
   virtual ~EngineObserver() = default;
   virtual void engineChanged(const KnownEngine &, Time, Actions &) {}
   virtual void engineGone(const UpstreamId &, Time, Actions &) {}
+  /// The engine started anew: whatever this earlier life of it was working on
+  /// or kept in memory is lost. engineGone() follows.
+  virtual void engineReborn(const UpstreamId &, Time, Actions &) {}
 };
 
 /// One try of a relayed request on one upstream.
--- a/src/libs/relay/OrderedStore.h
+++ b/src/libs/relay/OrderedStore.h
@@ -26,7 +26,7 @@
 
 /// One record; without a value the key is gone.
 struct KeyedRecord {
-  std::string Key;
+  std::string Key; ///< Empty for a record that could not be read.
   std::optional<std::string> Value;
   LogOffset Offset = 0;
 };
--- a/src/plugins/enginememory/EngineMemoryPlugin.cpp
+++ b/src/plugins/enginememory/EngineMemoryPlugin.cpp
@@ -20,6 +20,7 @@
   this->LateFor = Values.span(In, "late_for");
   this->LateInterval = Values.span(In, "late_interval");
   Context.services().provide<MemoryKeeper>(*this);
+  Context.services().list<EngineObserver>().add(*this);
 }
 
 void EngineMemoryPlugin::start(Time, Actions &) {}
@@ -143,6 +144,28 @@
   Out.log(logEvent(events::MemoryReleased).with("request", Id.Value).build());
 }
 
+void EngineMemoryPlugin::engineReborn(const UpstreamId &Id, Time Now,
+                                      Actions &Out) {
+  std::erase_if(this->Late, [&](const LateRelease &Each) {
+    return Each.Where.Engine == Id;
+  });
+  std::vector<RequestId> Hit;
+  for (auto &[Request, Of] : this->Reservations)
+    for (Share &Each : Of.Shares) {
+      if (Each.Where.Engine != Id)
+        continue;
+      Each.Is = Stage::Refused;
+      Each.Unanswered = false;
+      Each.AskAgainAt = Never;
+      Hit.push_back(Request);
+    }
+  for (const RequestId &Request : Hit) {
+    const auto Found = this->Reservations.find(Request);
+    if (Found != this->Reservations.end())
+      this->decide(Request, Found->second, Now, Out);
+  }
+}
+
 void EngineMemoryPlugin::letGo(const Reservation &Of, Time Now, Actions &Out) {
   for (const Share &Each : Of.Shares) {
     if (Each.Is != Stage::Refused || Each.Unanswered)
--- a/src/plugins/enginememory/EngineMemoryPlugin.h
+++ b/src/plugins/enginememory/EngineMemoryPlugin.h
@@ -15,7 +15,9 @@
 /// one is refused, so that two requests never wait for each other. Holds are
 /// short and renewed while they are used: when their owner dies, engines free
 /// them by themselves, sooner than anybody else could notice.
-class EngineMemoryPlugin : public Plugin, public MemoryKeeper {
+class EngineMemoryPlugin : public Plugin,
+                           public MemoryKeeper,
+                           public EngineObserver {
 public:
   void initialize(PluginContext &Context) override;
   void start(Time Now, Actions &Out) override;
@@ -26,6 +28,10 @@
                Time Now, Actions &Out) override;
   void release(const RequestId &Id, Time Now, Actions &Out) override;
 
+  /// What was set aside there is gone with the engine's earlier life. It is
+  /// neither renewed nor let go on the new one.
+  void engineReborn(const UpstreamId &Id, Time Now, Actions &Out) override;
+
   static std::vector<SettingDeclaration> settings();
 
 private:
--- a/src/plugins/engines/EngineTable.cpp
+++ b/src/plugins/engines/EngineTable.cpp
@@ -1,5 +1,7 @@
 #include "plugins/engines/EngineTable.h"
 
+#include "gateway/EngineLife.h"
+
 #include <algorithm>
 #include <set>
 
@@ -17,69 +19,118 @@
   return "unknown";
 }
 
-EngineTable::Effect EngineTable::apply(const EngineChange &Change,
-                                       bool Doubtful, Time Now) {
-  const auto Over = this->Removed.find(Change.Engine.Id);
-  if (Over != this->Removed.end() && Over->second.Offset >= Change.Offset)
-    return Effect::None;
-  const auto Found = this->Engines.find(Change.Engine.Id);
-  if (Found != this->Engines.end() && Found->second.Offset >= Change.Offset)
-    return Effect::None;
+EngineTable::Applied EngineTable::apply(const EngineChange &Change,
+                                        bool Doubtful, Time Now) {
   if (Change.Removed)
     return this->remove(Change, Doubtful, Now);
-  this->Removed.erase(Change.Engine.Id);
-  const bool IsNew = Found == this->Engines.end();
-  KnownEngine &Of = this->Engines[Change.Engine.Id];
+  const std::string_view Of = engineName(Change.Engine.Id);
+  const std::uint64_t BornMs = engineBornMs(Change.Engine.Id);
+  const auto Over = this->Removed.find(Of);
+  const bool WasRemoved = Over != this->Removed.end();
+  if (WasRemoved && BornMs < Over->second.BornMs)
+    return {};
+  const bool IsOver = WasRemoved && Over->second.Offset >= Change.Offset;
+  const auto Found = this->Engines.find(Of);
+  if (Found == this->Engines.end())
+    return IsOver ? Applied{} : this->add(Change, Now);
+  KnownEngine &Known = Found->second;
+  const std::uint64_t KnownMs = engineBornMs(Known.Record.Id);
+  if (BornMs < KnownMs || (BornMs == KnownMs && Known.Offset >= Change.Offset))
+    return {};
+  if (BornMs == KnownMs)
+    return this->change(Known, Change, Now);
+  const UpstreamId Ended = Known.Record.Id;
+  this->Engines.erase(Found);
+  if (IsOver) {
+    Over->second.BornMs = BornMs;
+    this->index();
+    return {Effect::Gone, Ended, true};
+  }
+  this->add(Change, Now);
+  return {Effect::Changed, Ended, true};
+}
+
+EngineTable::Applied EngineTable::add(const EngineChange &Change, Time Now) {
+  const Name Of(engineName(Change.Engine.Id));
+  KnownEngine &Added = this->Engines[Of];
+  Added.Record = Change.Engine;
+  Added.Offset = Change.Offset;
+  Added.Standing =
+      Change.Engine.Draining ? EngineStanding::Leaving : EngineStanding::Usable;
+  Added.Since = Now;
+  this->index();
+  return {Effect::Changed, std::nullopt};
+}
+
+EngineTable::Applied EngineTable::change(KnownEngine &Of,
+                                         const EngineChange &Change, Time Now) {
   const KnownEngine Before = Of;
   Of.Record = Change.Engine;
   Of.Offset = Change.Offset;
-  const EngineStanding Next =
-      Change.Engine.Draining ? EngineStanding::Leaving : EngineStanding::Usable;
-  // Whoever is known to leave does not come back under the same id.
-  if (IsNew || Before.Standing != EngineStanding::Leaving)
-    Of.Standing = Next;
-  if (IsNew || Of.Standing != Before.Standing)
+  // A life that is known to leave does not come back.
+  if (Before.Standing != EngineStanding::Leaving)
+    Of.Standing = Change.Engine.Draining ? EngineStanding::Leaving
+                                         : EngineStanding::Usable;
+  if (Of.Standing != Before.Standing)
     Of.Since = Now;
-  if (IsNew || Of.Record.Service != Before.Record.Service)
+  if (Of.Record.Service != Before.Record.Service)
     this->index();
   const bool Same =
-      !IsNew && Before.Record == Of.Record && Before.Standing == Of.Standing;
-  return Same ? Effect::None : Effect::Changed;
+      Before.Record == Of.Record && Before.Standing == Of.Standing;
+  return {Same ? Effect::None : Effect::Changed, std::nullopt};
 }
 
-EngineTable::Effect EngineTable::remove(const EngineChange &Change,
-                                        bool Doubtful, Time Now) {
-  const auto Found = this->Engines.find(Change.Engine.Id);
-  if (Found == this->Engines.end()) {
-    this->Removed[Change.Engine.Id] = {Change.Offset, Now};
-    return Effect::None;
-  }
-  KnownEngine &Of = Found->second;
-  if (Doubtful && Of.Standing == EngineStanding::Usable) {
-    Of.Offset = Change.Offset;
-    Of.Standing = EngineStanding::Missing;
-    Of.Since = Now;
-    return Effect::Changed;
+EngineTable::Applied EngineTable::remove(const EngineChange &Change,
+                                         bool Doubtful, Time Now) {
+  const Name Of(engineName(Change.Engine.Id));
+  const auto Found = this->Engines.find(Of);
+  Removal &Over = this->Removed[Of];
+  Over.Offset = std::max(Over.Offset, Change.Offset);
+  Over.At = Now;
+  if (Found == this->Engines.end() || Found->second.Offset >= Change.Offset)
+    return {};
+  KnownEngine &Known = Found->second;
+  if (Doubtful && Known.Standing == EngineStanding::Usable) {
+    Known.Offset = Change.Offset;
+    Known.Standing = EngineStanding::Missing;
+    Known.Since = Now;
+    return {Effect::Changed, std::nullopt};
   }
-  if (Doubtful && Of.Standing == EngineStanding::Missing) {
-    Of.Offset = Change.Offset;
-    return Effect::None;
+  if (Doubtful && Known.Standing == EngineStanding::Missing) {
+    Known.Offset = Change.Offset;
+    return {};
   }
-  this->Removed[Change.Engine.Id] = {Change.Offset, Now};
+  const UpstreamId Ended = Known.Record.Id;
+  Over.BornMs = engineBornMs(Ended);
+  this->Engines.erase(Found);
+  this->index();
+  return {Effect::Gone, Ended};
+}
+
+std::optional<UpstreamId> EngineTable::noteLife(const UpstreamId &Life,
+                                                Time Now) {
+  const auto Found = this->Engines.find(engineName(Life));
+  if (Found == this->Engines.end())
+    return std::nullopt;
+  const UpstreamId Known = Found->second.Record.Id;
+  if (engineBornMs(Life) <= engineBornMs(Known))
+    return std::nullopt;
+  Removal &Over = this->Removed[Found->first];
+  Over = {std::max(Over.Offset, Found->second.Offset), Now, engineBornMs(Life)};
   this->Engines.erase(Found);
   this->index();
-  return Effect::Gone;
+  return Known;
 }
 
 std::vector<EngineChange>
 EngineTable::missingFrom(std::span<const EngineChange> Listing,
                          LogOffset UpTo) const {
-  std::set<UpstreamId> Named;
+  std::set<std::string_view> Named;
   for (const EngineChange &Each : Listing)
-    Named.insert(Each.Engine.Id);
+    Named.insert(engineName(Each.Engine.Id));
   std::vector<EngineChange> Result;
-  for (const auto &[Id, Each] : this->Engines) {
-    if (Named.contains(Id) || Each.Offset >= UpTo)
+  for (const auto &[Of, Each] : this->Engines) {
+    if (Named.contains(Of) || Each.Offset >= UpTo)
       continue;
     EngineChange Gone;
     Gone.Engine = Each.Record;
@@ -92,8 +143,8 @@
 }
 
 bool EngineTable::setLeaving(const UpstreamId &Id, Time Now) {
-  const auto Found = this->Engines.find(Id);
-  if (Found == this->Engines.end() ||
+  const auto Found = this->Engines.find(engineName(Id));
+  if (Found == this->Engines.end() || Found->second.Record.Id != Id ||
       Found->second.Standing == EngineStanding::Leaving)
     return false;
   if (Found->second.Standing == EngineStanding::Missing) {
@@ -109,13 +160,16 @@
 
 std::vector<UpstreamId> EngineTable::age(Time Now) {
   std::vector<UpstreamId> Gone;
-  for (const auto &[Id, Each] : this->Engines)
+  for (const auto &[Of, Each] : this->Engines)
     if (Each.Standing == EngineStanding::Missing &&
         Now >= Each.Since + this->Times.MissingFor)
-      Gone.push_back(Id);
+      Gone.push_back(Each.Record.Id);
   for (const UpstreamId &Id : Gone) {
-    this->Removed[Id] = {this->Engines[Id].Offset, Now};
-    this->Engines.erase(Id);
+    const Name Of(engineName(Id));
+    Removal &Over = this->Removed[Of];
+    Over = {std::max(Over.Offset, this->Engines[Of].Offset), Now,
+            engineBornMs(Id)};
+    this->Engines.erase(Of);
   }
   if (!Gone.empty())
     this->index();
@@ -130,15 +184,17 @@
 
 Time EngineTable::nextAge() const {
   Time Result = Never;
-  for (const auto &[Id, Each] : this->Engines)
+  for (const auto &[Of, Each] : this->Engines)
     if (Each.Standing == EngineStanding::Missing)
       Result = std::min(Result, Each.Since + this->Times.MissingFor);
   return Result;
 }
 
 const KnownEngine *EngineTable::find(const UpstreamId &Id) const {
-  const auto Found = this->Engines.find(Id);
-  return Found == this->Engines.end() ? nullptr : &Found->second;
+  const auto Found = this->Engines.find(engineName(Id));
+  const bool Known =
+      Found != this->Engines.end() && Found->second.Record.Id == Id;
+  return Known ? &Found->second : nullptr;
 }
 
 std::span<const KnownEngine *const>
@@ -151,15 +207,15 @@
 
 std::vector<EngineChange> EngineTable::changesFrom(LogOffset From) const {
   std::vector<EngineChange> Result;
-  for (const auto &[Id, Each] : this->Engines)
+  for (const auto &[Of, Each] : this->Engines)
     if (Each.Offset >= From)
       Result.push_back(
           {Each.Record, Each.Standing == EngineStanding::Missing, Each.Offset});
-  for (const auto &[Id, Each] : this->Removed) {
+  for (const auto &[Of, Each] : this->Removed) {
     if (Each.Offset < From)
       continue;
     EngineChange Gone;
-    Gone.Engine.Id = Id;
+    Gone.Engine.Id = UpstreamId(Of);
     Gone.Removed = true;
     Gone.Offset = Each.Offset;
     Result.push_back(std::move(Gone));
@@ -169,7 +225,7 @@
 
 void EngineTable::index() {
   this->ByService.clear();
-  for (const auto &[Id, Each] : this->Engines)
+  for (const auto &[Of, Each] : this->Engines)
     this->ByService[Each.Record.Service].push_back(&Each);
 }
 
--- a/src/plugins/engines/EngineTable.h
+++ b/src/plugins/engines/EngineTable.h
@@ -5,6 +5,8 @@
 #include "kernel/GatewayServices.h"
 
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace banyanpick {
@@ -26,10 +28,25 @@
 
   /// What a change did to one upstream.
   enum class Effect { None, Changed, Gone };
+  struct Applied {
+    Effect Is = Effect::None;
+    /// The earlier life that ended because the upstream started anew, or the
+    /// life that is gone.
+    std::optional<UpstreamId> Ended;
+    bool Reborn = false; ///< Ended was followed by a new life.
+  };
 
   /// \p Doubtful: the store was away lately, so that a removal may only mean
   /// that the upstream could not renew its registration.
-  Effect apply(const EngineChange &Change, bool Doubtful, Time Now);
+  ///
+  /// Changes of one upstream are ordered by their offsets; one that tells of an
+  /// earlier life than is known changes nothing, so a late write of a life that
+  /// is over cannot bring it back.
+  Applied apply(const EngineChange &Change, bool Doubtful, Time Now);
+
+  /// The upstream itself says which life it is in; gives the earlier one that
+  /// is over by it. The new life is used once it is registered.
+  std::optional<UpstreamId> noteLife(const UpstreamId &Life, Time Now);
 
   /// A listing of everything up to \p UpTo; gives those that it does not name.
   std::vector<EngineChange> missingFrom(std::span<const EngineChange> Listing,
@@ -54,17 +71,22 @@
   std::vector<EngineChange> changesFrom(LogOffset From) const;
 
 private:
+  /// By the upstream's name: all of its lives.
+  using Name = std::string;
   struct Removal {
     LogOffset Offset = 0;
     Time At{};
+    std::uint64_t BornMs = 0; ///< No earlier life comes back.
   };
 
   void index();
-  Effect remove(const EngineChange &Change, bool Doubtful, Time Now);
+  Applied add(const EngineChange &Change, Time Now);
+  Applied change(KnownEngine &Of, const EngineChange &Change, Time Now);
+  Applied remove(const EngineChange &Change, bool Doubtful, Time Now);
 
   EngineTimes Times;
-  std::map<UpstreamId, KnownEngine> Engines;
-  std::map<UpstreamId, Removal> Removed;
+  std::map<Name, KnownEngine, std::less<>> Engines;
+  std::map<Name, Removal, std::less<>> Removed;
   LogOffset ForgottenTo = 0;
   std::map<ServiceId, std::vector<const KnownEngine *>> ByService;
 };
--- a/src/plugins/engines/EnginesPlugin.cpp
+++ b/src/plugins/engines/EnginesPlugin.cpp
@@ -41,6 +41,8 @@
           this->take(*Read, Now, Out);
         if (const auto *Seen = std::get_if<StoreSeen>(&Is))
           this->note(*Seen, Now, Out);
+        if (const auto *Reported = std::get_if<EngineReported>(&Is))
+          this->noteLife(Reported->Report.Engine, Now, Out);
       },
       [&](const PeerMessageReceived &Is) {
         this->takePeerMessage(Is.Message, Now, Out);
@@ -133,16 +135,13 @@
                           std::string_view From, Time Now, Actions &Out) {
   const bool Doubtful = this->isDoubtful(Now);
   for (const EngineChange &Each : Changes) {
-    switch (this->Table.apply(Each, Doubtful, Now)) {
-    case EngineTable::Effect::None:
-      break;
-    case EngineTable::Effect::Changed:
+    const EngineTable::Applied Done = this->Table.apply(Each, Doubtful, Now);
+    if (Done.Reborn)
+      this->tellReborn(*Done.Ended, From, Now, Out);
+    else if (Done.Ended)
+      this->tellGone(*Done.Ended, From, Now, Out);
+    if (Done.Is == EngineTable::Effect::Changed)
       this->tell(Each.Engine.Id, From, Now, Out);
-      break;
-    case EngineTable::Effect::Gone:
-      this->tellGone(Each.Engine.Id, From, Now, Out);
-      break;
-    }
   }
 }
 
@@ -179,6 +178,18 @@
     Each->engineGone(Id, Now, Out);
 }
 
+void EnginesPlugin::noteLife(const UpstreamId &Life, Time Now, Actions &Out) {
+  if (const auto Ended = this->Table.noteLife(Life, Now))
+    this->tellReborn(*Ended, "report", Now, Out);
+}
+
+void EnginesPlugin::tellReborn(const UpstreamId &Ended, std::string_view From,
+                               Time Now, Actions &Out) {
+  for (EngineObserver *Each : this->Offered->list<EngineObserver>().all())
+    Each->engineReborn(Ended, Now, Out);
+  this->tellGone(Ended, From, Now, Out);
+}
+
 void EnginesPlugin::look(Time Now, Actions &Out) {
   this->NextLook = Now + this->LookInterval;
   // Even a host that reads the store asks: its read may hang on a connection
--- a/src/plugins/engines/EnginesPlugin.h
+++ b/src/plugins/engines/EnginesPlugin.h
@@ -44,6 +44,10 @@
             Actions &Out);
   void tellGone(const UpstreamId &Id, std::string_view From, Time Now,
                 Actions &Out);
+  /// The upstream says which life it is in.
+  void noteLife(const UpstreamId &Life, Time Now, Actions &Out);
+  void tellReborn(const UpstreamId &Ended, std::string_view From, Time Now,
+                  Actions &Out);
   /// Asks a peer that is further.
   void look(Time Now, Actions &Out);
   bool isDoubtful(Time Now) const;
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -18,6 +18,16 @@
 /// there and the shortest work.
 constexpr milliseconds ShortestTry(20);
 
+/// Whether the try is lost with the engine: it runs there, or parts of its
+/// prompt are read or kept there.
+bool dependsOn(const RelayTry &Try, const UpstreamId &Engine) {
+  if (Try.Engine == Engine)
+    return true;
+  return std::ranges::any_of(Try.Helpers, [&](const JointEngine &Each) {
+    return Each.Engine == Engine && (!Try.Began || Each.Tokens > 0);
+  });
+}
+
 /// Whether the upstream gave an answer of any kind.
 bool isSignOfLife(const RelayOutcome &Outcome) {
   return !std::holds_alternative<RelayNeverSent>(Outcome) &&
@@ -263,6 +273,19 @@
   return Ended;
 }
 
+void RelaysPlugin::engineReborn(const UpstreamId &Id, Time Now, Actions &Out) {
+  for (const RequestId &Request : this->Running.ids()) {
+    RunningRelay *Each = this->Running.find(Request);
+    if (!Each || !Each->Live || !dependsOn(*Each->Live, Id))
+      continue;
+    Out.add(GatewayAction(CancelRelay{Each->Live->Id}));
+    const RelayOutcome Lost =
+        RelayBroken{RelayBroken::Why::Reset, Each->Began, std::nullopt};
+    const RelayTry Ended = this->endTry(*Each, Lost, Now, Out);
+    this->follow(*Each, Ended, Lost, Now, Out);
+  }
+}
+
 void RelaysPlugin::follow(RunningRelay &Each, const RelayTry &Ended,
                           const RelayOutcome &Outcome, Time Now, Actions &Out) {
   match(
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -49,6 +49,9 @@
   void engineGone(const UpstreamId &Id, Time, Actions &) override {
     this->Signs.erase(Id);
   }
+  /// Tries that the earlier life was reading or writing are over at once,
+  /// instead of when their silence shows.
+  void engineReborn(const UpstreamId &Id, Time Now, Actions &Out) override;
 
   static std::vector<SettingDeclaration> settings();
 
--- a/tests/auto/gateway/EngineTableTest.cpp
+++ b/tests/auto/gateway/EngineTableTest.cpp
@@ -2,6 +2,8 @@
 /// What is known of upstreams does not depend on who told it first.
 #include "plugins/engines/EngineTable.h"
 
+#include "gateway/EngineLife.h"
+
 #include <gtest/gtest.h>
 
 #include <rapidcheck/gtest.h>
@@ -32,10 +34,22 @@
   return Result;
 }
 
+/// The changes in any order.
+rc::Gen<std::vector<EngineChange>> shuffled(std::vector<EngineChange> Given) {
+  return rc::gen::exec([Given = std::move(Given)] {
+    std::vector<EngineChange> Result = Given;
+    for (std::size_t Left = Result.size(); Left > 1; --Left)
+      std::swap(Result[Left - 1],
+                Result[static_cast<std::size_t>(
+                    *rc::gen::inRange(0, static_cast<int>(Left)))]);
+    return Result;
+  });
+}
+
 TEST(EngineTable, AnOlderChangeAfterANewerOneChangesNothing) {
   EngineTable Table = table();
   Table.apply(change("e1", 5, true), false, at(0));
-  EXPECT_EQ(Table.apply(change("e1", 3), false, at(1)),
+  EXPECT_EQ(Table.apply(change("e1", 3), false, at(1)).Is,
             EngineTable::Effect::None);
   EXPECT_EQ(Table.find(UpstreamId("e1"))->Standing, EngineStanding::Leaving);
 }
@@ -44,7 +58,7 @@
   EngineTable Table = table();
   Table.apply(change("e1", 1), false, at(0));
   Table.apply(removal("e1", 5), false, at(1));
-  EXPECT_EQ(Table.apply(change("e1", 4), false, at(2)),
+  EXPECT_EQ(Table.apply(change("e1", 4), false, at(2)).Is,
             EngineTable::Effect::None);
   EXPECT_EQ(Table.find(UpstreamId("e1")), nullptr);
 }
@@ -71,7 +85,7 @@
 TEST(EngineTable, ALeavingEngineIsGoneAtOnceEvenBesideAnOutage) {
   EngineTable Table = table();
   Table.apply(change("e1", 1, true), false, at(0));
-  EXPECT_EQ(Table.apply(removal("e1", 2), true, at(10)),
+  EXPECT_EQ(Table.apply(removal("e1", 2), true, at(10)).Is,
             EngineTable::Effect::Gone);
 }
 
@@ -132,12 +146,86 @@
       Result.emplace_back(Each->Record.Id, Each->Offset);
     return Result;
   };
-  std::vector<EngineChange> Shuffled = Changes;
-  for (std::size_t Left = Shuffled.size(); Left > 1; --Left)
-    std::swap(Shuffled[Left - 1],
-              Shuffled[static_cast<std::size_t>(
-                  *rc::gen::inRange(0, static_cast<int>(Left)))]);
-  RC_ASSERT(Final(Changes) == Final(Shuffled));
+  RC_ASSERT(Final(Changes) == Final(*shuffled(Changes)));
+}
+
+TEST(EngineTable, ALaterLifeTakesThePlaceOfOneThatLeaves) {
+  EngineTable Table = table();
+  Table.apply(change("e1@1000", 1, true), false, at(0));
+  const auto Done = Table.apply(change("e1@2000", 2), false, at(1));
+  EXPECT_TRUE(Done.Reborn);
+  EXPECT_EQ(Done.Ended, UpstreamId("e1@1000"));
+  EXPECT_EQ(Table.find(UpstreamId("e1@1000")), nullptr);
+  EXPECT_EQ(Table.find(UpstreamId("e1@2000"))->Standing,
+            EngineStanding::Usable);
+}
+
+TEST(EngineTable, ALateRecordOfAnEarlierLifeChangesNothing) {
+  EngineTable Table = table();
+  Table.apply(change("e1@2000", 2), false, at(0));
+  EXPECT_EQ(Table.apply(change("e1@1000", 3), false, at(1)).Is,
+            EngineTable::Effect::None);
+  Table.apply(removal("e1", 4), false, at(2));
+  Table.apply(change("e1@1000", 5), false, at(3));
+  EXPECT_TRUE(Table.ofService(Ring).empty());
+}
+
+TEST(EngineTable, ALifeThatAReportTellsOfEndsTheEarlierOneUntilItRegisters) {
+  EngineTable Table = table();
+  Table.apply(change("e1@1000", 1), false, at(0));
+  EXPECT_FALSE(Table.noteLife(UpstreamId("e1@1000"), at(1)));
+  EXPECT_EQ(Table.noteLife(UpstreamId("e1@2000"), at(1)),
+            UpstreamId("e1@1000"));
+  Table.apply(change("e1@1000", 2), false, at(2));
+  EXPECT_TRUE(Table.ofService(Ring).empty());
+  Table.apply(change("e1@2000", 3), false, at(3));
+  EXPECT_NE(Table.find(UpstreamId("e1@2000")), nullptr);
+}
+
+TEST(EngineTable, AnEngineRebornTwiceBetweenTwoRecordsHasItsLastLife) {
+  EngineTable Table = table();
+  Table.apply(change("e1@1000", 1), false, at(0));
+  Table.noteLife(UpstreamId("e1@2000"), at(1));
+  Table.apply(change("e1@3000", 2), false, at(2));
+  ASSERT_EQ(Table.ofService(Ring).size(), 1U);
+  EXPECT_EQ(Table.ofService(Ring).front()->Record.Id, UpstreamId("e1@3000"));
+}
+
+TEST(EngineLife, IsTheNameWhereNoBirthIsTold) {
+  EXPECT_EQ(engineLife("e1", 0), UpstreamId("e1"));
+  EXPECT_EQ(engineBornMs(UpstreamId("e1")), 0U);
+  EXPECT_EQ(engineName(UpstreamId("a@b")), "a@b");
+}
+
+RC_GTEST_PROP(EngineLifeProperty, NameAndBirthAreReadBack,
+              (const std::string &Name, std::uint64_t BornMs)) {
+  const std::uint64_t Born = std::max<std::uint64_t>(BornMs, 1);
+  const UpstreamId Life = engineLife(Name, Born);
+  RC_ASSERT(engineName(Life) == Name);
+  RC_ASSERT(engineBornMs(Life) == Born);
+}
+
+RC_GTEST_PROP(EngineTableProperty, NewsOfTwoLivesEndAlikeInAnyOrder, ()) {
+  std::vector<EngineChange> Changes;
+  const int Count = *rc::gen::inRange(1, 12);
+  for (int Offset = 0; Offset < Count; ++Offset) {
+    const auto At = static_cast<LogOffset>(Offset);
+    const char *Lives[] = {"e1@1000", "e1@2000", "e2@1000", "e2@2000"};
+    const char *Names[] = {"e1", "e2"};
+    Changes.push_back(*rc::gen::inRange(0, 4) == 0
+                          ? removal(Names[*rc::gen::inRange(0, 2)], At)
+                          : change(Lives[*rc::gen::inRange(0, 4)], At));
+  }
+  const auto Final = [](const std::vector<EngineChange> &Given) {
+    EngineTable Table = table();
+    for (const EngineChange &Each : Given)
+      Table.apply(Each, false, at(0));
+    std::vector<std::pair<UpstreamId, LogOffset>> Result;
+    for (const KnownEngine *Each : Table.ofService(Ring))
+      Result.emplace_back(Each->Record.Id, Each->Offset);
+    return Result;
+  };
+  RC_ASSERT(Final(Changes) == Final(*shuffled(Changes)));
 }
 
 } // namespace
--- a/tests/auto/gateway/GatewayBench.cpp
+++ b/tests/auto/gateway/GatewayBench.cpp
@@ -84,6 +84,12 @@
   return Id;
 }
 
+void GatewayBench::report(const UpstreamId &Life) {
+  EngineReport Report;
+  Report.Engine = Life;
+  this->send(GatewayEvent(EngineReported{Report}));
+}
+
 void GatewayBench::end(const AttemptId &Try, RelayOutcome Outcome) {
   this->send(GatewayEvent(RelayEnded{Try, std::move(Outcome)}));
 }
--- a/tests/auto/gateway/GatewayBench.h
+++ b/tests/auto/gateway/GatewayBench.h
@@ -27,6 +27,8 @@
   void enlist(const char *Service, int Count, LogOffset From = 0);
   /// A request to the path, with its key.
   RequestId arrive(std::string Path, std::uint64_t PromptTokens = 0);
+  /// An engine's own report, by which it names the life that it is in.
+  void report(const UpstreamId &Life);
   void end(const AttemptId &Try, RelayOutcome Outcome);
 
   /// All actions of the kind since the start.
--- a/tests/auto/gateway/GatewayMemoryTest.cpp
+++ b/tests/auto/gateway/GatewayMemoryTest.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace banyanpick {
@@ -30,6 +31,10 @@
       Result.insert(Each.Name);
     return Result;
   }
+  std::size_t askedOf(const UpstreamId &Engine) const {
+    const auto All = this->Bench.all<ReserveMemory>();
+    return std::ranges::count(All, Engine, &ReserveMemory::Engine);
+  }
   std::set<std::string> released() const {
     std::set<std::string> Result;
     for (const ReleaseMemory &Each : this->Bench.all<ReleaseMemory>())
@@ -90,5 +95,15 @@
   EXPECT_GE(this->Bench.all<ReleaseMemory>().size(), Before + 20);
 }
 
+TEST_F(EngineMemory, OfAnEarlierLifeIsNeitherRenewedNorLetGoOnTheNewOne) {
+  this->answerAll(ReservationResult::Held);
+  const JointEngine Kept = this->Bench.last<DispatchRelay>().Helpers.front();
+  const std::size_t Asked = this->askedOf(Kept.Engine);
+  this->Bench.report(UpstreamId(Kept.Engine.Value + "@5000"));
+  this->Bench.pass(seconds(20));
+  EXPECT_EQ(this->askedOf(Kept.Engine), Asked);
+  EXPECT_FALSE(this->released().contains(Kept.Reservation));
+}
+
 } // namespace
 } // namespace banyanpick
--- a/tests/auto/gateway/RelaysTest.cpp
+++ b/tests/auto/gateway/RelaysTest.cpp
@@ -270,5 +270,33 @@
   }
 }
 
+TEST_F(Relays, OfAnEngineThatStartedAnewGoOnElsewhereAtOnce) {
+  this->Bench.arrive("/safe/1");
+  const DispatchRelay First = this->sent();
+  this->Bench.report(UpstreamId(First.Engine.Value + "@5000"));
+  EXPECT_EQ(this->Bench.last<CancelRelay>().Attempt, First.Attempt);
+  ASSERT_EQ(this->sends(), 2U);
+  EXPECT_NE(this->sent().Engine, First.Engine);
+}
+
+TEST_F(Relays, ThatMayRunOnceEndAtOnceWithAnEngineThatStartedAnew) {
+  this->Bench.arrive("/once/1");
+  this->Bench.report(UpstreamId(this->sent().Engine.Value + "@5000"));
+  EXPECT_EQ(this->sends(), 1U);
+  EXPECT_EQ(this->refused().Kind, RefusalKind::OutcomeUnknown);
+}
+
+TEST_F(Relays, WhosePromptAnEngineThatStartedAnewHelpedToReadAreSentAgain) {
+  this->Bench.enlist("ring", 6, 10);
+  this->Bench.arrive("/stream/1", 300'000);
+  const DispatchRelay First = this->sent();
+  ASSERT_FALSE(First.Helpers.empty());
+  const UpstreamId Helper = First.Helpers.back().Engine;
+  this->Bench.report(UpstreamId(Helper.Value + "@5000"));
+  ASSERT_EQ(this->sends(), 2U);
+  for (const JointEngine &Each : this->sent().Helpers)
+    EXPECT_NE(Each.Engine, Helper);
+}
+
 } // namespace
 } // namespace banyanpick
--- a/tests/auto/platformadapter/ConfigurationJsonTest.cpp
+++ b/tests/auto/platformadapter/ConfigurationJsonTest.cpp
@@ -5,7 +5,10 @@
 
 #include "base/Error.h"
 
+#include "gateway/EngineLife.h"
+
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace banyanpick::platform {
 namespace {
@@ -83,6 +86,43 @@
                Error);
 }
 
+TEST(EngineJson, TheIdIsThatOfALife) {
+  const std::string Rest =
+      R"("Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":16,
+      "State":"ready"})";
+  EXPECT_EQ(readEngine("i-7", R"({"born":1764720000123,)" + Rest).Id,
+            engineLife("i-7", 1764720000123));
+  EXPECT_EQ(
+      readReport(engineLife("i-7", 5), R"({"Running":0,"born":6})").Engine,
+      engineLife("i-7", 6));
+  EXPECT_EQ(readReport(engineLife("i-7", 5), R"({"Running":0})").Engine,
+            engineLife("i-7", 5));
+  for (const char *Born : {"-1", "1.5", "\"1\"", "[]", "true"})
+    EXPECT_THROW(
+        readEngine("i-7", "{\"born\":" + std::string(Born) + "," + Rest), Error)
+        << Born;
+}
+
+TEST(EngineJson, ARecordByAnotherWriterIsNoEngine) {
+  const nlohmann::json Sound = {{"Service", "s"},
+                                {"Address", "10.0.0.1:80"},
+                                {"Zone", "z"},
+                                {"Slots", 16},
+                                {"State", "ready"}};
+  EXPECT_NO_THROW(readEngine("i", Sound.dump()));
+  for (const auto &[Name, Value] : Sound.items()) {
+    nlohmann::json Without = Sound;
+    Without.erase(Name);
+    EXPECT_THROW(readEngine("i", Without.dump()), Error) << Name;
+    nlohmann::json Other = Sound;
+    Other[Name] = nlohmann::json::array({1});
+    EXPECT_THROW(readEngine("i", Other.dump()), Error) << Name;
+  }
+  nlohmann::json Unknown = Sound;
+  Unknown["State"] = "resting";
+  EXPECT_THROW(readEngine("i", Unknown.dump()), Error);
+}
+
 TEST(EngineJson, AReportTellsMemoryPaceAndReservations) {
   const EngineReport Read = readReport(
       UpstreamId("e"),
--- a/tests/auto/platformadapter/RecordFramesTest.cpp
+++ b/tests/auto/platformadapter/RecordFramesTest.cpp
@@ -37,6 +37,18 @@
   }
 }
 
+TEST(RecordFrames, ARecordWithoutItsKeyDoesNotHideTheOthers) {
+  using namespace std::string_literals;
+  const std::string Body =
+      Head + "\0\0\0\x02\x09"s + "a" + "\0\0\0\0"s + "\0\0\0\x05\x02"s + "abXY";
+  const RecordsRead Read = readFrames(Body, 7);
+  ASSERT_EQ(Read.Records.size(), 3U);
+  EXPECT_TRUE(Read.Records[0].Key.empty());
+  EXPECT_TRUE(Read.Records[1].Key.empty());
+  EXPECT_EQ(Read.Records[2].Value, "XY");
+  EXPECT_EQ(Read.Records[2].Offset, 9U);
+}
+
 RC_GTEST_PROP(RecordFramesProperty, SurviveTheWayThereAndBack, ()) {
   KeyedRecord Record;
   const auto KeyLength = *rc::gen::inRange<std::size_t>(0, 256);
