Write long answers where answers that pause less are safe; leave room in pauses

Long answers written on engines that read for others paused, too. A pass with a part may take three quarters of the pause, and the engine that writes is one where answers that may pause less are written. Contexts are the memory that runs use instead of 6,000 tokens, and the usual prompt is the declared one.

--- a/src/libs/gateway/Configuration.h
+++ b/src/libs/gateway/Configuration.h
@@ -65,7 +65,8 @@
                                     ///< earlier one.
   double JointStepMs = 0; ///< More for each step of a prompt that lies on
                           ///< several engines.
-  Duration ReportLag{};   ///< How old the engine's own figures are.
+  std::uint64_t UsualPromptTokens = 0; ///< The mean over all requests.
+  Duration ReportLag{}; ///< How old the engine's own figures are.
 
   bool operator==(const EngineParameters &) const = default;
 };
--- a/src/plugins/engineload/EngineLoad.cpp
+++ b/src/plugins/engineload/EngineLoad.cpp
@@ -141,6 +141,12 @@
   return Sum;
 }
 
+std::uint64_t EngineLoad::contextTokens() const {
+  // What is to be read yet has its memory, too; peers tell one sum.
+  const std::uint32_t All = this->reading() + this->writing();
+  return All == 0 ? 0 : this->memoryTokens() * this->writing() / All;
+}
+
 std::uint32_t EngineLoad::shortRunning() const {
   std::uint32_t Sum = 0;
   for (const LoadItem &Each : this->Own)
--- a/src/plugins/engineload/EngineLoad.h
+++ b/src/plugins/engineload/EngineLoad.h
@@ -38,6 +38,8 @@
   std::uint32_t reading() const;
   std::uint32_t writing() const;
   std::uint64_t memoryTokens() const;
+  /// What the answers under way have before them, in tokens.
+  std::uint64_t contextTokens() const;
   /// Requests with short prompts, read or written.
   std::uint32_t shortRunning() const;
   /// Answers by the time that they may pause.
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -19,10 +19,6 @@
 /// mean work of a booking call.
 constexpr double UnknownWorkMs = 40;
 
-/// A writer's mean context, in tokens, where it is not known: a short prompt
-/// and its answer.
-constexpr std::uint64_t WriterContextTokens = 6000;
-
 /// Of 0 to 9, 0 first; admission to a full batch goes by it.
 constexpr std::uint32_t ShortUrgency = 2;
 constexpr std::uint32_t SharedUrgency = 5;
@@ -164,6 +160,7 @@
   Result.PromptTokens = Wanted.PromptTokens;
   Result.Tokens = Wanted.PromptTokens + Wanted.OutputTokens;
   Result.ReadMs = Model ? readMs(*Model, Wanted.PromptTokens) : UnknownWorkMs;
+  Result.PauseMs = boundMs(Wanted.LongestPause);
   Result.ValueMs =
       Model ? valueMs(*Model, Wanted.PromptTokens, Wanted.OutputTokens)
             : UnknownWorkMs;
@@ -203,7 +200,7 @@
   const std::optional<Placed> Place =
       Work.Tokens > Model.MemoryTokens
           ? placeHuge(States, Work, Model.MemoryTokens, Times, this->Weights)
-          : placeSoonest(States, Work, Times, this->Weights);
+          : placeInTurn(States, Work, Times, this->Weights);
   EngineWork::Waiting Own;
   Own.Request = Wanted.Request.Value;
   Own.Tokens = Wanted.PromptTokens;
@@ -242,7 +239,7 @@
   const RouteTable *Routes = this->Declared->routes();
   const double PauseMs =
       Routes ? this->Pauses.shortestMs(Service, *Routes) : UnboundedMs;
-  const double Room = roomMs(Model, PauseMs, WriterContextTokens);
+  const double Room = roomMs(Model, PauseMs);
   return ReadMs <= std::max(Room, PauseMs * LeastRoomShare) * ShortShare;
 }
 
@@ -295,14 +292,17 @@
   const EngineLoad None;
   const EngineLoad &Load = Found == this->Loads.end() ? None : Found->second;
   Result.Running = Load.reading() + Load.writing();
+  const std::uint32_t Slots = Model ? Model->Slots : Each.Record.Slots;
+  Result.FreeSlots = Slots > Result.Running ? Slots - Result.Running : 0;
   Result.Answers = Load.answers();
+  for (PauseGroup &Group : Result.Answers)
+    Group.PauseMs *= this->Weights.PauseShare;
   if (Model) {
     Result.Pace = this->Paces.of(Each.Record.Id, Now);
     Result.BacklogMs = Load.backlogMs(Now) * Result.Pace;
     Result.Overdue = Load.isOverdue(Now);
-    Result.PassMs = writePassMs(*Model, Load.writing(),
-                                Load.writing() * WriterContextTokens) *
-                    Result.Pace;
+    Result.PassMs =
+        writePassMs(*Model, Load.writing(), Load.contextTokens()) * Result.Pace;
     const std::uint64_t Used = Load.memoryTokens();
     Result.FreeTokens =
         Used < Model->MemoryTokens ? Model->MemoryTokens - Used : 0;
--- a/src/plugins/engineload/EngineLoadSettings.cpp
+++ b/src/plugins/engineload/EngineLoadSettings.cpp
@@ -12,6 +12,7 @@
   Result.FullMs = Values.fraction(In, "full_ms");
   Result.PauseCostMs = Values.fraction(In, "pause_cost_ms");
   Result.FillShare = Values.fraction(In, "fill_share");
+  Result.PauseShare = Values.fraction(In, "pause_share");
   Result.BudgetShare = Values.fraction(In, "budget_share");
   Result.LateShare = Values.fraction(In, "late_share");
   Result.AheadMs = Values.fraction(In, "ahead_ms");
@@ -61,6 +62,10 @@
   constexpr auto Fraction = SettingKind::Fraction;
   const std::string Place = "placement";
   return {
+      {Place, "pause_share", Fraction, "0.75",
+       "Share of the pause allowed to answers that a pass with a part may be "
+       "predicted to take: short prompts join it, and predictions err.",
+       0.01, 1},
       {Place, "budget_share", Fraction, "0.8",
        "Share of its objective that a shared prompt may be predicted to need; "
        "beyond, it is taken to be late the more often.",
--- a/src/plugins/engineload/EngineState.h
+++ b/src/plugins/engineload/EngineState.h
@@ -28,6 +28,7 @@
   double Pace = 1;          ///< How many times longer than declared reading
                             ///< takes there; the two above allow for it.
   std::uint32_t Running = 0;
+  std::uint32_t FreeSlots = 1;
   std::uint64_t FreeTokens = 0; ///< Memory.
   double ExtraMs = 0; ///< The way there, and what tells hosts' choices apart.
   std::vector<PauseGroup> Answers; ///< That are written there.
@@ -59,6 +60,7 @@
   double FullMs = 0;      ///< For a full engine, or one short of memory.
   double PauseCostMs = 0; ///< For a whole pass that holds answers up.
   double FillShare = 0;   ///< Of the slots, taken on each engine of the front.
+  double PauseShare = 0;  ///< Of the allowed pause, that a pass may take.
   double BudgetShare = 0; ///< Of the objective; what is predicted to need more
                           ///< may be late.
   double LateShare = 0;   ///< What a late answer is worth of one in time.
@@ -75,7 +77,6 @@
                            ///< engine first,
   std::uint64_t KeptTokens = 0; ///< each so much.
   double AheadMs = 0;           ///< The most reading before it on any of them.
-  double GainMs = 0;            ///< What it brings, less what it holds up.
   double StartMs = 0;           ///< When the last of them could begin.
   double FirstTokenMs = 0;
 };
@@ -86,6 +87,7 @@
   std::uint64_t PromptTokens = 0;
   std::uint64_t Tokens = 0; ///< With its answer; the memory that it takes.
   double ValueMs = 0;       ///< Engine time, as in PauseGroup.
+  double PauseMs = 0;       ///< Its answer may pause for so long.
 };
 
 /// When a prompt's first token should come, from now.
--- a/src/plugins/engineload/ReadCost.cpp
+++ b/src/plugins/engineload/ReadCost.cpp
@@ -30,9 +30,8 @@
   return readMs(Of, PromptTokens) + static_cast<double>(OutputTokens) * StepMs;
 }
 
-double roomMs(const EngineParameters &Of, double PauseMs,
-              std::uint64_t ContextTokens) {
-  return PauseMs - writePassMs(Of, Of.Slots, Of.Slots * ContextTokens);
+double roomMs(const EngineParameters &Of, double PauseMs) {
+  return PauseMs - writePassMs(Of, Of.Slots, Of.Slots * Of.UsualPromptTokens);
 }
 
 } // namespace banyanpick
--- a/src/plugins/engineload/ReadCost.h
+++ b/src/plugins/engineload/ReadCost.h
@@ -22,7 +22,6 @@
 /// The longest time to read a prompt, in milliseconds, that one engine takes in
 /// a pass beside a full batch without making an answer pause for longer than
 /// \p PauseMs.
-double roomMs(const EngineParameters &Of, double PauseMs,
-              std::uint64_t ContextTokens);
+double roomMs(const EngineParameters &Of, double PauseMs);
 
 } // namespace banyanpick
--- a/src/plugins/engineload/SharedPlacement.cpp
+++ b/src/plugins/engineload/SharedPlacement.cpp
@@ -46,21 +46,27 @@
   return Result;
 }
 
+/// Whether answers that may pause for less are written there already: then no
+/// long part will be read there, and one more answer is safe from them, too.
+bool isSheltered(const EngineState &Of, double PauseMs) {
+  return std::ranges::any_of(Of.Answers, [&](const PauseGroup &Each) {
+    return Each.PauseMs < PauseMs;
+  });
+}
+
 /// The engine that gets the request, keeps the prompt and writes the answer:
-/// the one with memory for it that has least to write.
+/// one with memory for it, sheltered if it can be, that has least to write.
 std::size_t writerOf(std::span<const EngineState> States,
                      std::span<const std::size_t> Taken,
                      const PromptWork &Work) {
   return *std::ranges::min_element(Taken, {}, [&](std::size_t At) {
     const EngineState &Each = States[At];
-    return std::tuple(Work.Tokens > Each.FreeTokens, Each.Running,
+    const bool Full = Work.Tokens > Each.FreeTokens || Each.FreeSlots == 0;
+    return std::tuple(Full, !isSheltered(Each, Work.PauseMs), Each.Running,
                       Each.ExtraMs);
   });
 }
 
-/// Gains that differ by less than this share of the prompt's value are alike.
-constexpr double SameGainShare = 0.02;
-
 /// Some of the engines, with their places among all.
 struct Subset {
   template <class Wanted>
@@ -121,7 +127,6 @@
   Placed Result;
   Result.At = writerOf(States, Best.Taken, Work);
   Result.AheadMs = Best.AheadMs;
-  Result.GainMs = BestGain;
   Result.StartMs = Best.StartMs;
   Result.FirstTokenMs = Best.FirstTokenMs;
   for (const std::size_t At : Best.Taken)
@@ -130,25 +135,15 @@
   return Result;
 }
 
-Placed placeSoonest(std::span<const EngineState> States, const PromptWork &Work,
-                    const PlacementTimes &Times,
-                    const PlacementWeights &Weights) {
-  const auto isFree = [&](const EngineState &Each) {
-    return Each.BacklogMs <= Weights.AheadMs;
-  };
-  const Subset Awaited(States, [&](const EngineState &Each) {
-    return isFree(Each) || !Each.Overdue;
+Placed placeInTurn(std::span<const EngineState> States, const PromptWork &Work,
+                   const PlacementTimes &Times,
+                   const PlacementWeights &Weights) {
+  const Subset Known(States, [&](const EngineState &Each) {
+    return Each.BacklogMs <= Weights.AheadMs || !Each.Overdue;
   });
-  const Subset Free(States, isFree);
-  if (Awaited.States.empty())
+  if (Known.States.empty())
     return placeShared(States, Work, Times, Weights);
-  const Placed Best =
-      Awaited.placed(placeShared(Awaited.States, Work, Times, Weights));
-  if (Best.AheadMs <= Weights.AheadMs || Free.States.empty())
-    return Best;
-  const Placed Now =
-      Free.placed(placeShared(Free.States, Work, Times, Weights));
-  return Now.GainMs >= Best.GainMs - Work.ValueMs * SameGainShare ? Now : Best;
+  return Known.placed(placeShared(Known.States, Work, Times, Weights));
 }
 
 std::optional<Placed> placeHuge(std::span<const EngineState> States,
@@ -184,7 +179,6 @@
   constexpr std::uint64_t Rounding = 64;
   Result.KeptTokens = Work.Tokens / Result.Keepers + Rounding;
   Result.AheadMs = Shared.AheadMs;
-  Result.GainMs = Shared.GainMs;
   Result.StartMs = Shared.StartMs;
   Result.FirstTokenMs = Shared.FirstTokenMs;
   return Result;
--- a/src/plugins/engineload/SharedPlacement.h
+++ b/src/plugins/engineload/SharedPlacement.h
@@ -16,12 +16,12 @@
                    const PlacementTimes &Times,
                    const PlacementWeights &Weights);
 
-/// Like placeShared(), but engines that read something else are left out where
-/// that brings as much, and so are those of which it is not known when they
-/// will have read it: waiting for one of them would hold up all prompts.
-Placed placeSoonest(std::span<const EngineState> States, const PromptWork &Work,
-                    const PlacementTimes &Times,
-                    const PlacementWeights &Weights);
+/// Like placeShared(), but without engines of which it is not known when they
+/// will have read what they are at: waiting for one of them would hold up all
+/// prompts.
+Placed placeInTurn(std::span<const EngineState> States, const PromptWork &Work,
+                   const PlacementTimes &Times,
+                   const PlacementWeights &Weights);
 
 /// Like placeShared() for a prompt that no engine holds alone: the engines that
 /// keep it stand first among the helpers, with what each sets aside.
--- a/tests/auto/gateway/ShortPlacementTest.cpp
+++ b/tests/auto/gateway/ShortPlacementTest.cpp
@@ -42,8 +42,9 @@
   Of.StepMs = 0.925;
   Of.StepMsPerWriter = 0.00483;
   Of.StepMsPerKiloContext = 0.00254;
-  EXPECT_NEAR(roomMs(Of, 200, 6000), 200 - 57.3, 0.1);
-  EXPECT_LT(roomMs(Of, 50, 6000), 0);
+  Of.UsualPromptTokens = 6000;
+  EXPECT_NEAR(roomMs(Of, 200), 200 - 57.3, 0.1);
+  EXPECT_LT(roomMs(Of, 50), 0);
 }
 
 TEST(ShortPlacement, PromptsGatherInFront) {
--- a/tests/auto/platformadapter/ConfigurationJsonTest.cpp
+++ b/tests/auto/platformadapter/ConfigurationJsonTest.cpp
@@ -26,7 +26,8 @@
  "Protocol":"h1","Tls":false,"Engine":{"Slots":16,"KvCacheTokens":405000,
  "Stride":34,"step_ms":1.31,"per_seq_ms":0.000917,"context_per_k":0.00213,
  "read_per_s":154000.0,"pairs_per_m":0.162,"chunk":2048,
- "report_lag_ms":200.0,"HopMs":0.1}},
+ "report_lag_ms":200.0,"HopMs":0.1,
+ "usual":{"prompt":13227,"answer":1541}}},
  {"Name":"wuno96b","HealthPath":"/health","ConnectionLimit":96}],
 "Limits":{"HeaderBytes":16384,"BodyBytes":4194304,"HeaderTimeoutMs":3000,
  "IdleTimeoutMs":15000},
@@ -50,6 +51,7 @@
   ASSERT_TRUE(Ring.Engine);
   EXPECT_EQ(Ring.Engine->MemoryTokens, 405'000U);
   EXPECT_EQ(Ring.Engine->ReadTokensPerMs, 154);
+  EXPECT_EQ(Ring.Engine->UsualPromptTokens, 13'227U);
   EXPECT_FALSE(Read->Services.at(ServiceId("wuno96b")).Engine);
   EXPECT_EQ(Read->Limits.IdleTimeout, seconds(15));
   EXPECT_TRUE(Read->NeedsKeys);
