--- a/tests/auto/gateway/RelaysTest.cpp
+++ b/tests/auto/gateway/RelaysTest.cpp
@@ -298,5 +298,72 @@
     EXPECT_NE(Each.Engine, Helper);
 }
 
+/// The load: long prompts that come at the same moment.
+class LongPrompts : public testing::Test {
+protected:
+  LongPrompts() {
+    this->Bench.configure(1);
+    this->Bench.enlist("ring", 6);
+  }
+  std::vector<DispatchRelay> sent() const {
+    return this->Bench.all<DispatchRelay>();
+  }
+  void beginLast() {
+    this->Bench.send(GatewayEvent(RelayBegan{this->sent().back().Attempt}));
+  }
+
+  GatewayBench Bench;
+};
+
+TEST_F(LongPrompts, AreReadOneAfterTheOtherEachOnAllEngines) {
+  const RequestId First = this->Bench.arrive("/stream/1", 150'000);
+  this->Bench.arrive("/stream/2", 150'000);
+  this->Bench.arrive("/stream/3", 150'000);
+  ASSERT_EQ(this->sent().size(), 1U) << "the others wait for their turn";
+  EXPECT_EQ(this->sent().front().Request, First);
+  EXPECT_EQ(this->sent().front().Helpers.size(), 5U);
+  this->beginLast();
+  this->Bench.pass(milliseconds(50));
+  EXPECT_EQ(this->sent().size(), 2U);
+  this->beginLast();
+  this->Bench.pass(milliseconds(50));
+  EXPECT_EQ(this->sent().size(), 3U);
+}
+
+TEST_F(LongPrompts, OfThoseThatWaitTheOneThatBringsMostIsSentFirst) {
+  this->Bench.arrive("/stream/1", 150'000);
+  this->Bench.arrive("/stream/2", 300'000);
+  const RequestId Shorter = this->Bench.arrive("/stream/3", 60'000);
+  this->beginLast();
+  this->Bench.pass(milliseconds(50));
+  ASSERT_EQ(this->sent().size(), 2U);
+  EXPECT_EQ(this->sent().back().Request, Shorter);
+}
+
+TEST_F(LongPrompts, WhoseCallersLeaveHoldUpNobody) {
+  this->Bench.arrive("/stream/1", 150'000);
+  const RequestId Left = this->Bench.arrive("/stream/2", 60'000);
+  const RequestId Stays = this->Bench.arrive("/stream/3", 200'000);
+  this->Bench.send(Event(CallerGone{Left}));
+  this->beginLast();
+  this->Bench.pass(milliseconds(400));
+  ASSERT_EQ(this->sent().size(), 2U);
+  EXPECT_EQ(this->sent().back().Request, Stays);
+}
+
+TEST_F(LongPrompts, ThatPeersHaveWaitingGoFirstWhereTheyBringMore) {
+  this->Bench.arrive("/stream/1", 150'000);
+  this->Bench.arrive("/stream/2", 300'000);
+  EngineWork Theirs;
+  Theirs.InLane = {{7, 60'000, 680, 120, 250}};
+  this->Bench.receive("h2", Theirs);
+  this->beginLast();
+  this->Bench.pass(milliseconds(100));
+  EXPECT_EQ(this->sent().size(), 1U) << "it is the peer's turn";
+  this->Bench.receive("h2", EngineWork{});
+  this->Bench.pass(milliseconds(50));
+  EXPECT_EQ(this->sent().size(), 2U);
+}
+
 } // namespace
 } // namespace banyanpick
