Give a waiting prompt's place up when it ends; decide nothing by token counts

A caller that left kept its place in the lane for 300 ms. How long a stream may be silent followed classes by token counts; it follows how the prompt was read. Two findings of the linter are mended.

--- a/src/libs/gateway/RequestClass.h
+++ b/src/libs/gateway/RequestClass.h
@@ -1,5 +1,5 @@
 /// \file
-/// How large a prompt is, in the coarse steps by which work is kept apart.
+/// How large a prompt is, in the coarse steps of metrics.
 #pragma once
 
 #include <cstdint>
@@ -7,23 +7,17 @@
 
 namespace banyanpick {
 
-/// Sizes of prompts that are kept apart from each other at the engines.
+/// Sizes of prompts by which metrics are told apart. Nothing is decided by
+/// them: what a prompt costs follows from its engine's parameters.
 enum class PromptSize { None, Short, Middle, Long };
 
-/// Prompts up to so many tokens are read in a few passes (some 0.2 s at
-/// 154,000 tokens a second), so they hardly hold each other up.
+/// The largest short and the largest middle prompt, in tokens.
 inline constexpr std::uint64_t ShortPromptTokens = 24'000;
-/// Prompts above so many tokens keep an engine for seconds.
 inline constexpr std::uint64_t LongPromptTokens = 110'000;
 
 /// The size of a prompt of so many tokens; None for requests without one.
 PromptSize promptSize(std::uint64_t Tokens);
 
-/// Whether answers to such prompts may pause only briefly.
-inline bool isSwift(PromptSize Size) {
-  return Size == PromptSize::Short || Size == PromptSize::Middle;
-}
-
 /// The size's name in logs and metrics.
 std::string_view name(PromptSize Size);
 
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -140,8 +140,10 @@
 class EngineSelector {
 public:
   virtual ~EngineSelector() = default;
-  /// A request that awaits its turn asks again, or gives its place up by that.
+  /// A request that awaits its turn asks again, or loses its place.
   virtual EngineChoice choose(const EngineWanted &Wanted, Time Now) = 0;
+  /// The request awaits its turn no longer: it is over.
+  virtual void forget(const RequestId &Request, Time Now) = 0;
 };
 
 /// Sets memory aside on engines for a prompt that one engine can't hold.
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -140,7 +140,7 @@
   const EngineParameters *Model = this->parametersOf(Wanted.Service);
   if (Model && this->Group.Of.groups() > 1) {
     const auto Near = this->states(Wanted, Model, {false, true}, Now);
-    const EngineChoice Choice = this->chooseAmong(Near, Wanted, Model, Now);
+    EngineChoice Choice = this->chooseAmong(Near, Wanted, Model, Now);
     // The group's engines are known best; others help when those are busy.
     const auto *Chosen = std::get_if<EngineChosen>(&Choice);
     if (Chosen && Chosen->Predicted <= Wanted.Objective - Wanted.Waited)
@@ -154,6 +154,11 @@
   return this->chooseAmong(States, Wanted, Model, Now);
 }
 
+void EngineLoadPlugin::forget(const RequestId &Request, Time Now) {
+  if (this->Lane.drop(Request.Value))
+    this->Tells.noteUrgent(Now);
+}
+
 PromptWork EngineLoadPlugin::workOf(const EngineWanted &Wanted,
                                     const EngineParameters *Model) {
   PromptWork Result;
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -27,6 +27,7 @@
   Time nextWake() const override;
 
   EngineChoice choose(const EngineWanted &Wanted, Time Now) override;
+  void forget(const RequestId &Request, Time Now) override;
 
   void trySent(const RelayTry &Each, Time Now, Actions &Out) override;
   void tryBegan(const RelayTry &Each, Time Now, Actions &Out) override;
--- a/src/plugins/engineload/PromptLane.cpp
+++ b/src/plugins/engineload/PromptLane.cpp
@@ -50,17 +50,17 @@
 
 std::size_t PromptLane::rank(const Waiting &OwnGiven, const HostId &Self,
                              Time Now) const {
-  const auto keyOf = [&](const Entry &Each, const HostId &Host) {
+  const auto KeyOf = [&](const Entry &Each, const HostId &Host) {
     return std::tuple(-laneWeight(Each.What, Now - Each.At, this->LateShare),
                       Host.Value, Each.What.Request);
   };
-  const auto Mine = keyOf({OwnGiven, Now}, Self);
+  const auto Mine = KeyOf({OwnGiven, Now}, Self);
   std::size_t Before = 0;
   for (const Entry &Each : this->current(this->Own, Now))
-    Before += keyOf(Each, Self) < Mine ? 1 : 0;
+    Before += KeyOf(Each, Self) < Mine ? 1 : 0;
   for (const auto &[Host, All] : this->Peers)
     for (const Entry &Each : this->current(All, Now))
-      Before += keyOf(Each, Host) < Mine ? 1 : 0;
+      Before += KeyOf(Each, Host) < Mine ? 1 : 0;
   return Before;
 }
 
--- a/src/plugins/relays/RelayOrders.cpp
+++ b/src/plugins/relays/RelayOrders.cpp
@@ -1,7 +1,5 @@
 #include "plugins/relays/RelayOrders.h"
 
-#include "gateway/RequestClass.h"
-
 namespace banyanpick {
 
 EngineWanted wantedFor(const RunningRelay &Of,
@@ -56,9 +54,8 @@
   Result.Stream = Of.Terms.Kind == RequestKind::Stream;
   // Without another try there is nothing to gain by giving up.
   const bool MayGoOn = Of.RanOn.size() + 1 < Of.Terms.Attempts;
-  const bool IsLong = promptSize(Of.Head.PromptTokens) == PromptSize::Long;
   if (Result.Stream && Of.isIdempotent() && MayGoOn)
-    Result.MostSilence = IsLong ? Most.Long : Most.Swift;
+    Result.MostSilence = Chosen.Helpers.empty() ? Most.Alone : Most.Shared;
   return Result;
 }
 
--- a/src/plugins/relays/RelayOrders.h
+++ b/src/plugins/relays/RelayOrders.h
@@ -11,8 +11,8 @@
 /// How long a stream may give nothing once it has begun; then it goes on
 /// elsewhere.
 struct StreamSilence {
-  Duration Swift{}; ///< After short and middle prompts.
-  Duration Long{};  ///< After long ones, which are dear to read again.
+  Duration Alone{};  ///< After a prompt that one engine reads,
+  Duration Shared{}; ///< and after one that several read.
 };
 
 /// The upstream that the request wants now. \p Excluded must outlive it.
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -336,6 +336,7 @@
   if (Each.Live)
     this->cancelTry(Each, Now, Out);
   this->Memory->release(Id, Now, Out);
+  this->Selector->forget(Id, Now);
   if (Each.Began) {
     logEnd(Each, "broken_off", Why, Now, Out);
     Out.add(GatewayAction(BreakRelay{Id}));
@@ -377,6 +378,7 @@
   if (Each->Live)
     this->cancelTry(*Each, Now, Out);
   this->Memory->release(Id, Now, Out);
+  this->Selector->forget(Id, Now);
   logEnd(*Each, "caller_gone", "", Now, Out);
   this->Running.remove(Id);
 }
