--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -167,8 +167,8 @@
                                          "relayed request ended"};
 inline constexpr EventKind RelayWaits{824, LogLevel::Info,
                                       "relayed request waits for an engine"};
-inline constexpr EventKind RelayAwaitsTurn{
-    825, LogLevel::Info, "relayed request awaits its turn"};
+inline constexpr EventKind RelayAwaitsTurn{825, LogLevel::Info,
+                                           "relayed request awaits its turn"};
 inline constexpr EventKind ContentCrashed{830, LogLevel::Warning,
                                           "content crashed an engine"};
 inline constexpr EventKind MemoryReserved{840, LogLevel::Info,
