--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -61,9 +61,8 @@
        "not read hear at its end that nothing changed.",
        0, Hour},
       {In, "engines_interval", Span, "200ms",
-       "The registry is read no more often than this, however much changes: "
-       "every renewal of every upstream ends a read that waits. A tenth of the "
-       "time in which a leaving upstream must get no more work.",
+       "The registry is read no more often, as any renewal ends a waiting "
+       "read.",
        1e3, Hour},
       {In, "engines_wait", Span, "2s",
        "How long one read of the registry waits for a change.", 0, Hour},
--- a/src/libs/kernel/Upstream.h
+++ b/src/libs/kernel/Upstream.h
@@ -41,7 +41,7 @@
 struct ProcessorShare {
   std::uint32_t Thousandths = 1000; ///< Of one core.
 
-  auto operator<=>(const ProcessorShare &) const = default;
+  bool operator==(const ProcessorShare &) const = default;
 };
 
 /// One entry host as the host list shows it.
--- a/src/plugins/activehosts/ActiveHosts.cpp
+++ b/src/plugins/activehosts/ActiveHosts.cpp
@@ -23,15 +23,19 @@
   for (const ActiveCandidate &Each : All)
     Result.push_back({&Each, rendezvousWeight("active", Each.Host.Value), 0});
   std::ranges::sort(Result, [](const Ranked &First, const Ranked &Second) {
-    return std::tie(First.Of->Zone, Second.Of->Processor, Second.Weight) <
-           std::tie(Second.Of->Zone, First.Of->Processor, First.Weight);
+    return std::tie(First.Of->Zone, Second.Of->Processor.Thousandths,
+                    Second.Weight) < std::tie(Second.Of->Zone,
+                                              First.Of->Processor.Thousandths,
+                                              First.Weight);
   });
   for (std::size_t At = 1; At < Result.size(); ++At)
     if (Result[At].Of->Zone == Result[At - 1].Of->Zone)
       Result[At].InZone = Result[At - 1].InZone + 1;
   std::ranges::sort(Result, [](const Ranked &First, const Ranked &Second) {
-    return std::tie(First.InZone, Second.Of->Processor, Second.Weight) <
-           std::tie(Second.InZone, First.Of->Processor, First.Weight);
+    return std::tie(First.InZone, Second.Of->Processor.Thousandths,
+                    Second.Weight) < std::tie(Second.InZone,
+                                              First.Of->Processor.Thousandths,
+                                              First.Weight);
   });
   return Result;
 }
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -467,8 +467,7 @@
     if (Now < Last.At + ListensFor && !Last.Engines.empty())
       Result.push_back(Peer);
   std::ranges::sort(Result);
-  const auto Twice = std::ranges::unique(Result);
-  Result.erase(Twice.begin(), Twice.end());
+  Result.erase(std::unique(Result.begin(), Result.end()), Result.end());
   std::erase(Result, this->Members->self());
   return Result;
 }
--- a/src/plugins/membership/ProbeRound.cpp
+++ b/src/plugins/membership/ProbeRound.cpp
@@ -71,7 +71,7 @@
       Living.push_back(&Each.Listing.Id);
   const auto After = std::ranges::find_if(
       Living, [&](const HostId *Each) { return Self < *Each; });
-  std::ranges::rotate(Living, After);
+  std::rotate(Living.begin(), After, Living.end());
   for (std::size_t Place = 1; Place <= Living.size(); Place *= 2)
     this->Round.push_back(*Living[Place - 1]);
 }
--- a/tests/auto/manyhosts/HostCrowd.cpp
+++ b/tests/auto/manyhosts/HostCrowd.cpp
@@ -170,7 +170,7 @@
   this->readStore(At, Each.Life);
 }
 
-void HostCrowd::send(std::size_t At, std::uint64_t Life, Event What) {
+void HostCrowd::send(std::size_t At, std::uint64_t Life, const Event &What) {
   Host &Each = this->Hosts[At];
   if (!Each.Decider || Each.Life != Life)
     return;
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -67,7 +67,7 @@
   };
 
   void start(std::size_t At);
-  void send(std::size_t At, std::uint64_t Life, Event What);
+  void send(std::size_t At, std::uint64_t Life, const Event &What);
   void perform(std::size_t At, const Action &Wanted);
   void perform(std::size_t At, const GatewayAction &Wanted);
   void deliver(std::size_t From, const SendToPeer &Sent);
--- a/tests/auto/membership/HostGroup.h
+++ b/tests/auto/membership/HostGroup.h
@@ -103,7 +103,8 @@
     if (std::holds_alternative<ReadHostList>(Wanted)) {
       HostListRead List;
       for (const auto &[Index, Each] : this->Hosts)
-        List.Hosts.push_back({name(Index), ZoneId("zone-1"), {}, {}, false, {}});
+        List.Hosts.push_back(
+            {name(Index), ZoneId("zone-1"), {}, {}, false, {}});
       this->feed(From, List);
       return;
     }
