--- a/src/plugins/activehosts/ActiveHostsPlugin.cpp
+++ b/src/plugins/activehosts/ActiveHostsPlugin.cpp
@@ -90,8 +90,8 @@
        1, 1024},
       {In, "places_per_core", SettingKind::Fraction, "150",
        "Requests that the engines run at once for each core of the active "
-       "hosts: relaying one takes some 2 ms of processor time a second, so "
-       "that engines which are all full use a third of it.",
+       "hosts: relaying one takes some 3 ms of processor time a second, so "
+       "that engines which are all full use half of it.",
        1, 1e6},
   };
 }
