Let hundreds of hosts that start together know each other within seconds

Cause: each heartbeat that named a new host led to another at once, so 300 hosts sent each other 351,000 heartbeats in their first four seconds (virtual time) and spent the fixed number of times that a rumour is told before its receivers knew whom it was about. What was lost then came back only with the two hosts that a heartbeat names: 15 pairs in 10,000 were unknown after 24 s. Ruled out: too few rumours a heartbeat (32 or half of all that wait: the same). Change: news of hosts waits for 80 ms; a host that is only listed is asked; each heartbeat among many carries six beliefs more; all news is told in two heartbeats.

--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -19,8 +19,15 @@
 /// enough that a newcomer is known to all of sixteen within a few intervals.
 constexpr std::size_t HostsNamed = 2;
 
-/// Between two heartbeats that only tell of changes in the registry: a dozen
-/// upstreams that restart together are one piece of news.
+/// All news that waits is told once in so many heartbeats, however much it is.
+constexpr std::size_t HeartbeatsForAllNews = 2;
+
+/// Beliefs of other hosts that ride on each heartbeat among many: news that
+/// was told before its receiver knew the host is made up for within seconds.
+constexpr std::size_t BeliefsNamed = 6;
+
+/// Between two heartbeats that only tell of changes in the registry, or of new
+/// hosts: a dozen upstreams that restart together are one piece of news.
 constexpr milliseconds LeastNewsPause(80);
 
 /// Hosts named to a newcomer at once.
@@ -211,7 +218,11 @@
   if (!Changed)
     return;
   this->connect(Out);
-  this->NextBeat = Now;
+  // Every answer may name more hosts; one heartbeat for each of them would
+  // multiply when hundreds start together.
+  const Time Soon = this->LastBeat == Never ? Now
+                                            : this->LastBeat + LeastNewsPause;
+  this->NextBeat = std::min(this->NextBeat, std::max(Now, Soon));
 }
 
 void MembershipPlugin::connect(Actions &Out) const {
@@ -233,18 +244,24 @@
   if (!this->Gossips)
     return Result;
   Result.push_back(this->ownListing());
+  for (const std::size_t At :
+       this->someOthers(Newcomer ? HostsNamedToNewcomer : HostsNamed))
+    Result.push_back(this->Peers.member(At).Listing);
+  return Result;
+}
+
+std::vector<std::size_t> MembershipPlugin::someOthers(std::size_t Most) {
+  std::vector<std::size_t> Result;
   const std::span<const Member> All = this->Peers.members();
-  const std::size_t Most =
-      std::min(All.size(), Newcomer ? HostsNamedToNewcomer : HostsNamed);
   if (All.empty())
     return Result;
   // A run from a random place on: each heartbeat makes one, so it must not cost
   // more with more hosts.
   const std::size_t From = this->Numbers->below(All.size());
-  for (std::size_t Count = 0; Count < Most; ++Count) {
-    const Member &Each = All[(From + Count) % All.size()];
-    if (Each.State != MemberState::Dead && Each.Life != Incarnation())
-      Result.push_back(Each.Listing);
+  for (std::size_t Count = 0; Count < std::min(All.size(), Most); ++Count) {
+    const std::size_t At = (From + Count) % All.size();
+    if (All[At].State != MemberState::Dead && All[At].Life != Incarnation())
+      Result.push_back(At);
   }
   return Result;
 }
@@ -406,7 +423,14 @@
 std::vector<MemberRumour> MembershipPlugin::rumoursFor(std::size_t To) {
   const auto Hosts = static_cast<unsigned>(this->Peers.members().size() + 1);
   const std::uint32_t Times = TimesToldPerDoubling * std::bit_width(Hosts);
-  std::vector<MemberRumour> Result = this->News.take(this->RumoursEach, Times);
+  // When hundreds of hosts start or return together, each is news; a fixed
+  // number a heartbeat would take longer than callers wait for them.
+  const std::size_t Most =
+      std::max(this->RumoursEach, this->News.size() / HeartbeatsForAllNews);
+  std::vector<MemberRumour> Result = this->News.take(Most, Times);
+  if (this->Gossips && this->Probes.isSampling(this->Peers))
+    for (const std::size_t Each : this->someOthers(BeliefsNamed))
+      Result.push_back(this->rumourOf(Each));
   // Whoever is suspected must hear of it to be able to refute.
   const PeerRecord &Record = this->Peers.record(To);
   if (Record.Belief.Stands != LifeBelief::Standing::Alive &&
--- a/src/plugins/membership/MembershipPlugin.h
+++ b/src/plugins/membership/MembershipPlugin.h
@@ -45,6 +45,8 @@
   HostListing ownListing() const;
   /// The own listing, and some of others; all of them for \p Newcomer.
   std::vector<HostListing> listingsFor(bool Newcomer);
+  /// Positions of some peers that live, others each time.
+  std::vector<std::size_t> someOthers(std::size_t Most);
   Heartbeat makeBeat(Time Now);
   void greetSeeds(Time Now, Actions &Out);
   /// Hosts that this one works with, which it must know best.
--- a/src/plugins/membership/ProbeRound.cpp
+++ b/src/plugins/membership/ProbeRound.cpp
@@ -13,9 +13,11 @@
 bool isAwaited(const PeerTable &Peers, std::size_t At) {
   const PeerRecord &Record = Peers.record(At);
   const bool NewLife = Record.Candidate != Incarnation();
-  const bool Unanswered =
-      Record.ProbedAt != Never && Peers.member(At).State != MemberState::Dead;
-  return NewLife || Unanswered;
+  const bool IsDead = Peers.member(At).State == MemberState::Dead;
+  // Only listed so far: whatever was told of it before is lost on this host.
+  const bool NeverHeard = Peers.member(At).Life == Incarnation();
+  const bool Unanswered = Record.ProbedAt != Never || NeverHeard;
+  return NewLife || (Unanswered && !IsDead);
 }
 
 } // namespace
