Divide thousands of engines among the active hosts; register one without a look at all

Cause, by reading: each registration made the index and the digest of all engines anew, so 3,000 engines that register cost a host some nine million digests; and every active host weighed all engines for each request and told all other active hosts of its work, which grows with the square. Change: registrations are included one by one; engines of a large service fall into parts by a hash of their names (a power of two, at least 96 engines and 8 active hosts each), hosts into parts of nearly even processor. A host weighs and tells within its part; engines of a part without hosts are everybody's, and others are taken when its own cannot be used. Services below 192 engines are as before.

--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -35,6 +35,8 @@
   LogOffset Offset = 0;    ///< Of the last record taken in,
   LogOffset ChangedAt = 0; ///< and of the last that said anything new.
   Time Since{};            ///< When the standing last changed.
+  std::uint64_t Spread = 0; ///< Hash of its name, all of its lives alike;
+                            ///< divides engines among hosts.
 };
 
 /// Who the upstreams are.
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -52,7 +52,19 @@
   virtual std::uint64_t version() const = 0;
 };
 
-/// Which hosts take the callers.
+/// The engines of one service that a host chooses among.
+struct EngineShare {
+  /// For each part of the engines whether the host uses it; empty: the engines
+  /// are not divided.
+  std::vector<bool> Parts;
+
+  /// \p Spread: a hash of the engine's name, see KnownEngine.
+  bool takes(std::uint64_t Spread) const {
+    return this->Parts.empty() || this->Parts[Spread % this->Parts.size()];
+  }
+};
+
+/// Which hosts take the callers, and which engines they choose among.
 class ActiveHostsView {
 public:
   virtual ~ActiveHostsView() = default;
@@ -60,9 +72,13 @@
   virtual bool isActive() const = 0;
   /// The active hosts, this one included where it is one; by name.
   virtual std::span<const HostId> activeHosts() const = 0;
+  /// The active hosts that choose among the same engines as this one, itself
+  /// included where it is active; by name.
+  virtual std::span<const HostId> sharers() const = 0;
   /// The others with which this host has to agree all the time: the other
-  /// active hosts if it is one, nobody otherwise. By name.
+  /// sharers if it is active, nobody otherwise. By name.
   virtual std::span<const HostId> partners() const = 0;
+  virtual EngineShare shareOf(const ServiceId &Service) const = 0;
 };
 
 /// How far this host follows the service registry.
--- a/src/plugins/activehosts/ActiveHostsPlugin.cpp
+++ b/src/plugins/activehosts/ActiveHostsPlugin.cpp
@@ -34,24 +34,74 @@
   this->Stale = false;
   this->WasReady = this->InForce->isReady();
   const std::vector<ActiveCandidate> All = this->candidates();
-  const ActiveNeed Need{this->LeastHosts, this->places() / this->PlacesPerCore};
+  Registered Engines = this->registered();
+  const ActiveNeed Need{this->LeastHosts, Engines.Places / this->PlacesPerCore};
   std::vector<HostId> Chosen = chooseActive(All, Need);
-  if (Chosen == this->Active)
+  std::uint32_t Parts = 1;
+  for (const auto &[Service, Count] : Engines.Counts)
+    Parts = std::max(Parts, partCount(Count, Chosen.size()));
+  this->EngineCounts = std::move(Engines.Counts);
+  if (Chosen == this->Active && Parts == this->PartHasHosts.size())
     return;
   this->Active = std::move(Chosen);
   this->SelfActive = std::ranges::binary_search(this->Active, this->Own.Host);
-  this->Partners.clear();
-  if (this->SelfActive)
-    std::ranges::remove_copy(this->Active, std::back_inserter(this->Partners),
-                             this->Own.Host);
+  this->divide(All, Parts);
   Out.log(logEvent(events::ActiveHostsChanged)
               .with("active", this->Active.size())
               .with("of", All.size())
               .with("self", this->SelfActive ? "active" : "standing by")
               .with("cores_needed", Need.Cores)
+              .with("parts", Parts)
+              .with("part", this->OwnPart)
+              .with("sharers", this->Sharers.size())
               .build());
 }
 
+void ActiveHostsPlugin::divide(std::span<const ActiveCandidate> All,
+                               std::uint32_t Count) {
+  std::vector<ActiveCandidate> Hosts;
+  std::ranges::copy_if(All, std::back_inserter(Hosts),
+                       [&](const ActiveCandidate &Each) {
+                         return std::ranges::binary_search(this->Active,
+                                                           Each.Host);
+                       });
+  const std::vector<std::uint32_t> Parts = divideHosts(Hosts, Count);
+  this->OwnPart = likedPart(this->Own.Host, Count);
+  this->PartHasHosts.assign(Count, false);
+  for (std::size_t At = 0; At < Hosts.size(); ++At) {
+    this->PartHasHosts[Parts[At]] = true;
+    if (Hosts[At].Host == this->Own.Host)
+      this->OwnPart = Parts[At];
+  }
+  this->Sharers.clear();
+  for (std::size_t At = 0; At < Hosts.size(); ++At)
+    if (Parts[At] == this->OwnPart)
+      this->Sharers.push_back(Hosts[At].Host);
+  std::ranges::sort(this->Sharers);
+  this->Partners.clear();
+  if (this->SelfActive)
+    std::ranges::remove_copy(this->Sharers, std::back_inserter(this->Partners),
+                             this->Own.Host);
+}
+
+EngineShare ActiveHostsPlugin::shareOf(const ServiceId &Service) const {
+  EngineShare Result;
+  const auto Found = this->EngineCounts.find(Service);
+  const std::size_t Count =
+      Found == this->EngineCounts.end()
+          ? 1
+          : partCount(Found->second, this->Active.size());
+  if (Count == 1)
+    return Result;
+  // What no host has for its own is everybody's.
+  Result.Parts.assign(Count, true);
+  for (std::size_t Part = 0; Part < this->PartHasHosts.size(); ++Part)
+    if (this->PartHasHosts[Part])
+      Result.Parts[Part % Count] = false;
+  Result.Parts[this->OwnPart % Count] = true;
+  return Result;
+}
+
 std::vector<ActiveCandidate> ActiveHostsPlugin::candidates() const {
   std::vector<ActiveCandidate> Result;
   if (this->WasReady)
@@ -63,15 +113,18 @@
   return Result;
 }
 
-double ActiveHostsPlugin::places() const {
+ActiveHostsPlugin::Registered ActiveHostsPlugin::registered() const {
+  Registered Result;
   const RouteTable *Routes = this->Declared->routes();
   if (!Routes)
-    return 0;
-  double Sum = 0;
-  for (const auto &[Id, Entry] : Routes->configuration().Services)
-    for (const KnownEngine *Each : this->Directory->ofService(Id))
-      Sum += Each->Record.Slots;
-  return Sum;
+    return Result;
+  for (const auto &[Id, Entry] : Routes->configuration().Services) {
+    const auto Engines = this->Directory->ofService(Id);
+    Result.Counts[Id] = Engines.size();
+    for (const KnownEngine *Each : Engines)
+      Result.Places += Each->Record.Slots;
+  }
+  return Result;
 }
 
 void ActiveHostsPlugin::checkInvariants(InvariantMonitor &Monitor, Time) const {
--- a/src/plugins/activehosts/ActiveHostsPlugin.h
+++ b/src/plugins/activehosts/ActiveHostsPlugin.h
@@ -5,6 +5,9 @@
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
 #include "plugins/activehosts/ActiveHosts.h"
+#include "plugins/activehosts/EngineParts.h"
+
+#include <map>
 
 namespace banyanpick {
 
@@ -23,7 +26,9 @@
 
   bool isActive() const override { return this->SelfActive; }
   std::span<const HostId> activeHosts() const override { return this->Active; }
+  std::span<const HostId> sharers() const override { return this->Sharers; }
   std::span<const HostId> partners() const override { return this->Partners; }
+  EngineShare shareOf(const ServiceId &Service) const override;
 
   void memberChanged(const Member &, Time, Actions &) override {
     this->Stale = true;
@@ -40,8 +45,14 @@
 private:
   void choose(Actions &Out);
   std::vector<ActiveCandidate> candidates() const;
-  /// Requests that all engines run at once.
-  double places() const;
+  /// The engines as they are registered.
+  struct Registered {
+    double Places = 0; ///< Requests that all run at once.
+    std::map<ServiceId, std::size_t> Counts;
+  };
+  Registered registered() const;
+  /// Divides the engines among the active hosts.
+  void divide(std::span<const ActiveCandidate> All, std::uint32_t Count);
 
   Services *Offered = nullptr;
   const MembershipView *Members = nullptr;
@@ -55,7 +66,11 @@
   bool WasReady = false;
   bool SelfActive = false;
   std::vector<HostId> Active;
+  std::vector<HostId> Sharers;
   std::vector<HostId> Partners;
+  std::map<ServiceId, std::size_t> EngineCounts;
+  std::uint32_t OwnPart = 0;
+  std::vector<bool> PartHasHosts{true}; ///< One for each part.
 };
 
 } // namespace banyanpick
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -140,10 +140,14 @@
 
 EngineChoice EngineLoadPlugin::choose(const EngineWanted &Wanted, Time Now) {
   const EngineParameters *Model = this->parametersOf(Wanted.Service);
-  std::vector<EngineState> States = this->states(Wanted, Model, false, Now);
-  // Better one that failed lately than none.
+  const EngineShare Share = this->Active->shareOf(Wanted.Service);
+  std::vector<EngineState> States =
+      this->states(Wanted, Model, Share, false, Now);
+  // Better one of other hosts than none, and one that failed lately, too.
+  if (States.empty() && !Share.Parts.empty())
+    States = this->states(Wanted, Model, EngineShare(), false, Now);
   if (States.empty())
-    States = this->states(Wanted, Model, true, Now);
+    States = this->states(Wanted, Model, EngineShare(), true, Now);
   return this->chooseAmong(States, Wanted, Model, Now);
 }
 
@@ -262,9 +266,12 @@
 
 std::vector<EngineState> EngineLoadPlugin::states(const EngineWanted &Wanted,
                                                   const EngineParameters *Model,
+                                                  const EngineShare &Share,
                                                   bool Avoided, Time Now) {
   std::vector<EngineState> Result;
   for (const KnownEngine *Each : this->Directory->ofService(Wanted.Service)) {
+    if (!Share.takes(Each->Spread))
+      continue;
     const bool Missing = Each->Standing == EngineStanding::Missing ||
                          this->Trust->isAvoided(Each->Record.Id, Now);
     const bool Out = Each->Standing == EngineStanding::Leaving ||
@@ -441,7 +448,7 @@
 }
 
 void EngineLoadPlugin::noteChange(bool Soon, Time Now) {
-  this->Tells.noteChange(Soon, this->Active->activeHosts().size(), Now);
+  this->Tells.noteChange(Soon, this->Active->sharers().size(), Now);
 }
 
 void EngineLoadPlugin::tell(Time Now, Actions &Out) {
@@ -460,8 +467,8 @@
 }
 
 std::vector<HostId> EngineLoadPlugin::listeners(Time Now) const {
-  const auto Active = this->Active->activeHosts();
-  std::vector<HostId> Result(Active.begin(), Active.end());
+  const auto Sharers = this->Active->sharers();
+  std::vector<HostId> Result(Sharers.begin(), Sharers.end());
   // A host that stands by decides for those who connect to it all the same.
   for (const auto &[Peer, Last] : this->Told)
     if (Now < Last.At + ListensFor && !Last.Engines.empty())
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -46,10 +46,11 @@
   };
 
   const EngineParameters *parametersOf(const ServiceId &Service) const;
-  /// The engines that may get the request; \p Avoided: also those that failed
-  /// lately.
+  /// The engines of the share that may get the request; \p Avoided: also those
+  /// that failed lately.
   std::vector<EngineState> states(const EngineWanted &Wanted,
-                                  const EngineParameters *Model, bool Avoided,
+                                  const EngineParameters *Model,
+                                  const EngineShare &Share, bool Avoided,
                                   Time Now);
   EngineState stateOf(const KnownEngine &Each, const EngineParameters *Model,
                       Time Now);
--- a/src/plugins/engines/EngineTable.cpp
+++ b/src/plugins/engines/EngineTable.cpp
@@ -18,6 +18,8 @@
   return rendezvousWeight(Of.Id.Value, Rest);
 }
 
+const UpstreamId &idOf(const KnownEngine *Of) { return Of->Record.Id; }
+
 } // namespace
 
 std::string_view name(EngineStanding Standing) {
@@ -55,11 +57,9 @@
   if (BornMs == KnownMs)
     return this->change(Known, Change, Now);
   const UpstreamId Ended = Known.Record.Id;
-  this->Engines.erase(Found);
-  if (IsOver) {
-    this->index();
+  this->erase(Found);
+  if (IsOver)
     return {Effect::Gone, Ended, true};
-  }
   this->add(Change, Now);
   return {Effect::Changed, Ended, true};
 }
@@ -73,27 +73,26 @@
   Added.Standing =
       Change.Engine.Draining ? EngineStanding::Leaving : EngineStanding::Usable;
   Added.Since = Now;
-  this->index();
+  Added.Spread = rendezvousWeight("part", Of);
+  this->include(Added);
   return {Effect::Changed, std::nullopt};
 }
 
 EngineTable::Applied EngineTable::change(KnownEngine &Of,
                                          const EngineChange &Change, Time Now) {
-  const KnownEngine Before = Of;
-  Of.Record = Change.Engine;
   Of.Offset = Change.Offset;
   // A life that is known to leave does not come back.
-  if (Before.Standing != EngineStanding::Leaving)
-    Of.Standing = Change.Engine.Draining ? EngineStanding::Leaving
-                                         : EngineStanding::Usable;
-  if (Of.Standing != Before.Standing)
-    Of.Since = Now;
-  const bool Same =
-      Before.Record == Of.Record && Before.Standing == Of.Standing;
-  if (Same)
+  const bool Leaves =
+      Of.Standing == EngineStanding::Leaving || Change.Engine.Draining;
+  const EngineStanding Next =
+      Leaves ? EngineStanding::Leaving : EngineStanding::Usable;
+  if (Of.Record == Change.Engine && Of.Standing == Next)
     return {};
+  this->exclude(Of);
+  Of.Record = Change.Engine;
   Of.ChangedAt = Change.Offset;
-  this->index();
+  this->stand(Of, Next, Now);
+  this->include(Of);
   return {Effect::Changed, std::nullopt};
 }
 
@@ -108,9 +107,9 @@
   if (Doubtful && Known.Standing == EngineStanding::Usable) {
     Known.Offset = Change.Offset;
     Known.ChangedAt = Change.Offset;
-    Known.Standing = EngineStanding::Missing;
-    Known.Since = Now;
-    this->index();
+    this->exclude(Known);
+    this->stand(Known, EngineStanding::Missing, Now);
+    this->include(Known);
     return {Effect::Changed, std::nullopt};
   }
   if (Doubtful && Known.Standing == EngineStanding::Missing) {
@@ -119,8 +118,7 @@
   }
   const UpstreamId Ended = Known.Record.Id;
   Over.BornMs = engineBornMs(Ended);
-  this->Engines.erase(Found);
-  this->index();
+  this->erase(Found);
   return {Effect::Gone, Ended};
 }
 
@@ -134,8 +132,7 @@
     return std::nullopt;
   this->noteRemoval(Found->first, Found->second.Offset, Now).BornMs =
       engineBornMs(Life);
-  this->Engines.erase(Found);
-  this->index();
+  this->erase(Found);
   return Known;
 }
 
@@ -171,8 +168,9 @@
     this->NextAge = Now;
     return false;
   }
-  Found->second.Standing = EngineStanding::Leaving;
-  Found->second.Since = Now;
+  this->exclude(Found->second);
+  this->stand(Found->second, EngineStanding::Leaving, Now);
+  this->include(Found->second);
   return true;
 }
 
@@ -188,17 +186,22 @@
 
 std::vector<UpstreamId> EngineTable::endMissing(Time Now) {
   std::vector<UpstreamId> Gone;
-  for (const auto &[Of, Each] : this->Engines)
-    if (Each.Standing == EngineStanding::Missing &&
-        Now >= Each.Since + this->Times.MissingFor)
+  this->NextAge = Never;
+  for (const auto &[Of, Each] : this->Engines) {
+    if (Each.Standing != EngineStanding::Missing)
+      continue;
+    const Time DueAt = Each.Since + this->Times.MissingFor;
+    if (Now >= DueAt)
       Gone.push_back(Each.Record.Id);
+    else
+      this->NextAge = std::min(this->NextAge, DueAt);
+  }
   for (const UpstreamId &Id : Gone) {
-    const Name Of(engineName(Id));
-    this->noteRemoval(Of, this->Engines[Of].Offset, Now).BornMs =
+    const auto Found = this->Engines.find(engineName(Id));
+    this->noteRemoval(Found->first, Found->second.Offset, Now).BornMs =
         engineBornMs(Id);
-    this->Engines.erase(Of);
+    this->erase(Found);
   }
-  this->index();
   return Gone;
 }
 
@@ -258,19 +261,36 @@
   return Result;
 }
 
-void EngineTable::index() {
-  this->ByService.clear();
-  this->Digest = 0;
-  this->NextAge = Never;
-  for (const auto &[Of, Each] : this->Engines) {
-    this->ByService[Each.Record.Service].push_back(&Each);
-    // The order of the sum does not matter, so no host has to sort.
-    if (Each.Standing != EngineStanding::Missing)
-      this->Digest += digestOf(Each.Record);
-    else
-      this->NextAge =
-          std::min(this->NextAge, Each.Since + this->Times.MissingFor);
-  }
+void EngineTable::stand(KnownEngine &Of, EngineStanding Next, Time Now) {
+  if (Of.Standing == Next)
+    return;
+  Of.Standing = Next;
+  Of.Since = Now;
+  if (Next == EngineStanding::Missing)
+    this->NextAge = std::min(this->NextAge, Now + this->Times.MissingFor);
+}
+
+void EngineTable::include(const KnownEngine &Of) {
+  std::vector<const KnownEngine *> &All = this->ByService[Of.Record.Service];
+  All.insert(std::ranges::lower_bound(All, Of.Record.Id, {}, idOf), &Of);
+  // The order of the sum does not matter, so no host has to sort.
+  if (Of.Standing != EngineStanding::Missing)
+    this->Digest += digestOf(Of.Record);
+}
+
+void EngineTable::exclude(const KnownEngine &Of) {
+  const auto Found = this->ByService.find(Of.Record.Service);
+  std::vector<const KnownEngine *> &All = Found->second;
+  All.erase(std::ranges::lower_bound(All, Of.Record.Id, {}, idOf));
+  if (All.empty())
+    this->ByService.erase(Found);
+  if (Of.Standing != EngineStanding::Missing)
+    this->Digest -= digestOf(Of.Record);
+}
+
+void EngineTable::erase(ByName::const_iterator At) {
+  this->exclude(At->second);
+  this->Engines.erase(At);
 }
 
 } // namespace banyanpick
--- a/src/plugins/engines/EngineTable.h
+++ b/src/plugins/engines/EngineTable.h
@@ -84,8 +84,15 @@
     std::uint64_t BornMs = 0; ///< No earlier life comes back.
   };
 
-  /// Makes what is derived of the engines anew.
-  void index();
+  using ByName = std::map<Name, KnownEngine, std::less<>>;
+
+  /// Takes the engine into what is derived of all, or out of it while it is
+  /// changed: thousands of engines register at once when hosts start, so one
+  /// registration must not cost a look at all others.
+  void include(const KnownEngine &Of);
+  void exclude(const KnownEngine &Of);
+  void erase(ByName::const_iterator At);
+  void stand(KnownEngine &Of, EngineStanding Next, Time Now);
   std::vector<UpstreamId> endMissing(Time Now);
   void forgetRemovals(Time Now);
   Removal &noteRemoval(const Name &Of, LogOffset Offset, Time Now);
@@ -94,7 +101,7 @@
   Applied remove(const EngineChange &Change, bool Doubtful, Time Now);
 
   EngineTimes Times;
-  std::map<Name, KnownEngine, std::less<>> Engines;
+  ByName Engines;
   std::map<Name, Removal, std::less<>> Removed;
   LogOffset ForgottenTo = 0;
   std::map<ServiceId, std::vector<const KnownEngine *>> ByService;
--- /dev/null
+++ b/tests/auto/gateway/EnginePartsTest.cpp
@@ -0,0 +1,82 @@
+/// \file
+/// Thousands of engines are divided, so that what a host weighs and tells does
+/// not grow with them.
+#include "plugins/activehosts/EngineParts.h"
+
+#include "kernel/Services.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace banyanpick {
+namespace {
+
+std::vector<ActiveCandidate> hosts(std::size_t Count) {
+  std::vector<ActiveCandidate> Result;
+  for (std::size_t At = 0; At < Count; ++At)
+    Result.push_back({HostId(fmt::format("h{:03}", At)),
+                      ZoneId(fmt::format("z{}", At % 3)),
+                      ProcessorShare{At % 6 == 0 ? 500U : 120U}});
+  return Result;
+}
+
+std::vector<double> processorOf(std::span<const ActiveCandidate> Hosts,
+                                std::span<const std::uint32_t> Parts,
+                                std::uint32_t Count) {
+  std::vector<double> Result(Count, 0);
+  for (std::size_t At = 0; At < Hosts.size(); ++At)
+    Result[Parts[At]] += Hosts[At].Processor.Thousandths;
+  return Result;
+}
+
+TEST(EngineParts, FewEnginesOrHostsAreNotDivided) {
+  EXPECT_EQ(partCount(0, 0), 1U);
+  EXPECT_EQ(partCount(118, 295), 1U);
+  EXPECT_EQ(partCount(3000, 15), 1U);
+}
+
+TEST(EngineParts, PartsGrowWithTheEngines) {
+  EXPECT_EQ(partCount(300, 30), 2U);
+  EXPECT_EQ(partCount(999, 100), 8U);
+  EXPECT_EQ(partCount(3000, 300), 16U);
+}
+
+TEST(EngineParts, AShareTakesTheEnginesOfItsParts) {
+  EXPECT_TRUE(EngineShare{}.takes(17));
+  const EngineShare Half{{false, true}};
+  EXPECT_TRUE(Half.takes(17));
+  EXPECT_FALSE(Half.takes(18));
+}
+
+RC_GTEST_PROP(EngineParts, PartsGetNearlyTheSameProcessor, ()) {
+  const auto All = hosts(*rc::gen::inRange<std::size_t>(16, 320));
+  const std::uint32_t Count = partCount(100'000, All.size());
+  const auto Each = processorOf(All, divideHosts(All, Count), Count);
+  const double Even =
+      std::accumulate(Each.begin(), Each.end(), 0.0) / Count;
+  RC_ASSERT(*std::ranges::min_element(Each) > 0);
+  RC_ASSERT(*std::ranges::max_element(Each) <= Even * 2);
+}
+
+RC_GTEST_PROP(EngineParts, AHostThatGoesMovesFewOthers, ()) {
+  std::vector<ActiveCandidate> All =
+      hosts(*rc::gen::inRange<std::size_t>(64, 320));
+  const std::uint32_t Count = partCount(100'000, All.size() - 1);
+  const auto Before = divideHosts(All, Count);
+  const auto Gone = *rc::gen::inRange<std::size_t>(0, All.size());
+  std::vector<std::uint32_t> Kept = Before;
+  All.erase(All.begin() + static_cast<std::ptrdiff_t>(Gone));
+  Kept.erase(Kept.begin() + static_cast<std::ptrdiff_t>(Gone));
+  const auto After = divideHosts(All, Count);
+  std::size_t Moved = 0;
+  for (std::size_t At = 0; At < All.size(); ++At)
+    Moved += After[At] != Kept[At] ? 1 : 0;
+  RC_ASSERT(Moved * 4 <= All.size());
+}
+
+} // namespace
+} // namespace banyanpick
