Keep a huge prompt on all engines that read it, beside answers

Memory was there: engines were a third full on the mean. Ways: idle engines only (before); each engine that reads a part keeps that part, wherever the model knows memory for it (this); a lane of engines kept clear and waiting for memory were not built, as even parts of a twelfth fit nearly anywhere. An engine that refuses memory counts as full for 400 ms, and others are asked at once. A prompt that fits one engine is kept by several when none has the room.

--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -161,14 +161,16 @@
   virtual void release(const RequestId &Id, Time Now, Actions &Out) = 0;
 };
 
+/// Told how setting memory aside went.
 class MemoryObserver {
 public:
   virtual ~MemoryObserver() = default;
+  /// The engine has less memory free than a share asked for needs.
+  virtual void memoryRefused(const UpstreamId &, Time) {}
   /// \p Shares have their reservations; empty when they could not all be had,
   /// and nothing is held then.
-  virtual void memoryDecided(const RequestId &Id,
-                             std::span<const JointEngine> Shares, Time Now,
-                             Actions &Out) = 0;
+  virtual void memoryDecided(const RequestId &, std::span<const JointEngine>,
+                             Time, Actions &) {}
 };
 
 /// How much this gateway has under way.
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -42,6 +42,10 @@
 /// three times as often.
 constexpr seconds ListensFor(3);
 
+/// An engine that refused to set memory aside is taken to have none for so
+/// long: a usual answer ends within it.
+constexpr milliseconds MemoryRefusalKeep(400);
+
 /// Entries of the lane that are not heard of again lapse after so long.
 constexpr milliseconds LaneKeep(300);
 
@@ -82,6 +86,7 @@
   Context.services().list<RelayObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
   Context.services().list<MembershipObserver>().add(*this);
+  Context.services().list<MemoryObserver>().add(*this);
 }
 
 void EngineLoadPlugin::start(Time, Actions &) {}
@@ -200,9 +205,7 @@
   Times.ObjectiveMs = inMilliseconds(Wanted.Objective - Wanted.Waited);
   Times.LateMs = inMilliseconds(Wanted.Left) * ReadingShare;
   const std::optional<Placed> Place =
-      Work.Tokens > Model.MemoryTokens
-          ? placeHuge(States, Work, Model.MemoryTokens, Times, this->Weights)
-          : placeInTurn(States, Work, Times, this->Weights);
+      this->placeLong(States, Work, Model.MemoryTokens, Times);
   EngineWork::Waiting Own;
   Own.Request = Wanted.Request.Value;
   Own.Tokens = Wanted.PromptTokens;
@@ -222,6 +225,20 @@
       fromMilliseconds(std::clamp(UntilMs, ShortestLookMs, LongestLookMs))};
 }
 
+std::optional<Placed>
+EngineLoadPlugin::placeLong(std::span<const EngineState> States,
+                            const PromptWork &Work, std::uint64_t EngineTokens,
+                            const PlacementTimes &Times) const {
+  std::optional<Placed> Whole;
+  if (Work.Tokens <= EngineTokens)
+    Whole = placeInTurn(States, Work, Times, this->Weights);
+  if (Whole && Work.Tokens <= States[Whole->At].FreeTokens)
+    return Whole;
+  const std::optional<Placed> Kept =
+      placeKept(States, Work, EngineTokens, Times, this->Weights);
+  return Kept ? Kept : Whole;
+}
+
 bool EngineLoadPlugin::isItsTurn(std::span<const EngineState> States,
                                  const EngineWork::Waiting &Own,
                                  Time Now) const {
@@ -305,8 +322,9 @@
     Result.PassMs =
         writePassMs(*Model, Load.writing(), Load.contextTokens()) * Result.Pace;
     const std::uint64_t Used = Load.memoryTokens();
-    Result.FreeTokens =
-        Used < Model->MemoryTokens ? Model->MemoryTokens - Used : 0;
+    const bool HasMemory =
+        Used < Model->MemoryTokens && !this->isShortOfMemory(Each.Record.Id, Now);
+    Result.FreeTokens = HasMemory ? Model->MemoryTokens - Used : 0;
   } else {
     Result.BacklogMs =
         UnknownWorkMs * Result.Running / std::max(Each.Record.Slots, 1U);
@@ -319,6 +337,18 @@
   return Result;
 }
 
+void EngineLoadPlugin::memoryRefused(const UpstreamId &Engine, Time Now) {
+  this->ShortOfMemory[Engine] = Now + MemoryRefusalKeep;
+  std::erase_if(this->ShortOfMemory,
+                [&](const auto &Each) { return Now >= Each.second; });
+}
+
+bool EngineLoadPlugin::isShortOfMemory(const UpstreamId &Engine,
+                                       Time Now) const {
+  const auto Found = this->ShortOfMemory.find(Engine);
+  return Found != this->ShortOfMemory.end() && Now < Found->second;
+}
+
 const EngineParameters *
 EngineLoadPlugin::parametersOf(const ServiceId &Service) const {
   const RouteTable *Routes = this->Declared->routes();
@@ -399,6 +429,7 @@
 
 void EngineLoadPlugin::engineGone(const UpstreamId &Id, Time, Actions &) {
   this->Paces.forget(Id);
+  this->ShortOfMemory.erase(Id);
   const auto Found = this->Loads.find(Id);
   if (Found != this->Loads.end() && !Found->second.hasOwn())
     this->Loads.erase(Found);
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -18,7 +18,8 @@
                          public EngineSelector,
                          public RelayObserver,
                          public EngineObserver,
-                         public MembershipObserver {
+                         public MembershipObserver,
+                         public MemoryObserver {
 public:
   void initialize(PluginContext &Context) override;
   void start(Time Now, Actions &Out) override;
@@ -36,6 +37,8 @@
   void engineGone(const UpstreamId &Id, Time Now, Actions &Out) override;
   void memberChanged(const Member &Changed, Time Now, Actions &Out) override;
 
+  void memoryRefused(const UpstreamId &Engine, Time Now) override;
+
   static std::vector<SettingDeclaration> settings();
 
 private:
@@ -60,6 +63,12 @@
   EngineChoice chooseShared(std::span<const EngineState> States,
                             const EngineWanted &Wanted, const PromptWork &Work,
                             const EngineParameters &Model, Time Now);
+  /// Where the prompt is read; it is kept by one engine if one has the memory.
+  std::optional<Placed> placeLong(std::span<const EngineState> States,
+                                  const PromptWork &Work,
+                                  std::uint64_t EngineTokens,
+                                  const PlacementTimes &Times) const;
+  bool isShortOfMemory(const UpstreamId &Engine, Time Now) const;
   bool isItsTurn(std::span<const EngineState> States,
                  const EngineWork::Waiting &Own, Time Now) const;
   /// Whether one engine reads the prompt beside answers of the service.
@@ -105,6 +114,8 @@
   PauseBounds Pauses;
   std::map<UpstreamId, EngineLoad> Loads;
   EnginePaces Paces;
+  /// Engines that refused to set memory aside, until when that counts.
+  std::map<UpstreamId, Time> ShortOfMemory;
   TellBudget Tells;
   std::map<HostId, ToldBy> Told;
 };
--- a/src/plugins/engineload/SharedPlacement.cpp
+++ b/src/plugins/engineload/SharedPlacement.cpp
@@ -1,23 +1,47 @@
 #include "plugins/engineload/SharedPlacement.h"
 
-#include <cmath>
-#include <numeric>
+#include <iterator>
+#include <tuple>
 
 namespace banyanpick {
 
 namespace {
 
-/// Engines in the order in which they would read a part of that length: those
-/// where least is held up, then those that end first.
-std::vector<std::size_t> orderFor(std::span<const EngineState> States,
-                                  double PartMs) {
-  std::vector<std::size_t> Result(States.size());
-  std::iota(Result.begin(), Result.end(), 0);
-  std::ranges::sort(Result, {}, [&](std::size_t At) {
+/// The engines wanted, by their places among all.
+template <class Wanted>
+std::vector<std::size_t> placesOf(std::span<const EngineState> States,
+                                  Wanted IsWanted) {
+  std::vector<std::size_t> Result;
+  for (std::size_t At = 0; At < States.size(); ++At)
+    if (IsWanted(States[At]))
+      Result.push_back(At);
+  return Result;
+}
+
+/// The engines that would read a part of that length best: those where least
+/// is held up, then those that end first.
+std::vector<std::size_t> bestFor(std::span<const EngineState> States,
+                                 std::span<const std::size_t> Among,
+                                 double PartMs, std::size_t Count) {
+  struct Ranked {
+    double HeldUp = 0;
+    double EndMs = 0;
+    std::size_t At = 0;
+  };
+  std::vector<Ranked> All;
+  All.reserve(Among.size());
+  for (const std::size_t At : Among) {
     const EngineState &Each = States[At];
-    return std::pair(Each.valueHeldUp(PartMs),
-                     Each.endMs(PartMs) + Each.ExtraMs);
+    All.push_back(
+        {Each.valueHeldUp(PartMs), Each.endMs(PartMs) + Each.ExtraMs, At});
+  }
+  const auto Last = All.begin() + static_cast<std::ptrdiff_t>(Count);
+  std::ranges::partial_sort(All, Last, {}, [](const Ranked &Each) {
+    return std::tuple(Each.HeldUp, Each.EndMs, Each.At);
   });
+  std::vector<std::size_t> Result;
+  std::transform(All.begin(), Last, std::back_inserter(Result),
+                 [](const Ranked &Each) { return Each.At; });
   return Result;
 }
 
@@ -30,12 +54,13 @@
   double HeldUpMs = 0; ///< Value, as in PauseGroup.
 };
 
+/// \p Among has \p Count engines at least.
 Sharing sharingAmong(std::span<const EngineState> States,
-                     const PromptWork &Work, std::size_t Count) {
+                     std::span<const std::size_t> Among, const PromptWork &Work,
+                     std::size_t Count) {
   const double PartMs = Work.ReadMs / static_cast<double>(Count);
   Sharing Result;
-  Result.Taken = orderFor(States, PartMs);
-  Result.Taken.resize(Count);
+  Result.Taken = bestFor(States, Among, PartMs, Count);
   for (const std::size_t At : Result.Taken) {
     const EngineState &Each = States[At];
     Result.AheadMs = std::max(Result.AheadMs, Each.BacklogMs);
@@ -46,6 +71,27 @@
   return Result;
 }
 
+/// The sharing that brings most.
+class BestSharing {
+public:
+  void offer(Sharing Each, const PromptWork &Work, const PlacementTimes &Times,
+             const PlacementWeights &Weights) {
+    // Among ways that bring the same, the soonest leaves most time to spare.
+    const double Gain =
+        Work.ValueMs * creditAt(Each.FirstTokenMs, Times, Weights) -
+        Each.HeldUpMs - Each.FirstTokenMs * 1e-3;
+    if (!this->Best.Taken.empty() && Gain <= this->BestGain)
+      return;
+    this->BestGain = Gain;
+    this->Best = std::move(Each);
+  }
+  const Sharing &best() const { return this->Best; }
+
+private:
+  Sharing Best;
+  double BestGain = 0;
+};
+
 /// Whether answers that may pause for less are written there already: then no
 /// long part will be read there, and one more answer is safe from them, too.
 bool isSheltered(const EngineState &Of, double PauseMs) {
@@ -67,29 +113,41 @@
   });
 }
 
-/// Some of the engines, with their places among all.
-struct Subset {
-  template <class Wanted>
-  Subset(std::span<const EngineState> All, Wanted IsWanted) {
-    for (std::size_t At = 0; At < All.size(); ++At) {
-      if (!IsWanted(All[At]))
-        continue;
-      this->States.push_back(All[At]);
-      this->Places.push_back(At);
-    }
-  }
+/// \p Writer stands for the one that gets the request; the others help.
+Placed placed(const Sharing &Of, std::size_t Writer) {
+  Placed Result;
+  Result.At = Writer;
+  Result.AheadMs = Of.AheadMs;
+  Result.StartMs = Of.StartMs;
+  Result.FirstTokenMs = Of.FirstTokenMs;
+  for (const std::size_t At : Of.Taken)
+    if (At != Writer)
+      Result.Helpers.push_back(At);
+  return Result;
+}
 
-  /// The same choice by places among all.
-  Placed placed(Placed Choice) const {
-    Choice.At = this->Places[Choice.At];
-    for (std::size_t &Each : Choice.Helpers)
-      Each = this->Places[Each];
-    return Choice;
-  }
+Placed placeAmong(std::span<const EngineState> States,
+                  std::span<const std::size_t> Among, const PromptWork &Work,
+                  const PlacementTimes &Times,
+                  const PlacementWeights &Weights) {
+  const std::size_t Most = std::min(Among.size(), Weights.MostHelpers + 1);
+  BestSharing Found;
+  for (std::size_t Count = 1; Count <= Most; ++Count)
+    Found.offer(sharingAmong(States, Among, Work, Count), Work, Times, Weights);
+  return placed(Found.best(), writerOf(States, Found.best().Taken, Work));
+}
 
-  std::vector<EngineState> States;
-  std::vector<std::size_t> Places;
-};
+/// Whether it is known when the engine will have read what it is at.
+bool isKnown(const EngineState &Of, const PlacementWeights &Weights) {
+  return Of.BacklogMs <= Weights.AheadMs || !Of.Overdue;
+}
+
+/// What each of so many engines keeps of the prompt. Engines keep tokens in
+/// blocks; a share is rounded up by some.
+std::uint64_t evenShare(std::uint64_t Tokens, std::size_t Count) {
+  constexpr std::uint64_t Rounding = 64;
+  return Tokens / Count + Rounding;
+}
 
 } // namespace
 
@@ -110,77 +168,52 @@
 Placed placeShared(std::span<const EngineState> States, const PromptWork &Work,
                    const PlacementTimes &Times,
                    const PlacementWeights &Weights) {
-  const std::size_t Most = std::min(States.size(), Weights.MostHelpers + 1);
-  Sharing Best;
-  double BestGain = 0;
-  for (std::size_t Count = 1; Count <= Most; ++Count) {
-    Sharing Each = sharingAmong(States, Work, Count);
-    // Among ways that bring the same, the soonest leaves most time to spare.
-    const double Gain =
-        Work.ValueMs * creditAt(Each.FirstTokenMs, Times, Weights) -
-        Each.HeldUpMs - Each.FirstTokenMs * 1e-3;
-    if (Count != 1 && Gain <= BestGain)
-      continue;
-    BestGain = Gain;
-    Best = std::move(Each);
-  }
-  Placed Result;
-  Result.At = writerOf(States, Best.Taken, Work);
-  Result.AheadMs = Best.AheadMs;
-  Result.StartMs = Best.StartMs;
-  Result.FirstTokenMs = Best.FirstTokenMs;
-  for (const std::size_t At : Best.Taken)
-    if (At != Result.At)
-      Result.Helpers.push_back(At);
-  return Result;
+  const auto All = placesOf(States, [](const EngineState &) { return true; });
+  return placeAmong(States, All, Work, Times, Weights);
 }
 
 Placed placeInTurn(std::span<const EngineState> States, const PromptWork &Work,
                    const PlacementTimes &Times,
                    const PlacementWeights &Weights) {
-  const Subset Known(States, [&](const EngineState &Each) {
-    return Each.BacklogMs <= Weights.AheadMs || !Each.Overdue;
+  const auto Known = placesOf(States, [&](const EngineState &Each) {
+    return isKnown(Each, Weights);
   });
-  if (Known.States.empty())
+  if (Known.empty())
     return placeShared(States, Work, Times, Weights);
-  return Known.placed(placeShared(Known.States, Work, Times, Weights));
+  return placeAmong(States, Known, Work, Times, Weights);
 }
 
-std::optional<Placed> placeHuge(std::span<const EngineState> States,
+std::optional<Placed> placeKept(std::span<const EngineState> States,
                                 const PromptWork &Work,
                                 std::uint64_t EngineTokens,
                                 const PlacementTimes &Times,
                                 const PlacementWeights &Weights) {
-  /// What an engine gives away at most: small reservations of others and
-  /// rounding to blocks need the rest.
-  constexpr double UsableShare = 0.85;
-  const double Usable = static_cast<double>(EngineTokens) * UsableShare;
-  const auto Keepers = static_cast<std::size_t>(
-      std::ceil(static_cast<double>(Work.Tokens) / std::max(Usable, 1.0)));
-  const Subset Idle(States, [](const EngineState &Each) {
-    return Each.Running == 0 && Each.BacklogMs <= 0;
-  });
-  if (Idle.States.empty() || Idle.States.size() < Keepers)
+  /// Of an engine's memory, left to what other hosts send there meanwhile.
+  constexpr double LeftShare = 0.15;
+  const auto Left =
+      static_cast<std::uint64_t>(static_cast<double>(EngineTokens) * LeftShare);
+  // The engine that writes the answer is one of the helpers here.
+  const std::size_t Most = std::min(States.size(), Weights.MostHelpers);
+  BestSharing Found;
+  for (std::size_t Count = 2; Count <= Most; ++Count) {
+    const std::uint64_t Share = evenShare(Work.Tokens, Count);
+    const auto Roomy = placesOf(States, [&](const EngineState &Each) {
+      return Share + Left <= Each.FreeTokens && Each.FreeSlots > 0 &&
+             isKnown(Each, Weights);
+    });
+    if (Roomy.size() >= Count)
+      Found.offer(sharingAmong(States, Roomy, Work, Count), Work, Times,
+                  Weights);
+  }
+  const Sharing &Best = Found.best();
+  if (Best.Taken.empty())
     return std::nullopt;
-  const Placed Shared =
-      Idle.placed(placeShared(Idle.States, Work, Times, Weights));
-  std::vector<std::size_t> Taken = {Shared.At};
-  Taken.insert(Taken.end(), Shared.Helpers.begin(), Shared.Helpers.end());
-  for (const std::size_t At : Idle.Places)
-    if (Taken.size() < Keepers && std::ranges::count(Taken, At) == 0)
-      Taken.push_back(At);
-  // The chosen engine is one of the helpers here.
-  Taken.resize(std::min(Taken.size(), Weights.MostHelpers));
-  Placed Result;
-  Result.At = Taken.front();
-  Result.Helpers = Taken;
-  Result.Keepers = Keepers;
-  /// Tokens are kept in blocks; a share is rounded up by some.
-  constexpr std::uint64_t Rounding = 64;
-  Result.KeptTokens = Work.Tokens / Result.Keepers + Rounding;
-  Result.AheadMs = Shared.AheadMs;
-  Result.StartMs = Shared.StartMs;
-  Result.FirstTokenMs = Shared.FirstTokenMs;
+  PromptWork Part = Work;
+  Part.Tokens = evenShare(Work.Tokens, Best.Taken.size());
+  Placed Result = placed(Best, writerOf(States, Best.Taken, Part));
+  Result.Helpers.insert(Result.Helpers.begin(), Result.At);
+  Result.Keepers = Result.Helpers.size();
+  Result.KeptTokens = Part.Tokens;
   return Result;
 }
 
--- a/src/plugins/engineload/SharedPlacement.h
+++ b/src/plugins/engineload/SharedPlacement.h
@@ -23,11 +23,16 @@
                    const PlacementTimes &Times,
                    const PlacementWeights &Weights);
 
-/// Like placeShared() for a prompt that no engine holds alone: the engines that
-/// keep it stand first among the helpers, with what each sets aside.
+/// Like placeInTurn() for a prompt that no engine has the memory for: each
+/// engine that reads a part of it also keeps that part, and the chosen one
+/// stands first among the helpers.
 ///
-/// Nothing while too few engines are idle to keep it.
-std::optional<Placed> placeHuge(std::span<const EngineState> States,
+/// The load that it answers: prompts beyond one engine's memory while most
+/// engines write. Parts are small enough to be kept beside answers; waiting
+/// until engines are idle took longer than callers do.
+///
+/// Nothing while too few engines have memory for a part.
+std::optional<Placed> placeKept(std::span<const EngineState> States,
                                 const PromptWork &Work,
                                 std::uint64_t EngineTokens,
                                 const PlacementTimes &Times,
--- a/src/plugins/enginememory/EngineMemoryPlugin.cpp
+++ b/src/plugins/enginememory/EngineMemoryPlugin.cpp
@@ -94,6 +94,8 @@
       break;
     case ReservationResult::Refused:
       Found->Is = Stage::Refused;
+      for (MemoryObserver *Each : this->Offered->list<MemoryObserver>().all())
+        Each->memoryRefused(Found->Where.Engine, Now);
       break;
     case ReservationResult::Unknown:
       Found->Unanswered = true;
--- a/src/plugins/relays/RelaysSettings.cpp
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -23,9 +23,9 @@
        0, 1},
       {In, "wait_pause", Span, "40ms",
        "How often a waiting request looks for an upstream.", 1e3, 10e6},
-      {In, "memory_pause", Span, "400ms",
-       "How soon a request tries again whose memory could not be had; each try "
-       "costs the engines orders.",
+      {In, "memory_pause", Span, "40ms",
+       "How soon a request tries again, on other engines, whose memory could "
+       "not be had; each try costs the engines orders.",
        1e3, 60e6},
       {In, "come_back", Span, "300ms",
        "When callers whose requests did not run should come back.", 0, 60e6},
