Tell peers which engines fail; avoid one that closes in place of an answer at once

Cause: eight of 69 engines that reset whatever they were sent within 5 ms looked idle and drew what every host gathered; each of 15 hosts learnt it alone, after two losses an engine, and again after each pause. Ways: each host for itself after two breaks (before); peers told, held back a little longer than the first host's pause, so that one host tries again; own answers to later tries go first; who distrusts over a quarter of a service is not believed. With one host's own link failing, nobody else loses a request.

--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -97,6 +97,8 @@
   virtual ~EngineTrustView() = default;
   /// Whether work should go elsewhere if it can.
   virtual bool isAvoided(const UpstreamId &Id, Time Now) const = 0;
+  /// What this host saw itself, for its peers.
+  virtual std::vector<EngineWork::Distrust> distrusted(Time Now) const = 0;
 };
 
 /// Which contents crash upstreams.
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -260,6 +260,15 @@
     bool operator==(const Pace &) const = default;
   };
   std::vector<Pace> Paces;
+  /// An engine that the sender avoids, by what it saw itself.
+  struct Distrust {
+    UpstreamId Engine;
+    double SinceMs = 0; ///< Ago; tries sent later tell more.
+    double LeftMs = 0;  ///< Until the sender gives it a try again.
+
+    bool operator==(const Distrust &) const = default;
+  };
+  std::vector<Distrust> Distrusted;
 
   bool operator==(const EngineWork &) const = default;
 };
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -220,6 +220,12 @@
     Pace.set_engine(Each.Engine.Value);
     Pace.set_factor(static_cast<float>(Each.Factor));
   }
+  for (const auto &Each : Body.Distrusted) {
+    EngineWork::Distrust &Distrust = *Out.add_distrusted();
+    Distrust.set_engine(Each.Engine.Value);
+    Distrust.set_since_ms(static_cast<float>(Each.SinceMs));
+    Distrust.set_left_ms(static_cast<float>(Each.LeftMs));
+  }
 }
 
 banyanpick::EnginesRelayed read(const EnginesRelayed &In) {
@@ -262,6 +268,10 @@
   for (const EngineWork::Pace &Each : In.paces())
     Result.Paces.push_back(
         {UpstreamId(Each.engine()), checkedNumber(Each.factor())});
+  for (const EngineWork::Distrust &Each : In.distrusted())
+    Result.Distrusted.push_back({UpstreamId(Each.engine()),
+                                 checkedNumber(Each.since_ms()),
+                                 checkedNumber(Each.left_ms())});
   return Result;
 }
 
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -410,9 +410,15 @@
   return Model && readMs(*Model, Each.PromptTokens) >= this->TellSoonMs;
 }
 
-void EngineLoadPlugin::tryEnded(const RelayTry &Each, const RelayOutcome &,
-                                Time Now, Actions &) {
+void EngineLoadPlugin::tryEnded(const RelayTry &Each,
+                                const RelayOutcome &Outcome, Time Now,
+                                Actions &) {
   this->remove(Each, Now);
+  // What comes of it for the engine, peers should know before their next
+  // request.
+  if (std::holds_alternative<RelayBroken>(Outcome) ||
+      std::holds_alternative<RelayNeverSent>(Outcome))
+    this->Tells.noteUrgent(Now);
 }
 
 void EngineLoadPlugin::tryCancelled(const RelayTry &Each, Time Now, Actions &) {
@@ -486,6 +492,7 @@
   EngineWork Work;
   Work.InLane = this->Lane.own(Now);
   Work.Paces = this->Paces.own(Now);
+  Work.Distrusted = this->Trust->distrusted(Now);
   for (const auto &[Id, Load] : this->Loads)
     if (Load.hasOwn())
       Work.Items.push_back(Load.ownWork(Id));
--- a/src/plugins/enginetrust/EngineTrustPlugin.cpp
+++ b/src/plugins/enginetrust/EngineTrustPlugin.cpp
@@ -11,6 +11,10 @@
 /// some fifty answers.
 constexpr double ServiceMemory = 0.02;
 
+double inMilliseconds(Duration Value) {
+  return static_cast<double>(Value.count()) / 1e3;
+}
+
 std::string_view name(TrustRecord::Verdict What) {
   switch (What) {
   case TrustRecord::Verdict::Sound:
@@ -19,6 +23,8 @@
     return "failing";
   case TrustRecord::Verdict::Broken:
     return "broken";
+  case TrustRecord::Verdict::Refused:
+    return "refused";
   case TrustRecord::Verdict::Silent:
     return "silent";
   case TrustRecord::Verdict::Neutral:
@@ -32,6 +38,7 @@
 void EngineTrustPlugin::initialize(PluginContext &Context) {
   const Settings &Values = Context.settings();
   const std::string_view In = "engine_trust";
+  this->Directory = &Context.services().get<EngineDirectory>();
   this->Limits.FirstPause = Values.span(In, "first_pause");
   this->Limits.LongestPause = Values.span(In, "longest_pause");
   this->Limits.SuspectShare = Values.fraction(In, "suspect_share");
@@ -43,7 +50,46 @@
 
 bool EngineTrustPlugin::isAvoided(const UpstreamId &Id, Time Now) const {
   const auto Found = this->Records.find(Id);
-  return Found != this->Records.end() && Found->second.isAvoided(Now);
+  const bool Own =
+      Found != this->Records.end() && Found->second.isAvoided(Now);
+  return Own || this->Peers.isHeld(Id, Now);
+}
+
+std::vector<EngineWork::Distrust>
+EngineTrustPlugin::distrusted(Time Now) const {
+  std::vector<EngineWork::Distrust> Result;
+  for (const auto &[Id, Of] : this->Records)
+    if (Of.isAvoided(Now))
+      Result.push_back({Id, inMilliseconds(Now - Of.avoidSince()),
+                        inMilliseconds(Of.avoidUntil() - Now)});
+  return Result;
+}
+
+void EngineTrustPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  const auto *Is = std::get_if<PeerMessageReceived>(&What);
+  const auto *Work =
+      Is ? std::get_if<EngineWork>(&Is->Message.Body) : nullptr;
+  if (!Work || Work->Distrusted.empty())
+    return;
+  const KnownEngine *First =
+      this->Directory->find(Work->Distrusted.front().Engine);
+  if (!First)
+    return;
+  const std::size_t Before = this->Peers.size();
+  this->Peers.take(Is->Message.From, Work->Distrusted,
+                   this->Directory->ofService(First->Record.Service).size(),
+                   Now);
+  if (this->Peers.size() == Before)
+    return;
+  Out.log(logEvent(events::PeerDistrustChanged)
+              .with("from", Is->Message.From.Value)
+              .with("told", Work->Distrusted.size())
+              .with("held_back", this->Peers.size())
+              .build());
+}
+
+void EngineTrustPlugin::tryBegan(const RelayTry &Each, Time, Actions &) {
+  this->Peers.noteSound(Each.Engine, Each.SentAt);
 }
 
 void EngineTrustPlugin::tryEnded(const RelayTry &Each,
@@ -55,7 +101,10 @@
       this->judge(At, Each.Service, TrustRecord::Verdict::Silent, Now, Out);
     return;
   }
-  this->judge(Each.Engine, Each.Service, verdictOf(Outcome), Now, Out);
+  const TrustRecord::Verdict What = verdictOf(Outcome);
+  if (What == TrustRecord::Verdict::Sound)
+    this->Peers.noteSound(Each.Engine, Each.SentAt);
+  this->judge(Each.Engine, Each.Service, What, Now, Out);
 }
 
 void EngineTrustPlugin::judge(const UpstreamId &Engine,
@@ -92,6 +141,7 @@
 
 void EngineTrustPlugin::engineGone(const UpstreamId &Id, Time, Actions &) {
   this->Records.erase(Id);
+  this->Peers.forget(Id);
 }
 
 std::vector<SettingDeclaration> EngineTrustPlugin::settings() {
@@ -120,7 +170,7 @@
 
 const PluginRegistration
     Registration({"engine_trust",
-                  {},
+                  {"engines"},
                   EngineTrustPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<EngineTrustPlugin>();
--- a/src/plugins/enginetrust/EngineTrustPlugin.h
+++ b/src/plugins/enginetrust/EngineTrustPlugin.h
@@ -4,6 +4,7 @@
 
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
+#include "plugins/enginetrust/PeerDistrust.h"
 #include "plugins/enginetrust/TrustRecord.h"
 
 #include <map>
@@ -11,16 +12,19 @@
 namespace banyanpick {
 
 /// An avoided upstream gets a try again after its pause; each further failure
-/// doubles the pause, one sound answer ends it.
+/// doubles the pause, one sound answer ends it. Hosts tell each other what they
+/// avoid.
 class EngineTrustPlugin : public Plugin,
                           public EngineTrustView,
                           public RelayObserver,
                           public EngineObserver {
 public:
   void initialize(PluginContext &Context) override;
-  void handle(const Event &, Time, Actions &) override {}
+  void handle(const Event &What, Time Now, Actions &Out) override;
 
   bool isAvoided(const UpstreamId &Id, Time Now) const override;
+  std::vector<EngineWork::Distrust> distrusted(Time Now) const override;
+  void tryBegan(const RelayTry &Each, Time Now, Actions &Out) override;
   void tryEnded(const RelayTry &Each, const RelayOutcome &Outcome, Time Now,
                 Actions &Out) override;
   void engineGone(const UpstreamId &Id, Time Now, Actions &Out) override;
@@ -36,7 +40,9 @@
     double Failures = 0;
   };
 
+  const EngineDirectory *Directory = nullptr;
   TrustLimits Limits;
+  PeerDistrust Peers;
   std::map<UpstreamId, TrustRecord> Records;
   std::map<ServiceId, ServiceShare> Services;
 };
--- /dev/null
+++ b/src/plugins/enginetrust/PeerDistrust.cpp
@@ -0,0 +1,63 @@
+#include "plugins/enginetrust/PeerDistrust.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// Of the engines, that a peer may distrust and still be believed.
+constexpr double MostOfEngines = 0.25;
+
+/// The peer's own next try is answered, or not, within so long after its pause.
+constexpr milliseconds PeerTriesFirst(300);
+
+Duration fromMilliseconds(double Value) {
+  return Duration(static_cast<Duration::rep>(Value * 1e3));
+}
+
+} // namespace
+
+void PeerDistrust::take(const HostId &Peer,
+                        std::span<const EngineWork::Distrust> Told,
+                        std::size_t Engines, Time Now) {
+  std::erase_if(this->ByEngine,
+                [&](const auto &Each) { return Now >= Each.second.Until; });
+  const double Most =
+      std::max(1.0, static_cast<double>(Engines) * MostOfEngines);
+  if (static_cast<double>(Told.size()) > Most) {
+    std::erase_if(this->ByEngine,
+                  [&](const auto &Each) { return Each.second.By == Peer; });
+    return;
+  }
+  for (const EngineWork::Distrust &Each : Told) {
+    const Time Since = Now - fromMilliseconds(Each.SinceMs);
+    const Time Until = Now + fromMilliseconds(Each.LeftMs) + PeerTriesFirst;
+    const auto Sound = this->SoundSentAt.find(Each.Engine);
+    if (Sound != this->SoundSentAt.end() && Sound->second >= Since)
+      continue;
+    Held &Of = this->ByEngine[Each.Engine];
+    if (Until > Of.Until)
+      Of = {Peer, Since, Until};
+  }
+}
+
+void PeerDistrust::noteSound(const UpstreamId &Engine, Time SentAt) {
+  Time &Last = this->SoundSentAt[Engine];
+  Last = std::max(Last, SentAt);
+  const auto Found = this->ByEngine.find(Engine);
+  if (Found != this->ByEngine.end() && SentAt >= Found->second.Since)
+    this->ByEngine.erase(Found);
+}
+
+bool PeerDistrust::isHeld(const UpstreamId &Engine, Time Now) const {
+  const auto Found = this->ByEngine.find(Engine);
+  return Found != this->ByEngine.end() && Now < Found->second.Until;
+}
+
+void PeerDistrust::forget(const UpstreamId &Engine) {
+  this->ByEngine.erase(Engine);
+  this->SoundSentAt.erase(Engine);
+}
+
+} // namespace banyanpick
--- a/src/plugins/enginetrust/TrustRecord.cpp
+++ b/src/plugins/enginetrust/TrustRecord.cpp
@@ -34,11 +34,14 @@
     this->Pauses = 0;
     return;
   }
-  if (What == Verdict::Silent || What == Verdict::Broken)
+  if (What != Verdict::Failing)
     ++this->InARow;
   const bool TooMany = this->Seen >= FewestAnswers &&
                        this->Failures > UsualFailures + Limits.SuspectShare;
-  const bool Out = What == Verdict::Silent || this->InARow >= BrokenInARow;
+  // An engine that closes connections at once looks idle, so that it draws
+  // whatever is gathered; there is no time for a second one.
+  const bool Out = What == Verdict::Silent || What == Verdict::Refused ||
+                   this->InARow >= BrokenInARow;
   if (Out || TooMany)
     this->avoid(Limits, Now);
 }
@@ -49,6 +52,7 @@
   const auto Doublings = std::min(this->Pauses, MostDoublings);
   const Duration Pause = Limits.FirstPause * (1 << Doublings);
   ++this->Pauses;
+  this->AvoidSince = Now;
   this->AvoidUntil = Now + std::min(Pause, Limits.LongestPause);
   // After the pause a few answers decide anew.
   this->Seen = 0;
@@ -64,7 +68,11 @@
         return Is.Status >= FirstServerError ? Verdict::Failing
                                              : Verdict::Sound;
       },
-      [](const RelayBroken &) { return Verdict::Broken; });
+      [](const RelayBroken &Is) {
+        const bool Refused =
+            Is.Reason == RelayBroken::Why::Reset && !Is.Began;
+        return Refused ? Verdict::Refused : Verdict::Broken;
+      });
 }
 
 } // namespace banyanpick
--- a/src/plugins/enginetrust/TrustRecord.h
+++ b/src/plugins/enginetrust/TrustRecord.h
@@ -22,7 +22,8 @@
   enum class Verdict {
     Sound,   ///< It answered.
     Failing, ///< It answered with a failure of its own.
-    Broken,  ///< It did not answer, or not in the protocol.
+    Broken,  ///< It broke off its answer, or answered not in the protocol.
+    Refused, ///< It closed the connection in place of an answer.
     Silent,  ///< It can't be reached.
     Neutral, ///< Says nothing, such as that it is full.
   };
@@ -33,6 +34,8 @@
 
   bool isAvoided(Time Now) const { return Now < this->AvoidUntil; }
   Time avoidUntil() const { return this->AvoidUntil; }
+  /// When the pause began.
+  Time avoidSince() const { return this->AvoidSince; }
   double failureShare() const { return this->Failures; }
   std::uint32_t failuresInARow() const { return this->InARow; }
 
@@ -43,6 +46,7 @@
   std::uint32_t Seen = 0;
   std::uint32_t InARow = 0; ///< Tries broken or silent, none sound between.
   std::uint32_t Pauses = 0; ///< Without a sound answer between.
+  Time AvoidSince{};
   Time AvoidUntil{};
 };
 
--- /dev/null
+++ b/tests/auto/gateway/PeerDistrustTest.cpp
@@ -0,0 +1,58 @@
+/// \file
+/// What peers say of engines counts, unless the peer is at fault or this host
+/// knows better.
+#include "plugins/enginetrust/PeerDistrust.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick {
+namespace {
+
+constexpr std::size_t Engines = 12;
+const HostId Peer("h2");
+const UpstreamId Engine("e1");
+
+Time at(int Ms) { return Time(seconds(100) + milliseconds(Ms)); }
+
+std::vector<EngineWork::Distrust> told(int Count, double SinceMs = 0) {
+  std::vector<EngineWork::Distrust> Result;
+  for (int Each = 1; Each <= Count; ++Each)
+    Result.push_back(
+        {UpstreamId("e" + std::to_string(Each)), SinceMs, 500});
+  return Result;
+}
+
+TEST(PeerDistrust, HoldsBackALittleLongerThanThePeer) {
+  PeerDistrust Peers;
+  Peers.take(Peer, told(1), Engines, at(0));
+  EXPECT_TRUE(Peers.isHeld(Engine, at(510)));
+  EXPECT_FALSE(Peers.isHeld(Engine, at(1000)));
+  EXPECT_FALSE(Peers.isHeld(UpstreamId("e2"), at(0)));
+}
+
+TEST(PeerDistrust, APeerThatDistrustsManyIsNotBelieved) {
+  PeerDistrust Peers;
+  Peers.take(Peer, told(2), Engines, at(0));
+  Peers.take(Peer, told(4), Engines, at(5));
+  EXPECT_EQ(Peers.size(), 0U);
+}
+
+TEST(PeerDistrust, AnAnswerToALaterTryGoesFirst) {
+  PeerDistrust Peers;
+  Peers.take(Peer, told(1, 50), Engines, at(100));
+  Peers.noteSound(Engine, at(40));
+  EXPECT_TRUE(Peers.isHeld(Engine, at(110)));
+  Peers.noteSound(Engine, at(60));
+  EXPECT_FALSE(Peers.isHeld(Engine, at(110)));
+  Peers.take(Peer, told(1, 70), Engines, at(120));
+  EXPECT_FALSE(Peers.isHeld(Engine, at(121))) << "the same pause, told again";
+}
+
+TEST(PeerDistrust, OneOfThreeEnginesMayBeDistrusted) {
+  PeerDistrust Peers;
+  Peers.take(Peer, told(1), 3, at(0));
+  EXPECT_TRUE(Peers.isHeld(Engine, at(1)));
+}
+
+} // namespace
+} // namespace banyanpick
--- a/tests/auto/gateway/TrustRecordTest.cpp
+++ b/tests/auto/gateway/TrustRecordTest.cpp
@@ -29,6 +29,17 @@
   EXPECT_TRUE(Record.isAvoided(at(21)));
 }
 
+TEST(TrustRecord, AConnectionClosedInPlaceOfAnAnswerCountsAtOnce) {
+  EXPECT_EQ(verdictOf(RelayBroken{}), Verdict::Refused);
+  EXPECT_EQ(verdictOf(RelayBroken{RelayBroken::Why::Reset, true, {}}),
+            Verdict::Broken);
+  TrustRecord Record;
+  Record.take(Verdict::Sound, 0, Limits, at(0));
+  Record.take(Verdict::Refused, 0, Limits, at(10));
+  EXPECT_TRUE(Record.isAvoided(at(11)));
+  EXPECT_EQ(Record.avoidSince(), at(10));
+}
+
 TEST(TrustRecord, PausesDoubleUpToTheLongest) {
   TrustRecord Record;
   int Now = 0;
--- a/tests/auto/manyhosts/HostCrowd.cpp
+++ b/tests/auto/manyhosts/HostCrowd.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds ReadPause(200);
 constexpr milliseconds RenewEvery(1200);
 constexpr std::size_t Seeds = 3;
+constexpr milliseconds ResetsAfter(5);
 constexpr std::uint32_t SlotsEach = 10;
 constexpr std::uint64_t ShortPrompt = 5000;
 
@@ -97,6 +98,21 @@
   this->enlist(Engine);
 }
 
+void HostCrowd::setFailing(std::size_t Engine, bool On) {
+  const UpstreamId &Id = this->Engines[Engine].Id;
+  if (On)
+    this->Failing.insert(Id);
+  else
+    this->Failing.erase(Id);
+}
+
+void HostCrowd::setCut(std::size_t Host, bool On) {
+  if (On)
+    this->Cut.insert(Host);
+  else
+    this->Cut.erase(Host);
+}
+
 void HostCrowd::enlist(std::size_t Engine) {
   this->Registry[Engine] = {this->Engines[Engine], false, this->RegistryEnd++};
 }
@@ -222,6 +238,12 @@
       Wanted,
       [&](const DispatchRelay &Is) {
         ++this->Done.Sent[Is.Engine];
+        if (this->Failing.contains(Is.Engine) || this->Cut.contains(At)) {
+          this->Queue.after(ResetsAfter, [this, At, Life, Id = Is.Attempt] {
+            this->send(At, Life, GatewayEvent(RelayEnded{Id, RelayBroken{}}));
+          });
+          return;
+        }
         const Duration For = this->RunFor[{At, Is.Request}];
         this->Queue.after(milliseconds(60), [this, At, Life, Id = Is.Attempt] {
           this->send(At, Life, GatewayEvent(RelayBegan{Id}));
@@ -230,6 +252,9 @@
           this->send(At, Life, GatewayEvent(RelayEnded{Id, RelayDelivered{}}));
         });
       },
+      [&](const RefuseRelay &) { ++this->Done.Lost[At]; },
+      [&](const BreakRelay &) { ++this->Done.Lost[At]; },
+      [&](const DeliverFailure &) { ++this->Done.Lost[At]; },
       [&](const FollowStore &Is) {
         const bool Before = std::exchange(this->Hosts[At].Follows, Is.On);
         if (Is.On && !Before)
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -34,6 +34,10 @@
   void publish(std::uint64_t Version);
   /// The engine says that it leaves.
   void drain(std::size_t Engine);
+  /// The engine closes every connection at once, whatever it is sent.
+  void setFailing(std::size_t Engine, bool On);
+  /// Every connection that the host makes is closed at once.
+  void setCut(std::size_t Host, bool On);
   /// A request to the host for a short prompt; it runs for \p RunsFor.
   void arrive(std::size_t Host, Duration RunsFor);
 
@@ -50,6 +54,8 @@
     std::uint64_t Ticks = 0;                ///< Wakes without an event.
     std::uint64_t Links = 0;                ///< Pairs of sender and receiver.
     std::map<UpstreamId, std::size_t> Sent; ///< Requests to each engine.
+    std::map<std::size_t, std::size_t> Lost; ///< Requests without an answer, by
+                                             ///< host.
     std::uint64_t messages() const;
   };
   Tally takeTally();
@@ -88,6 +94,8 @@
   std::uint64_t Requests = 0;
   std::map<AttemptId, Duration> RunTimes;
   std::map<std::pair<std::size_t, RequestId>, Duration> RunFor;
+  std::set<UpstreamId> Failing;
+  std::set<std::size_t> Cut;
   std::vector<Address> Answer;
   Tally Done;
   std::set<std::pair<std::size_t, std::size_t>> Pairs;
--- a/tests/auto/manyhosts/ManyHostsTest.cpp
+++ b/tests/auto/manyhosts/ManyHostsTest.cpp
@@ -154,6 +154,76 @@
   EXPECT_LE(static_cast<double>(Most), Slots * (1 + SpanS / MeanAnswerS));
 }
 
+/// Requests come to the active hosts in turn; those of \p Skipped get none.
+std::size_t offer(HostCrowd &Crowd, int Count, Duration Between,
+                  const std::set<std::size_t> &Skipped = {}) {
+  std::vector<std::size_t> Active = Crowd.named(1);
+  std::erase_if(Active, [&](std::size_t At) { return Skipped.contains(At); });
+  for (int Each = 0; Each < Count; ++Each) {
+    Crowd.arrive(Active[static_cast<std::size_t>(Each) % Active.size()],
+                 milliseconds(600 + Each % 17 * 50));
+    Crowd.run(Between);
+  }
+  return static_cast<std::size_t>(Count);
+}
+
+std::size_t lostOf(const HostCrowd::Tally &Tally) {
+  std::size_t Sum = 0;
+  for (const auto &[Host, Count] : Tally.Lost)
+    Sum += Count;
+  return Sum;
+}
+
+TEST(ManyHosts, EnginesThatFailAtOnceLoseHardlyAnyRequest) {
+  HostCrowd Crowd(78, 69);
+  Crowd.publish(1);
+  Crowd.run(seconds(25));
+  offer(Crowd, 1200, milliseconds(5));
+  Crowd.takeTally();
+  for (std::size_t Each = 0; Each < 8; ++Each)
+    Crowd.setFailing(Each * 8, true);
+  const std::size_t Asked = offer(Crowd, 1200, milliseconds(5));
+  for (std::size_t Each = 0; Each < 8; ++Each)
+    Crowd.setFailing(Each * 8, false);
+  Crowd.run(seconds(1));
+  // The aim: no more than one in a hundred while an eighth of the engines fail.
+  EXPECT_LE(lostOf(Crowd.takeTally()) * 100, Asked);
+}
+
+TEST(ManyHosts, AHostWhoseLinkFailsTurnsNobodyAwayFromGoodEngines) {
+  HostCrowd Crowd(78, 69);
+  Crowd.publish(1);
+  Crowd.run(seconds(25));
+  const std::size_t Cut = Crowd.named(1).front();
+  Crowd.setCut(Cut, true);
+  offer(Crowd, 1200, milliseconds(5));
+  HostCrowd::Tally Tally = Crowd.takeTally();
+  Tally.Lost.erase(Cut);
+  EXPECT_EQ(lostOf(Tally), 0U);
+}
+
+TEST(ManyHosts, AThousandEnginesAreDividedAndAllAreUsed) {
+  constexpr std::size_t Engines = 1000;
+  HostCrowd Crowd(Fewer, Engines);
+  Crowd.publish(1);
+  Crowd.run(seconds(25));
+  Crowd.takeTally();
+  // 10,000 places; as many requests as fill a third of them.
+  const std::size_t Asked = offer(Crowd, 6000, Duration(800));
+  const auto Tally = Crowd.takeTally();
+  EXPECT_EQ(lostOf(Tally), 0U);
+  std::size_t Sum = 0;
+  for (const auto &[Engine, Count] : Tally.Sent)
+    Sum += Count;
+  EXPECT_EQ(Sum, Asked);
+  // Each host tells its work to those that share its engines, not to all.
+  constexpr double SpanS = 4.8;
+  constexpr double TellsEachS = 1000.0 / 30;
+  constexpr double MostSharers = 24;
+  EXPECT_LE(static_cast<double>(Tally.Messages.at("work")),
+            Fewer * SpanS * TellsEachS * MostSharers);
+}
+
 TEST(ManyHosts, AHostThatStandsByIsHeardWhenItGetsRequests) {
   Settled Crowd(Fewer);
   const auto Active = Crowd.named(0);
