Tell callers of short prompts to come back when the places run out

Ways: all are taken (before); at arrival, where no place is free in time, the caller is told to come back after a fifth to a third of its time (this).

--- a/src/libs/gateway/Configuration.h
+++ b/src/libs/gateway/Configuration.h
@@ -66,6 +66,7 @@
   double JointStepMs = 0; ///< More for each step of a prompt that lies on
                           ///< several engines.
   std::uint64_t UsualPromptTokens = 0; ///< The mean over all requests.
+  std::uint64_t UsualAnswerTokens = 0; ///< Likewise; zero: not declared.
   Duration ReportLag{}; ///< How old the engine's own figures are.
 
   bool operator==(const EngineParameters &) const = default;
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -118,6 +118,8 @@
   Duration LongestPause{};              ///< Between events; zero: undeclared.
   Duration Waited{};                    ///< Since it arrived.
   Duration Left{};                      ///< Until its time is over.
+  bool MayComeBack = false; ///< Its caller has not tried before, and may be told
+                            ///< to come back.
   std::span<const UpstreamId> Excluded; ///< Not on these.
 };
 
@@ -136,10 +138,15 @@
   Duration LookAgain{}; ///< When it may be its turn, from now.
 };
 
+/// No upstream can begin it in time now; one can when it comes back.
+struct ComeBack {
+  Duration After{};
+};
+
 /// No upstream can take it now.
 struct NoEngine {};
 
-using EngineChoice = std::variant<EngineChosen, AwaitTurn, NoEngine>;
+using EngineChoice = std::variant<EngineChosen, AwaitTurn, ComeBack, NoEngine>;
 
 /// Chooses upstreams.
 class EngineSelector {
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -19,9 +19,20 @@
 constexpr double UnknownWorkMs = 40;
 
 /// Of 0 to 9, 0 first; admission to a full batch goes by it.
+constexpr std::uint32_t ReturnedUrgency = 1;
 constexpr std::uint32_t ShortUrgency = 2;
 constexpr std::uint32_t SharedUrgency = 5;
 
+/// Callers come back after so much of the time that they have left, at the
+/// latest: enough stays for their answer, and a burst is over or its load is
+/// spread by then.
+constexpr double LatestReturnShare = 1.0 / 3;
+
+/// The soonest of them, as a share of the latest, so that those who were told to
+/// come back together come back spread, and yet so late that it shows in the time
+/// that they have left (see FirstTries).
+constexpr double SoonestReturn = 0.6;
+
 /// Share of the time left that a prompt which is late may be read in; its
 /// answer is written in what remains.
 constexpr double ReadingShare = 0.55;
@@ -192,8 +203,29 @@
   const std::size_t Front =
       Model ? frontEngines(States.size(), ShortRunning, Slots, this->Weights)
             : States.size();
-  return chosen(States, placeShort(States, Front, Slots, Work, this->Weights),
-                Model, true);
+  const Placed Place = placeShort(States, Front, Slots, Work, this->Weights);
+  if (Model && Wanted.MayComeBack &&
+      this->isTooFull(States[Place.At], Place, Wanted, *Model))
+    return ComeBack{this->returnAfter(Wanted)};
+  EngineChosen Result = chosen(States, Place, Model, true);
+  if (Model && !Wanted.MayComeBack)
+    Result.Urgency = ReturnedUrgency;
+  return Result;
+}
+
+bool EngineLoadPlugin::isTooFull(const EngineState &Of, const Placed &Place,
+                                 const EngineWanted &Wanted,
+                                 const EngineParameters &Model) const {
+  const double WaitMs = placeWaitMs(Model, Of.Running);
+  const double ObjectiveMs = inMilliseconds(Wanted.Objective - Wanted.Waited);
+  return WaitMs > 0 && Place.FirstTokenMs + WaitMs >
+                           ObjectiveMs * this->Weights.BudgetShare;
+}
+
+Duration EngineLoadPlugin::returnAfter(const EngineWanted &Wanted) const {
+  const double Spread =
+      SoonestReturn + (1 - SoonestReturn) * this->Numbers->fraction();
+  return fromSeconds(inSeconds(Wanted.Left) * LatestReturnShare * Spread);
 }
 
 EngineChoice EngineLoadPlugin::chooseShared(std::span<const EngineState> States,
--- a/src/plugins/engineload/ReadCost.cpp
+++ b/src/plugins/engineload/ReadCost.cpp
@@ -34,4 +34,14 @@
   return PauseMs - writePassMs(Of, Of.Slots, Of.Slots * Of.UsualPromptTokens);
 }
 
+double placeWaitMs(const EngineParameters &Of, std::uint32_t Running) {
+  if (Running < Of.Slots)
+    return 0;
+  const double Passes = static_cast<double>(Of.UsualAnswerTokens) /
+                        std::max(Of.StepsPerPass, 1U);
+  const double AnswerMs =
+      Passes * writePassMs(Of, Of.Slots, Of.Slots * Of.UsualPromptTokens);
+  return AnswerMs / std::max(Of.Slots, 1U) * (Running - Of.Slots + 1);
+}
+
 } // namespace banyanpick
--- a/src/plugins/engineload/ReadCost.h
+++ b/src/plugins/engineload/ReadCost.h
@@ -24,4 +24,9 @@
 /// \p PauseMs.
 double roomMs(const EngineParameters &Of, double PauseMs);
 
+/// How long a request waits for a place in the batch of an engine where so many
+/// run already, as places become free evenly; zero where the usual answer is
+/// not declared.
+double placeWaitMs(const EngineParameters &Of, std::uint32_t Running);
+
 } // namespace banyanpick
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -130,6 +130,8 @@
   Each.ArrivedAt = Now;
   Each.LastEvent = Head.LastEvent;
   const Duration Remaining = Head.Remaining.value_or(UnknownRemaining);
+  Each.IsFirstTry =
+      Head.Remaining && this->Firsts.isFirst(Route.Name, *Head.Remaining, Now);
   const bool Limited = Route.TimeLimit > Duration(0);
   Each.RouteEnds = Limited && Route.TimeLimit <= Remaining;
   Each.Deadline = Now + (Each.RouteEnds ? Route.TimeLimit : Remaining);
@@ -162,6 +164,10 @@
       [&](const AwaitTurn &Turn) {
         this->awaitTurn(Each, Turn.LookAgain, Now, Out);
       },
+      [&](const ComeBack &Is) {
+        this->finish(Each, Each.refusal(), "engines are full; come back", Now,
+                     Out, Is.After);
+      },
       [&](const NoEngine &) { this->wait(Each, Now, Out); });
 }
 
@@ -337,7 +343,8 @@
 }
 
 void RelaysPlugin::finish(RunningRelay &Each, RefusalKind Kind,
-                          std::string_view Why, Time Now, Actions &Out) {
+                          std::string_view Why, Time Now, Actions &Out,
+                          std::optional<Duration> RetryAfter) {
   const RequestId Id = Each.Head.Id;
   if (Each.Live)
     this->cancelTry(Each, Now, Out);
@@ -353,7 +360,8 @@
     logEnd(Each, name(Kind), Why, Now, Out);
     Out.add(GatewayAction(RefuseRelay{
         Id, Kind,
-        Kind == RefusalKind::NotRun ? this->Times.ComeBack : Duration(0),
+        Kind == RefusalKind::NotRun ? RetryAfter.value_or(this->Times.ComeBack)
+                                    : Duration(0),
         std::string(Why)}));
   }
   this->Running.remove(Id);
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -4,6 +4,7 @@
 
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
+#include "plugins/relays/FirstTries.h"
 #include "plugins/relays/RelayOrders.h"
 #include "plugins/relays/RetryAllowance.h"
 #include "plugins/relays/RunningRelay.h"
@@ -76,9 +77,11 @@
                   Actions &Out);
   void follow(RunningRelay &Each, const RelayTry &Ended,
               const RelayOutcome &Outcome, Time Now, Actions &Out);
-  /// Ends it without another try.
+  /// Ends it without another try; \p RetryAfter: when to come back where it did
+  /// not run, if that is known.
   void finish(RunningRelay &Each, RefusalKind Kind, std::string_view Why,
-              Time Now, Actions &Out);
+              Time Now, Actions &Out,
+              std::optional<Duration> RetryAfter = std::nullopt);
   void refuse(const RelayHead &Head, RefusalKind Kind, Duration RetryAfter,
               std::string_view Why, Actions &Out);
   /// Drops the live try.
@@ -109,6 +112,7 @@
   Random *Numbers = nullptr;
   RelayTimes Times;
   RetryAllowance Allowance;
+  FirstTries Firsts;
   std::map<UpstreamId, Time> Signs; ///< When each last gave something.
   RunningRelays Running;
   std::uint64_t Tries = 0;
--- a/src/plugins/relays/RunningRelay.h
+++ b/src/plugins/relays/RunningRelay.h
@@ -27,6 +27,7 @@
   std::uint64_t ConfigurationVersion = 0;
   std::uint32_t Rank = 0;
   bool NeedsKey = false;
+  bool IsFirstTry = false; ///< Of its caller, see FirstTries.
   Time ArrivedAt{};
   Time Deadline{};        ///< Of the caller or the route, whichever is first.
   bool RouteEnds = false; ///< The route's time limit is first.
--- a/tests/auto/gateway/ShortPlacementTest.cpp
+++ b/tests/auto/gateway/ShortPlacementTest.cpp
@@ -47,6 +47,19 @@
   EXPECT_LT(roomMs(Of, 50), 0);
 }
 
+TEST(ReadCost, APlaceInAFullBatchIsAwaited) {
+  EngineParameters Of;
+  Of.Slots = 16;
+  Of.StepsPerPass = 50;
+  Of.StepMs = 1;
+  Of.UsualAnswerTokens = 1600;
+  EXPECT_EQ(placeWaitMs(Of, 15), 0);
+  EXPECT_NEAR(placeWaitMs(Of, 16), 100, 0.1);
+  EXPECT_NEAR(placeWaitMs(Of, 17), 200, 0.1);
+  Of.UsualAnswerTokens = 0;
+  EXPECT_EQ(placeWaitMs(Of, 20), 0);
+}
+
 TEST(ShortPlacement, PromptsGatherInFront) {
   std::vector<EngineState> States = engines(10);
   for (int Each = 0; Each < 30; ++Each) {
--- a/tests/auto/manyhosts/HostCrowd.cpp
+++ b/tests/auto/manyhosts/HostCrowd.cpp
@@ -21,6 +21,13 @@
 constexpr std::uint32_t SlotsEach = 10;
 constexpr std::uint64_t ShortPrompt = 5000;
 
+/// As declared: requests that an engine serves at once.
+constexpr std::size_t PlacesEach = 16;
+constexpr milliseconds BeginsAfter(120);
+constexpr milliseconds Objective(300);
+constexpr seconds CallersWait(10);
+constexpr seconds CallersLeave(2);
+
 Address peersOf(std::size_t At) {
   return {fmt::format("10.0.{}.{}", At / 200, At % 200 + 1), 7000};
 }
@@ -39,6 +46,18 @@
   return Result;
 }
 
+/// What the hosts serve by: an answer of some two seconds in a full batch.
+std::shared_ptr<const GatewayConfiguration> declared(std::uint64_t Version) {
+  auto Result =
+      std::make_shared<GatewayConfiguration>(*gatewayDeclarations(Version));
+  for (RouteEntry &Each : Result->Routes)
+    Each.TimeLimit = CallersWait;
+  EngineParameters &Engine = *Result->Services[ServiceId("ring")].Engine;
+  Engine.UsualPromptTokens = ShortPrompt;
+  Engine.UsualAnswerTokens = 1500;
+  return Result;
+}
+
 std::string kindOf(const PeerMessageBody &Body) {
   return match(
       Body, [](const Heartbeat &) { return "heartbeat"; },
@@ -123,19 +142,83 @@
 }
 
 void HostCrowd::arrive(std::size_t Host, Duration RunsFor) {
+  this->ask(Host, {this->Queue.now(), false, false, RunsFor});
+}
+
+void HostCrowd::ask(std::size_t Host, const Caller &By) {
+  const RequestId Id(++this->Requests);
+  this->Callers[{Host, Id}] = By;
   RelayHead Head;
-  Head.Id = RequestId(++this->Requests);
+  Head.Id = Id;
   Head.Host = "a.example";
   Head.Path = "/stream/";
   Head.Key = "key";
-  Head.Remaining = seconds(10);
+  Head.Remaining = CallersWait - (this->Queue.now() - By.FirstAt);
   Head.PromptTokens = ShortPrompt;
-  Head.Content = Fingerprint(Head.Id.Value);
-  this->RunFor[{Host, Head.Id}] = RunsFor;
+  Head.Content = Fingerprint(Id.Value);
+  this->Queue.after(CallersLeave, [this, Host, Id] {
+    const auto Found = this->Callers.find({Host, Id});
+    if (Found == this->Callers.end() || Found->second.IsAnswered)
+      return;
+    ++this->Done.Lost[Host];
+    this->Callers.erase(Found);
+    this->send(Host, this->Hosts[Host].Life, CallerGone{Id});
+  });
   this->send(Host, this->Hosts[Host].Life,
              GatewayEvent(RelayArrived{std::move(Head)}));
 }
 
+void HostCrowd::refused(std::size_t Host, const RefuseRelay &Is) {
+  const auto Found = this->Callers.find({Host, Is.Request});
+  if (Found == this->Callers.end())
+    return;
+  Caller By = Found->second;
+  this->Callers.erase(Found);
+  if (By.HasReturned || Is.Kind != RefusalKind::NotRun) {
+    ++this->Done.Lost[Host];
+    return;
+  }
+  ++this->Done.SentBack;
+  By.HasReturned = true;
+  this->Queue.after(Is.RetryAfter,
+                    [this, Host, By] { this->ask(Host, By); });
+}
+
+void HostCrowd::serve(const UpstreamId &Engine, const Run &Each) {
+  if (this->Busy[Engine] >= PlacesEach) {
+    this->Queued[Engine].push_back(Each);
+    return;
+  }
+  const auto Found = this->Callers.find({Each.Host, Each.Request});
+  if (Found == this->Callers.end())
+    return; // The caller left meanwhile.
+  ++this->Busy[Engine];
+  this->Queue.after(BeginsAfter, [this, Each] {
+    const auto By = this->Callers.find({Each.Host, Each.Request});
+    if (By == this->Callers.end())
+      return;
+    By->second.IsAnswered = true;
+    const bool InTime = this->Queue.now() <= By->second.FirstAt + Objective;
+    ++(InTime ? this->Done.InTime : this->Done.Late);
+    this->send(Each.Host, Each.Life, GatewayEvent(RelayBegan{Each.Try}));
+  });
+  this->Queue.after(Found->second.RunsFor,
+                    [this, Engine, Each] { this->ended(Engine, Each); });
+}
+
+void HostCrowd::ended(const UpstreamId &Engine, const Run &Each) {
+  this->send(Each.Host, Each.Life,
+             GatewayEvent(RelayEnded{Each.Try, RelayDelivered{}}));
+  this->Callers.erase({Each.Host, Each.Request});
+  --this->Busy[Engine];
+  std::deque<Run> &Waiting = this->Queued[Engine];
+  while (!Waiting.empty() && this->Busy[Engine] < PlacesEach) {
+    const Run Next = Waiting.front();
+    Waiting.pop_front();
+    this->serve(Engine, Next);
+  }
+}
+
 std::vector<std::size_t> HostCrowd::named(std::size_t By) {
   this->Answer.clear();
   ResolveAsked Asked;
@@ -244,15 +327,9 @@
           });
           return;
         }
-        const Duration For = this->RunFor[{At, Is.Request}];
-        this->Queue.after(milliseconds(60), [this, At, Life, Id = Is.Attempt] {
-          this->send(At, Life, GatewayEvent(RelayBegan{Id}));
-        });
-        this->Queue.after(For, [this, At, Life, Id = Is.Attempt] {
-          this->send(At, Life, GatewayEvent(RelayEnded{Id, RelayDelivered{}}));
-        });
+        this->serve(Is.Engine, {At, Life, Is.Attempt, Is.Request});
       },
-      [&](const RefuseRelay &) { ++this->Done.Lost[At]; },
+      [&](const RefuseRelay &Is) { this->refused(At, Is); },
       [&](const BreakRelay &) { ++this->Done.Lost[At]; },
       [&](const DeliverFailure &) { ++this->Done.Lost[At]; },
       [&](const FollowStore &Is) {
@@ -265,7 +342,7 @@
             std::stoull(Is.Document.substr(Is.Document.rfind(' ') + 1));
         this->Queue.after(milliseconds(1), [this, At, Life, Told] {
           this->send(At, Life,
-                     GatewayEvent(ConfigurationRead{gatewayDeclarations(Told),
+                     GatewayEvent(ConfigurationRead{declared(Told),
                                                     BeliefSource::Peer}));
         });
       },
@@ -311,7 +388,7 @@
     const std::uint64_t Newest = this->Version;
     if (std::exchange(Each.SeenVersion, Newest) != Newest)
       this->send(At, Life,
-                 GatewayEvent(ConfigurationRead{gatewayDeclarations(Newest),
+                 GatewayEvent(ConfigurationRead{declared(Newest),
                                                 BeliefSource::Store}));
     this->send(At, Life,
                GatewayEvent(StoreSeen{StoreSeen::Part::Engines, true, ""}));
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -6,6 +6,7 @@
 #include "harness/EventQueue.h"
 #include "kernel/Kernel.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -38,7 +39,9 @@
   void setFailing(std::size_t Engine, bool On);
   /// Every connection that the host makes is closed at once.
   void setCut(std::size_t Host, bool On);
-  /// A request to the host for a short prompt; it runs for \p RunsFor.
+  /// A request to the host for a short prompt; it runs for \p RunsFor. Its
+  /// caller comes back once when it is told to, and leaves when no answer has
+  /// begun after two seconds.
   void arrive(std::size_t Host, Duration RunsFor);
 
   /// The hosts that one names to a caller now.
@@ -56,6 +59,9 @@
     std::map<UpstreamId, std::size_t> Sent; ///< Requests to each engine.
     std::map<std::size_t, std::size_t> Lost; ///< Requests without an answer, by
                                              ///< host.
+    std::size_t InTime = 0;   ///< Answers that began in time for their caller,
+    std::size_t Late = 0;     ///< and those that did not.
+    std::size_t SentBack = 0; ///< Callers who were told to come back.
     std::uint64_t messages() const;
   };
   Tally takeTally();
@@ -72,6 +78,26 @@
     std::uint64_t SeenVersion = 0;
   };
 
+  /// Somebody who asks one host.
+  struct Caller {
+    Time FirstAt{};
+    bool HasReturned = false;
+    bool IsAnswered = false;
+    Duration RunsFor{};
+  };
+  using CallerKey = std::pair<std::size_t, RequestId>;
+  /// One try on an engine.
+  struct Run {
+    std::size_t Host = 0;
+    std::uint64_t Life = 0;
+    AttemptId Try;
+    RequestId Request;
+  };
+
+  void ask(std::size_t Host, const Caller &By);
+  void refused(std::size_t Host, const RefuseRelay &Is);
+  void serve(const UpstreamId &Engine, const Run &Each);
+  void ended(const UpstreamId &Engine, const Run &Each);
   void start(std::size_t At);
   void send(std::size_t At, std::uint64_t Life, const Event &What);
   void perform(std::size_t At, const Action &Wanted);
@@ -92,8 +118,9 @@
   std::uint64_t Version = 0;
   std::uint64_t Lives = 0;
   std::uint64_t Requests = 0;
-  std::map<AttemptId, Duration> RunTimes;
-  std::map<std::pair<std::size_t, RequestId>, Duration> RunFor;
+  std::map<CallerKey, Caller> Callers;
+  std::map<UpstreamId, std::size_t> Busy;            ///< Places taken,
+  std::map<UpstreamId, std::deque<Run>> Queued;      ///< and who waits for one.
   std::set<UpstreamId> Failing;
   std::set<std::size_t> Cut;
   std::vector<Address> Answer;
--- a/tests/auto/manyhosts/ManyHostsTest.cpp
+++ b/tests/auto/manyhosts/ManyHostsTest.cpp
@@ -202,6 +202,29 @@
   EXPECT_EQ(lostOf(Tally), 0U);
 }
 
+TEST(ManyHosts, WhenPlacesRunOutMostCallersAreInTimeAndNobodyIsLost) {
+  HostCrowd Crowd(16, 20);
+  Crowd.publish(1);
+  Crowd.run(seconds(10));
+  Crowd.takeTally();
+  // 320 places for answers of two seconds, a sixth more than they can take; for
+  // as long as a burst lasts, then callers go on to come at half of it.
+  const auto Offer = [&](int Count, Duration Between) {
+    for (int Each = 0; Each < Count; ++Each) {
+      Crowd.arrive(static_cast<std::size_t>(Each) % Crowd.size(),
+                   milliseconds(1600 + Each % 17 * 50));
+      Crowd.run(Between);
+    }
+  };
+  Offer(1500, Duration(5350));
+  Offer(500, Duration(11000));
+  Crowd.run(seconds(5));
+  const auto Tally = Crowd.takeTally();
+  // The aim: seven in ten, and nobody who was told to come back is lost.
+  EXPECT_GE(Tally.InTime, 1400U);
+  EXPECT_LE(lostOf(Tally), 20U);
+}
+
 TEST(ManyHosts, AThousandEnginesAreDividedAndAllAreUsed) {
   constexpr std::size_t Engines = 1000;
   HostCrowd Crowd(Fewer, Engines);
