Rate answers by their tokens instead of the engine time they take

Change: worth is the tokens of the prompt and ten for each of the answer; an answer that pauses for five times its bound counts as lost.

--- a/src/plugins/engineload/EngineState.h
+++ b/src/plugins/engineload/EngineState.h
@@ -40,12 +40,18 @@
     return this->startMs() + PartMs * this->Pace;
   }
   /// The value of the answers that a pass with so much more reading would make
-  /// pause for too long.
+  /// pause for too long. One that pauses for several times as long loses its
+  /// caller, and what was read and written for it.
   double valueHeldUp(double PartMs) const {
+    constexpr double LostFrom = 5;
+    constexpr double LostCost = 3;
     const double PassMs = this->endMs(PartMs);
     double Sum = 0;
-    for (const PauseGroup &Each : this->Answers)
-      Sum += PassMs > Each.PauseMs ? Each.ValueMs : 0;
+    for (const PauseGroup &Each : this->Answers) {
+      const bool Lost = PassMs > Each.PauseMs * LostFrom;
+      const double Cost = Lost ? LostCost : PassMs > Each.PauseMs ? 1 : 0;
+      Sum += Each.ValueMs * Cost;
+    }
     return Sum;
   }
 };
--- a/src/plugins/engineload/ReadCost.cpp
+++ b/src/plugins/engineload/ReadCost.cpp
@@ -4,6 +4,14 @@
 
 namespace banyanpick {
 
+namespace {
+
+/// What a token of an answer is worth in tokens of a prompt, by what engines are
+/// commonly paid for them.
+constexpr double PromptTokensPerOutputToken = 10;
+
+} // namespace
+
 double readMs(const EngineParameters &Of, std::uint64_t Tokens) {
   constexpr double Million = 1e6;
   const auto Count = static_cast<double>(Tokens);
@@ -25,9 +33,10 @@
 
 double valueMs(const EngineParameters &Of, std::uint64_t PromptTokens,
                std::uint64_t OutputTokens) {
-  // Each step writes a token of every answer of the batch.
-  const double StepMs = Of.StepMs / std::max(Of.Slots, 1U);
-  return readMs(Of, PromptTokens) + static_cast<double>(OutputTokens) * StepMs;
+  const double Tokens =
+      static_cast<double>(PromptTokens) +
+      static_cast<double>(OutputTokens) * PromptTokensPerOutputToken;
+  return Tokens / std::max(Of.ReadTokensPerMs, 1e-3);
 }
 
 double roomMs(const EngineParameters &Of, double PauseMs) {
--- a/src/plugins/engineload/SharedPlacement.cpp
+++ b/src/plugins/engineload/SharedPlacement.cpp
@@ -86,6 +86,7 @@
     this->Best = std::move(Each);
   }
   const Sharing &best() const { return this->Best; }
+  double gain() const { return this->BestGain; }
 
 private:
   Sharing Best;
@@ -206,7 +207,9 @@
                   Weights);
   }
   const Sharing &Best = Found.best();
-  if (Best.Taken.empty())
+  // Parts of the largest prompts take seconds: beside answers they cost more
+  // callers than they serve, so they wait for engines that are clear.
+  if (Best.Taken.empty() || Found.gain() <= 0)
     return std::nullopt;
   PromptWork Part = Work;
   Part.Tokens = evenShare(Work.Tokens, Best.Taken.size());
