Let long prompts give way while places are scarce; refuse at once what is hopeless

Cause: late long prompts, each on one engine for five seconds, took a third of the engines away in bursts of short ones; and prompts that no engines could begin before their caller left were held to the end.

--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -32,9 +32,9 @@
 struct KnownEngine {
   EngineRecord Record;
   EngineStanding Standing = EngineStanding::Usable;
-  LogOffset Offset = 0;    ///< Of the last record taken in,
-  LogOffset ChangedAt = 0; ///< and of the last that said anything new.
-  Time Since{};            ///< When the standing last changed.
+  LogOffset Offset = 0;     ///< Of the last record taken in,
+  LogOffset ChangedAt = 0;  ///< and of the last that said anything new.
+  Time Since{};             ///< When the standing last changed.
   std::uint64_t Spread = 0; ///< Hash of its name, all of its lives alike;
                             ///< divides engines among hosts.
 };
@@ -115,11 +115,11 @@
   std::uint64_t PromptTokens = 0;
   std::uint64_t OutputTokens = 0;
   Duration Objective{};
-  Duration LongestPause{};              ///< Between events; zero: undeclared.
-  Duration Waited{};                    ///< Since it arrived.
-  Duration Left{};                      ///< Until its time is over.
-  bool MayComeBack = false; ///< Its caller has not tried before, and may be told
-                            ///< to come back.
+  Duration LongestPause{};  ///< Between events; zero: undeclared.
+  Duration Waited{};        ///< Since it arrived.
+  Duration Left{};          ///< Until its time is over.
+  bool MayComeBack = false; ///< Its caller has not tried before, and may be
+                            ///< told to come back.
   std::span<const UpstreamId> Excluded; ///< Not on these.
 };
 
--- /dev/null
+++ b/src/plugins/engineload/Deferral.cpp
@@ -0,0 +1,101 @@
+#include "plugins/engineload/Deferral.h"
+
+#include "plugins/engineload/ReadCost.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+constexpr double MsPerSecond = 1e3;
+
+/// Places count as scarce from this share of all that are taken on,
+constexpr double ScarceFrom = 0.4;
+
+/// and with all taken, answers weigh so many times more.
+constexpr double ScarceCost = 5;
+
+/// What an engine that is full of short answers brings in a millisecond, as
+/// ValueMs.
+constexpr double FullEngineWorth = 0.5;
+
+/// Callers of long prompts are told to come back only when more than half of
+/// the places are taken,
+constexpr double ScarceForLong = 0.2;
+
+/// and after a wait of so large a part of their objective: by then a burst is
+/// not a moment's.
+constexpr int ShortestWaitDivisor = 8;
+
+/// A long prompt gives way to others for so many times its objective.
+constexpr int LongestDeferral = 2;
+
+/// It is read at last when its caller's time, less the objective, is no more
+/// than so many times what reading takes.
+constexpr double LastChanceReads = 1.5;
+
+/// Callers come back after so much of the time that they have left, at the
+/// latest: enough stays for their answer, and a burst is over or its load is
+/// spread by then.
+constexpr double LatestReturnShare = 1.0 / 3;
+
+/// The soonest of them, as a share of the latest, so that those who were told
+/// to come back together come back spread, and yet so late that it shows in the
+/// time that they have left (see FirstTries).
+constexpr double SoonestReturn = 0.6;
+
+} // namespace
+
+double scarcityOf(std::span<const EngineState> States) {
+  double Taken = 0;
+  double All = 0;
+  for (const EngineState &Each : States) {
+    Taken += Each.Running;
+    All += Each.Running + Each.FreeSlots;
+  }
+  const double Share = Taken / std::max(All, 1.0);
+  return std::max(0.0, Share - ScarceFrom) / (1 - ScarceFrom);
+}
+
+void weighScarcePlaces(std::span<EngineState> States) {
+  const double Factor = 1 + (ScarceCost - 1) * scarcityOf(States);
+  for (EngineState &Each : States)
+    for (PauseGroup &Group : Each.Answers)
+      Group.ValueMs *= Factor;
+}
+
+bool isTooFull(const EngineState &Of, const Placed &Place,
+               const EngineParameters &Model, const DeferralTimes &Times,
+               const PlacementWeights &Weights) {
+  const double WaitMs = placeWaitMs(Model, Of.Running);
+  const double LeftMs = inSeconds(Times.Objective - Times.Waited) * MsPerSecond;
+  return WaitMs > 0 &&
+         Place.FirstTokenMs + WaitMs > LeftMs * Weights.BudgetShare;
+}
+
+bool paysNow(const Placed &Place, const PromptWork &Work,
+             const DeferralTimes &Times, double Scarcity) {
+  const bool HasWaited = Times.Waited > Times.Objective * LongestDeferral;
+  const bool IsLastChance =
+      inSeconds(Times.Left - Times.Objective) * MsPerSecond <
+      Place.FirstTokenMs * LastChanceReads;
+  return HasWaited || IsLastChance ||
+         Place.GainMs > Work.ReadMs * Scarcity * FullEngineWorth;
+}
+
+bool isHopeless(const Placed &Place, const DeferralTimes &Times) {
+  return Place.SoonestMs > inSeconds(Times.Left) * MsPerSecond;
+}
+
+bool shouldComeBack(const DeferralTimes &Times, double Scarcity) {
+  const bool HasWaited = Times.Waited > Times.Objective / ShortestWaitDivisor;
+  return Times.MayComeBack && HasWaited && Scarcity > ScarceForLong;
+}
+
+Duration returnAfter(const DeferralTimes &Times, double Draw) {
+  const double Share = SoonestReturn + (1 - SoonestReturn) * Draw;
+  return fromSeconds(inSeconds(Times.Left) * LatestReturnShare * Share);
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/plugins/engineload/Deferral.h
@@ -0,0 +1,54 @@
+/// \file
+/// Which prompts give way to others when the engines' places run out.
+#pragma once
+
+#include "plugins/engineload/EngineState.h"
+
+namespace banyanpick {
+
+/// The load that it answers: a burst that exceeds the engines' places for some
+/// seconds. If all who come are taken, each waits for those before it, so that
+/// nobody is in time from then on. Callers who are told to come back find a
+/// place later, while the others are in time.
+
+/// What is known of the caller of a prompt that may give way.
+struct DeferralTimes {
+  Duration Objective{};
+  Duration Waited{};        ///< Since it arrived here.
+  Duration Left{};          ///< Until its time is over.
+  bool MayComeBack = false; ///< It has not tried before.
+};
+
+/// How scarce places are: 0 while few are taken, 1 when all are.
+double scarcityOf(std::span<const EngineState> States);
+
+/// Makes answers that are held up weigh more while places are scarce: they keep
+/// their places longer, which is what makes the places run out.
+void weighScarcePlaces(std::span<EngineState> States);
+
+/// Whether the first token of a short prompt would be late, since so many wait
+/// for a place on the chosen engine.
+bool isTooFull(const EngineState &Of, const Placed &Place,
+               const EngineParameters &Model, const DeferralTimes &Times,
+               const PlacementWeights &Weights);
+
+/// Whether the first token of the prompt would come too late for its caller
+/// wherever it is read: then it is refused at once.
+bool isHopeless(const Placed &Place, const DeferralTimes &Times);
+
+/// Whether reading a long prompt now brings more than it costs others: those it
+/// holds up, and, while places are scarce, those that its engines could serve
+/// meanwhile. A caller who has waited for long, or could not be served any more
+/// after waiting, is served all the same.
+bool paysNow(const Placed &Place, const PromptWork &Work,
+             const DeferralTimes &Times, double Scarcity);
+
+/// Whether the caller of a long prompt that is not to be read now should come
+/// back, instead of waiting here.
+bool shouldComeBack(const DeferralTimes &Times, double Scarcity);
+
+/// When the caller should come back; \p Draw, from 0 to 1, spreads those who
+/// were told so together.
+Duration returnAfter(const DeferralTimes &Times, double Draw);
+
+} // namespace banyanpick
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -3,6 +3,7 @@
 #include "base/EventNumbers.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
+#include "plugins/engineload/Deferral.h"
 #include "plugins/engineload/ReadCost.h"
 #include "plugins/engineload/SharedPlacement.h"
 #include "plugins/engineload/ShortPlacement.h"
@@ -23,16 +24,6 @@
 constexpr std::uint32_t ShortUrgency = 2;
 constexpr std::uint32_t SharedUrgency = 5;
 
-/// Callers come back after so much of the time that they have left, at the
-/// latest: enough stays for their answer, and a burst is over or its load is
-/// spread by then.
-constexpr double LatestReturnShare = 1.0 / 3;
-
-/// The soonest of them, as a share of the latest, so that those who were told to
-/// come back together come back spread, and yet so late that it shows in the time
-/// that they have left (see FirstTries).
-constexpr double SoonestReturn = 0.6;
-
 /// Share of the time left that a prompt which is late may be read in; its
 /// answer is written in what remains.
 constexpr double ReadingShare = 0.55;
@@ -49,10 +40,6 @@
 constexpr double ShortestLookMs = 3;
 constexpr double LongestLookMs = 20;
 
-/// A host that told of work so lately is told of work; it repeats what it has
-/// three times as often.
-constexpr seconds ListensFor(3);
-
 /// An engine that refused to set memory aside is taken to have none for so
 /// long: a usual answer ends within it.
 constexpr milliseconds MemoryRefusalKeep(400);
@@ -68,6 +55,10 @@
   return static_cast<double>(Value.count()) / 1e3;
 }
 
+DeferralTimes deferralTimes(const EngineWanted &Wanted) {
+  return {Wanted.Objective, Wanted.Waited, Wanted.Left, Wanted.MayComeBack};
+}
+
 } // namespace
 
 void EngineLoadPlugin::initialize(PluginContext &Context) {
@@ -204,30 +195,16 @@
       Model ? frontEngines(States.size(), ShortRunning, Slots, this->Weights)
             : States.size();
   const Placed Place = placeShort(States, Front, Slots, Work, this->Weights);
+  const DeferralTimes Times = deferralTimes(Wanted);
   if (Model && Wanted.MayComeBack &&
-      this->isTooFull(States[Place.At], Place, Wanted, *Model))
-    return ComeBack{this->returnAfter(Wanted)};
+      isTooFull(States[Place.At], Place, *Model, Times, this->Weights))
+    return ComeBack{returnAfter(Times, this->Numbers->fraction())};
   EngineChosen Result = chosen(States, Place, Model, true);
   if (Model && !Wanted.MayComeBack)
     Result.Urgency = ReturnedUrgency;
   return Result;
 }
 
-bool EngineLoadPlugin::isTooFull(const EngineState &Of, const Placed &Place,
-                                 const EngineWanted &Wanted,
-                                 const EngineParameters &Model) const {
-  const double WaitMs = placeWaitMs(Model, Of.Running);
-  const double ObjectiveMs = inMilliseconds(Wanted.Objective - Wanted.Waited);
-  return WaitMs > 0 && Place.FirstTokenMs + WaitMs >
-                           ObjectiveMs * this->Weights.BudgetShare;
-}
-
-Duration EngineLoadPlugin::returnAfter(const EngineWanted &Wanted) const {
-  const double Spread =
-      SoonestReturn + (1 - SoonestReturn) * this->Numbers->fraction();
-  return fromSeconds(inSeconds(Wanted.Left) * LatestReturnShare * Spread);
-}
-
 EngineChoice EngineLoadPlugin::chooseShared(std::span<const EngineState> States,
                                             const EngineWanted &Wanted,
                                             const PromptWork &Work,
@@ -238,25 +215,41 @@
   Times.LateMs = inMilliseconds(Wanted.Left) * ReadingShare;
   const std::optional<Placed> Place =
       this->placeLong(States, Work, Model.MemoryTokens, Times);
+  if (Place && isHopeless(*Place, deferralTimes(Wanted))) {
+    this->forget(Wanted.Request, Now);
+    return ComeBack{returnAfter(deferralTimes(Wanted), 0)};
+  }
+  const double Scarcity = scarcityOf(States);
+  if (!Place || !paysNow(*Place, Work, deferralTimes(Wanted), Scarcity))
+    return this->deferLong(Wanted, Scarcity, Now);
   EngineWork::Waiting Own;
   Own.Request = Wanted.Request.Value;
   Own.Tokens = Wanted.PromptTokens;
   Own.ReadMs = Work.ReadMs;
-  Own.NeededMs = Place ? Place->FirstTokenMs - Place->StartMs : Work.ReadMs;
+  Own.NeededMs = Place->FirstTokenMs - Place->StartMs;
   Own.LeftMs = Times.ObjectiveMs;
-  const bool Ready = Place && Place->AheadMs <= this->Weights.AheadMs;
+  const bool Ready = Place->AheadMs <= this->Weights.AheadMs;
   if (Ready && this->isItsTurn(States, Own, Now)) {
     this->Lane.drop(Own.Request);
     return chosen(States, *Place, &Model, false);
   }
   if (this->Lane.note(Own, Now))
     this->Tells.noteUrgent(Now);
-  const double UntilMs =
-      Place ? Place->AheadMs - this->Weights.AheadMs : LongestLookMs;
+  const double UntilMs = Place->AheadMs - this->Weights.AheadMs;
   return AwaitTurn{
       fromMilliseconds(std::clamp(UntilMs, ShortestLookMs, LongestLookMs))};
 }
 
+EngineChoice EngineLoadPlugin::deferLong(const EngineWanted &Wanted,
+                                         double Scarcity, Time Now) {
+  // It takes no turn from others that can be sent.
+  this->forget(Wanted.Request, Now);
+  const DeferralTimes Times = deferralTimes(Wanted);
+  if (shouldComeBack(Times, Scarcity))
+    return ComeBack{returnAfter(Times, this->Numbers->fraction())};
+  return AwaitTurn{fromMilliseconds(LongestLookMs)};
+}
+
 std::optional<Placed>
 EngineLoadPlugin::placeLong(std::span<const EngineState> States,
                             const PromptWork &Work, std::uint64_t EngineTokens,
@@ -331,6 +324,7 @@
     Result.push_back(this->stateOf(*Each, Model, Now));
     Result.back().Position = Result.size() - 1;
   }
+  weighScarcePlaces(Result);
   return Result;
 }
 
@@ -354,8 +348,8 @@
     Result.PassMs =
         writePassMs(*Model, Load.writing(), Load.contextTokens()) * Result.Pace;
     const std::uint64_t Used = Load.memoryTokens();
-    const bool HasMemory =
-        Used < Model->MemoryTokens && !this->isShortOfMemory(Each.Record.Id, Now);
+    const bool HasMemory = Used < Model->MemoryTokens &&
+                           !this->isShortOfMemory(Each.Record.Id, Now);
     Result.FreeTokens = HasMemory ? Model->MemoryTokens - Used : 0;
   } else {
     Result.BacklogMs =
@@ -437,11 +431,6 @@
   this->noteChange(this->isToldSoon(Each), Now);
 }
 
-bool EngineLoadPlugin::isToldSoon(const RelayTry &Each) const {
-  const EngineParameters *Model = this->parametersOf(Each.Service);
-  return Model && readMs(*Model, Each.PromptTokens) >= this->TellSoonMs;
-}
-
 void EngineLoadPlugin::tryEnded(const RelayTry &Each,
                                 const RelayOutcome &Outcome, Time Now,
                                 Actions &) {
@@ -473,82 +462,6 @@
     this->Loads.erase(Found);
 }
 
-void EngineLoadPlugin::memberChanged(const Member &Changed, Time Now,
-                                     Actions &) {
-  if (Changed.State != MemberState::Dead)
-    return;
-  this->Lane.forgetPeer(Changed.Listing.Id);
-  const auto Found = this->Told.find(Changed.Listing.Id);
-  if (Found == this->Told.end())
-    return;
-  for (const UpstreamId &Engine : Found->second.Engines)
-    this->forgetWork(Changed.Listing.Id, Engine, Now);
-  this->Told.erase(Found);
-}
-
-void EngineLoadPlugin::forgetWork(const HostId &Peer, const UpstreamId &Engine,
-                                  Time Now) {
-  const auto Found = this->Loads.find(Engine);
-  if (Found == this->Loads.end())
-    return;
-  Found->second.forgetPeer(Peer, Now);
-  if (Found->second.isIdle())
-    this->Loads.erase(Found);
-}
-
-void EngineLoadPlugin::takePeerWork(const HostId &From, const EngineWork &Work,
-                                    Time Now) {
-  this->Lane.takePeer(From, Work.InLane, Now);
-  for (const EngineWork::Pace &Each : Work.Paces)
-    this->Paces.takePeer(Each, Now);
-  std::vector<UpstreamId> Named;
-  for (const EngineWork::Item &Each : Work.Items) {
-    this->Loads[Each.Engine].takePeer(From, Each, Now);
-    Named.push_back(Each.Engine);
-  }
-  std::ranges::sort(Named);
-  ToldBy &Last = this->Told[From];
-  // Only those named before can have anything of the peer: of a thousand
-  // engines a message names a few.
-  for (const UpstreamId &Engine : Last.Engines)
-    if (!std::ranges::binary_search(Named, Engine))
-      this->forgetWork(From, Engine, Now);
-  Last = {Now, std::move(Named)};
-}
-
-void EngineLoadPlugin::noteChange(bool Soon, Time Now) {
-  this->Tells.noteChange(Soon, this->Active->sharers().size(), Now);
-}
-
-void EngineLoadPlugin::tell(Time Now, Actions &Out) {
-  EngineWork Work;
-  Work.InLane = this->Lane.own(Now);
-  Work.Paces = this->Paces.own(Now);
-  Work.Distrusted = this->Trust->distrusted(Now);
-  for (const auto &[Id, Load] : this->Loads)
-    if (Load.hasOwn())
-      Work.Items.push_back(Load.ownWork(Id));
-  this->Tells.noteTold(!Work.InLane.empty()  ? TellBudget::Told::Waiting
-                       : !Work.Items.empty() ? TellBudget::Told::Work
-                                             : TellBudget::Told::Nothing,
-                       Now);
-  for (const HostId &Peer : this->listeners(Now))
-    Out.add(SendToPeer{Peer, Work});
-}
-
-std::vector<HostId> EngineLoadPlugin::listeners(Time Now) const {
-  const auto Sharers = this->Active->sharers();
-  std::vector<HostId> Result(Sharers.begin(), Sharers.end());
-  // A host that stands by decides for those who connect to it all the same.
-  for (const auto &[Peer, Last] : this->Told)
-    if (Now < Last.At + ListensFor && !Last.Engines.empty())
-      Result.push_back(Peer);
-  std::ranges::sort(Result);
-  Result.erase(std::unique(Result.begin(), Result.end()), Result.end());
-  std::erase(Result, this->Members->self());
-  return Result;
-}
-
 namespace {
 
 const PluginRegistration Registration(
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -60,17 +60,11 @@
   EngineChoice chooseAmong(std::span<const EngineState> States,
                            const EngineWanted &Wanted,
                            const EngineParameters *Model, Time Now);
-  /// Whether so many wait for a place on the chosen engine that the first token
-  /// of one more would be late. Taken all the same, it would delay those behind
-  /// it, too, so that in a burst nobody is in time; told to come back, it finds
-  /// a place while the others are in time.
-  bool isTooFull(const EngineState &Of, const Placed &Place,
-                 const EngineWanted &Wanted,
-                 const EngineParameters &Model) const;
-  Duration returnAfter(const EngineWanted &Wanted) const;
   EngineChoice chooseShared(std::span<const EngineState> States,
                             const EngineWanted &Wanted, const PromptWork &Work,
                             const EngineParameters &Model, Time Now);
+  /// The prompt is not to be read now: it waits, or its caller comes back.
+  EngineChoice deferLong(const EngineWanted &Wanted, double Scarcity, Time Now);
   /// Where the prompt is read; it is kept by one engine if one has the memory.
   std::optional<Placed> placeLong(std::span<const EngineState> States,
                                   const PromptWork &Work,
--- a/src/plugins/engineload/EngineState.h
+++ b/src/plugins/engineload/EngineState.h
@@ -44,13 +44,14 @@
   /// caller, and what was read and written for it.
   double valueHeldUp(double PartMs) const {
     constexpr double LostFrom = 5;
-    constexpr double LostCost = 3;
+    constexpr double LostCost = 1.5;
+    constexpr double LateCost = 0.75;
     const double PassMs = this->endMs(PartMs);
     double Sum = 0;
     for (const PauseGroup &Each : this->Answers) {
       const bool Lost = PassMs > Each.PauseMs * LostFrom;
-      const double Cost = Lost ? LostCost : PassMs > Each.PauseMs ? 1 : 0;
-      Sum += Each.ValueMs * Cost;
+      const double Late = PassMs > Each.PauseMs ? LateCost : 0;
+      Sum += Each.ValueMs * (Lost ? LostCost : Late);
     }
     return Sum;
   }
@@ -85,6 +86,8 @@
   double AheadMs = 0;           ///< The most reading before it on any of them.
   double StartMs = 0;           ///< When the last of them could begin.
   double FirstTokenMs = 0;
+  double SoonestMs = 0; ///< The first token at the soonest, whatever it costs.
+  double GainMs = 0;    ///< What it brings, less what it holds up; as ValueMs.
 };
 
 /// What a prompt is, to those that place it.
--- a/src/plugins/engineload/ReadCost.cpp
+++ b/src/plugins/engineload/ReadCost.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// What a token of an answer is worth in tokens of a prompt, by what engines are
-/// commonly paid for them.
+/// What a token of an answer is worth in tokens of a prompt, by what engines
+/// are commonly paid for them.
 constexpr double PromptTokensPerOutputToken = 10;
 
 } // namespace
@@ -46,8 +46,8 @@
 double placeWaitMs(const EngineParameters &Of, std::uint32_t Running) {
   if (Running < Of.Slots)
     return 0;
-  const double Passes = static_cast<double>(Of.UsualAnswerTokens) /
-                        std::max(Of.StepsPerPass, 1U);
+  const double Passes =
+      static_cast<double>(Of.UsualAnswerTokens) / std::max(Of.StepsPerPass, 1U);
   const double AnswerMs =
       Passes * writePassMs(Of, Of.Slots, Of.Slots * Of.UsualPromptTokens);
   return AnswerMs / std::max(Of.Slots, 1U) * (Running - Of.Slots + 1);
--- a/src/plugins/engineload/ReadCost.h
+++ b/src/plugins/engineload/ReadCost.h
@@ -14,8 +14,11 @@
 double writePassMs(const EngineParameters &Of, std::uint32_t Writers,
                    std::uint64_t ContextTokens);
 
-/// What an answer is worth, in milliseconds of an engine: the time that it
-/// takes of one. Operators declare no worth; those who ask for more pay more.
+/// What an answer is worth, in milliseconds that an engine needs to read as
+/// many tokens: those of the prompt, and more for each of the answer. Operators
+/// declare no worth. The engine time itself would rate the longest prompts too
+/// high, as it grows with the square of their tokens: one of them would hold up
+/// hundreds of short answers.
 double valueMs(const EngineParameters &Of, std::uint64_t PromptTokens,
                std::uint64_t OutputTokens);
 
--- a/src/plugins/engineload/SharedPlacement.cpp
+++ b/src/plugins/engineload/SharedPlacement.cpp
@@ -1,5 +1,6 @@
 #include "plugins/engineload/SharedPlacement.h"
 
+#include <algorithm>
 #include <iterator>
 #include <tuple>
 
@@ -76,21 +77,37 @@
 public:
   void offer(Sharing Each, const PromptWork &Work, const PlacementTimes &Times,
              const PlacementWeights &Weights) {
+    const bool IsFirst = this->Best.Taken.empty();
+    this->SoonestMs = IsFirst ? Each.FirstTokenMs
+                              : std::min(this->SoonestMs, Each.FirstTokenMs);
     // Among ways that bring the same, the soonest leaves most time to spare.
     const double Gain =
         Work.ValueMs * creditAt(Each.FirstTokenMs, Times, Weights) -
         Each.HeldUpMs - Each.FirstTokenMs * 1e-3;
-    if (!this->Best.Taken.empty() && Gain <= this->BestGain)
+    if (!IsFirst && Gain <= this->BestGain)
       return;
     this->BestGain = Gain;
     this->Best = std::move(Each);
   }
   const Sharing &best() const { return this->Best; }
-  double gain() const { return this->BestGain; }
+  /// Where it is read best; \p Writer stands for the engine that gets it.
+  Placed placedAt(std::size_t Writer) const {
+    Placed Result;
+    Result.At = Writer;
+    Result.AheadMs = this->Best.AheadMs;
+    Result.StartMs = this->Best.StartMs;
+    Result.FirstTokenMs = this->Best.FirstTokenMs;
+    Result.SoonestMs = this->SoonestMs;
+    Result.GainMs = this->BestGain;
+    std::ranges::remove_copy(this->Best.Taken,
+                             std::back_inserter(Result.Helpers), Writer);
+    return Result;
+  }
 
 private:
   Sharing Best;
   double BestGain = 0;
+  double SoonestMs = 0;
 };
 
 /// Whether answers that may pause for less are written there already: then no
@@ -114,19 +131,6 @@
   });
 }
 
-/// \p Writer stands for the one that gets the request; the others help.
-Placed placed(const Sharing &Of, std::size_t Writer) {
-  Placed Result;
-  Result.At = Writer;
-  Result.AheadMs = Of.AheadMs;
-  Result.StartMs = Of.StartMs;
-  Result.FirstTokenMs = Of.FirstTokenMs;
-  for (const std::size_t At : Of.Taken)
-    if (At != Writer)
-      Result.Helpers.push_back(At);
-  return Result;
-}
-
 Placed placeAmong(std::span<const EngineState> States,
                   std::span<const std::size_t> Among, const PromptWork &Work,
                   const PlacementTimes &Times,
@@ -135,7 +139,7 @@
   BestSharing Found;
   for (std::size_t Count = 1; Count <= Most; ++Count)
     Found.offer(sharingAmong(States, Among, Work, Count), Work, Times, Weights);
-  return placed(Found.best(), writerOf(States, Found.best().Taken, Work));
+  return Found.placedAt(writerOf(States, Found.best().Taken, Work));
 }
 
 /// Whether it is known when the engine will have read what it is at.
@@ -176,9 +180,8 @@
 Placed placeInTurn(std::span<const EngineState> States, const PromptWork &Work,
                    const PlacementTimes &Times,
                    const PlacementWeights &Weights) {
-  const auto Known = placesOf(States, [&](const EngineState &Each) {
-    return isKnown(Each, Weights);
-  });
+  const auto Known = placesOf(
+      States, [&](const EngineState &Each) { return isKnown(Each, Weights); });
   if (Known.empty())
     return placeShared(States, Work, Times, Weights);
   return placeAmong(States, Known, Work, Times, Weights);
@@ -207,13 +210,11 @@
                   Weights);
   }
   const Sharing &Best = Found.best();
-  // Parts of the largest prompts take seconds: beside answers they cost more
-  // callers than they serve, so they wait for engines that are clear.
-  if (Best.Taken.empty() || Found.gain() <= 0)
+  if (Best.Taken.empty())
     return std::nullopt;
   PromptWork Part = Work;
   Part.Tokens = evenShare(Work.Tokens, Best.Taken.size());
-  Placed Result = placed(Best, writerOf(States, Best.Taken, Part));
+  Placed Result = Found.placedAt(writerOf(States, Best.Taken, Part));
   Result.Helpers.insert(Result.Helpers.begin(), Result.At);
   Result.Keepers = Result.Helpers.size();
   Result.KeptTokens = Part.Tokens;
--- a/src/plugins/relays/RelayOrders.cpp
+++ b/src/plugins/relays/RelayOrders.cpp
@@ -13,7 +13,7 @@
   Result.LongestPause = Of.Terms.LongestPause;
   Result.Waited = Now - Of.ArrivedAt;
   Result.Left = Of.Deadline - Now;
-  Result.MayComeBack = Of.IsFirstTry && Of.Sends == 0 && !Of.AwaitsTurn;
+  Result.MayComeBack = Of.IsFirstTry && Of.Sends == 0;
   Result.Excluded = Excluded;
   return Result;
 }
--- /dev/null
+++ b/tests/auto/gateway/DeferralTest.cpp
@@ -0,0 +1,120 @@
+/// \file
+/// Prompts give way where places run out, and nobody for ever.
+#include "plugins/engineload/Deferral.h"
+
+#include "kernel/PluginRegistry.h"
+#include "plugins/engineload/EngineLoadPlugin.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace banyanpick {
+namespace {
+
+PlacementWeights weights() {
+  return placementWeights(Settings::defaults(pluginSettings()));
+}
+
+/// Engines of sixteen places with so many taken on each.
+std::vector<EngineState> engines(std::uint32_t Running) {
+  EngineState Each;
+  Each.Running = Running;
+  Each.FreeSlots = Running < 16 ? 16 - Running : 0;
+  Each.Answers = {{250, 100}};
+  return std::vector<EngineState>(14, Each);
+}
+
+EngineParameters model() {
+  EngineParameters Result;
+  Result.Slots = 16;
+  Result.StepsPerPass = 50;
+  Result.StepMs = 1.25;
+  Result.UsualAnswerTokens = 1600;
+  return Result;
+}
+
+DeferralTimes times(Duration Objective, Duration Waited) {
+  return {Objective, Waited, seconds(9), true};
+}
+
+TEST(Deferral, PlacesAreScarceWhenMostAreTaken) {
+  EXPECT_EQ(scarcityOf(engines(4)), 0);
+  EXPECT_GT(scarcityOf(engines(12)), 0.5);
+  EXPECT_EQ(scarcityOf(engines(16)), 1);
+  EXPECT_EQ(scarcityOf({}), 0);
+}
+
+TEST(Deferral, AnswersWeighMoreWherePlacesAreScarce) {
+  std::vector<EngineState> Calm = engines(4);
+  weighScarcePlaces(Calm);
+  EXPECT_EQ(Calm.front().Answers.front().ValueMs, 100);
+  std::vector<EngineState> Full = engines(16);
+  weighScarcePlaces(Full);
+  EXPECT_GT(Full.front().Answers.front().ValueMs, 300);
+}
+
+TEST(Deferral, AShortPromptGivesWayOnlyWhereNoPlaceIsFreeInTime) {
+  Placed Place;
+  Place.FirstTokenMs = 120;
+  const DeferralTimes Times = times(milliseconds(300), milliseconds(0));
+  EXPECT_FALSE(
+      isTooFull(engines(15).front(), Place, model(), Times, weights()));
+  EXPECT_TRUE(isTooFull(engines(16).front(), Place, model(), Times, weights()));
+  EngineParameters Unknown = model();
+  Unknown.UsualAnswerTokens = 0;
+  EXPECT_FALSE(
+      isTooFull(engines(20).front(), Place, Unknown, Times, weights()));
+}
+
+TEST(Deferral, ALongPromptGivesWayWhilePlacesAreScarceButNotForEver) {
+  Placed Place;
+  Place.GainMs = 500;
+  PromptWork Work;
+  Work.ReadMs = 4000;
+  const DeferralTimes Fresh = times(seconds(3), seconds(0));
+  EXPECT_TRUE(paysNow(Place, Work, Fresh, 0));
+  EXPECT_FALSE(paysNow(Place, Work, Fresh, 1));
+  EXPECT_TRUE(paysNow(Place, Work, times(seconds(3), seconds(7)), 1));
+}
+
+TEST(Deferral, ALongPromptIsReadWhileItsCallerCanStillBeServed) {
+  Placed Place;
+  Place.GainMs = -1;
+  Place.FirstTokenMs = 3000;
+  PromptWork Work;
+  Work.ReadMs = 9000;
+  DeferralTimes Times = times(seconds(3), seconds(1));
+  EXPECT_FALSE(paysNow(Place, Work, Times, 1));
+  Times.Left = seconds(7);
+  EXPECT_TRUE(paysNow(Place, Work, Times, 1));
+}
+
+TEST(Deferral, WhatCannotBeginBeforeItsCallerLeavesIsHopeless) {
+  Placed Place;
+  Place.FirstTokenMs = 20'000;
+  Place.SoonestMs = 8900;
+  EXPECT_FALSE(isHopeless(Place, times(seconds(3), seconds(0))));
+  Place.SoonestMs = 9100;
+  EXPECT_TRUE(isHopeless(Place, times(seconds(3), seconds(0))));
+}
+
+TEST(Deferral, ItsCallerComesBackOnlyAfterAMomentAndOnce) {
+  const DeferralTimes Waited = times(seconds(3), milliseconds(500));
+  EXPECT_TRUE(shouldComeBack(Waited, 1));
+  EXPECT_FALSE(shouldComeBack(Waited, 0));
+  EXPECT_FALSE(shouldComeBack(times(seconds(3), milliseconds(100)), 1));
+  DeferralTimes Returned = Waited;
+  Returned.MayComeBack = false;
+  EXPECT_FALSE(shouldComeBack(Returned, 1));
+}
+
+RC_GTEST_PROP(Deferral, CallersComeBackSpreadAndWithMostOfTheirTimeLeft, ()) {
+  const double Draw = *rc::gen::inRange(0, 1000) / 1000.0;
+  const DeferralTimes Times = times(seconds(3), seconds(0));
+  const double After = inSeconds(returnAfter(Times, Draw));
+  RC_ASSERT(After >= inSeconds(Times.Left) * 0.2 - 1e-3);
+  RC_ASSERT(After <= inSeconds(Times.Left) / 3 + 1e-3);
+}
+
+} // namespace
+} // namespace banyanpick
--- a/tests/auto/gateway/SharedPlacementTest.cpp
+++ b/tests/auto/gateway/SharedPlacementTest.cpp
@@ -106,6 +106,18 @@
   EXPECT_LE(Where->KeptTokens, 300'000U);
 }
 
+TEST(SharedPlacement, TellsThatAHugePromptCostsMoreThanItBrings) {
+  std::vector<EngineState> States = engines(8);
+  const auto Clear = placeKept(States, Huge, EngineTokens, Reviews, weights());
+  ASSERT_TRUE(Clear);
+  EXPECT_GT(Clear->GainMs, 0);
+  for (EngineState &Each : States)
+    Each.Answers = {{250, 40'000}};
+  const auto Full = placeKept(States, Huge, EngineTokens, Reviews, weights());
+  ASSERT_TRUE(Full);
+  EXPECT_LT(Full->GainMs, 0);
+}
+
 TEST(SharedPlacement, AHugePromptIsKeptOnlyWhereThereIsMemory) {
   std::vector<EngineState> States = engines(12);
   for (std::size_t At = 0; At < 4; ++At)
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -54,9 +54,9 @@
     std::map<std::string, std::uint64_t> Messages; ///< By kind.
     std::uint64_t StoreReads = 0; ///< Of configuration and registry.
     std::uint64_t ListReads = 0;
-    std::uint64_t Ticks = 0;                ///< Wakes without an event.
-    std::uint64_t Links = 0;                ///< Pairs of sender and receiver.
-    std::map<UpstreamId, std::size_t> Sent; ///< Requests to each engine.
+    std::uint64_t Ticks = 0;                 ///< Wakes without an event.
+    std::uint64_t Links = 0;                 ///< Pairs of sender and receiver.
+    std::map<UpstreamId, std::size_t> Sent;  ///< Requests to each engine.
     std::map<std::size_t, std::size_t> Lost; ///< Requests without an answer, by
                                              ///< host.
     std::size_t InTime = 0;   ///< Answers that began in time for their caller,
@@ -119,8 +119,8 @@
   std::uint64_t Lives = 0;
   std::uint64_t Requests = 0;
   std::map<CallerKey, Caller> Callers;
-  std::map<UpstreamId, std::size_t> Busy;            ///< Places taken,
-  std::map<UpstreamId, std::deque<Run>> Queued;      ///< and who waits for one.
+  std::map<UpstreamId, std::size_t> Busy;       ///< Places taken,
+  std::map<UpstreamId, std::deque<Run>> Queued; ///< and who waits for one.
   std::set<UpstreamId> Failing;
   std::set<std::size_t> Cut;
   std::vector<Address> Answer;
--- a/tests/auto/platformadapter/ConfigurationJsonTest.cpp
+++ b/tests/auto/platformadapter/ConfigurationJsonTest.cpp
@@ -52,6 +52,7 @@
   EXPECT_EQ(Ring.Engine->MemoryTokens, 405'000U);
   EXPECT_EQ(Ring.Engine->ReadTokensPerMs, 154);
   EXPECT_EQ(Ring.Engine->UsualPromptTokens, 13'227U);
+  EXPECT_EQ(Ring.Engine->UsualAnswerTokens, 1541U);
   EXPECT_FALSE(Read->Services.at(ServiceId("wuno96b")).Engine);
   EXPECT_EQ(Read->Limits.IdleTimeout, seconds(15));
   EXPECT_TRUE(Read->NeedsKeys);
--- a/tests/fakes/GatewayDeclarations.h
+++ b/tests/fakes/GatewayDeclarations.h
@@ -9,9 +9,10 @@
 
 namespace banyanpick {
 
-/// Three routes at `a.example`: `/safe/` (repeatable, two attempts), `/once/`
-/// (at most once) and `/stream/` (resumable, two attempts) to the service
-/// `desk`, or, for streams, to the model engines `ring`. One team, one key.
+/// Four routes at `a.example`: `/safe/` (repeatable, two attempts), `/once/`
+/// (at most once), `/stream/` and, for long prompts, `/review/` (resumable, two
+/// attempts) to the service `desk`, or, for streams, to the model engines
+/// `ring`. One team, one key.
 std::shared_ptr<const GatewayConfiguration>
 gatewayDeclarations(std::uint64_t Version);
 
