Let deputies read the store as soon as it seems that no reader gets through

Trace by logs: the store turned a third of the hosts away at 2.5 s, all four readers among them (803, status 429); the others read it themselves only at 6.68 s, when nobody had been known to read it for 4 s, and versions 17 to 27 came into force at once at 6.74 s, where 3 s are allowed. Change: the eight hosts next in the order of choice step in after 2 s. Replay in virtual time (100 hosts, all readers turned away): fails without deputies.

--- a/src/plugins/activehosts/ActiveHostsPlugin.cpp
+++ b/src/plugins/activehosts/ActiveHostsPlugin.cpp
@@ -60,11 +60,10 @@
 void ActiveHostsPlugin::divide(std::span<const ActiveCandidate> All,
                                std::uint32_t Count) {
   std::vector<ActiveCandidate> Hosts;
-  std::ranges::copy_if(All, std::back_inserter(Hosts),
-                       [&](const ActiveCandidate &Each) {
-                         return std::ranges::binary_search(this->Active,
-                                                           Each.Host);
-                       });
+  std::ranges::copy_if(
+      All, std::back_inserter(Hosts), [&](const ActiveCandidate &Each) {
+        return std::ranges::binary_search(this->Active, Each.Host);
+      });
   const std::vector<std::uint32_t> Parts = divideHosts(Hosts, Count);
   this->OwnPart = likedPart(this->Own.Host, Count);
   this->PartHasHosts.assign(Count, false);
@@ -87,10 +86,9 @@
 EngineShare ActiveHostsPlugin::shareOf(const ServiceId &Service) const {
   EngineShare Result;
   const auto Found = this->EngineCounts.find(Service);
-  const std::size_t Count =
-      Found == this->EngineCounts.end()
-          ? 1
-          : partCount(Found->second, this->Active.size());
+  const std::size_t Count = Found == this->EngineCounts.end()
+                                ? 1
+                                : partCount(Found->second, this->Active.size());
   if (Count == 1)
     return Result;
   // What no host has for its own is everybody's.
--- a/src/plugins/activehosts/EngineParts.cpp
+++ b/src/plugins/activehosts/EngineParts.cpp
@@ -74,11 +74,11 @@
   std::vector<std::uint32_t> Result(Hosts.size(), 0);
   if (Parts <= 1)
     return Result;
-  const auto Sum = std::accumulate(
-      Hosts.begin(), Hosts.end(), 0.0,
-      [](double Before, const ActiveCandidate &Each) {
-        return Before + Each.Processor.Thousandths;
-      });
+  const auto Sum =
+      std::accumulate(Hosts.begin(), Hosts.end(), 0.0,
+                      [](double Before, const ActiveCandidate &Each) {
+                        return Before + Each.Processor.Thousandths;
+                      });
   const double Most = Sum / Parts * MostOfEvenShare;
   std::vector<double> Taken(Parts, 0);
   for (const std::size_t At : inOrder(Hosts)) {
--- a/src/plugins/enginetrust/EngineTrustPlugin.cpp
+++ b/src/plugins/enginetrust/EngineTrustPlugin.cpp
@@ -50,8 +50,7 @@
 
 bool EngineTrustPlugin::isAvoided(const UpstreamId &Id, Time Now) const {
   const auto Found = this->Records.find(Id);
-  const bool Own =
-      Found != this->Records.end() && Found->second.isAvoided(Now);
+  const bool Own = Found != this->Records.end() && Found->second.isAvoided(Now);
   return Own || this->Peers.isHeld(Id, Now);
 }
 
@@ -67,8 +66,7 @@
 
 void EngineTrustPlugin::handle(const Event &What, Time Now, Actions &Out) {
   const auto *Is = std::get_if<PeerMessageReceived>(&What);
-  const auto *Work =
-      Is ? std::get_if<EngineWork>(&Is->Message.Body) : nullptr;
+  const auto *Work = Is ? std::get_if<EngineWork>(&Is->Message.Body) : nullptr;
   if (!Work || Work->Distrusted.empty())
     return;
   const KnownEngine *First =
--- a/src/plugins/enginetrust/TrustRecord.cpp
+++ b/src/plugins/enginetrust/TrustRecord.cpp
@@ -69,8 +69,7 @@
                                              : Verdict::Sound;
       },
       [](const RelayBroken &Is) {
-        const bool Refused =
-            Is.Reason == RelayBroken::Why::Reset && !Is.Began;
+        const bool Refused = Is.Reason == RelayBroken::Why::Reset && !Is.Began;
         return Refused ? Verdict::Refused : Verdict::Broken;
       });
 }
--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -220,8 +220,8 @@
   this->connect(Out);
   // Every answer may name more hosts; one heartbeat for each of them would
   // multiply when hundreds start together.
-  const Time Soon = this->LastBeat == Never ? Now
-                                            : this->LastBeat + LeastNewsPause;
+  const Time Soon =
+      this->LastBeat == Never ? Now : this->LastBeat + LeastNewsPause;
   this->NextBeat = std::min(this->NextBeat, std::max(Now, Soon));
 }
 
--- a/src/plugins/storereaders/StoreReadersPlugin.cpp
+++ b/src/plugins/storereaders/StoreReadersPlugin.cpp
@@ -42,6 +42,8 @@
   this->Members = &Context.services().get<MembershipView>();
   this->Readers = Values.whole(In, "hosts");
   this->LookInterval = Values.span(In, "look_interval");
+  this->Deputies = Values.whole(In, "deputies");
+  this->DeputyAge = Values.span(In, "deputy_age");
   this->MostAge = Values.span(In, "most_age");
   this->MostSilence = Values.span(In, "most_silence");
   Context.services().provide<StoreFreshness>(*this);
@@ -88,17 +90,19 @@
 
 std::string_view StoreReadersPlugin::reason(Time Now) {
   if (std::exchange(this->MembersChanged, false))
-    this->Chosen = this->isChosen();
-  if (this->Chosen)
+    this->Place = this->ownPlace();
+  if (this->Place < this->Readers)
     return "chosen";
   if (!this->hearsPeers(Now))
     return "no peer is heard";
-  if (Now > this->Confirmed + this->MostAge)
+  const bool IsDeputy = this->Place < this->Readers + this->Deputies;
+  const Duration Age = IsDeputy ? this->DeputyAge : this->MostAge;
+  if (Now > this->Confirmed + Age)
     return "nobody is known to read it";
   return {};
 }
 
-bool StoreReadersPlugin::isChosen() const {
+std::size_t StoreReadersPlugin::ownPlace() const {
   const auto MakeCandidate = [](const HostId &Host, const ZoneId &Zone) {
     return Candidate{&Host, &Zone, rendezvousWeight("store", Host.Value), 0};
   };
@@ -108,11 +112,10 @@
     if (Each.State == MemberState::Alive)
       Hosts.push_back(MakeCandidate(Each.Listing.Id, Each.Listing.Zone));
   sortByChoice(Hosts);
-  const auto Chosen =
-      std::span(Hosts).first(std::min(Hosts.size(), this->Readers));
-  return std::ranges::any_of(Chosen, [&](const Candidate &Each) {
+  const auto Own = std::ranges::find_if(Hosts, [&](const Candidate &Each) {
     return *Each.Host == this->Members->self();
   });
+  return static_cast<std::size_t>(Own - Hosts.begin());
 }
 
 bool StoreReadersPlugin::hearsPeers(Time Now) const {
@@ -133,6 +136,14 @@
       {In, "look_interval", Span, "200ms",
        "How often a host looks whether it should read the store itself.", 10e3,
        60e6},
+      {In, "deputies", SettingKind::Whole, "8",
+       "How many more hosts, the next in order, read the store as soon as it "
+       "seems that no reader gets through.",
+       0, 10000},
+      {In, "deputy_age", Span, "2s",
+       "A deputy that knows of nobody who read the store for so long reads it "
+       "itself; longer than the news of a reading takes among hundreds.",
+       100e3, 600e6},
       {In, "most_age", Span, "4s",
        "A host that knows of nobody who read the store for so long reads it "
        "itself; twice what a reader waits for a change.",
--- a/src/plugins/storereaders/StoreReadersPlugin.h
+++ b/src/plugins/storereaders/StoreReadersPlugin.h
@@ -10,7 +10,8 @@
 /// A few hosts follow the store and the others hear from them, so that the
 /// calls to the store do not grow with the hosts. A host that hears of nobody
 /// who read it lately reads it itself, so that no host's knowledge depends on
-/// those few.
+/// those few; a few deputies do so sooner, as a store that turns all readers
+/// away may serve others, and changes have to be in force within seconds.
 class StoreReadersPlugin : public Plugin,
                            public StoreFreshness,
                            public MembershipObserver {
@@ -32,19 +33,22 @@
   void look(Time Now, Actions &Out);
   /// Why this host reads the store now; empty when it need not.
   std::string_view reason(Time Now);
-  bool isChosen() const;
+  /// This host's place in the order of choice.
+  std::size_t ownPlace() const;
   bool hearsPeers(Time Now) const;
 
   const MembershipView *Members = nullptr;
   std::size_t Readers = 0;
+  std::size_t Deputies = 0;
   Duration LookInterval{};
+  Duration DeputyAge{};
   Duration MostAge{};
   Duration MostSilence{};
   Time NextLook{};
   Time Confirmed{}; ///< The newest reading known here, by any host.
   bool Reads = true;
-  bool MembersChanged = true; ///< Since Chosen was decided.
-  bool Chosen = false;
+  bool MembersChanged = true; ///< Since Place was decided.
+  std::size_t Place = 0;
 };
 
 } // namespace banyanpick
--- a/tests/auto/manyhosts/HostCrowd.cpp
+++ b/tests/auto/manyhosts/HostCrowd.cpp
@@ -376,6 +376,14 @@
     if (!Each.Decider || Each.Life != Life || !Each.Follows)
       return;
     ++this->Done.StoreReads;
+    if (this->TurnedAway.contains(At)) {
+      this->send(
+          At, Life,
+          GatewayEvent(StoreSeen{StoreSeen::Part::Engines, false, "refused"}));
+      this->Queue.after(ReadPause,
+                        [this, At, Life] { this->readStore(At, Life); });
+      return;
+    }
     EnginesRead Read;
     for (const EngineChange &Change : this->Registry)
       if (!Each.Listed || Change.Offset >= Each.Next)
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -35,6 +35,10 @@
   void publish(std::uint64_t Version);
   /// The engine says that it leaves.
   void drain(std::size_t Engine);
+  /// The store refuses the host.
+  void turnAway(std::size_t Host) { this->TurnedAway.insert(Host); }
+  /// Whether the host reads the store itself.
+  bool readsStore(std::size_t Host) const { return this->Hosts[Host].Follows; }
   /// The engine closes every connection at once, whatever it is sent.
   void setFailing(std::size_t Engine, bool On);
   /// Every connection that the host makes is closed at once.
@@ -123,6 +127,7 @@
   std::map<UpstreamId, std::deque<Run>> Queued; ///< and who waits for one.
   std::set<UpstreamId> Failing;
   std::set<std::size_t> Cut;
+  std::set<std::size_t> TurnedAway;
   std::vector<Address> Answer;
   Tally Done;
   std::set<std::pair<std::size_t, std::size_t>> Pairs;
--- a/tests/auto/manyhosts/ManyHostsTest.cpp
+++ b/tests/auto/manyhosts/ManyHostsTest.cpp
@@ -87,6 +87,18 @@
   EXPECT_LE(Crowd.takeTally().Messages["engines"], Many * 6);
 }
 
+TEST(ManyHosts, NewsComesInTimeWhenTheStoreTurnsAllReadersAway) {
+  Settled Crowd(Fewer);
+  for (std::size_t At = 0; At < Fewer; ++At)
+    if (Crowd.readsStore(At))
+      Crowd.turnAway(At);
+  Crowd.publish(2);
+  // The aim: changes are in force within three seconds.
+  Crowd.run(seconds(3));
+  for (std::size_t At = 0; At < Fewer; ++At)
+    EXPECT_EQ(Crowd.versionAt(At), 2U) << At;
+}
+
 TEST(ManyHosts, FewHostsTakeTheCallersAndAllNameTheSame) {
   Settled Crowd(Fewer);
   const auto Named = Crowd.named(0);
