--- a/src/plugins/engineload/Deferral.cpp
+++ b/src/plugins/engineload/Deferral.cpp
@@ -1,5 +1,6 @@
 #include "plugins/engineload/Deferral.h"
 
+#include "base/Milliseconds.h"
 #include "plugins/engineload/ReadCost.h"
 
 #include <algorithm>
@@ -8,8 +9,6 @@
 
 namespace {
 
-constexpr double MsPerSecond = 1e3;
-
 /// Places count as scarce from this share of all that are taken on,
 constexpr double ScarceFrom = 0.4;
 
@@ -69,7 +68,7 @@
                const EngineParameters &Model, const DeferralTimes &Times,
                const PlacementWeights &Weights) {
   const double WaitMs = placeWaitMs(Model, Of.Running);
-  const double LeftMs = inSeconds(Times.Objective - Times.Waited) * MsPerSecond;
+  const double LeftMs = inMilliseconds(Times.Objective - Times.Waited);
   return WaitMs > 0 &&
          Place.FirstTokenMs + WaitMs > LeftMs * Weights.BudgetShare;
 }
@@ -77,15 +76,14 @@
 bool paysNow(const Placed &Place, const PromptWork &Work,
              const DeferralTimes &Times, double Scarcity) {
   const bool HasWaited = Times.Waited > Times.Objective * LongestDeferral;
-  const bool IsLastChance =
-      inSeconds(Times.Left - Times.Objective) * MsPerSecond <
-      Place.FirstTokenMs * LastChanceReads;
+  const bool IsLastChance = inMilliseconds(Times.Left - Times.Objective) <
+                            Place.FirstTokenMs * LastChanceReads;
   return HasWaited || IsLastChance ||
          Place.GainMs > Work.ReadMs * Scarcity * FullEngineWorth;
 }
 
 bool isHopeless(const Placed &Place, const DeferralTimes &Times) {
-  return Place.SoonestMs > inSeconds(Times.Left) * MsPerSecond;
+  return Place.SoonestMs > inMilliseconds(Times.Left);
 }
 
 bool shouldComeBack(const DeferralTimes &Times, double Scarcity) {
--- a/src/plugins/engineload/EngineLoad.cpp
+++ b/src/plugins/engineload/EngineLoad.cpp
@@ -1,5 +1,7 @@
 #include "plugins/engineload/EngineLoad.h"
 
+#include "base/Milliseconds.h"
+
 #include <algorithm>
 
 namespace banyanpick {
@@ -26,10 +28,6 @@
     Found->ValueMs += Answer.ValueMs;
 }
 
-double millisecondsBetween(Time From, Time To) {
-  return static_cast<double>((To - From).count()) / 1e3;
-}
-
 } // namespace
 
 void EngineLoad::add(const LoadItem &Item, Time Now) {
@@ -103,7 +101,7 @@
     return 0;
   // Which of them is under way is not known; the mean stands for it.
   const double HeadMs = All.Ms / All.Count;
-  const double DoneMs = std::min(millisecondsBetween(this->HeadSince, Now),
+  const double DoneMs = std::min(inMilliseconds(Now - this->HeadSince),
                                  HeadMs * (1 - OverdueShare));
   return All.Ms - DoneMs;
 }
@@ -111,7 +109,7 @@
 bool EngineLoad::isOverdue(Time Now) const {
   const Reads All = this->allReads(Now);
   return All.Count > 0 &&
-         millisecondsBetween(this->HeadSince, Now) > All.Ms / All.Count;
+         inMilliseconds(Now - this->HeadSince) > All.Ms / All.Count;
 }
 
 std::uint32_t EngineLoad::reading() const {
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -1,6 +1,7 @@
 #include "plugins/engineload/EngineLoadPlugin.h"
 
 #include "base/EventNumbers.h"
+#include "base/Milliseconds.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 #include "plugins/engineload/Deferral.h"
@@ -47,14 +48,6 @@
 /// Entries of the lane that are not heard of again lapse after so long.
 constexpr milliseconds LaneKeep(300);
 
-Duration fromMilliseconds(double Value) {
-  return Duration(static_cast<Duration::rep>(Value * 1e3));
-}
-
-double inMilliseconds(Duration Value) {
-  return static_cast<double>(Value.count()) / 1e3;
-}
-
 DeferralTimes deferralTimes(const EngineWanted &Wanted) {
   return {Wanted.Objective, Wanted.Waited, Wanted.Left, Wanted.MayComeBack};
 }
--- a/src/plugins/enginetrust/EngineTrustPlugin.cpp
+++ b/src/plugins/enginetrust/EngineTrustPlugin.cpp
@@ -1,6 +1,7 @@
 #include "plugins/enginetrust/EngineTrustPlugin.h"
 
 #include "base/EventNumbers.h"
+#include "base/Milliseconds.h"
 #include "kernel/PluginRegistry.h"
 
 namespace banyanpick {
@@ -11,10 +12,6 @@
 /// some fifty answers.
 constexpr double ServiceMemory = 0.02;
 
-double inMilliseconds(Duration Value) {
-  return static_cast<double>(Value.count()) / 1e3;
-}
-
 std::string_view name(TrustRecord::Verdict What) {
   switch (What) {
   case TrustRecord::Verdict::Sound:
--- a/src/plugins/enginetrust/PeerDistrust.cpp
+++ b/src/plugins/enginetrust/PeerDistrust.cpp
@@ -1,5 +1,7 @@
 #include "plugins/enginetrust/PeerDistrust.h"
 
+#include "base/Milliseconds.h"
+
 #include <algorithm>
 
 namespace banyanpick {
@@ -12,10 +14,6 @@
 /// The peer's own next try is answered, or not, within so long after its pause.
 constexpr milliseconds PeerTriesFirst(300);
 
-Duration fromMilliseconds(double Value) {
-  return Duration(static_cast<Duration::rep>(Value * 1e3));
-}
-
 } // namespace
 
 void PeerDistrust::take(const HostId &Peer,
