Forget what a peer had on engines soon after it falls silent

What hosts that died had on engines counted until membership took them for dead, some four seconds, and made the engines look full meanwhile. Change: a peer's word counts for 1.5 s instead of 3, for places and memory, too, and is repeated every 0.5 s instead of 1.

--- a/src/plugins/engineload/EngineLoad.cpp
+++ b/src/plugins/engineload/EngineLoad.cpp
@@ -13,8 +13,9 @@
 constexpr double OverdueShare = 0.1;
 
 /// What peers say is worth nothing after so long; while they have work they
-/// tell it three times as often.
-constexpr seconds PeerWorkAge(3);
+/// tell it three times as often. What hosts that died had would otherwise make
+/// engines look full, and callers be turned away.
+constexpr milliseconds PeerWorkAge(1500);
 
 /// Adds the answer to those that may pause for the same time.
 void addTo(std::vector<PauseGroup> &Groups, const PauseGroup &Answer) {
@@ -68,6 +69,10 @@
   this->noteReads(Before, Now);
 }
 
+bool EngineLoad::isCurrent(const PeerWork &Of, Time Now) {
+  return Now <= Of.At + PeerWorkAge;
+}
+
 EngineLoad::Reads EngineLoad::ownReads() const {
   Reads Result;
   for (const LoadItem &Each : this->Own) {
@@ -82,7 +87,7 @@
 EngineLoad::Reads EngineLoad::allReads(Time Now) const {
   Reads Result = this->ownReads();
   for (const auto &[Peer, Each] : this->Peers) {
-    if (Now > Each.At + PeerWorkAge)
+    if (!isCurrent(Each, Now))
       continue;
     Result.Ms += Each.Work.ReadMs;
     Result.Count += Each.Work.Reading;
@@ -112,55 +117,59 @@
          inMilliseconds(Now - this->HeadSince) > All.Ms / All.Count;
 }
 
-std::uint32_t EngineLoad::reading() const {
+std::uint32_t EngineLoad::reading(Time Now) const {
   std::uint32_t Sum = 0;
   for (const LoadItem &Each : this->Own)
     Sum += Each.Writes ? 0 : 1;
   for (const auto &[Peer, Each] : this->Peers)
-    Sum += Each.Work.Reading;
+    Sum += isCurrent(Each, Now) ? Each.Work.Reading : 0;
   return Sum;
 }
 
-std::uint32_t EngineLoad::writing() const {
+std::uint32_t EngineLoad::writing(Time Now) const {
   std::uint32_t Sum = 0;
   for (const LoadItem &Each : this->Own)
     Sum += Each.Writes ? 1 : 0;
   for (const auto &[Peer, Each] : this->Peers)
-    Sum += Each.Work.Writing;
+    Sum += isCurrent(Each, Now) ? Each.Work.Writing : 0;
   return Sum;
 }
 
-std::uint64_t EngineLoad::memoryTokens() const {
+std::uint64_t EngineLoad::memoryTokens(Time Now) const {
   std::uint64_t Sum = 0;
   for (const LoadItem &Each : this->Own)
     Sum += Each.MemoryTokens;
   for (const auto &[Peer, Each] : this->Peers)
-    Sum += Each.Work.MemoryTokens;
+    Sum += isCurrent(Each, Now) ? Each.Work.MemoryTokens : 0;
   return Sum;
 }
 
-std::uint64_t EngineLoad::contextTokens() const {
+std::uint64_t EngineLoad::contextTokens(Time Now) const {
   // What is to be read yet has its memory, too; peers tell one sum.
-  const std::uint32_t All = this->reading() + this->writing();
-  return All == 0 ? 0 : this->memoryTokens() * this->writing() / All;
+  const std::uint32_t Writing = this->writing(Now);
+  const std::uint32_t All = this->reading(Now) + Writing;
+  return All == 0 ? 0 : this->memoryTokens(Now) * Writing / All;
 }
 
-std::uint32_t EngineLoad::shortRunning() const {
+std::uint32_t EngineLoad::shortRunning(Time Now) const {
   std::uint32_t Sum = 0;
   for (const LoadItem &Each : this->Own)
     Sum += Each.IsShort ? 1 : 0;
   for (const auto &[Peer, Each] : this->Peers)
-    Sum += Each.Work.ShortRunning;
+    Sum += isCurrent(Each, Now) ? Each.Work.ShortRunning : 0;
   return Sum;
 }
 
-std::vector<PauseGroup> EngineLoad::answers() const {
+std::vector<PauseGroup> EngineLoad::answers(Time Now) const {
   std::vector<PauseGroup> Result;
   for (const LoadItem &Each : this->Own)
     addTo(Result, Each.Answer);
-  for (const auto &[Peer, Each] : this->Peers)
+  for (const auto &[Peer, Each] : this->Peers) {
+    if (!isCurrent(Each, Now))
+      continue;
     for (const EngineWork::Item::Answers &One : Each.Work.Held)
       addTo(Result, {One.PauseMs, One.ValueMs});
+  }
   return Result;
 }
 
--- a/src/plugins/engineload/EngineLoad.h
+++ b/src/plugins/engineload/EngineLoad.h
@@ -35,15 +35,15 @@
   double backlogMs(Time Now) const;
   /// The read under way takes longer than predicted; when it ends is not known.
   bool isOverdue(Time Now) const;
-  std::uint32_t reading() const;
-  std::uint32_t writing() const;
-  std::uint64_t memoryTokens() const;
+  std::uint32_t reading(Time Now) const;
+  std::uint32_t writing(Time Now) const;
+  std::uint64_t memoryTokens(Time Now) const;
   /// What the answers under way have before them, in tokens.
-  std::uint64_t contextTokens() const;
+  std::uint64_t contextTokens(Time Now) const;
   /// Requests with short prompts, read or written.
-  std::uint32_t shortRunning() const;
+  std::uint32_t shortRunning(Time Now) const;
   /// Answers by the time that they may pause.
-  std::vector<PauseGroup> answers() const;
+  std::vector<PauseGroup> answers(Time Now) const;
 
   /// What this host has there, for its peers.
   EngineWork::Item ownWork(const UpstreamId &Engine) const;
@@ -62,6 +62,7 @@
     std::uint32_t Count = 0;
   };
 
+  static bool isCurrent(const PeerWork &Of, Time Now);
   Reads ownReads() const;
   Reads allReads(Time Now) const;
   /// The next read begins when one has ended, or none was under way.
--- a/src/plugins/engineload/EngineLoadPeers.cpp
+++ b/src/plugins/engineload/EngineLoadPeers.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// A host that told of work so lately is told of work; it repeats what it has
-/// three times as often.
+/// several times as often.
 constexpr seconds ListensFor(3);
 
 } // namespace
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -183,7 +183,7 @@
   std::uint32_t ShortRunning = 0;
   if (Model)
     for (const auto &[Id, Load] : this->Loads)
-      ShortRunning += Load.shortRunning();
+      ShortRunning += Load.shortRunning(Now);
   const std::size_t Front =
       Model ? frontEngines(States.size(), ShortRunning, Slots, this->Weights)
             : States.size();
@@ -328,10 +328,10 @@
   const auto Found = this->Loads.find(Each.Record.Id);
   const EngineLoad None;
   const EngineLoad &Load = Found == this->Loads.end() ? None : Found->second;
-  Result.Running = Load.reading() + Load.writing();
+  Result.Running = Load.reading(Now) + Load.writing(Now);
   const std::uint32_t Slots = Model ? Model->Slots : Each.Record.Slots;
   Result.FreeSlots = Slots > Result.Running ? Slots - Result.Running : 0;
-  Result.Answers = Load.answers();
+  Result.Answers = Load.answers(Now);
   for (PauseGroup &Group : Result.Answers)
     Group.PauseMs *= this->Weights.PauseShare;
   if (Model) {
@@ -339,8 +339,9 @@
     Result.BacklogMs = Load.backlogMs(Now) * Result.Pace;
     Result.Overdue = Load.isOverdue(Now);
     Result.PassMs =
-        writePassMs(*Model, Load.writing(), Load.contextTokens()) * Result.Pace;
-    const std::uint64_t Used = Load.memoryTokens();
+        writePassMs(*Model, Load.writing(Now), Load.contextTokens(Now)) *
+        Result.Pace;
+    const std::uint64_t Used = Load.memoryTokens(Now);
     const bool HasMemory = Used < Model->MemoryTokens &&
                            !this->isShortOfMemory(Each.Record.Id, Now);
     Result.FreeTokens = HasMemory ? Model->MemoryTokens - Used : 0;
--- a/src/plugins/engineload/TellBudget.h
+++ b/src/plugins/engineload/TellBudget.h
@@ -45,7 +45,7 @@
 
 private:
   /// A third of the age at which peers disregard what was told.
-  static constexpr seconds RepeatInterval{1};
+  static constexpr milliseconds RepeatInterval{500};
 
   /// A third of the age at which prompts that wait at a peer are disregarded.
   static constexpr milliseconds LaneInterval{100};
--- a/tests/auto/gateway/EngineLoadTest.cpp
+++ b/tests/auto/gateway/EngineLoadTest.cpp
@@ -18,10 +18,10 @@
   EXPECT_NEAR(Load.backlogMs(Start + milliseconds(40)), 110, 0.1);
   Load.began(AttemptId{Incarnation(1), 1}, Start + milliseconds(100));
   EXPECT_NEAR(Load.backlogMs(Start + milliseconds(100)), 50, 0.1);
-  EXPECT_EQ(Load.writing(), 1U);
-  EXPECT_EQ(Load.shortRunning(), 2U);
+  EXPECT_EQ(Load.writing(Start), 1U);
+  EXPECT_EQ(Load.shortRunning(Start), 2U);
   const std::vector<PauseGroup> Held = {{250, 180}};
-  EXPECT_EQ(Load.answers(), Held);
+  EXPECT_EQ(Load.answers(Start), Held);
 }
 
 TEST(EngineLoad, ReadsOfSeveralHostsAreDoneOneAfterTheOther) {
@@ -48,7 +48,9 @@
   Work.Reading = 1;
   Load.takePeer(HostId("h2"), Work, Start);
   EXPECT_NEAR(Load.backlogMs(Start + milliseconds(100)), 400, 0.1);
+  EXPECT_EQ(Load.reading(Start + milliseconds(100)), 1U);
   EXPECT_NEAR(Load.backlogMs(Start + seconds(4)), 0, 0.1);
+  EXPECT_EQ(Load.reading(Start + seconds(4)), 0U);
 }
 
 } // namespace
--- a/tests/auto/manyhosts/ManyHostsTest.cpp
+++ b/tests/auto/manyhosts/ManyHostsTest.cpp
@@ -237,6 +237,28 @@
   EXPECT_LE(lostOf(Tally), 20U);
 }
 
+TEST(ManyHosts, WhatDeadHostsHadOnEnginesTurnsNobodyAwayForLong) {
+  HostCrowd Crowd(16, 20);
+  Crowd.publish(1);
+  Crowd.run(seconds(10));
+  // Five of six of 320 places are taken, on and on; ten of the hosts die.
+  const auto Offer = [&](std::size_t First, int Count) {
+    for (int Each = 0; Each < Count; ++Each) {
+      Crowd.arrive(First + static_cast<std::size_t>(Each) % (16 - First),
+                   milliseconds(1000 + Each % 17 * 50));
+      Crowd.run(milliseconds(5));
+    }
+  };
+  Offer(0, 600);
+  for (std::size_t At = 0; At < 10; ++At)
+    Crowd.kill(At);
+  Offer(10, 320);
+  Crowd.takeTally();
+  // Their answers are over, so there are places for all who come.
+  Offer(10, 400);
+  EXPECT_EQ(Crowd.takeTally().SentBack, 0U);
+}
+
 TEST(ManyHosts, AThousandEnginesAreDividedAndAllAreUsed) {
   constexpr std::size_t Engines = 1000;
   HostCrowd Crowd(Fewer, Engines);
