--- a/src/plugins/engineload/Deferral.h
+++ b/src/plugins/engineload/Deferral.h
@@ -1,16 +1,16 @@
 /// \file
 /// Which prompts give way to others when the engines' places run out.
+///
+/// The load that it answers: a burst that exceeds the engines' places for some
+/// seconds. If all who come are taken, each waits for those before it, so that
+/// nobody is in time from then on. Callers who are told to come back find a
+/// place later, while the others are in time.
 #pragma once
 
 #include "plugins/engineload/EngineState.h"
 
 namespace banyanpick {
 
-/// The load that it answers: a burst that exceeds the engines' places for some
-/// seconds. If all who come are taken, each waits for those before it, so that
-/// nobody is in time from then on. Callers who are told to come back find a
-/// place later, while the others are in time.
-
 /// What is known of the caller of a prompt that may give way.
 struct DeferralTimes {
   Duration Objective{};
--- a/src/plugins/enginetrust/PeerDistrust.h
+++ b/src/plugins/enginetrust/PeerDistrust.h
@@ -17,8 +17,8 @@
 /// every host gathers; each host would learn it alone, by losing requests.
 class PeerDistrust {
 public:
-  /// \p Engines that the service has at least; a peer that distrusts many of
-  /// them is at fault itself, or its link is, and is not believed.
+  /// \p Engines: how many the service has. A peer that distrusts many of them
+  /// is at fault itself, or its link is, and is not believed.
   void take(const HostId &Peer, std::span<const EngineWork::Distrust> Told,
             std::size_t Engines, Time Now);
   /// A try that this host sent then is answered by the engine.
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -165,8 +165,9 @@
         this->awaitTurn(Each, Turn.LookAgain, Now, Out);
       },
       [&](const ComeBack &Is) {
-        this->finish(Each, Each.refusal(), "engines are full; come back", Now,
-                     Out, Is.After);
+        this->finish(Each, Each.refusal(),
+                     "no engine can begin it in time; come back", Now, Out,
+                     Is.After);
       },
       [&](const NoEngine &) { this->wait(Each, Now, Out); });
 }
