Tell of headers of answers that the protocol's adapter does not know

Callers saw nothing; an engine in need got more requests than it said it takes, and no log could tell whether hosts had seen it say so.

Test: AnswerHeaders.ThoseThatNobodyKnowsAreNamed.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -16,6 +16,9 @@
 /// Reports and answers to orders are small; a larger one is not read.
 constexpr std::size_t LargestReport = 256ULL * 1024;
 
+/// Names of unknown headers that are told of; others are only counted.
+constexpr std::size_t MostUnknownHeaders = 32;
+
 StoreSeen seen(StoreSeen::Part Of, bool Reachable, std::string_view Why) {
   return {Of, Reachable, std::string(Why)};
 }
@@ -165,11 +168,27 @@
     this->Uses.Events.send(GatewayEvent(RelayBegan{Id}));
   });
   this->Runs.erase(Order.Attempt);
+  this->noteUnknownHeaders(*Run, Order.Engine);
   if (!Run->isCancelled())
     this->Uses.Events.send(
         GatewayEvent(RelayEnded{Order.Attempt, std::move(Outcome)}));
 }
 
+void GatewayTraffic::noteUnknownHeaders(const EngineRun &Of,
+                                        const UpstreamId &Engine) {
+  for (const std::string &Name : Of.unknownHeaders()) {
+    this->count("answer_headers_unknown", Name);
+    const bool IsNew = this->UnknownHeaders.size() < MostUnknownHeaders &&
+                       this->UnknownHeaders.insert(Name).second;
+    if (IsNew)
+      writeLogLine(logEvent(events::AnswerHeaderUnknown)
+                       .with("header", Name)
+                       .with("engine", Engine.Value)
+                       .build(),
+                   this->Uses.Clock.now());
+  }
+}
+
 void GatewayTraffic::decode(const std::string &Document, BeliefSource From) {
   try {
     this->Uses.Events.send(GatewayEvent(ConfigurationRead{
--- a/src/app/GatewayTraffic.h
+++ b/src/app/GatewayTraffic.h
@@ -11,6 +11,7 @@
 #include "metrics/Metrics.h"
 #include "relay/GatewayProtocol.h"
 
+#include <set>
 #include <thread>
 
 namespace banyanpick {
@@ -60,6 +61,8 @@
   void perform(const GatewayAction &Wanted);
   void dispatch(const DispatchRelay &Order);
   Task<void> runTry(std::shared_ptr<EngineRun> Run, DispatchRelay Order);
+  /// Tells of headers that the protocol does not know, of each name once.
+  void noteUnknownHeaders(const EngineRun &Of, const UpstreamId &Engine);
   void decode(const std::string &Document, BeliefSource From);
   Task<void> askReport(AskReport Wanted);
   Task<void> reserve(ReserveMemory Wanted);
@@ -85,6 +88,7 @@
   QuestionTable<AnswerResolve> Resolves;
   std::map<RequestId, std::shared_ptr<CallerSide>> Callers;
   std::map<AttemptId, std::shared_ptr<EngineRun>> Runs;
+  std::set<std::string> UnknownHeaders; ///< That were told of.
   std::uint64_t LastId = 0;
   std::thread Thread;
 };
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -162,6 +162,8 @@
                                              "engine works at another pace"};
 inline constexpr EventKind PeerDistrustChanged{
     814, LogLevel::Info, "engines held back on a peer's word"};
+inline constexpr EventKind AnswerHeaderUnknown{
+    819, LogLevel::Warning, "answer has a header that is not known"};
 inline constexpr EventKind RelayReceived{820, LogLevel::Info,
                                          "relayed request received"};
 inline constexpr EventKind RelaySent{821, LogLevel::Info,
--- a/src/libs/relay/EngineRun.h
+++ b/src/libs/relay/EngineRun.h
@@ -33,6 +33,10 @@
   /// Closes the connection; run() ends.
   void cancel();
   bool isCancelled() const { return this->Cancelled; }
+  /// Headers of the answer that the protocol does not know.
+  const std::vector<std::string> &unknownHeaders() const {
+    return this->Unknown;
+  }
 
 private:
   using Parser = http::response_parser<http::buffer_body>;
@@ -65,6 +69,7 @@
   EventBorders Borders;
   std::array<char, ReadBytes> Piece{};
   ErrorCode ReadFailure;
+  std::vector<std::string> Unknown;
   std::chrono::steady_clock::time_point LastEventsAt{};
   Duration LongestPause{};
   bool Sent = false; ///< The whole request was written.
--- a/src/libs/relay/GatewayProtocol.h
+++ b/src/libs/relay/GatewayProtocol.h
@@ -59,6 +59,11 @@
   virtual AnswerMeaning meaningOf(const http::response_header<> &Head,
                                   const HttpExchange::Request &Asked) const = 0;
 
+  /// Headers of an upstream's answer that this protocol does not know: it may
+  /// say something that nothing here heeds.
+  virtual std::vector<std::string>
+  unknownHeaders(const http::response_header<> &Head) const = 0;
+
   virtual ClientRequest reportRequest() const = 0;
   /// Throws Error(BadInput) when the body is malformed.
   virtual EngineReport readReport(const UpstreamId &Engine,
--- a/tests/auto/platformadapter/HeadersTest.cpp
+++ b/tests/auto/platformadapter/HeadersTest.cpp
@@ -128,5 +128,16 @@
   EXPECT_TRUE(std::get<AnswerIsNotRun>(Misdirected).How.OtherEngine);
 }
 
+TEST(AnswerHeaders, ThoseThatNobodyKnowsAreNamed) {
+  http::response_header<> Head = answer(200);
+  Head.set("X-Server-Seal", "3e1b");
+  Head.set("Content-Type", "text/event-stream");
+  Head.set("x-weight-versions", "1");
+  EXPECT_TRUE(PlatformEngines().unknownHeaders(Head).empty());
+  Head.set("X-Quite-New", "7");
+  EXPECT_EQ(PlatformEngines().unknownHeaders(Head),
+            std::vector<std::string>{"X-Quite-New"});
+}
+
 } // namespace
 } // namespace banyanpick::platform
