--- a/tests/process/GatewayDeployment.cpp
+++ b/tests/process/GatewayDeployment.cpp
@@ -179,6 +179,19 @@
   return false;
 }
 
+std::vector<Duration>
+GatewayDeployment::arrivalsSinceLimit(std::size_t Upstream) const {
+  HttpQuestion Ask;
+  Ask.Target = "/standin/runs";
+  const json Reply =
+      askHttp(this->Upstreams.at(Upstream).Address, Ask, Patience).parsed();
+  std::vector<Duration> Result;
+  for (const std::int64_t Each :
+       Reply["arrivals"].get<std::vector<std::int64_t>>())
+    Result.push_back(milliseconds(Each));
+  return Result;
+}
+
 unsigned GatewayDeployment::readiness(std::size_t Host) const {
   HttpQuestion Ask;
   Ask.Target = std::string(platform::path::Readiness);
--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -7,8 +7,10 @@
 /// of an event, `error` answers 500, `refuse` says that it did not run it,
 /// `foreign` answers another request, `truncate` sends too little, `unsealed`
 /// leaves the seal out, `silent` never answers, and `stall` gives three events
-/// of a stream and nothing more.
-/// `GET /standin/runs` gives how often it ran each request.
+/// of a stream and nothing more. `limit` does not fail: every answer names how
+/// many requests a second it takes (--limit).
+/// `GET /standin/runs` gives how often it ran each request, and when requests
+/// came, in milliseconds after its first answer that named a limit.
 #include "platform/WireNames.h"
 #include "standins/GatewayDemo.h"
 #include "standins/HttpServer.h"
@@ -19,6 +21,7 @@
 #include <gflags/gflags.h>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 DEFINE_string(listen, "127.0.0.1:7500", "where it listens");
@@ -29,6 +32,7 @@
 DEFINE_string(zone, "east", "its data centre");
 DEFINE_string(store, "127.0.0.1:7400", "the store to register in");
 DEFINE_string(fault, "", "how it fails");
+DEFINE_string(limit, "1.6", "requests a second that it says it takes");
 DEFINE_uint32(events, banyanpick::standins::DemoEvents, "events of a stream");
 DEFINE_uint32(pause_ms, 20, "between events, and before a whole answer");
 
@@ -73,14 +77,20 @@
     return {{std::string(header::AttemptId),
              FLAGS_fault == "foreign" ? "other" : Attempt}};
   }
-  static Headers sealed(const std::string &Attempt) {
+  Headers sealed(const std::string &Attempt) {
     Headers Result = headers(Attempt);
     if (FLAGS_fault != "unsealed")
       Result.emplace_back(header::Seal, "seal-of-" + FLAGS_id);
+    if (FLAGS_fault == "limit") {
+      Result.emplace_back("Server-Limit", FLAGS_limit);
+      const std::lock_guard Lock(this->Guard);
+      if (!this->LimitedSince)
+        this->LimitedSince = std::chrono::steady_clock::now();
+    }
     return Result;
   }
 
-  static void whole(Exchange &Each, const std::string &Attempt) {
+  void whole(Exchange &Each, const std::string &Attempt) {
     pause();
     if (FLAGS_fault == "silent")
       std::this_thread::sleep_for(std::chrono::hours(1));
@@ -97,7 +107,7 @@
       Each.hangUp();
   }
 
-  static void stream(Exchange &Each, const std::string &Attempt) {
+  void stream(Exchange &Each, const std::string &Attempt) {
     if (FLAGS_fault == "silent")
       std::this_thread::sleep_for(std::chrono::hours(1));
     const std::string After = Each.header(header::LastEvent);
@@ -123,17 +133,26 @@
     if (this->RunsFile.is_open())
       this->RunsFile << Attempt << std::endl;
     this->SawKey |= !Each.header("Authorization").empty();
+    if (this->LimitedSince)
+      this->Arrivals.push_back(
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              std::chrono::steady_clock::now() - *this->LimitedSince)
+              .count());
   }
 
   void showRuns(Exchange &Each) {
     const std::lock_guard Lock(this->Guard);
-    Each.answer(200, json{{"runs", this->Runs}, {"saw_key", this->SawKey}});
+    Each.answer(200, json{{"runs", this->Runs},
+                          {"saw_key", this->SawKey},
+                          {"arrivals", this->Arrivals}});
   }
 
   std::mutex Guard;
   std::map<std::string, int> Runs;
   std::ofstream RunsFile{FLAGS_runs_file, std::ios::app};
   bool SawKey = false;
+  std::optional<std::chrono::steady_clock::time_point> LimitedSince;
+  std::vector<std::int64_t> Arrivals; ///< In milliseconds since then.
 };
 
 void registerSelf() {
