Keep all hosts together within the limit that an engine names

What callers saw: nothing, but an engine in need that names how many requests a second it takes got up to 20 in four seconds where 15 were allowed.

Cause: the adapter did not know the header, so no decision heeded it; and there was no mechanism for a limit of an engine that holds for all hosts in sum.

Now one active host, the same for all by rendezvous hash, lends room at such an engine out of a token bucket, to those that have a request for it. Room lapses and comes back, so at no instant more is out than the limit allows, whoever dies, stands still or is cut off; a new lender waits until all know of it.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -164,14 +164,15 @@
 Task<void> GatewayTraffic::runTry(std::shared_ptr<EngineRun> Run,
                                   DispatchRelay Order) {
   const Duration Left = Order.Deadline - this->Uses.Clock.now();
-  RelayOutcome Outcome = co_await Run->run(Left, [this, Id = Order.Attempt] {
-    this->Uses.Events.send(GatewayEvent(RelayBegan{Id}));
-  });
+  RelayOutcome Outcome =
+      co_await Run->run(Left, [this, Id = Order.Attempt, &Said = Run->limit()] {
+        this->Uses.Events.send(GatewayEvent(RelayBegan{Id, Said}));
+      });
   this->Runs.erase(Order.Attempt);
   this->noteUnknownHeaders(*Run, Order.Engine);
   if (!Run->isCancelled())
-    this->Uses.Events.send(
-        GatewayEvent(RelayEnded{Order.Attempt, std::move(Outcome)}));
+    this->Uses.Events.send(GatewayEvent(
+        RelayEnded{Order.Attempt, std::move(Outcome), Run->limit()}));
 }
 
 void GatewayTraffic::noteUnknownHeaders(const EngineRun &Of,
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -162,6 +162,12 @@
                                              "engine works at another pace"};
 inline constexpr EventKind PeerDistrustChanged{
     814, LogLevel::Info, "engines held back on a peer's word"};
+inline constexpr EventKind EngineLimitChanged{815, LogLevel::Info,
+                                              "engine's limit changed"};
+inline constexpr EventKind EngineLimitUnreadable{816, LogLevel::Warning,
+                                                 "engine's limit unreadable"};
+inline constexpr EventKind EngineRoomLent{817, LogLevel::Info,
+                                          "this host lends room at an engine"};
 inline constexpr EventKind AnswerHeaderUnknown{
     819, LogLevel::Warning, "answer has a header that is not known"};
 inline constexpr EventKind RelayReceived{820, LogLevel::Info,
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -3,6 +3,7 @@
 /// for, beside the events and actions that it shares with others.
 #pragma once
 
+#include "gateway/EngineLimit.h"
 #include "gateway/RelayedRequest.h"
 
 #include <memory>
@@ -20,10 +21,12 @@
 /// The first event of the stream went to the caller.
 struct RelayBegan {
   AttemptId Attempt;
+  LimitSaid Limit{}; ///< By the answer's header.
 };
 struct RelayEnded {
   AttemptId Attempt;
   RelayOutcome Outcome;
+  LimitSaid Limit{}; ///< By the answer's header, if one came.
 };
 
 /// Where a belief comes from.
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -101,6 +101,21 @@
   virtual std::vector<EngineWork::Distrust> distrusted(Time Now) const = 0;
 };
 
+/// How much more engines take that name how many requests they take.
+class EngineRoom {
+public:
+  virtual ~EngineRoom() = default;
+  virtual bool isLimited(const UpstreamId &Engine) const = 0;
+  /// Whether one more request may be sent there now; always, where the engine
+  /// names no limit.
+  virtual bool hasRoom(const UpstreamId &Engine, Time Now) const = 0;
+  /// A request would have gone there if there were room.
+  virtual void want(const UpstreamId &Engine, Time Now) = 0;
+  /// Until there may be room; unknown while nobody has told.
+  virtual std::optional<Duration> roomAfter(const UpstreamId &Engine,
+                                            Time Now) const = 0;
+};
+
 /// Which contents crash upstreams.
 class CrashView {
 public:
@@ -130,7 +145,8 @@
   /// the upstream itself is then the first of them.
   std::vector<JointEngine> Helpers;
   std::optional<std::uint32_t> Urgency;
-  Duration Predicted{}; ///< To the first event; zero: unknown.
+  Duration Predicted{};    ///< To the first event; zero: unknown.
+  std::size_t AtLimit = 0; ///< Engines passed over, as they take no more.
 };
 
 /// Prompts that go before it are to be read first.
@@ -141,6 +157,7 @@
 /// No upstream can begin it in time now; one can when it comes back.
 struct ComeBack {
   Duration After{};
+  bool AtLimit = false; ///< All engines have what they say that they take.
 };
 
 /// No upstream can take it now.
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -273,12 +273,56 @@
   bool operator==(const EngineWork &) const = default;
 };
 
+/// What hosts tell each other of engines that name how many requests they take
+/// from all hosts together, and of the room that one host lends to the others.
+struct EngineLimits {
+  /// The newest that the sender knows of an engine.
+  struct Word {
+    UpstreamId Engine;
+    std::optional<double> PerSecond; ///< None: it names no limit.
+    double AgeMs = 0;                ///< Of what was said; see LimitWord.
+
+    bool operator==(const Word &) const = default;
+  };
+  std::vector<Word> Words;
+  /// "Lend me room for requests there."
+  struct Ask {
+    UpstreamId Engine;
+    std::uint64_t Number = 0; ///< Another one for each ask of the sender.
+    std::uint32_t Count = 0;  ///< Requests.
+
+    bool operator==(const Ask &) const = default;
+  };
+  std::vector<Ask> Asks;
+  /// The answer to an ask.
+  struct Loan {
+    UpstreamId Engine;
+    std::uint64_t Number = 0;
+    std::uint32_t Count = 0; ///< Zero: there is no room now.
+    double LaterMs = 0;      ///< Until there may be some, then.
+
+    bool operator==(const Loan &) const = default;
+  };
+  std::vector<Loan> Loans;
+  /// Room that was lent and not used in its time.
+  struct Return {
+    UpstreamId Engine;
+    std::uint64_t Number = 0;
+    std::uint32_t Count = 0;
+
+    bool operator==(const Return &) const = default;
+  };
+  std::vector<Return> Returns;
+
+  bool operator==(const EngineLimits &) const = default;
+};
+
 using PeerMessageBody =
     std::variant<Heartbeat, WorkSent, TeamUsage, LimitShare, RecordsRelayed,
                  RecordsAsked, CatalogueRelayed, QuarantineNotice,
                  UpstreamNotice, LoadRelayed, StreamHandover, HandoverTaken,
                  RecordsToAppend, ConfigurationAsked, ConfigurationRelayed,
-                 EnginesAsked, EnginesRelayed, EngineWork>;
+                 EnginesAsked, EnginesRelayed, EngineWork, EngineLimits>;
 
 /// A message with its sender.
 struct PeerMessage {
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -178,6 +178,7 @@
   if (!Asked)
     co_return this->broken(RelayBroken::Why::Reset);
   this->Unknown = this->Protocol.unknownHeaders(Head);
+  this->Limit = this->Protocol.limitOf(Head, *Asked);
   const AnswerMeaning Meaning = this->Protocol.meaningOf(Head, *Asked);
   if (const auto *NotRun = std::get_if<AnswerIsNotRun>(&Meaning)) {
     // Its body, if any, is not worth reading for the connection's sake.
--- a/src/libs/relay/EngineRun.h
+++ b/src/libs/relay/EngineRun.h
@@ -30,6 +30,9 @@
   /// caller. \p Left is how long the upstream may take.
   Task<RelayOutcome> run(Duration Left, std::function<void()> OnBegan);
 
+  /// What the answer's header says of the upstream's limit.
+  const LimitSaid &limit() const { return this->Limit; }
+
   /// Closes the connection; run() ends.
   void cancel();
   bool isCancelled() const { return this->Cancelled; }
@@ -70,6 +73,7 @@
   std::array<char, ReadBytes> Piece{};
   ErrorCode ReadFailure;
   std::vector<std::string> Unknown;
+  LimitSaid Limit;
   std::chrono::steady_clock::time_point LastEventsAt{};
   Duration LongestPause{};
   bool Sent = false; ///< The whole request was written.
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -228,6 +228,36 @@
   }
 }
 
+void write(const banyanpick::EngineLimits &Body, Envelope &Envelope) {
+  EngineLimits &Out = *Envelope.mutable_engine_limits();
+  for (const auto &Each : Body.Words) {
+    EngineLimits::Word &Word = *Out.add_words();
+    Word.set_engine(Each.Engine.Value);
+    if (Each.PerSecond)
+      Word.set_per_second(*Each.PerSecond);
+    Word.set_age_ms(Each.AgeMs);
+  }
+  for (const auto &Each : Body.Asks) {
+    EngineLimits::Ask &Ask = *Out.add_asks();
+    Ask.set_engine(Each.Engine.Value);
+    Ask.set_number(Each.Number);
+    Ask.set_count(Each.Count);
+  }
+  for (const auto &Each : Body.Loans) {
+    EngineLimits::Loan &Loan = *Out.add_loans();
+    Loan.set_engine(Each.Engine.Value);
+    Loan.set_number(Each.Number);
+    Loan.set_count(Each.Count);
+    Loan.set_later_ms(Each.LaterMs);
+  }
+  for (const auto &Each : Body.Returns) {
+    EngineLimits::Return &Return = *Out.add_returns();
+    Return.set_engine(Each.Engine.Value);
+    Return.set_number(Each.Number);
+    Return.set_count(Each.Count);
+  }
+}
+
 banyanpick::EnginesRelayed read(const EnginesRelayed &In) {
   banyanpick::EnginesRelayed Result;
   Result.UpTo = In.up_to();
@@ -275,6 +305,28 @@
   return Result;
 }
 
+banyanpick::EngineLimits read(const EngineLimits &In) {
+  banyanpick::EngineLimits Result;
+  for (const EngineLimits::Word &Each : In.words()) {
+    const auto PerSecond =
+        Each.has_per_second()
+            ? std::optional(std::max(checkedNumber(Each.per_second()), 0.0))
+            : std::nullopt;
+    Result.Words.push_back(
+        {UpstreamId(Each.engine()), PerSecond, checkedSpan(Each.age_ms())});
+  }
+  for (const EngineLimits::Ask &Each : In.asks())
+    Result.Asks.push_back(
+        {UpstreamId(Each.engine()), Each.number(), Each.count()});
+  for (const EngineLimits::Loan &Each : In.loans())
+    Result.Loans.push_back({UpstreamId(Each.engine()), Each.number(),
+                            Each.count(), checkedSpan(Each.later_ms())});
+  for (const EngineLimits::Return &Each : In.returns())
+    Result.Returns.push_back(
+        {UpstreamId(Each.engine()), Each.number(), Each.count()});
+  return Result;
+}
+
 banyanpick::Heartbeat read(const Heartbeat &In) {
   banyanpick::Heartbeat Result;
   Result.Sequence = In.sequence();
@@ -398,6 +450,8 @@
     return read(In.engines_relayed());
   case Envelope::kEngineWork:
     return read(In.engine_work());
+  case Envelope::kEngineLimits:
+    return read(In.engine_limits());
   case Envelope::BODY_NOT_SET:
     break;
   }
--- a/src/libs/wire/WireChecks.h
+++ b/src/libs/wire/WireChecks.h
@@ -5,6 +5,7 @@
 #include "base/Error.h"
 #include "base/Time.h"
 
+#include <algorithm>
 #include <cmath>
 #include <string>
 #include <string_view>
@@ -30,6 +31,13 @@
   return Number;
 }
 
+/// Milliseconds of an age or a wait; more than a day is as good as that, and
+/// can't overflow a time.
+inline double checkedSpan(double Milliseconds) {
+  constexpr double LongestMs = 86'400'000;
+  return std::clamp(checkedNumber(Milliseconds), 0.0, LongestMs);
+}
+
 inline Time timeFromWire(std::int64_t Microseconds) {
   return Time(Duration(Microseconds));
 }
--- a/src/plugins/engineload/Deferral.cpp
+++ b/src/plugins/engineload/Deferral.cpp
@@ -96,4 +96,13 @@
   return fromSeconds(inSeconds(Times.Left) * LatestReturnShare * Share);
 }
 
+Duration returnSpread(const DeferralTimes &Times, Duration Soonest,
+                      double Draw) {
+  const double Latest = inSeconds(Times.Left) * LatestReturnShare;
+  // So late that it shows in the time they have left (see FirstTries).
+  const double First = std::max(inSeconds(Soonest), Latest * SoonestReturn);
+  return fromSeconds(
+      std::min(First + (Latest - First) * std::max(Draw, 0.0), Latest));
+}
+
 } // namespace banyanpick
--- a/src/plugins/engineload/Deferral.h
+++ b/src/plugins/engineload/Deferral.h
@@ -51,4 +51,9 @@
 /// were told so together.
 Duration returnAfter(const DeferralTimes &Times, double Draw);
 
+/// The same for callers whose engine has room no sooner than \p Soonest; no
+/// later than a caller may be told.
+Duration returnSpread(const DeferralTimes &Times, Duration Soonest,
+                      double Draw);
+
 } // namespace banyanpick
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -45,6 +45,9 @@
 /// long: a usual answer ends within it.
 constexpr milliseconds MemoryRefusalKeep(400);
 
+/// A caller waits here for room at an engine that comes so soon.
+constexpr milliseconds WorthWaiting(50);
+
 /// Entries of the lane that are not heard of again lapse after so long.
 constexpr milliseconds LaneKeep(300);
 
@@ -63,6 +66,7 @@
   this->Directory = &Context.services().get<EngineDirectory>();
   this->Declared = &Context.services().get<RouteView>();
   this->Trust = &Context.services().get<EngineTrustView>();
+  this->Room = &Context.services().get<EngineRoom>();
   this->Numbers = &Context.random();
   this->OwnZone = Context.self().Zone;
   this->Tells = TellBudget(Values.span(In, "tell_interval"),
@@ -109,6 +113,9 @@
 }
 
 void EngineLoadPlugin::askReport(const UpstreamId &Engine, Actions &Out) const {
+  // A question is a request, too, and an engine in need takes few.
+  if (this->Room->isLimited(Engine))
+    return;
   if (const KnownEngine *Known = this->Directory->find(Engine))
     Out.add(GatewayAction(AskReport{Engine, Known->Record.At}));
 }
@@ -141,14 +148,34 @@
 EngineChoice EngineLoadPlugin::choose(const EngineWanted &Wanted, Time Now) {
   const EngineParameters *Model = this->parametersOf(Wanted.Service);
   const EngineShare Share = this->Active->shareOf(Wanted.Service);
-  std::vector<EngineState> States =
-      this->states(Wanted, Model, Share, false, Now);
+  Candidates Found = this->candidates(Wanted, Model, Share, false, Now);
   // Better one of other hosts than none, and one that failed lately, too.
-  if (States.empty() && !Share.Parts.empty())
-    States = this->states(Wanted, Model, EngineShare(), false, Now);
-  if (States.empty())
-    States = this->states(Wanted, Model, EngineShare(), true, Now);
-  return this->chooseAmong(States, Wanted, Model, Now);
+  if (Found.States.empty() && !Share.Parts.empty())
+    Found = this->candidates(Wanted, Model, EngineShare(), false, Now);
+  if (Found.States.empty())
+    Found = this->candidates(Wanted, Model, EngineShare(), true, Now);
+  if (Found.States.empty() && !Found.AtLimit.empty())
+    return this->chooseAtLimit(Found.AtLimit, Wanted, Now);
+  EngineChoice Result = this->chooseAmong(Found.States, Wanted, Model, Now);
+  if (auto *Chosen = std::get_if<EngineChosen>(&Result))
+    Chosen->AtLimit = Found.AtLimit.size();
+  return Result;
+}
+
+EngineChoice
+EngineLoadPlugin::chooseAtLimit(std::span<const UpstreamId> AtLimit,
+                                const EngineWanted &Wanted, Time Now) {
+  std::optional<Duration> Soonest;
+  for (const UpstreamId &Each : AtLimit)
+    if (const auto After = this->Room->roomAfter(Each, Now))
+      Soonest = Soonest ? std::min(*Soonest, *After) : *After;
+  // Room that comes in a moment is waited for; so does whoever was told to come
+  // back before.
+  if (!Soonest || *Soonest <= WorthWaiting || !Wanted.MayComeBack)
+    return NoEngine{};
+  return ComeBack{
+      returnSpread(deferralTimes(Wanted), *Soonest, this->Numbers->fraction()),
+      true};
 }
 
 void EngineLoadPlugin::forget(const RequestId &Request, Time Now) {
@@ -299,11 +326,12 @@
   return Result;
 }
 
-std::vector<EngineState> EngineLoadPlugin::states(const EngineWanted &Wanted,
-                                                  const EngineParameters *Model,
-                                                  const EngineShare &Share,
-                                                  bool Avoided, Time Now) {
-  std::vector<EngineState> Result;
+EngineLoadPlugin::Candidates
+EngineLoadPlugin::candidates(const EngineWanted &Wanted,
+                             const EngineParameters *Model,
+                             const EngineShare &Share, bool Avoided, Time Now) {
+  Candidates Found;
+  std::vector<EngineState> &Result = Found.States;
   for (const KnownEngine *Each : this->Directory->ofService(Wanted.Service)) {
     if (!Share.takes(Each->Spread))
       continue;
@@ -314,17 +342,23 @@
                      std::ranges::count(Wanted.Excluded, Each->Record.Id) != 0;
     if (Out)
       continue;
+    if (!this->Room->hasRoom(Each->Record.Id, Now)) {
+      this->Room->want(Each->Record.Id, Now);
+      Found.AtLimit.push_back(Each->Record.Id);
+      continue;
+    }
     Result.push_back(this->stateOf(*Each, Model, Now));
     Result.back().Position = Result.size() - 1;
   }
   weighScarcePlaces(Result);
-  return Result;
+  return Found;
 }
 
 EngineState EngineLoadPlugin::stateOf(const KnownEngine &Each,
                                       const EngineParameters *Model, Time Now) {
   EngineState Result;
   Result.Engine = &Each;
+  Result.IsLimited = this->Room->isLimited(Each.Record.Id);
   const auto Found = this->Loads.find(Each.Record.Id);
   const EngineLoad None;
   const EngineLoad &Load = Found == this->Loads.end() ? None : Found->second;
@@ -458,14 +492,15 @@
 
 namespace {
 
-const PluginRegistration Registration(
-    {"engine_load",
-     {"active_hosts", "engines", "engine_trust", "membership", "routes"},
-     EngineLoadPlugin::settings,
-     []() -> std::unique_ptr<Plugin> {
-       return std::make_unique<EngineLoadPlugin>();
-     },
-     PluginUse::Gateway});
+const PluginRegistration
+    Registration({"engine_load",
+                  {"active_hosts", "engines", "engine_limits", "engine_trust",
+                   "membership", "routes"},
+                  EngineLoadPlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
+                    return std::make_unique<EngineLoadPlugin>();
+                  },
+                  PluginUse::Gateway});
 
 } // namespace
 
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -49,17 +49,26 @@
   };
 
   const EngineParameters *parametersOf(const ServiceId &Service) const;
+  /// Engines that may get a request.
+  struct Candidates {
+    std::vector<EngineState> States;
+    std::vector<UpstreamId> AtLimit; ///< That would, but take no more now.
+  };
+
   /// The engines of the share that may get the request; \p Avoided: also those
   /// that failed lately.
-  std::vector<EngineState> states(const EngineWanted &Wanted,
-                                  const EngineParameters *Model,
-                                  const EngineShare &Share, bool Avoided,
-                                  Time Now);
+  Candidates candidates(const EngineWanted &Wanted,
+                        const EngineParameters *Model, const EngineShare &Share,
+                        bool Avoided, Time Now);
   EngineState stateOf(const KnownEngine &Each, const EngineParameters *Model,
                       Time Now);
   EngineChoice chooseAmong(std::span<const EngineState> States,
                            const EngineWanted &Wanted,
                            const EngineParameters *Model, Time Now);
+  /// No engine takes one more now, as those at their limit have what they say
+  /// that they take.
+  EngineChoice chooseAtLimit(std::span<const UpstreamId> AtLimit,
+                             const EngineWanted &Wanted, Time Now);
   EngineChoice chooseShared(std::span<const EngineState> States,
                             const EngineWanted &Wanted, const PromptWork &Work,
                             const EngineParameters &Model, Time Now);
@@ -104,6 +113,7 @@
   const RouteView *Declared = nullptr;
   const EngineDirectory *Directory = nullptr;
   const EngineTrustView *Trust = nullptr;
+  EngineRoom *Room = nullptr;
   Random *Numbers = nullptr;
   ZoneId OwnZone;
   double TellSoonMs = 0;
--- a/src/plugins/engineload/EngineState.h
+++ b/src/plugins/engineload/EngineState.h
@@ -27,6 +27,7 @@
   double PassMs = 0;        ///< One pass over those that write.
   double Pace = 1;          ///< How many times longer than declared reading
                             ///< takes there; the two above allow for it.
+  bool IsLimited = false;   ///< It names how many requests it takes.
   std::uint32_t Running = 0;
   std::uint32_t FreeSlots = 1;
   std::uint64_t FreeTokens = 0; ///< Memory.
--- a/src/plugins/engineload/SharedPlacement.cpp
+++ b/src/plugins/engineload/SharedPlacement.cpp
@@ -202,8 +202,9 @@
   for (std::size_t Count = 2; Count <= Most; ++Count) {
     const std::uint64_t Share = evenShare(Work.Tokens, Count);
     const auto Roomy = placesOf(States, [&](const EngineState &Each) {
+      // Setting memory aside takes several requests to the engine.
       return Share + Left <= Each.FreeTokens && Each.FreeSlots > 0 &&
-             isKnown(Each, Weights);
+             !Each.IsLimited && isKnown(Each, Weights);
     });
     if (Roomy.size() >= Count)
       Found.offer(sharingAmong(States, Roomy, Work, Count), Work, Times,
--- a/src/plugins/relays/RelayLines.cpp
+++ b/src/plugins/relays/RelayLines.cpp
@@ -58,7 +58,7 @@
 }
 
 void logSent(const RunningRelay &Of, const RelayTry &Try,
-             const KnownEngine &Engine, Actions &Out) {
+             const KnownEngine &Engine, std::size_t AtLimit, Actions &Out) {
   Out.log(logEvent(events::RelaySent)
               .with("request", Of.Head.Id.Value)
               .with("try", Try.Id.Sequence)
@@ -68,6 +68,7 @@
               .with("after_event", Of.LastEvent.value_or(0))
               .with("standing", name(Engine.Standing))
               .with("offset", Engine.Offset)
+              .with("at_limit", AtLimit)
               .with("predicted_us", Try.Predicted.count())
               .build());
 }
--- a/src/plugins/relays/RelayLines.h
+++ b/src/plugins/relays/RelayLines.h
@@ -14,8 +14,9 @@
 /// A request that is refused before anything is tried.
 void logRefused(const RelayHead &Head, RefusalKind Kind, std::string_view Why,
                 std::uint64_t Version, Actions &Out);
+/// \p AtLimit engines were passed over, as they take no more now.
 void logSent(const RunningRelay &Of, const RelayTry &Try,
-             const KnownEngine &Engine, Actions &Out);
+             const KnownEngine &Engine, std::size_t AtLimit, Actions &Out);
 void logWaits(const RunningRelay &Of, Actions &Out);
 void logAwaitsTurn(const RunningRelay &Of, Actions &Out);
 
--- a/tests/auto/manyhosts/HostCrowd.cpp
+++ b/tests/auto/manyhosts/HostCrowd.cpp
@@ -62,6 +62,7 @@
   return match(
       Body, [](const Heartbeat &) { return "heartbeat"; },
       [](const EngineWork &) { return "work"; },
+      [](const EngineLimits &) { return "limits"; },
       [](const EnginesAsked &) { return "engines asked"; },
       [](const EnginesRelayed &) { return "engines"; },
       [](const ConfigurationAsked &) { return "configuration asked"; },
@@ -132,6 +133,39 @@
     this->Cut.erase(Host);
 }
 
+void HostCrowd::setLimit(std::size_t Engine, std::optional<double> PerSecond) {
+  const UpstreamId &Id = this->Engines[Engine].Id;
+  if (PerSecond)
+    this->Limits[Id] = *PerSecond;
+  else
+    this->Limits.erase(Id);
+}
+
+LimitSaid HostCrowd::saidBy(const UpstreamId &Engine) const {
+  const auto Found = this->Limits.find(Engine);
+  if (Found == this->Limits.end())
+    return LimitNone{};
+  return LimitNamed{Found->second};
+}
+
+void HostCrowd::pause(std::size_t Host, Duration For) {
+  this->Hosts[Host].PausedUntil = this->Queue.now() + For;
+}
+
+void HostCrowd::setApart(std::size_t Host, bool On) {
+  if (On)
+    this->Apart.insert(Host);
+  else
+    this->Apart.erase(Host);
+}
+
+const std::vector<HostCrowd::Arrival> &
+HostCrowd::arrivals(std::size_t Engine) const {
+  static const std::vector<Arrival> None;
+  const auto Found = this->Arrived.find(this->Engines[Engine].Id);
+  return Found == this->Arrived.end() ? None : Found->second;
+}
+
 void HostCrowd::enlist(std::size_t Engine) {
   this->Registry[Engine] = {this->Engines[Engine], false, this->RegistryEnd++};
 }
@@ -192,14 +226,15 @@
   if (Found == this->Callers.end())
     return; // The caller left meanwhile.
   ++this->Busy[Engine];
-  this->Queue.after(BeginsAfter, [this, Each] {
+  this->Queue.after(BeginsAfter, [this, Engine, Each] {
     const auto By = this->Callers.find({Each.Host, Each.Request});
     if (By == this->Callers.end())
       return;
     By->second.IsAnswered = true;
     const bool InTime = this->Queue.now() <= By->second.FirstAt + Objective;
     ++(InTime ? this->Done.InTime : this->Done.Late);
-    this->send(Each.Host, Each.Life, GatewayEvent(RelayBegan{Each.Try}));
+    this->send(Each.Host, Each.Life,
+               GatewayEvent(RelayBegan{Each.Try, this->saidBy(Engine)}));
   });
   this->Queue.after(Found->second.RunsFor,
                     [this, Engine, Each] { this->ended(Engine, Each); });
@@ -272,6 +307,11 @@
   Host &Each = this->Hosts[At];
   if (!Each.Decider || Each.Life != Life)
     return;
+  if (this->Queue.now() < Each.PausedUntil) {
+    this->Queue.at(Each.PausedUntil,
+                   [this, At, Life, What] { this->send(At, Life, What); });
+    return;
+  }
   for (const Action &Wanted : Each.Decider->handle(What, this->Queue.now()))
     this->perform(At, Wanted);
   this->planWake(At);
@@ -320,6 +360,7 @@
       Wanted,
       [&](const DispatchRelay &Is) {
         ++this->Done.Sent[Is.Engine];
+        this->Arrived[Is.Engine].push_back({this->Queue.now(), At});
         if (this->Failing.contains(Is.Engine) || this->Cut.contains(At)) {
           this->Queue.after(ResetsAfter, [this, At, Life, Id = Is.Attempt] {
             this->send(At, Life, GatewayEvent(RelayEnded{Id, RelayBroken{}}));
@@ -363,6 +404,8 @@
       return;
   }
   this->Pairs.insert({From, To});
+  if (this->Apart.contains(From) || this->Apart.contains(To))
+    return;
   const Host &Sender = this->Hosts[From];
   PeerMessage Message{Sender.Self.Host, Sender.Self.Life, Sent.Body};
   this->Queue.after(BetweenHosts, [this, To, Message = std::move(Message)] {
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -43,6 +44,21 @@
   void setFailing(std::size_t Engine, bool On);
   /// Every connection that the host makes is closed at once.
   void setCut(std::size_t Host, bool On);
+  /// The engine's answers name how many requests a second it takes, or none any
+  /// more.
+  void setLimit(std::size_t Engine, std::optional<double> PerSecond);
+  /// The host stands still for so long; what comes meanwhile waits.
+  void pause(std::size_t Host, Duration For);
+  /// No message passes between the host and its peers.
+  void setApart(std::size_t Host, bool On);
+  /// When requests reached the engine, and from which host.
+  struct Arrival {
+    Time At{};
+    std::size_t From = 0;
+  };
+  const std::vector<Arrival> &arrivals(std::size_t Engine) const;
+  Time now() const { return this->Queue.now(); }
+
   /// A request to the host for a short prompt; it runs for \p RunsFor. Its
   /// caller comes back once when it is told to, and leaves when no answer has
   /// begun after two seconds.
@@ -76,6 +92,7 @@
     std::unique_ptr<Kernel> Decider; ///< Null: the process is not there.
     std::uint64_t Life = 0;
     Time WakeAt = Never;
+    Time PausedUntil{};
     bool Follows = true;
     bool Listed = false;
     LogOffset Next = 0; ///< Of the registry, to read from.
@@ -101,6 +118,7 @@
   void ask(std::size_t Host, const Caller &By);
   void refused(std::size_t Host, const RefuseRelay &Is);
   void serve(const UpstreamId &Engine, const Run &Each);
+  LimitSaid saidBy(const UpstreamId &Engine) const;
   void ended(const UpstreamId &Engine, const Run &Each);
   void start(std::size_t At);
   void send(std::size_t At, std::uint64_t Life, const Event &What);
@@ -128,6 +146,9 @@
   std::set<UpstreamId> Failing;
   std::set<std::size_t> Cut;
   std::set<std::size_t> TurnedAway;
+  std::set<std::size_t> Apart;
+  std::map<UpstreamId, double> Limits;
+  std::map<UpstreamId, std::vector<Arrival>> Arrived;
   std::vector<Address> Answer;
   Tally Done;
   std::set<std::pair<std::size_t, std::size_t>> Pairs;
--- a/tests/auto/platformadapter/HeadersTest.cpp
+++ b/tests/auto/platformadapter/HeadersTest.cpp
@@ -128,6 +128,44 @@
   EXPECT_TRUE(std::get<AnswerIsNotRun>(Misdirected).How.OtherEngine);
 }
 
+LimitSaid limitOf(const http::response_header<> &Head) {
+  return PlatformEngines().limitOf(Head, asked());
+}
+
+TEST(AnswerHeaders, NameTheLimitOfAnEngine) {
+  http::response_header<> Head = answer(200);
+  EXPECT_EQ(limitOf(Head), LimitSaid(LimitUnsaid{})) << "without a seal";
+  Head.set("X-Server-Seal", "3e1b");
+  EXPECT_EQ(limitOf(Head), LimitSaid(LimitNone{}));
+  Head.set("Server-Limit", "1.6");
+  EXPECT_EQ(limitOf(Head), LimitSaid(LimitNamed{1.6}));
+  Head.insert("Server-Limit", "0.5");
+  EXPECT_EQ(limitOf(Head), LimitSaid(LimitNamed{0.5})) << "the lower of two";
+  Head.set("X-Attempt-Id", "another");
+  EXPECT_EQ(limitOf(Head), LimitSaid(LimitUnsaid{})) << "another's answer";
+}
+
+TEST(AnswerHeaders, LimitsThatAreNoNumberAreUnreadable) {
+  for (const char *Text :
+       {"-1", "nan", "inf", "1e999", "soon", "1.6 a second", ""}) {
+    http::response_header<> Head = answer(500);
+    Head.set("X-Server-Seal", "3e1b");
+    Head.set("Server-Limit", Text);
+    EXPECT_EQ(limitOf(Head), LimitSaid(LimitUnreadable{})) << Text;
+  }
+}
+
+TEST(AnswerHeaders, ARefusalMayNameALimitButEndsNone) {
+  http::response_header<> Head = answer(503);
+  Head.set("X-Not-Executed", "1");
+  EXPECT_EQ(limitOf(Head), LimitSaid(LimitUnsaid{}));
+  Head.set("Server-Limit", "2");
+  EXPECT_EQ(limitOf(Head), LimitSaid(LimitNamed{2}));
+  http::response_header<> Other = answer(421);
+  Other.set("Server-Limit", "2");
+  EXPECT_EQ(limitOf(Other), LimitSaid(LimitUnsaid{})) << "another engine's";
+}
+
 TEST(AnswerHeaders, ThoseThatNobodyKnowsAreNamed) {
   http::response_header<> Head = answer(200);
   Head.set("X-Server-Seal", "3e1b");
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -135,8 +135,32 @@
   return Result;
 }
 
+/// Positive, and short enough not to be cut.
+double millisecondsUpToADay() { return *rc::gen::inRange(0, 86'400'000) / 7.0; }
+
+EngineLimits engineLimits() {
+  EngineLimits Result;
+  Result.Words = several([] {
+    const std::optional<double> PerSecond =
+        flag() ? std::optional(millisecondsUpToADay()) : std::nullopt;
+    return EngineLimits::Word{id<UpstreamId>(), PerSecond,
+                              millisecondsUpToADay()};
+  });
+  Result.Asks = several([] {
+    return EngineLimits::Ask{id<UpstreamId>(), number(), small()};
+  });
+  Result.Loans = several([] {
+    return EngineLimits::Loan{id<UpstreamId>(), number(), small(),
+                              millisecondsUpToADay()};
+  });
+  Result.Returns = several([] {
+    return EngineLimits::Return{id<UpstreamId>(), number(), small()};
+  });
+  return Result;
+}
+
 PeerMessageBody peerBody() {
-  switch (*rc::gen::inRange(0, 13)) {
+  switch (*rc::gen::inRange(0, 14)) {
   case 0:
     return heartbeat();
   case 1:
@@ -173,6 +197,8 @@
                           moment()};
   case 11:
     return HandoverTaken{text()};
+  case 12:
+    return engineLimits();
   default:
     return RecordsToAppend{several([] { return logRecord(); })};
   }
--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -82,7 +82,7 @@
     if (FLAGS_fault != "unsealed")
       Result.emplace_back(header::Seal, "seal-of-" + FLAGS_id);
     if (FLAGS_fault == "limit") {
-      Result.emplace_back("Server-Limit", FLAGS_limit);
+      Result.emplace_back(header::Limit, FLAGS_limit);
       const std::lock_guard Lock(this->Guard);
       if (!this->LimitedSince)
         this->LimitedSince = std::chrono::steady_clock::now();
