Weigh a peer's distrust for each service apart

What callers saw: a peer that rightly avoids an engine was not heeded, or two of three engines of a small service were avoided on its word, when it named engines of several services at once; and one engine that is unknown here, named first, hid all others.

Cause: the size of the first engine's service was taken for all that a peer named.

Each service is now counted by itself, unknown engines are skipped, an engine that is gone is no longer remembered, and the log line tells each newly held engine.

--- a/src/plugins/enginetrust/EngineTrustPlugin.cpp
+++ b/src/plugins/enginetrust/EngineTrustPlugin.cpp
@@ -64,27 +64,37 @@
 void EngineTrustPlugin::handle(const Event &What, Time Now, Actions &Out) {
   const auto *Is = std::get_if<PeerMessageReceived>(&What);
   const auto *Work = Is ? std::get_if<EngineWork>(&Is->Message.Body) : nullptr;
-  if (!Work || Work->Distrusted.empty())
+  if (!Work)
     return;
-  const KnownEngine *First =
-      this->Directory->find(Work->Distrusted.front().Engine);
-  if (!First)
-    return;
-  const std::size_t Before = this->Peers.size();
-  this->Peers.take(Is->Message.From, Work->Distrusted,
-                   this->Directory->ofService(First->Record.Service).size(),
-                   Now);
-  if (this->Peers.size() == Before)
-    return;
-  Out.log(logEvent(events::PeerDistrustChanged)
-              .with("from", Is->Message.From.Value)
-              .with("told", Work->Distrusted.size())
-              .with("held_back", this->Peers.size())
-              .build());
+  // A peer may be right of one service and at fault for another.
+  std::map<ServiceId, std::vector<EngineWork::Distrust>> ByService;
+  for (const EngineWork::Distrust &Each : Work->Distrusted)
+    if (const KnownEngine *Known = this->Directory->find(Each.Engine))
+      ByService[Known->Record.Service].push_back(Each);
+  for (const auto &[Service, Told] : ByService) {
+    const std::size_t New =
+        this->Peers.take(Is->Message.From, Told,
+                         this->Directory->ofService(Service).size(), Now);
+    if (New == 0)
+      continue;
+    Out.log(logEvent(events::PeerDistrustChanged)
+                .with("from", Is->Message.From.Value)
+                .with("service", Service.Value)
+                .with("told", Told.size())
+                .with("new", New)
+                .with("held_back", this->Peers.size())
+                .build());
+  }
 }
 
 void EngineTrustPlugin::tryBegan(const RelayTry &Each, Time, Actions &) {
-  this->Peers.noteSound(Each.Engine, Each.SentAt);
+  this->noteSound(Each);
+}
+
+void EngineTrustPlugin::noteSound(const RelayTry &Each) {
+  // The last answers of an engine may come after it is gone.
+  if (this->Directory->find(Each.Engine))
+    this->Peers.noteSound(Each.Engine, Each.SentAt);
 }
 
 void EngineTrustPlugin::tryEnded(const RelayTry &Each,
@@ -98,7 +108,7 @@
   }
   const TrustRecord::Verdict What = verdictOf(Outcome);
   if (What == TrustRecord::Verdict::Sound)
-    this->Peers.noteSound(Each.Engine, Each.SentAt);
+    this->noteSound(Each);
   this->judge(Each.Engine, Each.Service, What, Now, Out);
 }
 
--- a/src/plugins/enginetrust/EngineTrustPlugin.h
+++ b/src/plugins/enginetrust/EngineTrustPlugin.h
@@ -32,6 +32,7 @@
   static std::vector<SettingDeclaration> settings();
 
 private:
+  void noteSound(const RelayTry &Each);
   void judge(const UpstreamId &Engine, const ServiceId &Service,
              TrustRecord::Verdict What, Time Now, Actions &Out);
 
--- a/src/plugins/enginetrust/PeerDistrust.cpp
+++ b/src/plugins/enginetrust/PeerDistrust.cpp
@@ -16,28 +16,34 @@
 
 } // namespace
 
-void PeerDistrust::take(const HostId &Peer,
-                        std::span<const EngineWork::Distrust> Told,
-                        std::size_t Engines, Time Now) {
+std::size_t PeerDistrust::take(const HostId &Peer,
+                               std::span<const EngineWork::Distrust> Told,
+                               std::size_t Engines, Time Now) {
   std::erase_if(this->ByEngine,
                 [&](const auto &Each) { return Now >= Each.second.Until; });
   const double Most =
       std::max(1.0, static_cast<double>(Engines) * MostOfEngines);
   if (static_cast<double>(Told.size()) > Most) {
-    std::erase_if(this->ByEngine,
-                  [&](const auto &Each) { return Each.second.By == Peer; });
-    return;
+    for (const EngineWork::Distrust &Each : Told) {
+      const auto Found = this->ByEngine.find(Each.Engine);
+      if (Found != this->ByEngine.end() && Found->second.By == Peer)
+        this->ByEngine.erase(Found);
+    }
+    return 0;
   }
+  std::size_t New = 0;
   for (const EngineWork::Distrust &Each : Told) {
     const Time Since = Now - fromMilliseconds(Each.SinceMs);
     const Time Until = Now + fromMilliseconds(Each.LeftMs) + PeerTriesFirst;
     const auto Sound = this->SoundSentAt.find(Each.Engine);
     if (Sound != this->SoundSentAt.end() && Sound->second >= Since)
       continue;
-    Held &Of = this->ByEngine[Each.Engine];
-    if (Until > Of.Until)
-      Of = {Peer, Since, Until};
+    const auto [Of, Added] = this->ByEngine.try_emplace(Each.Engine);
+    New += Added ? 1 : 0;
+    if (Until > Of->second.Until)
+      Of->second = {Peer, Since, Until};
   }
+  return New;
 }
 
 void PeerDistrust::noteSound(const UpstreamId &Engine, Time SentAt) {
--- a/src/plugins/enginetrust/PeerDistrust.h
+++ b/src/plugins/enginetrust/PeerDistrust.h
@@ -17,10 +17,12 @@
 /// every host gathers; each host would learn it alone, by losing requests.
 class PeerDistrust {
 public:
-  /// \p Engines: how many the service has. A peer that distrusts many of them
-  /// is at fault itself, or its link is, and is not believed.
-  void take(const HostId &Peer, std::span<const EngineWork::Distrust> Told,
-            std::size_t Engines, Time Now);
+  /// \p Told are engines of one service, which has so many \p Engines. A peer
+  /// that distrusts many of them is at fault itself, or its link is, and is not
+  /// believed. Returns how many are held back that were not before.
+  std::size_t take(const HostId &Peer,
+                   std::span<const EngineWork::Distrust> Told,
+                   std::size_t Engines, Time Now);
   /// A try that this host sent then is answered by the engine.
   void noteSound(const UpstreamId &Engine, Time SentAt);
 
--- a/tests/auto/gateway/PeerDistrustTest.cpp
+++ b/tests/auto/gateway/PeerDistrustTest.cpp
@@ -36,6 +36,23 @@
   EXPECT_EQ(Peers.size(), 0U);
 }
 
+TEST(PeerDistrust, WhatAPeerSaysOfAnotherServiceStays) {
+  PeerDistrust Peers;
+  const std::vector<EngineWork::Distrust> Desk{{UpstreamId("d1"), 0, 500}};
+  EXPECT_EQ(Peers.take(Peer, Desk, 3, at(0)), 1U);
+  EXPECT_EQ(Peers.take(Peer, told(4), Engines, at(5)), 0U);
+  EXPECT_TRUE(Peers.isHeld(UpstreamId("d1"), at(10)));
+  EXPECT_FALSE(Peers.isHeld(Engine, at(10)));
+}
+
+TEST(PeerDistrust, AnswersAnAnewHeldEngineOnce) {
+  PeerDistrust Peers;
+  EXPECT_EQ(Peers.take(Peer, told(1), Engines, at(0)), 1U);
+  EXPECT_EQ(Peers.take(Peer, told(1), Engines, at(100)), 0U);
+  // The first has run out, and its place is taken by another.
+  EXPECT_EQ(Peers.take(Peer, told(1), Engines, at(2000)), 1U);
+}
+
 TEST(PeerDistrust, AnAnswerToALaterTryGoesFirst) {
   PeerDistrust Peers;
   Peers.take(Peer, told(1, 50), Engines, at(100));
