Refuse long prompts that leave no time for their answer while places are scarce

Hypothesis: a prompt whose reading would take all of its caller's time gets no credit and takes the engines' time from others; in calm it is served late all the same, so only while more than half of the places are taken it is refused at once, with a time to come back.

--- a/src/plugins/engineload/Deferral.cpp
+++ b/src/plugins/engineload/Deferral.cpp
@@ -19,8 +19,8 @@
 /// ValueMs.
 constexpr double FullEngineWorth = 0.5;
 
-/// Callers of long prompts are told to come back only when more than half of
-/// the places are taken,
+/// Callers of long prompts are told to come back, or refused for want of time,
+/// only when more than half of the places are taken,
 constexpr double ScarceForLong = 0.2;
 
 /// and after a wait of so large a part of their objective: by then a burst is
@@ -82,8 +82,10 @@
          Place.GainMs > Work.ReadMs * Scarcity * FullEngineWorth;
 }
 
-bool isHopeless(const Placed &Place, const DeferralTimes &Times) {
-  return Place.SoonestMs > inMilliseconds(Times.Left);
+bool isHopeless(const Placed &Place, const DeferralTimes &Times,
+                double Scarcity) {
+  const double Share = Scarcity > ScarceForLong ? ReadingShare : 1;
+  return Place.SoonestMs > inMilliseconds(Times.Left) * Share;
 }
 
 bool shouldComeBack(const DeferralTimes &Times, double Scarcity) {
--- a/src/plugins/engineload/Deferral.h
+++ b/src/plugins/engineload/Deferral.h
@@ -19,6 +19,10 @@
   bool MayComeBack = false; ///< It has not tried before.
 };
 
+/// Share of the time left that a prompt which is late may be read in; its
+/// answer is written in what remains.
+inline constexpr double ReadingShare = 0.55;
+
 /// How scarce places are: 0 while few are taken, 1 when all are.
 double scarcityOf(std::span<const EngineState> States);
 
@@ -33,8 +37,11 @@
                const PlacementWeights &Weights);
 
 /// Whether the first token of the prompt would come too late for its caller
-/// wherever it is read: then it is refused at once.
-bool isHopeless(const Placed &Place, const DeferralTimes &Times);
+/// wherever it is read: then it is refused at once. While places are scarce,
+/// what would leave no time for its answer is refused, too: it would only take
+/// the engines' time from others.
+bool isHopeless(const Placed &Place, const DeferralTimes &Times,
+                double Scarcity);
 
 /// Whether reading a long prompt now brings more than it costs others: those it
 /// holds up, and, while places are scarce, those that its engines could serve
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -25,10 +25,6 @@
 constexpr std::uint32_t ShortUrgency = 2;
 constexpr std::uint32_t SharedUrgency = 5;
 
-/// Share of the time left that a prompt which is late may be read in; its
-/// answer is written in what remains.
-constexpr double ReadingShare = 0.55;
-
 /// A short prompt takes no more of the room that a full batch leaves in the
 /// shortest pause; others may come in the same pass.
 constexpr double ShortShare = 0.5;
@@ -235,11 +231,11 @@
   Times.LateMs = inMilliseconds(Wanted.Left) * ReadingShare;
   const std::optional<Placed> Place =
       this->placeLong(States, Work, Model.MemoryTokens, Times);
-  if (Place && isHopeless(*Place, deferralTimes(Wanted))) {
+  const double Scarcity = scarcityOf(States);
+  if (Place && isHopeless(*Place, deferralTimes(Wanted), Scarcity)) {
     this->forget(Wanted.Request, Now);
     return ComeBack{returnAfter(deferralTimes(Wanted), 0)};
   }
-  const double Scarcity = scarcityOf(States);
   if (!Place || !paysNow(*Place, Work, deferralTimes(Wanted), Scarcity))
     return this->deferLong(Wanted, Scarcity, Now);
   EngineWork::Waiting Own;
--- a/tests/auto/gateway/DeferralTest.cpp
+++ b/tests/auto/gateway/DeferralTest.cpp
@@ -93,9 +93,18 @@
   Placed Place;
   Place.FirstTokenMs = 20'000;
   Place.SoonestMs = 8900;
-  EXPECT_FALSE(isHopeless(Place, times(seconds(3), seconds(0))));
+  EXPECT_FALSE(isHopeless(Place, times(seconds(3), seconds(0)), 0));
   Place.SoonestMs = 9100;
-  EXPECT_TRUE(isHopeless(Place, times(seconds(3), seconds(0))));
+  EXPECT_TRUE(isHopeless(Place, times(seconds(3), seconds(0)), 0));
+}
+
+TEST(Deferral, WhilePlacesAreScarceSoIsWhatLeavesNoTimeForItsAnswer) {
+  Placed Place;
+  Place.SoonestMs = 4900;
+  EXPECT_FALSE(isHopeless(Place, times(seconds(3), seconds(0)), 0.5));
+  Place.SoonestMs = 5000;
+  EXPECT_TRUE(isHopeless(Place, times(seconds(3), seconds(0)), 0.5));
+  EXPECT_FALSE(isHopeless(Place, times(seconds(3), seconds(0)), 0));
 }
 
 TEST(Deferral, ItsCallerComesBackOnlyAfterAMomentAndOnce) {
