--- a/src/plugins/enginelimits/EngineLimitsPlugin.cpp
+++ b/src/plugins/enginelimits/EngineLimitsPlugin.cpp
@@ -58,6 +58,7 @@
   for (auto &[Engine, Of] : this->Engines) {
     this->borrow(Engine, Of, Now, Out);
     this->lend(Engine, Of, Now, Out);
+    showHeld(Engine, Of, Now, Out);
   }
   this->send(Out);
 }
@@ -296,6 +297,15 @@
     this->ask(Engine, Of, Now, Out);
 }
 
+void EngineLimitsPlugin::showHeld(const UpstreamId &Engine, Limited &Of,
+                                  Time Now, Actions &Out) {
+  const std::uint32_t Held = Of.Held.count(Now);
+  if (std::exchange(Of.HeldShown, Held) != Held)
+    Out.add(RecordMeasurement{RecordMeasurement::Kind::Gauge,
+                              "engine_room_held", Engine.Value,
+                              static_cast<double>(Held)});
+}
+
 void EngineLimitsPlugin::giveBack(const UpstreamId &Engine, Limited &Of,
                                   const HeldRoom &Unused, Time Now) {
   if (Of.Lends)
--- a/src/plugins/enginelimits/EngineLimitsPlugin.h
+++ b/src/plugins/enginelimits/EngineLimitsPlugin.h
@@ -47,10 +47,11 @@
     LimitBelief Belief;
     HostId Lender;
     RoomHeld Held;
-    Time WantedAt{};           ///< A request would have gone there.
-    Time NextAsk = Never;      ///< For room.
-    Time AskedAt{};            ///< The last time,
-    std::uint64_t Number = 0;  ///< under this number; zero: answered.
+    std::uint32_t HeldShown = 0; ///< By the gauge.
+    Time WantedAt{};             ///< A request would have gone there.
+    Time NextAsk = Never;        ///< For room.
+    Time AskedAt{};              ///< The last time,
+    std::uint64_t Number = 0;    ///< under this number; zero: answered.
     Time RoomAt = Never;       ///< As the lender said: there may be room then.
     bool IsUnreadable = false; ///< Its last answer named no limit that can be
                                ///< read.
@@ -86,6 +87,8 @@
   void ask(const UpstreamId &Engine, Limited &Of, Time Now, Actions &Out);
   /// Lends what there is to those that wait.
   void lend(const UpstreamId &Engine, Limited &Of, Time Now, Actions &Out);
+  static void showHeld(const UpstreamId &Engine, Limited &Of, Time Now,
+                       Actions &Out);
   void countUse(const UpstreamId &Engine, Time Now, Actions &Out);
   static std::uint32_t mostHeld(const Limited &Of);
   static EngineLimits::Word wordFor(const UpstreamId &Engine, const Limited &Of,
--- a/tests/process/EngineLimitTest.cpp
+++ b/tests/process/EngineLimitTest.cpp
@@ -3,6 +3,7 @@
 /// that share the callers.
 #include "process/Deployment.h"
 #include "process/GatewayDeployment.h"
+#include "process/LimitWindow.h"
 
 #include <algorithm>
 #include <atomic>
@@ -13,35 +14,6 @@
 namespace banyanpick::process {
 namespace {
 
-/// As standin_upstream names it under the fault `limit`.
-constexpr double LimitPerSecond = 1.6;
-
-/// All hosts keep to a limit so long after it was first named,
-constexpr seconds HeededAfter(3);
-
-/// and count what an upstream gets in any such time.
-constexpr seconds Window(4);
-
-/// The most requests that may come within a window.
-std::size_t mostAllowed() {
-  constexpr double Factor = 1.5;
-  constexpr double More = 5;
-  return static_cast<std::size_t>(Factor * LimitPerSecond * inSeconds(Window) +
-                                  More);
-}
-
-/// The most of the arrivals that lie within one window.
-std::size_t mostWithin(std::vector<Duration> Arrivals) {
-  std::ranges::sort(Arrivals);
-  std::size_t Most = 0;
-  for (auto First = Arrivals.begin(); First != Arrivals.end(); ++First) {
-    const auto Last =
-        std::upper_bound(First, Arrivals.end(), *First + Duration(Window));
-    Most = std::max(Most, static_cast<std::size_t>(Last - First));
-  }
-  return Most;
-}
-
 /// Guards against each host keeping to itself what all keep to together, and
 /// against not heeding it at all.
 TEST(EngineLimit, AnUpstreamThatNamesALimitGetsNoMoreFromAllHostsTogether) {
@@ -65,12 +37,13 @@
       });
   for (std::thread &Each : Callers)
     Each.join();
-  const std::vector<Duration> Arrivals = Gateway.arrivalsSinceLimit(0);
-  ASSERT_FALSE(Arrivals.empty()) << "it was never sent anything";
-  std::vector<Duration> Heeded;
-  std::ranges::copy_if(Arrivals, std::back_inserter(Heeded),
-                       [](Duration At) { return At >= HeededAfter; });
-  EXPECT_LE(mostWithin(Heeded), mostAllowed());
+  const auto Arrivals = Gateway.arrivalsSinceLimit(0);
+  ASSERT_FALSE(Arrivals.All.empty()) << "it was never sent anything";
+  std::vector<std::chrono::steady_clock::time_point> Heeded;
+  for (const auto &Each : Arrivals.All)
+    if (Each.At >= Arrivals.Since + LimitHeededAfter)
+      Heeded.push_back(Each.At);
+  EXPECT_LE(mostInLimitWindow(Heeded), mostInLimitWindowAllowed());
   EXPECT_GE(Heeded.size(), 1U) << "an upstream at its limit is still used";
   EXPECT_EQ(Served, Asked) << "the others have room for all";
 }
--- a/tests/process/GatewayDeployment.cpp
+++ b/tests/process/GatewayDeployment.cpp
@@ -179,16 +179,22 @@
   return false;
 }
 
-std::vector<Duration>
+GatewayDeployment::LimitedArrivals
 GatewayDeployment::arrivalsSinceLimit(std::size_t Upstream) const {
   HttpQuestion Ask;
   Ask.Target = "/standin/runs";
   const json Reply =
       askHttp(this->Upstreams.at(Upstream).Address, Ask, Patience).parsed();
-  std::vector<Duration> Result;
-  for (const std::int64_t Each :
-       Reply["arrivals"].get<std::vector<std::int64_t>>())
-    Result.push_back(milliseconds(Each));
+  const auto At = [](const json &Us) {
+    return std::chrono::steady_clock::time_point(
+        Duration(Us.get<std::int64_t>()));
+  };
+  LimitedArrivals Result;
+  if (!Reply.is_object())
+    return Result;
+  Result.Since = At(Reply["limited_since_us"]);
+  for (const json &Each : Reply["arrivals"])
+    Result.All.push_back({At(Each["at_us"]), Each["attempt"]});
   return Result;
 }
 
--- a/tests/process/GatewayDeployment.h
+++ b/tests/process/GatewayDeployment.h
@@ -76,9 +76,17 @@
   /// Sums how often the upstreams ran the caller's attempt.
   int runsOf(const std::string &Attempt) const;
   bool anyUpstreamSawAKey() const;
-  /// When requests reached an upstream with the fault `limit`, counted from its
-  /// first answer that named its limit.
-  std::vector<Duration> arrivalsSinceLimit(std::size_t Upstream) const;
+  /// What reached an upstream with the fault `limit`, from its first answer on
+  /// that named its limit.
+  struct LimitedArrivals {
+    struct One {
+      std::chrono::steady_clock::time_point At;
+      std::string Attempt;
+    };
+    std::chrono::steady_clock::time_point Since;
+    std::vector<One> All;
+  };
+  LimitedArrivals arrivalsSinceLimit(std::size_t Upstream) const;
   unsigned readiness(std::size_t Host) const;
   /// The hosts that it names, if it does so within the limit.
   std::vector<std::string> directory(std::size_t Host,
--- /dev/null
+++ b/tests/process/LimitWindow.h
@@ -0,0 +1,45 @@
+/// \file
+/// How the platform judges whether hosts keep to the limit that an upstream
+/// names.
+#pragma once
+
+#include "base/Time.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+namespace banyanpick::process {
+
+/// As standin_upstream names it under the fault `limit`, requests a second.
+inline constexpr double StandinLimit = 1.6;
+
+/// All hosts keep to a limit so long after it was first named,
+inline constexpr seconds LimitHeededAfter(3);
+
+/// and what an upstream gets is counted in any such time.
+inline constexpr seconds LimitWindow(4);
+
+/// The most requests that may come within a window.
+inline std::size_t mostInLimitWindowAllowed() {
+  constexpr double Factor = 1.5;
+  constexpr double More = 5;
+  return static_cast<std::size_t>(
+      Factor * StandinLimit * inSeconds(LimitWindow) + More);
+}
+
+/// The most of the arrivals that lie within one window.
+inline std::size_t
+mostInLimitWindow(std::vector<std::chrono::steady_clock::time_point> Arrivals) {
+  std::ranges::sort(Arrivals);
+  std::size_t Most = 0;
+  for (auto First = Arrivals.begin(); First != Arrivals.end(); ++First) {
+    const auto Last =
+        std::upper_bound(First, Arrivals.end(), *First + LimitWindow);
+    Most = std::max(Most, static_cast<std::size_t>(Last - First));
+  }
+  return Most;
+}
+
+} // namespace banyanpick::process
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -1,6 +1,8 @@
 #include "soak/SoakRun.h"
 
+#include "base/Visitor.h"
 #include "process/Deployment.h"
+#include "process/LimitWindow.h"
 #include "soak/FaultInjector.h"
 #include "standins/GatewayDemo.h"
 
@@ -177,6 +179,48 @@
   return true;
 }
 
+/// Whether a fault keeps a host from heeding what an upstream names, or makes
+/// requests pile up on their way to the first upstream.
+bool excusesFromLimit(const Disruption &What, std::size_t Host) {
+  return match(
+      What, [&](const HostStopped &Is) { return Is.Host == Host; },
+      [&](const HostKilled &Is) { return Is.Host == Host; },
+      [&](const HostPaused &Is) { return Is.Host == Host; },
+      [](const UpstreamKilled &Is) { return Is.Upstream == 0; },
+      [](const UpstreamPaused &Is) { return Is.Upstream == 0; },
+      [](const UpstreamLinkFails &Is) { return Is.Upstream == 0; },
+      [](const auto &) { return false; });
+}
+
+/// Judges whether the first upstream got more than the limit that it names,
+/// from hosts that nothing kept from heeding it.
+void judgeLimit(const GatewayDeployment &Deployed,
+                std::span<const CallRecord> Records,
+                const std::vector<FaultSpan> &Faults, SoakReport &Into) {
+  std::map<std::string, std::size_t> HostOf;
+  for (const CallRecord &Each : Records)
+    HostOf[Each.Attempt] = Each.Host;
+  const auto Arrivals = Deployed.arrivalsSinceLimit(0);
+  std::vector<Clock::time_point> Counted;
+  for (const auto &Each : Arrivals.All) {
+    const auto Host = HostOf.find(Each.Attempt);
+    const bool Counts =
+        Host != HostOf.end() &&
+        Each.At >= Arrivals.Since + process::LimitHeededAfter &&
+        std::ranges::none_of(Faults, [&](const FaultSpan &Fault) {
+          return excusesFromLimit(Fault.What, Host->second);
+        });
+    if (Counts)
+      Counted.push_back(Each.At);
+  }
+  const std::size_t Most = process::mostInLimitWindow(Counted);
+  if (Most > process::mostInLimitWindowAllowed())
+    Into.Violations.push_back(fmt::format(
+        "an upstream that names a limit got {} requests in a window; {} are "
+        "allowed",
+        Most, process::mostInLimitWindowAllowed()));
+}
+
 void judgeAll(std::span<const CallRecord> Records, const Judge &Of,
               SoakReport &Into) {
   for (const CallRecord &Each : Records) {
@@ -200,8 +244,12 @@
   Ways.ToUpstream = [&](std::size_t, const std::string &Target) {
     return proxied(Links.Upstreams, Target);
   };
-  GatewayDeployment Deployed(std::vector<std::string>(Size.Upstreams, ""),
-                             Size.Hosts, Ways);
+  std::vector<std::string> Upstreams(Size.Upstreams, "");
+  // In every other run the first upstream is in need.
+  const bool IsInNeed = Seed % 2 == 1 && Size.Upstreams > 1;
+  if (IsInNeed)
+    Upstreams.front() = "limit";
+  GatewayDeployment Deployed(Upstreams, Size.Hosts, Ways);
   for (std::size_t Index = 0; Index < Size.Hosts; ++Index)
     proxied(Links.Callers, Deployed.host(Index).Callers);
   SoakReport Report;
@@ -218,6 +266,8 @@
   Injector.lookForOwnEnds(Report.Violations);
   const std::map<std::string, int> Runs = Deployed.recordedRuns();
   judgeAll(Records, Judge(Runs, Player.spans()), Report);
+  if (IsInNeed)
+    judgeLimit(Deployed, Records, Player.spans(), Report);
   Report.Faults = Player.spans().size();
   for (const FaultSpan &Each : Player.spans())
     Report.Plan.push_back(describe(Each.What));
--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -9,8 +9,8 @@
 /// leaves the seal out, `silent` never answers, and `stall` gives three events
 /// of a stream and nothing more. `limit` does not fail: every answer names how
 /// many requests a second it takes (--limit).
-/// `GET /standin/runs` gives how often it ran each request, and when requests
-/// came, in milliseconds after its first answer that named a limit.
+/// `GET /standin/runs` gives how often it ran each request, and which came when
+/// since its first answer that named a limit, by the machine's steady clock.
 #include "platform/WireNames.h"
 #include "standins/GatewayDemo.h"
 #include "standins/HttpServer.h"
@@ -47,6 +47,12 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(FLAGS_pause_ms));
 }
 
+std::int64_t nowUs() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
 class UpstreamService {
 public:
   void serve(Exchange &Each) {
@@ -85,7 +91,7 @@
       Result.emplace_back(header::Limit, FLAGS_limit);
       const std::lock_guard Lock(this->Guard);
       if (!this->LimitedSince)
-        this->LimitedSince = std::chrono::steady_clock::now();
+        this->LimitedSince = nowUs();
     }
     return Result;
   }
@@ -134,16 +140,14 @@
       this->RunsFile << Attempt << std::endl;
     this->SawKey |= !Each.header("Authorization").empty();
     if (this->LimitedSince)
-      this->Arrivals.push_back(
-          std::chrono::duration_cast<std::chrono::milliseconds>(
-              std::chrono::steady_clock::now() - *this->LimitedSince)
-              .count());
+      this->Arrivals.push_back({{"attempt", Attempt}, {"at_us", nowUs()}});
   }
 
   void showRuns(Exchange &Each) {
     const std::lock_guard Lock(this->Guard);
     Each.answer(200, json{{"runs", this->Runs},
                           {"saw_key", this->SawKey},
+                          {"limited_since_us", this->LimitedSince.value_or(0)},
                           {"arrivals", this->Arrivals}});
   }
 
@@ -151,8 +155,8 @@
   std::map<std::string, int> Runs;
   std::ofstream RunsFile{FLAGS_runs_file, std::ios::app};
   bool SawKey = false;
-  std::optional<std::chrono::steady_clock::time_point> LimitedSince;
-  std::vector<std::int64_t> Arrivals; ///< In milliseconds since then.
+  std::optional<std::int64_t> LimitedSince;
+  json Arrivals = json::array(); ///< Since then.
 };
 
 void registerSelf() {
