Work out when callers come back in one place; drop a member that nothing reads

returnAfter() and returnSpread() were the same but for the soonest time. Behaviour stays as it was; gateway_test, 169 tests, passes, one of them new.

--- a/src/plugins/enginelimits/EngineLimitsPlugin.cpp
+++ b/src/plugins/enginelimits/EngineLimitsPlugin.cpp
@@ -30,7 +30,6 @@
 
 void EngineLimitsPlugin::initialize(PluginContext &Context) {
   const Settings &Values = Context.settings();
-  this->Offered = &Context.services();
   this->Directory = &Context.services().get<EngineDirectory>();
   this->Active = &Context.services().get<ActiveHostsView>();
   this->Self = Context.self().Host;
--- a/src/plugins/enginelimits/EngineLimitsPlugin.h
+++ b/src/plugins/enginelimits/EngineLimitsPlugin.h
@@ -98,7 +98,6 @@
   /// Sends what has gathered for each host.
   void send(Actions &Out);
 
-  Services *Offered = nullptr;
   const EngineDirectory *Directory = nullptr;
   const ActiveHostsView *Active = nullptr;
   HostId Self;
--- a/src/plugins/engineload/Deferral.cpp
+++ b/src/plugins/engineload/Deferral.cpp
@@ -93,18 +93,11 @@
   return Times.MayComeBack && HasWaited && Scarcity > ScarceForLong;
 }
 
-Duration returnAfter(const DeferralTimes &Times, double Draw) {
-  const double Share = SoonestReturn + (1 - SoonestReturn) * Draw;
-  return fromSeconds(inSeconds(Times.Left) * LatestReturnShare * Share);
-}
-
-Duration returnSpread(const DeferralTimes &Times, Duration Soonest,
-                      double Draw) {
+Duration returnAfter(const DeferralTimes &Times, double Draw,
+                     Duration Soonest) {
   const double Latest = inSeconds(Times.Left) * LatestReturnShare;
-  // So late that it shows in the time they have left (see FirstTries).
   const double First = std::max(inSeconds(Soonest), Latest * SoonestReturn);
-  return fromSeconds(
-      std::min(First + (Latest - First) * std::max(Draw, 0.0), Latest));
+  return fromSeconds(std::min(First + (Latest - First) * Draw, Latest));
 }
 
 } // namespace banyanpick
--- a/src/plugins/engineload/Deferral.h
+++ b/src/plugins/engineload/Deferral.h
@@ -54,13 +54,10 @@
 /// back, instead of waiting here.
 bool shouldComeBack(const DeferralTimes &Times, double Scarcity);
 
-/// When the caller should come back; \p Draw, from 0 to 1, spreads those who
-/// were told so together.
-Duration returnAfter(const DeferralTimes &Times, double Draw);
-
-/// The same for callers whose engine has room no sooner than \p Soonest; no
-/// later than a caller may be told.
-Duration returnSpread(const DeferralTimes &Times, Duration Soonest,
-                      double Draw);
+/// When the caller should come back, not before \p Soonest unless that is later
+/// than a caller may be told; \p Draw, from 0 to 1, spreads those who were told
+/// so together.
+Duration returnAfter(const DeferralTimes &Times, double Draw,
+                     Duration Soonest = Duration(0));
 
 } // namespace banyanpick
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -165,12 +165,12 @@
   for (const UpstreamId &Each : AtLimit)
     if (const auto After = this->Room->roomAfter(Each, Now))
       Soonest = Soonest ? std::min(*Soonest, *After) : *After;
-  // Room that comes in a moment is waited for; so does whoever was told to come
-  // back before.
+  // Room that comes in a moment is waited for. Callers who have come back once
+  // wait, too, as they can't do so again.
   if (!Soonest || *Soonest <= WorthWaiting || !Wanted.MayComeBack)
     return NoEngine{};
   return ComeBack{
-      returnSpread(deferralTimes(Wanted), *Soonest, this->Numbers->fraction()),
+      returnAfter(deferralTimes(Wanted), this->Numbers->fraction(), *Soonest),
       true};
 }
 
--- a/tests/auto/gateway/DeferralTest.cpp
+++ b/tests/auto/gateway/DeferralTest.cpp
@@ -107,6 +107,13 @@
   EXPECT_FALSE(isHopeless(Place, times(seconds(3), seconds(0)), 0));
 }
 
+TEST(Deferral, ItsCallerComesBackWhenThereIsRoomOrAsLateAsItMay) {
+  const DeferralTimes Times = times(seconds(3), seconds(0));
+  EXPECT_EQ(returnAfter(Times, 0, milliseconds(2500)), milliseconds(2500));
+  EXPECT_EQ(returnAfter(Times, 1, milliseconds(2500)), seconds(3));
+  EXPECT_EQ(returnAfter(Times, 0.5, seconds(20)), seconds(3));
+}
+
 TEST(Deferral, ItsCallerComesBackOnlyAfterAMomentAndOnce) {
   const DeferralTimes Waited = times(seconds(3), milliseconds(500));
   EXPECT_TRUE(shouldComeBack(Waited, 1));
