--- a/src/plugins/relays/RelayLines.cpp
+++ b/src/plugins/relays/RelayLines.cpp
@@ -19,6 +19,12 @@
       [](const RelayBroken &Is) { return name(Is.Reason); });
 }
 
+/// What a refusal said of when to come back; zero: nothing.
+Duration restAskedBy(const RelayOutcome &Outcome) {
+  const auto *NotRun = std::get_if<RelayNotRun>(&Outcome);
+  return NotRun ? NotRun->RetryAfter : Duration(0);
+}
+
 std::uint32_t statusOf(const RelayOutcome &Outcome) {
   return match(
       Outcome, [](const RelayNotRun &Is) { return Is.Status; },
@@ -101,6 +107,7 @@
               .with("engine", Ended.Engine.Value)
               .with("how", outcomeName(Outcome))
               .with("status", statusOf(Outcome))
+              .with("rest_asked_us", restAskedBy(Outcome).count())
               .with("helpers", Ended.Helpers.size())
               .with("predicted_us", Ended.Predicted.count())
               .with("after_us", (Now - Ended.SentAt).count())
