--- a/tests/auto/manyhosts/EngineLimitsTest.cpp
+++ b/tests/auto/manyhosts/EngineLimitsTest.cpp
@@ -1,12 +1,11 @@
 /// \file
 /// Engines that name how many requests they take, before many hosts: together
 /// they keep to it, whoever dies, joins, stands still or is cut off.
-#include "auto/manyhosts/HostCrowd.h"
+#include "auto/manyhosts/CrowdLoad.h"
 
 #include "base/Random.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <gtest/gtest.h>
 
 namespace banyanpick {
@@ -48,41 +47,6 @@
   return mostWithin(Arrivals, From, [](std::size_t) { return true; });
 }
 
-std::size_t countFrom(std::span<const HostCrowd::Arrival> Arrivals, Time From) {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(Arrivals, [&](const HostCrowd::Arrival &Each) {
-        return Each.At >= From;
-      }));
-}
-
-std::size_t lostOf(const HostCrowd::Tally &Tally) {
-  std::size_t Sum = 0;
-  for (const auto &[Host, Count] : Tally.Lost)
-    Sum += Count;
-  return Sum;
-}
-
-/// Requests come in turn to the hosts that a living one names, for so long.
-std::size_t offer(HostCrowd &Crowd, Duration For, Duration Between) {
-  std::size_t Asked = 0;
-  while (Asked + 1 < Crowd.size() && !Crowd.lives(Asked))
-    ++Asked;
-  std::vector<std::size_t> Active;
-  if (Crowd.lives(Asked))
-    Active = Crowd.named(Asked);
-  if (Active.empty())
-    Active = {Asked};
-  const Time Until = Crowd.now() + For;
-  std::size_t Count = 0;
-  for (; Crowd.now() < Until; ++Count) {
-    const std::size_t Host = Active[Count % Active.size()];
-    if (Crowd.lives(Host))
-      Crowd.arrive(Host, milliseconds(600 + Count % 17 * 50));
-    Crowd.run(Between);
-  }
-  return Count;
-}
-
 struct Sizes {
   std::size_t Hosts = 0;
   std::size_t Engines = 0;
@@ -344,12 +308,6 @@
   double Highest = 0; ///< Limit of engine 0 so far.
 };
 
-/// BANYANPICK_SEEDS sets how many seeds are run by hand.
-std::uint64_t seedCount() {
-  const char *Given = std::getenv("BANYANPICK_SEEDS");
-  return Given ? std::strtoull(Given, nullptr, 10) : 20;
-}
-
 TEST(EngineLimits, AreKeptInRandomRuns) {
   for (std::uint64_t Seed = 1; Seed <= seedCount(); ++Seed) {
     SCOPED_TRACE(Seed);
--- a/tests/auto/manyhosts/HostCrowd.cpp
+++ b/tests/auto/manyhosts/HostCrowd.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds RenewEvery(1200);
 constexpr std::size_t Seeds = 3;
 constexpr milliseconds ResetsAfter(5);
+constexpr milliseconds RefusesAfter(4);
+constexpr std::uint32_t RefusedStatus = 503;
 constexpr std::uint32_t SlotsEach = 10;
 constexpr std::uint64_t ShortPrompt = 5000;
 
@@ -141,6 +143,23 @@
     this->Limits.erase(Id);
 }
 
+void HostCrowd::setShedding(std::size_t Engine, std::optional<Duration> Rest) {
+  const UpstreamId &Id = this->Engines[Engine].Id;
+  if (Rest)
+    this->Shedding[Id] = *Rest;
+  else
+    this->Shedding.erase(Id);
+}
+
+void HostCrowd::turnAway(const Run &Each, Duration Rest) {
+  this->Queue.after(RefusesAfter, [this, Each, Rest] {
+    RelayNotRun How;
+    How.Status = RefusedStatus;
+    How.RetryAfter = Rest;
+    this->send(Each.Host, Each.Life, GatewayEvent(RelayEnded{Each.Try, How}));
+  });
+}
+
 LimitSaid HostCrowd::saidBy(const UpstreamId &Engine) const {
   const auto Found = this->Limits.find(Engine);
   if (Found == this->Limits.end())
@@ -360,14 +379,21 @@
       Wanted,
       [&](const DispatchRelay &Is) {
         ++this->Done.Sent[Is.Engine];
-        this->Arrived[Is.Engine].push_back({this->Queue.now(), At});
+        const auto Sheds = this->Shedding.find(Is.Engine);
+        const bool TurnedAway = Sheds != this->Shedding.end();
+        const Duration Rest = TurnedAway ? Sheds->second : Duration(0);
+        this->Arrived[Is.Engine].push_back({this->Queue.now(), At, Rest});
         if (this->Failing.contains(Is.Engine) || this->Cut.contains(At)) {
           this->Queue.after(ResetsAfter, [this, At, Life, Id = Is.Attempt] {
             this->send(At, Life, GatewayEvent(RelayEnded{Id, RelayBroken{}}));
           });
           return;
         }
-        this->serve(Is.Engine, {At, Life, Is.Attempt, Is.Request});
+        const Run Each{At, Life, Is.Attempt, Is.Request};
+        if (TurnedAway)
+          this->turnAway(Each, Rest);
+        else
+          this->serve(Is.Engine, Each);
       },
       [&](const RefuseRelay &Is) { this->refused(At, Is); },
       [&](const BreakRelay &) { ++this->Done.Lost[At]; },
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -47,6 +47,9 @@
   /// The engine's answers name how many requests a second it takes, or none any
   /// more.
   void setLimit(std::size_t Engine, std::optional<double> PerSecond);
+  /// The engine turns away what it gets and asks each time for so much rest;
+  /// nothing: it serves again.
+  void setShedding(std::size_t Engine, std::optional<Duration> Rest);
   /// The host stands still for so long; what comes meanwhile waits.
   void pause(std::size_t Host, Duration For);
   /// No message passes between the host and its peers.
@@ -55,6 +58,7 @@
   struct Arrival {
     Time At{};
     std::size_t From = 0;
+    Duration RestAsked{}; ///< By the refusal that it got; zero: none.
   };
   const std::vector<Arrival> &arrivals(std::size_t Engine) const;
   Time now() const { return this->Queue.now(); }
@@ -118,6 +122,7 @@
   void ask(std::size_t Host, const Caller &By);
   void refused(std::size_t Host, const RefuseRelay &Is);
   void serve(const UpstreamId &Engine, const Run &Each);
+  void turnAway(const Run &Each, Duration Rest);
   LimitSaid saidBy(const UpstreamId &Engine) const;
   void ended(const UpstreamId &Engine, const Run &Each);
   void start(std::size_t At);
@@ -148,6 +153,7 @@
   std::set<std::size_t> TurnedAway;
   std::set<std::size_t> Apart;
   std::map<UpstreamId, double> Limits;
+  std::map<UpstreamId, Duration> Shedding; ///< With the rest asked for.
   std::map<UpstreamId, std::vector<Arrival>> Arrived;
   std::vector<Address> Answer;
   Tally Done;
--- /dev/null
+++ b/tests/process/EngineRestTest.cpp
@@ -0,0 +1,47 @@
+/// \file
+/// An upstream that turns a host away and asks it for rest.
+#include "process/Deployment.h"
+#include "process/GatewayDeployment.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace banyanpick::process {
+namespace {
+
+/// What the stand-in asks for,
+constexpr seconds Rest(3);
+
+/// when a host must have heeded it,
+constexpr milliseconds HeededAfter(500);
+
+/// and how many requests may come until the rest is over.
+constexpr std::size_t MostAllowed = 2;
+
+/// Guards against requests that go on to an upstream in its rest.
+TEST(EngineRest, AnUpstreamThatAsksAHostForRestGetsNoMoreThanTwoRequestsInIt) {
+  GatewayDeployment Gateway({"rest", "", ""}, 1);
+  const auto Until = std::chrono::steady_clock::now() + seconds(5);
+  int Asked = 0;
+  int Served = 0;
+  while (std::chrono::steady_clock::now() < Until) {
+    const auto Reply = Gateway.ask(0, "/safe/x", fmt::format("r{}", ++Asked));
+    Served += Reply.Status == 200 ? 1 : 0;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  const auto Arrivals = Gateway.arrivalsAt(0);
+  ASSERT_FALSE(Arrivals.empty()) << "it was never sent anything";
+  for (const auto &[Attempt, Answered] : Arrivals) {
+    const auto InRest = std::ranges::count_if(Arrivals, [&](const auto &Each) {
+      return Each.second > Answered + HeededAfter &&
+             Each.second < Answered + Rest;
+    });
+    EXPECT_LE(InRest, MostAllowed) << "after " << Attempt;
+  }
+  EXPECT_EQ(Served, Asked) << "the others have room for all";
+}
+
+} // namespace
+} // namespace banyanpick::process
--- a/tests/process/GatewayDeployment.cpp
+++ b/tests/process/GatewayDeployment.cpp
@@ -36,6 +36,12 @@
           {"Resumable", Kind == "streaming"}};
 }
 
+/// The stand-ins' microseconds of the machine's steady clock.
+std::chrono::steady_clock::time_point timeOf(const json &Us) {
+  return std::chrono::steady_clock::time_point(
+      Duration(Us.get<std::int64_t>()));
+}
+
 } // namespace
 
 GatewayDeployment::GatewayDeployment(const std::vector<Fault> &Faults,
@@ -179,22 +185,33 @@
   return false;
 }
 
-GatewayDeployment::LimitedArrivals
-GatewayDeployment::arrivalsSinceLimit(std::size_t Upstream) const {
+json GatewayDeployment::recordOf(std::size_t Upstream) const {
   HttpQuestion Ask;
   Ask.Target = "/standin/runs";
   const json Reply =
       askHttp(this->Upstreams.at(Upstream).Address, Ask, Patience).parsed();
-  const auto At = [](const json &Us) {
-    return std::chrono::steady_clock::time_point(
-        Duration(Us.get<std::int64_t>()));
-  };
+  return Reply.is_object() ? Reply : json();
+}
+
+GatewayDeployment::LimitedArrivals
+GatewayDeployment::arrivalsSinceLimit(std::size_t Upstream) const {
+  const json Record = this->recordOf(Upstream);
   LimitedArrivals Result;
-  if (!Reply.is_object())
+  if (Record.is_null())
     return Result;
-  Result.Since = At(Reply["limited_since_us"]);
-  for (const json &Each : Reply["arrivals"])
-    Result.All.push_back({At(Each["at_us"]), Each["attempt"]});
+  Result.Since = timeOf(Record["limited_since_us"]);
+  for (const json &Each : Record["arrivals"])
+    Result.All.push_back({timeOf(Each["at_us"]), Each["attempt"]});
+  return Result;
+}
+
+std::map<std::string, std::chrono::steady_clock::time_point>
+GatewayDeployment::arrivalsAt(std::size_t Upstream) const {
+  const json Record = this->recordOf(Upstream);
+  std::map<std::string, std::chrono::steady_clock::time_point> Result;
+  if (!Record.is_null())
+    for (const json &Each : Record["all_arrivals"])
+      Result.emplace(Each["attempt"], timeOf(Each["at_us"]));
   return Result;
 }
 
--- a/tests/process/GatewayDeployment.h
+++ b/tests/process/GatewayDeployment.h
@@ -87,6 +87,9 @@
     std::vector<One> All;
   };
   LimitedArrivals arrivalsSinceLimit(std::size_t Upstream) const;
+  /// When requests reached an upstream, by the attempt's id.
+  std::map<std::string, std::chrono::steady_clock::time_point>
+  arrivalsAt(std::size_t Upstream) const;
   unsigned readiness(std::size_t Host) const;
   /// The hosts that it names, if it does so within the limit.
   std::vector<std::string> directory(std::size_t Host,
@@ -98,6 +101,8 @@
   void control(const std::string &Target) const;
 
 private:
+  /// What the upstream noted of its requests; null when it does not tell.
+  nlohmann::json recordOf(std::size_t Upstream) const;
   void startUpstream(Upstream &Into, const Fault &How);
   std::string settingsOf(const Host &Of) const;
   std::unique_ptr<ChildProcess> start(const std::string &Name,
--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -8,9 +8,11 @@
 /// `foreign` answers another request, `truncate` sends too little, `unsealed`
 /// leaves the seal out, `silent` never answers, and `stall` gives three events
 /// of a stream and nothing more. `limit` does not fail: every answer names how
-/// many requests a second it takes (--limit).
-/// `GET /standin/runs` gives how often it ran each request, and which came when
-/// since its first answer that named a limit, by the machine's steady clock.
+/// many requests a second it takes (--limit). `rest` turns away what comes
+/// while it rests and asks each time for as much rest as --rest says. `GET
+/// /standin/runs` gives how often it ran each request, which came when since
+/// its first answer that named a limit, and which came when at all with what
+/// each was answered, by the machine's steady clock.
 #include "platform/WireNames.h"
 #include "standins/GatewayDemo.h"
 #include "standins/HttpServer.h"
@@ -33,6 +35,7 @@
 DEFINE_string(store, "127.0.0.1:7400", "the store to register in");
 DEFINE_string(fault, "", "how it fails");
 DEFINE_string(limit, "1.6", "requests a second that it says it takes");
+DEFINE_string(rest, "3", "seconds of rest that it asks for");
 DEFINE_uint32(events, banyanpick::standins::DemoEvents, "events of a stream");
 DEFINE_uint32(pause_ms, 20, "between events, and before a whole answer");
 
@@ -65,10 +68,10 @@
       Each.answer(421, this->headers(Attempt), "");
       return;
     }
-    if (FLAGS_fault == "refuse") {
-      Headers Given = this->headers(Attempt);
-      Given.emplace_back(header::NotExecuted, "1");
-      Each.answer(503, Given, "");
+    const bool Rests = FLAGS_fault == "rest";
+    this->noteArrival(Attempt, Rests);
+    if (Rests || FLAGS_fault == "refuse") {
+      refuse(Each, Attempt);
       return;
     }
     this->note(Each, Attempt);
@@ -96,6 +99,14 @@
     return Result;
   }
 
+  static void refuse(Exchange &Each, const std::string &Attempt) {
+    Headers Given = headers(Attempt);
+    Given.emplace_back(header::NotExecuted, "1");
+    if (FLAGS_fault == "rest")
+      Given.emplace_back("Retry-After", FLAGS_rest);
+    Each.answer(503, Given, "");
+  }
+
   void whole(Exchange &Each, const std::string &Attempt) {
     pause();
     if (FLAGS_fault == "silent")
@@ -133,6 +144,13 @@
     Each.endEvents();
   }
 
+  void noteArrival(const std::string &Attempt, bool TurnedAway) {
+    const std::lock_guard Lock(this->Guard);
+    this->AllArrivals.push_back({{"attempt", Attempt},
+                                 {"at_us", nowUs()},
+                                 {"turned_away", TurnedAway}});
+  }
+
   void note(const Exchange &Each, const std::string &Attempt) {
     const std::lock_guard Lock(this->Guard);
     ++this->Runs[Attempt];
@@ -148,7 +166,8 @@
     Each.answer(200, json{{"runs", this->Runs},
                           {"saw_key", this->SawKey},
                           {"limited_since_us", this->LimitedSince.value_or(0)},
-                          {"arrivals", this->Arrivals}});
+                          {"arrivals", this->Arrivals},
+                          {"all_arrivals", this->AllArrivals}});
   }
 
   std::mutex Guard;
@@ -157,6 +176,7 @@
   bool SawKey = false;
   std::optional<std::int64_t> LimitedSince;
   json Arrivals = json::array(); ///< Since then.
+  json AllArrivals = json::array();
 };
 
 void registerSelf() {
