Send an engine nothing in the rest that it asked this host for

What callers saw: nothing directly; an engine that turned a host away and asked it for three seconds of rest got up to nine more requests in that time (two are allowed), each of which cost its caller a try and the service a repeat.

Cause: the adapter decoded Retry-After into the outcome of one try, and the only decision that used the outcome was that one request's next try. A signal that concerns all requests was tied to one; besides, an engine that refuses at once looks idle, so it was predicted to be the quickest and drew up to 16 requests a second.

Why it works: what an answer says of its engine is an event of its own (EngineHeard), told for every answer that comes, to tries, also ones that were given up, to questions and to orders. The new plug-in engine_signals keeps each rest to its latest end; placement asks one question (EngineGate) that covers rests, limits and leaving; what was chosen before the rest began is taken back once its connection stands. Other active hosts are told and go elsewhere while they can.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -163,16 +163,41 @@
 
 Task<void> GatewayTraffic::runTry(std::shared_ptr<EngineRun> Run,
                                   DispatchRelay Order) {
-  const Duration Left = Order.Deadline - this->Uses.Clock.now();
+  const Time SentAt = this->Uses.Clock.now();
+  EngineRunListener Tell;
+  Tell.OnWord = [this, Engine = Order.Engine, SentAt](const EngineWord &Word) {
+    this->hear(Engine, SentAt, Word);
+  };
+  Tell.OnBegan = [this, Id = Order.Attempt] {
+    this->Uses.Events.send(GatewayEvent(RelayBegan{Id}));
+  };
+  Tell.MaySend = [this, Engine = Order.Engine] {
+    return !this->Rests.isResting(Engine, this->Uses.Clock.now());
+  };
   RelayOutcome Outcome =
-      co_await Run->run(Left, [this, Id = Order.Attempt, &Said = Run->limit()] {
-        this->Uses.Events.send(GatewayEvent(RelayBegan{Id, Said}));
-      });
+      co_await Run->run(Order.Deadline - SentAt, std::move(Tell));
   this->Runs.erase(Order.Attempt);
   this->noteUnknownHeaders(*Run, Order.Engine);
   if (!Run->isCancelled())
-    this->Uses.Events.send(GatewayEvent(
-        RelayEnded{Order.Attempt, std::move(Outcome), Run->limit()}));
+    this->Uses.Events.send(
+        GatewayEvent(RelayEnded{Order.Attempt, std::move(Outcome)}));
+}
+
+void GatewayTraffic::hear(const UpstreamId &Engine, Time SentAt,
+                          const EngineWord &Word) {
+  if (Word == EngineWord())
+    return;
+  const Time Now = this->Uses.Clock.now();
+  this->Rests.age(Now);
+  this->Rests.take(Engine, Now + lengthOf(Word.Rest), Now);
+  this->Uses.Events.send(GatewayEvent(EngineHeard{Engine, SentAt, Word}));
+}
+
+void GatewayTraffic::hear(const UpstreamId &Engine, Time SentAt,
+                          const ClientResult &Result) {
+  if (const auto *Answer = std::get_if<ClientAnswer>(&Result))
+    this->hear(Engine, SentAt,
+               this->Uses.Protocol.engines().wordOf(Answer->Head));
 }
 
 void GatewayTraffic::noteUnknownHeaders(const EngineRun &Of,
@@ -272,8 +297,10 @@
 
 Task<void> GatewayTraffic::askReport(AskReport Wanted) {
   const EngineProtocol &Protocol = this->Uses.Protocol.engines();
+  const Time SentAt = this->Uses.Clock.now();
   const ClientResult Result = co_await this->Client.call(
       Wanted.At, Protocol.reportRequest(), this->Uses.Values.ReportTimeout);
+  this->hear(Wanted.Engine, SentAt, Result);
   const auto *Answer = std::get_if<ClientAnswer>(&Result);
   constexpr unsigned Ok = 200;
   try {
@@ -295,10 +322,12 @@
 
 Task<void> GatewayTraffic::reserve(ReserveMemory Wanted) {
   const EngineProtocol &Protocol = this->Uses.Protocol.engines();
+  const Time SentAt = this->Uses.Clock.now();
   // An order over a connection that closes meanwhile is lost without a sign.
   const ClientResult Result = co_await this->Client.call(
       Wanted.At, Protocol.requestFor(Wanted), this->Uses.Values.ReportTimeout,
       HttpClient::Reuse::No);
+  this->hear(Wanted.Engine, SentAt, Result);
   ReservationAnswered Answered{Wanted.Engine, Wanted.Name,
                                ReservationResult::Unknown};
   if (const auto *Answer = std::get_if<ClientAnswer>(&Result))
@@ -309,9 +338,11 @@
 }
 
 Task<void> GatewayTraffic::release(ReleaseMemory Wanted) {
+  const Time SentAt = this->Uses.Clock.now();
   const ClientResult Result = co_await this->Client.call(
       Wanted.At, this->Uses.Protocol.engines().requestFor(Wanted),
       this->Uses.Values.ReportTimeout, HttpClient::Reuse::No);
+  this->hear(Wanted.Engine, SentAt, Result);
   this->count("releases", std::holds_alternative<ClientAnswer>(Result)
                               ? "answered"
                               : "unanswered");
--- a/src/app/GatewayTraffic.h
+++ b/src/app/GatewayTraffic.h
@@ -6,6 +6,7 @@
 #include "app/GatewaySettings.h"
 #include "app/ProcessClock.h"
 #include "app/QuestionTable.h"
+#include "gateway/RestBook.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
 #include "metrics/Metrics.h"
@@ -63,6 +64,9 @@
   Task<void> runTry(std::shared_ptr<EngineRun> Run, DispatchRelay Order);
   /// Tells of headers that the protocol does not know, of each name once.
   void noteUnknownHeaders(const EngineRun &Of, const UpstreamId &Engine);
+  /// Passes on what an answer said of its upstream, if anything.
+  void hear(const UpstreamId &Engine, Time SentAt, const EngineWord &Word);
+  void hear(const UpstreamId &Engine, Time SentAt, const ClientResult &Result);
   void decode(const std::string &Document, BeliefSource From);
   Task<void> askReport(AskReport Wanted);
   Task<void> reserve(ReserveMemory Wanted);
@@ -85,6 +89,8 @@
   std::shared_ptr<KeyedFollower> Engines;
   HttpClient Client;
   EngineLinkPool Links;
+  /// What was chosen before an upstream asked for rest is not sent after it.
+  RestBook Rests;
   QuestionTable<AnswerResolve> Resolves;
   std::map<RequestId, std::shared_ptr<CallerSide>> Callers;
   std::map<AttemptId, std::shared_ptr<EngineRun>> Runs;
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -170,6 +170,10 @@
                                           "this host lends room at an engine"};
 inline constexpr EventKind AnswerHeaderUnknown{
     819, LogLevel::Warning, "answer has a header that is not known"};
+inline constexpr EventKind EngineRests{826, LogLevel::Info,
+                                       "engine asked for rest"};
+inline constexpr EventKind EngineRestUnreadable{
+    827, LogLevel::Warning, "rest that an engine asks for is unreadable"};
 inline constexpr EventKind RelayReceived{820, LogLevel::Info,
                                          "relayed request received"};
 inline constexpr EventKind RelaySent{821, LogLevel::Info,
--- a/src/libs/base/Time.h
+++ b/src/libs/base/Time.h
@@ -26,6 +26,7 @@
 /// A moment later than every other one; stands for "never".
 inline constexpr Time Never = Time::max();
 
+using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -3,7 +3,7 @@
 /// for, beside the events and actions that it shares with others.
 #pragma once
 
-#include "gateway/EngineLimit.h"
+#include "gateway/EngineWord.h"
 #include "gateway/RelayedRequest.h"
 
 #include <memory>
@@ -21,12 +21,17 @@
 /// The first event of the stream went to the caller.
 struct RelayBegan {
   AttemptId Attempt;
-  LimitSaid Limit{}; ///< By the answer's header.
 };
 struct RelayEnded {
   AttemptId Attempt;
   RelayOutcome Outcome;
-  LimitSaid Limit{}; ///< By the answer's header, if one came.
+};
+/// The header of an upstream's answer came, to a try (also one that was given
+/// up), a question or an order. Told before what the answer means for those.
+struct EngineHeard {
+  UpstreamId Engine;
+  Time SentAt{}; ///< The request that it answers.
+  EngineWord Word;
 };
 
 /// Where a belief comes from.
@@ -76,10 +81,10 @@
 };
 
 using GatewayEvent =
-    std::variant<RelayArrived, RelayBegan, RelayEnded, ConfigurationRead,
-                 ConfigurationUnreadable, EnginesRead, StoreSeen,
-                 EngineReported, EngineReportFailed, ReservationAnswered,
-                 SettingsReloaded>;
+    std::variant<RelayArrived, RelayBegan, RelayEnded, EngineHeard,
+                 ConfigurationRead, ConfigurationUnreadable, EnginesRead,
+                 StoreSeen, EngineReported, EngineReportFailed,
+                 ReservationAnswered, SettingsReloaded>;
 
 // --- actions
 
--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -107,6 +107,9 @@
 
 /// No byte of the request was handed to a transport.
 struct RelayNeverSent {
+  /// Taken back here, as the upstream asked for rest meanwhile.
+  bool TakenBack = false;
+
   bool operator==(const RelayNeverSent &) const = default;
 };
 
@@ -114,7 +117,6 @@
 struct RelayNotRun {
   bool OtherEngine = false;        ///< Another upstream has the address now.
   std::uint32_t Status = 0;        ///< Of its answer.
-  Duration RetryAfter{};           ///< Zero: it did not tell.
   std::optional<Address> FailedAt; ///< The engine at fault, when it told.
 
   bool operator==(const RelayNotRun &) const = default;
--- /dev/null
+++ b/src/libs/gateway/RestBook.cpp
@@ -0,0 +1,34 @@
+#include "gateway/RestBook.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// Requests that were on their way when a rest began are refused within so
+/// long, each with a rest of its own.
+constexpr milliseconds SameRest(500);
+
+} // namespace
+
+bool RestBook::take(const UpstreamId &Engine, Time Until, Time Now) {
+  if (Until <= Now)
+    return false;
+  Time &End = this->Ends[Engine];
+  const Time Before = End;
+  End = std::max(End, Until);
+  return Before <= Now || End > Before + Duration(SameRest);
+}
+
+Time RestBook::until(const UpstreamId &Engine) const {
+  const auto Found = this->Ends.find(Engine);
+  return Found == this->Ends.end() ? Time{} : Found->second;
+}
+
+void RestBook::age(Time Now) {
+  std::erase_if(this->Ends,
+                [&](const auto &Each) { return Now >= Each.second; });
+}
+
+} // namespace banyanpick
--- a/src/libs/http/ClientRequest.h
+++ b/src/libs/http/ClientRequest.h
@@ -20,6 +20,7 @@
 struct ClientAnswer {
   unsigned Status = 0;
   std::string Body;
+  http::response_header<> Head;
 };
 
 /// Why there is no answer.
--- a/src/libs/http/HttpClient.cpp
+++ b/src/libs/http/HttpClient.cpp
@@ -82,6 +82,7 @@
   ClientAnswer Answer;
   Answer.Status = Parser.get().result_int();
   Answer.Body = std::move(Parser.get().body());
+  Answer.Head = std::move(Parser.get().base());
   if (Parser.keep_alive())
     this->keep(At, std::move(Link));
   co_return Answer;
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -116,6 +116,28 @@
                                             Time Now) const = 0;
 };
 
+/// That an upstream takes no request of this host now.
+struct EngineClosed {
+  enum class Why {
+    Leaving, ///< Or gone.
+    Resting, ///< It asked this host for rest.
+    AtLimit, ///< The hosts together have sent what it takes.
+  } Is = Why::Leaving;
+  std::optional<Duration> OpensAfter; ///< Unknown, or never, when absent.
+};
+
+/// May this host send the upstream a request now?
+class EngineGate {
+public:
+  virtual ~EngineGate() = default;
+  /// Why not, and until when; nothing when it may.
+  virtual std::optional<EngineClosed> closed(const UpstreamId &Engine,
+                                             Time Now) const = 0;
+  /// Whether it had better go elsewhere: the upstream asked another host for
+  /// rest.
+  virtual bool isDiscouraged(const UpstreamId &Engine, Time Now) const = 0;
+};
+
 /// Which contents crash upstreams.
 class CrashView {
 public:
@@ -146,7 +168,8 @@
   std::vector<JointEngine> Helpers;
   std::optional<std::uint32_t> Urgency;
   Duration Predicted{};    ///< To the first event; zero: unknown.
-  std::size_t AtLimit = 0; ///< Engines passed over, as they take no more.
+  std::size_t AtLimit = 0; ///< Engines passed over, as they take no more,
+  std::size_t Resting = 0; ///< and as they asked for rest.
 };
 
 /// Prompts that go before it are to be read first.
@@ -156,8 +179,11 @@
 
 /// No upstream can begin it in time now; one can when it comes back.
 struct ComeBack {
+  enum class Why {
+    TooLate, ///< What is ahead of it takes too long.
+    Closed,  ///< All engines are at their limits or at rest.
+  } Is = Why::TooLate;
   Duration After{};
-  bool AtLimit = false; ///< All engines have what they say that they take.
 };
 
 /// No upstream can take it now.
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -317,12 +317,27 @@
   bool operator==(const EngineLimits &) const = default;
 };
 
+/// What engines said of themselves to the sender, which others can't know yet.
+struct EngineSignals {
+  /// An engine that turned the sender away and wants rest from it.
+  struct Rest {
+    UpstreamId Engine;
+    double LeftMs = 0;
+
+    bool operator==(const Rest &) const = default;
+  };
+  std::vector<Rest> Rests;
+
+  bool operator==(const EngineSignals &) const = default;
+};
+
 using PeerMessageBody =
     std::variant<Heartbeat, WorkSent, TeamUsage, LimitShare, RecordsRelayed,
                  RecordsAsked, CatalogueRelayed, QuarantineNotice,
                  UpstreamNotice, LoadRelayed, StreamHandover, HandoverTaken,
                  RecordsToAppend, ConfigurationAsked, ConfigurationRelayed,
-                 EnginesAsked, EnginesRelayed, EngineWork, EngineLimits>;
+                 EnginesAsked, EnginesRelayed, EngineWork, EngineLimits,
+                 EngineSignals>;
 
 /// A message with its sender.
 struct PeerMessage {
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -47,8 +47,7 @@
       Caller(std::move(CallerGiven)), Pool(Pool), Protocol(Protocol),
       Limits(Limits), Watch(ExecutorGiven) {}
 
-Task<RelayOutcome> EngineRun::run(Duration Left,
-                                  std::function<void()> OnBegan) {
+Task<RelayOutcome> EngineRun::run(Duration Left, EngineRunListener Tell) {
   // A try that was given up may still be sending what it had read.
   co_await this->Caller->idle();
   if (this->Caller->isAnswered())
@@ -64,8 +63,10 @@
   // The caller may have left while the connection was made, before control
   // could cancel the try.
   RelayOutcome Result = RelayNeverSent{};
-  if (this->Caller->asked())
-    Result = co_await this->exchange(Left, std::move(OnBegan));
+  if (this->Caller->asked() && !Tell.MaySend())
+    Result = RelayNeverSent{true};
+  else if (this->Caller->asked())
+    Result = co_await this->exchange(Left, Tell);
   this->Watch.cancel();
   if (this->Link) {
     ErrorCode Ignored;
@@ -166,7 +167,7 @@
 }
 
 Task<RelayOutcome> EngineRun::exchange(Duration Left,
-                                       std::function<void()> OnBegan) {
+                                       const EngineRunListener &Tell) {
   // An upstream may answer and close before it has read everything.
   co_await this->sendRequest(Left);
   Parser Answer;
@@ -178,7 +179,7 @@
   if (!Asked)
     co_return this->broken(RelayBroken::Why::Reset);
   this->Unknown = this->Protocol.unknownHeaders(Head);
-  this->Limit = this->Protocol.limitOf(Head, *Asked);
+  Tell.OnWord(this->Protocol.wordOf(Head, *Asked));
   const AnswerMeaning Meaning = this->Protocol.meaningOf(Head, *Asked);
   if (const auto *NotRun = std::get_if<AnswerIsNotRun>(&Meaning)) {
     // Its body, if any, is not worth reading for the connection's sake.
@@ -188,7 +189,7 @@
     co_return this->broken(Invalid->Reason);
   const bool IsFailure = std::holds_alternative<AnswerIsFailure>(Meaning);
   if (this->Order.Stream && !IsFailure && isEventStream(Head))
-    co_return co_await this->relayEvents(Answer, std::move(OnBegan));
+    co_return co_await this->relayEvents(Answer, Tell);
   co_return co_await this->relayWhole(Answer, IsFailure);
 }
 
@@ -219,7 +220,7 @@
 }
 
 Task<RelayOutcome> EngineRun::relayEvents(Parser &From,
-                                          std::function<void()> OnBegan) {
+                                          const EngineRunListener &Tell) {
   this->Borders.resumeAfter(this->Order.LastEvent);
   http::response_header<> Head = From.get().base();
   removeHopHeaders(Head);
@@ -243,7 +244,7 @@
         co_return this->broken(RelayBroken::Why::Reset);
       this->Order.LastEvent = this->Borders.lastId();
       if (!this->Began)
-        OnBegan();
+        Tell.OnBegan();
       this->Began = true;
     }
     if (this->ReadFailure)
--- a/src/libs/relay/EngineRun.h
+++ b/src/libs/relay/EngineRun.h
@@ -19,6 +19,17 @@
   std::size_t EventBytes = 0;       ///< A larger event is a failure.
 };
 
+/// Told what happens in a run, on its thread.
+struct EngineRunListener {
+  /// The header of the upstream's answer came.
+  std::function<void(const EngineWord &)> OnWord;
+  /// The first event went to the caller.
+  std::function<void()> OnBegan;
+  /// Whether the upstream may still get the request, now that a connection
+  /// stands.
+  std::function<bool()> MaySend;
+};
+
 /// Runs once. Used on the thread of its executor.
 class EngineRun : public std::enable_shared_from_this<EngineRun> {
 public:
@@ -26,12 +37,8 @@
             std::shared_ptr<CallerSide> Caller, EngineLinkPool &Pool,
             const EngineProtocol &Protocol, const EngineRunLimits &Limits);
 
-  /// Gives how it ended. \p OnBegan is called when the first event went to the
-  /// caller. \p Left is how long the upstream may take.
-  Task<RelayOutcome> run(Duration Left, std::function<void()> OnBegan);
-
-  /// What the answer's header says of the upstream's limit.
-  const LimitSaid &limit() const { return this->Limit; }
+  /// Gives how it ended. \p Left is how long the upstream may take.
+  Task<RelayOutcome> run(Duration Left, EngineRunListener Tell);
 
   /// Closes the connection; run() ends.
   void cancel();
@@ -50,9 +57,9 @@
   Task<ErrorCode> readHead(Parser &Into);
   /// Reads body bytes; a view of what came.
   Task<std::string_view> readPiece(Parser &From);
-  Task<RelayOutcome> exchange(Duration Left, std::function<void()> OnBegan);
+  Task<RelayOutcome> exchange(Duration Left, const EngineRunListener &Tell);
   Task<RelayOutcome> relayWhole(Parser &From, bool IsFailure);
-  Task<RelayOutcome> relayEvents(Parser &From, std::function<void()> OnBegan);
+  Task<RelayOutcome> relayEvents(Parser &From, const EngineRunListener &Tell);
   RelayOutcome broken(RelayBroken::Why Reason) const;
   RelayOutcome brokenBy(const ErrorCode &Failure) const;
   void keepLink(const Parser &From);
@@ -73,7 +80,6 @@
   std::array<char, ReadBytes> Piece{};
   ErrorCode ReadFailure;
   std::vector<std::string> Unknown;
-  LimitSaid Limit;
   std::chrono::steady_clock::time_point LastEventsAt{};
   Duration LongestPause{};
   bool Sent = false; ///< The whole request was written.
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -258,6 +258,15 @@
   }
 }
 
+void write(const banyanpick::EngineSignals &Body, Envelope &Envelope) {
+  EngineSignals &Out = *Envelope.mutable_engine_signals();
+  for (const auto &Each : Body.Rests) {
+    EngineSignals::Rest &Rest = *Out.add_rests();
+    Rest.set_engine(Each.Engine.Value);
+    Rest.set_left_ms(Each.LeftMs);
+  }
+}
+
 banyanpick::EnginesRelayed read(const EnginesRelayed &In) {
   banyanpick::EnginesRelayed Result;
   Result.UpTo = In.up_to();
@@ -327,6 +336,14 @@
   return Result;
 }
 
+banyanpick::EngineSignals read(const EngineSignals &In) {
+  banyanpick::EngineSignals Result;
+  for (const EngineSignals::Rest &Each : In.rests())
+    Result.Rests.push_back(
+        {UpstreamId(Each.engine()), checkedSpan(Each.left_ms())});
+  return Result;
+}
+
 banyanpick::Heartbeat read(const Heartbeat &In) {
   banyanpick::Heartbeat Result;
   Result.Sequence = In.sequence();
@@ -452,6 +469,8 @@
     return read(In.engine_work());
   case Envelope::kEngineLimits:
     return read(In.engine_limits());
+  case Envelope::kEngineSignals:
+    return read(In.engine_signals());
   case Envelope::BODY_NOT_SET:
     break;
   }
--- a/src/plugins/enginelimits/EngineLimitsPlugin.cpp
+++ b/src/plugins/enginelimits/EngineLimitsPlugin.cpp
@@ -48,10 +48,8 @@
           this->takePeer(Is.Message.From, *Told, Now, Out);
       },
       [&](const GatewayEvent &Is) {
-        if (const auto *Began = std::get_if<RelayBegan>(&Is))
-          this->hear(Began->Attempt, Began->Limit, Now, Out);
-        if (const auto *Ended = std::get_if<RelayEnded>(&Is))
-          this->hear(Ended->Attempt, Ended->Limit, Now, Out);
+        if (const auto *Heard = std::get_if<EngineHeard>(&Is))
+          this->hear(*Heard, Now, Out);
       },
       [](const auto &) {});
   for (auto &[Engine, Of] : this->Engines) {
@@ -74,21 +72,17 @@
 
 // --- what engines say
 
-void EngineLimitsPlugin::hear(const AttemptId &Try, const LimitSaid &Word,
-                              Time Now, Actions &Out) {
-  const auto Found = this->Tries.find(Try);
-  if (Found == this->Tries.end())
-    return;
-  const UpstreamId Engine = Found->second.Engine;
-  const Time SentAt = Found->second.SentAt;
+void EngineLimitsPlugin::hear(const EngineHeard &Is, Time Now, Actions &Out) {
+  const UpstreamId &Engine = Is.Engine;
   match(
-      Word, [](const LimitUnsaid &) {},
+      Is.Word.Limit, [](const LimitUnsaid &) {},
       [&](const LimitNone &) {
         if (this->Engines.contains(Engine))
-          this->believe(Engine, {std::nullopt, SentAt}, this->Self, Now, Out);
+          this->believe(Engine, {std::nullopt, Is.SentAt}, this->Self, Now,
+                        Out);
       },
-      [&](const LimitNamed &Is) {
-        this->believe(Engine, {Is.PerSecond, Now}, this->Self, Now, Out);
+      [&](const LimitNamed &Each) {
+        this->believe(Engine, {Each.PerSecond, Now}, this->Self, Now, Out);
         const auto Known = this->Engines.find(Engine);
         if (Known != this->Engines.end())
           Known->second.IsUnreadable = false;
@@ -228,7 +222,6 @@
 }
 
 void EngineLimitsPlugin::trySent(const RelayTry &Each, Time Now, Actions &Out) {
-  this->Tries[Each.Id] = {Each.Engine, Now};
   if (this->Engines.empty())
     return;
   this->countUse(Each.Engine, Now, Out);
@@ -250,15 +243,6 @@
   this->want(Engine, Now);
 }
 
-void EngineLimitsPlugin::tryEnded(const RelayTry &Each, const RelayOutcome &,
-                                  Time, Actions &) {
-  this->Tries.erase(Each.Id);
-}
-
-void EngineLimitsPlugin::tryCancelled(const RelayTry &Each, Time, Actions &) {
-  this->Tries.erase(Each.Id);
-}
-
 void EngineLimitsPlugin::engineGone(const UpstreamId &Id, Time Now,
                                     Actions &Out) {
   const auto Found = this->Engines.find(Id);
--- a/src/plugins/enginelimits/EngineLimitsPlugin.h
+++ b/src/plugins/enginelimits/EngineLimitsPlugin.h
@@ -34,9 +34,6 @@
                                     Time Now) const override;
 
   void trySent(const RelayTry &Each, Time Now, Actions &Out) override;
-  void tryEnded(const RelayTry &Each, const RelayOutcome &Outcome, Time Now,
-                Actions &Out) override;
-  void tryCancelled(const RelayTry &Each, Time Now, Actions &Out) override;
   void engineGone(const UpstreamId &Id, Time Now, Actions &Out) override;
 
   static std::vector<SettingDeclaration> settings();
@@ -57,14 +54,7 @@
                                ///< read.
     std::optional<RoomLender> Lends; ///< While this host is the lender.
   };
-  /// A try under way, for what its answer says.
-  struct Asked {
-    UpstreamId Engine;
-    Time SentAt{};
-  };
-
-  void hear(const AttemptId &Try, const LimitSaid &Word, Time Now,
-            Actions &Out);
+  void hear(const EngineHeard &Is, Time Now, Actions &Out);
   /// Takes in a word; tells the others when it changes what is believed here
   /// and comes of an own answer (\p From is this host then).
   void believe(const UpstreamId &Engine, const LimitWord &Word,
@@ -103,7 +93,6 @@
   HostId Self;
   Duration Settle{};
   std::map<UpstreamId, Limited> Engines;
-  std::map<AttemptId, Asked> Tries;
   std::map<HostId, EngineLimits> Outbox;
   std::vector<HostId> Hosts; ///< That are active,
   Time HostsSince{};         ///< and since when.
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -47,6 +47,21 @@
 /// Entries of the lane that are not heard of again lapse after so long.
 constexpr milliseconds LaneKeep(300);
 
+/// When the first of the engines opens; the greatest duration when that is
+/// known of none.
+Duration opensAfter(std::span<const EngineClosed> Closed) {
+  Duration Result = Duration::max();
+  for (const EngineClosed &Each : Closed)
+    Result = std::min(Result, Each.OpensAfter.value_or(Duration::max()));
+  return Result;
+}
+
+std::size_t countOf(std::span<const EngineClosed> Closed,
+                    EngineClosed::Why Wanted) {
+  return static_cast<std::size_t>(
+      std::ranges::count(Closed, Wanted, &EngineClosed::Is));
+}
+
 DeferralTimes deferralTimes(const EngineWanted &Wanted) {
   return {Wanted.Objective, Wanted.Waited, Wanted.Left, Wanted.MayComeBack};
 }
@@ -63,6 +78,7 @@
   this->Declared = &Context.services().get<RouteView>();
   this->Trust = &Context.services().get<EngineTrustView>();
   this->Room = &Context.services().get<EngineRoom>();
+  this->Gate = &Context.services().get<EngineGate>();
   this->Numbers = &Context.random();
   this->OwnZone = Context.self().Zone;
   this->Tells = TellBudget(Values.span(In, "tell_interval"),
@@ -99,7 +115,7 @@
       },
       [](const auto &) {});
   for (const UpstreamId &Engine : this->Paces.due(Now))
-    this->askReport(Engine, Out);
+    this->askReport(Engine, Now, Out);
   if (Now >= this->Tells.next())
     this->tell(Now, Out);
 }
@@ -108,9 +124,12 @@
   return std::min(this->Tells.next(), this->Paces.nextDue());
 }
 
-void EngineLoadPlugin::askReport(const UpstreamId &Engine, Actions &Out) const {
-  // A question is a request, too, and an engine in need takes few.
-  if (this->Room->isLimited(Engine))
+void EngineLoadPlugin::askReport(const UpstreamId &Engine, Time Now,
+                                 Actions &Out) const {
+  // A question is a request, too, and an engine in need takes few or none.
+  const bool Takes =
+      !this->Room->isLimited(Engine) && !this->Gate->closed(Engine, Now);
+  if (!Takes)
     return;
   if (const KnownEngine *Known = this->Directory->find(Engine))
     Out.add(GatewayAction(AskReport{Engine, Known->Record.At}));
@@ -138,7 +157,7 @@
   if (!Late)
     return;
   if (this->Paces.noteLate(Each.Engine, Now))
-    this->askReport(Each.Engine, Out);
+    this->askReport(Each.Engine, Now, Out);
 }
 
 EngineChoice EngineLoadPlugin::choose(const EngineWanted &Wanted, Time Now) {
@@ -150,28 +169,29 @@
     Found = this->candidates(Wanted, Model, EngineShare(), false, Now);
   if (Found.States.empty())
     Found = this->candidates(Wanted, Model, EngineShare(), true, Now);
-  if (Found.States.empty() && !Found.AtLimit.empty())
-    return this->chooseAtLimit(Found.AtLimit, Wanted, Now);
+  if (Found.States.empty() && !Found.Closed.empty())
+    return this->chooseClosed(Found.Closed, Wanted);
   EngineChoice Result = this->chooseAmong(Found.States, Wanted, Model, Now);
-  if (auto *Chosen = std::get_if<EngineChosen>(&Result))
-    Chosen->AtLimit = Found.AtLimit.size();
+  if (auto *Chosen = std::get_if<EngineChosen>(&Result)) {
+    Chosen->AtLimit = countOf(Found.Closed, EngineClosed::Why::AtLimit);
+    Chosen->Resting = countOf(Found.Closed, EngineClosed::Why::Resting);
+  }
   return Result;
 }
 
 EngineChoice
-EngineLoadPlugin::chooseAtLimit(std::span<const UpstreamId> AtLimit,
-                                const EngineWanted &Wanted, Time Now) {
-  std::optional<Duration> Soonest;
-  for (const UpstreamId &Each : AtLimit)
-    if (const auto After = this->Room->roomAfter(Each, Now))
-      Soonest = Soonest ? std::min(*Soonest, *After) : *After;
-  // Room that comes in a moment is waited for. Callers who have come back once
+EngineLoadPlugin::chooseClosed(std::span<const EngineClosed> Closed,
+                               const EngineWanted &Wanted) {
+  const Duration Soonest = opensAfter(Closed);
+  const bool OutlastsIt = Soonest >= Wanted.Left;
+  // One that opens in a moment is waited for. Callers who have come back once
   // wait, too, as they can't do so again.
-  if (!Soonest || *Soonest <= WorthWaiting || !Wanted.MayComeBack)
+  if (Soonest == Duration::max() || Soonest <= WorthWaiting ||
+      (!Wanted.MayComeBack && !OutlastsIt))
     return NoEngine{};
   return ComeBack{
-      returnAfter(deferralTimes(Wanted), this->Numbers->fraction(), *Soonest),
-      true};
+      ComeBack::Why::Closed,
+      returnAfter(deferralTimes(Wanted), this->Numbers->fraction(), Soonest)};
 }
 
 void EngineLoadPlugin::forget(const RequestId &Request, Time Now) {
@@ -214,7 +234,8 @@
   const DeferralTimes Times = deferralTimes(Wanted);
   if (Model && Wanted.MayComeBack &&
       isTooFull(States[Place.At], Place, *Model, Times, this->Weights))
-    return ComeBack{returnAfter(Times, this->Numbers->fraction())};
+    return ComeBack{ComeBack::Why::TooLate,
+                    returnAfter(Times, this->Numbers->fraction())};
   EngineChosen Result = chosen(States, Place, Model, true);
   if (Model && !Wanted.MayComeBack)
     Result.Urgency = ReturnedUrgency;
@@ -234,7 +255,8 @@
   const double Scarcity = scarcityOf(States);
   if (Place && isHopeless(*Place, deferralTimes(Wanted), Scarcity)) {
     this->forget(Wanted.Request, Now);
-    return ComeBack{returnAfter(deferralTimes(Wanted), 0)};
+    return ComeBack{ComeBack::Why::TooLate,
+                    returnAfter(deferralTimes(Wanted), 0)};
   }
   if (!Place || !paysNow(*Place, Work, deferralTimes(Wanted), Scarcity))
     return this->deferLong(Wanted, Scarcity, Now);
@@ -262,7 +284,8 @@
   this->forget(Wanted.Request, Now);
   const DeferralTimes Times = deferralTimes(Wanted);
   if (shouldComeBack(Times, Scarcity))
-    return ComeBack{returnAfter(Times, this->Numbers->fraction())};
+    return ComeBack{ComeBack::Why::TooLate,
+                    returnAfter(Times, this->Numbers->fraction())};
   return AwaitTurn{fromMilliseconds(LongestLookMs)};
 }
 
@@ -332,15 +355,17 @@
     if (!Share.takes(Each->Spread))
       continue;
     const bool Missing = Each->Standing == EngineStanding::Missing ||
-                         this->Trust->isAvoided(Each->Record.Id, Now);
+                         this->Trust->isAvoided(Each->Record.Id, Now) ||
+                         this->Gate->isDiscouraged(Each->Record.Id, Now);
     const bool Out = Each->Standing == EngineStanding::Leaving ||
                      (Missing && !Avoided) ||
                      std::ranges::count(Wanted.Excluded, Each->Record.Id) != 0;
     if (Out)
       continue;
-    if (!this->Room->hasRoom(Each->Record.Id, Now)) {
-      this->Room->want(Each->Record.Id, Now);
-      Found.AtLimit.push_back(Each->Record.Id);
+    if (const auto Closed = this->Gate->closed(Each->Record.Id, Now)) {
+      if (Closed->Is == EngineClosed::Why::AtLimit)
+        this->Room->want(Each->Record.Id, Now);
+      Found.Closed.push_back(*Closed);
       continue;
     }
     Result.push_back(this->stateOf(*Each, Model, Now));
@@ -490,8 +515,8 @@
 
 const PluginRegistration
     Registration({"engine_load",
-                  {"active_hosts", "engines", "engine_limits", "engine_trust",
-                   "membership", "routes"},
+                  {"active_hosts", "engines", "engine_limits", "engine_signals",
+                   "engine_trust", "membership", "routes"},
                   EngineLoadPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<EngineLoadPlugin>();
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -52,11 +52,12 @@
   /// Engines that may get a request.
   struct Candidates {
     std::vector<EngineState> States;
-    std::vector<UpstreamId> AtLimit; ///< That would, but take no more now.
+    std::vector<EngineClosed> Closed; ///< Of those that would, but take no
+                                      ///< more now.
   };
 
   /// The engines of the share that may get the request; \p Avoided: also those
-  /// that failed lately.
+  /// that failed lately, or that asked other hosts for rest.
   Candidates candidates(const EngineWanted &Wanted,
                         const EngineParameters *Model, const EngineShare &Share,
                         bool Avoided, Time Now);
@@ -65,10 +66,9 @@
   EngineChoice chooseAmong(std::span<const EngineState> States,
                            const EngineWanted &Wanted,
                            const EngineParameters *Model, Time Now);
-  /// No engine takes one more now, as those at their limit have what they say
-  /// that they take.
-  EngineChoice chooseAtLimit(std::span<const UpstreamId> AtLimit,
-                             const EngineWanted &Wanted, Time Now);
+  /// No engine takes one more now.
+  EngineChoice chooseClosed(std::span<const EngineClosed> Closed,
+                            const EngineWanted &Wanted);
   EngineChoice chooseShared(std::span<const EngineState> States,
                             const EngineWanted &Wanted, const PromptWork &Work,
                             const EngineParameters &Model, Time Now);
@@ -102,7 +102,7 @@
   std::vector<HostId> listeners(Time Now) const;
   /// The peer has nothing on the engine any more.
   void forgetWork(const HostId &Peer, const UpstreamId &Engine, Time Now);
-  void askReport(const UpstreamId &Engine, Actions &Out) const;
+  void askReport(const UpstreamId &Engine, Time Now, Actions &Out) const;
   void takeReport(const EngineReport &Report, Time Now, Actions &Out);
   /// Asks the engine for its pace when the first token came late.
   void noteFirstToken(const RelayTry &Each, Time Now, Actions &Out);
@@ -114,6 +114,7 @@
   const EngineDirectory *Directory = nullptr;
   const EngineTrustView *Trust = nullptr;
   EngineRoom *Room = nullptr;
+  const EngineGate *Gate = nullptr;
   Random *Numbers = nullptr;
   ZoneId OwnZone;
   double TellSoonMs = 0;
--- a/src/plugins/enginememory/EngineMemoryPlugin.cpp
+++ b/src/plugins/enginememory/EngineMemoryPlugin.cpp
@@ -19,6 +19,7 @@
   this->AcquireFor = Values.span(In, "acquire_for");
   this->LateFor = Values.span(In, "late_for");
   this->LateInterval = Values.span(In, "late_interval");
+  this->Gate = &Context.services().get<EngineGate>();
   Context.services().provide<MemoryKeeper>(*this);
   Context.services().list<EngineObserver>().add(*this);
 }
@@ -76,6 +77,18 @@
                                       this->Hold, false}));
 }
 
+void EngineMemoryPlugin::askAgain(Share &Each, Time Now, Actions &Out) {
+  // What is held would be lost without a renewal; more is not asked for where
+  // nothing may be sent.
+  if (Each.Is == Stage::Held || !this->Gate->closed(Each.Where.Engine, Now)) {
+    this->ask(Each, Now, Out);
+    return;
+  }
+  Each.Is = Stage::Refused;
+  Each.Unanswered = true;
+  Each.AskAgainAt = Never;
+}
+
 void EngineMemoryPlugin::take(const ReservationAnswered &Is, Time Now,
                               Actions &Out) {
   for (auto &[Id, Of] : this->Reservations) {
@@ -189,7 +202,7 @@
       continue;
     for (Share &Each : Found->second.Shares)
       if (Now >= Each.AskAgainAt)
-        this->ask(Each, Now, Out);
+        this->askAgain(Each, Now, Out);
     this->decide(Id, Found->second, Now, Out);
   }
 }
@@ -238,7 +251,7 @@
 
 const PluginRegistration
     Registration({"engine_memory",
-                  {},
+                  {"engine_signals"},
                   EngineMemoryPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<EngineMemoryPlugin>();
--- a/src/plugins/enginememory/EngineMemoryPlugin.h
+++ b/src/plugins/enginememory/EngineMemoryPlugin.h
@@ -56,6 +56,8 @@
   };
 
   void ask(Share &Each, Time Now, Actions &Out);
+  /// Renews what is held, or asks once more for what is not.
+  void askAgain(Share &Each, Time Now, Actions &Out);
   void take(const ReservationAnswered &Is, Time Now, Actions &Out);
   void decide(const RequestId &Id, Reservation &Of, Time Now, Actions &Out);
   void letGo(const Reservation &Of, Time Now, Actions &Out);
@@ -63,6 +65,7 @@
   void releaseLate(Time Now, Actions &Out);
 
   Services *Offered = nullptr;
+  const EngineGate *Gate = nullptr;
   Identity Own;
   Duration Hold{};
   Duration RenewInterval{};
--- /dev/null
+++ b/src/plugins/enginesignals/EngineSignalsPlugin.cpp
@@ -0,0 +1,118 @@
+#include "plugins/enginesignals/EngineSignalsPlugin.h"
+
+#include "base/EventNumbers.h"
+#include "base/Milliseconds.h"
+#include "base/Visitor.h"
+#include "kernel/PluginRegistry.h"
+
+namespace banyanpick {
+
+void EngineSignalsPlugin::initialize(PluginContext &Context) {
+  this->Directory = &Context.services().get<EngineDirectory>();
+  this->Active = &Context.services().get<ActiveHostsView>();
+  this->Room = &Context.services().get<EngineRoom>();
+  this->Self = Context.self().Host;
+  Context.services().provide<EngineGate>(*this);
+}
+
+void EngineSignalsPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  match(
+      What,
+      [&](const PeerMessageReceived &Is) {
+        if (const auto *Told = std::get_if<EngineSignals>(&Is.Message.Body))
+          this->takePeer(Is.Message.From, *Told, Now, Out);
+      },
+      [&](const GatewayEvent &Is) {
+        if (const auto *Heard = std::get_if<EngineHeard>(&Is))
+          this->hear(*Heard, Now, Out);
+      },
+      [](const auto &) {});
+}
+
+std::optional<EngineClosed>
+EngineSignalsPlugin::closed(const UpstreamId &Engine, Time Now) const {
+  const KnownEngine *Known = this->Directory->find(Engine);
+  if (!Known || Known->Standing == EngineStanding::Leaving)
+    return EngineClosed{EngineClosed::Why::Leaving, std::nullopt};
+  if (this->Own.isResting(Engine, Now))
+    return EngineClosed{EngineClosed::Why::Resting,
+                        this->Own.until(Engine) - Now};
+  if (!this->Room->hasRoom(Engine, Now))
+    return EngineClosed{EngineClosed::Why::AtLimit,
+                        this->Room->roomAfter(Engine, Now)};
+  return std::nullopt;
+}
+
+bool EngineSignalsPlugin::isDiscouraged(const UpstreamId &Engine,
+                                        Time Now) const {
+  return this->Peers.isResting(Engine, Now);
+}
+
+void EngineSignalsPlugin::hear(const EngineHeard &Is, Time Now, Actions &Out) {
+  match(
+      Is.Word.Rest, [](const RestUnasked &) {},
+      [&](const RestAsked &Each) { this->rest(Is.Engine, Each.For, Now, Out); },
+      [&](const RestUnreadable &Each) {
+        Out.log(logEvent(events::EngineRestUnreadable)
+                    .with("engine", Is.Engine.Value)
+                    .with("said", Each.Text)
+                    .with("taken_as_us", Each.TakenAs.count())
+                    .build());
+        Out.count("engine_rests_unreadable", Is.Engine.Value);
+        this->rest(Is.Engine, Each.TakenAs, Now, Out);
+      });
+}
+
+void EngineSignalsPlugin::rest(const UpstreamId &Engine, Duration For, Time Now,
+                               Actions &Out) {
+  this->Own.age(Now);
+  if (!this->Own.take(Engine, Now + For, Now))
+    return;
+  Out.count("engine_rests", Engine.Value);
+  Out.log(logEvent(events::EngineRests)
+              .with("engine", Engine.Value)
+              .with("for_us", For.count())
+              .with("from", this->Self.Value)
+              .build());
+  EngineSignals Told;
+  Told.Rests.push_back({Engine, inMilliseconds(For)});
+  this->tell(Told, Out);
+}
+
+void EngineSignalsPlugin::takePeer(const HostId &From,
+                                   const EngineSignals &Told, Time Now,
+                                   Actions &Out) {
+  this->Peers.age(Now);
+  for (const EngineSignals::Rest &Each : Told.Rests) {
+    const Duration Left = fromMilliseconds(Each.LeftMs);
+    if (this->Peers.take(Each.Engine, Now + Left, Now))
+      Out.log(logEvent(events::EngineRests)
+                  .with("engine", Each.Engine.Value)
+                  .with("for_us", Left.count())
+                  .with("from", From.Value)
+                  .build());
+  }
+}
+
+void EngineSignalsPlugin::tell(const EngineSignals &What, Actions &Out) const {
+  for (const HostId &Each : this->Active->activeHosts())
+    if (Each != this->Self)
+      Out.add(SendToPeer{Each, What});
+}
+
+std::vector<SettingDeclaration> EngineSignalsPlugin::settings() { return {}; }
+
+namespace {
+
+const PluginRegistration
+    Registration({"engine_signals",
+                  {"active_hosts", "engine_limits", "engines"},
+                  EngineSignalsPlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
+                    return std::make_unique<EngineSignalsPlugin>();
+                  },
+                  PluginUse::Gateway});
+
+} // namespace
+
+} // namespace banyanpick
--- a/src/plugins/enginetrust/TrustRecord.cpp
+++ b/src/plugins/enginetrust/TrustRecord.cpp
@@ -61,7 +61,10 @@
 TrustRecord::Verdict verdictOf(const RelayOutcome &Outcome) {
   using Verdict = TrustRecord::Verdict;
   return match(
-      Outcome, [](const RelayNeverSent &) { return Verdict::Silent; },
+      Outcome,
+      [](const RelayNeverSent &Is) {
+        return Is.TakenBack ? Verdict::Neutral : Verdict::Silent;
+      },
       [](const RelayNotRun &) { return Verdict::Neutral; },
       [](const RelayDelivered &) { return Verdict::Sound; },
       [](const RelayFailed &Is) {
--- a/src/plugins/relays/RelayLines.cpp
+++ b/src/plugins/relays/RelayLines.cpp
@@ -10,7 +10,9 @@
 std::string_view outcomeName(const RelayOutcome &Outcome) {
   return match(
       Outcome,
-      [](const RelayNeverSent &) { return std::string_view("unsent"); },
+      [](const RelayNeverSent &Is) {
+        return std::string_view(Is.TakenBack ? "taken_back" : "unsent");
+      },
       [](const RelayNotRun &Is) {
         return std::string_view(Is.OtherEngine ? "other_engine" : "not_run");
       },
@@ -19,12 +21,6 @@
       [](const RelayBroken &Is) { return name(Is.Reason); });
 }
 
-/// What a refusal said of when to come back; zero: nothing.
-Duration restAskedBy(const RelayOutcome &Outcome) {
-  const auto *NotRun = std::get_if<RelayNotRun>(&Outcome);
-  return NotRun ? NotRun->RetryAfter : Duration(0);
-}
-
 std::uint32_t statusOf(const RelayOutcome &Outcome) {
   return match(
       Outcome, [](const RelayNotRun &Is) { return Is.Status; },
@@ -64,7 +60,8 @@
 }
 
 void logSent(const RunningRelay &Of, const RelayTry &Try,
-             const KnownEngine &Engine, std::size_t AtLimit, Actions &Out) {
+             const KnownEngine &Engine, const EngineChosen &Chosen,
+             Actions &Out) {
   Out.log(logEvent(events::RelaySent)
               .with("request", Of.Head.Id.Value)
               .with("try", Try.Id.Sequence)
@@ -74,7 +71,8 @@
               .with("after_event", Of.LastEvent.value_or(0))
               .with("standing", name(Engine.Standing))
               .with("offset", Engine.Offset)
-              .with("at_limit", AtLimit)
+              .with("at_limit", Chosen.AtLimit)
+              .with("resting", Chosen.Resting)
               .with("predicted_us", Try.Predicted.count())
               .build());
 }
@@ -107,7 +105,6 @@
               .with("engine", Ended.Engine.Value)
               .with("how", outcomeName(Outcome))
               .with("status", statusOf(Outcome))
-              .with("rest_asked_us", restAskedBy(Outcome).count())
               .with("helpers", Ended.Helpers.size())
               .with("predicted_us", Ended.Predicted.count())
               .with("after_us", (Now - Ended.SentAt).count())
--- a/src/plugins/relays/RelayLines.h
+++ b/src/plugins/relays/RelayLines.h
@@ -16,7 +16,8 @@
                 std::uint64_t Version, Actions &Out);
 /// \p AtLimit engines were passed over, as they take no more now.
 void logSent(const RunningRelay &Of, const RelayTry &Try,
-             const KnownEngine &Engine, std::size_t AtLimit, Actions &Out);
+             const KnownEngine &Engine, const EngineChosen &Chosen,
+             Actions &Out);
 void logWaits(const RunningRelay &Of, Actions &Out);
 void logAwaitsTurn(const RunningRelay &Of, Actions &Out);
 
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -50,7 +50,7 @@
   this->Directory = &Context.services().get<EngineDirectory>();
   this->Selector = &Context.services().get<EngineSelector>();
   this->Memory = &Context.services().get<MemoryKeeper>();
-  this->Room = &Context.services().get<EngineRoom>();
+  this->Gate = &Context.services().get<EngineGate>();
   Context.services().list<MemoryObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
   this->Crashes = &Context.services().get<CrashView>();
@@ -167,8 +167,9 @@
       },
       [&](const ComeBack &Is) {
         this->finish(Each, Each.refusal(),
-                     Is.AtLimit ? "all engines are at their limits; come back"
-                                : "no engine can begin it in time; come back",
+                     Is.Is == ComeBack::Why::Closed
+                         ? "all engines are at rest or at limits; come back"
+                         : "no engine can begin it in time; come back",
                      Now, Out, Is.After);
       },
       [&](const NoEngine &) { this->wait(Each, Now, Out); });
@@ -209,11 +210,10 @@
   }
   EngineChosen Chosen = *Each->Reserving;
   Each->Reserving.reset();
-  // The choice is a moment old: engines may have gone, or named a limit.
+  // The choice is a moment old: engines may have gone, or want no more.
   const bool Gone =
       std::ranges::any_of(Chosen.Helpers, [&](const JointEngine &One) {
-        return !this->Directory->find(One.Engine) ||
-               !this->Room->hasRoom(One.Engine, Now);
+        return this->Gate->closed(One.Engine, Now).has_value();
       });
   if (Shares.empty() || Gone) {
     this->Memory->release(Id, Now, Out);
@@ -236,7 +236,7 @@
       Each.isIdempotent() ? Now + this->patience(Each, Chosen) : Never;
   Out.add(GatewayAction(
       makeOrder(Each, Try, Chosen, Engine->Record.At, this->Times.Silence)));
-  logSent(Each, Try, *Engine, Chosen.AtLimit, Out);
+  logSent(Each, Try, *Engine, Chosen, Out);
   Each.Live = Try;
   this->Running.link(Try.Id, Each.Head.Id);
   for (RelayObserver *Observer : this->Offered->list<RelayObserver>().all())
@@ -520,8 +520,8 @@
 
 const PluginRegistration
     Registration({"relays",
-                  {"active_hosts", "crashes", "engine_limits", "engine_load",
-                   "engine_memory", "engines", "membership", "routes"},
+                  {"active_hosts", "crashes", "engine_load", "engine_memory",
+                   "engine_signals", "engines", "membership", "routes"},
                   RelaysPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<RelaysPlugin>();
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -108,7 +108,7 @@
   EngineDirectory *Directory = nullptr;
   EngineSelector *Selector = nullptr;
   MemoryKeeper *Memory = nullptr;
-  const EngineRoom *Room = nullptr;
+  const EngineGate *Gate = nullptr;
   const CrashView *Crashes = nullptr;
   Random *Numbers = nullptr;
   RelayTimes Times;
