--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -9,10 +9,12 @@
 /// leaves the seal out, `silent` never answers, and `stall` gives three events
 /// of a stream and nothing more. `limit` does not fail: every answer names how
 /// many requests a second it takes (--limit). `rest` turns away what comes
-/// while it rests and asks each time for as much rest as --rest says. `GET
-/// /standin/runs` gives how often it ran each request, which came when since
-/// its first answer that named a limit, and which came when at all with what
-/// each was answered, by the machine's steady clock.
+/// while it rests and asks each time for as much rest as --rest says. `leaving`
+/// says in every answer that it leaves, as its registration does not.
+///
+/// `GET /standin/runs` gives how often it ran each request, which came when
+/// since its first answer that named a limit, and which came when at all with
+/// what each was answered, by the machine's steady clock.
 #include "platform/WireNames.h"
 #include "standins/GatewayDemo.h"
 #include "standins/HttpServer.h"
@@ -90,6 +92,8 @@
     Headers Result = headers(Attempt);
     if (FLAGS_fault != "unsealed")
       Result.emplace_back(header::Seal, "seal-of-" + FLAGS_id);
+    if (FLAGS_fault == "leaving")
+      Result.emplace_back("Server-Leaving", "1");
     if (FLAGS_fault == "limit") {
       Result.emplace_back(header::Limit, FLAGS_limit);
       const std::lock_guard Lock(this->Guard);
