Begin nothing on an engine that has said in an answer that it leaves

What callers saw: nothing yet; the users' rule is new. A host went on sending to an engine that leaves until the store said so, and after that again where the store's word was lost or late; what it sends then is cut off when the engine ends.

Why it works: any answer of the engine counts, whatever its status. The table of engines remembers the life that said so, beyond its registration, so no order of words makes it usable again; a new life is another id. The hosts that decide are told at once, and those that become active later, of rests as well.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -174,6 +174,8 @@
                                        "engine asked for rest"};
 inline constexpr EventKind EngineRestUnreadable{
     827, LogLevel::Warning, "rest that an engine asks for is unreadable"};
+inline constexpr EventKind EngineLeavingUnreadable{
+    828, LogLevel::Warning, "engine says unreadably whether it leaves"};
 inline constexpr EventKind RelayReceived{820, LogLevel::Info,
                                          "relayed request received"};
 inline constexpr EventKind RelaySent{821, LogLevel::Info,
--- a/src/libs/gateway/EngineWord.h
+++ b/src/libs/gateway/EngineWord.h
@@ -39,10 +39,18 @@
 /// upstream to work off what it has.
 inline constexpr seconds CautiousRest(1);
 
+/// Whether it says that it leaves: it takes nothing new and ends soon.
+enum class LeavingSaid {
+  Unsaid,
+  Said,
+  Unreadable, ///< It says something of it; taken as said.
+};
+
 /// All of it.
 struct EngineWord {
   LimitSaid Limit;
   RestSaid Rest;
+  LeavingSaid Leaving = LeavingSaid::Unsaid;
 
   bool operator==(const EngineWord &) const = default;
 };
--- a/src/libs/gateway/RestBook.h
+++ b/src/libs/gateway/RestBook.h
@@ -21,6 +21,8 @@
   bool isResting(const UpstreamId &Engine, Time Now) const {
     return Now < this->until(Engine);
   }
+  /// All rests, also some that are over.
+  const std::map<UpstreamId, Time> &ends() const { return this->Ends; }
   /// Forgets the rests that are over.
   void age(Time Now);
 
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -50,6 +50,10 @@
   ofService(const ServiceId &Service) const = 0;
   /// The upstream refused a request that named it: another has its address.
   virtual void addressTaken(const UpstreamId &Id, Time Now, Actions &Out) = 0;
+  /// This life of the upstream says that it leaves. It is never usable again,
+  /// whatever the registry says of it later. \p From: who told, for logs.
+  virtual void noteLeaving(const UpstreamId &Id, std::string_view From,
+                           Time Now, Actions &Out) = 0;
 };
 
 /// Told when an upstream comes, changes its standing or goes.
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -327,6 +327,7 @@
     bool operator==(const Rest &) const = default;
   };
   std::vector<Rest> Rests;
+  std::vector<UpstreamId> Leaving; ///< They said so.
 
   bool operator==(const EngineSignals &) const = default;
 };
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -265,6 +265,8 @@
     Rest.set_engine(Each.Engine.Value);
     Rest.set_left_ms(Each.LeftMs);
   }
+  for (const UpstreamId &Each : Body.Leaving)
+    Out.add_leaving(Each.Value);
 }
 
 banyanpick::EnginesRelayed read(const EnginesRelayed &In) {
@@ -341,6 +343,8 @@
   for (const EngineSignals::Rest &Each : In.rests())
     Result.Rests.push_back(
         {UpstreamId(Each.engine()), checkedSpan(Each.left_ms())});
+  for (const std::string &Each : In.leaving())
+    Result.Leaving.emplace_back(Each);
   return Result;
 }
 
--- a/src/plugins/engines/EngineTable.cpp
+++ b/src/plugins/engines/EngineTable.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// An engine that leaves has ended long before.
+constexpr hours LeavingKept(1);
+
 std::uint64_t digestOf(const EngineRecord &Of) {
   const std::string Rest =
       fmt::format("{} {}:{} {} {} {}", Of.Service.Value, Of.At.Ip, Of.At.Port,
@@ -70,8 +73,7 @@
   Added.Record = Change.Engine;
   Added.Offset = Change.Offset;
   Added.ChangedAt = Change.Offset;
-  Added.Standing =
-      Change.Engine.Draining ? EngineStanding::Leaving : EngineStanding::Usable;
+  Added.Standing = this->registeredStanding(Change.Engine);
   Added.Since = Now;
   Added.Spread = rendezvousWeight("part", Of);
   this->include(Added);
@@ -82,10 +84,9 @@
                                          const EngineChange &Change, Time Now) {
   Of.Offset = Change.Offset;
   // A life that is known to leave does not come back.
-  const bool Leaves =
-      Of.Standing == EngineStanding::Leaving || Change.Engine.Draining;
-  const EngineStanding Next =
-      Leaves ? EngineStanding::Leaving : EngineStanding::Usable;
+  const EngineStanding Next = Of.Standing == EngineStanding::Leaving
+                                  ? EngineStanding::Leaving
+                                  : this->registeredStanding(Change.Engine);
   if (Of.Record == Change.Engine && Of.Standing == Next)
     return {};
   this->exclude(Of);
@@ -174,6 +175,19 @@
   return true;
 }
 
+bool EngineTable::noteLeaving(const UpstreamId &Id, Time Now) {
+  std::erase_if(this->SaidLeaving, [&](const auto &Each) {
+    return Now >= Each.second + Duration(LeavingKept);
+  });
+  this->SaidLeaving.emplace(Id, Now);
+  return this->setLeaving(Id, Now);
+}
+
+EngineStanding EngineTable::registeredStanding(const EngineRecord &Of) const {
+  const bool Leaves = Of.Draining || this->SaidLeaving.contains(Of.Id);
+  return Leaves ? EngineStanding::Leaving : EngineStanding::Usable;
+}
+
 std::vector<UpstreamId> EngineTable::age(Time Now) {
   std::vector<UpstreamId> Gone;
   // Asked at every event, and hardly ever due.
--- a/src/plugins/engines/EngineTable.h
+++ b/src/plugins/engines/EngineTable.h
@@ -55,6 +55,11 @@
   /// Another upstream has the address. True when that is news.
   bool setLeaving(const UpstreamId &Id, Time Now);
 
+  /// The upstream itself says that it leaves: whatever the registry has said or
+  /// will say of this life of it, it does not come back. True when its standing
+  /// is another now.
+  bool noteLeaving(const UpstreamId &Id, Time Now);
+
   /// Forgets what is due; gives the upstreams that are gone by it.
   std::vector<UpstreamId> age(Time Now);
   /// When age() has something to do.
@@ -93,6 +98,7 @@
   void exclude(const KnownEngine &Of);
   void erase(ByName::const_iterator At);
   void stand(KnownEngine &Of, EngineStanding Next, Time Now);
+  EngineStanding registeredStanding(const EngineRecord &Of) const;
   std::vector<UpstreamId> endMissing(Time Now);
   void forgetRemovals(Time Now);
   Removal &noteRemoval(const Name &Of, LogOffset Offset, Time Now);
@@ -103,6 +109,9 @@
   EngineTimes Times;
   ByName Engines;
   std::map<Name, Removal, std::less<>> Removed;
+  /// Lives that said that they leave, and when. Kept beyond their registration,
+  /// which may vanish and come back while they still serve.
+  std::map<UpstreamId, Time> SaidLeaving;
   LogOffset ForgottenTo = 0;
   std::map<ServiceId, std::vector<const KnownEngine *>> ByService;
   std::uint64_t Digest = 0;
--- a/src/plugins/engines/EnginesPlugin.cpp
+++ b/src/plugins/engines/EnginesPlugin.cpp
@@ -150,6 +150,12 @@
     this->tell(Id, "refusal", Now, Out);
 }
 
+void EnginesPlugin::noteLeaving(const UpstreamId &Id, std::string_view From,
+                                Time Now, Actions &Out) {
+  if (this->Table.noteLeaving(Id, Now))
+    this->tell(Id, From, Now, Out);
+}
+
 void EnginesPlugin::tell(const UpstreamId &Id, std::string_view From, Time Now,
                          Actions &Out) {
   const KnownEngine *Changed = this->Table.find(Id);
--- a/src/plugins/engines/EnginesPlugin.h
+++ b/src/plugins/engines/EnginesPlugin.h
@@ -27,6 +27,8 @@
     return this->Table.ofService(Service);
   }
   void addressTaken(const UpstreamId &Id, Time Now, Actions &Out) override;
+  void noteLeaving(const UpstreamId &Id, std::string_view From, Time Now,
+                   Actions &Out) override;
   LogOffset knownTo() const override { return this->KnownTo; }
   std::uint64_t digest() const override { return this->Table.digest(); }
 
--- a/src/plugins/enginesignals/EngineSignalsPlugin.cpp
+++ b/src/plugins/enginesignals/EngineSignalsPlugin.cpp
@@ -5,6 +5,9 @@
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace banyanpick {
 
 void EngineSignalsPlugin::initialize(PluginContext &Context) {
@@ -13,9 +16,11 @@
   this->Room = &Context.services().get<EngineRoom>();
   this->Self = Context.self().Host;
   Context.services().provide<EngineGate>(*this);
+  Context.services().list<EngineObserver>().add(*this);
 }
 
 void EngineSignalsPlugin::handle(const Event &What, Time Now, Actions &Out) {
+  this->greetNewcomers(Now, Out);
   match(
       What,
       [&](const PeerMessageReceived &Is) {
@@ -61,6 +66,26 @@
         Out.count("engine_rests_unreadable", Is.Engine.Value);
         this->rest(Is.Engine, Each.TakenAs, Now, Out);
       });
+  if (Is.Word.Leaving == LeavingSaid::Unsaid)
+    return;
+  const bool IsNews = this->leave(Is.Engine, Now, Out);
+  if (IsNews && Is.Word.Leaving == LeavingSaid::Unreadable)
+    Out.log(logEvent(events::EngineLeavingUnreadable)
+                .with("engine", Is.Engine.Value)
+                .with("taken_as", "leaving")
+                .build());
+}
+
+bool EngineSignalsPlugin::leave(const UpstreamId &Engine, Time Now,
+                                Actions &Out) {
+  if (!this->Leaving.insert(Engine).second)
+    return false;
+  Out.count("engines_said_leaving", Engine.Value);
+  this->Directory->noteLeaving(Engine, "answer", Now, Out);
+  EngineSignals Told;
+  Told.Leaving.push_back(Engine);
+  this->tell(this->Active->activeHosts(), Told, Out);
+  return true;
 }
 
 void EngineSignalsPlugin::rest(const UpstreamId &Engine, Duration For, Time Now,
@@ -76,7 +101,7 @@
               .build());
   EngineSignals Told;
   Told.Rests.push_back({Engine, inMilliseconds(For)});
-  this->tell(Told, Out);
+  this->tell(this->Active->activeHosts(), Told, Out);
 }
 
 void EngineSignalsPlugin::takePeer(const HostId &From,
@@ -92,10 +117,34 @@
                   .with("from", From.Value)
                   .build());
   }
+  for (const UpstreamId &Each : Told.Leaving)
+    this->Directory->noteLeaving(Each, From.Value, Now, Out);
+}
+
+void EngineSignalsPlugin::greetNewcomers(Time Now, Actions &Out) {
+  const auto Active = this->Active->activeHosts();
+  if (std::ranges::equal(Active, this->Hosts))
+    return;
+  std::vector<HostId> Newcomers;
+  std::ranges::set_difference(Active, this->Hosts,
+                              std::back_inserter(Newcomers));
+  this->Hosts.assign(Active.begin(), Active.end());
+  EngineSignals Told;
+  for (const auto &[Engine, Until] : this->Own.ends())
+    if (Until > Now)
+      Told.Rests.push_back({Engine, inMilliseconds(Until - Now)});
+  Told.Leaving.assign(this->Leaving.begin(), this->Leaving.end());
+  if (Told != EngineSignals())
+    this->tell(Newcomers, Told, Out);
+}
+
+void EngineSignalsPlugin::engineGone(const UpstreamId &Id, Time, Actions &) {
+  this->Leaving.erase(Id);
 }
 
-void EngineSignalsPlugin::tell(const EngineSignals &What, Actions &Out) const {
-  for (const HostId &Each : this->Active->activeHosts())
+void EngineSignalsPlugin::tell(std::span<const HostId> To,
+                               const EngineSignals &What, Actions &Out) const {
+  for (const HostId &Each : To)
     if (Each != this->Self)
       Out.add(SendToPeer{Each, What});
 }
--- a/tests/auto/gateway/EngineTableTest.cpp
+++ b/tests/auto/gateway/EngineTableTest.cpp
@@ -54,6 +54,35 @@
   EXPECT_EQ(Table.find(UpstreamId("e1"))->Standing, EngineStanding::Leaving);
 }
 
+TEST(EngineTable, WhoSaidThatItLeavesIsNotUsedAgainWhateverTheRegistrySays) {
+  EngineTable Table = table();
+  const UpstreamId Id("e1");
+  Table.apply(change("e1", 1), false, at(0));
+  EXPECT_TRUE(Table.noteLeaving(Id, at(1)));
+  EXPECT_FALSE(Table.noteLeaving(Id, at(2))) << "no news";
+  Table.apply(change("e1", 2), false, at(3));
+  EXPECT_EQ(Table.find(Id)->Standing, EngineStanding::Leaving) << "renewed";
+  Table.apply(removal("e1", 3), false, at(4));
+  Table.apply(change("e1", 4), false, at(5));
+  EXPECT_EQ(Table.find(Id)->Standing, EngineStanding::Leaving) << "enlisted";
+  EXPECT_FALSE(Table.noteLeaving(UpstreamId("e2"), at(6)));
+  Table.apply(change("e2", 5), false, at(7));
+  EXPECT_EQ(Table.find(UpstreamId("e2"))->Standing, EngineStanding::Leaving)
+      << "it said so before it was known";
+}
+
+TEST(EngineTable, ANewLifeOfAnEngineThatLeftIsUsed) {
+  EngineTable Table = table();
+  EngineChange Old = change("e1", 1);
+  Old.Engine.Id = engineLife("e1", 1000);
+  Table.apply(Old, false, at(0));
+  Table.noteLeaving(Old.Engine.Id, at(1));
+  EngineChange New = change("e1", 2);
+  New.Engine.Id = engineLife("e1", 2000);
+  Table.apply(New, false, at(2));
+  EXPECT_EQ(Table.find(New.Engine.Id)->Standing, EngineStanding::Usable);
+}
+
 TEST(EngineTable, ARemovedEngineStaysRemovedWhateverLatePeersSay) {
   EngineTable Table = table();
   Table.apply(change("e1", 1), false, at(0));
--- a/tests/auto/manyhosts/EngineRestsTest.cpp
+++ b/tests/auto/manyhosts/EngineRestsTest.cpp
@@ -46,8 +46,13 @@
   Crowd.setShedding(1, seconds(3));
   Crowd.takeTally();
   offer(Crowd, seconds(10), Of.Between);
-  for (const std::size_t Engine : {0, 1})
-    EXPECT_EQ(mostInOneRest(Crowd.arrivals(Engine)), 0U);
+  for (const std::size_t Engine : {0, 1}) {
+    const auto &Arrivals = Crowd.arrivals(Engine);
+    EXPECT_TRUE(std::ranges::any_of(Arrivals, [](const auto &Each) {
+      return Each.RestAsked > Duration(0);
+    })) << "it never asked for rest";
+    EXPECT_EQ(mostInOneRest(Arrivals), 0U);
+  }
   const HostCrowd::Tally Tally = Crowd.takeTally();
   EXPECT_EQ(lostOf(Tally), 0U) << "other engines have room for all";
   EXPECT_EQ(Tally.SentBack, 0U);
--- /dev/null
+++ b/tests/auto/manyhosts/EngineSignalsTest.cpp
@@ -0,0 +1,191 @@
+/// \file
+/// Engines that say in their answers that they leave, and engines that do all
+/// of it in random runs, before many hosts.
+#include "auto/manyhosts/CrowdLoad.h"
+
+#include "base/Random.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+
+namespace banyanpick {
+namespace {
+
+/// Others than the host that heard it first know of it within so long.
+constexpr milliseconds ToldWithin(200);
+
+/// A host heeds a refusal so long after it came.
+constexpr milliseconds RestHeededAfter(500);
+
+/// An answer is with the host so long after the request came; the crowd's
+/// engines begin within 120 ms.
+constexpr milliseconds AnsweredWithin(125);
+
+struct Sizes {
+  std::size_t Hosts = 0;
+  std::size_t Engines = 0;
+  Duration Between{}; ///< Two requests.
+};
+
+class EngineLeavingAtSize : public testing::TestWithParam<Sizes> {};
+
+/// Guards against requests that begin on an engine after it has said that it
+/// leaves, though its registration says otherwise again and again.
+TEST_P(EngineLeavingAtSize, GetsNothingNewFromAnyHost) {
+  const Sizes Of = GetParam();
+  HostCrowd Crowd(Of.Hosts, Of.Engines);
+  Crowd.publish(1);
+  Crowd.run(seconds(25));
+  offer(Crowd, seconds(3), Of.Between);
+  Crowd.setSaysLeaving(0);
+  Crowd.takeTally();
+  const Time From = Crowd.now();
+  offer(Crowd, seconds(6), Of.Between);
+  const auto &Arrivals = Crowd.arrivals(0);
+  ASSERT_FALSE(Arrivals.empty());
+  const Time Known = From + AnsweredWithin + ToldWithin;
+  EXPECT_EQ(countFrom(Arrivals, Known), 0U);
+  const HostCrowd::Tally Tally = Crowd.takeTally();
+  EXPECT_EQ(lostOf(Tally), 0U) << "other engines have room for all";
+  // Each host that heard it tells the hosts that decide, once.
+  const auto Said = Tally.Messages.find("signals");
+  ASSERT_NE(Said, Tally.Messages.end());
+  constexpr std::size_t MostActive = 40;
+  EXPECT_LE(Said->second, MostActive * MostActive);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, EngineLeavingAtSize,
+                         testing::Values(Sizes{7, 14, milliseconds(20)},
+                                         Sizes{16, 24, milliseconds(12)},
+                                         Sizes{88, 51, milliseconds(8)},
+                                         Sizes{300, 112, milliseconds(5)}),
+                         [](const auto &Of) {
+                           return "Hosts" + std::to_string(Of.param.Hosts);
+                         });
+
+/// Engines that shed, limit, leave and serve again, and hosts that die, stand
+/// still and are cut off, by turns and together.
+class RandomSignals {
+public:
+  explicit RandomSignals(std::uint64_t Seed)
+      : Numbers(Seed), Crowd(7 + Seed % 10, 10 + Seed % 7) {}
+
+  void run() {
+    this->Crowd.publish(1);
+    this->Crowd.run(seconds(15));
+    offer(this->Crowd, seconds(2), milliseconds(25));
+    constexpr int Seconds = 20;
+    for (int Second = 0; Second < Seconds; ++Second) {
+      this->change();
+      this->disturb();
+      offer(this->Crowd, seconds(1), milliseconds(20 + this->below(20)));
+    }
+    for (std::size_t Engine = 0; Engine < this->engines(); ++Engine)
+      this->judge(Engine);
+  }
+
+private:
+  std::uint64_t below(std::uint64_t Bound) {
+    return this->Numbers.below(Bound);
+  }
+  std::size_t engines() const { return this->Crowd.engines(); }
+
+  void change() {
+    const std::size_t Engine = this->below(this->engines());
+    switch (this->below(6)) {
+    case 0:
+    case 1:
+      this->Crowd.setShedding(Engine, milliseconds(this->below(5000)));
+      return;
+    case 2:
+      this->Crowd.setShedding(Engine, std::nullopt);
+      return;
+    case 3:
+      this->Crowd.setLimit(Engine,
+                           0.4 + static_cast<double>(this->below(40)) / 10);
+      return;
+    case 4:
+      this->Crowd.setLimit(Engine, std::nullopt);
+      return;
+    default:
+      // Some stay, so that there is something left to choose.
+      if (Engine % 3 == 0)
+        this->Crowd.setSaysLeaving(Engine);
+      return;
+    }
+  }
+
+  void disturb() {
+    const std::size_t Host = this->below(this->Crowd.size());
+    switch (this->below(6)) {
+    case 0:
+      this->Crowd.kill(Host);
+      break;
+    case 1:
+      if (this->Crowd.lives(Host))
+        this->Crowd.pause(Host, milliseconds(200 + this->below(3000)));
+      break;
+    case 2:
+      this->Crowd.setApart(Host, true);
+      break;
+    case 3:
+      this->mend();
+      return;
+    default:
+      return;
+    }
+    this->Disturbed[Host].push_back(this->Crowd.now());
+  }
+
+  void mend() {
+    for (std::size_t Host = 0; Host < this->Crowd.size(); ++Host) {
+      this->Crowd.setApart(Host, false);
+      if (!this->Crowd.lives(Host))
+        this->Crowd.revive(Host);
+    }
+  }
+
+  /// Whether a restart, freeze or cut of the host between the two excuses it.
+  bool isExcused(std::size_t Host, Time From, Time To) const {
+    const auto Found = this->Disturbed.find(Host);
+    if (Found == this->Disturbed.end())
+      return false;
+    return std::ranges::any_of(
+        Found->second, [&](Time Each) { return Each >= From && Each <= To; });
+  }
+
+  void judge(std::size_t Engine) const {
+    const auto &Arrivals = this->Crowd.arrivals(Engine);
+    for (auto Asked = Arrivals.begin(); Asked != Arrivals.end(); ++Asked)
+      for (auto Each = Asked + 1; Each != Arrivals.end(); ++Each) {
+        if (Each->From != Asked->From ||
+            this->isExcused(Asked->From, Asked->At, Each->At))
+          continue;
+        const bool InRest = Each->At > Asked->At + RestHeededAfter &&
+                            Each->At < Asked->At + Asked->RestAsked;
+        EXPECT_FALSE(InRest) << "engine " << Engine << " host " << Each->From;
+        const bool AfterWord = Asked->SaidLeaving && !this->wasQueued(*Asked) &&
+                               Each->At > Asked->At + AnsweredWithin;
+        EXPECT_FALSE(AfterWord)
+            << "engine " << Engine << " host " << Each->From << " leaving";
+      }
+  }
+
+  /// Whether its answer may have come late: all places were taken, perhaps.
+  static bool wasQueued(const HostCrowd::Arrival &Of) { return Of.MayWait; }
+
+  Random Numbers;
+  HostCrowd Crowd;
+  std::map<std::size_t, std::vector<Time>> Disturbed;
+};
+
+TEST(EngineSignals, AreHeededInRandomRuns) {
+  for (std::uint64_t Seed = 1; Seed <= seedCount(); ++Seed) {
+    SCOPED_TRACE(Seed);
+    RandomSignals(Seed).run();
+  }
+}
+
+} // namespace
+} // namespace banyanpick
--- a/tests/auto/manyhosts/HostCrowd.cpp
+++ b/tests/auto/manyhosts/HostCrowd.cpp
@@ -176,6 +176,8 @@
   const auto Limit = this->Limits.find(Engine);
   if (Limit != this->Limits.end())
     Result.Limit = LimitNamed{Limit->second};
+  if (this->SaysLeaving.contains(Engine))
+    Result.Leaving = LeavingSaid::Said;
   return Result;
 }
 
@@ -394,7 +396,9 @@
         const auto Sheds = this->Shedding.find(Is.Engine);
         const bool TurnedAway = Sheds != this->Shedding.end();
         const Duration Rest = TurnedAway ? Sheds->second : Duration(0);
-        this->Arrived[Is.Engine].push_back({this->Queue.now(), At, Rest});
+        this->Arrived[Is.Engine].push_back(
+            {this->Queue.now(), At, Rest, this->SaysLeaving.contains(Is.Engine),
+             this->Busy[Is.Engine] >= PlacesEach});
         if (this->Failing.contains(Is.Engine) || this->Cut.contains(At)) {
           this->Queue.after(ResetsAfter, [this, At, Life, Id = Is.Attempt] {
             this->send(At, Life, GatewayEvent(RelayEnded{Id, RelayBroken{}}));
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -28,6 +28,7 @@
   /// Starts it anew, knowing nothing.
   void revive(std::size_t Host);
   std::size_t size() const { return this->Hosts.size(); }
+  std::size_t engines() const { return this->Engines.size(); }
   bool lives(std::size_t Host) const {
     return this->Hosts[Host].Decider != nullptr;
   }
@@ -50,6 +51,10 @@
   /// The engine turns away what it gets and asks each time for so much rest;
   /// nothing: it serves again.
   void setShedding(std::size_t Engine, std::optional<Duration> Rest);
+  /// The engine's answers say that it leaves; its registration does not.
+  void setSaysLeaving(std::size_t Engine) {
+    this->SaysLeaving.insert(this->Engines[Engine].Id);
+  }
   /// The host stands still for so long; what comes meanwhile waits.
   void pause(std::size_t Host, Duration For);
   /// No message passes between the host and its peers.
@@ -58,7 +63,9 @@
   struct Arrival {
     Time At{};
     std::size_t From = 0;
-    Duration RestAsked{}; ///< By the refusal that it got; zero: none.
+    Duration RestAsked{};     ///< By the refusal that it got; zero: none.
+    bool SaidLeaving = false; ///< By its answer,
+    bool MayWait = false;     ///< which waits for a place first.
   };
   const std::vector<Arrival> &arrivals(std::size_t Engine) const;
   Time now() const { return this->Queue.now(); }
@@ -159,6 +166,7 @@
   std::set<std::size_t> Apart;
   std::map<UpstreamId, double> Limits;
   std::map<UpstreamId, Duration> Shedding; ///< With the rest asked for.
+  std::set<UpstreamId> SaysLeaving;
   std::map<UpstreamId, std::vector<Arrival>> Arrived;
   std::vector<Address> Answer;
   Tally Done;
--- a/tests/auto/platformadapter/HeadersTest.cpp
+++ b/tests/auto/platformadapter/HeadersTest.cpp
@@ -206,6 +206,28 @@
   EXPECT_EQ(restOf(Head), RestSaid(RestUnreadable{"1e9", LongestRest}));
 }
 
+LeavingSaid leavingOf(const http::response_header<> &Head) {
+  return PlatformEngines().wordOf(Head).Leaving;
+}
+
+TEST(AnswerHeaders, OfAnyKindSayThatAnEngineLeaves) {
+  for (const unsigned Status : {200U, 202U, 404U, 429U, 500U, 503U}) {
+    http::response_header<> Head = answer(Status);
+    EXPECT_EQ(leavingOf(Head), LeavingSaid::Unsaid);
+    Head.set("Server-Leaving", "1");
+    EXPECT_EQ(leavingOf(Head), LeavingSaid::Said);
+    EXPECT_EQ(PlatformEngines().wordOf(Head, asked()).Leaving,
+              LeavingSaid::Said);
+    Head.set("Server-Leaving", "0");
+    EXPECT_EQ(leavingOf(Head), LeavingSaid::Unsaid);
+    Head.set("Server-Leaving", "soon");
+    EXPECT_EQ(leavingOf(Head), LeavingSaid::Unreadable);
+  }
+  http::response_header<> Other = answer(421);
+  Other.set("Server-Leaving", "1");
+  EXPECT_EQ(leavingOf(Other), LeavingSaid::Unsaid) << "another engine's";
+}
+
 TEST(AnswerHeaders, ThoseThatNobodyKnowsAreNamed) {
   http::response_header<> Head = answer(200);
   Head.set("X-Server-Seal", "3e1b");
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -164,6 +164,7 @@
   Result.Rests = several([] {
     return EngineSignals::Rest{id<UpstreamId>(), millisecondsUpToADay()};
   });
+  Result.Leaving = several([] { return id<UpstreamId>(); });
   return Result;
 }
 
--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -93,7 +93,7 @@
     if (FLAGS_fault != "unsealed")
       Result.emplace_back(header::Seal, "seal-of-" + FLAGS_id);
     if (FLAGS_fault == "leaving")
-      Result.emplace_back("Server-Leaving", "1");
+      Result.emplace_back(header::Leaving, "1");
     if (FLAGS_fault == "limit") {
       Result.emplace_back(header::Limit, FLAGS_limit);
       const std::lock_guard Lock(this->Guard);
