--- a/src/app/Control.cpp
+++ b/src/app/Control.cpp
@@ -1,5 +1,7 @@
 #include "app/Control.h"
 
+#include "app/ControlDelay.h"
+
 namespace banyanpick {
 
 namespace {
@@ -13,6 +15,8 @@
   ActionPerformer &Router;
   HostState &State;
   const ProcessClock &Clock;
+  std::atomic<std::size_t> &Waiting; ///< Events on their way here.
+  ControlDelay Delay;
   /// When the wake message that counts will come. Those planned earlier for a
   /// later time still come; taken as wakes, each would plan one more, and their
   /// number would only grow.
@@ -24,6 +28,14 @@
       this->Router.forget(Ended->Attempt);
   }
 
+  void noteDelay(Time SentAt) {
+    const Time Now = this->Clock.now();
+    Actions Out;
+    this->Delay.note(Now - SentAt, --this->Waiting, Now, Out);
+    if (!Out.items().empty())
+      this->Router.perform(Out.take());
+  }
+
   void publish() {
     const Services &Offered = this->Owned->services();
     const auto *Catalogue = Offered.find<CatalogueView>();
@@ -61,7 +73,10 @@
                          const std::shared_ptr<ControlParts> &Parts) {
   take(Self, *Parts, Tick{});
   return {
-      [=](const ControlEvent &Given) { take(Self, *Parts, Given.What); },
+      [=](const ControlEvent &Given) {
+        Parts->noteDelay(Given.SentAt);
+        take(Self, *Parts, Given.What);
+      },
       [=](WakeAtom, Duration::rep PlannedFor) {
         if (PlannedFor != Parts->WakeAt.time_since_epoch().count())
           return;
@@ -86,8 +101,8 @@
 void Control::start(std::unique_ptr<Kernel> Owned, ActionPerformer &Router,
                     HostState &State) {
   this->System = std::make_unique<caf::actor_system>(this->Config);
-  auto Parts = std::make_shared<ControlParts>(
-      ControlParts{std::move(Owned), Router, State, this->Clock, Never});
+  auto Parts = std::make_shared<ControlParts>(ControlParts{
+      std::move(Owned), Router, State, this->Clock, this->Waiting, {}, Never});
   this->Actor = this->System->spawn<caf::detached>(runControl, Parts);
 }
 
@@ -101,7 +116,8 @@
 }
 
 void Control::send(Event What) {
-  caf::anon_send(this->Actor, ControlEvent{std::move(What)});
+  ++this->Waiting;
+  caf::anon_send(this->Actor, ControlEvent{std::move(What), this->Clock.now()});
 }
 
 } // namespace banyanpick
--- a/src/app/Control.h
+++ b/src/app/Control.h
@@ -9,6 +9,7 @@
 #include "app/ProcessClock.h"
 #include "kernel/Kernel.h"
 
+#include <atomic>
 #include <caf/all.hpp>
 
 namespace banyanpick {
@@ -16,6 +17,7 @@
 /// An event on its way to the actor.
 struct ControlEvent {
   Event What;
+  Time SentAt{};
 };
 
 /// The settings of the actor system, for a process with one actor.
@@ -40,6 +42,7 @@
 
 private:
   const ProcessClock &Clock;
+  std::atomic<std::size_t> Waiting = 0; ///< Events on their way.
   ControlSystemConfig Config;
   std::unique_ptr<caf::actor_system> System;
   caf::actor Actor;
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -102,6 +102,8 @@
                                             "stream handed to another host"};
 inline constexpr EventKind StreamTakenOver{508, LogLevel::Info,
                                            "stream taken from another host"};
+inline constexpr EventKind ControlLate{509, LogLevel::Warning,
+                                       "decisions come late"};
 inline constexpr EventKind UpstreamChanged{510, LogLevel::Info,
                                            "upstream changed state"};
 
--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -464,6 +464,7 @@
                   .with("state", name(Changed.State))
                   .with("ready", Changed.Ready ? "true" : "false")
                   .with("in_force", Changed.InForce)
+                  .with("by_silence", Change.BySilence ? "true" : "false")
                   .build());
     for (MembershipObserver *Each :
          this->Offered->list<MembershipObserver>().all())
--- a/src/plugins/membership/PeerTable.cpp
+++ b/src/plugins/membership/PeerTable.cpp
@@ -175,6 +175,8 @@
       Next.Stands = LifeBelief::Standing::Dead;
     else if (Next.Stands == LifeBelief::Standing::Alive && Silent)
       Next.Stands = LifeBelief::Standing::Suspect;
+    if (Next.Stands != Record.Belief.Stands)
+      this->changeOf(this->Members[At].Listing.Id).BySilence = true;
     this->believe(At, Next, Now);
   }
   this->forgetLongDead(Now);
--- a/src/plugins/membership/PeerTable.h
+++ b/src/plugins/membership/PeerTable.h
@@ -42,6 +42,7 @@
   std::size_t At = 0;
   bool IsNews = false;       ///< Others should hear of it.
   bool StateChanged = false; ///< Its state or life is another.
+  bool BySilence = false;    ///< As it left heartbeats unanswered.
 };
 
 /// The other entry hosts, ordered by name.
--- a/tests/auto/manyhosts/HostCrowd.cpp
+++ b/tests/auto/manyhosts/HostCrowd.cpp
@@ -3,6 +3,7 @@
 #include "base/Visitor.h"
 #include "fakes/GatewayDeclarations.h"
 #include "kernel/GatewayServices.h"
+#include "wire/PeerCodec.h"
 
 #include <fmt/format.h>
 #include <numeric>
@@ -48,17 +49,11 @@
   return Result;
 }
 
-/// What the hosts serve by: an answer of some two seconds in a full batch.
-std::shared_ptr<const GatewayConfiguration> declared(std::uint64_t Version) {
-  auto Result =
-      std::make_shared<GatewayConfiguration>(*gatewayDeclarations(Version));
-  for (RouteEntry &Each : Result->Routes)
-    Each.TimeLimit = CallersWait;
-  EngineParameters &Engine = *Result->Services[ServiceId("ring")].Engine;
-  Engine.UsualPromptTokens = ShortPrompt;
-  Engine.UsualAnswerTokens = 1500;
-  return Result;
-}
+/// Processor time to take a message in and to send one, and for each byte of
+/// it; reading a configuration takes longer.
+constexpr double MessageSeconds = 15e-6;
+constexpr double ByteSeconds = 10e-9;
+constexpr double DocumentByteSeconds = 20e-9;
 
 std::string kindOf(const PeerMessageBody &Body) {
   return match(
@@ -104,6 +99,21 @@
 
 HostCrowd::~HostCrowd() = default;
 
+/// What the hosts serve by: an answer of some two seconds in a full batch. The
+/// document ends with its version.
+std::shared_ptr<const GatewayConfiguration>
+HostCrowd::declared(std::uint64_t VersionGiven) const {
+  auto Result = std::make_shared<GatewayConfiguration>(
+      *gatewayDeclarations(VersionGiven));
+  for (RouteEntry &Each : Result->Routes)
+    Each.TimeLimit = CallersWait;
+  EngineParameters &Engine = *Result->Services[ServiceId("ring")].Engine;
+  Engine.UsualPromptTokens = ShortPrompt;
+  Engine.UsualAnswerTokens = 1500;
+  Result->Document = std::string(this->DocumentSize, 'x') + Result->Document;
+  return Result;
+}
+
 void HostCrowd::run(Duration For) {
   this->Queue.runUntil(this->Queue.now() + For);
 }
@@ -290,7 +300,7 @@
   this->Answer.clear();
   ResolveAsked Asked;
   Asked.Id = ResolveQuestionId(++this->Requests);
-  this->send(By, this->Hosts[By].Life, std::move(Asked));
+  this->handle(By, std::move(Asked));
   std::vector<std::size_t> Result;
   for (std::size_t At = 0; At < this->Hosts.size(); ++At)
     if (std::ranges::count(this->Answer, this->Hosts[At].Self.Callers) > 0)
@@ -336,20 +346,95 @@
   this->readStore(At, Each.Life);
 }
 
-void HostCrowd::send(std::size_t At, std::uint64_t Life, const Event &What) {
+void HostCrowd::send(std::size_t At, std::uint64_t Life, const Event &What,
+                     std::size_t Bytes) {
   Host &Each = this->Hosts[At];
   if (!Each.Decider || Each.Life != Life)
     return;
   if (this->Queue.now() < Each.PausedUntil) {
-    this->Queue.at(Each.PausedUntil,
-                   [this, At, Life, What] { this->send(At, Life, What); });
+    this->Queue.at(Each.PausedUntil, [this, At, Life, What, Bytes] {
+      this->send(At, Life, What, Bytes);
+    });
+    return;
+  }
+  if (Each.Has.Cores == 0) {
+    this->handle(At, What);
     return;
   }
-  for (const Action &Wanted : Each.Decider->handle(What, this->Queue.now()))
+  this->hold(At, Bytes);
+  Each.Inbox.push_back({Life, What, Bytes});
+  this->pump(At);
+}
+
+void HostCrowd::pump(std::size_t At) {
+  Host &Each = this->Hosts[At];
+  while (!Each.Inbox.empty() && this->Queue.now() >= Each.BusyUntil) {
+    const Waiting Next = std::move(Each.Inbox.front());
+    Each.Inbox.pop_front();
+    Each.Held -= Next.Bytes;
+    if (!Each.Decider || Each.Life != Next.Life)
+      continue;
+    const double Cost =
+        MessageSeconds + static_cast<double>(Next.Bytes) * ByteSeconds;
+    Each.BusyUntil = this->Queue.now() + fromSeconds(Cost / Each.Has.Cores);
+    this->handle(At, Next.What);
+  }
+  if (Each.Inbox.empty() || std::exchange(Each.PumpPlanned, true))
+    return;
+  this->Queue.at(Each.BusyUntil, [this, At] {
+    this->Hosts[At].PumpPlanned = false;
+    this->pump(At);
+  });
+}
+
+void HostCrowd::handle(std::size_t At, const Event &What) {
+  for (const Action &Wanted :
+       this->Hosts[At].Decider->handle(What, this->Queue.now()))
     this->perform(At, Wanted);
   this->planWake(At);
 }
 
+void HostCrowd::hold(std::size_t At, std::size_t Bytes) {
+  Host &Each = this->Hosts[At];
+  Each.Held += Bytes;
+  Each.MostHeld = std::max(Each.MostHeld, Each.Held);
+}
+
+Duration HostCrowd::transfer(std::size_t From, std::size_t To,
+                             std::size_t Bytes) {
+  Host &Sender = this->Hosts[From];
+  Host &Receiver = this->Hosts[To];
+  if (Sender.Has.BytesPerSecond == 0 || Receiver.Has.BytesPerSecond == 0)
+    return Duration(0);
+  const auto Size = static_cast<double>(Bytes);
+  const Time Now = this->Queue.now();
+  Sender.SendsUntil = std::max(Now, Sender.SendsUntil) +
+                      fromSeconds(Size / Sender.Has.BytesPerSecond);
+  Receiver.ReceivesUntil = std::max(Sender.SendsUntil, Receiver.ReceivesUntil) +
+                           fromSeconds(Size / Receiver.Has.BytesPerSecond);
+  const Duration Result = Receiver.ReceivesUntil - Now;
+  this->hold(From, Bytes);
+  this->Queue.after(Result,
+                    [this, From, Bytes] { this->Hosts[From].Held -= Bytes; });
+  return Result;
+}
+
+std::size_t HostCrowd::doubts() const {
+  std::size_t Result = 0;
+  for (std::size_t At = 0; At < this->Hosts.size(); ++At) {
+    if (!this->lives(At) || this->Apart.contains(At))
+      continue;
+    const auto &Members =
+        this->Hosts[At].Decider->services().get<MembershipView>();
+    for (const Member &Each : Members.peers()) {
+      const std::size_t Of = this->Numbers.at(Each.Listing.Id);
+      const bool Reached = this->lives(Of) && !this->Apart.contains(Of);
+      Result += Reached && Each.State != MemberState::Alive ? 1 : 0;
+    }
+  }
+  return Result;
+}
+
 void HostCrowd::planWake(std::size_t At) {
   Host &Each = this->Hosts[At];
   const Time Wanted = Each.Decider->nextWake();
@@ -422,9 +507,14 @@
       [&](const DecodeConfiguration &Is) {
         const std::uint64_t Told =
             std::stoull(Is.Document.substr(Is.Document.rfind(' ') + 1));
-        this->Queue.after(milliseconds(1), [this, At, Life, Told] {
+        const double Cost =
+            static_cast<double>(Is.Document.size()) * DocumentByteSeconds;
+        const double Cores = this->Hosts[At].Has.Cores;
+        const Duration Reading =
+            milliseconds(1) + fromSeconds(Cores == 0 ? 0 : Cost / Cores);
+        this->Queue.after(Reading, [this, At, Life, Told] {
           this->send(At, Life,
-                     GatewayEvent(ConfigurationRead{declared(Told),
+                     GatewayEvent(ConfigurationRead{this->declared(Told),
                                                     BeliefSource::Peer}));
         });
       },
@@ -450,9 +540,18 @@
     return;
   const Host &Sender = this->Hosts[From];
   PeerMessage Message{Sender.Self.Host, Sender.Self.Life, Sent.Body};
-  this->Queue.after(BetweenHosts, [this, To, Message = std::move(Message)] {
-    this->send(To, this->Hosts[To].Life, PeerMessageReceived{Message});
-  });
+  const std::size_t Bytes =
+      Sender.Has.BytesPerSecond == 0 ? 0 : encodePeerMessage(Message).size();
+  // Sending takes the processor, too.
+  if (Sender.Has.Cores > 0)
+    this->Hosts[From].BusyUntil += fromSeconds(
+        (MessageSeconds + static_cast<double>(Bytes) * ByteSeconds) /
+        Sender.Has.Cores);
+  this->Queue.after(BetweenHosts + this->transfer(From, To, Bytes),
+                    [this, To, Bytes, Message = std::move(Message)] {
+                      this->send(To, this->Hosts[To].Life,
+                                 PeerMessageReceived{Message}, Bytes);
+                    });
 }
 
 void HostCrowd::readStore(std::size_t At, std::uint64_t Life) {
@@ -480,8 +579,8 @@
     const std::uint64_t Newest = this->Version;
     if (std::exchange(Each.SeenVersion, Newest) != Newest)
       this->send(At, Life,
-                 GatewayEvent(
-                     ConfigurationRead{declared(Newest), BeliefSource::Store}));
+                 GatewayEvent(ConfigurationRead{this->declared(Newest),
+                                                BeliefSource::Store}));
     this->send(At, Life,
                GatewayEvent(StoreSeen{StoreSeen::Part::Engines, true, ""}));
     this->send(At, Life, GatewayEvent(std::move(Read)));
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -23,6 +23,23 @@
   HostCrowd(std::size_t Hosts, std::size_t Engines);
   ~HostCrowd();
 
+  /// What a host has; without, it has as much as it needs.
+  struct Means {
+    double Cores = 0;
+    double BytesPerSecond = 0; ///< Of its link, each way.
+  };
+  void setMeans(std::size_t Host, const Means &Given) {
+    this->Hosts[Host].Has = Given;
+  }
+  /// The most bytes of messages that the host has held at once so far, to be
+  /// sent and to be taken in. Counted for hosts with means.
+  std::size_t mostHeld(std::size_t Host) const {
+    return this->Hosts[Host].MostHeld;
+  }
+  /// Pairs of living hosts that reach each other of which one takes the other
+  /// for anything but alive.
+  std::size_t doubts() const;
+
   void run(Duration For);
   void kill(std::size_t Host);
   /// Starts it anew, knowing nothing.
@@ -35,6 +52,8 @@
 
   /// The operator's configuration, or a newer one; read by those that follow.
   void publish(std::uint64_t Version);
+  /// Configurations from now on are documents of so many bytes.
+  void setDocumentSize(std::size_t Bytes) { this->DocumentSize = Bytes; }
   /// The engine says that it leaves.
   void drain(std::size_t Engine);
   /// The store refuses the host.
@@ -98,10 +117,24 @@
   Tally takeTally();
 
 private:
+  /// An event that waits for the host's processor.
+  struct Waiting {
+    std::uint64_t Life = 0;
+    Event What;
+    std::size_t Bytes = 0; ///< Of the message that brought it.
+  };
   struct Host {
     Identity Self;
     std::unique_ptr<Kernel> Decider; ///< Null: the process is not there.
     std::uint64_t Life = 0;
+    Means Has;
+    std::deque<Waiting> Inbox;
+    bool PumpPlanned = false;
+    Time BusyUntil{};     ///< Its processor,
+    Time SendsUntil{};    ///< and its link,
+    Time ReceivesUntil{}; ///< each way.
+    std::size_t Held = 0;
+    std::size_t MostHeld = 0;
     Time WakeAt = Never;
     Time PausedUntil{};
     bool Follows = true;
@@ -138,7 +171,17 @@
               const EngineWord &Word);
   void ended(const UpstreamId &Engine, const Run &Each);
   void start(std::size_t At);
-  void send(std::size_t At, std::uint64_t Life, const Event &What);
+  void send(std::size_t At, std::uint64_t Life, const Event &What,
+            std::size_t Bytes = 0);
+  /// The host decides, and does what it decided.
+  void handle(std::size_t At, const Event &What);
+  /// Takes in what waits, as its processor allows.
+  void pump(std::size_t At);
+  /// How long the bytes are on their way over both hosts' links.
+  Duration transfer(std::size_t From, std::size_t To, std::size_t Bytes);
+  void hold(std::size_t At, std::size_t Bytes);
+  std::shared_ptr<const GatewayConfiguration>
+  declared(std::uint64_t VersionGiven) const;
   void perform(std::size_t At, const Action &Wanted);
   void perform(std::size_t At, const GatewayAction &Wanted);
   void deliver(std::size_t From, const SendToPeer &Sent);
@@ -155,6 +198,7 @@
   std::vector<EngineChange> Registry; ///< Its newest records, by engine.
   LogOffset RegistryEnd = 1;
   std::uint64_t Version = 0;
+  std::size_t DocumentSize = 0;
   std::uint64_t Lives = 0;
   std::uint64_t Requests = 0;
   std::map<CallerKey, Caller> Callers;
