Fetch a configuration once, packed, in pieces, from one peer at a time

What callers saw: on the shifted ring a key that was taken away was accepted 3.2 s after its acknowledgement (3 are allowed), and a host ended for its memory.

Cause: a host that lacked a version asked every peer whose heartbeat named it, with each heartbeat, until the first copy was whole; a partner of forty others gets 160 heartbeats a second, and a copy of some 400 KB takes 0.16 s on the smallest link alone. The copies crowded each other and all other messages, in queues that were bounded by their messages and not by their bytes.

Why it works: one piece is under way to a host at a time, over half of the smallest link at most for all whom a host serves; who has most goes first, and a peer that does not answer is followed by another that goes on. Documents are packed (Beast's deflate). Messages between threads are bounded by bytes, and a host that runs late takes nothing more in from peers. A host that has known for 2.5 s of a newer version refuses requests until it has it (not run, come back).

--- a/src/app/Control.h
+++ b/src/app/Control.h
@@ -39,6 +39,8 @@
   void stop();
 
   void send(Event What) override;
+  /// Events that wait to be taken in.
+  std::size_t waiting() const { return this->Waiting; }
 
 private:
   const ProcessClock &Clock;
--- a/src/app/PeerEvents.cpp
+++ b/src/app/PeerEvents.cpp
@@ -5,10 +5,23 @@
 
 namespace banyanpick {
 
+namespace {
+
+/// A host that runs so late takes nothing more from peers: they repeat what
+/// matters, and what waited for seconds is worth less than the memory.
+constexpr std::size_t MostWaiting = 4096;
+
+} // namespace
+
 PeerNetwork::Listener peerEvents(Control &Events, Metrics &Measured,
                                  const ProcessClock &Clock) {
   return {
-      [&Events](PeerMessage Message) {
+      [&Events, &Measured](PeerMessage Message) {
+        if (Events.waiting() >= MostWaiting) {
+          Measured.record(
+              {RecordMeasurement::Kind::Count, "peer_messages_dropped", "", 1});
+          return;
+        }
         Events.send(PeerMessageReceived{std::move(Message)});
       },
       [&Measured, &Clock](std::string_view Why) {
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -15,6 +15,9 @@
   virtual ~RouteView() = default;
   /// Null until a configuration is known.
   virtual const RouteTable *routes() const = 0;
+  /// Whether a newer one has been in force elsewhere for longer than it may
+  /// take to come here.
+  virtual bool isStale(Time Now) const = 0;
 };
 
 /// Whether an upstream may get work.
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -51,6 +51,8 @@
   /// How long ago a host read the store whose knowledge the sender has; an age,
   /// as hosts' clocks differ. Never: not known.
   Duration StoreAge = Duration::max();
+  /// The sender sends and answers heartbeats so much later than it should.
+  Duration Late{};
 
   bool operator==(const Heartbeat &) const = default;
 };
@@ -186,14 +188,20 @@
 /// "Send me the configuration if yours is newer than this version."
 struct ConfigurationAsked {
   std::uint64_t NewerThan = 0;
+  /// Of this version the sender has all bytes before From; 0: of none.
+  std::uint64_t Version = 0;
+  std::uint64_t From = 0;
 
   bool operator==(const ConfigurationAsked &) const = default;
 };
 
-/// A configuration as its operator wrote it, for hosts cut off from the store.
+/// A piece of a configuration as its operator wrote it, for hosts that don't
+/// have it from the store. The next one is sent when it is asked for.
 struct ConfigurationRelayed {
   std::uint64_t Version = 0;
-  std::string Document;
+  std::string Piece;      ///< Of the packed document (see DocumentPack.h),
+  std::uint64_t From = 0; ///< which it continues from here,
+  std::uint64_t Size = 0; ///< and which has so many bytes.
 
   bool operator==(const ConfigurationRelayed &) const = default;
 };
--- a/src/libs/peers/PeerNetwork.cpp
+++ b/src/libs/peers/PeerNetwork.cpp
@@ -25,6 +25,7 @@
 
 /// Messages that other threads may leave before more are dropped.
 constexpr std::size_t MostWaiting = 65536;
+constexpr std::size_t MostWaitingBytes = 8'000'000;
 
 int inMilliseconds(milliseconds Value) {
   return static_cast<int>(Value.count());
@@ -115,8 +116,10 @@
       encodePeerMessage({this->Self, this->Life, std::move(Body)});
   {
     const std::lock_guard Lock(this->Guard);
-    if (this->Waiting.size() >= MostWaiting)
+    if (this->Waiting.size() >= MostWaiting ||
+        this->WaitingBytes + Bytes.size() > MostWaitingBytes)
       return;
+    this->WaitingBytes += Bytes.size();
     this->Waiting.push_back({To, std::move(Bytes)});
   }
   this->wake();
@@ -175,6 +178,7 @@
   {
     const std::lock_guard Lock(this->Guard);
     Messages.swap(this->Waiting);
+    this->WaitingBytes = 0;
     Peers.swap(this->NewPeers);
   }
   if (Peers)
--- a/src/libs/peers/PeerNetwork.h
+++ b/src/libs/peers/PeerNetwork.h
@@ -67,6 +67,7 @@
 
   std::mutex Guard; ///< Of the members below.
   std::vector<Outgoing> Waiting;
+  std::size_t WaitingBytes = 0;
   std::optional<std::vector<HostListing>> NewPeers;
   bool Stopping = false;
 
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -68,6 +68,7 @@
   Out.set_engines_digest(Body.EnginesDigest);
   if (Body.StoreAge != Duration::max())
     Out.set_store_age_us(static_cast<std::uint64_t>(Body.StoreAge.count()));
+  Out.set_late_us(static_cast<std::uint64_t>(Body.Late.count()));
 }
 
 void write(const banyanpick::WorkSent &Body, Envelope &Envelope) {
@@ -162,12 +163,18 @@
 }
 
 void write(const banyanpick::ConfigurationAsked &Body, Envelope &Envelope) {
-  Envelope.mutable_configuration_asked()->set_newer_than(Body.NewerThan);
+  ConfigurationAsked &Out = *Envelope.mutable_configuration_asked();
+  Out.set_newer_than(Body.NewerThan);
+  Out.set_version(Body.Version);
+  Out.set_from(Body.From);
 }
 
 void write(const banyanpick::ConfigurationRelayed &Body, Envelope &Envelope) {
-  Envelope.mutable_configuration_relayed()->set_version(Body.Version);
-  Envelope.mutable_configuration_relayed()->set_document(Body.Document);
+  ConfigurationRelayed &Out = *Envelope.mutable_configuration_relayed();
+  Out.set_version(Body.Version);
+  Out.set_piece(Body.Piece);
+  Out.set_from(Body.From);
+  Out.set_size(Body.Size);
 }
 
 void write(const banyanpick::EnginesAsked &Body, Envelope &Envelope) {
@@ -370,6 +377,7 @@
   constexpr std::uint64_t OldestUs = 86'400'000'000;
   if (In.has_store_age_us())
     Result.StoreAge = Duration(std::min(In.store_age_us(), OldestUs));
+  Result.Late = Duration(std::min(In.late_us(), OldestUs));
   return Result;
 }
 
@@ -459,12 +467,14 @@
   case Envelope::kRecordsToAppend:
     return banyanpick::RecordsToAppend{decodeLogBatch(In.records_to_append())};
   case Envelope::kConfigurationAsked:
-    return banyanpick::ConfigurationAsked{
-        In.configuration_asked().newer_than()};
+    return banyanpick::ConfigurationAsked{In.configuration_asked().newer_than(),
+                                          In.configuration_asked().version(),
+                                          In.configuration_asked().from()};
   case Envelope::kConfigurationRelayed:
     return banyanpick::ConfigurationRelayed{
         In.configuration_relayed().version(),
-        In.configuration_relayed().document()};
+        In.configuration_relayed().piece(), In.configuration_relayed().from(),
+        In.configuration_relayed().size()};
   case Envelope::kEnginesAsked:
     return banyanpick::EnginesAsked{In.engines_asked().from_offset()};
   case Envelope::kEnginesRelayed:
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -101,6 +101,11 @@
                  "no configuration is known here yet", Out);
     return;
   }
+  if (this->Declared->isStale(Now)) {
+    this->refuse(Head, RefusalKind::NotRun, this->Times.ComeBack,
+                 "a newer configuration is on its way here", Out);
+    return;
+  }
   const RouteEntry *Route = Routes->find(Head.Host, Head.Path);
   if (!Route) {
     this->refuse(Head, RefusalKind::NoSuchRoute, Duration(0),
--- a/src/plugins/routes/RoutesPlugin.cpp
+++ b/src/plugins/routes/RoutesPlugin.cpp
@@ -3,15 +3,34 @@
 #include "base/EventNumbers.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
+#include "wire/DocumentPack.h"
 
 #include <algorithm>
 
 namespace banyanpick {
 
+namespace {
+
+/// Of a document, sent at once: a few milliseconds of the smallest link.
+constexpr std::size_t PieceBytes = 16'384;
+
+/// A larger document is not taken from a peer; the store takes none of this
+/// size.
+constexpr std::size_t LargestDocument = 16'000'000;
+
+/// Newer versions that are remembered; the oldest of them matter.
+constexpr std::size_t MostHeard = 64;
+
+} // namespace
+
 void RoutesPlugin::initialize(PluginContext &Context) {
   this->Offered = &Context.services();
   this->Members = &Context.services().get<MembershipView>();
+  this->Numbers = &Context.random();
   this->LookInterval = Context.settings().span("routes", "peer_look_interval");
+  this->StaleAfter = Context.settings().span("routes", "stale_after");
+  this->Wanted = PieceQueue(
+      static_cast<double>(Context.settings().whole("routes", "relay_rate")));
   Context.services().provide<RouteView>(*this);
   Context.services().provide<InForceView>(*this);
 }
@@ -24,18 +43,32 @@
       [&](const GatewayEvent &Is) {
         if (const auto *Read = std::get_if<ConfigurationRead>(&Is))
           this->take(*Read, Out);
-        if (const auto *Bad = std::get_if<ConfigurationUnreadable>(&Is))
+        if (const auto *Bad = std::get_if<ConfigurationUnreadable>(&Is)) {
+          // What can't be read here is neither waited for nor fetched again.
+          this->Heard.clear();
+          this->Unreadable = this->DecodingVersion;
           Out.log(logEvent(events::ConfigurationUnreadable)
                       .with("why", Bad->Why)
                       .with("in_force", this->version())
                       .build());
+        }
       },
       [&](const PeerMessageReceived &Is) {
-        this->takePeerMessage(Is.Message, Out);
+        this->takePeerMessage(Is.Message, Now, Out);
       },
       [](const auto &) {});
   if (Now >= this->NextLook)
     this->look(Now, Out);
+  this->sendPieces(Now, Out);
+}
+
+Time RoutesPlugin::nextWake() const {
+  return std::min(this->NextLook, this->Wanted.nextAt());
+}
+
+bool RoutesPlugin::isStale(Time Now) const {
+  return !this->Heard.empty() &&
+         Now >= this->Heard.begin()->second + this->StaleAfter;
 }
 
 bool RoutesPlugin::isReady() const {
@@ -53,6 +86,8 @@
   const std::uint64_t Before = this->version();
   this->Table = std::make_unique<RouteTable>(Read.Declared);
   this->HighestVersion = std::max(this->HighestVersion, this->version());
+  this->Heard.erase(this->Heard.begin(),
+                    this->Heard.upper_bound(this->version()));
   Out.add(GatewayAction(LimitCallers{Read.Declared->Limits}));
   Out.log(logEvent(events::ConfigurationInForce)
               .with("version", this->version())
@@ -65,44 +100,98 @@
             Read.From == BeliefSource::Store ? "store" : "peer");
 }
 
-void RoutesPlugin::takePeerMessage(const PeerMessage &Message, Actions &Out) {
+void RoutesPlugin::takePeerMessage(const PeerMessage &Message, Time Now,
+                                   Actions &Out) {
   match(
       Message.Body,
       [&](const ConfigurationAsked &Asked) {
-        if (this->version() <= Asked.NewerThan)
-          return;
-        Out.add(SendToPeer{
-            Message.From,
-            ConfigurationRelayed{this->version(),
-                                 this->Table->configuration().Document}});
+        if (this->version() > Asked.NewerThan)
+          this->Wanted.add(Message.From, Asked, Now);
       },
       [&](const ConfigurationRelayed &Relayed) {
-        if (Relayed.Version <= std::max(this->version(), this->DecodingVersion))
-          return;
-        this->DecodingVersion = Relayed.Version;
-        Out.add(GatewayAction(DecodeConfiguration{Relayed.Document}));
+        this->takePiece(Message.From, Relayed, Now, Out);
       },
       [&](const Heartbeat &Beat) {
-        // At once: a key that was taken away must stop here, too.
-        if (Beat.InForce > std::max(this->version(), this->DecodingVersion))
-          Out.add(
-              SendToPeer{Message.From, ConfigurationAsked{this->version()}});
+        this->takeHeartbeat(Message.From, Beat.InForce, Now, Out);
       },
       [](const auto &) {});
 }
 
+bool RoutesPlugin::isNewer(std::uint64_t Version) const {
+  return Version > std::max(this->version(), this->DecodingVersion);
+}
+
+void RoutesPlugin::takeHeartbeat(const HostId &From, std::uint64_t InForce,
+                                 Time Now, Actions &Out) {
+  if (InForce > std::max(this->version(), this->Unreadable) &&
+      this->Heard.size() < MostHeard)
+    this->Heard.emplace(InForce, Now);
+  // At once: a key that was taken away must stop here, too.
+  if (this->isNewer(InForce) && this->Fetch.mayAsk(Now))
+    Out.add(SendToPeer{From, this->Fetch.ask(this->version(), Now)});
+}
+
+void RoutesPlugin::takePiece(const HostId &From,
+                             const ConfigurationRelayed &Piece, Time Now,
+                             Actions &Out) {
+  if (!this->isNewer(Piece.Version))
+    return;
+  ConfigurationFetch::Progress Done = this->Fetch.take(Piece, Now);
+  if (Done.WantsMore)
+    Out.add(SendToPeer{From, this->Fetch.ask(this->version(), Now)});
+  if (!Done.Document)
+    return;
+  auto Document = unpackDocument(*Done.Document, LargestDocument);
+  if (!Document) {
+    Out.count("configurations_malformed", From.Value);
+    return;
+  }
+  this->DecodingVersion = Piece.Version;
+  this->Packed = std::move(*Done.Document);
+  this->PackedVersion = Piece.Version;
+  Out.add(GatewayAction(DecodeConfiguration{std::move(*Document)}));
+}
+
+void RoutesPlugin::sendPieces(Time Now, Actions &Out) {
+  while (const auto Next = this->Wanted.next(Now)) {
+    const std::string &Document = this->packed();
+    const ConfigurationAsked &Asked = Next->What;
+    const bool GoesOn =
+        Asked.Version == this->version() && Asked.From < Document.size();
+    const std::uint64_t From = GoesOn ? Asked.From : 0;
+    ConfigurationRelayed Piece{this->version(),
+                               Document.substr(From, PieceBytes), From,
+                               Document.size()};
+    this->Wanted.noteSent(Piece.Piece.size(), Now);
+    Out.count("configuration_pieces_sent");
+    Out.add(SendToPeer{Next->By, std::move(Piece)});
+  }
+}
+
+const std::string &RoutesPlugin::packed() {
+  if (this->PackedVersion != this->version()) {
+    this->Packed = packDocument(this->Table->configuration().Document);
+    this->PackedVersion = this->version();
+  }
+  return this->Packed;
+}
+
 void RoutesPlugin::look(Time Now, Actions &Out) {
   this->NextLook = Now + this->LookInterval;
-  const Member *Best = nullptr;
-  for (const Member &Each : this->Members->peers())
-    if (Each.State != MemberState::Dead && Each.InForce > this->version() &&
-        (!Best || Each.InForce > Best->InForce))
-      Best = &Each;
-  // An answer may have been lost, so a version under way is asked for again.
-  if (!Best)
+  std::vector<const Member *> Best;
+  for (const Member &Each : this->Members->peers()) {
+    if (Each.State == MemberState::Dead || !this->isNewer(Each.InForce))
+      continue;
+    if (!Best.empty() && Each.InForce > Best.front()->InForce)
+      Best.clear();
+    if (Best.empty() || Each.InForce == Best.front()->InForce)
+      Best.push_back(&Each);
+  }
+  if (Best.empty() || !this->Fetch.mayAsk(Now))
     return;
-  this->DecodingVersion = 0;
-  Out.add(SendToPeer{Best->Listing.Id, ConfigurationAsked{this->version()}});
+  // One at random: they would all ask the same one.
+  const Member &Asked = *Best[this->Numbers->below(Best.size())];
+  Out.add(SendToPeer{Asked.Listing.Id, this->Fetch.ask(this->version(), Now)});
 }
 
 void RoutesPlugin::checkInvariants(InvariantMonitor &Monitor, Time) const {
@@ -114,7 +203,16 @@
   return {{"routes", "peer_look_interval", SettingKind::Span, "250ms",
            "How often a host that lags behind its peers asks one of them for "
            "the configuration.",
-           50e3, 10e6}};
+           50e3, 10e6},
+          {"routes", "relay_rate", SettingKind::Whole, "1250000",
+           "Bytes a second of the configuration that a host sends its peers in "
+           "all; half of the smallest host's link.",
+           16e3, 1e9},
+          {"routes", "stale_after", SettingKind::Span, "2500ms",
+           "A host that has known for so long that a newer configuration is in "
+           "force elsewhere refuses requests until it has it; under the time "
+           "in which operators expect it in force everywhere.",
+           100e3, 600e6}};
 }
 
 namespace {
--- a/tests/auto/gateway/GatewayBeliefsTest.cpp
+++ b/tests/auto/gateway/GatewayBeliefsTest.cpp
@@ -2,6 +2,8 @@
 /// Configuration and registry reach hosts that the store does not answer.
 #include "auto/gateway/GatewayBench.h"
 
+#include "wire/DocumentPack.h"
+
 #include <gtest/gtest.h>
 
 namespace banyanpick {
@@ -43,7 +45,8 @@
   Bench.receive("h2", Beat);
   ASSERT_EQ(Bench.sent<ConfigurationAsked>().size(), 1U);
   EXPECT_EQ(Bench.sent<ConfigurationAsked>().front().NewerThan, 5U);
-  Bench.receive("h2", ConfigurationRelayed{6, "version 6"});
+  Bench.receive("h2", ConfigurationRelayed{6, packDocument("version 6"), 0,
+                                           packDocument("version 6").size()});
   EXPECT_EQ(Bench.last<DecodeConfiguration>().Document, "version 6");
 }
 
@@ -53,7 +56,9 @@
   Bench.receive("h2", beatOf("h2", 10));
   Bench.receive("h2", ConfigurationAsked{4});
   ASSERT_EQ(Bench.sent<ConfigurationRelayed>().size(), 1U);
-  EXPECT_EQ(Bench.sent<ConfigurationRelayed>().front().Document, "version 5");
+  EXPECT_EQ(
+      unpackDocument(Bench.sent<ConfigurationRelayed>().front().Piece, 100),
+      "version 5");
   Bench.receive("h2", ConfigurationAsked{5});
   EXPECT_EQ(Bench.sent<ConfigurationRelayed>().size(), 1U);
 }
--- a/tests/auto/manyhosts/HostCrowd.cpp
+++ b/tests/auto/manyhosts/HostCrowd.cpp
@@ -1,5 +1,6 @@
 #include "auto/manyhosts/HostCrowd.h"
 
+#include "base/Random.h"
 #include "base/Visitor.h"
 #include "fakes/GatewayDeclarations.h"
 #include "kernel/GatewayServices.h"
@@ -55,6 +56,19 @@
 constexpr double ByteSeconds = 10e-9;
 constexpr double DocumentByteSeconds = 20e-9;
 
+/// So many bytes as routes are written, each with names of its own.
+std::string routesText(std::size_t Bytes) {
+  Random Numbers(Bytes);
+  std::string Result;
+  while (Result.size() < Bytes)
+    Result += fmt::format(
+        R"({{"Name":"{:08x}","Host":"{:06x}.example","PathPrefix":"/{:08x}/",)"
+        R"("Kind":"safe","Attempts":2,"TimeoutMs":4000,"Service":"ring"}},)",
+        Numbers.below(1U << 31U), Numbers.below(1U << 24U),
+        Numbers.below(1U << 31U));
+  return Result;
+}
+
 std::string kindOf(const PeerMessageBody &Body) {
   return match(
       Body, [](const Heartbeat &) { return "heartbeat"; },
@@ -102,7 +116,10 @@
 /// What the hosts serve by: an answer of some two seconds in a full batch. The
 /// document ends with its version.
 std::shared_ptr<const GatewayConfiguration>
-HostCrowd::declared(std::uint64_t VersionGiven) const {
+HostCrowd::declared(std::uint64_t VersionGiven) {
+  auto &Known = this->Declared[VersionGiven];
+  if (Known)
+    return Known;
   auto Result = std::make_shared<GatewayConfiguration>(
       *gatewayDeclarations(VersionGiven));
   for (RouteEntry &Each : Result->Routes)
@@ -110,8 +127,9 @@
   EngineParameters &Engine = *Result->Services[ServiceId("ring")].Engine;
   Engine.UsualPromptTokens = ShortPrompt;
   Engine.UsualAnswerTokens = 1500;
-  Result->Document = std::string(this->DocumentSize, 'x') + Result->Document;
-  return Result;
+  Result->Document = routesText(this->DocumentSize) + Result->Document;
+  Known = std::move(Result);
+  return Known;
 }
 
 void HostCrowd::run(Duration For) {
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -181,7 +181,7 @@
   Duration transfer(std::size_t From, std::size_t To, std::size_t Bytes);
   void hold(std::size_t At, std::size_t Bytes);
   std::shared_ptr<const GatewayConfiguration>
-  declared(std::uint64_t VersionGiven) const;
+  declared(std::uint64_t VersionGiven);
   void perform(std::size_t At, const Action &Wanted);
   void perform(std::size_t At, const GatewayAction &Wanted);
   void deliver(std::size_t From, const SendToPeer &Sent);
@@ -199,6 +199,7 @@
   LogOffset RegistryEnd = 1;
   std::uint64_t Version = 0;
   std::size_t DocumentSize = 0;
+  std::map<std::uint64_t, std::shared_ptr<const GatewayConfiguration>> Declared;
   std::uint64_t Lives = 0;
   std::uint64_t Requests = 0;
   std::map<CallerKey, Caller> Callers;
