Let late hosts doubt nobody, and doubts die down

Cause: a state that feeds itself. A host that takes messages in late sees all answers late, takes all others for silent and tells everybody; each refutation is news, which makes others late. One lost heartbeat was enough for a doubt, and of those that owed an answer only the first two by name were asked again.

Why it works: a host that runs late, or whose doubts prove wrong, waits up to five times longer before it doubts (Lifeguard's local health); it says how late it runs and is borne with; each wrong doubt lengthens the next of the same host. Two heartbeats in a row must stay unanswered; those that owe an answer are asked again in turn. Log lines of changes are bounded to 100 a second.

--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -303,17 +303,18 @@
 
 void MembershipPlugin::takeRumour(const MemberRumour &Rumour, Time Now) {
   if (Rumour.Host == this->Own.Host)
-    this->refute(Rumour);
+    this->refute(Rumour, Now);
   else if (const auto About = this->Peers.position(Rumour.Host))
     this->Peers.takeRumour(*About, Rumour, this->Gossips, Now);
 }
 
-void MembershipPlugin::refute(const MemberRumour &Rumour) {
+void MembershipPlugin::refute(const MemberRumour &Rumour, Time Now) {
   const bool Accused = Rumour.Life == this->Own.Life &&
                        beliefOf(Rumour).Stands != LifeBelief::Standing::Alive &&
                        Rumour.Version >= this->OwnVersion;
   if (!Accused)
     return;
+  this->Health.noteMistake(Now);
   this->OwnVersion = Rumour.Version + 1;
   this->News.add(this->ownRumour());
 }
@@ -337,6 +338,9 @@
                 .build());
     this->Peers.forgive(Now);
   }
+  const Duration Late =
+      this->NextBeat == Time{} ? Duration(0) : Now - this->NextBeat;
+  this->Health.noteBeat(std::max(Late, Duration(0)), this->BeatInterval, Now);
   this->LastBeat = Now;
   this->NextBeat = Now + this->beatPause();
   if (this->InForce) {
@@ -348,7 +352,7 @@
   }
   if (this->Registry)
     this->ToldEngines = this->Registry->digest();
-  this->Peers.age(Now);
+  this->Peers.age(this->Health.patience(), Now);
   this->Asked /= 2;
   this->Answered /= 2;
   for (const std::size_t To :
@@ -397,6 +401,7 @@
     Beat.EnginesKnownTo = this->Registry->knownTo();
     Beat.EnginesDigest = this->Registry->digest();
   }
+  Beat.Late = this->Health.late();
   if (this->Store && this->Store->storeConfirmedAt() != Time{})
     Beat.StoreAge = Now - this->Store->storeConfirmedAt();
   return Beat;
@@ -455,9 +460,11 @@
 void MembershipPlugin::announceChanges(Time Now, Actions &Out) {
   for (const PeerChange &Change : this->Peers.takeChanges()) {
     const Member Changed = this->Peers.member(Change.At);
+    if (Change.Mistaken)
+      this->Health.noteMistake(Now);
     if (Change.IsNews)
       this->News.add(this->rumourOf(Change.At));
-    if (Change.StateChanged)
+    if (Change.StateChanged && this->Lines.take(Now))
       Out.log(logEvent(events::HostChanged)
                   .with("host", Changed.Listing.Id.Value)
                   .with("life", Changed.Life.Value)
--- a/src/plugins/membership/MembershipPlugin.h
+++ b/src/plugins/membership/MembershipPlugin.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "kernel/Plugin.h"
+#include "plugins/membership/LineBudget.h"
+#include "plugins/membership/LocalHealth.h"
 #include "plugins/membership/PeerTable.h"
 #include "plugins/membership/ProbeRound.h"
 #include "plugins/membership/RumourQueue.h"
@@ -61,7 +63,7 @@
   void takeHeartbeat(const PeerMessage &Message, const Heartbeat &Beat,
                      Time Now, Actions &Out);
   void takeRumour(const MemberRumour &Rumour, Time Now);
-  void refute(const MemberRumour &Rumour);
+  void refute(const MemberRumour &Rumour, Time Now);
   void leave(Time Now, Actions &Out);
   void beat(Time Now, Actions &Out);
   void send(std::size_t To, std::optional<std::uint64_t> Answered,
@@ -88,6 +90,8 @@
   PeerTable Peers;
   ProbeRound Probes;
   RumourQueue News;
+  LocalHealth Health;
+  LineBudget Lines;
   Duration ListInterval{};
   Duration BeatInterval{};
   Duration PauseLimit{}; ///< So much late, a heartbeat shows a pause.
--- a/src/plugins/membership/PeerTable.cpp
+++ b/src/plugins/membership/PeerTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace banyanpick {
 
@@ -10,6 +11,22 @@
 /// Earlier lives remembered of one host.
 constexpr std::size_t MostEarlierLives = 16;
 
+/// One message may be lost.
+constexpr std::uint32_t LeastUnanswered = 2;
+
+/// A host that was doubted wrongly is doubted the later the more often that
+/// happened, so that doubts of a host that is hard to reach die down.
+constexpr double MostRefutations = 4;
+constexpr seconds RefutationsFade(4);
+
+/// What a host says of how late it runs is borne up to this.
+constexpr seconds MostLate(3);
+
+double refutationsOf(const PeerRecord &Of, Time Now) {
+  return std::max(0.0, Of.Refutations - inSeconds(Now - Of.RefutedAt) /
+                                            inSeconds(RefutationsFade));
+}
+
 constexpr auto NameOf = [](const Member &Each) -> const HostId & {
   return Each.Listing.Id;
 };
@@ -107,6 +124,8 @@
     this->changeLife(At, Life);
   }
   Record.ProbedAt = Never;
+  Record.Unanswered = 0;
+  Record.Late = Beat.Late;
   const bool Differs = Of.Ready != Beat.Ready || Of.InForce != Beat.InForce;
   const bool ReadyNow = Beat.Ready && !Beat.Leaving;
   Of.LastHeard = Now;
@@ -150,6 +169,8 @@
 void PeerTable::noteProbe(std::size_t At, std::uint64_t Sequence, Time Now) {
   PeerRecord &Record = this->Records[At];
   Record.ProbedAt = std::min(Record.ProbedAt, Now);
+  Record.LastProbedAt = Now;
+  ++Record.Unanswered;
   if (Record.Candidate != Incarnation() && Record.CandidateProbe == 0)
     Record.CandidateProbe = Sequence;
 }
@@ -160,13 +181,14 @@
       Each.LastHeard = std::max(Each.LastHeard, HeardAt);
 }
 
-void PeerTable::age(Time Now) {
+void PeerTable::age(double Patience, Time Now) {
   const Duration DeadAfter = this->deadAfter();
   for (std::size_t At = 0; At < this->Members.size(); ++At) {
     PeerRecord &Record = this->Records[At];
     LifeBelief Next = Record.Belief;
-    const bool Silent = Record.ProbedAt != Never &&
-                        Now >= Record.ProbedAt + this->Timeouts.SuspectAfter;
+    const bool Silent =
+        Record.ProbedAt != Never && Record.Unanswered >= LeastUnanswered &&
+        Now >= Record.ProbedAt + this->suspectAfter(Record, Patience, Now);
     const bool WasSuspect = Next.Stands == LifeBelief::Standing::Suspect;
     if (WasSuspect && Record.SuspectedAt == Never && Silent)
       Record.SuspectedAt = Now;
@@ -175,8 +197,10 @@
       Next.Stands = LifeBelief::Standing::Dead;
     else if (Next.Stands == LifeBelief::Standing::Alive && Silent)
       Next.Stands = LifeBelief::Standing::Suspect;
-    if (Next.Stands != Record.Belief.Stands)
+    if (Next.Stands != Record.Belief.Stands) {
       this->changeOf(this->Members[At].Listing.Id).BySilence = true;
+      Record.DoubtedHere = true;
+    }
     this->believe(At, Next, Now);
   }
   this->forgetLongDead(Now);
@@ -233,6 +257,9 @@
   Of.LogConfirmedAt = Time{};
   Record.Belief = LifeBelief{};
   Record.SuspectedAt = Never;
+  Record.DoubtedHere = false;
+  Record.Unanswered = 0;
+  Record.Refutations = 0;
   Record.Candidate = Incarnation();
   Record.CandidateProbe = 0;
   PeerChange &Change = this->changeOf(Of.Listing.Id);
@@ -255,7 +282,7 @@
   else if (!WasSuspect || Refuted)
     Record.SuspectedAt = Now;
   if (Refuted)
-    Record.ProbedAt = Never; // It lives, whoever told us.
+    this->noteRefuted(At, Now);
   if (this->Members[At].Life != Incarnation())
     this->changeOf(this->Members[At].Listing.Id).IsNews = true;
   this->publish(At);
@@ -294,6 +321,25 @@
   }
 }
 
+void PeerTable::noteRefuted(std::size_t At, Time Now) {
+  PeerRecord &Record = this->Records[At];
+  // It lives, whoever told us.
+  Record.ProbedAt = Never;
+  Record.Unanswered = 0;
+  Record.Refutations =
+      std::min(refutationsOf(Record, Now) + 1, MostRefutations);
+  Record.RefutedAt = Now;
+  if (std::exchange(Record.DoubtedHere, false))
+    this->changeOf(this->Members[At].Listing.Id).Mistaken = true;
+}
+
+Duration PeerTable::suspectAfter(const PeerRecord &Of, double Patience,
+                                 Time Now) const {
+  const double Usual = inSeconds(this->Timeouts.SuspectAfter);
+  return fromSeconds(Usual * (Patience + refutationsOf(Of, Now))) +
+         std::min(Of.Late, Duration(MostLate));
+}
+
 Duration PeerTable::deadAfter() const {
   // A refutation needs more rounds to reach everybody when there are more.
   const double Hosts = static_cast<double>(this->Members.size()) + 1;
--- a/src/plugins/membership/PeerTable.h
+++ b/src/plugins/membership/PeerTable.h
@@ -27,7 +27,13 @@
 struct PeerRecord {
   LifeBelief Belief;
   std::vector<EarlierLife> Earlier; ///< The newest last.
-  Time ProbedAt = Never;            ///< The first heartbeat not answered.
+  Time ProbedAt = Never;            ///< The first heartbeat not answered,
+  Time LastProbedAt{};              ///< and the last one sent.
+  std::uint32_t Unanswered = 0;     ///< Heartbeats since it was last heard.
+  Duration Late{};                  ///< It runs so late, as it says.
+  double Refutations = 0;           ///< Of late; fades.
+  Time RefutedAt{};
+  bool DoubtedHere = false; ///< By this host's own finding.
   Time SuspectedAt = Never;
   Time UnlistedAt = Never;
   /// A life that may be the newer one; it is taken once it answers a heartbeat
@@ -43,6 +49,7 @@
   bool IsNews = false;       ///< Others should hear of it.
   bool StateChanged = false; ///< Its state or life is another.
   bool BySilence = false;    ///< As it left heartbeats unanswered.
+  bool Mistaken = false;     ///< This host doubted it, and it lives.
 };
 
 /// The other entry hosts, ordered by name.
@@ -76,8 +83,9 @@
   void noteProbe(std::size_t At, std::uint64_t Sequence, Time Now);
   /// Signs of life of a sample stand for all that are believed alive.
   void noteSample(Time HeardAt);
-  /// Suspects and buries the silent; forgets the long dead.
-  void age(Time Now);
+  /// Suspects and buries the silent; forgets the long dead. \p Patience: how
+  /// many times longer than usual silence is borne.
+  void age(double Patience, Time Now);
   /// This process was paused: silence before now says nothing of the others.
   void forgive(Time Now);
 
@@ -92,6 +100,8 @@
   PeerChange &changeOf(const HostId &Host);
   void forgetLongDead(Time Now);
   Duration deadAfter() const;
+  Duration suspectAfter(const PeerRecord &Of, double Patience, Time Now) const;
+  void noteRefuted(std::size_t At, Time Now);
 
   Identity Self;
   PeerTimeouts Timeouts;
--- a/src/plugins/membership/ProbeRound.cpp
+++ b/src/plugins/membership/ProbeRound.cpp
@@ -10,6 +10,9 @@
 /// The dead are asked now and then, so that a healed cut is noticed.
 constexpr std::uint64_t IntervalsBetweenProbesOfTheDead = 4;
 
+/// Of those that owe an answer, asked once more in one interval.
+constexpr std::size_t MostAskedAgain = 8;
+
 bool isAwaited(const PeerTable &Peers, std::size_t At) {
   const PeerRecord &Record = Peers.record(At);
   const bool NewLife = Record.Candidate != Incarnation();
@@ -20,6 +23,21 @@
   return NewLife || (Unanswered && !IsDead);
 }
 
+/// Those that owe an answer, the longest asked first: each has its turn,
+/// however many there are.
+std::vector<std::size_t> askedAgain(const PeerTable &Peers) {
+  std::vector<std::size_t> Result;
+  for (std::size_t At = 0; At < Peers.members().size(); ++At)
+    if (isAwaited(Peers, At))
+      Result.push_back(At);
+  const std::size_t Count = std::min(Result.size(), MostAskedAgain);
+  std::ranges::partial_sort(
+      Result, Result.begin() + static_cast<std::ptrdiff_t>(Count), {},
+      [&](std::size_t At) { return Peers.record(At).LastProbedAt; });
+  Result.resize(Count);
+  return Result;
+}
+
 } // namespace
 
 std::vector<std::size_t> ProbeRound::next(const PeerTable &Peers,
@@ -43,10 +61,7 @@
 std::vector<std::size_t> ProbeRound::sample(const PeerTable &Peers,
                                             const HostId &Self,
                                             std::span<const HostId> Partners) {
-  std::vector<std::size_t> Result;
-  for (std::size_t At = 0; At < Peers.members().size(); ++At)
-    if (isAwaited(Peers, At) && Result.size() < this->Limits.Fanout)
-      Result.push_back(At);
+  std::vector<std::size_t> Result = askedAgain(Peers);
   for (const HostId &Each : Partners)
     if (const auto At = Peers.position(Each))
       Result.push_back(*At);
--- /dev/null
+++ b/src/plugins/routes/PieceQueue.h
@@ -0,0 +1,41 @@
+/// \file
+/// Which peer gets the next piece of the configuration from this host.
+#pragma once
+
+#include "kernel/PeerMessage.h"
+
+#include <optional>
+#include <vector>
+
+namespace banyanpick {
+
+/// Gives out pieces at a bounded rate, so that a document which many hosts lack
+/// leaves room on the link. Who has most of it goes first, as it can pass it on
+/// soonest; among equals, who has waited longest.
+class PieceQueue {
+public:
+  PieceQueue() = default;
+  /// \p BytesPerSecond: positive.
+  explicit PieceQueue(double BytesPerSecond) : Rate(BytesPerSecond) {}
+
+  struct Wanted {
+    HostId By;
+    ConfigurationAsked What;
+    Time AskedAt{};
+  };
+  /// Replaces what the peer asked before.
+  void add(const HostId &By, const ConfigurationAsked &What, Time Now);
+  /// Who gets a piece now, if one may be sent.
+  std::optional<Wanted> next(Time Now);
+  /// A piece of so many bytes was sent.
+  void noteSent(std::size_t Bytes, Time Now);
+  /// When one may be sent; Never when nobody waits.
+  Time nextAt() const;
+
+private:
+  double Rate = 0;
+  Time FreeAt{};
+  std::vector<Wanted> Waiting; ///< In the order in which they asked.
+};
+
+} // namespace banyanpick
