--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -44,6 +44,10 @@
 /// A caller waits here for room at an engine that comes so soon.
 constexpr milliseconds WorthWaiting(50);
 
+/// Callers who come back when engines open come over so much more of the time,
+/// so that they don't earn the next rest.
+constexpr double OpenSpread = 0.2;
+
 /// Entries of the lane that are not heard of again lapse after so long.
 constexpr milliseconds LaneKeep(300);
 
@@ -189,9 +193,12 @@
   if (Soonest == Duration::max() || Soonest <= WorthWaiting ||
       (!Wanted.MayComeBack && !OutlastsIt))
     return NoEngine{};
-  return ComeBack{
-      ComeBack::Why::Closed,
-      returnAfter(deferralTimes(Wanted), this->Numbers->fraction(), Soonest)};
+  const double Draw = this->Numbers->fraction();
+  if (OutlastsIt)
+    return ComeBack{ComeBack::Why::Closed,
+                    fromSeconds(inSeconds(Soonest) * (1 + Draw * OpenSpread))};
+  return ComeBack{ComeBack::Why::Closed,
+                  returnAfter(deferralTimes(Wanted), Draw, Soonest)};
 }
 
 void EngineLoadPlugin::forget(const RequestId &Request, Time Now) {
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -33,6 +33,12 @@
   });
 }
 
+/// Whether the request will be sent, now or in its turn.
+bool leadsToAnother(const EngineChoice &Choice) {
+  return std::holds_alternative<EngineChosen>(Choice) ||
+         std::holds_alternative<AwaitTurn>(Choice);
+}
+
 /// Whether the upstream gave an answer of any kind.
 bool isSignOfLife(const RelayOutcome &Outcome) {
   return !std::holds_alternative<RelayNeverSent>(Outcome) &&
@@ -445,7 +451,7 @@
   Excluded.push_back(Each.Live->Engine);
   // A try is only given up for a better one.
   if (!OneMore ||
-      std::holds_alternative<NoEngine>(
+      !leadsToAnother(
           this->Selector->choose(wantedFor(Each, Excluded, Now), Now)) ||
       !this->Allowance.take(Each.Service, this->budgetShare(), Now)) {
     this->noteWake(Each, Now);
--- a/tests/auto/gateway/GatewayBench.cpp
+++ b/tests/auto/gateway/GatewayBench.cpp
@@ -91,6 +91,12 @@
   this->send(GatewayEvent(EngineReported{Report}));
 }
 
+void GatewayBench::rest(const UpstreamId &Engine, Duration For) {
+  EngineWord Word;
+  Word.Rest = RestAsked{For};
+  this->send(GatewayEvent(EngineHeard{Engine, this->Now, Word}));
+}
+
 void GatewayBench::end(const AttemptId &Try, RelayOutcome Outcome) {
   this->send(GatewayEvent(RelayEnded{Try, std::move(Outcome)}));
 }
--- a/tests/auto/gateway/GatewayBench.h
+++ b/tests/auto/gateway/GatewayBench.h
@@ -31,6 +31,8 @@
   /// An engine's own report, by which it names the life that it is in.
   void report(const UpstreamId &Life);
   void end(const AttemptId &Try, RelayOutcome Outcome);
+  /// An answer of the engine asks this host for rest.
+  void rest(const UpstreamId &Engine, Duration For);
 
   /// All actions of the kind since the start.
   template <class Wanted> std::vector<Wanted> all() const {
--- a/tests/auto/gateway/RelaysTest.cpp
+++ b/tests/auto/gateway/RelaysTest.cpp
@@ -115,6 +115,67 @@
   EXPECT_EQ(this->Bench.last<CancelRelay>().Attempt, First.Attempt);
 }
 
+TEST_F(Relays, ALiveTryIsNotGivenUpForARefusal) {
+  this->Bench.arrive("/safe/1");
+  const UpstreamId Live = this->sent().Engine;
+  for (const char *Engine : {"e1", "e2", "e3"})
+    if (UpstreamId(Engine) != Live)
+      this->Bench.rest(UpstreamId(Engine), seconds(10));
+  this->Bench.pass(milliseconds(1600));
+  EXPECT_EQ(this->sends(), 1U);
+  EXPECT_TRUE(this->Bench.all<CancelRelay>().empty());
+  EXPECT_TRUE(this->Bench.all<RefuseRelay>().empty());
+}
+
+TEST_F(Relays, WhileAllEnginesRestAreSentBackAtOnceUntilTheFirstOpens) {
+  this->Bench.rest(UpstreamId("e1"), seconds(3));
+  this->Bench.rest(UpstreamId("e2"), milliseconds(500));
+  this->Bench.rest(UpstreamId("e3"), seconds(2));
+  this->Bench.arrive("/safe/1");
+  EXPECT_EQ(this->sends(), 0U);
+  ASSERT_EQ(this->refused().Kind, RefusalKind::NotRun);
+  EXPECT_GE(this->refused().RetryAfter, milliseconds(500));
+  // Callers wait for a third of their time at most, here of the route's limit.
+  EXPECT_LE(this->refused().RetryAfter, Duration(seconds(2)) / 3);
+}
+
+TEST_F(Relays, ARestThatOutlastsTheCallerIsRefusedAtOnceWithItsEnd) {
+  for (const char *Engine : {"e1", "e2", "e3"})
+    this->Bench.rest(UpstreamId(Engine), seconds(60));
+  this->Bench.arrive("/safe/1");
+  ASSERT_EQ(this->refused().Kind, RefusalKind::NotRun);
+  EXPECT_GE(this->refused().RetryAfter, seconds(60));
+  EXPECT_LE(this->refused().RetryAfter, seconds(75));
+}
+
+TEST_F(Relays, GoToAnEngineAgainWhenItsRestIsOver) {
+  this->Bench.rest(UpstreamId("e1"), seconds(3));
+  this->Bench.rest(UpstreamId("e1"), seconds(1));
+  this->Bench.rest(UpstreamId("e2"), seconds(60));
+  this->Bench.rest(UpstreamId("e3"), seconds(60));
+  this->Bench.pass(milliseconds(2900));
+  this->Bench.arrive("/safe/1");
+  EXPECT_EQ(this->sends(), 0U) << "an answer that asks for less ends none";
+  this->Bench.pass(milliseconds(200));
+  this->Bench.arrive("/safe/2");
+  ASSERT_EQ(this->sends(), 1U);
+  EXPECT_EQ(this->sent().Engine, UpstreamId("e1"));
+}
+
+TEST_F(Relays,
+       GoToAnEngineThatAnotherHostWasAskedToLeaveAloneWhenNoOtherIsThere) {
+  EngineSignals Told;
+  for (const char *Engine : {"e1", "e2"})
+    Told.Rests.push_back({UpstreamId(Engine), 5000});
+  this->Bench.receive("h2", Told);
+  this->Bench.arrive("/safe/1");
+  EXPECT_EQ(this->sent().Engine, UpstreamId("e3")) << "better elsewhere";
+  this->Bench.rest(UpstreamId("e3"), seconds(60));
+  this->Bench.arrive("/safe/2");
+  EXPECT_NE(this->sent().Engine, UpstreamId("e3"));
+  EXPECT_EQ(this->sends(), 2U);
+}
+
 TEST_F(Relays, TheCallersCloseCancelsTheTry) {
   const RequestId Id = this->Bench.arrive("/safe/1");
   this->Bench.send(Event(CallerGone{Id}));
--- a/tests/auto/platformadapter/HeadersTest.cpp
+++ b/tests/auto/platformadapter/HeadersTest.cpp
@@ -95,6 +95,16 @@
   EXPECT_EQ(Sent["X-Remaining-Milliseconds"], "1");
 }
 
+TEST(EngineHeaders, CarryTheUrgencyWhereOneIsGiven) {
+  DispatchRelay Order;
+  HttpExchange::Request Sent = asked();
+  PlatformEngines().writeHeaders(Sent, Order, milliseconds(700));
+  EXPECT_EQ(Sent.count("X-Request-Urgency"), 0U);
+  Order.Urgency = 2;
+  PlatformEngines().writeHeaders(Sent, Order, milliseconds(700));
+  EXPECT_EQ(Sent["X-Request-Urgency"], "2");
+}
+
 TEST(EngineAnswers, MeanWhatTheirHeadersProve) {
   http::response_header<> Good = answer(200);
   EXPECT_TRUE(means<AnswerIsInvalid>(Good)) << "without a seal";
