--- a/tests/auto/manyhosts/EngineRestsTest.cpp
+++ b/tests/auto/manyhosts/EngineRestsTest.cpp
@@ -67,5 +67,72 @@
                            return "Hosts" + std::to_string(Of.param.Hosts);
                          });
 
+std::size_t refusalsOf(const HostCrowd &Crowd) {
+  std::size_t Sum = 0;
+  for (std::size_t Engine = 0; Engine < Crowd.engines(); ++Engine)
+    Sum += static_cast<std::size_t>(
+        std::ranges::count_if(Crowd.arrivals(Engine), [](const auto &Each) {
+          return Each.RestAsked > Duration(0);
+        }));
+  return Sum;
+}
+
+class EngineRestsInTurn : public testing::TestWithParam<Sizes> {};
+
+/// Guards against hosts that find out one by one, each at the price of a
+/// repeat, that an engine turns everybody away.
+TEST_P(EngineRestsInTurn, CostLessThanHalfOfTheRepeatsThatAreAllowed) {
+  const Sizes Of = GetParam();
+  HostCrowd Crowd(Of.Hosts, Of.Engines);
+  Crowd.publish(1);
+  Crowd.run(seconds(25));
+  offer(Crowd, seconds(3), Of.Between);
+  Crowd.takeTally();
+  std::size_t Asked = 0;
+  constexpr std::size_t Turns = 10;
+  for (std::size_t Turn = 0; Turn < Turns; ++Turn) {
+    Crowd.setShedding(Turn % Of.Engines, seconds(3));
+    Asked += offer(Crowd, seconds(2), Of.Between);
+    Crowd.setShedding(Turn % Of.Engines, std::nullopt);
+  }
+  // A fifth of the requests, and a hundred more in ten seconds.
+  const double Allowed = static_cast<double>(Asked) * 0.2 + 100 * 2;
+  EXPECT_LT(static_cast<double>(refusalsOf(Crowd)), Allowed / 2);
+  const HostCrowd::Tally Tally = Crowd.takeTally();
+  EXPECT_EQ(lostOf(Tally), 0U);
+  RecordProperty("refusals", static_cast<int>(refusalsOf(Crowd)));
+  RecordProperty("requests", static_cast<int>(Asked));
+  RecordProperty("in_time", static_cast<int>(Tally.InTime));
+  RecordProperty("late", static_cast<int>(Tally.Late));
+}
+
+INSTANTIATE_TEST_SUITE_P(All, EngineRestsInTurn,
+                         testing::Values(Sizes{7, 14, milliseconds(20)},
+                                         Sizes{16, 24, milliseconds(12)},
+                                         Sizes{88, 51, milliseconds(8)},
+                                         Sizes{300, 112, milliseconds(5)}),
+                         [](const auto &Of) {
+                           return "Hosts" + std::to_string(Of.param.Hosts);
+                         });
+
+/// Guards against all hosts that come back to an engine at once.
+TEST(EngineRests, AreFollowedByNoMoreLoadThanBefore) {
+  HostCrowd Crowd(7, 14);
+  Crowd.publish(1);
+  Crowd.run(seconds(25));
+  offer(Crowd, seconds(4), milliseconds(20));
+  const Time Before = Crowd.now() - seconds(3);
+  const std::size_t Usual = countFrom(Crowd.arrivals(0), Before);
+  Crowd.setShedding(0, seconds(3));
+  offer(Crowd, seconds(1), milliseconds(20));
+  Crowd.setShedding(0, std::nullopt);
+  offer(Crowd, seconds(2), milliseconds(20));
+  const Time After = Crowd.now();
+  offer(Crowd, seconds(3), milliseconds(20));
+  EXPECT_GT(countFrom(Crowd.arrivals(0), After), 0U) << "it is used again";
+  EXPECT_LE(static_cast<double>(countFrom(Crowd.arrivals(0), After)),
+            static_cast<double>(Usual) * 1.2 + 1);
+}
+
 } // namespace
 } // namespace banyanpick
