Judge heeded signals from the answer that came; let no host that stands still run

Trace: the crowd's question for the hosts to use ran the kernel of a host that stood still, since the crowd has processors; it sent what was due and could not hear the answers.

It goes by the answer that came now, without slack, and no longer exempts answers that may have waited for a place.

--- a/tests/auto/manyhosts/EngineSignalsTest.cpp
+++ b/tests/auto/manyhosts/EngineSignalsTest.cpp
@@ -153,17 +153,18 @@
           continue;
         const bool InRest = Each->At > Asked->At + RestHeededAfter &&
                             Each->At < Asked->At + Asked->RestAsked;
-        EXPECT_FALSE(InRest) << "engine " << Engine << " host " << Each->From;
-        const bool AfterWord = Asked->SaidLeaving && !this->wasQueued(*Asked) &&
-                               Each->At > Asked->At + AnsweredWithin;
+        EXPECT_FALSE(InRest)
+            << "engine " << Engine << " host " << Each->From << " asked at "
+            << Asked->At.time_since_epoch().count() << " for "
+            << Asked->RestAsked.count() << ", sent at "
+            << Each->At.time_since_epoch().count();
+        const bool AfterWord =
+            Asked->SaidLeaving && Each->At > Asked->AnsweredAt;
         EXPECT_FALSE(AfterWord)
             << "engine " << Engine << " host " << Each->From << " leaving";
       }
   }
 
-  /// Whether its answer may have come late: all places were taken, perhaps.
-  static bool wasQueued(const HostCrowd::Arrival &Of) { return Of.MayWait; }
-
   Random Numbers;
   HostCrowd Crowd;
   std::map<std::size_t, std::vector<Time>> Disturbed;
--- a/tests/auto/manyhosts/HostCrowd.cpp
+++ b/tests/auto/manyhosts/HostCrowd.cpp
@@ -153,6 +153,9 @@
 
 void HostCrowd::answer(const UpstreamId &Engine, const Run &Each,
                        const EngineWord &Word) {
+  Arrival &Of = this->Arrived[Engine][Each.Arrived];
+  Of.AnsweredAt = this->Queue.now();
+  Of.SaidLeaving = Word.Leaving != LeavingSaid::Unsaid;
   this->send(Each.Host, Each.Life,
              GatewayEvent(EngineHeard{Engine, Each.SentAt, Word}));
 }
@@ -274,6 +277,9 @@
 }
 
 std::vector<std::size_t> HostCrowd::named(std::size_t By) {
+  // A host that stands still answers nothing, and must not run meanwhile.
+  if (this->Queue.now() < this->Hosts[By].PausedUntil)
+    return {};
   this->Answer.clear();
   ResolveAsked Asked;
   Asked.Id = ResolveQuestionId(++this->Requests);
@@ -412,16 +418,20 @@
         const auto Sheds = this->Shedding.find(Is.Engine);
         const bool TurnedAway = Sheds != this->Shedding.end();
         const Duration Rest = TurnedAway ? Sheds->second : Duration(0);
-        this->Arrived[Is.Engine].push_back(
-            {this->Queue.now(), At, Rest, this->SaysLeaving.contains(Is.Engine),
-             this->Busy[Is.Engine] >= PlacesEach});
+        std::vector<Arrival> &Arrivals = this->Arrived[Is.Engine];
+        Arrivals.push_back({this->Queue.now(), At, Rest});
         if (this->Failing.contains(Is.Engine) || this->Cut.contains(At)) {
           this->Queue.after(ResetsAfter, [this, At, Life, Id = Is.Attempt] {
             this->send(At, Life, GatewayEvent(RelayEnded{Id, RelayBroken{}}));
           });
           return;
         }
-        const Run Each{At, Life, Is.Attempt, Is.Request, this->Queue.now()};
+        const Run Each{At,
+                       Life,
+                       Is.Attempt,
+                       Is.Request,
+                       this->Queue.now(),
+                       Arrivals.size() - 1};
         if (TurnedAway)
           this->turnAway(Is.Engine, Each, Rest);
         else
--- a/tests/auto/manyhosts/HostCrowd.h
+++ b/tests/auto/manyhosts/HostCrowd.h
@@ -85,8 +85,8 @@
     Time At{};
     std::size_t From = 0;
     Duration RestAsked{};     ///< By the refusal that it got; zero: none.
-    bool SaidLeaving = false; ///< By its answer,
-    bool MayWait = false;     ///< which waits for a place first.
+    Time AnsweredAt = Never;  ///< Never: its caller left before.
+    bool SaidLeaving = false; ///< By the answer.
   };
   const std::vector<Arrival> &arrivals(std::size_t Engine) const;
   Time now() const { return this->Queue.now(); }
@@ -160,6 +160,7 @@
     AttemptId Try;
     RequestId Request;
     Time SentAt{};
+    std::size_t Arrived = 0; ///< Its place among the engine's arrivals.
   };
 
   void ask(std::size_t Host, const Caller &By);
