--- a/tests/auto/manyhosts/CrowdLoad.cpp
+++ b/tests/auto/manyhosts/CrowdLoad.cpp
@@ -39,6 +39,14 @@
   return Count;
 }
 
+void mendAll(HostCrowd &Crowd) {
+  for (std::size_t Host = 0; Host < Crowd.size(); ++Host) {
+    Crowd.setApart(Host, false);
+    if (!Crowd.lives(Host))
+      Crowd.revive(Host);
+  }
+}
+
 std::uint64_t seedCount() {
   const char *Given = std::getenv("BANYANPICK_SEEDS");
   return Given ? std::strtoull(Given, nullptr, 10) : 20;
--- a/tests/auto/manyhosts/CrowdLoad.h
+++ b/tests/auto/manyhosts/CrowdLoad.h
@@ -34,6 +34,9 @@
 /// Requests come in turn to the hosts that a living one names, for so long.
 std::size_t offer(HostCrowd &Crowd, Duration For, Duration Between);
 
+/// Revives the dead and ends all cuts.
+void mendAll(HostCrowd &Crowd);
+
 /// BANYANPICK_SEEDS sets how many seeds are run by hand.
 std::uint64_t seedCount();
 
--- a/tests/auto/manyhosts/EngineLimitsTest.cpp
+++ b/tests/auto/manyhosts/EngineLimitsTest.cpp
@@ -288,20 +288,12 @@
       this->name(0);
       return;
     default:
-      this->mend();
+      mendAll(this->Crowd);
       return;
     }
     this->Disturbed[Host] = true;
   }
 
-  void mend() {
-    for (std::size_t Host = 0; Host < this->Crowd.size(); ++Host) {
-      this->Crowd.setApart(Host, false);
-      if (!this->Crowd.lives(Host))
-        this->Crowd.revive(Host);
-    }
-  }
-
   Random Numbers;
   HostCrowd Crowd;
   std::vector<bool> Disturbed;
--- a/tests/auto/manyhosts/EngineSignalsTest.cpp
+++ b/tests/auto/manyhosts/EngineSignalsTest.cpp
@@ -119,7 +119,7 @@
       this->Crowd.setApart(Host, true);
       break;
     case 3:
-      this->mend();
+      mendAll(this->Crowd);
       return;
     default:
       return;
@@ -127,14 +127,6 @@
     this->Disturbed[Host].push_back(this->Crowd.now());
   }
 
-  void mend() {
-    for (std::size_t Host = 0; Host < this->Crowd.size(); ++Host) {
-      this->Crowd.setApart(Host, false);
-      if (!this->Crowd.lives(Host))
-        this->Crowd.revive(Host);
-    }
-  }
-
   /// Whether a restart, freeze or cut of the host between the two excuses it.
   bool isExcused(std::size_t Host, Time From, Time To) const {
     const auto Found = this->Disturbed.find(Host);
