Share the connections to engines between requests, reports and orders

Cause: report requests and orders used a pool of their own, without a time limit for idle connections. An order opened a connection and left it where only report requests could take it, and the request that follows the order opened another one. Up to four connections per host and engine stayed open until the engine closed them.

Change: EngineCalls takes connections from the pool of the relayed requests and returns them to it. Orders still open a new connection, since one that is sent over a connection that is being closed is lost without an error. Nothing changes on the wire.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -32,9 +32,9 @@
     : Context(Context), Io(1), Work(net::make_work_guard(this->Io)),
       Store(Context.Protocol.openStore(this->Io.get_executor(),
                                        Context.Values.Store)),
-      Client(this->Io.get_executor(), MaxReportBytes),
       Links(this->Io.get_executor(), Context.Values.LinkIdle,
             Context.Values.LinksPerUpstream),
+      Calls(this->Links, MaxReportBytes),
       ResolveAnswers(this->Io.get_executor()) {}
 
 GatewayTraffic::~GatewayTraffic() { this->stop(); }
@@ -311,8 +311,9 @@
 Task<void> GatewayTraffic::requestReport(AskReport Wanted) {
   const EngineProtocol &Protocol = this->Context.Protocol.engines();
   const Time SentAt = this->Context.Clock.now();
-  const ClientResult Result = co_await this->Client.call(
-      Wanted.At, Protocol.reportRequest(), this->Context.Values.ReportTimeout);
+  const ClientResult Result = co_await this->Calls.call(
+      Wanted.Engine, Wanted.At, Protocol.reportRequest(),
+      this->Context.Values.ReportTimeout);
   this->reportSignals(Wanted.Engine, SentAt, Result);
   const auto *Answer = std::get_if<ClientAnswer>(&Result);
   constexpr unsigned Ok = 200;
@@ -338,8 +339,8 @@
   const Time SentAt = this->Context.Clock.now();
   // Does not reuse a connection: an order sent over a connection that is being
   // closed is lost without an error.
-  const ClientResult Result = co_await this->Client.call(
-      Wanted.At, Protocol.requestFor(Wanted),
+  const ClientResult Result = co_await this->Calls.call(
+      Wanted.Engine, Wanted.At, Protocol.requestFor(Wanted),
       this->Context.Values.ReportTimeout, HttpClient::Reuse::No);
   this->reportSignals(Wanted.Engine, SentAt, Result);
   ReservationAnswered Answered{Wanted.Engine, Wanted.Name,
@@ -353,8 +354,9 @@
 
 Task<void> GatewayTraffic::release(ReleaseMemory Wanted) {
   const Time SentAt = this->Context.Clock.now();
-  const ClientResult Result = co_await this->Client.call(
-      Wanted.At, this->Context.Protocol.engines().requestFor(Wanted),
+  const ClientResult Result = co_await this->Calls.call(
+      Wanted.Engine, Wanted.At,
+      this->Context.Protocol.engines().requestFor(Wanted),
       this->Context.Values.ReportTimeout, HttpClient::Reuse::No);
   this->reportSignals(Wanted.Engine, SentAt, Result);
   this->count("releases", std::holds_alternative<ClientAnswer>(Result)
--- a/src/app/GatewayTraffic.h
+++ b/src/app/GatewayTraffic.h
@@ -7,9 +7,9 @@
 #include "app/PendingAnswers.h"
 #include "app/ProcessClock.h"
 #include "gateway/EngineBackoffs.h"
-#include "http/HttpClient.h"
 #include "http/HttpServer.h"
 #include "metrics/Metrics.h"
+#include "relay/EngineCalls.h"
 #include "relay/GatewayProtocol.h"
 
 #include <set>
@@ -91,8 +91,8 @@
   std::unique_ptr<OrderedStore> Store;
   std::shared_ptr<KeyedFollower> Declarations;
   std::shared_ptr<KeyedFollower> Engines;
-  HttpClient Client;
   EngineLinkPool Links;
+  EngineCalls Calls;
   /// The backoffs that upstreams requested. A relay that control dispatched
   /// before it learned of a backoff is not sent during the backoff.
   EngineBackoffs Backoffs;
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -5,7 +5,6 @@
 #include "http/SocketOptions.h"
 #include "relay/HopHeaders.h"
 
-#include <charconv>
 #include <limits>
 
 namespace banyanpick {
@@ -18,20 +17,6 @@
 /// the upstream may answer before it has read the whole body.
 constexpr std::size_t MaxSequentialWriteBytes = 16ULL * 1024;
 
-/// Returns the `timeout=N` parameter of the Keep-Alive header, or zero.
-Duration keepAliveTimeout(const http::response_header<> &Head) {
-  const auto Value = Head[http::field::keep_alive];
-  const std::string_view Text(Value.data(), Value.size());
-  constexpr std::string_view Parameter = "timeout=";
-  const std::size_t Position = Text.find(Parameter);
-  if (Position == std::string_view::npos)
-    return Duration(0);
-  const std::string_view Number = Text.substr(Position + Parameter.size());
-  std::uint64_t Result = 0;
-  std::from_chars(Number.data(), Number.data() + Number.size(), Result);
-  return seconds(Result);
-}
-
 bool isEventStream(const http::response_header<> &Head) {
   const auto Type = Head[http::field::content_type];
   return beast::iequals(Type.substr(0, 17), "text/event-stream");
--- a/src/libs/relay/HopHeaders.cpp
+++ b/src/libs/relay/HopHeaders.cpp
@@ -1,6 +1,7 @@
 #include "relay/HopHeaders.h"
 
 #include <array>
+#include <charconv>
 #include <string>
 #include <vector>
 
@@ -32,4 +33,17 @@
     Headers.erase(Field);
 }
 
+Duration keepAliveTimeout(const http::response_header<> &Head) {
+  const auto Value = Head[http::field::keep_alive];
+  const std::string_view Text(Value.data(), Value.size());
+  constexpr std::string_view Parameter = "timeout=";
+  const std::size_t Position = Text.find(Parameter);
+  if (Position == std::string_view::npos)
+    return Duration(0);
+  const std::string_view Number = Text.substr(Position + Parameter.size());
+  std::uint64_t Result = 0;
+  std::from_chars(Number.data(), Number.data() + Number.size(), Result);
+  return seconds(Result);
+}
+
 } // namespace banyanpick
--- a/src/libs/relay/HopHeaders.h
+++ b/src/libs/relay/HopHeaders.h
@@ -2,6 +2,7 @@
 /// Hop-by-hop headers, which apply to one connection only.
 #pragma once
 
+#include "base/Time.h"
 #include "http/Asio.h"
 
 namespace banyanpick {
@@ -10,4 +11,7 @@
 /// Connection header names (RFC 9110, 7.6.1).
 void removeHopHeaders(http::fields &Headers);
 
+/// Returns the `timeout=N` parameter of the Keep-Alive header, or zero.
+Duration keepAliveTimeout(const http::response_header<> &Head);
+
 } // namespace banyanpick
