Count connections, distance, lost answers and memory in the choice of engines

An engine short of memory still got short prompts. An engine's failure answer 408, 421, 429 or 503 after a run reached the caller, who reads it as 'never ran'.

Change: settings, off by default: new_connection_ms with IdleConnections, helper_zone_ms with HelperZones, zone_front with ZoneFront, nearby with NearbyHosts, lost_answer_counts with LostAnswers, memory_margin. Events 870 and 871. The load of the engines is found without a search for each.

LostAnswers.AFailureAfterARunIsNotDeliveredAsNotRun fails without the change of AttemptVerdict.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -202,5 +202,10 @@
 inline constexpr EventKind MemoryReleased{841, LogLevel::Info,
                                           "engine memory released"};
 
+inline constexpr EventKind ShortPromptFrontChanged{
+    870, LogLevel::Info, "short prompts are gathered in other zones"};
+inline constexpr EventKind CallersSpreadChanged{
+    871, LogLevel::Info, "callers of a zone are sent to other zones"};
+
 } // namespace events
 } // namespace banyanpick
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -100,6 +100,9 @@
   this->LateBy = Values.span(Section, "late_by");
   this->JitterMs = Values.fraction(Section, "jitter_ms");
   this->OtherZoneMs = Values.fraction(Section, "other_zone_ms");
+  this->NewConnectionMs = Values.fraction(Section, "new_connection_ms");
+  this->Connections = IdleConnections(Values.span(Section, "connection_idle"));
+  this->Lost = LostAnswers(Values.span(Section, "lost_answer_counts"));
   this->Weights = placementWeights(Values);
   this->Queue = PromptQueue(QueueEntryTtl, this->Weights.LateShare);
   Context.services().provide<EngineSelector>(*this);
@@ -125,12 +128,15 @@
       [](const auto &) {});
   for (const UpstreamId &Engine : this->Slowdowns.due(Now))
     this->askReport(Engine, Now, Out);
+  for (const RelayAttempt &Ended : this->Lost.takeDue(Now))
+    this->remove(Ended, Now);
   if (Now >= this->Reports.next())
     this->reportWork(Now, Out);
 }
 
 Time EngineLoadPlugin::nextWake() const {
-  return std::min(this->Reports.next(), this->Slowdowns.nextDue());
+  return std::min(
+      {this->Reports.next(), this->Slowdowns.nextDue(), this->Lost.nextDue()});
 }
 
 void EngineLoadPlugin::askReport(const UpstreamId &Engine, Time Now,
@@ -243,16 +249,14 @@
     return this->chooseShared(States, Requirements, Work, *Model, Now);
   const std::uint32_t Slots =
       Model ? Model->Slots : States.front().Engine->Record.Slots;
-  std::uint32_t ShortRunning = 0;
-  if (Model)
-    for (const auto &[Id, Load] : this->Loads)
-      ShortRunning += Load.shortRunning(Now);
   const std::size_t Front =
-      Model ? frontEngines(States.size(), ShortRunning, Slots, this->Weights)
-            : States.size();
+      Model ? this->frontOf(States, Slots, Now) : States.size();
   const PromptPlacement Place =
       placeShort(States, Front, Slots, Work, this->Weights);
   const DeferralTimes Times = deferralTimes(Requirements);
+  if (Model && !mayExceedMemory(this->Weights) &&
+      Work.Tokens > States[Place.Chosen].FreeTokens)
+    return this->deferShort(Requirements);
   if (Model && Requirements.MayRetryLater &&
       wouldBeLate(States[Place.Chosen], Place, *Model, Times, this->Weights))
     return RetryLater{RetryLater::Why::TooLate,
@@ -263,6 +267,15 @@
   return Result;
 }
 
+EngineChoice
+EngineLoadPlugin::deferShort(const EngineRequirements &Requirements) {
+  if (Requirements.MayRetryLater)
+    return RetryLater{RetryLater::Why::TooLate,
+                      retryAfter(deferralTimes(Requirements),
+                                 this->RandomNumbers->fraction())};
+  return AwaitTurn{fromMilliseconds(MaxPollMs)};
+}
+
 EngineChoice EngineLoadPlugin::chooseShared(
     std::span<const EngineState> States, const EngineRequirements &Requirements,
     const PromptWork &Work, const EngineParameters &Model, Time Now) {
@@ -320,7 +333,7 @@
     return Whole;
   const std::optional<PromptPlacement> Reserved =
       placeWithReservations(States, Work, EngineTokens, Times, this->Weights);
-  return Reserved ? Reserved : Whole;
+  return Reserved || !mayExceedMemory(this->Weights) ? Reserved : Whole;
 }
 
 bool EngineLoadPlugin::isFirstInQueue(std::span<const EngineState> States,
@@ -372,8 +385,12 @@
     const EngineShare &Share, bool IncludeAvoided, Time Now) {
   Candidates Found;
   std::vector<EngineState> &Result = Found.States;
-  for (const RegisteredEngine *Registered :
-       this->Directory->ofService(Requirements.Service)) {
+  const auto Engines = this->Directory->ofService(Requirements.Service);
+  Result.reserve(Engines.size());
+  const EngineLoad Empty;
+  // Both are ordered by id, so no search is needed for the load of an engine.
+  auto NextLoad = this->Loads.cbegin();
+  for (const RegisteredEngine *Registered : Engines) {
     if (!Share.takes(Registered->NameHash))
       continue;
     const bool IsAvoided =
@@ -392,21 +409,27 @@
       Found.Closed.push_back(*Closed);
       continue;
     }
-    Result.push_back(this->stateOf(*Registered, Model, Now));
+    const UpstreamId &Id = Registered->Record.Id;
+    while (NextLoad != this->Loads.cend() && NextLoad->first < Id)
+      ++NextLoad;
+    const bool HasLoad =
+        NextLoad != this->Loads.cend() && NextLoad->first == Id;
+    Result.push_back(this->stateOf(
+        *Registered, HasLoad ? NextLoad->second : Empty, Model, Now));
     Result.back().Position = Result.size() - 1;
   }
+  if (this->Weights.ZoneFront)
+    orderByZone(Result);
   weighAnswersByScarcity(Result);
   return Found;
 }
 
 EngineState EngineLoadPlugin::stateOf(const RegisteredEngine &Registered,
+                                      const EngineLoad &Load,
                                       const EngineParameters *Model, Time Now) {
   EngineState Result;
   Result.Engine = &Registered;
   Result.IsLimited = this->Quota->isLimited(Registered.Record.Id);
-  const auto Found = this->Loads.find(Registered.Record.Id);
-  const EngineLoad Empty;
-  const EngineLoad &Load = Found == this->Loads.end() ? Empty : Found->second;
   Result.Running = Load.prefilling(Now) + Load.decoding(Now);
   const std::uint32_t Slots = Model ? Model->Slots : Registered.Record.Slots;
   Result.FreeSlots = Slots > Result.Running ? Slots - Result.Running : 0;
@@ -421,16 +444,26 @@
         decodePassMs(*Model, Load.decoding(Now), Load.contextTokens(Now)) *
         Result.Slowdown;
     const std::uint64_t Used = Load.memoryTokens(Now);
-    const bool HasMemory = Used < Model->MemoryTokens &&
-                           !this->isShortOfMemory(Registered.Record.Id, Now);
-    Result.FreeTokens = HasMemory ? Model->MemoryTokens - Used : 0;
+    const auto Usable =
+        static_cast<std::uint64_t>(static_cast<double>(Model->MemoryTokens) *
+                                   (1 - this->Weights.MemoryMargin));
+    const bool HasMemory =
+        Used < Usable && !this->isShortOfMemory(Registered.Record.Id, Now);
+    Result.FreeTokens = HasMemory ? Usable - Used : 0;
   } else {
     Result.BacklogMs =
         UnknownWorkMs * Result.Running / std::max(Registered.Record.Slots, 1U);
     Result.FreeTokens = std::numeric_limits<std::uint64_t>::max();
   }
-  if (Registered.Record.Zone != this->OwnZone)
+  if (Registered.Record.Zone != this->OwnZone) {
     Result.ExtraMs += this->OtherZoneMs;
+    Result.Zone = this->zoneNumber(Registered.Record.Zone);
+  }
+  if (this->Weights.ZoneFront)
+    Result.ShortRunning = Load.shortRunning(Now);
+  if (this->NewConnectionMs > 0 &&
+      !this->Connections.hasIdle(Registered.Record.Id, Now))
+    Result.ConnectMs = this->NewConnectionMs;
   // Jitter, so that hosts with the same view do not all choose the same engine.
   Result.ExtraMs += this->RandomNumbers->fraction() * this->JitterMs;
   return Result;
@@ -456,7 +489,10 @@
 }
 
 void EngineLoadPlugin::attemptSent(const RelayAttempt &Attempt, Time Now,
-                                   Actions &) {
+                                   Actions &Out) {
+  Out.count("engine_connections",
+            this->Connections.take(Attempt.Engine, Now) ? "reused" : "new");
+  this->logFront(Out);
   this->add(Attempt, Now);
   this->Queue.drop(Attempt.Request.Value);
   if (Attempt.Helpers.empty())
@@ -509,8 +545,16 @@
 
 void EngineLoadPlugin::attemptEnded(const RelayAttempt &Attempt,
                                     const RelayOutcome &Outcome, Time Now,
-                                    Actions &) {
-  this->remove(Attempt, Now);
+                                    Actions &Out) {
+  this->Connections.attemptEnded(Attempt.Engine, Outcome, Now);
+  const EngineParameters *Model = this->parametersOf(Attempt.Service);
+  const bool IsKept =
+      Model && std::holds_alternative<RelayBroken>(Outcome) &&
+      this->Lost.keep(Attempt, predictedEnd(Attempt, *Model), Now);
+  if (IsKept)
+    Out.count("lost_answers", "counted");
+  else
+    this->remove(Attempt, Now);
   // Peers need to know the effect on the engine before their next request.
   if (std::holds_alternative<RelayBroken>(Outcome) ||
       std::holds_alternative<RelayNeverSent>(Outcome))
@@ -531,9 +575,22 @@
   this->noteChange(this->isReportedSoon(Attempt), Now);
 }
 
-void EngineLoadPlugin::engineRemoved(const UpstreamId &Id, Time, Actions &) {
+void EngineLoadPlugin::forgetRun(const UpstreamId &Id, Time Now) {
+  this->Connections.forget(Id);
+  for (const RelayAttempt &Ended : this->Lost.takeOf(Id))
+    this->remove(Ended, Now);
+}
+
+void EngineLoadPlugin::engineRestarted(const UpstreamId &Id, Time Now,
+                                       Actions &) {
+  this->forgetRun(Id, Now);
+}
+
+void EngineLoadPlugin::engineRemoved(const UpstreamId &Id, Time Now,
+                                     Actions &) {
   this->Slowdowns.forget(Id);
   this->ShortOfMemory.erase(Id);
+  this->forgetRun(Id, Now);
   const auto Found = this->Loads.find(Id);
   if (Found != this->Loads.end() && !Found->second.hasOwn())
     this->Loads.erase(Found);
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -7,8 +7,11 @@
 #include "plugins/engineload/EngineLoad.h"
 #include "plugins/engineload/EngineSlowdowns.h"
 #include "plugins/engineload/GapBounds.h"
+#include "plugins/engineload/IdleConnections.h"
+#include "plugins/engineload/LostAnswers.h"
 #include "plugins/engineload/PromptQueue.h"
 #include "plugins/engineload/WorkReportSchedule.h"
+#include "plugins/engineload/ZoneFront.h"
 
 namespace banyanpick {
 
@@ -39,6 +42,7 @@
   void attemptCancelled(const RelayAttempt &Attempt, Time Now,
                         Actions &Out) override;
   void engineRemoved(const UpstreamId &Id, Time Now, Actions &Out) override;
+  void engineRestarted(const UpstreamId &Id, Time Now, Actions &Out) override;
   void memberChanged(const Member &Changed, Time Now, Actions &Out) override;
 
   void memoryRefused(const UpstreamId &Engine, Time Now) override;
@@ -68,7 +72,8 @@
                         const EngineParameters *Model, const EngineShare &Share,
                         bool IncludeAvoided, Time Now);
   EngineState stateOf(const RegisteredEngine &Registered,
-                      const EngineParameters *Model, Time Now);
+                      const EngineLoad &Load, const EngineParameters *Model,
+                      Time Now);
   EngineChoice chooseAmong(std::span<const EngineState> States,
                            const EngineRequirements &Requirements,
                            const EngineParameters *Model, Time Now);
@@ -79,6 +84,8 @@
                             const EngineRequirements &Requirements,
                             const PromptWork &Work,
                             const EngineParameters &Model, Time Now);
+  /// Defers a short prompt while no engine has memory for it.
+  EngineChoice deferShort(const EngineRequirements &Requirements);
   /// Defers a long prompt: it waits here, or its caller retries later.
   EngineChoice deferLong(const EngineRequirements &Requirements,
                          double Scarcity, Time Now);
@@ -103,6 +110,14 @@
   /// Adds the attempt's work to its engine and its helpers.
   void add(const RelayAttempt &Attempt, Time Now);
   void remove(const RelayAttempt &Attempt, Time Now);
+  /// Returns the number of the engine's zone; zero is the host's own.
+  std::size_t zoneNumber(const ZoneId &Zone);
+  /// Returns the number of engines on which short prompts are gathered.
+  std::size_t frontOf(std::span<const EngineState> States, std::uint32_t Slots,
+                      Time Now);
+  void logFront(Actions &Out);
+  /// Drops what is known of an engine's connections and lost answers.
+  void forgetRun(const UpstreamId &Id, Time Now);
   void takePeerWork(const HostId &From, const EngineWork &Work, Time Now);
   void reportWork(Time Now, Actions &Out);
   /// \p Soon: the change is reported without the rate limit for short work.
@@ -133,6 +148,12 @@
   Duration LateBy{};
   double JitterMs = 0;
   double OtherZoneMs = 0;
+  double NewConnectionMs = 0;
+  IdleConnections Connections;
+  std::vector<ZoneId> OtherZones; ///< Numbered from 1 in EngineState::Zone.
+  ZoneFront LastFront;            ///< Of the last short prompt.
+  ZoneFront LoggedFront;
+  LostAnswers Lost;
   PlacementWeights Weights;
   PromptQueue Queue;
   GapBounds Gaps;
--- a/src/plugins/engineload/EngineLoadSettings.cpp
+++ b/src/plugins/engineload/EngineLoadSettings.cpp
@@ -17,6 +17,9 @@
   Result.LateShare = Values.fraction(Section, "late_share");
   Result.AheadMs = Values.fraction(Section, "ahead_ms");
   Result.MaxHelpers = Values.whole(Section, "most_helpers");
+  Result.MemoryMargin = Values.fraction(Section, "memory_margin");
+  Result.HelperZoneMs = Values.fraction(Section, "helper_zone_ms");
+  Result.ZoneFront = Values.flag(Section, "zone_front");
   return Result;
 }
 
@@ -54,6 +57,15 @@
        "What it counts (milliseconds) to hold up an answer of the same worth "
        "for longer than it may pause.",
        0, 100000},
+      {Section, "memory_margin", Fraction, "0",
+       "Share of an engine's memory that no prompt may be sent to fill, for "
+       "what other hosts send and have not told yet; 0: an engine short of "
+       "memory only counts as full.",
+       0, 0.9},
+      {Section, "zone_front", SettingKind::Flag, "false",
+       "Short prompts are gathered on engines of the host's own data centre "
+       "first, while these are not filled to fill_share; otherwise all hosts "
+       "gather on the same engines."},
   };
 }
 
@@ -78,6 +90,10 @@
        0, 100000},
       {Section, "most_helpers", SettingKind::Whole, "16",
        "Engines that help to read one prompt, at most.", 0, 64},
+      {Section, "helper_zone_ms", Fraction, "0",
+       "What each transfer between data centres counts (milliseconds of engine "
+       "time) when engines are chosen that read a prompt together.",
+       0, 100000},
   };
 }
 
@@ -142,6 +158,19 @@
        "What an engine in another data centre must be better by "
        "(milliseconds): the way there and back, and what the bytes cost.",
        0, 1000},
+      {Section, "new_connection_ms", SettingKind::Fraction, "0",
+       "What an engine without an idle connection from this host must be "
+       "better by (milliseconds).",
+       0, 1000},
+      {Section, "lost_answer_counts", SettingKind::Span, "0s",
+       "A prompt whose answer was lost counts as load at its engine until its "
+       "predicted end, but no longer than this; 0s: not at all.",
+       0, 60e6},
+      {Section, "connection_idle", SettingKind::Span, "3s",
+       "How long a connection is taken to stay idle and open after an answer: "
+       "link_idle of [gateway], or 0.6 of the time that the upstreams announce "
+       "if that is shorter.",
+       0, 3600e6},
   };
   const std::vector<SettingDeclaration> Scale = scaleSettings();
   Result.insert(Result.end(), Scale.begin(), Scale.end());
--- a/src/plugins/engineload/EngineState.h
+++ b/src/plugins/engineload/EngineState.h
@@ -31,8 +31,13 @@
   bool IsLimited = false; ///< The engine names a request limit.
   std::uint32_t Running = 0;
   std::uint32_t FreeSlots = 1;
-  std::uint64_t FreeTokens = 0;  ///< Free KV cache memory.
-  double ExtraMs = 0;            ///< Network delay and random jitter.
+  std::uint64_t FreeTokens = 0; ///< Free KV cache memory.
+  double ExtraMs = 0;           ///< Network delay and random jitter.
+  /// Cost of a new connection from this host; zero while one is idle.
+  double ConnectMs = 0;
+  std::size_t Zone = 0; ///< Number of its zone; zero is the host's own.
+  /// Short prompts in prefill or decoding; set where fronts differ by zone.
+  std::uint32_t ShortRunning = 0;
   std::vector<GapGroup> Answers; ///< Answers being decoded on the engine.
 
   /// Returns when the prefill of a part could start.
@@ -79,8 +84,21 @@
   double AheadMs = 0; ///< A shared prompt is sent when its engines have at most
                       ///< this much prefill work ahead of it.
   std::size_t MaxHelpers = 0;
+  /// For each transfer between zones that the engines of a prompt cause.
+  double HelperZoneMs = 0;
+  /// Share of an engine's memory that is left for requests of other hosts that
+  /// are not reported yet. Where it is set, nothing is sent to an engine
+  /// without enough memory.
+  double MemoryMargin = 0;
+  bool ZoneFront = false; ///< Short prompts gather in the host's zone first.
 };
 
+/// Returns whether the prompt may be sent to an engine that lacks memory for
+/// it. An engine that is asked to hold more than its memory crashes.
+inline bool mayExceedMemory(const PlacementWeights &Weights) {
+  return Weights.MemoryMargin <= 0;
+}
+
 /// The engine chosen for a prompt, with its helpers.
 struct PromptPlacement {
   std::size_t Chosen = 0; ///< Index of the engine in the given states.
--- a/src/plugins/engineload/SharedPlacement.cpp
+++ b/src/plugins/engineload/SharedPlacement.cpp
@@ -1,5 +1,7 @@
 #include "plugins/engineload/SharedPlacement.h"
 
+#include "plugins/engineload/HelperZones.h"
+
 #include <algorithm>
 #include <iterator>
 #include <tuple>
@@ -53,6 +55,7 @@
   double StartMs = 0;
   double FirstTokenMs = 0;
   double DelayedValueMs = 0; ///< In the unit of GapGroup::ValueMs.
+  double DistanceMs = 0;     ///< Cost of transfers between zones.
 };
 
 /// Returns the split over the \p Count best engines of \p Candidates, which has
@@ -85,7 +88,8 @@
     // Among splits of equal gain, the earliest leaves the most slack.
     const double Gain =
         Work.ValueMs * creditAt(Candidate.FirstTokenMs, Times, Weights) -
-        Candidate.DelayedValueMs - Candidate.FirstTokenMs * 1e-3;
+        Candidate.DelayedValueMs - Candidate.DistanceMs -
+        Candidate.FirstTokenMs * 1e-3;
     if (!IsFirst && Gain <= this->BestGain)
       return;
     this->BestGain = Gain;
@@ -112,6 +116,30 @@
   double SoonestMs = 0;
 };
 
+/// Offers the split over the \p Count best engines and, where distance counts,
+/// the splits within one zone. Those must not wait for longer.
+void offerSharings(BestSharing &Found, std::span<const EngineState> States,
+                   std::span<const std::size_t> Candidates,
+                   const PromptWork &Work, std::size_t Count,
+                   const PlacementTimes &Times,
+                   const PlacementWeights &Weights) {
+  Sharing Best = sharingAmong(States, Candidates, Work, Count);
+  if (Weights.HelperZoneMs > 0) {
+    const auto Cost = [&](const Sharing &Split) {
+      return Weights.HelperZoneMs *
+             static_cast<double>(zoneCrossings(States, Split.Engines));
+    };
+    Best.DistanceMs = Cost(Best);
+    for (const auto &InZone : candidatesByZone(States, Candidates, Count)) {
+      Sharing Near = sharingAmong(States, InZone, Work, Count);
+      Near.DistanceMs = Cost(Near);
+      if (Near.AheadMs <= std::max(Best.AheadMs, Weights.AheadMs))
+        Found.offer(std::move(Near), Work, Times, Weights);
+    }
+  }
+  Found.offer(std::move(Best), Work, Times, Weights);
+}
+
 /// Returns whether the engine already decodes answers with a shorter gap bound.
 /// Long parts are not placed on such an engine, so that they do not delay
 /// another answer there either.
@@ -131,7 +159,7 @@
     const EngineState &State = States[Index];
     const bool Full = Work.Tokens > State.FreeTokens || State.FreeSlots == 0;
     return std::tuple(Full, !hasTighterGaps(State, Work.MaxGapMs),
-                      State.Running, State.ExtraMs);
+                      State.Running, State.ExtraMs + State.ConnectMs);
   });
 }
 
@@ -143,8 +171,7 @@
       std::min(Candidates.size(), Weights.MaxHelpers + 1);
   BestSharing Found;
   for (std::size_t Count = 1; Count <= MaxParts; ++Count)
-    Found.offer(sharingAmong(States, Candidates, Work, Count), Work, Times,
-                Weights);
+    offerSharings(Found, States, Candidates, Work, Count, Times, Weights);
   return Found.placedAt(decoderAmong(States, Found.best().Engines, Work));
 }
 
@@ -217,8 +244,7 @@
              !State.IsLimited && isPredictable(State, Weights);
     });
     if (WithMemory.size() >= Count)
-      Found.offer(sharingAmong(States, WithMemory, Work, Count), Work, Times,
-                  Weights);
+      offerSharings(Found, States, WithMemory, Work, Count, Times, Weights);
   }
   const Sharing &Best = Found.best();
   if (Best.Engines.empty())
--- a/src/plugins/engineload/ShortPlacement.cpp
+++ b/src/plugins/engineload/ShortPlacement.cpp
@@ -17,6 +17,16 @@
          (Running - Uncrowded) * Weights.CrowdedMs + Full;
 }
 
+/// Cost of an engine to which the prompt must not be sent.
+constexpr double ForbiddenMs = 1e9;
+
+double memoryCostMs(const EngineState &State, const PromptWork &Work,
+                    const PlacementWeights &Weights) {
+  if (Work.Tokens <= State.FreeTokens)
+    return 0;
+  return mayExceedMemory(Weights) ? Weights.FullMs : ForbiddenMs;
+}
+
 double positionsBehind(const EngineState &State, std::size_t Front) {
   return State.Position < Front
              ? 0
@@ -50,8 +60,8 @@
   for (std::size_t Index = 0; Index < States.size(); ++Index) {
     const EngineState &State = States[Index];
     const double FirstMs = State.endMs(Work.PrefillMs);
-    const double Memory = Work.Tokens > State.FreeTokens ? Weights.FullMs : 0;
-    const double Cost = FirstMs + State.ExtraMs + Memory +
+    const double Memory = memoryCostMs(State, Work, Weights);
+    const double Cost = FirstMs + State.ExtraMs + State.ConnectMs + Memory +
                         batchCostMs(State, Slots, Weights) +
                         delayCostMs(State, Work, Weights) +
                         positionsBehind(State, Front) * Weights.PositionMs;
--- a/src/plugins/hostdirectory/HostDirectoryPlugin.cpp
+++ b/src/plugins/hostdirectory/HostDirectoryPlugin.cpp
@@ -1,12 +1,21 @@
 #include "plugins/hostdirectory/HostDirectoryPlugin.h"
 
+#include "base/EventNumbers.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace banyanpick {
 
+namespace {
+
+/// A zone whose callers are near the limit is logged no more often.
+constexpr seconds LogInterval(5);
+
+} // namespace
+
 void HostDirectoryPlugin::initialize(PluginContext &Context) {
   const Settings &Values = Context.settings();
   this->Registry = &Context.services();
@@ -15,6 +24,9 @@
   this->Rng = &Context.random();
   this->TimeToLive = Values.span("host_directory", "ttl");
   this->MaxHosts = Values.whole("host_directory", "hosts");
+  this->PrefersNearby = Values.flag("host_directory", "nearby");
+  this->Limits = {Values.whole("host_directory", "nearby_hosts"),
+                  Values.fraction("host_directory", "nearby_load")};
 }
 
 void HostDirectoryPlugin::start(Time, Actions &) {
@@ -22,19 +34,76 @@
   this->ActiveHosts = &this->Registry->get<ActiveHostsView>();
 }
 
-void HostDirectoryPlugin::handle(const Event &Incoming, Time, Actions &Out) {
+void HostDirectoryPlugin::handle(const Event &Incoming, Time Now,
+                                 Actions &Out) {
   match(
       Incoming,
       [&](const ResolveRequest &Query) {
-        std::vector<Address> Hosts = this->sampleHosts();
+        std::vector<Address> Hosts =
+            this->sampleHosts(this->hostsFor(Query.Zone, Now, Out));
         Out.count("resolves_answered", Hosts.empty() ? "empty" : "named");
         Out.add(AnswerResolve{Query.Id, std::move(Hosts), this->TimeToLive});
       },
       [](const auto &) {});
 }
 
-std::vector<Address> HostDirectoryPlugin::sampleHosts() {
-  const std::vector<CallerAddress> All = this->activeHosts();
+std::vector<HostDirectoryPlugin::CallerAddress>
+HostDirectoryPlugin::hostsFor(const ZoneId &Zone, Time Now, Actions &Out) {
+  std::vector<CallerAddress> All = this->activeHosts();
+  if (!this->PrefersNearby || Zone.Value.empty())
+    return All;
+  ZoneStanding Standing;
+  double InZone = 0;
+  double Sum = 0;
+  for (const CallerAddress &Each : All) {
+    const bool IsNear = Each.Zone == Zone;
+    Standing.Hosts += IsNear ? 1 : 0;
+    InZone += IsNear ? Each.Processor.Thousandths : 0;
+    Sum += Each.Processor.Thousandths;
+  }
+  // The names of zones come from callers; unknown ones are not counted.
+  if (Standing.Hosts == 0)
+    return All;
+  Standing.Suspects = static_cast<std::size_t>(
+      std::ranges::count_if(this->Members->peers(), [&](const Member &Peer) {
+        return Peer.Listing.Zone == Zone && Peer.State == MemberState::Suspect;
+      }));
+  Standing.CapacityShare = Sum > 0 ? InZone / Sum : 0;
+  this->Demand.note(Zone, Now);
+  Standing.DemandShare =
+      this->Demand.shareOf(Zone, Standing.CapacityShare, Now);
+  const double NearShare = nearbyShare(Standing, this->Limits);
+  this->logShare(Zone, Standing, NearShare, Now, Out);
+  const bool IsNearby = this->Rng->fraction() < NearShare;
+  Out.count("resolves_by_zone", IsNearby ? "nearby" : "all");
+  if (IsNearby)
+    std::erase_if(All,
+                  [&](const CallerAddress &Each) { return Each.Zone != Zone; });
+  return All;
+}
+
+void HostDirectoryPlugin::logShare(const ZoneId &Zone,
+                                   const ZoneStanding &Standing,
+                                   double NearShare, Time Now, Actions &Out) {
+  const bool AllStay = NearShare >= 1;
+  LoggedShare &Last = this->Logged[Zone];
+  if (AllStay == Last.AllStay || Now < Last.At + LogInterval)
+    return;
+  Last = {AllStay, Now};
+  constexpr double Percent = 100;
+  Out.log(
+      logEvent(events::CallersSpreadChanged)
+          .with("zone", Zone.Value)
+          .with("near_percent", std::lround(NearShare * Percent))
+          .with("hosts", Standing.Hosts)
+          .with("capacity_percent",
+                std::lround(Standing.CapacityShare * Percent))
+          .with("demand_percent", std::lround(Standing.DemandShare * Percent))
+          .build());
+}
+
+std::vector<Address>
+HostDirectoryPlugin::sampleHosts(std::span<const CallerAddress> All) {
   std::uint32_t MaxProcessor = 0;
   for (const CallerAddress &Listed : All)
     MaxProcessor = std::max(MaxProcessor, Listed.Processor.Thousandths);
@@ -58,10 +127,12 @@
       Result.push_back(Listed);
   };
   if (this->InForce->isReady())
-    Add(this->Self.Host, {this->Self.Callers, this->Self.Processor});
+    Add(this->Self.Host,
+        {this->Self.Callers, this->Self.Processor, this->Self.Zone});
   for (const Member &Peer : this->Members->peers())
     if (Peer.State == MemberState::Alive && Peer.Ready)
-      Add(Peer.Listing.Id, {Peer.Listing.Callers, Peer.Listing.Processor});
+      Add(Peer.Listing.Id,
+          {Peer.Listing.Callers, Peer.Listing.Processor, Peer.Listing.Zone});
   return Result;
 }
 
@@ -71,7 +142,18 @@
            "serving three times as long, for callers that keep it longer.",
            100e3, 600e6},
           {"host_directory", "hosts", SettingKind::Whole, "64",
-           "Most hosts named in one answer.", 1, 1024}};
+           "Most hosts named in one answer.", 1, 1024},
+          {"host_directory", "nearby", SettingKind::Flag, "false",
+           "Callers that name their data centre are sent to its hosts, as far "
+           "as these can take them."},
+          {"host_directory", "nearby_hosts", SettingKind::Whole, "2",
+           "Fewer ready hosts in a data centre are not preferred by its "
+           "callers.",
+           1, 1024},
+          {"host_directory", "nearby_load", SettingKind::Fraction, "1.25",
+           "Callers stay in their data centre while its hosts get no more than "
+           "this many times the mean load of all hosts.",
+           1, 100}};
 }
 
 namespace {
--- a/src/plugins/hostdirectory/HostDirectoryPlugin.h
+++ b/src/plugins/hostdirectory/HostDirectoryPlugin.h
@@ -3,6 +3,10 @@
 #pragma once
 
 #include "kernel/Plugin.h"
+#include "plugins/hostdirectory/NearbyHosts.h"
+
+#include <map>
+#include <span>
 
 namespace banyanpick {
 
@@ -21,10 +25,16 @@
   struct CallerAddress {
     Address Callers;
     ProcessorShare Processor;
+    ZoneId Zone;
   };
 
   /// Returns the hosts for one answer.
-  std::vector<Address> sampleHosts();
+  std::vector<Address> sampleHosts(std::span<const CallerAddress> All);
+  /// Returns the hosts from which the answer to a caller of \p Zone is drawn.
+  std::vector<CallerAddress> hostsFor(const ZoneId &Zone, Time Now,
+                                      Actions &Out);
+  void logShare(const ZoneId &Zone, const ZoneStanding &Standing,
+                double NearShare, Time Now, Actions &Out);
   std::vector<CallerAddress> activeHosts() const;
 
   Services *Registry = nullptr;
@@ -35,6 +45,15 @@
   Random *Rng = nullptr;
   Duration TimeToLive{};
   std::size_t MaxHosts = 0;
+  bool PrefersNearby = false;
+  NearbyLimits Limits;
+  ZoneDemand Demand;
+  /// What was last logged about a zone.
+  struct LoggedShare {
+    bool AllStay = true;
+    Time At{};
+  };
+  std::map<ZoneId, LoggedShare> Logged;
 };
 
 } // namespace banyanpick
--- a/src/plugins/relays/AttemptVerdict.cpp
+++ b/src/plugins/relays/AttemptVerdict.cpp
@@ -2,6 +2,9 @@
 
 #include "base/Visitor.h"
 
+#include <algorithm>
+#include <array>
+
 namespace banyanpick {
 
 namespace {
@@ -10,6 +13,14 @@
 /// upstream may not have. Lower error statuses report an invalid request.
 constexpr std::uint32_t FirstServerError = 500;
 
+/// Returns whether callers read the status as "the request never ran". An
+/// engine that ran the request and failed may answer with it nevertheless; its
+/// caller would send the request again.
+bool claimsNotRun(std::uint32_t Status) {
+  constexpr std::array<std::uint32_t, 4> NotRunStatuses{408, 421, 429, 503};
+  return std::ranges::count(NotRunStatuses, Status) != 0;
+}
+
 } // namespace
 
 AttemptVerdict judgeAttempt(RunningRelay &Relay, const RelayAttempt &Attempt,
@@ -31,7 +42,8 @@
       },
       [&](const RelayFailed &Failed) -> AttemptVerdict {
         Relay.RanOn.push_back(Attempt.Engine);
-        Relay.KeptFailure = Attempt.Id;
+        if (!claimsNotRun(Failed.Status))
+          Relay.KeptFailure = Attempt.Id;
         if (Failed.Status >= FirstServerError && Relay.mayRunAgain())
           return RetryElsewhere{true};
         return GiveUp{RefusalKind::OutcomeUnknown};
--- a/tests/auto/gateway/GatewayBench.cpp
+++ b/tests/auto/gateway/GatewayBench.cpp
@@ -1,7 +1,5 @@
 #include "auto/gateway/GatewayBench.h"
 
-#include "fakes/GatewayDeclarations.h"
-
 namespace banyanpick {
 
 namespace {
@@ -18,8 +16,9 @@
 
 } // namespace
 
-GatewayBench::GatewayBench()
-    : Decider(identity(), gatewaySettingsForTests(), 7, ServingMode::Gateway) {
+GatewayBench::GatewayBench(std::span<const SettingChange> Changes)
+    : Decider(identity(), gatewaySettingsForTests(Changes), 7,
+              ServingMode::Gateway) {
   this->Decider.checkEveryEvent();
   this->send(Tick{});
 }
--- a/tests/auto/gateway/GatewayBench.h
+++ b/tests/auto/gateway/GatewayBench.h
@@ -2,6 +2,7 @@
 /// A test bench that drives the kernel of a gateway with events.
 #pragma once
 
+#include "fakes/GatewayDeclarations.h"
 #include "kernel/Kernel.h"
 
 #include <string>
@@ -14,7 +15,8 @@
 /// (resumable, two attempts) to the service `desk`, or, for streams, `ring`.
 class GatewayBench {
 public:
-  GatewayBench();
+  /// \p Changes are applied to the default settings.
+  explicit GatewayBench(std::span<const SettingChange> Changes = {});
 
   /// Passes the event to the kernel and records the resulting actions.
   void send(const Event &Input);
--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -1,7 +1,6 @@
 #include "auto/manyhosts/HostSimulation.h"
 
 #include "base/Visitor.h"
-#include "fakes/GatewayDeclarations.h"
 #include "kernel/GatewayServices.h"
 #include "wire/PeerCodec.h"
 
@@ -33,8 +32,8 @@
   return {fmt::format("10.0.{}.{}", Index / 200, Index % 200 + 1), 7000};
 }
 
-Settings simulationSettings() {
-  Settings Result = gatewaySettingsForTests();
+Settings simulationSettings(std::span<const SettingChange> Changes) {
+  Settings Result = gatewaySettingsForTests(Changes);
   std::string SeedList;
   for (std::size_t Index = 0; Index < Seeds; ++Index)
     SeedList += (Index > 0 ? "," : "") + addressOf(Index).Ip + ":7000";
@@ -62,8 +61,9 @@
 
 } // namespace
 
-HostSimulation::HostSimulation(std::size_t HostCount, std::size_t EngineCount)
-    : Queue(Begin) {
+HostSimulation::HostSimulation(std::size_t HostCount, std::size_t EngineCount,
+                               std::vector<SettingChange> Changes)
+    : Queue(Begin), SettingChanges(std::move(Changes)) {
   for (std::size_t Index = 0; Index < EngineCount; ++Index) {
     EngineRecord Engine;
     Engine.Id = UpstreamId(fmt::format("e{:03}", Index));
@@ -280,6 +280,7 @@
 
 void HostSimulation::finish(const UpstreamId &Engine,
                             const RunningRequest &Running) {
+  this->Connections.keep(Running.Host, Engine, this->Queue.now());
   this->send(Running.Host, Running.Life,
              GatewayEvent(RelayEnded{Running.Attempt, RelayDelivered{}}));
   this->Callers.erase({Running.Host, Running.Request});
@@ -292,13 +293,15 @@
   }
 }
 
-std::vector<std::size_t> HostSimulation::resolvedHosts(std::size_t Host) {
+std::vector<std::size_t>
+HostSimulation::resolvedHosts(std::size_t Host, const std::string &Zone) {
   // A paused host sends no answers and must not run meanwhile.
   if (this->Queue.now() < this->Hosts[Host].PausedUntil)
     return {};
   this->Answer.clear();
   ResolveRequest Query;
   Query.Id = ResolveRequestId(++this->Requests);
+  Query.Zone = ZoneId(Zone);
   this->handle(Host, std::move(Query));
   std::vector<std::size_t> Result;
   for (std::size_t Index = 0; Index < this->Hosts.size(); ++Index)
@@ -335,7 +338,8 @@
   Started.Life = ++this->IncarnationCount;
   Started.Self.Life = Incarnation(1000 + Started.Life);
   Started.Process = std::make_unique<Kernel>(
-      Started.Self, simulationSettings(), Started.Life, ServingMode::Gateway);
+      Started.Self, simulationSettings(this->SettingChanges), Started.Life,
+      ServingMode::Gateway);
   Started.WakeAt = Never;
   Started.ReadsStore = true;
   Started.Listed = false;
@@ -434,6 +438,13 @@
       Requested,
       [&](const DispatchRelay &Dispatch) {
         ++this->Current.Sent[Dispatch.Engine];
+        this->Connections.send(Index, Dispatch.Engine, Dispatch.Fresh,
+                               this->Queue.now());
+        this->UnreportedSince.try_emplace(Index, this->Queue.now());
+        const auto Target = std::ranges::find(this->Engines, Dispatch.Engine,
+                                              &EngineRecord::Id);
+        this->Current.SentToOtherZones +=
+            Target->Zone == this->Hosts[Index].Self.Zone ? 0 : 1;
         const auto Sheds = this->Shedding.find(Dispatch.Engine);
         const bool Refuses = Sheds != this->Shedding.end();
         const Duration Backoff = Refuses ? Sheds->second : Duration(0);
@@ -497,6 +508,14 @@
       return;
   }
   this->Pairs.insert({From, To});
+  if (const auto Since = this->UnreportedSince.find(From);
+      std::holds_alternative<EngineWork>(Sent.Body) &&
+      Since != this->UnreportedSince.end()) {
+    this->Current.MaxReportDelay =
+        std::max(this->Current.MaxReportDelay,
+                 Duration(this->Queue.now() + NetworkDelay - Since->second));
+    this->UnreportedSince.erase(Since);
+  }
   if (this->Partitioned.contains(From) || this->Partitioned.contains(To))
     return;
   const Host &Sender = this->Hosts[From];
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -4,6 +4,8 @@
 /// and check what each host knows.
 #pragma once
 
+#include "auto/manyhosts/SimulatedConnections.h"
+#include "fakes/GatewayDeclarations.h"
 #include "harness/EventQueue.h"
 #include "kernel/Kernel.h"
 
@@ -24,7 +26,9 @@
 
   /// Starts all hosts at once, distributed over the zones in turn. Three of
   /// them are seeds.
-  HostSimulation(std::size_t Hosts, std::size_t Engines);
+  /// \p Changes are applied to the settings of all hosts.
+  HostSimulation(std::size_t Hosts, std::size_t Engines,
+                 std::vector<SettingChange> Changes = {});
   ~HostSimulation();
 
   /// The resources of a host. They are unlimited if not set.
@@ -103,7 +107,12 @@
 
   /// Returns the hosts that \p Host would name now in its answer to a resolve
   /// request.
-  std::vector<std::size_t> resolvedHosts(std::size_t Host);
+  /// \p Zone is the zone of the caller that asks; empty: unknown.
+  std::vector<std::size_t> resolvedHosts(std::size_t Host,
+                                         const std::string &Zone = "");
+  /// The connections from hosts to engines.
+  SimulatedConnections &connections() { return this->Connections; }
+  std::size_t zoneOf(std::size_t Host) const { return Host % Zones; }
   std::uint64_t versionAt(std::size_t Host) const;
   bool knowsLeaving(std::size_t Host, std::size_t Engine) const;
 
@@ -112,9 +121,12 @@
     std::map<std::string, std::uint64_t> Messages; ///< By kind.
     std::uint64_t StoreReads = 0; ///< Reads of configuration and registry.
     std::uint64_t ListReads = 0;
-    std::uint64_t Ticks = 0;                 ///< Wake-ups without an event.
-    std::uint64_t Links = 0;                 ///< Pairs of sender and receiver.
-    std::map<UpstreamId, std::size_t> Sent;  ///< Requests to each engine.
+    std::uint64_t Ticks = 0;                ///< Wake-ups without an event.
+    std::uint64_t Links = 0;                ///< Pairs of sender and receiver.
+    std::map<UpstreamId, std::size_t> Sent; ///< Requests to each engine.
+    std::size_t SentToOtherZones = 0;
+    /// Longest time from sending a request until a report of it arrives.
+    Duration MaxReportDelay{};
     std::map<std::size_t, std::size_t> Lost; ///< Requests without an answer, by
                                              ///< host.
     std::size_t InTime = 0; ///< Answers that began within the objective.
@@ -205,6 +217,10 @@
   void registerEngine(std::size_t Engine);
 
   EventQueue Queue;
+  std::vector<SettingChange> SettingChanges;
+  SimulatedConnections Connections;
+  /// When each host first sent a request that it has not reported yet.
+  std::map<std::size_t, Time> UnreportedSince;
   std::vector<Host> Hosts;
   std::map<HostId, std::size_t> IndexById;
   std::vector<EngineRecord> Engines;
--- a/tests/fakes/GatewayDeclarations.cpp
+++ b/tests/fakes/GatewayDeclarations.cpp
@@ -54,10 +54,12 @@
   return Declared;
 }
 
-Settings gatewaySettingsForTests() {
+Settings gatewaySettingsForTests(std::span<const SettingChange> Changes) {
   const auto Declared = pluginSettings();
   Settings Result = Settings::defaults(Declared);
   Result.set("membership", "discovery", "gossip");
+  for (const SettingChange &Change : Changes)
+    Result.set(Change.Section, Change.Key, Change.Value);
   return Result;
 }
 
--- a/tests/fakes/GatewayDeclarations.h
+++ b/tests/fakes/GatewayDeclarations.h
@@ -6,6 +6,8 @@
 #include "settings/Settings.h"
 
 #include <memory>
+#include <span>
+#include <string>
 
 namespace banyanpick {
 
@@ -16,7 +18,14 @@
 std::shared_ptr<const GatewayConfiguration>
 gatewayDeclarations(std::uint64_t Version);
 
-/// Returns the default settings, with host discovery by gossip.
-Settings gatewaySettingsForTests();
+/// A setting that differs from the default.
+struct SettingChange {
+  std::string Section;
+  std::string Key;
+  std::string Value;
+};
+
+/// Returns the default settings, with host discovery by gossip and \p Changes.
+Settings gatewaySettingsForTests(std::span<const SettingChange> Changes = {});
 
 } // namespace banyanpick
