Decode cold times and relay them between hosts

An engine that is cold said so in its registration and its answers, and no host read it. Services now declare the cold time and the rate of a cold engine, registrations and answers carry what remains, and EnginesRelayed passes it on as what is left at the sender. A value that cannot be read does not spoil a registration.

The digest of the registrations has one bit for a cold engine and not the remaining time, so a renewal alone causes no requests between hosts.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -180,6 +180,11 @@
     827, LogLevel::Warning, "requested backoff of an engine is unreadable"};
 inline constexpr EventKind EngineLeavingUnreadable{
     828, LogLevel::Warning, "leaving signal of an engine is unreadable"};
+inline constexpr EventKind EngineCold{860, LogLevel::Info, "engine is cold"};
+inline constexpr EventKind EngineWarm{861, LogLevel::Info,
+                                      "engine is no longer cold"};
+inline constexpr EventKind ColdTimeUnreadable{
+    862, LogLevel::Warning, "cold time of an engine is unreadable"};
 inline constexpr EventKind RelayReceived{820, LogLevel::Info,
                                          "relayed request received"};
 inline constexpr EventKind RelaySent{821, LogLevel::Info,
--- a/src/libs/gateway/AnswerSignals.h
+++ b/src/libs/gateway/AnswerSignals.h
@@ -51,11 +51,35 @@
   Unreadable, ///< The signal cannot be parsed; treated as Present.
 };
 
+/// The upstream does not say that it is cold.
+struct NotCold {
+  bool operator==(const NotCold &) const = default;
+};
+/// The upstream is cold for some time.
+struct ColdDeclared {
+  Duration For{}; ///< Positive, at most MaxColdTime.
+
+  bool operator==(const ColdDeclared &) const = default;
+};
+/// The upstream says for how long it is cold, but the time cannot be parsed or
+/// is out of range.
+struct ColdUnreadable {
+  std::string Text; ///< The beginning of the received text.
+
+  bool operator==(const ColdUnreadable &) const = default;
+};
+
+using ColdSignal = std::variant<NotCold, ColdDeclared, ColdUnreadable>;
+
+/// The maximum cold time. A longer one is assumed to be an error.
+inline constexpr std::chrono::minutes MaxColdTime(10);
+
 /// All signals of one answer.
 struct AnswerSignals {
   LimitSignal Limit;
   BackoffSignal Backoff;
   LeavingSignal Leaving = LeavingSignal::Absent;
+  ColdSignal Cold;
 
   bool operator==(const AnswerSignals &) const = default;
 };
--- a/src/libs/gateway/Configuration.h
+++ b/src/libs/gateway/Configuration.h
@@ -76,7 +76,12 @@
 struct ServiceEntry {
   ServiceId Id;
   std::string HealthPath;
-  std::uint32_t MaxConnections = 0;       ///< Per upstream, from all hosts.
+  std::uint32_t MaxConnections = 0; ///< Per upstream, from all hosts; zero: no
+                                    ///< limit.
+  Duration ColdStart{};             ///< Cold time after a start.
+  /// Requests per second that a cold upstream accepts from all hosts together;
+  /// zero: its upstreams are never cold.
+  double ColdRequestsPerSecond = 0;
   std::optional<EngineParameters> Engine; ///< Set for model engines.
 
   bool operator==(const ServiceEntry &) const = default;
--- a/src/libs/gateway/EngineRecord.h
+++ b/src/libs/gateway/EngineRecord.h
@@ -19,6 +19,16 @@
   ZoneId Zone;
   std::uint32_t Slots = 1; ///< Maximum number of concurrent requests.
   bool Draining = false;   ///< Accepts no new requests.
+  /// How long the engine remained cold when the registration was written or
+  /// relayed; zero: it is not cold.
+  Duration ColdFor{};
+  /// The remaining cold time could not be read, so the engine counts as cold
+  /// for the time that its service declares.
+  bool ColdUnreadable = false;
+
+  bool isCold() const {
+    return this->ColdUnreadable || this->ColdFor > Duration(0);
+  }
 
   bool operator==(const EngineRecord &) const = default;
 };
--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -57,6 +57,9 @@
   /// A stream that sends nothing for this time after its first event fails as
   /// silent. Zero disables the timeout.
   Duration MaxSilence{};
+  /// Connections that this host may have to the upstream, idle and in use; zero
+  /// disables the limit.
+  std::uint32_t MaxConnections = 0;
 
   bool operator==(const DispatchRelay &) const = default;
 };
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -40,6 +40,7 @@
   Time Since{};               ///< When the standing last changed.
   std::uint64_t NameHash = 0; ///< Hash of its name, equal for all incarnations.
                               ///< Partitions the engines among hosts.
+  Time ColdUntil{}; ///< End of the cold time that registrations declared.
 };
 
 /// The registered upstreams.
@@ -67,6 +68,9 @@
   virtual ~EngineObserver() = default;
   virtual void engineChanged(const RegisteredEngine &, Time, Actions &) {}
   virtual void engineRemoved(const UpstreamId &, Time, Actions &) {}
+  /// A registration says that the engine is cold. \p WasKnown: the engine was
+  /// registered before and was not cold, so requests to it may be under way.
+  virtual void engineCold(const EngineRecord &, bool, Time, Actions &) {}
   /// The engine restarted. The work and memory of the earlier incarnation are
   /// lost. Followed by engineRemoved() for the earlier incarnation.
   virtual void engineRestarted(const UpstreamId &, Time, Actions &) {}
@@ -115,9 +119,15 @@
 public:
   virtual ~EngineQuota() = default;
   virtual bool isLimited(const UpstreamId &Engine) const = 0;
+  /// Whether the engine is cold. Nothing but single requests with quota is sent
+  /// to a cold engine.
+  virtual bool isCold(const UpstreamId &, Time) const { return false; }
   /// Whether one more request may be sent now. Always true for engines that
   /// declare no limit.
   virtual bool hasQuota(const UpstreamId &Engine, Time Now) const = 0;
+  /// Returns how many connections this host may have to the engine, idle and in
+  /// use; zero: no limit.
+  virtual std::uint32_t maxConnections(const UpstreamId &) const { return 0; }
   /// Called when a request would have been sent if quota were available.
   virtual void requestQuota(const UpstreamId &Engine, Time Now) = 0;
   /// Returns the delay until quota may be available, if it is known.
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -317,6 +317,9 @@
     std::uint64_t Number = 0;
     std::uint32_t Count = 0; ///< Zero: no quota is available now.
     double RetryAfterMs = 0; ///< With zero: delay until there may be quota.
+    /// Time between the request's arrival and the lease. Limits the lifetime of
+    /// a lease at a cold engine, which counts from its grant.
+    double WaitedMs = 0;
 
     bool operator==(const Lease &) const = default;
   };
@@ -330,6 +333,15 @@
     bool operator==(const Return &) const = default;
   };
   std::vector<Return> Returns;
+  /// An engine that the sender knows to be cold.
+  struct ColdReport {
+    UpstreamId Engine;
+    double LeftMs = 0;       ///< Remaining cold time, as known to the sender.
+    bool TurnedCold = false; ///< The engine was in use before.
+
+    bool operator==(const ColdReport &) const = default;
+  };
+  std::vector<ColdReport> ColdReports;
 
   bool operator==(const EngineLimits &) const = default;
 };
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -1,5 +1,6 @@
 #include "wire/PeerCodec.h"
 
+#include "base/Milliseconds.h"
 #include "base/Visitor.h"
 #include "peer.pb.h"
 #include "wire/LogCodec.h"
@@ -195,6 +196,8 @@
     Item.set_draining(Update.Engine.Draining);
     Item.set_removed(Update.Removed);
     Item.set_offset(Update.Offset);
+    Item.set_cold_ms(inMilliseconds(Update.Engine.ColdFor));
+    Item.set_cold_unreadable(Update.Engine.ColdUnreadable);
   }
 }
 
@@ -256,6 +259,7 @@
     Item.set_number(Lease.Number);
     Item.set_count(Lease.Count);
     Item.set_later_ms(Lease.RetryAfterMs);
+    Item.set_waited_ms(Lease.WaitedMs);
   }
   for (const auto &Returned : Body.Returns) {
     EngineLimits::Return &Item = *Out.add_returns();
@@ -263,6 +267,12 @@
     Item.set_number(Returned.Number);
     Item.set_count(Returned.Count);
   }
+  for (const auto &Report : Body.ColdReports) {
+    EngineLimits::Cold &Item = *Out.add_cold();
+    Item.set_engine(Report.Engine.Value);
+    Item.set_left_ms(Report.LeftMs);
+    Item.set_turned_cold(Report.TurnedCold);
+  }
 }
 
 void write(const banyanpick::EngineSignals &Body, Envelope &Envelope) {
@@ -290,6 +300,9 @@
     Item.Engine.Draining = Update.draining();
     Item.Removed = Update.removed();
     Item.Offset = Update.offset();
+    Item.Engine.ColdFor =
+        fromMilliseconds(checkedMilliseconds(Update.cold_ms()));
+    Item.Engine.ColdUnreadable = Update.cold_unreadable();
     Result.Changes.push_back(std::move(Item));
   }
   return Result;
@@ -340,10 +353,15 @@
   for (const EngineLimits::Loan &Lease : In.loans())
     Result.Leases.push_back({UpstreamId(Lease.engine()), Lease.number(),
                              Lease.count(),
-                             checkedMilliseconds(Lease.later_ms())});
+                             checkedMilliseconds(Lease.later_ms()),
+                             checkedMilliseconds(Lease.waited_ms())});
   for (const EngineLimits::Return &Returned : In.returns())
     Result.Returns.push_back(
         {UpstreamId(Returned.engine()), Returned.number(), Returned.count()});
+  for (const EngineLimits::Cold &Report : In.cold())
+    Result.ColdReports.push_back({UpstreamId(Report.engine()),
+                                  checkedMilliseconds(Report.left_ms()),
+                                  Report.turned_cold()});
   return Result;
 }
 
--- a/src/plugins/engines/EngineTable.cpp
+++ b/src/plugins/engines/EngineTable.cpp
@@ -15,12 +15,25 @@
 constexpr hours LeavingTtl(1);
 
 std::uint64_t digestOf(const EngineRecord &Record) {
-  const std::string Fields = fmt::format(
-      "{} {}:{} {} {} {}", Record.Service.Value, Record.At.Ip, Record.At.Port,
-      Record.Zone.Value, Record.Slots, Record.Draining);
+  // The remaining cold time differs at each renewal and is left out.
+  const std::string Fields =
+      fmt::format("{} {}:{} {} {} {}{}", Record.Service.Value, Record.At.Ip,
+                  Record.At.Port, Record.Zone.Value, Record.Slots,
+                  Record.Draining, Record.isCold() ? " cold" : "");
   return rendezvousWeight(Record.Id.Value, Fields);
 }
 
+/// Returns whether the registration only renews the known one. The remaining
+/// cold time differs at each renewal.
+bool isRenewal(const EngineRecord &Known, const EngineRecord &Next) {
+  EngineRecord Compared = Next;
+  if (Known.isCold() == Next.isCold()) {
+    Compared.ColdFor = Known.ColdFor;
+    Compared.ColdUnreadable = Known.ColdUnreadable;
+  }
+  return Known == Compared;
+}
+
 const UpstreamId &idOf(const RegisteredEngine *Registered) {
   return Registered->Record.Id;
 }
@@ -68,7 +81,7 @@
   if (IsRemoved)
     return {Effect::Removed, Ended, true};
   this->add(Change, Now);
-  return {Effect::Changed, Ended, true};
+  return {Effect::Changed, Ended, true, Change.Engine.isCold()};
 }
 
 EngineTable::Applied EngineTable::add(const EngineChange &Change, Time Now) {
@@ -79,9 +92,10 @@
   Added.ChangedAt = Change.Offset;
   Added.Standing = this->registeredStanding(Change.Engine);
   Added.Since = Now;
+  Added.ColdUntil = Now + Change.Engine.ColdFor;
   Added.NameHash = rendezvousWeight("part", EngineName);
   this->addToIndex(Added);
-  return {Effect::Changed, std::nullopt};
+  return {Effect::Changed, std::nullopt, false, Change.Engine.isCold()};
 }
 
 EngineTable::Applied EngineTable::change(RegisteredEngine &Registered,
@@ -91,14 +105,20 @@
   const EngineStanding Next = Registered.Standing == EngineStanding::Leaving
                                   ? EngineStanding::Leaving
                                   : this->registeredStanding(Change.Engine);
-  if (Registered.Record == Change.Engine && Registered.Standing == Next)
-    return {};
+  const bool IsCold = Change.Engine.isCold();
+  Registered.ColdUntil =
+      std::max(Registered.ColdUntil, Now + Change.Engine.ColdFor);
+  if (isRenewal(Registered.Record, Change.Engine) &&
+      Registered.Standing == Next) {
+    Registered.Record = Change.Engine;
+    return {Effect::None, std::nullopt, false, IsCold};
+  }
   this->removeFromIndex(Registered);
   Registered.Record = Change.Engine;
   Registered.ChangedAt = Change.Offset;
   this->setStanding(Registered, Next, Now);
   this->addToIndex(Registered);
-  return {Effect::Changed, std::nullopt};
+  return {Effect::Changed, std::nullopt, false, IsCold};
 }
 
 EngineTable::Applied EngineTable::remove(const EngineChange &Change,
--- a/src/plugins/engines/EngineTable.h
+++ b/src/plugins/engines/EngineTable.h
@@ -35,6 +35,8 @@
     /// The incarnation that ended because the engine restarted or was removed.
     std::optional<UpstreamId> Ended;
     bool Restarted = false; ///< A later incarnation followed.
+    /// The applied registration says that the engine is cold.
+    bool IsCold = false;
   };
 
   /// Applies a change. \p StoreSuspect: the store was unavailable recently, so
--- a/src/plugins/engines/EnginesPlugin.cpp
+++ b/src/plugins/engines/EnginesPlugin.cpp
@@ -94,7 +94,8 @@
       Message.Body,
       [&](const EnginesRequest &Requested) {
         if (this->KnownTo > Requested.From)
-          Out.add(SendToPeer{Message.From, this->changesFrom(Requested.From)});
+          Out.add(
+              SendToPeer{Message.From, this->changesFrom(Requested.From, Now)});
       },
       [&](const EnginesRelayed &Relayed) {
         this->takeRelayed(Relayed, Message.From, Now, Out);
@@ -123,12 +124,20 @@
   this->KnownTo = Relayed.UpTo;
 }
 
-EnginesRelayed EnginesPlugin::changesFrom(LogOffset From) const {
+EnginesRelayed EnginesPlugin::changesFrom(LogOffset From, Time Now) const {
   EnginesRelayed Result;
   Result.UpTo = this->KnownTo;
   // A host that never received a removal cannot forward it.
   Result.Complete = From < std::max(this->ListedAt, this->Table.forgottenTo());
   Result.Changes = this->Table.changesFrom(Result.Complete ? 0 : From);
+  for (EngineChange &Change : Result.Changes) {
+    const RegisteredEngine *Known = this->Table.find(Change.Engine.Id);
+    if (!Known || Change.Engine.ColdFor == Duration(0))
+      continue;
+    // The engine stays cold in the digest until a renewal says otherwise, so
+    // the relayed record is cold too.
+    Change.Engine.ColdFor = std::max(Duration(1), Known->ColdUntil - Now);
+  }
   return Result;
 }
 
@@ -136,6 +145,9 @@
                           std::string_view From, Time Now, Actions &Out) {
   const bool StoreSuspect = this->isStoreSuspect(Now);
   for (const EngineChange &Change : Changes) {
+    const RegisteredEngine *Known = this->Table.find(Change.Engine.Id);
+    const bool WasWarm =
+        Known && (!Known->Record.isCold() || Now >= Known->ColdUntil);
     const EngineTable::Applied Done =
         this->Table.apply(Change, StoreSuspect, Now);
     if (Done.Restarted)
@@ -144,6 +156,10 @@
       this->notifyRemoved(*Done.Ended, From, Now, Out);
     if (Done.Outcome == EngineTable::Effect::Changed)
       this->notifyChanged(Change.Engine.Id, From, Now, Out);
+    if (Done.IsCold)
+      for (EngineObserver *Observer :
+           this->Registry->list<EngineObserver>().all())
+        Observer->engineCold(Change.Engine, WasWarm, Now, Out);
   }
 }
 
--- a/src/plugins/engines/EnginesPlugin.h
+++ b/src/plugins/engines/EnginesPlugin.h
@@ -38,7 +38,7 @@
   void take(const EnginesRead &Read, Time Now, Actions &Out);
   void takeRelayed(const EnginesRelayed &Relayed, const HostId &From, Time Now,
                    Actions &Out);
-  EnginesRelayed changesFrom(LogOffset From) const;
+  EnginesRelayed changesFrom(LogOffset From, Time Now) const;
   void noteStore(const StoreObserved &Status, Time Now, Actions &Out);
   void takePeerMessage(const PeerMessage &Message, Time Now, Actions &Out);
   void apply(std::span<const EngineChange> Changes, std::string_view From,
--- a/tests/auto/gateway/EngineTableTest.cpp
+++ b/tests/auto/gateway/EngineTableTest.cpp
@@ -275,6 +275,29 @@
   EXPECT_EQ(Table.changesFrom(3).front().Offset, 12U);
 }
 
+EngineChange cold(const char *Name, LogOffset Offset, Duration For) {
+  EngineChange Result = change(Name, Offset);
+  Result.Engine.ColdFor = For;
+  return Result;
+}
+
+/// Hosts that do not read the store learn of a cold engine by the digest. The
+/// cold time shrinks at each renewal, which must not cause requests.
+TEST(EngineTable, TurningColdIsAChangeAndARenewalWhileColdIsNone) {
+  EngineTable Table = table();
+  Table.apply(change("e1", 1), false, at(0));
+  const std::uint64_t Warm = Table.digest();
+  EXPECT_TRUE(Table.apply(cold("e1", 2, seconds(3)), false, at(0)).IsCold);
+  const std::uint64_t Cold = Table.digest();
+  EXPECT_NE(Cold, Warm);
+  EXPECT_EQ(Table.changesFrom(2).size(), 1U);
+  EXPECT_TRUE(Table.apply(cold("e1", 3, seconds(2)), false, at(1000)).IsCold);
+  EXPECT_EQ(Table.digest(), Cold);
+  EXPECT_TRUE(Table.changesFrom(3).empty());
+  EXPECT_FALSE(Table.apply(change("e1", 4), false, at(3000)).IsCold);
+  EXPECT_EQ(Table.digest(), Warm);
+}
+
 TEST(EngineTable, AMissingEngineCountsAsRemovedInTheDigest) {
   EngineTable First = table();
   EngineTable Other = table();
--- a/tests/auto/platformadapter/ConfigurationJsonTest.cpp
+++ b/tests/auto/platformadapter/ConfigurationJsonTest.cpp
@@ -61,6 +61,22 @@
   EXPECT_EQ(Read->Document, Recorded);
 }
 
+/// Guards against limits of upstreams that are decoded wrongly, so that hosts
+/// overload a cold upstream or open more connections than it accepts.
+TEST(ConfigurationJson, NamesTheLimitsOfAService) {
+  const auto Read = readConfiguration(
+      R"({"Version":1,"Services":[{"Name":"s","ConnectionLimit":578,
+      "ColdStartS":3.5,"ColdPerS":23},{"Name":"t","ColdPerS":null}]})");
+  const ServiceEntry &Limited = Read->Services.at(ServiceId("s"));
+  EXPECT_EQ(Limited.MaxConnections, 578U);
+  EXPECT_EQ(Limited.ColdStart, milliseconds(3500));
+  EXPECT_EQ(Limited.ColdRequestsPerSecond, 23);
+  const ServiceEntry &Unlimited = Read->Services.at(ServiceId("t"));
+  EXPECT_EQ(Unlimited.MaxConnections, 0U);
+  EXPECT_EQ(Unlimited.ColdStart, Duration(0));
+  EXPECT_EQ(Unlimited.ColdRequestsPerSecond, 0);
+}
+
 TEST(ConfigurationJson, NeedsNoKeysWithoutTeams) {
   EXPECT_FALSE(readConfiguration(R"({"Version":1})")->NeedsKeys);
 }
@@ -90,6 +106,27 @@
                Error);
 }
 
+EngineRecord coldRegistration(const std::string &ColdMember) {
+  return readEngine("i-7", "{" + ColdMember +
+                               R"("Service":"s","Address":"10.0.0.1:80",
+      "Zone":"z","Slots":16,"State":"ready"})");
+}
+
+/// Guards against a bad cold time that removes the engine or makes it warm.
+TEST(EngineJson, ARegistrationSaysForHowLongTheEngineIsCold) {
+  EXPECT_EQ(coldRegistration(R"("ColdRemainingMs":2500,)").ColdFor,
+            milliseconds(2500));
+  for (const char *Warm :
+       {"", R"("ColdRemainingMs":null,)", R"("ColdRemainingMs":0,)"})
+    EXPECT_FALSE(coldRegistration(Warm).isCold()) << Warm;
+  for (const char *Bad : {"-1", "\"3\"", "[]", "true", "1e300"}) {
+    const EngineRecord Read =
+        coldRegistration("\"ColdRemainingMs\":" + std::string(Bad) + ",");
+    EXPECT_TRUE(Read.ColdUnreadable) << Bad;
+    EXPECT_EQ(Read.Service, ServiceId("s")) << Bad;
+  }
+}
+
 TEST(EngineJson, TheIdIsThatOfALife) {
   const std::string OtherMembers =
       R"("Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":16,
--- a/tests/auto/platformadapter/HeadersTest.cpp
+++ b/tests/auto/platformadapter/HeadersTest.cpp
@@ -178,6 +178,32 @@
   EXPECT_EQ(limitOf(Other), LimitSignal(LimitUnknown{})) << "another engine's";
 }
 
+ColdSignal coldOf(const http::response_header<> &Head) {
+  return PlatformEngines().signalsOf(Head).Cold;
+}
+
+TEST(AnswerHeaders, OfAnyKindSayThatAnEngineIsCold) {
+  http::response_header<> Head = answer(200);
+  EXPECT_EQ(coldOf(Head), ColdSignal(NotCold{}));
+  Head.set("X-Cold-Milliseconds", "0");
+  EXPECT_EQ(coldOf(Head), ColdSignal(NotCold{}));
+  Head.set("X-Cold-Milliseconds", "2500");
+  EXPECT_EQ(coldOf(Head), ColdSignal(ColdDeclared{milliseconds(2500)}));
+  Head.insert("X-Cold-Milliseconds", "3000");
+  EXPECT_EQ(coldOf(Head), ColdSignal(ColdDeclared{seconds(3)}))
+      << "the longest";
+  Head.result(421);
+  EXPECT_EQ(coldOf(Head), ColdSignal(NotCold{})) << "another engine's";
+}
+
+TEST(AnswerHeaders, MalformedColdTimesAreUnreadable) {
+  for (const char *Text : {"-1", "nan", "inf", "1e999", "soon", "3s", ""}) {
+    http::response_header<> Head = answer(503);
+    Head.set("X-Cold-Milliseconds", Text);
+    EXPECT_EQ(coldOf(Head), ColdSignal(ColdUnreadable{Text})) << Text;
+  }
+}
+
 BackoffSignal backoffOf(const http::response_header<> &Head) {
   return PlatformEngines().signalsOf(Head).Backoff;
 }
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -163,7 +163,11 @@
   });
   Result.Leases = anyVector([] {
     return EngineLimits::Lease{anyId<UpstreamId>(), anyUint64(), anyUint32(),
-                               anyMilliseconds()};
+                               anyMilliseconds(), anyMilliseconds()};
+  });
+  Result.ColdReports = anyVector([] {
+    return EngineLimits::ColdReport{anyId<UpstreamId>(), anyMilliseconds(),
+                                    anyBool()};
   });
   Result.Returns = anyVector([] {
     return EngineLimits::Return{anyId<UpstreamId>(), anyUint64(), anyUint32()};
@@ -257,6 +261,18 @@
   RC_ASSERT(decodePeerMessage(encodePeerMessage(Message)) == Message);
 }
 
+/// Hosts that do not read the store know of a cold engine only by this message.
+TEST(Wire, RelayedRegistrationsKeepTheColdTime) {
+  EngineChange Change;
+  Change.Engine.Id = UpstreamId("e1");
+  Change.Engine.ColdFor = milliseconds(2500);
+  Change.Engine.ColdUnreadable = true;
+  EnginesRelayed Relayed;
+  Relayed.Changes.push_back(Change);
+  const PeerMessage Message{HostId("h1"), Incarnation(1), Relayed};
+  EXPECT_EQ(decodePeerMessage(encodePeerMessage(Message)), Message);
+}
+
 RC_GTEST_PROP(Wire, RandomBytesAreRejectedOrDecoded,
               (const std::string &Bytes)) {
   decodeUntrusted([&] { decodeLogBatch(Bytes); });
