Keep cold engines to their rate and divide connections among hosts

A cold engine crashes well above its rate, and an engine resets connections beyond its limit; both limits hold for all hosts together and nothing enforced them.

The lowest limit in force, declared or cold, now decides about the leases of an engine. After an engine in use turned cold, the first lease waits until requests under way have arrived. An allocator that sees only a minority of the hosts leases nothing there. Memory orders and report requests do not go to a cold engine.

Connections are divided statically, as the retry budget is. A host exceeds its part only while less than half of the limit is known to be in use, and the pool closes idle connections first.

--- a/src/libs/relay/EngineLinkPool.cpp
+++ b/src/libs/relay/EngineLinkPool.cpp
@@ -45,6 +45,32 @@
   return std::make_shared<EngineLink>(this->Executor);
 }
 
+std::size_t EngineLinkPool::connections(const UpstreamId &Engine) {
+  const auto Found = this->Links.find(Engine);
+  if (Found == this->Links.end())
+    return 0;
+  std::erase_if(Found->second, [](const std::weak_ptr<EngineLink> &Link) {
+    return Link.expired();
+  });
+  const std::size_t Count = Found->second.size();
+  if (Count == 0)
+    this->Links.erase(Found);
+  return Count;
+}
+
+std::shared_ptr<EngineLink>
+EngineLinkPool::create(const UpstreamId &Engine, std::uint32_t MaxConnections) {
+  std::shared_ptr<EngineLink> Result = this->create();
+  if (MaxConnections == 0)
+    return Result;
+  const auto Idle = this->IdleLinks.find(Engine);
+  while (Idle != this->IdleLinks.end() && !Idle->second.empty() &&
+         this->connections(Engine) >= MaxConnections)
+    Idle->second.erase(Idle->second.begin());
+  this->Links[Engine].push_back(Result);
+  return Result;
+}
+
 void EngineLinkPool::keep(const UpstreamId &Engine,
                           std::shared_ptr<EngineLink> Link,
                           Duration ServerIdle) {
--- a/src/libs/relay/EngineLinkPool.h
+++ b/src/libs/relay/EngineLinkPool.h
@@ -36,7 +36,13 @@
   /// Removes an idle connection on which no data has arrived and returns it, or
   /// null if there is none.
   std::shared_ptr<EngineLink> takeIdle(const UpstreamId &Engine);
+  /// Returns a link without a connection.
   std::shared_ptr<EngineLink> create();
+  /// The same for an upstream that limits its connections. While this host has
+  /// \p MaxConnections to the upstream, idle and in use, the longest idle one
+  /// is closed; zero: no limit.
+  std::shared_ptr<EngineLink> create(const UpstreamId &Engine,
+                                     std::uint32_t MaxConnections);
   /// Keeps the connection for a later request. \p ServerIdle is the keep-alive
   /// timeout that the upstream announced, or zero if it announced none.
   void keep(const UpstreamId &Engine, std::shared_ptr<EngineLink> Link,
@@ -45,9 +51,14 @@
   void forget(const UpstreamId &Engine) { this->IdleLinks.erase(Engine); }
 
 private:
+  /// Returns the number of links to the upstream that are idle or in use. Only
+  /// upstreams that limit their connections are counted.
+  std::size_t connections(const UpstreamId &Engine);
+
   net::any_io_executor Executor;
   Duration MaxIdle;
   std::size_t MaxIdlePerUpstream;
+  std::map<UpstreamId, std::vector<std::weak_ptr<EngineLink>>> Links;
   std::map<UpstreamId, std::vector<std::shared_ptr<EngineLink>>> IdleLinks;
 };
 
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -87,7 +87,8 @@
 }
 
 Task<bool> EngineRun::connect() {
-  this->Link = this->Pool.create();
+  this->Link =
+      this->Pool.create(this->Order.Engine, this->Order.MaxConnections);
   this->armTimeout(this->Limits.ConnectTimeout);
   ErrorCode Failure;
   co_await this->Link->Socket.async_connect(endpointOf(this->Order.At),
--- a/src/plugins/enginelimits/EngineLimitsPlugin.cpp
+++ b/src/plugins/enginelimits/EngineLimitsPlugin.cpp
@@ -4,6 +4,7 @@
 #include "base/Milliseconds.h"
 #include "base/RendezvousHash.h"
 #include "base/Visitor.h"
+#include "kernel/HostShare.h"
 #include "kernel/PluginRegistry.h"
 
 #include <algorithm>
@@ -12,11 +13,6 @@
 
 namespace {
 
-/// Lifetime of a lease; unused quota is returned afterwards. The time is longer
-/// than the gap between two requests of a busy host, and short against the time
-/// over which an engine counts its requests.
-constexpr milliseconds LeaseTtl(400);
-
 /// Interval after which an unanswered request for quota is repeated. It ends
 /// before the request expires at the allocator; see RequestTtl.
 constexpr milliseconds RequestRetry(400);
@@ -34,14 +30,20 @@
   const Settings &Values = Context.settings();
   this->Directory = &Context.services().get<EngineDirectory>();
   this->Active = &Context.services().get<ActiveHostsView>();
+  this->Members = &Context.services().get<MembershipView>();
+  this->Declared = &Context.services().get<RouteView>();
   this->Self = Context.self().Host;
   this->Settle = Values.span("engine_limits", "settle");
+  this->ColdOvershoot = Values.fraction("engine_limits", "cold_overshoot");
+  this->ColdSlack = Values.fraction("engine_limits", "cold_slack");
   Context.services().provide<EngineQuota>(*this);
   Context.services().list<RelayObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
 }
 
 void EngineLimitsPlugin::handle(const Event &Received, Time Now, Actions &Out) {
+  this->endCold(Now, Out);
+  this->reviewConfiguration(Now, Out);
   this->reviewAllocators(Now, Out);
   match(
       Received,
@@ -49,6 +51,8 @@
         if (const auto *Message =
                 std::get_if<EngineLimits>(&Incoming.Message.Body))
           this->takePeer(Incoming.Message.From, *Message, Now, Out);
+        if (const auto *Work = std::get_if<EngineWork>(&Incoming.Message.Body))
+          this->Connections.takePeer(Incoming.Message.From, Work->Items, Now);
       },
       [&](const GatewayEvent &Change) {
         if (const auto *Heard = std::get_if<EngineSignalsReceived>(&Change))
@@ -67,7 +71,9 @@
   Time Result = Never;
   for (const auto &[Id, Entry] : this->Engines) {
     Result = std::min({Result, Entry.Held.nextExpiry(), Entry.NextRequest});
-    if (Entry.OwnAllocator)
+    if (Entry.IsCold)
+      Result = std::min(Result, Entry.Cold.until());
+    if (Entry.OwnAllocator && (!Entry.IsCold || this->seesMostHosts()))
       Result = std::min(Result, Entry.OwnAllocator->nextAllocation());
   }
   return Result;
@@ -78,6 +84,7 @@
 void EngineLimitsPlugin::takeSignal(const EngineSignalsReceived &Answer,
                                     Time Now, Actions &Out) {
   const UpstreamId &Engine = Answer.Engine;
+  this->takeColdSignal(Answer, Now, Out);
   match(
       Answer.Signals.Limit, [](const LimitUnknown &) {},
       [&](const LimitNone &) {
@@ -97,9 +104,11 @@
 void EngineLimitsPlugin::takeUnreadable(const UpstreamId &Engine, Time Now,
                                         Actions &Out) {
   // The engine is still limited, so the known limit stays.
-  const double PerSecond = this->isLimited(Engine)
-                               ? *this->Engines[Engine].State.newest().PerSecond
-                               : CautiousLimit;
+  const auto Known = this->Engines.find(Engine);
+  const bool IsKnown =
+      Known != this->Engines.end() && Known->second.State.isLimited();
+  const double PerSecond =
+      IsKnown ? *Known->second.State.newest().PerSecond : CautiousLimit;
   Out.count("engine_limits_unreadable", Engine.Value);
   this->updateLimit(Engine, {PerSecond, Now}, this->Self, Now, Out);
   const auto Found = this->Engines.find(Engine);
@@ -123,15 +132,7 @@
   const std::optional<double> Before = Entry.State.newest().PerSecond;
   if (!Entry.State.take(Report))
     return;
-  if (!Report.PerSecond) {
-    Entry.Held.clear();
-    Entry.OwnAllocator.reset();
-    Entry.NextRequest = Never;
-  } else if (Entry.OwnAllocator) {
-    Entry.OwnAllocator->setRate(*Report.PerSecond, Now);
-  } else {
-    this->setAllocator(Engine, Entry, Now, Out);
-  }
+  this->applyLimit(Engine, Entry, Now, Out);
   Out.add(RecordMeasurement{RecordMeasurement::Kind::Gauge,
                             "engine_limit_per_second", Engine.Value,
                             Report.PerSecond.value_or(-1)});
@@ -147,24 +148,55 @@
     this->sendReport(Engine, Entry, this->Active->activeHosts(), Now);
 }
 
+void EngineLimitsPlugin::applyLimit(const UpstreamId &Engine,
+                                    LimitedEngine &Entry, Time Now,
+                                    Actions &Out) {
+  Entry.InForce = lowestLimit(Entry.State, Entry.Cold, Now);
+  const bool IsCold = Entry.Cold.isCold(Now);
+  const bool HasTurned = std::exchange(Entry.IsCold, IsCold) != IsCold;
+  if (!Entry.InForce || HasTurned) {
+    // Leases for the warm engine would exceed the rate of the cold one.
+    Entry.Held.clear();
+    Entry.OwnAllocator.reset();
+    Entry.NextRequest = Never;
+    Entry.Number = 0;
+    Entry.QuotaAt = Never;
+  }
+  if (!Entry.InForce)
+    return;
+  if (Entry.OwnAllocator)
+    Entry.OwnAllocator->setRate(this->leaseRate(Entry), Now);
+  else
+    this->setAllocator(Engine, Entry, Now, Out);
+}
+
 void EngineLimitsPlugin::sendReport(const UpstreamId &Engine,
                                     const LimitedEngine &Entry,
                                     std::span<const HostId> Hosts, Time Now) {
   for (const HostId &Host : Hosts)
     if (Host != this->Self)
-      this->Outbox[Host].LimitReports.push_back(reportFor(Engine, Entry, Now));
+      addReports(Engine, Entry, Now, this->Outbox[Host]);
 }
 
-EngineLimits::LimitReport
-EngineLimitsPlugin::reportFor(const UpstreamId &Engine,
-                              const LimitedEngine &Entry, Time Now) {
+void EngineLimitsPlugin::addReports(const UpstreamId &Engine,
+                                    const LimitedEngine &Entry, Time Now,
+                                    EngineLimits &To) {
   const LimitReport &Report = Entry.State.newest();
-  return {Engine, Report.PerSecond, inMilliseconds(Now - Report.At)};
+  if (Report.At != Time{})
+    To.LimitReports.push_back(
+        {Engine, Report.PerSecond, inMilliseconds(Now - Report.At)});
+  const Duration ColdFor = Entry.Cold.left(Now);
+  if (ColdFor > Duration(0))
+    To.ColdReports.push_back(
+        {Engine, inMilliseconds(ColdFor), Now < Entry.ColdQuotaFrom});
 }
 
 void EngineLimitsPlugin::takePeer(const HostId &From,
                                   const EngineLimits &Message, Time Now,
                                   Actions &Out) {
+  for (const EngineLimits::ColdReport &Report : Message.ColdReports)
+    this->takeCold(Report.Engine, fromMilliseconds(Report.LeftMs),
+                   Report.TurnedCold, From, Now, Out);
   for (const EngineLimits::LimitReport &Report : Message.LimitReports)
     this->updateLimit(Report.Engine,
                       {Report.PerSecond, Now - fromMilliseconds(Report.AgeMs)},
@@ -198,20 +230,30 @@
   this->allocate(Request.Engine, Entry, Now, Out);
   if (const auto After = Entry.OwnAllocator->waitOf(From, Now))
     this->Outbox[From].Leases.push_back(
-        {Request.Engine, Request.Number, 0, inMilliseconds(*After)});
+        {Request.Engine, Request.Number, 0, inMilliseconds(*After), 0});
 }
 
 // --- quota for this host's requests
 
 bool EngineLimitsPlugin::isLimited(const UpstreamId &Engine) const {
   const auto Found = this->Engines.find(Engine);
-  return Found != this->Engines.end() && Found->second.State.isLimited();
+  return Found != this->Engines.end() && Found->second.InForce.has_value();
 }
 
 bool EngineLimitsPlugin::hasQuota(const UpstreamId &Engine, Time Now) const {
   const auto Found = this->Engines.find(Engine);
-  return Found == this->Engines.end() || !Found->second.State.isLimited() ||
-         Found->second.Held.count(Now) > 0;
+  const bool HasLease = Found == this->Engines.end() ||
+                        !Found->second.InForce ||
+                        Found->second.Held.count(Now) > 0;
+  if (!HasLease)
+    return false;
+  // Only an engine with requests of this host can exceed its part.
+  const ServiceId *Service = this->Connections.serviceOf(Engine);
+  const RouteTable *Routes = Service ? this->Declared->routes() : nullptr;
+  const ServiceEntry *Entry = Routes ? Routes->service(*Service) : nullptr;
+  return !Entry ||
+         this->Connections.mayOpen(Engine, Entry->MaxConnections,
+                                   hostShare(*this->Members, *this->Active));
 }
 
 void EngineLimitsPlugin::requestQuota(const UpstreamId &Engine, Time Now) {
@@ -234,6 +276,7 @@
 
 void EngineLimitsPlugin::attemptSent(const RelayAttempt &Attempt, Time Now,
                                      Actions &Out) {
+  this->Connections.begin(Attempt);
   if (this->Engines.empty())
     return;
   this->countUse(Attempt.Engine, Now, Out);
@@ -246,7 +289,7 @@
 void EngineLimitsPlugin::countUse(const UpstreamId &Engine, Time Now,
                                   Actions &Out) {
   const auto Found = this->Engines.find(Engine);
-  if (Found == this->Engines.end() || !Found->second.State.isLimited())
+  if (Found == this->Engines.end() || !Found->second.InForce)
     return;
   Out.count(Found->second.Held.use(Now) ? "engine_room_used"
                                         : "engine_room_exceeded",
@@ -257,6 +300,7 @@
 
 void EngineLimitsPlugin::engineRemoved(const UpstreamId &Id, Time Now,
                                        Actions &Out) {
+  this->UnreadableCold.erase(Id);
   const auto Found = this->Engines.find(Id);
   if (Found == this->Engines.end())
     return;
@@ -273,7 +317,7 @@
 }
 
 std::uint32_t EngineLimitsPlugin::maxHeld(const LimitedEngine &Entry) {
-  const double Burst = *Entry.State.newest().PerSecond * inSeconds(BurstTime);
+  const double Burst = Entry.InForce->PerSecond * inSeconds(BurstTime);
   return 1 + static_cast<std::uint32_t>(Burst);
 }
 
@@ -289,7 +333,7 @@
   Entry.NextRequest = Never;
   Entry.Number = 0;
   const bool IsWanted =
-      Entry.State.isLimited() && Now <= Entry.WantedAt + WantedFor;
+      Entry.InForce.has_value() && Now <= Entry.WantedAt + WantedFor;
   if (IsWanted && Entry.Held.count(Now) == 0)
     this->requestQuota(Engine, Entry, Now, Out);
 }
@@ -323,7 +367,7 @@
   Entry.Number = ++this->Requests;
   if (!Entry.OwnAllocator) {
     EngineLimits &Message = this->Outbox[Entry.Allocator];
-    Message.LimitReports.push_back(reportFor(Engine, Entry, Now));
+    addReports(Engine, Entry, Now, Message);
     Message.LeaseRequests.push_back({Engine, Entry.Number, maxHeld(Entry)});
     return;
   }
@@ -339,7 +383,7 @@
   // Only the current allocator's answer to the newest request counts. A lease
   // of an earlier allocator might exceed the quota of its successor.
   const bool IsExpected =
-      Found != this->Engines.end() && Found->second.State.isLimited() &&
+      Found != this->Engines.end() && Found->second.InForce.has_value() &&
       Found->second.Allocator == From && Found->second.Number == Lease.Number;
   if (!IsExpected) {
     if (Lease.Count > 0 && From != this->Self)
@@ -355,85 +399,7 @@
   Entry.Number = 0;
   Entry.NextRequest = Never;
   Entry.QuotaAt = Never;
-  Entry.Held.add(
-      {Lease.Number, Lease.Count, Entry.RequestedAt + RequestTtl + LeaseTtl});
-}
-
-// --- allocation
-
-HostId EngineLimitsPlugin::allocatorOf(const UpstreamId &Engine) const {
-  HostId Best = this->Self;
-  std::uint64_t MaxWeight = 0;
-  for (const HostId &Host : this->Active->activeHosts()) {
-    const std::uint64_t Weight = rendezvousWeight(Engine.Value, Host.Value);
-    if (Weight <= MaxWeight)
-      continue;
-    MaxWeight = Weight;
-    Best = Host;
-  }
-  return Best;
-}
-
-void EngineLimitsPlugin::reviewAllocators(Time Now, Actions &Out) {
-  const auto Hosts = this->Active->activeHosts();
-  if (std::ranges::equal(Hosts, this->Hosts))
-    return;
-  std::vector<HostId> Newcomers;
-  std::ranges::set_difference(Hosts, this->Hosts,
-                              std::back_inserter(Newcomers));
-  this->Hosts.assign(Hosts.begin(), Hosts.end());
-  this->HostsSince = Now;
-  for (auto &[Engine, Entry] : this->Engines) {
-    if (!Entry.State.isLimited())
-      continue;
-    // Hosts that were not active before may not know the limit, and one of them
-    // may be the next allocator.
-    if (Entry.OwnAllocator)
-      this->sendReport(Engine, Entry, Newcomers, Now);
-    this->setAllocator(Engine, Entry, Now, Out);
-  }
-}
-
-void EngineLimitsPlugin::setAllocator(const UpstreamId &Engine,
-                                      LimitedEngine &Entry, Time Now,
-                                      Actions &Out) {
-  const HostId Allocator = this->allocatorOf(Engine);
-  if (Allocator == Entry.Allocator &&
-      Entry.OwnAllocator.has_value() == (Allocator == this->Self))
-    return;
-  Entry.Allocator = Allocator;
-  // Leases of the previous allocator expire; requests start anew.
-  Entry.Held.clear();
-  Entry.Number = 0;
-  Entry.QuotaAt = Never;
-  Entry.OwnAllocator.reset();
-  if (Allocator != this->Self)
-    return;
-  // Other hosts may use the previous allocator until they know this one. Two
-  // allocators at the same time would exceed the limit.
-  const Time From = std::max(Now, this->HostsSince + this->Settle);
-  Entry.OwnAllocator.emplace(*Entry.State.newest().PerSecond, From);
-  Out.log(logEvent(events::EngineQuotaLeased)
-              .with("engine", Engine.Value)
-              .with("limit", *Entry.State.newest().PerSecond)
-              .with("after_us", (From - Now).count())
-              .with("active", this->Hosts.size())
-              .build());
-}
-
-void EngineLimitsPlugin::allocate(const UpstreamId &Engine,
-                                  LimitedEngine &Entry, Time Now,
-                                  Actions &Out) {
-  if (!Entry.OwnAllocator)
-    return;
-  for (const QuotaLease &Lease : Entry.OwnAllocator->allocate(Now)) {
-    Out.count("engine_room_lent", Engine.Value);
-    const EngineLimits::Lease Granted{Engine, Lease.Number, Lease.Count, 0};
-    if (Lease.To == this->Self)
-      this->takeLease(this->Self, Granted, Now);
-    else
-      this->Outbox[Lease.To].Leases.push_back(Granted);
-  }
+  Entry.Held.add({Lease.Number, Lease.Count, leaseEnd(Entry, Lease)});
 }
 
 void EngineLimitsPlugin::send(Actions &Out) {
@@ -455,6 +421,12 @@
        "that names a limit only after so long: by then all know that it is the "
        "one that lends.",
        0, 60e6},
+      {"engine_limits", "cold_overshoot", SettingKind::Fraction, "1",
+       "All hosts together send a cold engine in any second at most this many "
+       "times what its service declares, and cold_slack more.",
+       1, 100},
+      {"engine_limits", "cold_slack", SettingKind::Fraction, "0",
+       "Requests in any second beyond the rate of a cold engine.", 0, 1000},
   };
 }
 
@@ -462,7 +434,7 @@
 
 const PluginRegistration
     Registration({"engine_limits",
-                  {"active_hosts", "engines", "membership"},
+                  {"active_hosts", "engines", "membership", "routes"},
                   EngineLimitsPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<EngineLimitsPlugin>();
--- a/src/plugins/enginelimits/QuotaAllocator.cpp
+++ b/src/plugins/enginelimits/QuotaAllocator.cpp
@@ -4,16 +4,10 @@
 
 namespace banyanpick {
 
-namespace {
-
-/// Time within which a lease can be returned. An older lease is not taken back,
-/// because it may have been used.
-constexpr seconds ReturnWindow(2);
-
-} // namespace
-
-QuotaAllocator::QuotaAllocator(double PerSecondGiven, Time From)
-    : PerSecond(std::max(PerSecondGiven, MinRate)), CountedTo(From) {}
+QuotaAllocator::QuotaAllocator(double PerSecondGiven, Time From,
+                               std::optional<GrantBound> BoundGiven)
+    : PerSecond(std::max(PerSecondGiven, MinRate)), CountedTo(From),
+      Bound(BoundGiven) {}
 
 double QuotaAllocator::burst() const {
   return std::max(MinBurst, this->PerSecond * inSeconds(BurstTime));
@@ -49,12 +43,29 @@
       std::ranges::find_if(this->Granted, [&](const Outstanding &Grant) {
         return Grant.Lease.To == From && Grant.Lease.Number == Number;
       });
-  if (Found == this->Granted.end() || Now > Found->GrantedAt + ReturnWindow)
+  if (Found == this->Granted.end() || Found->Returned ||
+      Now > Found->GrantedAt + ReturnWindow)
     return;
   this->accrue(Now);
-  this->Quota = std::min(this->burst(),
-                         this->Quota + std::min(Count, Found->Lease.Count));
-  this->Granted.erase(Found);
+  const std::uint32_t Returned = std::min(Count, Found->Lease.Count);
+  this->Quota = std::min(this->burst(), this->Quota + Returned);
+  // The used part still counts towards the bound.
+  Found->Lease.Count -= Returned;
+  Found->Returned = true;
+}
+
+bool QuotaAllocator::isWithinBound(const Outstanding &Grant, Time Now) const {
+  return Grant.Lease.Count > 0 && Now <= Grant.GrantedAt + this->Bound->Length;
+}
+
+double QuotaAllocator::available(Time Now) const {
+  if (!this->Bound)
+    return this->Quota;
+  double Leased = 0;
+  for (const Outstanding &Grant : this->Granted)
+    if (this->isWithinBound(Grant, Now))
+      Leased += Grant.Lease.Count;
+  return std::min(this->Quota, this->Bound->MaxRequests - Leased);
 }
 
 std::vector<QuotaLease> QuotaAllocator::allocate(Time Now) {
@@ -66,13 +77,17 @@
     return Now > Grant.GrantedAt + ReturnWindow;
   });
   std::vector<QuotaLease> Result;
-  while (Now >= this->CountedTo && !this->Waiting.empty() && this->Quota >= 1) {
+  while (Now >= this->CountedTo && !this->Waiting.empty()) {
+    const double Available = this->available(Now);
+    if (Available < 1)
+      break;
     const Requester First = this->Waiting.front();
     this->Waiting.pop_front();
     const auto Count =
-        std::min(First.Count, static_cast<std::uint32_t>(this->Quota));
+        std::min(First.Count, static_cast<std::uint32_t>(Available));
     this->Quota -= Count;
-    Result.push_back({First.Host, First.Number, Count});
+    Result.push_back(
+        {First.Host, First.Number, Count, Now - First.LastRequestAt});
     this->Granted.push_back({Result.back(), Now});
   }
   return Result;
@@ -96,7 +111,17 @@
   if (this->Waiting.empty())
     return Never;
   // One tick more, so that rounding does not wake the host too early.
-  return this->CountedTo + this->until(1) + Duration(1);
+  Time Result = this->CountedTo + this->until(1) + Duration(1);
+  if (!this->Bound || this->Quota < 1)
+    return Result;
+  // Leases beyond the bound wait until the earliest one has left its window.
+  if (this->available(this->CountedTo) >= 1)
+    return Result;
+  for (const Outstanding &Grant : this->Granted)
+    if (this->isWithinBound(Grant, this->CountedTo))
+      return std::max(Result,
+                      Grant.GrantedAt + this->Bound->Length + Duration(1));
+  return Never;
 }
 
 } // namespace banyanpick
--- a/src/plugins/enginelimits/QuotaAllocator.h
+++ b/src/plugins/enginelimits/QuotaAllocator.h
@@ -20,6 +20,16 @@
   HostId To;
   std::uint64_t Number = 0; ///< Number of the request that the lease answers.
   std::uint32_t Count = 0;  ///< Requests that the host may send.
+  Duration Waited{};        ///< Since the request arrived.
+};
+
+/// Bounds the quota that is leased within any time of the given length and not
+/// returned. The length is the window in which the engine counts requests and
+/// the time from a lease to the arrival of its last request, so the bound holds
+/// for the arrivals in every window.
+struct GrantBound {
+  double MaxRequests = 0;
+  Duration Length{}; ///< At most ReturnWindow.
 };
 
 /// A token bucket whose tokens are leased to hosts. The leased quota never
@@ -29,7 +39,8 @@
 class QuotaAllocator {
 public:
   /// No quota is allocated before \p From.
-  QuotaAllocator(double PerSecond, Time From);
+  QuotaAllocator(double PerSecond, Time From,
+                 std::optional<GrantBound> Bound = std::nullopt);
 
   void setRate(double PerSecond, Time Now);
   /// Registers a request for quota. A newer request of a host replaces the
@@ -62,16 +73,21 @@
   struct Outstanding {
     QuotaLease Lease;
     Time GrantedAt{};
+    bool Returned = false;
   };
 
   double burst() const;
   void accrue(Time Now);
   /// Returns the time until the bucket holds \p Wanted requests.
   Duration until(double Amount) const;
+  /// Returns how many requests may be leased now.
+  double available(Time Now) const;
+  bool isWithinBound(const Outstanding &Grant, Time Now) const;
 
   double PerSecond = 0;
   double Quota = 1;
   Time CountedTo{};
+  std::optional<GrantBound> Bound;
   std::deque<Requester> Waiting;
   std::deque<Outstanding> Granted;
 };
@@ -86,6 +102,15 @@
 /// the limit.
 inline constexpr double MinRate = 0.25;
 
+/// Time within which a lease can be returned. An older lease is not taken back,
+/// because it may have been used.
+inline constexpr seconds ReturnWindow(2);
+
+/// Lifetime of a lease; unused quota is returned afterwards. The time is longer
+/// than the gap between two requests of a busy host, and short against the time
+/// over which an engine counts its requests.
+inline constexpr milliseconds LeaseTtl(400);
+
 /// Lifetime of a quota request. A host that still wants quota repeats its
 /// request sooner, so that no quota is reserved for a host that has gone.
 inline constexpr milliseconds RequestTtl(500);
--- a/src/plugins/enginememory/EngineMemoryPlugin.cpp
+++ b/src/plugins/enginememory/EngineMemoryPlugin.cpp
@@ -20,6 +20,7 @@
   this->LateFor = Values.span(Section, "late_for");
   this->LateInterval = Values.span(Section, "late_interval");
   this->Gate = &Context.services().get<EngineGate>();
+  this->Quota = &Context.services().get<EngineQuota>();
   Context.services().provide<MemoryReserver>(*this);
   Context.services().list<EngineObserver>().add(*this);
 }
@@ -80,8 +81,10 @@
 void EngineMemoryPlugin::renewOrRetry(Share &Part, Time Now, Actions &Out) {
   // A held share would be lost without a renewal. No further memory is
   // requested where no requests may be sent.
-  if (Part.Status == Stage::Held ||
-      !this->Gate->blocked(Part.Target.Engine, Now)) {
+  // A cold engine takes no orders; the memory lapses there.
+  const bool IsCold = this->Quota->isCold(Part.Target.Engine, Now);
+  if (!IsCold && (Part.Status == Stage::Held ||
+                  !this->Gate->blocked(Part.Target.Engine, Now))) {
     this->request(Part, Now, Out);
     return;
   }
@@ -187,7 +190,8 @@
 void EngineMemoryPlugin::releaseAll(const Reservation &Reserved, Time Now,
                                     Actions &Out) {
   for (const Share &Part : Reserved.Shares) {
-    if (Part.Status != Stage::Refused || Part.Unanswered)
+    const bool IsCold = this->Quota->isCold(Part.Target.Engine, Now);
+    if (!IsCold && (Part.Status != Stage::Refused || Part.Unanswered))
       Out.add(GatewayAction(ReleaseMemory{Part.Target.Engine, Part.Target.At,
                                           Part.Target.Reservation}));
     if (Part.Unanswered || Part.Status == Stage::Requested)
@@ -216,6 +220,8 @@
     if (Now < Release.NextAt)
       continue;
     Release.NextAt = Now + this->LateInterval;
+    if (this->Quota->isCold(Release.Target.Engine, Now))
+      continue;
     Out.add(GatewayAction(ReleaseMemory{
         Release.Target.Engine, Release.Target.At, Release.Target.Reservation}));
   }
--- a/src/plugins/enginememory/EngineMemoryPlugin.h
+++ b/src/plugins/enginememory/EngineMemoryPlugin.h
@@ -68,6 +68,7 @@
 
   Services *Registry = nullptr;
   const EngineGate *Gate = nullptr;
+  const EngineQuota *Quota = nullptr;
   Identity Self;
   Duration Hold{};
   Duration RenewInterval{};
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Visitor.h"
 #include "gateway/PromptSize.h"
+#include "kernel/HostShare.h"
 #include "kernel/PluginRegistry.h"
 #include "plugins/relays/RelayLog.h"
 
@@ -18,13 +19,6 @@
 /// network delay and the shortest processing time.
 constexpr milliseconds MinAttemptTime(20);
 
-/// Share of the retry budget's constant part that the active hosts may use. The
-/// other hosts have the remainder, for callers that still use an earlier answer
-/// of host discovery. The share is not larger because a host that replaces a
-/// dead one gets its part while the dead host's retries are still in the
-/// window.
-constexpr double ActiveHostsBudgetShare = 0.6;
-
 /// Whether the attempt is lost with the engine: it runs there, or the engine
 /// prefills or holds parts of its prompt.
 bool dependsOn(const RelayAttempt &Attempt, const UpstreamId &Engine) {
@@ -59,6 +53,7 @@
   this->Selector = &Context.services().get<EngineSelector>();
   this->Memory = &Context.services().get<MemoryReserver>();
   this->Gate = &Context.services().get<EngineGate>();
+  this->Quota = &Context.services().get<EngineQuota>();
   Context.services().list<MemoryObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
   this->Crashes = &Context.services().get<CrashView>();
@@ -255,8 +250,10 @@
       makeAttempt(Relay, Chosen, {this->Own.Life, ++this->AttemptCount}, Now);
   Relay.AnswerTimeoutAt =
       Relay.isIdempotent() ? Now + this->answerTimeout(Relay, Chosen) : Never;
-  Out.add(GatewayAction(makeDispatch(Relay, Attempt, Chosen, Engine->Record.At,
-                                     this->Options.SilenceLimits)));
+  DispatchRelay Order = makeDispatch(Relay, Attempt, Chosen, Engine->Record.At,
+                                     this->Options.SilenceLimits);
+  Order.MaxConnections = this->Quota->maxConnections(Chosen.Engine);
+  Out.add(GatewayAction(std::move(Order)));
   logSent(Relay, Attempt, *Engine, Chosen, Out);
   Relay.LiveAttempt = Attempt;
   this->Running.link(Attempt.Id, Relay.Head.Id);
@@ -515,15 +512,7 @@
 }
 
 double RelaysPlugin::budgetShare() const {
-  // Dead hosts count while they are known, because their retries are still in
-  // the window.
-  const auto AllHosts = static_cast<double>(this->Members->peers().size() + 1);
-  const auto ActiveHosts =
-      static_cast<double>(this->Active->activeHosts().size());
-  if (ActiveHosts >= AllHosts)
-    return 1 / AllHosts;
-  return this->Active->isActive() ? ActiveHostsBudgetShare / ActiveHosts
-                                  : (1 - ActiveHostsBudgetShare) / AllHosts;
+  return hostShare(*this->Members, *this->Active);
 }
 
 ServiceId RelaysPlugin::serviceFor(const RouteEntry &Route) {
@@ -550,15 +539,15 @@
 
 namespace {
 
-const PluginRegistration
-    Registration({"relays",
-                  {"active_hosts", "crashes", "engine_load", "engine_memory",
-                   "engine_signals", "engines", "membership", "routes"},
-                  RelaysPlugin::settings,
-                  []() -> std::unique_ptr<Plugin> {
-                    return std::make_unique<RelaysPlugin>();
-                  },
-                  PluginUse::Gateway});
+const PluginRegistration Registration(
+    {"relays",
+     {"active_hosts", "crashes", "engine_limits", "engine_load",
+      "engine_memory", "engine_signals", "engines", "membership", "routes"},
+     RelaysPlugin::settings,
+     []() -> std::unique_ptr<Plugin> {
+       return std::make_unique<RelaysPlugin>();
+     },
+     PluginUse::Gateway});
 
 } // namespace
 
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -115,6 +115,7 @@
   EngineSelector *Selector = nullptr;
   MemoryReserver *Memory = nullptr;
   const EngineGate *Gate = nullptr;
+  const EngineQuota *Quota = nullptr;
   const CrashView *Crashes = nullptr;
   Random *RandomSource = nullptr;
   RelaySettings Options;
--- a/tests/auto/gateway/EngineLinkPoolTest.cpp
+++ b/tests/auto/gateway/EngineLinkPoolTest.cpp
@@ -39,5 +39,25 @@
   EXPECT_EQ(Pool.takeIdle(Engine), nullptr);
 }
 
+/// Guards against idle connections that count towards the upstream's limit
+/// while a request opens a further one.
+TEST(EngineLinkPool, ClosesTheLongestIdleConnectionAtTheLimit) {
+  SilentServer Server;
+  EngineLinkPool Pool(Server.Io.get_executor(), seconds(10), 4);
+  std::vector<std::weak_ptr<EngineLink>> Links;
+  for (int Index = 0; Index < 3; ++Index) {
+    auto Link = Pool.create(Engine, 3);
+    Link->Socket.connect(Server.Listener.local_endpoint());
+    Links.push_back(Link);
+    Pool.keep(Engine, std::move(Link), Duration(0));
+  }
+  const auto Further = Pool.create(Engine, 3);
+  EXPECT_TRUE(Links[0].expired());
+  EXPECT_FALSE(Links[1].expired());
+  const auto Last = Pool.create(Engine, 2);
+  EXPECT_TRUE(Links[1].expired());
+  EXPECT_TRUE(Links[2].expired());
+}
+
 } // namespace
 } // namespace banyanpick
--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -44,6 +44,8 @@
   Result.set("membership", "host_list_interval", "15s");
   Result.set("membership", "suspect_after", "700ms");
   Result.set("membership", "dead_after", "2s");
+  Result.set("engine_limits", "cold_overshoot", "1.5");
+  Result.set("engine_limits", "cold_slack", "5");
   return Result;
 }
 
@@ -198,7 +200,11 @@
 }
 
 void HostSimulation::registerEngine(std::size_t Engine) {
-  this->Registry[Engine] = {this->Engines[Engine], false, this->RegistryEnd++};
+  EngineRecord Record = this->Engines[Engine];
+  Record.ColdFor =
+      std::max(Duration(0), this->coldUntil(Engine) - this->Queue.now());
+  this->Registry[Engine] = {Record, this->Unregistered.contains(Engine),
+                            this->RegistryEnd++};
 }
 
 void HostSimulation::renewRegistration(std::size_t Engine) {
@@ -439,6 +445,7 @@
         const Duration Backoff = Refuses ? Sheds->second : Duration(0);
         std::vector<Arrival> &Arrivals = this->Arrived[Dispatch.Engine];
         Arrivals.push_back({this->Queue.now(), Index, Backoff});
+        Arrivals.back().AtColdEngine = this->isCold(Dispatch.Engine);
         if (this->Failing.contains(Dispatch.Engine) ||
             this->FailedLinks.contains(Index)) {
           this->Queue.after(
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -73,6 +73,22 @@
   /// Sets the limit of requests per second that the engine's answers state, or
   /// removes it.
   void setLimit(std::size_t Engine, std::optional<double> PerSecond);
+  /// Declares how many requests per second a cold engine accepts. Takes effect
+  /// with the next publish().
+  void setColdRate(double PerSecond) { this->DeclaredColdRate = PerSecond; }
+  /// Makes the engine cold, as its registration says from now on.
+  void setCold(std::size_t Engine, Duration For);
+  bool isCold(std::size_t Engine) const {
+    return this->Queue.now() < this->coldUntil(Engine);
+  }
+  const std::string &engineName(std::size_t Engine) const {
+    return this->Engines[Engine].Id.Value;
+  }
+  const std::string &hostName(std::size_t Host) const {
+    return this->Hosts[Host].Self.Host.Value;
+  }
+  /// Makes the engine's registration disappear.
+  void unregister(std::size_t Engine);
   /// Makes the engine refuse all requests and ask for a backoff of \p Backoff
   /// each time. Without a value, the engine serves requests again.
   void setShedding(std::size_t Engine, std::optional<Duration> Backoff);
@@ -92,6 +108,7 @@
     Duration RequestedBackoff{};   ///< Requested by the refusal; zero: none.
     Time AnsweredAt = Never;       ///< Never: the caller disconnected before.
     bool SignalledLeaving = false; ///< The answer signalled leaving.
+    bool AtColdEngine = false;     ///< The engine was cold.
   };
   const std::vector<Arrival> &arrivals(std::size_t Engine) const;
   Time now() const { return this->Queue.now(); }
@@ -203,6 +220,8 @@
   /// Renews the registration of the engine periodically.
   void renewRegistration(std::size_t Engine);
   void registerEngine(std::size_t Engine);
+  Time coldUntil(std::size_t Engine) const;
+  bool isCold(const UpstreamId &Engine) const;
 
   EventQueue Queue;
   std::vector<Host> Hosts;
@@ -225,6 +244,9 @@
   std::set<std::size_t> RefusedReaders;
   std::set<std::size_t> Partitioned;
   std::map<UpstreamId, double> Limits;
+  double DeclaredColdRate = 0;
+  std::map<std::size_t, Time> ColdUntil;
+  std::set<std::size_t> Unregistered;
   std::map<UpstreamId, Duration> Shedding; ///< With the requested backoff.
   std::set<UpstreamId> SignalsLeaving;
   std::map<UpstreamId, std::vector<Arrival>> Arrived;
--- /dev/null
+++ b/tests/auto/manyhosts/SimulatedColdEngines.cpp
@@ -0,0 +1,31 @@
+/// \file
+/// The cold engines of the simulation.
+#include "auto/manyhosts/HostSimulation.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+Time HostSimulation::coldUntil(std::size_t Engine) const {
+  const auto Found = this->ColdUntil.find(Engine);
+  return Found == this->ColdUntil.end() ? Time{} : Found->second;
+}
+
+void HostSimulation::setCold(std::size_t Engine, Duration For) {
+  this->ColdUntil[Engine] = this->Queue.now() + For;
+  this->Unregistered.erase(Engine);
+  this->registerEngine(Engine);
+}
+
+void HostSimulation::unregister(std::size_t Engine) {
+  this->Unregistered.insert(Engine);
+  this->registerEngine(Engine);
+}
+
+bool HostSimulation::isCold(const UpstreamId &Engine) const {
+  const auto Found =
+      std::ranges::find(this->Engines, Engine, &EngineRecord::Id);
+  return this->isCold(static_cast<std::size_t>(Found - this->Engines.begin()));
+}
+
+} // namespace banyanpick
--- a/tests/auto/manyhosts/SimulatedResources.cpp
+++ b/tests/auto/manyhosts/SimulatedResources.cpp
@@ -50,6 +50,8 @@
   EngineParameters &Engine = *Result->Services[ServiceId("ring")].Engine;
   Engine.MeanPromptTokens = ShortPrompt;
   Engine.MeanAnswerTokens = 1500;
+  Result->Services[ServiceId("ring")].ColdRequestsPerSecond =
+      this->DeclaredColdRate;
   Result->Document = routesText(this->DocumentSize) + Result->Document;
   Cached = std::move(Result);
   return Cached;
