Evacuate zones at the operators' request and keep requests in home regions

Cause: nothing read the records with key evacuate/ZONE, so requests were sent to engines of zones that operators had evacuated. Home regions of routes and teams were not decoded.

Change: a plug-in keeps the newest record of each zone, merges records of the store and of peers by offset, and provides EvacuationView. Heartbeats carry the records; a change is sent at once. Memory that a running prompt uses is still renewed.

Without the table nothing is restricted.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -6,6 +6,8 @@
 #include "base/Visitor.h"
 #include "logging/LineLog.h"
 
+#include <algorithm>
+
 namespace banyanpick {
 
 namespace {
@@ -107,6 +109,9 @@
         net::co_spawn(this->Io, this->release(Item), net::detached);
       },
       [&](const CloseCallers &) { this->Server->closeAfterAnswers(); },
+      [&](const CloseEngines &Item) {
+        this->ClosedEngines = {Item.Engines.begin(), Item.Engines.end()};
+      },
       [&](const FollowStore &Item) {
         this->Declarations->setFollowing(Item.Enabled);
         this->Engines->setFollowing(Item.Enabled);
@@ -181,9 +186,7 @@
   Callbacks.OnFirstEvent = [this, Id = Order.Attempt] {
     this->Context.Events.send(GatewayEvent(RelayBegan{Id}));
   };
-  Callbacks.MaySend = [this, Engine = Order.Engine] {
-    return !this->Backoffs.isBackingOff(Engine, this->Context.Clock.now());
-  };
+  Callbacks.MaySend = [this, &Order] { return this->maySend(Order); };
   RelayOutcome Outcome =
       co_await Run->run(Order.Deadline - SentAt, std::move(Callbacks));
   this->Runs.erase(Order.Attempt);
@@ -193,6 +196,16 @@
         GatewayEvent(RelayEnded{Order.Attempt, std::move(Outcome)}));
 }
 
+bool GatewayTraffic::maySend(const DispatchRelay &Order) const {
+  const bool IsClosed =
+      this->ClosedEngines.contains(Order.Engine) ||
+      std::ranges::any_of(Order.Helpers, [this](const HelperEngine &Helper) {
+        return this->ClosedEngines.contains(Helper.Engine);
+      });
+  return !IsClosed &&
+         !this->Backoffs.isBackingOff(Order.Engine, this->Context.Clock.now());
+}
+
 void GatewayTraffic::reportSignals(const UpstreamId &Engine, Time SentAt,
                                    const AnswerSignals &Signals) {
   if (Signals == AnswerSignals())
@@ -240,8 +253,9 @@
 
 void GatewayTraffic::followDeclarations() {
   KeyedFollower::Listener Callbacks;
-  Callbacks.OnRecords = [this](std::span<const KeyedRecord> Records, bool,
-                               LogOffset) {
+  Callbacks.OnRecords = [this](std::span<const KeyedRecord> Records,
+                               bool Complete, LogOffset UpTo) {
+    this->takeEvacuations(Records, Complete, UpTo);
     for (const KeyedRecord &Record : Records)
       if (Record.Value &&
           this->Context.Protocol.documents().isConfiguration(Record.Key))
@@ -257,6 +271,39 @@
   this->Declarations->start();
 }
 
+void GatewayTraffic::takeEvacuations(std::span<const KeyedRecord> Records,
+                                     bool Complete, LogOffset UpTo) {
+  const StoreDocuments &Documents = this->Context.Protocol.documents();
+  EvacuationsRead Read;
+  Read.Complete = Complete;
+  Read.UpTo = UpTo;
+  for (const KeyedRecord &Record : Records) {
+    const std::optional<ZoneId> Zone = Documents.evacuatedZone(Record.Key);
+    if (!Zone)
+      continue;
+    try {
+      if (Zone->Value.empty())
+        throw Error(ErrorKind::BadInput, "the key names no zone",
+                    "remove the record and write one with the zone's name");
+      if (Record.Value)
+        Documents.checkEvacuation(*Record.Value);
+    } catch (const Error &Failure) {
+      this->count("evacuations_unreadable", "");
+      writeLogLine(logEvent(events::EvacuationUnreadable)
+                       .with("zone", Zone->Value)
+                       .with("offset", Record.Offset)
+                       .with("why", Failure.what())
+                       .build(),
+                   this->Context.Clock.now());
+    }
+    // The key holds all that is needed, so an unreadable value is in effect.
+    if (!Zone->Value.empty())
+      Read.Records.push_back({*Zone, Record.Value.has_value(), Record.Offset});
+  }
+  if (Complete || !Read.Records.empty())
+    this->Context.Events.send(GatewayEvent(std::move(Read)));
+}
+
 void GatewayTraffic::followEngines() {
   KeyedFollower::Listener Callbacks;
   Callbacks.OnRecords = [this](std::span<const KeyedRecord> Records,
--- a/src/app/GatewayTraffic.h
+++ b/src/app/GatewayTraffic.h
@@ -82,6 +82,12 @@
   void takeEngines(std::span<const KeyedRecord> Records, bool Complete,
                    LogOffset UpTo);
   void count(std::string_view Name, std::string_view Label);
+  /// Sends the evacuation records among \p Records, if any, and whether the
+  /// listing is complete, to control.
+  void takeEvacuations(std::span<const KeyedRecord> Records, bool Complete,
+                       LogOffset UpTo);
+  /// Whether the relay may still be sent to its engine and the helpers.
+  bool maySend(const DispatchRelay &Order) const;
   std::shared_ptr<CallerSide> caller(const RequestId &Id) const;
 
   const GatewayContext &Context;
@@ -96,6 +102,9 @@
   /// The backoffs that upstreams requested. A relay that control dispatched
   /// before it learned of a backoff is not sent during the backoff.
   EngineBackoffs Backoffs;
+  /// The engines of evacuated zones. A relay that control dispatched before it
+  /// learned of the evacuation is not sent.
+  std::set<UpstreamId> ClosedEngines;
   PendingAnswers<AnswerResolve> ResolveAnswers;
   std::map<RequestId, std::shared_ptr<CallerSide>> Callers;
   std::map<AttemptId, std::shared_ptr<EngineRun>> Runs;
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -201,6 +201,16 @@
                                           "engine memory reserved"};
 inline constexpr EventKind MemoryReleased{841, LogLevel::Info,
                                           "engine memory released"};
+inline constexpr EventKind ZoneEvacuated{865, LogLevel::Warning,
+                                         "zone evacuated"};
+inline constexpr EventKind EvacuationEnded{866, LogLevel::Info,
+                                           "evacuation of a zone ended"};
+inline constexpr EventKind EvacuatedZoneUnknown{
+    867, LogLevel::Warning, "evacuated zone has no engines"};
+inline constexpr EventKind EvacuationUnreadable{868, LogLevel::Warning,
+                                                "evacuation record unreadable"};
+inline constexpr EventKind RegionUnusable{869, LogLevel::Warning,
+                                          "home region can't be enforced"};
 
 } // namespace events
 } // namespace banyanpick
--- a/src/libs/gateway/Configuration.h
+++ b/src/libs/gateway/Configuration.h
@@ -18,6 +18,9 @@
 /// Name of a service: a group of interchangeable upstreams.
 using ServiceId = StrongId<struct ServiceTag, std::string>;
 
+/// Name of a region: a group of zones.
+using RegionId = StrongId<struct RegionTag, std::string>;
+
 /// The execution semantics of a route's requests.
 enum class RequestKind {
   Repeatable, ///< Idempotent; may run any number of times.
@@ -47,6 +50,7 @@
   Duration Objective{};       ///< To the complete answer or the first event.
   Duration MaxEventGap{};     ///< Between events; zero: not declared.
   std::vector<WeightedService> Split;
+  std::vector<RegionId> HomeRegions; ///< Empty: not restricted.
 
   bool operator==(const RouteEntry &) const = default;
 };
@@ -96,6 +100,7 @@
 struct KeyOwner {
   TeamId Team;
   std::optional<std::uint32_t> Rank; ///< Overrides the route's rank.
+  std::vector<RegionId> HomeRegions; ///< Empty: not restricted.
 
   bool operator==(const KeyOwner &) const = default;
 };
@@ -108,6 +113,8 @@
   CallerLimits Limits;
   bool NeedsKeys = false; ///< Set if teams are declared.
   std::unordered_map<std::string, KeyOwner> Keys;
+  /// Malformed parts of the document that are ignored, for the operators.
+  std::vector<std::string> Problems;
   /// The source document, to forward to hosts that cannot read it themselves.
   std::string Document;
 };
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway/AnswerSignals.h"
+#include "gateway/Evacuation.h"
 #include "gateway/RelayedRequest.h"
 
 #include <memory>
@@ -52,6 +53,14 @@
   bool Complete = false;
   LogOffset UpTo = 0; ///< All changes before this offset are known now.
 };
+/// Evacuation records that were read from the store. If Complete is set, zones
+/// that are not listed and whose known record is before the offset UpTo are not
+/// evacuated.
+struct EvacuationsRead {
+  std::vector<EvacuationRecord> Records;
+  bool Complete = false;
+  LogOffset UpTo = 0;
+};
 /// Reports whether a followed part of the store is reachable.
 struct StoreObserved {
   enum class Part {
@@ -87,8 +96,8 @@
 using GatewayEvent =
     std::variant<RelayArrived, RelayBegan, RelayEnded, EngineSignalsReceived,
                  ConfigurationRead, ConfigurationUnreadable, EnginesRead,
-                 StoreObserved, EngineReported, EngineReportFailed,
-                 ReservationAnswered, SettingsReloaded>;
+                 EvacuationsRead, StoreObserved, EngineReported,
+                 EngineReportFailed, ReservationAnswered, SettingsReloaded>;
 
 // --- actions
 
@@ -134,6 +143,13 @@
 struct CloseCallers {
   bool operator==(const CloseCallers &) const = default;
 };
+/// Sets the engines of evacuated zones. Orders to them that were not sent yet
+/// are returned as never sent.
+struct CloseEngines {
+  std::vector<UpstreamId> Engines; ///< Replaces the previous list.
+
+  bool operator==(const CloseEngines &) const = default;
+};
 /// Sets whether this host reads the store or relies on other hosts to read it.
 struct FollowStore {
   bool Enabled = true;
@@ -150,7 +166,7 @@
 using GatewayAction =
     std::variant<DispatchRelay, CancelRelay, RefuseRelay, DeliverFailure,
                  BreakRelay, DecodeConfiguration, LimitCallers, AskReport,
-                 ReserveMemory, ReleaseMemory, CloseCallers, FollowStore,
-                 AnnounceHost>;
+                 ReserveMemory, ReleaseMemory, CloseCallers, CloseEngines,
+                 FollowStore, AnnounceHost>;
 
 } // namespace banyanpick
--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -107,8 +107,8 @@
 
 /// No byte of the request was passed to a transport.
 struct RelayNeverSent {
-  /// This host withdrew the attempt because the upstream asked for a backoff in
-  /// the meantime.
+  /// This host withdrew the attempt because the upstream asked for a backoff,
+  /// or its zone was evacuated, in the meantime.
   bool Withdrawn = false;
 
   bool operator==(const RelayNeverSent &) const = default;
--- a/src/libs/kernel/Event.h
+++ b/src/libs/kernel/Event.h
@@ -40,8 +40,10 @@
 /// A caller asks which entry hosts it should use.
 struct ResolveRequest {
   ResolveRequestId Id;
-  TeamId Team; ///< May be empty.
-  ZoneId Zone; ///< The zone nearest to the caller; may be empty.
+  TeamId Team;        ///< May be empty.
+  ZoneId Zone;        ///< The zone nearest to the caller; may be empty.
+  std::string Name;   ///< The host name that the caller uses; may be empty.
+  std::string Region; ///< The caller's region; may be empty.
 };
 
 // --- upstreams
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -131,6 +131,7 @@
     Leaving,    ///< Leaving or removed.
     BackingOff, ///< It asked this host to back off.
     AtLimit,    ///< The hosts together have used up its limit.
+    Evacuated,  ///< The operators evacuate its zone.
   } Reason = Why::Leaving;
   std::optional<Duration> AvailableAfter; ///< Absent: unknown or never.
 };
@@ -155,6 +156,27 @@
   virtual bool isQuarantined(Fingerprint Content, Time Now) const = 0;
 };
 
+/// The home regions of a request. Both lists are binding.
+struct HomeRegions {
+  std::vector<RegionId> OfRoute; ///< Empty: not restricted.
+  std::vector<RegionId> OfTeam;  ///< Empty: not restricted.
+
+  bool isRestricted() const {
+    return !this->OfRoute.empty() || !this->OfTeam.empty();
+  }
+};
+
+/// The regions of the zones.
+class RegionView {
+public:
+  virtual ~RegionView() = default;
+  /// Returns the region of the zone, or an empty name if it is not known.
+  virtual RegionId regionOf(const ZoneId &Zone) const = 0;
+  /// Whether requests with these home regions may run in the zone. Always true
+  /// if the settings declare no regions.
+  virtual bool isHome(const ZoneId &Zone, const HomeRegions &Homes) const = 0;
+};
+
 /// The requirements on an upstream for one attempt.
 struct EngineRequirements {
   RequestId Request;
@@ -168,6 +190,8 @@
   bool MayRetryLater = false; ///< This is the caller's first attempt; the
                               ///< caller may be asked to retry later.
   std::span<const UpstreamId> Excluded; ///< Upstreams not to select.
+  /// The regions of the upstream and its helpers. Null: not restricted.
+  const HomeRegions *Homes = nullptr;
 };
 
 /// The upstream selected for one attempt.
@@ -191,7 +215,8 @@
 struct RetryLater {
   enum class Why {
     TooLate, ///< The queued work takes too long.
-    Blocked, ///< All engines are at their limits or backing off.
+    Blocked, ///< All engines are at their limits, backing off or evacuated.
+    NoHome,  ///< No engine is in a home region of the request.
   } Reason = Why::TooLate;
   Duration After{};
 };
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -6,6 +6,7 @@
 #include "base/StrongId.h"
 #include "base/Time.h"
 #include "gateway/EngineRecord.h"
+#include "gateway/Evacuation.h"
 #include "kernel/LogRecord.h"
 #include "kernel/Upstream.h"
 
@@ -54,6 +55,8 @@
   Duration StoreAge = Duration::max();
   /// How late the sender sends and answers heartbeats.
   Duration Late{};
+  /// The newest evacuation record of each zone that the sender knows.
+  std::vector<EvacuationRecord> Evacuations;
 
   bool operator==(const Heartbeat &) const = default;
 };
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/Error.h"
+#include "gateway/Evacuation.h"
 #include "kernel/Action.h"
 #include "kernel/Request.h"
 
@@ -103,6 +104,19 @@
   virtual Time storeConfirmedAt() const = 0;
 };
 
+/// The zones that the operators evacuate.
+class EvacuationView {
+public:
+  virtual ~EvacuationView() = default;
+  /// Whether nothing new may be sent to the engines of the zone.
+  virtual bool isEvacuated(const ZoneId &Zone) const = 0;
+  /// Returns the records to send to peers, including those that ended an
+  /// evacuation.
+  virtual std::vector<EvacuationRecord> records() const = 0;
+  /// Increases with each change of the records.
+  virtual std::uint64_t changeCount() const = 0;
+};
+
 /// The entry hosts and their states.
 class MembershipView {
 public:
--- a/src/libs/relay/GatewayProtocol.h
+++ b/src/libs/relay/GatewayProtocol.h
@@ -94,6 +94,13 @@
   /// Returns whether the record with this key, of the topic of declarations,
   /// holds the configuration.
   virtual bool isConfiguration(std::string_view Key) const = 0;
+  /// Returns the zone that the record with this key, of the topic of
+  /// declarations, evacuates, or nothing if it is no such record. The zone is
+  /// empty if the key does not name one.
+  virtual std::optional<ZoneId> evacuatedZone(std::string_view Key) const = 0;
+  /// Throws Error(BadInput) if the value of an evacuation is malformed. The
+  /// evacuation is in effect nevertheless.
+  virtual void checkEvacuation(std::string_view Value) const = 0;
   /// Throws Error(BadInput) if the document is malformed.
   virtual std::shared_ptr<const GatewayConfiguration>
   readConfiguration(std::string_view Document) const = 0;
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -69,6 +69,12 @@
   if (Body.StoreAge != Duration::max())
     Out.set_store_age_us(static_cast<std::uint64_t>(Body.StoreAge.count()));
   Out.set_late_us(static_cast<std::uint64_t>(Body.Late.count()));
+  for (const EvacuationRecord &Record : Body.Evacuations) {
+    Evacuation &Item = *Out.add_evacuations();
+    Item.set_zone(Record.Zone.Value);
+    Item.set_active(Record.Active);
+    Item.set_offset(Record.Offset);
+  }
 }
 
 void write(const banyanpick::WorkSent &Body, Envelope &Envelope) {
@@ -381,6 +387,13 @@
   if (In.has_store_age_us())
     Result.StoreAge = Duration(std::min(In.store_age_us(), OldestUs));
   Result.Late = Duration(std::min(In.late_us(), OldestUs));
+  const std::size_t Evacuations = std::min<std::size_t>(
+      static_cast<std::size_t>(In.evacuations_size()), MaxEvacuationRecords);
+  for (std::size_t Index = 0; Index < Evacuations; ++Index) {
+    const Evacuation &Item = In.evacuations(static_cast<int>(Index));
+    Result.Evacuations.push_back(
+        {ZoneId(Item.zone()), Item.active(), Item.offset()});
+  }
   return Result;
 }
 
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -51,6 +51,14 @@
 /// so that they do not cause the next backoff.
 constexpr double RetrySpread = 0.2;
 
+/// Retry time when only evacuated engines are left. Nobody knows the end of an
+/// evacuation; engines of other zones may register meanwhile.
+constexpr seconds EvacuatedRetryAfter(2);
+
+/// Retry time when no engine is in a home region. Only a new configuration or
+/// new engines end this.
+constexpr seconds NoHomeRetryAfter(5);
+
 /// Lifetime of a queue entry that is not renewed.
 constexpr milliseconds QueueEntryTtl(300);
 
@@ -87,6 +95,7 @@
   this->Trust = &Context.services().get<EngineTrustView>();
   this->Quota = &Context.services().get<EngineQuota>();
   this->Gate = &Context.services().get<EngineGate>();
+  this->Regions = &Context.services().get<RegionView>();
   this->RandomNumbers = &Context.random();
   this->OwnZone = Context.self().Zone;
   this->Reports = WorkReportSchedule(
@@ -184,6 +193,8 @@
     Found = this->candidates(Requirements, Model, EngineShare(), true, Now);
   if (Found.States.empty() && !Found.Closed.empty())
     return this->chooseClosed(Found.Closed, Requirements);
+  if (Found.States.empty() && this->isWithoutHome(Requirements))
+    return RetryLater{RetryLater::Why::NoHome, NoHomeRetryAfter};
   EngineChoice Result =
       this->chooseAmong(Found.States, Requirements, Model, Now);
   if (auto *Chosen = std::get_if<SelectedEngine>(&Result)) {
@@ -194,10 +205,25 @@
   return Result;
 }
 
+bool EngineLoadPlugin::isWithoutHome(
+    const EngineRequirements &Requirements) const {
+  if (!Requirements.Homes)
+    return false;
+  const auto All = this->Directory->ofService(Requirements.Service);
+  return !All.empty() &&
+         std::ranges::none_of(All, [&](const RegisteredEngine *Engine) {
+           return this->Regions->isHome(Engine->Record.Zone,
+                                        *Requirements.Homes);
+         });
+}
+
 EngineChoice
 EngineLoadPlugin::chooseClosed(std::span<const EngineBlocked> Closed,
                                const EngineRequirements &Requirements) {
-  const Duration Soonest = opensAfter(Closed);
+  Duration Soonest = opensAfter(Closed);
+  if (Soonest == Duration::max() &&
+      countClosed(Closed, EngineBlocked::Why::Evacuated) > 0)
+    Soonest = EvacuatedRetryAfter;
   const bool OutlastsDeadline = Soonest >= Requirements.Left;
   // Wait for an engine that opens soon. Callers that have retried once also
   // wait, because they are not asked to retry again.
@@ -376,6 +402,9 @@
        this->Directory->ofService(Requirements.Service)) {
     if (!Share.takes(Registered->NameHash))
       continue;
+    if (Requirements.Homes &&
+        !this->Regions->isHome(Registered->Record.Zone, *Requirements.Homes))
+      continue;
     const bool IsAvoided =
         Registered->Standing == EngineStanding::Missing ||
         this->Trust->isAvoided(Registered->Record.Id, Now) ||
@@ -544,7 +573,7 @@
 const PluginRegistration
     Registration({"engine_load",
                   {"active_hosts", "engines", "engine_limits", "engine_signals",
-                   "engine_trust", "membership", "routes"},
+                   "engine_trust", "membership", "regions", "routes"},
                   EngineLoadPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<EngineLoadPlugin>();
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -72,6 +72,8 @@
   EngineChoice chooseAmong(std::span<const EngineState> States,
                            const EngineRequirements &Requirements,
                            const EngineParameters *Model, Time Now);
+  /// Whether the engines of the service are all outside the home regions.
+  bool isWithoutHome(const EngineRequirements &Requirements) const;
   /// Called when no eligible engine accepts another request.
   EngineChoice chooseClosed(std::span<const EngineBlocked> Closed,
                             const EngineRequirements &Requirements);
@@ -126,6 +128,7 @@
   const EngineTrustView *Trust = nullptr;
   EngineQuota *Quota = nullptr;
   const EngineGate *Gate = nullptr;
+  const RegionView *Regions = nullptr;
   Random *RandomNumbers = nullptr;
   ZoneId OwnZone;
   double ReportSoonMs = 0;
--- a/src/plugins/enginememory/EngineMemoryPlugin.cpp
+++ b/src/plugins/enginememory/EngineMemoryPlugin.cpp
@@ -77,11 +77,16 @@
                                       Part.Target.Tokens, this->Hold, false}));
 }
 
-void EngineMemoryPlugin::renewOrRetry(Share &Part, Time Now, Actions &Out) {
+void EngineMemoryPlugin::renewOrRetry(Share &Part, bool IsInUse, Time Now,
+                                      Actions &Out) {
   // A held share would be lost without a renewal. No further memory is
-  // requested where no requests may be sent.
-  if (Part.Status == Stage::Held ||
-      !this->Gate->blocked(Part.Target.Engine, Now)) {
+  // requested where no requests may be sent, and none is kept on evacuated
+  // engines for a prompt that was not sent.
+  const auto Blocked = this->Gate->blocked(Part.Target.Engine, Now);
+  const bool IsEvacuated =
+      Blocked && Blocked->Reason == EngineBlocked::Why::Evacuated;
+  const bool Renews = Part.Status == Stage::Held && (IsInUse || !IsEvacuated);
+  if (Renews || !Blocked) {
     this->request(Part, Now, Out);
     return;
   }
@@ -206,7 +211,7 @@
       continue;
     for (Share &Part : Found->second.Shares)
       if (Now >= Part.NextRequestAt)
-        this->renewOrRetry(Part, Now, Out);
+        this->renewOrRetry(Part, Found->second.Decided, Now, Out);
     this->decide(Id, Found->second, Now, Out);
   }
 }
--- a/src/plugins/enginememory/EngineMemoryPlugin.h
+++ b/src/plugins/enginememory/EngineMemoryPlugin.h
@@ -57,8 +57,9 @@
   };
 
   void request(Share &Part, Time Now, Actions &Out);
-  /// Renews a held share, or requests a share again that is not held yet.
-  void renewOrRetry(Share &Part, Time Now, Actions &Out);
+  /// Renews a held share, or requests a share again that is not held yet. \p
+  /// IsInUse: all shares are held and the prompt was sent.
+  void renewOrRetry(Share &Part, bool IsInUse, Time Now, Actions &Out);
   void takeAnswer(const ReservationAnswered &Answer, Time Now, Actions &Out);
   void decide(const RequestId &Id, Reservation &Reserved, Time Now,
               Actions &Out);
--- a/src/plugins/enginesignals/EngineSignalsPlugin.cpp
+++ b/src/plugins/enginesignals/EngineSignalsPlugin.cpp
@@ -14,6 +14,7 @@
   this->Directory = &Context.services().get<EngineDirectory>();
   this->Active = &Context.services().get<ActiveHostsView>();
   this->Quota = &Context.services().get<EngineQuota>();
+  this->Evacuations = &Context.services().get<EvacuationView>();
   this->Self = Context.self().Host;
   Context.services().provide<EngineGate>(*this);
   Context.services().list<EngineObserver>().add(*this);
@@ -41,6 +42,8 @@
   const RegisteredEngine *Registered = this->Directory->find(Engine);
   if (!Registered || Registered->Standing == EngineStanding::Leaving)
     return EngineBlocked{EngineBlocked::Why::Leaving, std::nullopt};
+  if (this->Evacuations->isEvacuated(Registered->Record.Zone))
+    return EngineBlocked{EngineBlocked::Why::Evacuated, std::nullopt};
   if (this->OwnBackoffs.isBackingOff(Engine, Now))
     return EngineBlocked{EngineBlocked::Why::BackingOff,
                          this->OwnBackoffs.until(Engine) - Now};
@@ -161,7 +164,7 @@
 
 const PluginRegistration
     Registration({"engine_signals",
-                  {"active_hosts", "engine_limits", "engines"},
+                  {"active_hosts", "engine_limits", "engines", "evacuation"},
                   EngineSignalsPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<EngineSignalsPlugin>();
--- a/src/plugins/enginesignals/EngineSignalsPlugin.h
+++ b/src/plugins/enginesignals/EngineSignalsPlugin.h
@@ -49,6 +49,7 @@
   EngineDirectory *Directory = nullptr;
   const ActiveHostsView *Active = nullptr;
   const EngineQuota *Quota = nullptr;
+  const EvacuationView *Evacuations = nullptr;
   HostId Self;
   EngineBackoffs OwnBackoffs; ///< Backoffs requested of this host.
   /// Backoffs requested of other hosts, from their reports.
--- a/src/plugins/hostdirectory/HostDirectoryPlugin.cpp
+++ b/src/plugins/hostdirectory/HostDirectoryPlugin.cpp
@@ -4,6 +4,7 @@
 #include "kernel/PluginRegistry.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace banyanpick {
 
@@ -20,21 +21,24 @@
 void HostDirectoryPlugin::start(Time, Actions &) {
   this->InForce = &this->Registry->get<InForceView>();
   this->ActiveHosts = &this->Registry->get<ActiveHostsView>();
+  this->Routing = &this->Registry->get<RouteView>();
+  this->Regions = &this->Registry->get<RegionView>();
 }
 
 void HostDirectoryPlugin::handle(const Event &Incoming, Time, Actions &Out) {
   match(
       Incoming,
       [&](const ResolveRequest &Query) {
-        std::vector<Address> Hosts = this->sampleHosts();
+        std::vector<Address> Hosts = this->sampleHosts(Query);
         Out.count("resolves_answered", Hosts.empty() ? "empty" : "named");
         Out.add(AnswerResolve{Query.Id, std::move(Hosts), this->TimeToLive});
       },
       [](const auto &) {});
 }
 
-std::vector<Address> HostDirectoryPlugin::sampleHosts() {
-  const std::vector<CallerAddress> All = this->activeHosts();
+std::vector<Address>
+HostDirectoryPlugin::sampleHosts(const ResolveRequest &Query) {
+  const std::vector<CallerAddress> All = this->permittedHosts(Query);
   std::uint32_t MaxProcessor = 0;
   for (const CallerAddress &Listed : All)
     MaxProcessor = std::max(MaxProcessor, Listed.Processor.Thousandths);
@@ -50,18 +54,60 @@
   return Result;
 }
 
+std::vector<HomeRegions>
+HostDirectoryPlugin::homesOf(std::string_view Name) const {
+  std::vector<HomeRegions> Result;
+  const RouteTable *Routes = this->Routing->routes();
+  if (!Routes)
+    return Result;
+  const std::string_view Host = Name.substr(0, Name.find(':'));
+  for (const RouteEntry &Route : Routes->configuration().Routes)
+    if (Route.Host == Host && !Route.HomeRegions.empty())
+      Result.push_back({Route.HomeRegions, {}});
+  return Result;
+}
+
+std::vector<HostDirectoryPlugin::CallerAddress>
+HostDirectoryPlugin::permittedHosts(const ResolveRequest &Query) const {
+  const std::vector<CallerAddress> Ready = this->readyHosts();
+  const std::vector<HomeRegions> Homes = this->homesOf(Query.Name);
+  const RegionId CallerRegion = Query.Region.empty()
+                                    ? this->Regions->regionOf(Query.Zone)
+                                    : RegionId(Query.Region);
+  const auto IsPermitted = [&](const CallerAddress &Listed) {
+    const bool IsNear = !CallerRegion.Value.empty() &&
+                        this->Regions->regionOf(Listed.Zone) == CallerRegion;
+    return IsNear || std::ranges::all_of(Homes, [&](const HomeRegions &Home) {
+             return this->Regions->isHome(Listed.Zone, Home);
+           });
+  };
+  std::vector<CallerAddress> Active;
+  std::ranges::copy_if(Ready, std::back_inserter(Active),
+                       &CallerAddress::IsActive);
+  if (Homes.empty())
+    return Active;
+  std::vector<CallerAddress> Result;
+  std::ranges::copy_if(Active, std::back_inserter(Result), IsPermitted);
+  if (Result.empty())
+    std::ranges::copy_if(Ready, std::back_inserter(Result), IsPermitted);
+  return Result.empty() ? Active : Result;
+}
+
 std::vector<HostDirectoryPlugin::CallerAddress>
-HostDirectoryPlugin::activeHosts() const {
+HostDirectoryPlugin::readyHosts() const {
   std::vector<CallerAddress> Result;
-  const auto Add = [&](const HostId &Host, const CallerAddress &Listed) {
-    if (std::ranges::binary_search(this->ActiveHosts->activeHosts(), Host))
-      Result.push_back(Listed);
+  const auto Add = [&](const HostId &Host, CallerAddress Listed) {
+    Listed.IsActive =
+        std::ranges::binary_search(this->ActiveHosts->activeHosts(), Host);
+    Result.push_back(std::move(Listed));
   };
   if (this->InForce->isReady())
-    Add(this->Self.Host, {this->Self.Callers, this->Self.Processor});
+    Add(this->Self.Host,
+        {this->Self.Callers, this->Self.Processor, this->Self.Zone});
   for (const Member &Peer : this->Members->peers())
     if (Peer.State == MemberState::Alive && Peer.Ready)
-      Add(Peer.Listing.Id, {Peer.Listing.Callers, Peer.Listing.Processor});
+      Add(Peer.Listing.Id,
+          {Peer.Listing.Callers, Peer.Listing.Processor, Peer.Listing.Zone});
   return Result;
 }
 
@@ -78,7 +124,7 @@
 
 const PluginRegistration
     Registration({"host_directory",
-                  {"active_hosts", "membership"},
+                  {"active_hosts", "membership", "regions", "routes"},
                   HostDirectoryPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<HostDirectoryPlugin>();
--- a/src/plugins/hostdirectory/HostDirectoryPlugin.h
+++ b/src/plugins/hostdirectory/HostDirectoryPlugin.h
@@ -2,6 +2,7 @@
 /// The plug-in that answers which hosts the callers of a gateway connect to.
 #pragma once
 
+#include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
 
 namespace banyanpick {
@@ -9,6 +10,9 @@
 /// Answers with the hosts that accept requests now. Callers pick a random host
 /// of an answer. A host with less processor is therefore listed in fewer
 /// answers, so that requests use the same share of the processor on all hosts.
+///
+/// For a host name whose routes have home regions, the answer names only hosts
+/// in these regions or in the caller's own region, as long as one is ready.
 class HostDirectoryPlugin : public Plugin {
 public:
   void initialize(PluginContext &Context) override;
@@ -21,16 +25,25 @@
   struct CallerAddress {
     Address Callers;
     ProcessorShare Processor;
+    ZoneId Zone;
+    bool IsActive = false;
   };
 
   /// Returns the hosts for one answer.
-  std::vector<Address> sampleHosts();
-  std::vector<CallerAddress> activeHosts() const;
+  std::vector<Address> sampleHosts(const ResolveRequest &Query);
+  std::vector<CallerAddress> readyHosts() const;
+  /// Returns the hosts that may be named to the caller: the active ones or, if
+  /// none of them is in a permitted region, the others that are.
+  std::vector<CallerAddress> permittedHosts(const ResolveRequest &Query) const;
+  /// Returns the home regions of each route of the host name that has some.
+  std::vector<HomeRegions> homesOf(std::string_view Name) const;
 
   Services *Registry = nullptr;
   const MembershipView *Members = nullptr;
   const InForceView *InForce = nullptr;
   const ActiveHostsView *ActiveHosts = nullptr;
+  const RouteView *Routing = nullptr;
+  const RegionView *Regions = nullptr;
   Identity Self;
   Random *Rng = nullptr;
   Duration TimeToLive{};
--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -95,6 +95,7 @@
   this->EngineRegistry = this->Registry->find<RegistryProgress>();
   this->ActiveHosts = this->Registry->find<ActiveHostsView>();
   this->Store = this->Registry->find<StoreFreshness>();
+  this->Evacuations = this->Registry->find<EvacuationView>();
   if (this->GossipDiscovery)
     this->connect(Out);
 }
@@ -132,7 +133,10 @@
   const bool ConfigurationChanged =
       this->InForce && (this->InForce->version() != this->SentVersion ||
                         this->InForce->isReady() != this->SentReady);
-  if (ConfigurationChanged)
+  const bool EvacuationsChanged =
+      this->Evacuations &&
+      this->Evacuations->changeCount() != this->SentEvacuations;
+  if (ConfigurationChanged || EvacuationsChanged)
     return Time{};
   const bool EnginesChanged =
       this->EngineRegistry &&
@@ -363,6 +367,8 @@
     this->SentVersion = this->InForce->version();
     this->SentReady = this->InForce->isReady();
   }
+  if (this->Evacuations)
+    this->SentEvacuations = this->Evacuations->changeCount();
   if (this->EngineRegistry)
     this->SentEnginesDigest = this->EngineRegistry->digest();
   this->Peers.detectFailures(this->Health.timeoutMultiplier(), Now);
@@ -417,6 +423,8 @@
     Beat.EnginesKnownTo = this->EngineRegistry->knownTo();
     Beat.EnginesDigest = this->EngineRegistry->digest();
   }
+  if (this->Evacuations)
+    Beat.Evacuations = this->Evacuations->records();
   Beat.Late = this->Health.lateness();
   if (this->Store && this->Store->storeConfirmedAt() != Time{})
     Beat.StoreAge = Now - this->Store->storeConfirmedAt();
--- a/src/plugins/membership/MembershipPlugin.h
+++ b/src/plugins/membership/MembershipPlugin.h
@@ -59,8 +59,9 @@
   Duration heartbeatInterval() const;
   /// Returns the time until the host list is read again.
   Duration listReadInterval();
-  /// Returns when a change of the configuration in force or of the known
-  /// registrations has to be sent to peers, ahead of the next heartbeat.
+  /// Returns when a change of the configuration in force, of the evacuations or
+  /// of the known registrations has to be sent to peers, ahead of the next
+  /// heartbeat.
   Time updateDue() const;
   void handleHeartbeat(const PeerMessage &Message, const Heartbeat &Beat,
                        Time Now, Actions &Out);
@@ -82,10 +83,12 @@
   const RegistryProgress *EngineRegistry = nullptr;
   const ActiveHostsView *ActiveHosts = nullptr;
   const StoreFreshness *Store = nullptr;
+  const EvacuationView *Evacuations = nullptr;
   Random *Rng = nullptr;
   SeedContacts Seeds;
   std::uint64_t SentVersion = 0;
   bool SentReady = false;
+  std::uint64_t SentEvacuations = 0;   ///< Change count of the sent records.
   std::uint64_t SentEnginesDigest = 0; ///< Digest of the registrations.
   bool FirstListRead = true;           ///< The next read is the first one.
   bool GossipDiscovery = false;        ///< Hosts are discovered by gossip.
--- a/src/plugins/relays/RelayDispatch.cpp
+++ b/src/plugins/relays/RelayDispatch.cpp
@@ -2,6 +2,18 @@
 
 namespace banyanpick {
 
+std::string_view reasonOf(const RetryLater &Refusal) {
+  switch (Refusal.Reason) {
+  case RetryLater::Why::TooLate:
+    return "no engine can begin it in time; come back";
+  case RetryLater::Why::Blocked:
+    return "all engines are at rest or at limits; come back";
+  case RetryLater::Why::NoHome:
+    return "no engine is in a home region of the route and the team";
+  }
+  return "";
+}
+
 EngineRequirements engineRequirements(const RunningRelay &Relay,
                                       std::span<const UpstreamId> Excluded,
                                       Time Now) {
@@ -16,6 +28,8 @@
   Result.Left = Relay.Deadline - Now;
   Result.MayRetryLater = Relay.IsFirstCallerAttempt && Relay.Sends == 0;
   Result.Excluded = Excluded;
+  if (Relay.Terms.Homes.isRestricted())
+    Result.Homes = &Relay.Terms.Homes;
   return Result;
 }
 
--- a/src/plugins/relays/RelayDispatch.h
+++ b/src/plugins/relays/RelayDispatch.h
@@ -16,8 +16,11 @@
   Duration JointPrefill{};  ///< After prefill on several engines.
 };
 
+/// Returns the reason for the caller.
+std::string_view reasonOf(const RetryLater &Refusal);
+
 /// Returns what the request needs from an engine now. The result refers to
-/// \p Excluded, which must outlive it.
+/// \p Relay and \p Excluded, which must outlive it.
 EngineRequirements engineRequirements(const RunningRelay &Relay,
                                       std::span<const UpstreamId> Excluded,
                                       Time Now);
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -135,8 +135,13 @@
                          const KeyOwner *Owner, Time Now, Actions &Out) {
   RunningRelay Relay;
   Relay.Head = Head;
-  Relay.Terms = {Route.Kind, Route.Resumable, Route.Attempts, Route.Objective,
-                 Route.MaxEventGap};
+  Relay.Terms = {Route.Kind,
+                 Route.Resumable,
+                 Route.Attempts,
+                 Route.Objective,
+                 Route.MaxEventGap,
+                 {Route.HomeRegions,
+                  Owner ? Owner->HomeRegions : std::vector<RegionId>()}};
   Relay.Service = this->serviceFor(Route);
   Relay.Rank = Owner && Owner->Rank ? *Owner->Rank : Route.Rank;
   if (Owner)
@@ -184,11 +189,8 @@
         this->awaitTurn(Relay, Turn.CheckAfter, Now, Out);
       },
       [&](const RetryLater &Refusal) {
-        this->finish(Relay, Relay.refusal(),
-                     Refusal.Reason == RetryLater::Why::Blocked
-                         ? "all engines are at rest or at limits; come back"
-                         : "no engine can begin it in time; come back",
-                     Now, Out, Refusal.After);
+        this->finish(Relay, Relay.refusal(), reasonOf(Refusal), Now, Out,
+                     Refusal.After);
       },
       [&](const NoEngine &) { this->wait(Relay, Now, Out); });
 }
--- a/src/plugins/relays/RunningRelay.h
+++ b/src/plugins/relays/RunningRelay.h
@@ -16,6 +16,7 @@
   std::uint32_t Attempts = 1; ///< Number of upstreams that it may run on.
   Duration Objective{};       ///< For the complete answer or the first event.
   Duration MaxEventGap{};     ///< Inter-event gap; zero: not declared.
+  HomeRegions Homes;
 };
 
 /// A relayed request and the state of its attempts.
--- a/tests/auto/gateway/GatewayBench.cpp
+++ b/tests/auto/gateway/GatewayBench.cpp
@@ -2,6 +2,8 @@
 
 #include "fakes/GatewayDeclarations.h"
 
+#include <algorithm>
+
 namespace banyanpick {
 
 namespace {
@@ -18,8 +20,10 @@
 
 } // namespace
 
-GatewayBench::GatewayBench()
-    : Decider(identity(), gatewaySettingsForTests(), 7, ServingMode::Gateway) {
+GatewayBench::GatewayBench() : GatewayBench(gatewaySettingsForTests()) {}
+
+GatewayBench::GatewayBench(const Settings &Values)
+    : Decider(identity(), Values, 7, ServingMode::Gateway) {
   this->Decider.checkEveryEvent();
   this->send(Tick{});
 }
@@ -30,6 +34,8 @@
       this->Done.push_back(*Found);
     if (const auto *Found = std::get_if<SendToPeer>(&Output))
       this->Sent.push_back(*Found);
+    if (const auto *Found = std::get_if<WriteLogLine>(&Output))
+      this->Lines.push_back(*Found);
     if (const auto *Found = std::get_if<AnswerResolve>(&Output))
       this->Hosts = Found->Hosts;
     this->Stopped |= std::holds_alternative<StopNow>(Output);
@@ -71,6 +77,28 @@
   this->send(GatewayEvent(std::move(Read)));
 }
 
+void GatewayBench::registerEngineIn(const char *Zone, const char *Name,
+                                    LogOffset Offset) {
+  EngineChange Change;
+  Change.Engine.Id = UpstreamId(Name);
+  Change.Engine.Service = ServiceId("desk");
+  Change.Engine.At = {"127.0.0.1", static_cast<std::uint16_t>(200 + Offset)};
+  Change.Engine.Zone = ZoneId(Zone);
+  Change.Engine.Slots = 16;
+  Change.Offset = Offset;
+  EnginesRead Read;
+  Read.UpTo = Offset + 1;
+  Read.Changes.push_back(std::move(Change));
+  this->send(GatewayEvent(std::move(Read)));
+}
+
+std::size_t GatewayBench::logged(const EventKind &Kind) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Lines, [&](const WriteLogLine &Written) {
+        return Written.Line.Number == Kind.Number;
+      }));
+}
+
 RequestId GatewayBench::arrive(std::string Path, std::uint64_t PromptTokens,
                                Duration Remaining) {
   RelayHead Head;
--- a/tests/auto/gateway/GatewayBench.h
+++ b/tests/auto/gateway/GatewayBench.h
@@ -2,6 +2,7 @@
 /// A test bench that drives the kernel of a gateway with events.
 #pragma once
 
+#include "base/EventNumbers.h"
 #include "kernel/Kernel.h"
 
 #include <string>
@@ -15,6 +16,7 @@
 class GatewayBench {
 public:
   GatewayBench();
+  explicit GatewayBench(const Settings &Values);
 
   /// Passes the event to the kernel and records the resulting actions.
   void send(const Event &Input);
@@ -25,6 +27,8 @@
   void configure(std::uint64_t Version);
   /// Registers engines of the service named `e1`, `e2` ... in the host's zone.
   void registerEngines(const char *Service, int Count, LogOffset From = 0);
+  /// Registers an engine of the service `desk` in the zone.
+  void registerEngineIn(const char *Zone, const char *Name, LogOffset Offset);
   /// Sends a request with a valid key to the path.
   RequestId arrive(std::string Path, std::uint64_t PromptTokens = 0,
                    Duration Remaining = seconds(5));
@@ -56,6 +60,9 @@
   }
   void receive(const char *From, PeerMessageBody Body);
   const std::vector<Address> &resolved() const { return this->Hosts; }
+  /// Returns how often the event was logged.
+  std::size_t logged(const EventKind &Kind) const;
+  Kernel &kernel() { return this->Decider; }
   bool hasStopped() const { return this->Stopped; }
 
   Time Now{seconds(1000)};
@@ -64,6 +71,7 @@
   Kernel Decider;
   std::vector<GatewayAction> Done;
   std::vector<SendToPeer> Sent;
+  std::vector<WriteLogLine> Lines;
   std::vector<Address> Hosts;
   std::uint64_t Requests = 0;
   bool Stopped = false;
--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -105,6 +105,37 @@
   this->Version = NewVersion;
 }
 
+void HostSimulation::evacuate(std::size_t Zone, bool Active) {
+  this->Evacuations[Zone] = {ZoneId(fmt::format("z{}", Zone)), Active,
+                             this->DeclarationsEnd++};
+}
+
+void HostSimulation::dropEvacuationHistory() {
+  std::erase_if(this->Evacuations,
+                [](const auto &Entry) { return !Entry.second.Active; });
+  for (Host &Reader : this->Hosts)
+    Reader.NextDeclaration = 0;
+}
+
+bool HostSimulation::isEvacuated(std::size_t Host, std::size_t Zone) const {
+  const auto &View =
+      this->Hosts[Host].Process->services().get<EvacuationView>();
+  return View.isEvacuated(ZoneId(fmt::format("z{}", Zone)));
+}
+
+void HostSimulation::readEvacuations(std::size_t Index) {
+  Host &Reader = this->Hosts[Index];
+  EvacuationsRead Read;
+  Read.Complete = Reader.NextDeclaration == 0;
+  Read.UpTo = this->DeclarationsEnd;
+  for (const auto &[Zone, Record] : this->Evacuations)
+    if (Record.Offset >= Reader.NextDeclaration)
+      Read.Records.push_back(Record);
+  Reader.NextDeclaration = this->DeclarationsEnd;
+  if (Read.Complete || !Read.Records.empty())
+    this->send(Index, Reader.Life, GatewayEvent(std::move(Read)));
+}
+
 void HostSimulation::drain(std::size_t Engine) {
   this->Engines[Engine].Draining = true;
   this->registerEngine(Engine);
@@ -341,6 +372,7 @@
   Started.Listed = false;
   Started.Next = 0;
   Started.SeenVersion = 0;
+  Started.NextDeclaration = 0;
   this->send(Index, Started.Life, Tick{});
   this->readStore(Index, Started.Life);
 }
@@ -539,6 +571,7 @@
       this->send(Index, Life,
                  GatewayEvent(ConfigurationRead{this->configurationAt(Newest),
                                                 ConfigurationSource::Store}));
+    this->readEvacuations(Index);
     this->send(
         Index, Life,
         GatewayEvent(StoreObserved{StoreObserved::Part::Engines, true, ""}));
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -60,6 +60,13 @@
   void setDocumentSize(std::size_t Bytes) { this->DocumentSize = Bytes; }
   /// Marks the registration of the engine as draining.
   void drain(std::size_t Engine);
+  /// Writes or removes the record that evacuates the zone with this number.
+  void evacuate(std::size_t Zone, bool Active);
+  /// Makes the store drop all records that ended an evacuation.
+  void dropEvacuationHistory();
+  bool isEvacuated(std::size_t Host, std::size_t Zone) const;
+  /// Returns the index of the zone of the engine.
+  std::size_t zoneOf(std::size_t Engine) const { return Engine % Zones; }
   /// Makes the store refuse all reads of the host.
   void refuseStoreReads(std::size_t Host) { this->RefusedReaders.insert(Host); }
   /// Returns whether the host reads the store itself.
@@ -149,6 +156,7 @@
     bool Listed = false;
     LogOffset Next = 0; ///< Offset of the next read of the registry.
     std::uint64_t SeenVersion = 0;
+    LogOffset NextDeclaration = 0; ///< Offset of the next read; 0: not listed.
   };
 
   /// A caller of one host.
@@ -200,6 +208,7 @@
   void deliver(std::size_t From, const SendToPeer &Sent);
   void scheduleWake(std::size_t Index);
   void readStore(std::size_t Index, std::uint64_t Life);
+  void readEvacuations(std::size_t Index);
   /// Renews the registration of the engine periodically.
   void renewRegistration(std::size_t Engine);
   void registerEngine(std::size_t Engine);
@@ -211,6 +220,9 @@
   std::vector<EngineChange> Registry; ///< The newest record of each engine.
   LogOffset RegistryEnd = 1;
   std::uint64_t Version = 0;
+  /// The newest evacuation record of each zone.
+  std::map<std::size_t, EvacuationRecord> Evacuations;
+  LogOffset DeclarationsEnd = 1;
   std::size_t DocumentSize = 0;
   std::map<std::uint64_t, std::shared_ptr<const GatewayConfiguration>>
       Configurations;
--- a/tests/auto/platformadapter/ConfigurationJsonTest.cpp
+++ b/tests/auto/platformadapter/ConfigurationJsonTest.cpp
@@ -35,6 +35,33 @@
 "Tenants":[{"Name":"hule930","Credentials":["n2ctnfzs","anfqasnm"],
  "Priority":1}]})";
 
+/// Guards against home regions that are not decoded.
+TEST(ConfigurationJson, HomeRegionsOfRoutesAndTenants) {
+  const auto Read = readConfiguration(R"({"Version":1,"Routes":[
+    {"Host":"a","PathPrefix":"/","HomeRegions":["east","west"]},
+    {"Host":"b","PathPrefix":"/"}],
+    "Tenants":[{"Name":"t","Credentials":["k"],"HomeRegions":["east"]}]})");
+  const std::vector Both{RegionId("east"), RegionId("west")};
+  EXPECT_EQ(Read->Routes[0].HomeRegions, Both);
+  EXPECT_TRUE(Read->Routes[1].HomeRegions.empty());
+  const std::vector One{RegionId("east")};
+  EXPECT_EQ(Read->Keys.at("k").HomeRegions, One);
+  EXPECT_TRUE(Read->Problems.empty());
+}
+
+/// Guards against a malformed list of regions that makes the whole
+/// configuration ineffective.
+TEST(ConfigurationJson, MalformedHomeRegionsAreReportedAndTheRestHolds) {
+  const auto Read = readConfiguration(R"({"Version":1,"Routes":[
+    {"Host":"a","PathPrefix":"/","HomeRegions":"east"},
+    {"Host":"b","PathPrefix":"/","HomeRegions":["west",5,""]},
+    {"Host":"c","PathPrefix":"/","HomeRegions":null}]})");
+  ASSERT_EQ(Read->Routes.size(), 3U);
+  EXPECT_TRUE(Read->Routes[0].HomeRegions.empty());
+  EXPECT_EQ(Read->Routes[1].HomeRegions, std::vector{RegionId("west")});
+  EXPECT_EQ(Read->Problems.size(), 3U);
+}
+
 TEST(ConfigurationJson, BecomesRoutesServicesLimitsAndKeys) {
   const auto Read = readConfiguration(Recorded);
   EXPECT_EQ(Read->Version, 7U);
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -143,6 +143,11 @@
   });
   Result.EnginesKnownTo = anyUint64();
   Result.EnginesDigest = anyUint64();
+  Result.Evacuations = anyVector([] {
+    return EvacuationRecord{anyId<ZoneId>(), anyBool(), anyUint64()};
+  });
+  if (Result.Evacuations.size() > MaxEvacuationRecords)
+    Result.Evacuations.resize(MaxEvacuationRecords);
   return Result;
 }
 
