Evacuate a zone in the random simulation of gateways

Change: runs with evacuations check that all hosts agree with the store after the faults, and that nothing is sent to an evacuated zone 5 s after them. Runs without evacuations draw the same numbers as before.

--- a/tests/auto/gatewayrandom/GatewayRandomTest.cpp
+++ b/tests/auto/gatewayrandom/GatewayRandomTest.cpp
@@ -28,6 +28,14 @@
   runAndExpect(GetParam() + 1000, {24, 12, seconds(10)});
 }
 
+/// Guards against evacuations that some hosts miss, or that return, beside any
+/// other fault.
+TEST_P(GatewayRandom, EvacuationsAreKept) {
+  SimulationOptions Options;
+  Options.Evacuations = true;
+  runAndExpect(GetParam() + 2000, Options);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, GatewayRandom,
                          testing::Range<std::uint64_t>(1, 21));
 
--- a/tests/auto/gatewayrandom/GatewaySimulation.cpp
+++ b/tests/auto/gatewayrandom/GatewaySimulation.cpp
@@ -24,6 +24,9 @@
 /// All requests of the last part of the quiet time must be answered completely.
 constexpr seconds CalmFor(5);
 constexpr milliseconds LateMargin(600);
+/// An evacuation that began before the quiet time is in force this long after
+/// its start: deputies read the store in place of readers that were cut off.
+constexpr seconds EvacuatedWithin(5);
 
 Identity identityOf(std::size_t At) {
   Identity Result;
@@ -77,6 +80,7 @@
   // The last fault may begin at the end of the fault period and be the longest.
   this->Queue.runUntil(Start + this->Options.FaultPeriod + seconds(5));
   this->Quiet = true;
+  this->QuietSince = this->Queue.now();
   this->Queue.runUntil(this->Queue.now() + QuietFor);
   this->Arriving = false;
   this->checkHostViews();
@@ -251,6 +255,7 @@
   this->after(milliseconds(1), [this, At, Life, Order, Call] {
     if (this->Hosts[At].Cancelled.contains(Order.Attempt))
       return;
+    this->checkEvacuation(Order);
     const AttemptPlan Plan = this->Upstreams.planAttempt(Order, this->Numbers);
     Call->Runs += Plan.Ran ? 1 : 0;
     if (!Plan.Answers)
@@ -318,7 +323,8 @@
   }
   const Time Now = this->Queue.now();
   const bool News = !Current.Listed || Current.Next < this->Store.end() ||
-                    Current.SeenVersion < this->Store.version();
+                    Current.SeenVersion < this->Store.version() ||
+                    Current.NextEvacuation < this->Store.evacuationsEnd();
   if (!News && Now < Current.ReadUntil) {
     Again(ReadPause);
     return;
@@ -326,6 +332,9 @@
   this->noteStore(At, true);
   EnginesRead Read =
       Current.Listed ? this->Store.readFrom(Current.Next) : this->Store.list();
+  EvacuationsRead Evacuations =
+      this->Store.readEvacuations(Current.NextEvacuation, !Current.Listed);
+  Current.NextEvacuation = Evacuations.UpTo;
   Current.Listed = true;
   Current.Next = Read.UpTo;
   Current.ReadUntil = Now + ReadWait;
@@ -337,6 +346,8 @@
         GatewayEvent(ConfigurationRead{gatewayDeclarations(Current.SeenVersion),
                                        ConfigurationSource::Store}));
   }
+  if (Evacuations.Complete || !Evacuations.Records.empty())
+    this->send(At, Life, GatewayEvent(std::move(Evacuations)));
   this->send(At, Life, GatewayEvent(std::move(Read)));
   Again(ReadPause);
 }
@@ -451,10 +462,23 @@
     if (Decider.services().get<InForceView>().version() !=
         this->Store.version())
       this->addViolation(fmt::format("host {} has an old configuration", At));
+    const auto &Evacuations = Decider.services().get<EvacuationView>();
+    if (Evacuations.isEvacuated(evacuatedZone()) !=
+        this->Store.isEvacuated(evacuatedZone()))
+      this->addViolation(fmt::format("host {} errs about evacuations", At));
     this->checkKnownUpstreams(At);
   }
 }
 
+void GatewaySimulation::checkEvacuation(const DispatchRelay &Order) {
+  const SimulatedUpstream *Upstream = this->Upstreams.at(Order.At);
+  if (this->Quiet && Upstream &&
+      this->Queue.now() > this->QuietSince + EvacuatedWithin &&
+      this->Store.isEvacuated(Upstream->Record.Zone))
+    this->addViolation(fmt::format("request {} was sent to an evacuated zone",
+                                   Order.Request.Value));
+}
+
 void GatewaySimulation::checkKnownUpstreams(std::size_t At) {
   const auto &Directory =
       this->Hosts[At].Decider->services().get<EngineDirectory>();
--- a/tests/auto/gatewayrandom/GatewaySimulation.h
+++ b/tests/auto/gatewayrandom/GatewaySimulation.h
@@ -19,6 +19,7 @@
   std::size_t Hosts = 5;
   std::size_t Upstreams = 6;
   Duration FaultPeriod = seconds(20); ///< Faults begin within this time.
+  bool Evacuations = false; ///< Operators evacuate a zone and take it back.
 };
 
 /// The actual state of one request.
@@ -36,6 +37,9 @@
   bool Disturbed = false; ///< Its host died or was paused in the meantime.
 };
 
+/// The zone that is evacuated. The other zones have upstreams of all services.
+inline ZoneId evacuatedZone() { return ZoneId("z1"); }
+
 class GatewaySimulation {
 public:
   GatewaySimulation(std::uint64_t Seed, const SimulationOptions &Options);
@@ -69,6 +73,7 @@
     bool Listed = false;
     bool StoreFailed = true;
     LogOffset Next = 0;
+    LogOffset NextEvacuation = 0;
     std::uint64_t SeenVersion = 0;
     Time ReadUntil{};
     std::set<AttemptId> Cancelled;
@@ -111,6 +116,7 @@
   void checkCalls();
   void checkHostViews();
   void checkKnownUpstreams(std::size_t At);
+  void checkEvacuation(const DispatchRelay &Order);
   void addViolation(std::string Violation);
 
   Random Numbers;
@@ -127,6 +133,7 @@
   std::size_t FaultCount = 0;
   std::size_t QuietReads = 0;
   bool Quiet = false;
+  Time QuietSince{};
   bool Arriving = true;
 };
 
--- a/tests/auto/gatewayrandom/SimulatedFaults.cpp
+++ b/tests/auto/gatewayrandom/SimulatedFaults.cpp
@@ -24,7 +24,14 @@
       milliseconds(100 + this->Numbers.below(MaxFaultDuration.count() - 100));
   const std::size_t At = this->Numbers.below(this->Hosts.size());
   const std::size_t Which = this->Numbers.below(this->Upstreams.All.size());
-  switch (this->Numbers.below(9)) {
+  constexpr std::size_t Kinds = 9;
+  // Runs without evacuations draw the same numbers as before.
+  if (this->Options.Evacuations && this->Numbers.below(Kinds) < 2) {
+    this->Store.evacuate(evacuatedZone(),
+                         !this->Store.isEvacuated(evacuatedZone()));
+    return;
+  }
+  switch (this->Numbers.below(Kinds)) {
   case 0:
     this->killHost(At);
     this->after(For, [this, At] {
--- a/tests/auto/gatewayrandom/SimulatedStore.cpp
+++ b/tests/auto/gatewayrandom/SimulatedStore.cpp
@@ -2,6 +2,35 @@
 
 namespace banyanpick {
 
+void SimulatedStore::evacuate(const ZoneId &Zone, bool Active) {
+  this->Evacuations.push_back({Zone, Active, this->evacuationsEnd()});
+}
+
+bool SimulatedStore::isEvacuated(const ZoneId &Zone) const {
+  bool Result = false;
+  for (const EvacuationRecord &Record : this->Evacuations)
+    if (Record.Zone == Zone)
+      Result = Record.Active;
+  return Result;
+}
+
+EvacuationsRead SimulatedStore::readEvacuations(LogOffset From,
+                                                bool List) const {
+  EvacuationsRead Result;
+  Result.Complete = List;
+  Result.UpTo = this->evacuationsEnd();
+  std::map<ZoneId, EvacuationRecord> Newest;
+  for (const EvacuationRecord &Record : this->Evacuations) {
+    Newest[Record.Zone] = Record;
+    if (!List && Record.Offset >= From)
+      Result.Records.push_back(Record);
+  }
+  for (const auto &[Zone, Record] : Newest)
+    if (List && Record.Active)
+      Result.Records.push_back(Record);
+  return Result;
+}
+
 void SimulatedStore::registerEngine(const EngineRecord &Engine) {
   this->append({Engine, false, 0});
   this->Engines[Engine.Id] = this->Changes.back();
