Make the test of second attempts during an evacuation detect its failure

Cause: with the gate not asked about evacuations, the test still passed, because the idle engine of the other zone was preferred anyway.

Change: eight attempts are withdrawn at once, so that load alone would spread them over the evacuated engines.

--- a/tests/auto/gateway/EvacuationTest.cpp
+++ b/tests/auto/gateway/EvacuationTest.cpp
@@ -118,13 +118,17 @@
 /// one or that the traffic thread returned as never sent.
 TEST_F(Evacuation, SecondAttemptsGoElsewhere) {
   this->readStored(Own, true, 10);
-  this->Bench.arrive("/safe/1");
-  const DispatchRelay First = this->Bench.last<DispatchRelay>();
+  this->enginesOf(8);
+  const auto First = this->Bench.all<DispatchRelay>();
+  ASSERT_EQ(First.size(), 8U);
   this->readStored(Far, true, 11);
   this->readStored(Own, false, 12);
-  this->Bench.endAttempt(First.Attempt, RelayNeverSent{true});
-  this->Bench.advance(milliseconds(100));
-  EXPECT_EQ(this->Bench.last<DispatchRelay>().Engine.Value, "near1");
+  for (const DispatchRelay &Sent : First)
+    this->Bench.endAttempt(Sent.Attempt, RelayNeverSent{true});
+  const auto All = this->Bench.all<DispatchRelay>();
+  ASSERT_EQ(All.size(), 16U);
+  for (std::size_t Index = First.size(); Index < All.size(); ++Index)
+    EXPECT_EQ(All[Index].Engine.Value, "near1");
 }
 
 /// Guards against requests that wait until their callers leave, or are sent
--- a/tests/auto/gateway/RegionsTest.cpp
+++ b/tests/auto/gateway/RegionsTest.cpp
@@ -53,7 +53,8 @@
     this->Bench.registerEngineIn("far", "e2", 2);
   }
 
-  void configure(std::vector<RegionId> OfRoutes, std::vector<RegionId> OfTeam) {
+  void configure(const std::vector<RegionId> &OfRoutes,
+                 const std::vector<RegionId> &OfTeam) {
     auto Declared =
         std::make_shared<GatewayConfiguration>(*gatewayDeclarations(1));
     for (RouteEntry &Route : Declared->Routes)
