--- a/src/plugins/hostdirectory/HostDirectoryPlugin.cpp
+++ b/src/plugins/hostdirectory/HostDirectoryPlugin.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace banyanpick {
 
@@ -32,6 +33,8 @@
 void HostDirectoryPlugin::start(Time, Actions &) {
   this->InForce = &this->Registry->get<InForceView>();
   this->ActiveHosts = &this->Registry->get<ActiveHostsView>();
+  this->Routing = &this->Registry->get<RouteView>();
+  this->Regions = &this->Registry->get<RegionView>();
 }
 
 void HostDirectoryPlugin::handle(const Event &Incoming, Time Now,
@@ -40,7 +43,7 @@
       Incoming,
       [&](const ResolveRequest &Query) {
         std::vector<Address> Hosts =
-            this->sampleHosts(this->hostsFor(Query.Zone, Now, Out));
+            this->sampleHosts(this->hostsFor(Query, Now, Out));
         Out.count("resolves_answered", Hosts.empty() ? "empty" : "named");
         Out.add(AnswerResolve{Query.Id, std::move(Hosts), this->TimeToLive});
       },
@@ -48,8 +51,10 @@
 }
 
 std::vector<HostDirectoryPlugin::CallerAddress>
-HostDirectoryPlugin::hostsFor(const ZoneId &Zone, Time Now, Actions &Out) {
-  std::vector<CallerAddress> All = this->activeHosts();
+HostDirectoryPlugin::hostsFor(const ResolveRequest &Query, Time Now,
+                              Actions &Out) {
+  std::vector<CallerAddress> All = this->permittedHosts(Query);
+  const ZoneId &Zone = Query.Zone;
   if (!this->PrefersNearby || Zone.Value.empty())
     return All;
   ZoneStanding Standing;
@@ -119,12 +124,52 @@
   return Result;
 }
 
+std::vector<HomeRegions>
+HostDirectoryPlugin::homesOf(std::string_view Name) const {
+  std::vector<HomeRegions> Result;
+  const RouteTable *Routes = this->Routing->routes();
+  if (!Routes)
+    return Result;
+  const std::string_view Host = Name.substr(0, Name.find(':'));
+  for (const RouteEntry &Route : Routes->configuration().Routes)
+    if (Route.Host == Host && !Route.HomeRegions.empty())
+      Result.push_back({Route.HomeRegions, {}});
+  return Result;
+}
+
+std::vector<HostDirectoryPlugin::CallerAddress>
+HostDirectoryPlugin::permittedHosts(const ResolveRequest &Query) const {
+  const std::vector<CallerAddress> Ready = this->readyHosts();
+  const std::vector<HomeRegions> Homes = this->homesOf(Query.Name);
+  const RegionId CallerRegion = Query.Region.empty()
+                                    ? this->Regions->regionOf(Query.Zone)
+                                    : RegionId(Query.Region);
+  const auto IsPermitted = [&](const CallerAddress &Listed) {
+    const bool IsNear = !CallerRegion.Value.empty() &&
+                        this->Regions->regionOf(Listed.Zone) == CallerRegion;
+    return IsNear || std::ranges::all_of(Homes, [&](const HomeRegions &Home) {
+             return this->Regions->isHome(Listed.Zone, Home);
+           });
+  };
+  std::vector<CallerAddress> Active;
+  std::ranges::copy_if(Ready, std::back_inserter(Active),
+                       &CallerAddress::IsActive);
+  if (Homes.empty())
+    return Active;
+  std::vector<CallerAddress> Result;
+  std::ranges::copy_if(Active, std::back_inserter(Result), IsPermitted);
+  if (Result.empty())
+    std::ranges::copy_if(Ready, std::back_inserter(Result), IsPermitted);
+  return Result.empty() ? Active : Result;
+}
+
 std::vector<HostDirectoryPlugin::CallerAddress>
-HostDirectoryPlugin::activeHosts() const {
+HostDirectoryPlugin::readyHosts() const {
   std::vector<CallerAddress> Result;
-  const auto Add = [&](const HostId &Host, const CallerAddress &Listed) {
-    if (std::ranges::binary_search(this->ActiveHosts->activeHosts(), Host))
-      Result.push_back(Listed);
+  const auto Add = [&](const HostId &Host, CallerAddress Listed) {
+    Listed.IsActive =
+        std::ranges::binary_search(this->ActiveHosts->activeHosts(), Host);
+    Result.push_back(std::move(Listed));
   };
   if (this->InForce->isReady())
     Add(this->Self.Host,
@@ -160,7 +205,7 @@
 
 const PluginRegistration
     Registration({"host_directory",
-                  {"active_hosts", "membership"},
+                  {"active_hosts", "membership", "regions", "routes"},
                   HostDirectoryPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<HostDirectoryPlugin>();
