Carry the warm-up and the load of engines in work reports

A host that lost its view of the engines' load has to ask its peers for their work, and pass on what engines report.

--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -286,6 +286,20 @@
     bool operator==(const Distrust &) const = default;
   };
   std::vector<Distrust> Distrusted;
+  /// The sender has no complete view of the engines' load; it needs the
+  /// receiver's work report now. See WarmUp.
+  bool WarmingUp = false;
+  /// The load of an engine, from the engine's own report to the sender.
+  struct Load {
+    UpstreamId Engine;
+    std::uint32_t Running = 0;
+    std::uint32_t Waiting = 0;
+    std::uint64_t MemoryTokens = 0; ///< Tokens that can't be evicted.
+    double AgeMs = 0;               ///< Since the sender received the report.
+
+    bool operator==(const Load &) const = default;
+  };
+  std::vector<Load> Loads;
 
   bool operator==(const EngineWork &) const = default;
 };
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -233,6 +233,15 @@
     Item.set_since_ms(static_cast<float>(Distrusted.SinceMs));
     Item.set_left_ms(static_cast<float>(Distrusted.LeftMs));
   }
+  Out.set_warming_up(Body.WarmingUp);
+  for (const auto &Load : Body.Loads) {
+    EngineWork::Load &Item = *Out.add_loads();
+    Item.set_engine(Load.Engine.Value);
+    Item.set_running(Load.Running);
+    Item.set_waiting(Load.Waiting);
+    Item.set_memory_tokens(Load.MemoryTokens);
+    Item.set_age_ms(static_cast<float>(Load.AgeMs));
+  }
 }
 
 void write(const banyanpick::EngineLimits &Body, Envelope &Envelope) {
@@ -320,6 +329,11 @@
     Result.Distrusted.push_back({UpstreamId(Distrusted.engine()),
                                  checkedNumber(Distrusted.since_ms()),
                                  checkedNumber(Distrusted.left_ms())});
+  Result.WarmingUp = In.warming_up();
+  for (const EngineWork::Load &Load : In.loads())
+    Result.Loads.push_back({UpstreamId(Load.engine()), Load.running(),
+                            Load.waiting(), Load.memory_tokens(),
+                            checkedMilliseconds(Load.age_ms())});
   return Result;
 }
 
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -274,6 +274,15 @@
   decodeUntrusted([&] { decodePeerMessage(Bytes); });
 }
 
+/// Guards against reports of engines that get lost on the way to peers.
+TEST(Wire, WorkReportCarriesTheLoadOfEngines) {
+  EngineWork Work;
+  Work.WarmingUp = true;
+  Work.Loads = {{UpstreamId("e1"), 7, 2, 45000, 120}};
+  const PeerMessage Message{HostId("h1"), Incarnation(3), Work};
+  EXPECT_EQ(decodePeerMessage(encodePeerMessage(Message)), Message);
+}
+
 TEST(Wire, MissingBodiesAndUnknownEnumeratorsAreRejected) {
   EXPECT_THROW(decodePeerMessage(""), Error);
   // Field 3 (heartbeat) holds field 9 (rumours), whose field 4 (state) has the
