--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -25,7 +25,6 @@
 
 /// Requests that an engine serves at once, as declared.
 constexpr std::size_t EngineSlots = 16;
-constexpr milliseconds FirstEventDelay(120);
 constexpr milliseconds Objective(300);
 constexpr seconds CallerTimeout(2);
 
@@ -87,6 +86,7 @@
     this->IndexById[Self.Host] = Index;
     this->start(Index);
   }
+  this->sampleLoads();
 }
 
 HostSimulation::~HostSimulation() = default;
@@ -208,7 +208,11 @@
 }
 
 void HostSimulation::sendRequest(std::size_t Host, Duration RunsFor) {
-  this->submit(Host, {this->Queue.now(), false, false, RunsFor});
+  const Caller Origin{this->Queue.now(), false, false, RunsFor};
+  if (this->AllKilled)
+    this->Stranded.push_back(Origin);
+  else
+    this->submit(Host, Origin);
 }
 
 void HostSimulation::submit(std::size_t Host, const Caller &Origin) {
@@ -262,24 +266,28 @@
   if (Found == this->Callers.end())
     return; // The caller has disconnected meanwhile.
   ++this->BusySlots[Engine];
-  this->Queue.after(FirstEventDelay, [this, Engine, Running] {
+  const Duration FirstEvent = this->firstEventAfter(Engine);
+  this->Queue.after(FirstEvent, [this, Engine, Running] {
     const auto Origin = this->Callers.find({Running.Host, Running.Request});
     if (Origin == this->Callers.end())
       return;
     Origin->second.IsAnswered = true;
-    const bool InTime =
-        this->Queue.now() <= Origin->second.FirstRequestAt + Objective;
+    const Duration Took = this->Queue.now() - Origin->second.FirstRequestAt;
+    this->Current.Answers.push_back({Origin->second.FirstRequestAt, Took});
+    const bool InTime = Took <= Objective;
     ++(InTime ? this->Current.InTime : this->Current.Late);
     this->answer(Engine, Running, this->signalsOf(Engine));
     this->send(Running.Host, Running.Life,
                GatewayEvent(RelayBegan{Running.Attempt}));
   });
-  this->Queue.after(Found->second.RunsFor,
+  this->Queue.after(std::max(Found->second.RunsFor, FirstEvent),
                     [this, Engine, Running] { this->finish(Engine, Running); });
 }
 
 void HostSimulation::finish(const UpstreamId &Engine,
                             const RunningRequest &Running) {
+  if (Running.EngineRun != this->EngineRun)
+    return;
   this->send(Running.Host, Running.Life,
              GatewayEvent(RelayEnded{Running.Attempt, RelayDelivered{}}));
   this->Callers.erase({Running.Host, Running.Request});
@@ -334,8 +342,11 @@
   Host &Started = this->Hosts[Index];
   Started.Life = ++this->IncarnationCount;
   Started.Self.Life = Incarnation(1000 + Started.Life);
-  Started.Process = std::make_unique<Kernel>(
-      Started.Self, simulationSettings(), Started.Life, ServingMode::Gateway);
+  Settings Values = simulationSettings();
+  for (const auto &[Key, Value] : this->EngineLoadValues)
+    Values.set("engine_load", Key, Value);
+  Started.Process = std::make_unique<Kernel>(Started.Self, Values, Started.Life,
+                                             ServingMode::Gateway);
   Started.WakeAt = Never;
   Started.ReadsStore = true;
   Started.Listed = false;
@@ -453,12 +464,14 @@
                                      Dispatch.Attempt,
                                      Dispatch.Request,
                                      this->Queue.now(),
+                                     this->EngineRun,
                                      Arrivals.size() - 1};
         if (Refuses)
           this->refuseRun(Dispatch.Engine, Running, Backoff);
         else
           this->serve(Dispatch.Engine, Running);
       },
+      [&](const AskReport &Asked) { this->reportLoad(Index, Asked.Engine); },
       [&](const RefuseRelay &Refusal) { this->handleRefusal(Index, Refusal); },
       [&](const BreakRelay &) { ++this->Current.Lost[Index]; },
       [&](const DeliverFailure &) { ++this->Current.Lost[Index]; },
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -4,6 +4,7 @@
 /// and check what each host knows.
 #pragma once
 
+#include "base/Random.h"
 #include "harness/EventQueue.h"
 #include "kernel/Kernel.h"
 
@@ -12,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <vector>
 
 namespace banyanpick {
@@ -44,10 +46,33 @@
   /// the first regards the second as not alive.
   std::size_t falseSuspicions() const;
 
+  /// Sets a value of section [engine_load] for processes that start later.
+  void setEngineLoad(std::string Key, std::string Value) {
+    this->EngineLoadValues[std::move(Key)] = std::move(Value);
+  }
   void run(Duration For);
   void kill(std::size_t Host);
   /// Starts a new process on the host, without any state.
   void restart(std::size_t Host);
+  /// What engines do with the requests of a host whose process ends.
+  enum class OrphanedWork {
+    Dropped, ///< The host closes its connections.
+    Runs     ///< The host loses power: the requests run until they end.
+  };
+  /// Kills all hosts. Their callers, and callers that send a request meanwhile,
+  /// come again when restartAll() is called, at hosts chosen at random among
+  /// \p Named.
+  void killAll(OrphanedWork Work, std::span<const std::size_t> Named);
+  void restartAll();
+  /// Makes engines prefill one prompt after the other, for this long each.
+  void setPrefill(Duration Each) { this->PrefillTime = Each; }
+  /// Returns the requests that run or wait on each engine.
+  std::vector<std::size_t> engineLoads() const;
+  /// A request whose answer began.
+  struct Answered {
+    Time RequestedAt{}; ///< The first request of the caller.
+    Duration Took{};    ///< Until the first token.
+  };
   std::size_t size() const { return this->Hosts.size(); }
   std::size_t engines() const { return this->Engines.size(); }
   bool isRunning(std::size_t Host) const {
@@ -120,6 +145,8 @@
     std::size_t InTime = 0; ///< Answers that began within the objective.
     std::size_t Late = 0;   ///< Answers that began after the objective.
     std::size_t RetryLaterAnswers = 0; ///< Callers that were asked to retry.
+    std::vector<Answered> Answers;
+    std::map<UpstreamId, std::size_t> ReportRequests; ///< To each engine.
     std::uint64_t messages() const;
   };
   Tally takeTally();
@@ -166,10 +193,18 @@
     AttemptId Attempt;
     RequestId Request;
     Time SentAt{};
-    std::size_t Arrived = 0; ///< Its index among the engine's arrivals.
+    std::uint64_t EngineRun = 0; ///< Increased when engines drop their work.
+    std::size_t Arrived = 0;     ///< Its index among the engine's arrivals.
   };
 
   void submit(std::size_t Host, const Caller &Origin);
+  /// Drops all work of all engines.
+  void dropEngineWork();
+  /// Returns when the engine's next prefill ends, if it begins now.
+  Duration firstEventAfter(const UpstreamId &Engine);
+  void reportLoad(std::size_t Host, const UpstreamId &Engine);
+  /// Records the loads that engines report until the next call.
+  void sampleLoads();
   void handleRefusal(std::size_t Host, const RefuseRelay &Refusal);
   void serve(const UpstreamId &Engine, const RunningRequest &Running);
   void refuseRun(const UpstreamId &Engine, const RunningRequest &Running,
@@ -220,6 +255,15 @@
   std::map<UpstreamId, std::size_t> BusySlots;
   /// Requests that wait for a slot.
   std::map<UpstreamId, std::deque<RunningRequest>> Queued;
+  std::map<std::string, std::string> EngineLoadValues;
+  std::uint64_t EngineRun = 0;
+  Duration PrefillTime{};
+  std::map<UpstreamId, Time> PrefillsUntil;
+  std::map<UpstreamId, EngineReport> LoadReports;
+  std::vector<Caller> Stranded; ///< Callers that wait for a running host.
+  std::vector<std::size_t> NamedHosts;
+  bool AllKilled = false;
+  Random Draws{1};
   std::set<UpstreamId> Failing;
   std::set<std::size_t> FailedLinks;
   std::set<std::size_t> RefusedReaders;
