--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -113,6 +113,10 @@
   this->Connections = IdleConnections(Values.span(Section, "connection_idle"));
   this->Lost = LostAnswers(Values.span(Section, "lost_answer_counts"));
   this->Weights = placementWeights(Values);
+  this->View =
+      WarmUp({Values.span(Section, "warm_up_limit"),
+              Values.span(Section, "warm_up_ask_interval"),
+              static_cast<std::uint32_t>(Values.whole(Section, "slow_start"))});
   this->Queue = PromptQueue(QueueEntryTtl, this->Weights.LateShare);
   Context.services().provide<EngineSelector>(*this);
   Context.services().list<RelayObserver>().add(*this);
@@ -121,9 +125,12 @@
   Context.services().list<MemoryObserver>().add(*this);
 }
 
-void EngineLoadPlugin::start(Time, Actions &) {}
+void EngineLoadPlugin::start(Time Now, Actions &Out) {
+  this->beginWarmUp(ViewLoss::Started, Now, Out);
+}
 
 void EngineLoadPlugin::handle(const Event &Received, Time Now, Actions &Out) {
+  this->updateView(Now, Out);
   match(
       Received,
       [&](const PeerMessageReceived &Incoming) {
@@ -145,7 +152,8 @@
 
 Time EngineLoadPlugin::nextWake() const {
   return std::min(
-      {this->Reports.next(), this->Slowdowns.nextDue(), this->Lost.nextDue()});
+      {this->Reports.next(), this->Slowdowns.nextDue(), this->Lost.nextDue(),
+       this->View.nextWake()});
 }
 
 void EngineLoadPlugin::askReport(const UpstreamId &Engine, Time Now,
@@ -162,6 +170,7 @@
 
 void EngineLoadPlugin::takeReport(const EngineReport &Report, Time Now,
                                   Actions &Out) {
+  this->takeOwnReport(Report, Now);
   if (!this->Slowdowns.takeReport(Report, Now))
     return;
   Out.log(logEvent(events::EngineSlowdownChanged)
@@ -278,7 +287,9 @@
   const std::size_t Front =
       Model ? this->frontOf(States, Slots, Now) : States.size();
   const PromptPlacement Place =
-      placeShort(States, Front, Slots, Work, this->Weights);
+      Model && this->View.isRunning()
+          ? this->placeSpread(States, Slots, Work)
+          : placeShort(States, Front, Slots, Work, this->Weights);
   const DeferralTimes Times = deferralTimes(Requirements);
   if (Model && !mayExceedMemory(this->Weights) &&
       Work.Tokens > States[Place.Chosen].FreeTokens)
@@ -449,6 +460,8 @@
   }
   if (this->Weights.ZoneFront)
     orderByZone(Result);
+  if (Model)
+    this->assumeLoads(Result, *Model, Now);
   weighAnswersByScarcity(Result);
   return Found;
 }
@@ -559,6 +572,7 @@
 void EngineLoadPlugin::attemptBegan(const RelayAttempt &Attempt, Time Now,
                                     Actions &Out) {
   this->noteFirstToken(Attempt, Now, Out);
+  this->View.noteAnswer(Attempt.Engine);
   this->Loads[Attempt.Engine].startDecoding(Attempt.Id, Now);
   for (const HelperEngine &Helper : Attempt.Helpers) {
     if (Helper.Engine == Attempt.Engine)
@@ -618,6 +632,9 @@
 void EngineLoadPlugin::engineRemoved(const UpstreamId &Id, Time Now,
                                      Actions &) {
   this->Slowdowns.forget(Id);
+  this->View.forgetEngine(Id);
+  this->ServiceOf.erase(Id);
+  this->AreEnginesStale = true;
   this->ShortOfMemory.erase(Id);
   this->forgetRun(Id, Now);
   const auto Found = this->Loads.find(Id);
