Replay hard loads against the decisions of several hosts in virtual time

Admission of long prompts could only be judged on whole deployments. The setting [placement] admission is declared; only its default has an effect so far.

--- a/src/plugins/engineload/EngineLoadSettings.cpp
+++ b/src/plugins/engineload/EngineLoadSettings.cpp
@@ -78,6 +78,16 @@
        0, 100000},
       {Section, "most_helpers", SettingKind::Whole, "16",
        "Engines that help to read one prompt, at most.", 0, 64},
+      {Section,
+       "admission",
+       SettingKind::Choice,
+       "queue",
+       "How long prompts are admitted: `queue` orders those that wait, `plan` "
+       "also decides which of them wait, are sent or are refused; `arrival` "
+       "and `value` serve comparison.",
+       0,
+       0,
+       {"queue", "plan", "arrival", "value"}},
   };
 }
 
--- /dev/null
+++ b/tests/auto/engineload/AdmissionReplayTest.cpp
@@ -0,0 +1,80 @@
+/// \file
+/// Replays hard loads and checks what admission achieves.
+#include "auto/engineload/AdmissionReplay.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace banyanpick {
+namespace {
+
+struct ReplayCase {
+  const char *Name;
+  ReplaySetup (*Make)();
+};
+
+ReplaySetup longBurst() { return cataloguingSetup(); }
+ReplaySetup retailBurst() { return retailSetup(); }
+ReplaySetup shortBurst() {
+  ReplaySetup Result = cataloguingSetup();
+  Result.BurstKind = 0;
+  Result.BurstFactor = 2.5;
+  return Result;
+}
+ReplaySetup calm() {
+  ReplaySetup Result = cataloguingSetup();
+  Result.BurstFactor = 1;
+  return Result;
+}
+/// The rates of the second deployment in proportion to 14 engines.
+ReplaySetup fewEngines() {
+  ReplaySetup Result = cataloguingSetup();
+  Result.Hosts = 7;
+  for (ReplayKind &Kind : Result.Kinds)
+    Kind.PerSecond *= 14.0 / 45;
+  Result.Engines = 14;
+  return Result;
+}
+
+constexpr std::array Cases{
+    ReplayCase{"long", longBurst}, ReplayCase{"retail", retailBurst},
+    ReplayCase{"short", shortBurst}, ReplayCase{"calm", calm},
+    ReplayCase{"few", fewEngines}};
+
+std::array<ReplayCount, 3> replay(const ReplayCase &Case,
+                                  const std::string &Admission,
+                                  double FailingShare, std::uint64_t Seed) {
+  ReplaySetup Setup = Case.Make();
+  Setup.Admission = Admission;
+  Setup.FailingShare = FailingShare;
+  Setup.Seed = Seed;
+  return AdmissionReplay(Setup).run();
+}
+
+/// Prints the table of docs/design/admission.md. Runs only by hand.
+TEST(AdmissionReplay, DISABLED_PrintsTable) {
+  const char *Wanted = std::getenv("ADMISSION");
+  const char *Only = std::getenv("LOAD");
+  const char *SeedsText = std::getenv("BANYANPICK_SEEDS");
+  const std::uint64_t Seeds = SeedsText ? std::strtoull(SeedsText, nullptr, 10) : 3;
+  const std::string Admission = Wanted ? Wanted : "queue";
+  for (const ReplayCase &Case : Cases)
+    for (const double Failing : {0.0, 0.2}) {
+      if (Only && std::string(Only) != Case.Name)
+        continue;
+      std::array<ReplayCount, 3> Sum;
+      for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+        const auto Counts = replay(Case, Admission, Failing, Seed);
+        for (std::size_t Kind = 0; Kind < Sum.size(); ++Kind)
+          Sum[Kind] += Counts[Kind];
+      }
+      std::cout << Admission << " " << Case.Name << " failing " << Failing
+                << "\n"
+                << describe(Sum);
+    }
+}
+
+} // namespace
+} // namespace banyanpick
