Add the setting admission: plan decides which long prompts wait, go or are refused

A deferred long prompt was sent after its objective, mostly to one engine for seconds, and took the time of prompts that could still be in time. With the plan a prompt waits only while it can be in time, is refused as soon as it cannot, and goes late only when nothing waits and its parts delay no answer.

--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -102,6 +102,7 @@
   this->OtherZoneMs = Values.fraction(Section, "other_zone_ms");
   this->Weights = placementWeights(Values);
   this->Queue = PromptQueue(QueueEntryTtl, this->Weights.LateShare);
+  this->Admission = admissionOrder(Values.text("placement", "admission"));
   Context.services().provide<EngineSelector>(*this);
   Context.services().list<RelayObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
@@ -240,7 +241,9 @@
     return NoEngine{};
   const PromptWork Work = workOf(Requirements, Model);
   if (Model && !this->isShort(*Model, Requirements.Service, Work.PrefillMs))
-    return this->chooseShared(States, Requirements, Work, *Model, Now);
+    return this->Admission == AdmissionOrder::Plan
+               ? this->choosePlanned(States, Requirements, Work, *Model, Now)
+               : this->chooseShared(States, Requirements, Work, *Model, Now);
   const std::uint32_t Slots =
       Model ? Model->Slots : States.front().Engine->Record.Slots;
   std::uint32_t ShortRunning = 0;
@@ -278,8 +281,11 @@
     return RetryLater{RetryLater::Why::TooLate,
                       retryAfter(deferralTimes(Requirements), 0)};
   }
+  // The orders without a plan that serve comparison defer nothing.
+  const bool MayDefer = this->Admission == AdmissionOrder::Queue;
   if (!Place ||
-      !isWorthServingNow(*Place, Work, deferralTimes(Requirements), Scarcity))
+      (MayDefer && !isWorthServingNow(*Place, Work, deferralTimes(Requirements),
+                                      Scarcity)))
     return this->deferLong(Requirements, Scarcity, Now);
   EngineWork::QueuedPrompt Own;
   Own.Request = Requirements.Request.Value;
@@ -287,6 +293,8 @@
   Own.PrefillMs = Work.PrefillMs;
   Own.NeededMs = Place->FirstTokenMs - Place->StartMs;
   Own.LeftMs = Times.ObjectiveMs;
+  if (this->Admission == AdmissionOrder::Arrival)
+    orderByArrival(Own, Requirements.Waited);
   const bool IsReady = Place->AheadMs <= this->Weights.AheadMs;
   if (IsReady && this->isFirstInQueue(States, Own, Now)) {
     this->Queue.drop(Own.Request);
@@ -298,6 +306,45 @@
   return AwaitTurn{fromMilliseconds(std::clamp(UntilMs, MinPollMs, MaxPollMs))};
 }
 
+EngineChoice EngineLoadPlugin::choosePlanned(
+    std::span<const EngineState> States, const EngineRequirements &Requirements,
+    const PromptWork &Work, const EngineParameters &Model, Time Now) {
+  EngineWork::QueuedPrompt Own;
+  Own.Request = Requirements.Request.Value;
+  Own.Tokens = Requirements.PromptTokens;
+  Own.PrefillMs = Work.PrefillMs;
+  Own.LeftMs = inMilliseconds(Requirements.Objective - Requirements.Waited);
+  AdmissionRequest Request;
+  Request.Work = Work;
+  Request.EngineTokens = Model.MemoryTokens;
+  Request.Times = deferralTimes(Requirements);
+  Request.IsFirst = this->Queue.rank(Own, this->Members->self(), Now) == 0;
+  Request.MsAhead =
+      this->Queue.prefillAheadMs(Own, this->Members->self(), Now);
+  AdmissionDecision Decision =
+      decideAdmission(States, Request, this->Weights);
+  return match(
+      Decision,
+      [&](const SendNow &Sent) -> EngineChoice {
+        this->Queue.drop(Own.Request);
+        return toChosen(States, Sent.Place, &Model, false);
+      },
+      [&](const WaitForTurn &Waiting) -> EngineChoice {
+        Own.NeededMs = Waiting.NeededMs;
+        if (this->Queue.note(Own, Now))
+          this->Reports.noteUrgent(Now);
+        return AwaitTurn{
+            fromMilliseconds(std::clamp(Waiting.CheckMs, MinPollMs, MaxPollMs))};
+      },
+      [&](const RefuseNow &Refused) -> EngineChoice {
+        this->forget(Requirements.Request, Now);
+        return RetryLater{RetryLater::Why::TooLate,
+                          retryAfter(Request.Times,
+                                     this->RandomNumbers->fraction(),
+                                     fromMilliseconds(Refused.RoomMs))};
+      });
+}
+
 EngineChoice EngineLoadPlugin::deferLong(const EngineRequirements &Requirements,
                                          double Scarcity, Time Now) {
   // Leave the queue, so that prompts that can be sent are not blocked.
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -4,6 +4,7 @@
 
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
+#include "plugins/engineload/AdmissionPlan.h"
 #include "plugins/engineload/EngineLoad.h"
 #include "plugins/engineload/EngineSlowdowns.h"
 #include "plugins/engineload/GapBounds.h"
@@ -79,6 +80,11 @@
                             const EngineRequirements &Requirements,
                             const PromptWork &Work,
                             const EngineParameters &Model, Time Now);
+  /// Like chooseShared(), where the setting asks for a plan.
+  EngineChoice choosePlanned(std::span<const EngineState> States,
+                             const EngineRequirements &Requirements,
+                             const PromptWork &Work,
+                             const EngineParameters &Model, Time Now);
   /// Defers a long prompt: it waits here, or its caller retries later.
   EngineChoice deferLong(const EngineRequirements &Requirements,
                          double Scarcity, Time Now);
@@ -134,6 +140,7 @@
   double JitterMs = 0;
   double OtherZoneMs = 0;
   PlacementWeights Weights;
+  AdmissionOrder Admission = AdmissionOrder::Queue;
   PromptQueue Queue;
   GapBounds Gaps;
   std::map<UpstreamId, EngineLoad> Loads;
--- a/src/plugins/engineload/PromptQueue.cpp
+++ b/src/plugins/engineload/PromptQueue.cpp
@@ -48,23 +48,41 @@
   return Result;
 }
 
-std::size_t PromptQueue::rank(const QueuedPrompt &Prompt, const HostId &Self,
-                              Time Now) const {
+template <class Function>
+void PromptQueue::visitBefore(const QueuedPrompt &Prompt, const HostId &Self,
+                              Time Now, Function Visit) const {
   const auto KeyOf = [&](const Entry &Item, const HostId &Host) {
     return std::tuple(
         -queueWeight(Item.Prompt, Now - Item.NotedAt, this->LateShare),
         Host.Value, Item.Prompt.Request);
   };
   const auto OwnKey = KeyOf({Prompt, Now}, Self);
-  std::size_t Before = 0;
   for (const Entry &Item : this->current(this->Own, Now))
-    Before += KeyOf(Item, Self) < OwnKey ? 1 : 0;
+    if (KeyOf(Item, Self) < OwnKey)
+      Visit(Item.Prompt);
   for (const auto &[Host, All] : this->Peers)
     for (const Entry &Item : this->current(All, Now))
-      Before += KeyOf(Item, Host) < OwnKey ? 1 : 0;
+      if (KeyOf(Item, Host) < OwnKey)
+        Visit(Item.Prompt);
+}
+
+std::size_t PromptQueue::rank(const QueuedPrompt &Prompt, const HostId &Self,
+                              Time Now) const {
+  std::size_t Before = 0;
+  this->visitBefore(Prompt, Self, Now,
+                    [&](const QueuedPrompt &) { ++Before; });
   return Before;
 }
 
+double PromptQueue::prefillAheadMs(const QueuedPrompt &Prompt,
+                                   const HostId &Self, Time Now) const {
+  double Sum = 0;
+  this->visitBefore(Prompt, Self, Now, [&](const QueuedPrompt &Other) {
+    Sum += Other.PrefillMs;
+  });
+  return Sum;
+}
+
 std::vector<PromptQueue::QueuedPrompt> PromptQueue::own(Time Now) const {
   std::vector<QueuedPrompt> Result;
   for (const Entry &Item : this->current(this->Own, Now)) {
--- a/src/plugins/engineload/PromptQueue.h
+++ b/src/plugins/engineload/PromptQueue.h
@@ -40,6 +40,9 @@
   /// Returns the number of prompts that go before this one.
   std::size_t rank(const QueuedPrompt &Prompt, const HostId &Self,
                    Time Now) const;
+  /// Returns the prefill time of the prompts that go before this one.
+  double prefillAheadMs(const QueuedPrompt &Prompt, const HostId &Self,
+                        Time Now) const;
   /// Returns this host's waiting prompts, for its peers.
   std::vector<QueuedPrompt> own(Time Now) const;
 
@@ -49,6 +52,10 @@
     Time NotedAt{};
   };
 
+  /// Calls \p Visit with the prompts that go before this one.
+  template <class Function>
+  void visitBefore(const QueuedPrompt &Prompt, const HostId &Self, Time Now,
+                   Function Visit) const;
   std::vector<Entry> current(const std::vector<Entry> &Entries, Time Now) const;
 
   Duration Ttl{};
