Count only splits in time while a long prompt can be in time, and test the plan

A split with few parts and a late first token had the highest gain where parts delay answers, so that prompts waited for it until they were late. The replay limits the prefill of a pass by tokens, as engines do.

--- a/src/plugins/engineload/AdmissionPlan.cpp
+++ b/src/plugins/engineload/AdmissionPlan.cpp
@@ -60,8 +60,11 @@
   Times.ObjectiveMs =
       inMilliseconds(Request.Times.Objective - Request.Times.Waited);
   Times.LateMs = inMilliseconds(Request.Times.Left) * PrefillShare;
-  const std::optional<PromptPlacement> Place =
-      placementFor(States, Request, Times, Weights);
+  // While the prompt can be in time, only splits that are in time count.
+  PlacementWeights InTimeOnly = Weights;
+  InTimeOnly.LateShare = 0;
+  std::optional<PromptPlacement> Place =
+      placementFor(States, Request, Times, InTimeOnly);
   const double LeastMs =
       Request.Work.PrefillMs / static_cast<double>(Weights.MaxHelpers);
   const double RoomMs = waitMs(States, Request);
@@ -75,7 +78,9 @@
   if (Request.Times.MayRetryLater)
     return RefuseNow{RoomMs};
   // The answer is late in any case. It must not delay others.
-  if (IsReady && Request.IsFirst && Place->GainMs > 0)
+  Place = placementFor(States, Request, Times, Weights);
+  if (Place && Place->AheadMs <= Weights.AheadMs && Request.IsFirst &&
+      Place->GainMs > 0)
     return SendNow{*Place};
   if (Times.LateMs < LeastMs)
     return RefuseNow{RoomMs};
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -284,8 +284,8 @@
   // The orders without a plan that serve comparison defer nothing.
   const bool MayDefer = this->Admission == AdmissionOrder::Queue;
   if (!Place ||
-      (MayDefer && !isWorthServingNow(*Place, Work, deferralTimes(Requirements),
-                                      Scarcity)))
+      (MayDefer &&
+       !isWorthServingNow(*Place, Work, deferralTimes(Requirements), Scarcity)))
     return this->deferLong(Requirements, Scarcity, Now);
   EngineWork::QueuedPrompt Own;
   Own.Request = Requirements.Request.Value;
@@ -319,10 +319,8 @@
   Request.EngineTokens = Model.MemoryTokens;
   Request.Times = deferralTimes(Requirements);
   Request.IsFirst = this->Queue.rank(Own, this->Members->self(), Now) == 0;
-  Request.MsAhead =
-      this->Queue.prefillAheadMs(Own, this->Members->self(), Now);
-  AdmissionDecision Decision =
-      decideAdmission(States, Request, this->Weights);
+  Request.MsAhead = this->Queue.prefillAheadMs(Own, this->Members->self(), Now);
+  AdmissionDecision Decision = decideAdmission(States, Request, this->Weights);
   return match(
       Decision,
       [&](const SendNow &Sent) -> EngineChoice {
@@ -333,8 +331,8 @@
         Own.NeededMs = Waiting.NeededMs;
         if (this->Queue.note(Own, Now))
           this->Reports.noteUrgent(Now);
-        return AwaitTurn{
-            fromMilliseconds(std::clamp(Waiting.CheckMs, MinPollMs, MaxPollMs))};
+        return AwaitTurn{fromMilliseconds(
+            std::clamp(Waiting.CheckMs, MinPollMs, MaxPollMs))};
       },
       [&](const RefuseNow &Refused) -> EngineChoice {
         this->forget(Requirements.Request, Now);
--- a/src/plugins/engineload/PromptQueue.cpp
+++ b/src/plugins/engineload/PromptQueue.cpp
@@ -69,17 +69,15 @@
 std::size_t PromptQueue::rank(const QueuedPrompt &Prompt, const HostId &Self,
                               Time Now) const {
   std::size_t Before = 0;
-  this->visitBefore(Prompt, Self, Now,
-                    [&](const QueuedPrompt &) { ++Before; });
+  this->visitBefore(Prompt, Self, Now, [&](const QueuedPrompt &) { ++Before; });
   return Before;
 }
 
 double PromptQueue::prefillAheadMs(const QueuedPrompt &Prompt,
                                    const HostId &Self, Time Now) const {
   double Sum = 0;
-  this->visitBefore(Prompt, Self, Now, [&](const QueuedPrompt &Other) {
-    Sum += Other.PrefillMs;
-  });
+  this->visitBefore(Prompt, Self, Now,
+                    [&](const QueuedPrompt &Other) { Sum += Other.PrefillMs; });
   return Sum;
 }
 
--- a/tests/auto/engineload/AdmissionReplay.cpp
+++ b/tests/auto/engineload/AdmissionReplay.cpp
@@ -1,8 +1,8 @@
 #include "auto/engineload/AdmissionReplay.h"
 
 #include "base/Milliseconds.h"
-#include "plugins/engineload/PrefillCost.h"
 #include "fakes/PluginViews.h"
+#include "plugins/engineload/PrefillCost.h"
 
 #include <fmt/format.h>
 
@@ -53,7 +53,9 @@
   std::vector<HostId> Ids;
 };
 
-HostId hostName(std::size_t Index) { return HostId(fmt::format("h{:03}", Index)); }
+HostId hostName(std::size_t Index) {
+  return HostId(fmt::format("h{:03}", Index));
+}
 
 } // namespace
 
@@ -198,7 +200,8 @@
                            At < Lead + this->Setup.BurstFor;
       const double Rate =
           Kind.PerSecond * (InBurst ? this->Setup.BurstFactor : 1);
-      At += fromSeconds(std::exponential_distribution<double>(Rate)(this->Numbers));
+      At += fromSeconds(
+          std::exponential_distribution<double>(Rate)(this->Numbers));
       Caller Origin;
       Origin.Kind = Index;
       Origin.Tokens = std::clamp<std::uint64_t>(
@@ -245,8 +248,9 @@
   if (!Origin.HasRetried) {
     ReplayCount &Count = this->Counts[Origin.Kind];
     ++Count.Sent;
-    Count.MaxValue += Kind.Weight * (0.3 + 0.7 * static_cast<double>(Origin.Tokens) /
-                                               Kind.MeanTokens);
+    Count.MaxValue +=
+        Kind.Weight *
+        (0.3 + 0.7 * static_cast<double>(Origin.Tokens) / Kind.MeanTokens);
   }
   const Duration Patience =
       std::max<Duration>(Kind.Objective * PatienceFactor, MinPatience);
@@ -292,8 +296,7 @@
   const auto *Refusal = std::get_if<RetryLater>(&Choice);
   if (!Refusal)
     return this->selectAgain(Id, milliseconds(20));
-  const bool MayReturn =
-      !Origin.HasRetried && Refusal->After < Needed.Left;
+  const bool MayReturn = !Origin.HasRetried && Refusal->After < Needed.Left;
   if (!MayReturn)
     return this->finish(Id, &ReplayCount::Refused);
   Origin.HasRetried = true;
@@ -364,9 +367,9 @@
   Origin.PartsLeft = Used.size();
   for (std::size_t Part = 0; Part < Used.size(); ++Part) {
     const std::uint32_t Urgency = Origin.Tokens > 20'000 ? 5 : 2;
-    this->Engines[Used[Part]].add({Id, WholeMs / static_cast<double>(Used.size()),
-                                   WholeMs, Origin.Tokens, Attempt.OutputTokens,
-                                   Urgency, Part > 0, Reserves});
+    this->Engines[Used[Part]].add(
+        {Id, WholeMs / static_cast<double>(Used.size()), WholeMs, Origin.Tokens,
+         Attempt.OutputTokens, Urgency, Part > 0, Reserves});
     this->runPass(Used[Part]);
   }
 }
@@ -393,8 +396,8 @@
     this->Queue.after(EngineDelay, [this, Id] {
       Caller &Origin = this->Callers[Id];
       if (!Origin.IsFinished)
-        this->finish(Id, Origin.IsLate ? &ReplayCount::Late
-                                       : &ReplayCount::InTime);
+        this->finish(Id,
+                     Origin.IsLate ? &ReplayCount::Late : &ReplayCount::InTime);
     });
   for (const std::uint64_t Id : Result.PartsDone) {
     Caller &Origin = this->Callers[Id];
@@ -438,7 +441,8 @@
     this->finish(Id, &ReplayCount::GaveUp);
 }
 
-void AdmissionReplay::endAttempt(std::uint64_t Id, const RelayOutcome &Outcome) {
+void AdmissionReplay::endAttempt(std::uint64_t Id,
+                                 const RelayOutcome &Outcome) {
   Caller &Origin = this->Callers[Id];
   if (!Origin.Attempt)
     return;
@@ -472,8 +476,9 @@
   ReplayCount &Count = this->Counts[Origin.Kind];
   ++(Count.*Outcome);
   const ReplayKind &Kind = this->kindOf(Origin);
-  const double Full = Kind.Weight * (0.3 + 0.7 * static_cast<double>(Origin.Tokens) /
-                                               Kind.MeanTokens);
+  const double Full =
+      Kind.Weight *
+      (0.3 + 0.7 * static_cast<double>(Origin.Tokens) / Kind.MeanTokens);
   if (Outcome == &ReplayCount::InTime)
     Count.Value += Full;
   if (Outcome == &ReplayCount::Late)
@@ -499,9 +504,11 @@
   for (auto &[Id, Origin] : this->Callers) {
     if (!Origin.Attempt)
       continue;
-    bool Affected = this->Failing.contains(this->indexOf(Origin.Attempt->Engine));
+    bool Affected =
+        this->Failing.contains(this->indexOf(Origin.Attempt->Engine));
     for (const HelperEngine &Helper : Origin.Attempt->Helpers)
-      Affected = Affected || this->Failing.contains(this->indexOf(Helper.Engine));
+      Affected =
+          Affected || this->Failing.contains(this->indexOf(Helper.Engine));
     if (Affected)
       this->breakAttempt(Id);
   }
@@ -521,12 +528,15 @@
   Result.Model.MsPerMillionPairs = 0.162;
   Result.Model.MeanPromptTokens = 5000;
   Result.Model.MeanAnswerTokens = 1500;
-  Result.Kinds[0] = {5000, 0.9, 62.8, milliseconds(300), seconds(10),
-                     milliseconds(250), 1500, 1, 0};
-  Result.Kinds[1] = {45'000, 0.5, 4.41, milliseconds(1500), seconds(10),
-                     milliseconds(500), 2000, 6, 1};
-  Result.Kinds[2] = {260'000, 0.55, 1.43, seconds(4), seconds(15),
-                     milliseconds(1000), 3000, 26, 2};
+  Result.Kinds[0] = {
+      5000, 0.9, 62.8, milliseconds(300), seconds(10), milliseconds(250),
+      1500, 1,   0};
+  Result.Kinds[1] = {
+      45'000, 0.5, 4.41, milliseconds(1500), seconds(10), milliseconds(500),
+      2000,   6,   1};
+  Result.Kinds[2] = {260'000,    0.55,        1.43,
+                     seconds(4), seconds(15), milliseconds(1000),
+                     3000,       26,          2};
   Result.BurstFactor = 2.9;
   Result.BurstFor = milliseconds(9500);
   return Result;
@@ -558,12 +568,12 @@
     const ReplayCount &Count = Counts[Kind];
     Value += Count.Value;
     Max += Count.MaxValue;
-    Result += fmt::format("{:6} sent {:4} in time {:4} late {:3} refused {:3} "
-                          "left {:3} lost {:3} largest {}/{} value {:.3f}\n",
-                          Names[Kind], Count.Sent, Count.InTime, Count.Late,
-                          Count.Refused, Count.GaveUp, Count.Lost,
-                          Count.LargestServed, Count.LargestSent,
-                          Count.share());
+    Result +=
+        fmt::format("{:6} sent {:4} in time {:4} late {:3} refused {:3} "
+                    "left {:3} lost {:3} largest {}/{} value {:.3f}\n",
+                    Names[Kind], Count.Sent, Count.InTime, Count.Late,
+                    Count.Refused, Count.GaveUp, Count.Lost,
+                    Count.LargestServed, Count.LargestSent, Count.share());
   }
   return Result + fmt::format("all value {:.3f}\n", Value / std::max(Max, 1.0));
 }
--- a/tests/auto/engineload/ReplayEngine.cpp
+++ b/tests/auto/engineload/ReplayEngine.cpp
@@ -11,9 +11,10 @@
   const auto Order = [](const Prefill &Item) {
     return std::pair(!Item.IsHelper, Item.IsHelper ? 0 : Item.Urgency);
   };
-  const auto Place = std::ranges::find_if(this->Prefills, [&](const Task &Item) {
-    return !Item.Admitted && Order(Work) < Order(Item.Work);
-  });
+  const auto Place =
+      std::ranges::find_if(this->Prefills, [&](const Task &Item) {
+        return !Item.Admitted && Order(Work) < Order(Item.Work);
+      });
   this->Prefills.insert(Place, {Work, Work.PartMs});
 }
 
@@ -29,8 +30,7 @@
 void ReplayEngine::cancel(Attempt Id) {
   for (std::vector<Task> *Tasks :
        {&this->Prefills, &this->Prepared, &this->Decoding})
-    std::erase_if(*Tasks,
-                  [&](const Task &Item) { return Item.Work.Id == Id; });
+    std::erase_if(*Tasks, [&](const Task &Item) { return Item.Work.Id == Id; });
   this->Reserved.erase(Id);
 }
 
@@ -68,11 +68,12 @@
   for (Task &Item : this->Prefills) {
     if (Item.Admitted)
       continue;
-    const std::uint64_t Tokens =
-        Item.Work.IsHelper || Item.Work.HasReserved ? 0 : Item.Work.PromptTokens;
-    const bool Fits = Item.Work.IsHelper ||
-                      (Slots < this->Model.Slots &&
-                       Used + Tokens <= this->Model.MemoryTokens);
+    const std::uint64_t Tokens = Item.Work.IsHelper || Item.Work.HasReserved
+                                     ? 0
+                                     : Item.Work.PromptTokens;
+    const bool Fits =
+        Item.Work.IsHelper || (Slots < this->Model.Slots &&
+                               Used + Tokens <= this->Model.MemoryTokens);
     // A prompt that does not fit is not overtaken.
     if (!Fits)
       return;
@@ -96,7 +97,10 @@
   for (Task &Item : this->Prefills) {
     if (!Item.Admitted || StepsLeft <= 0)
       continue;
-    const double ChunkMs = prefillMs(this->Model, this->Model.ChunkTokens);
+    // The pairs make the tokens of a long prompt dearer; the mean is used.
+    const double ChunkMs = Item.Work.WholeMs /
+                           static_cast<double>(Item.Work.PromptTokens) *
+                           static_cast<double>(this->Model.ChunkTokens);
     const double TakenMs = std::min(Item.LeftMs, StepsLeft * ChunkMs);
     Item.LeftMs -= TakenMs;
     StepsLeft -= TakenMs / ChunkMs;
--- a/tests/auto/engineload/ReplayEngine.h
+++ b/tests/auto/engineload/ReplayEngine.h
@@ -40,7 +40,9 @@
   /// Drops all work, as when the engine fails.
   void clear();
 
-  bool isIdle() const { return this->Prefills.empty() && this->Decoding.empty(); }
+  bool isIdle() const {
+    return this->Prefills.empty() && this->Decoding.empty();
+  }
   bool inPass() const { return this->InPass; }
   /// Starts a pass and returns its length, or zero without work.
   Duration startPass();
