--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -306,43 +306,6 @@
   return AwaitTurn{fromMilliseconds(std::clamp(UntilMs, MinPollMs, MaxPollMs))};
 }
 
-EngineChoice EngineLoadPlugin::choosePlanned(
-    std::span<const EngineState> States, const EngineRequirements &Requirements,
-    const PromptWork &Work, const EngineParameters &Model, Time Now) {
-  EngineWork::QueuedPrompt Own;
-  Own.Request = Requirements.Request.Value;
-  Own.Tokens = Requirements.PromptTokens;
-  Own.PrefillMs = Work.PrefillMs;
-  Own.LeftMs = inMilliseconds(Requirements.Objective - Requirements.Waited);
-  AdmissionRequest Request;
-  Request.Work = Work;
-  Request.EngineTokens = Model.MemoryTokens;
-  Request.Times = deferralTimes(Requirements);
-  Request.IsFirst = this->Queue.rank(Own, this->Members->self(), Now) == 0;
-  Request.MsAhead = this->Queue.prefillAheadMs(Own, this->Members->self(), Now);
-  AdmissionDecision Decision = decideAdmission(States, Request, this->Weights);
-  return match(
-      Decision,
-      [&](const SendNow &Sent) -> EngineChoice {
-        this->Queue.drop(Own.Request);
-        return toChosen(States, Sent.Place, &Model, false);
-      },
-      [&](const WaitForTurn &Waiting) -> EngineChoice {
-        Own.NeededMs = Waiting.NeededMs;
-        if (this->Queue.note(Own, Now))
-          this->Reports.noteUrgent(Now);
-        return AwaitTurn{fromMilliseconds(
-            std::clamp(Waiting.CheckMs, MinPollMs, MaxPollMs))};
-      },
-      [&](const RefuseNow &Refused) -> EngineChoice {
-        this->forget(Requirements.Request, Now);
-        return RetryLater{RetryLater::Why::TooLate,
-                          retryAfter(Request.Times,
-                                     this->RandomNumbers->fraction(),
-                                     fromMilliseconds(Refused.RoomMs))};
-      });
-}
-
 EngineChoice EngineLoadPlugin::deferLong(const EngineRequirements &Requirements,
                                          double Scarcity, Time Now) {
   // Leave the queue, so that prompts that can be sent are not blocked.
