--- a/src/plugins/engineload/EngineLoadAdmission.cpp
+++ b/src/plugins/engineload/EngineLoadAdmission.cpp
@@ -14,6 +14,11 @@
 constexpr double MinPlanPollMs = 3;
 constexpr double MaxPlanPollMs = 20;
 
+/// A caller that was asked to retry goes before newer prompts of equal value:
+/// the queue sorts by tokens per prefill time, and its prompt counts with this
+/// fraction more tokens.
+constexpr std::uint64_t ReturnedShare = 2;
+
 } // namespace
 
 EngineChoice EngineLoadPlugin::choosePlanned(
@@ -22,6 +27,8 @@
   EngineWork::QueuedPrompt Own;
   Own.Request = Requirements.Request.Value;
   Own.Tokens = Requirements.PromptTokens;
+  if (!Requirements.MayRetryLater)
+    Own.Tokens += Requirements.PromptTokens / ReturnedShare;
   Own.PrefillMs = Work.PrefillMs;
   Own.LeftMs = inMilliseconds(Requirements.Objective - Requirements.Waited);
   AdmissionRequest Request;
