--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -118,6 +118,7 @@
               Values.span(Section, "warm_up_ask_interval"),
               static_cast<std::uint32_t>(Values.whole(Section, "slow_start"))});
   this->Queue = PromptQueue(QueueEntryTtl, this->Weights.LateShare);
+  this->Admission = admissionOrder(Values.text("placement", "admission"));
   Context.services().provide<EngineSelector>(*this);
   Context.services().list<RelayObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
@@ -151,9 +152,8 @@
 }
 
 Time EngineLoadPlugin::nextWake() const {
-  return std::min(
-      {this->Reports.next(), this->Slowdowns.nextDue(), this->Lost.nextDue(),
-       this->View.nextWake()});
+  return std::min({this->Reports.next(), this->Slowdowns.nextDue(),
+                   this->Lost.nextDue(), this->View.nextWake()});
 }
 
 void EngineLoadPlugin::askReport(const UpstreamId &Engine, Time Now,
@@ -281,7 +281,9 @@
     return NoEngine{};
   const PromptWork Work = workOf(Requirements, Model);
   if (Model && !this->isShort(*Model, Requirements.Service, Work.PrefillMs))
-    return this->chooseShared(States, Requirements, Work, *Model, Now);
+    return this->Admission == AdmissionOrder::Plan
+               ? this->choosePlanned(States, Requirements, Work, *Model, Now)
+               : this->chooseShared(States, Requirements, Work, *Model, Now);
   const std::uint32_t Slots =
       Model ? Model->Slots : States.front().Engine->Record.Slots;
   const std::size_t Front =
@@ -328,8 +330,11 @@
     return RetryLater{RetryLater::Why::TooLate,
                       retryAfter(deferralTimes(Requirements), 0)};
   }
+  // The orders without a plan that serve comparison defer nothing.
+  const bool MayDefer = this->Admission == AdmissionOrder::Queue;
   if (!Place ||
-      !isWorthServingNow(*Place, Work, deferralTimes(Requirements), Scarcity))
+      (MayDefer &&
+       !isWorthServingNow(*Place, Work, deferralTimes(Requirements), Scarcity)))
     return this->deferLong(Requirements, Scarcity, Now);
   EngineWork::QueuedPrompt Own;
   Own.Request = Requirements.Request.Value;
@@ -337,6 +342,8 @@
   Own.PrefillMs = Work.PrefillMs;
   Own.NeededMs = Place->FirstTokenMs - Place->StartMs;
   Own.LeftMs = Times.ObjectiveMs;
+  if (this->Admission == AdmissionOrder::Arrival)
+    orderByArrival(Own, Requirements.Waited);
   const bool IsReady = Place->AheadMs <= this->Weights.AheadMs;
   if (IsReady && this->isFirstInQueue(States, Own, Now)) {
     this->Queue.drop(Own.Request);
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -4,6 +4,7 @@
 
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
+#include "plugins/engineload/AdmissionPlan.h"
 #include "plugins/engineload/EngineLoad.h"
 #include "plugins/engineload/EngineSlowdowns.h"
 #include "plugins/engineload/GapBounds.h"
@@ -91,6 +92,11 @@
                             const EngineParameters &Model, Time Now);
   /// Defers a short prompt while no engine has memory for it.
   EngineChoice deferShort(const EngineRequirements &Requirements);
+  /// Like chooseShared(), where the setting asks for a plan.
+  EngineChoice choosePlanned(std::span<const EngineState> States,
+                             const EngineRequirements &Requirements,
+                             const PromptWork &Work,
+                             const EngineParameters &Model, Time Now);
   /// Defers a long prompt: it waits here, or its caller retries later.
   EngineChoice deferLong(const EngineRequirements &Requirements,
                          double Scarcity, Time Now);
@@ -184,6 +190,7 @@
   ZoneFront LoggedFront;
   LostAnswers Lost;
   PlacementWeights Weights;
+  AdmissionOrder Admission = AdmissionOrder::Queue;
   PromptQueue Queue;
   GapBounds Gaps;
   std::map<UpstreamId, EngineLoad> Loads;
--- a/src/plugins/engineload/EngineLoadSettings.cpp
+++ b/src/plugins/engineload/EngineLoadSettings.cpp
@@ -94,6 +94,16 @@
        "What each transfer between data centres counts (milliseconds of engine "
        "time) when engines are chosen that read a prompt together.",
        0, 100000},
+      {Section,
+       "admission",
+       SettingKind::Choice,
+       "queue",
+       "How long prompts are admitted: `queue` orders those that wait, `plan` "
+       "also decides which of them wait, are sent or are refused; `arrival` "
+       "and `value` serve comparison.",
+       0,
+       0,
+       {"queue", "plan", "arrival", "value"}},
   };
 }
 
