--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -94,8 +94,8 @@
   /// Makes the store drop all records that ended an evacuation.
   void dropEvacuationHistory();
   bool isEvacuated(std::size_t Host, std::size_t Zone) const;
-  /// Returns the index of the zone of the engine.
-  std::size_t zoneOf(std::size_t Engine) const { return Engine % Zones; }
+  /// Returns the index of the zone of a host or an engine.
+  std::size_t zoneOf(std::size_t Index) const { return Index % Zones; }
   /// Makes the store refuse all reads of the host.
   void refuseStoreReads(std::size_t Host) { this->RefusedReaders.insert(Host); }
   /// Returns whether the host reads the store itself.
@@ -161,7 +161,6 @@
                                          const std::string &Zone = "");
   /// The connections from hosts to engines.
   SimulatedConnections &connections() { return this->Connections; }
-  std::size_t zoneOf(std::size_t Host) const { return Host % Zones; }
   std::uint64_t versionAt(std::size_t Host) const;
   bool knowsLeaving(std::size_t Host, std::size_t Engine) const;
 
