Fit two tests to the merged parts

The replay of admission provides home regions, and the tests of lost answers turn the warm-up off, whose first report delays those that they expect.

--- a/tests/auto/engineload/AdmissionReplay.cpp
+++ b/tests/auto/engineload/AdmissionReplay.cpp
@@ -70,6 +70,19 @@
   return *this;
 }
 
+namespace {
+
+/// A deployment without home regions.
+class AnyRegion : public RegionView {
+public:
+  RegionId regionOf(const ZoneId &) const override { return RegionId(); }
+  bool isHome(const ZoneId &, const HomeRegions &) const override {
+    return true;
+  }
+};
+
+} // namespace
+
 struct AdmissionReplay::Host {
   Host(const std::string &Name, std::vector<HostId> Ids, std::uint64_t Seed)
       : Members(HostId(Name)), Active(std::move(Ids)),
@@ -81,6 +94,7 @@
 
   Identity Self;
   FakeMembershipView Members;
+  AnyRegion Regions;
   SharedEngines Active;
   Settings Values;
   Services Registry;
@@ -124,6 +138,7 @@
     Host &Added = *this->Hosts.back();
     Added.Values.set("placement", "admission", Wanted.Admission);
     Added.Registry.provide<MembershipView>(Added.Members);
+    Added.Registry.provide<RegionView>(Added.Regions);
     Added.Registry.provide<ActiveHostsView>(Added.Active);
     Added.Registry.provide<EngineDirectory>(*this);
     Added.Registry.provide<RouteView>(*this);
--- a/tests/auto/gateway/LostAnswersTest.cpp
+++ b/tests/auto/gateway/LostAnswersTest.cpp
@@ -66,7 +66,11 @@
   return Result;
 }
 
+/// Reports of the warm-up at the start would delay those that the tests expect.
+const std::vector<SettingChange> NotCounted = {
+    {"engine_load", "warm_up_limit", "0s"}};
 const std::vector<SettingChange> Counted = {
+    {"engine_load", "warm_up_limit", "0s"},
     {"engine_load", "lost_answer_counts", "5s"}};
 
 /// A host with one peer that receives its reports of work.
@@ -93,7 +97,7 @@
   EXPECT_EQ(Bench.reportedAfterALostAnswer(), 2U);
   Bench.advance(milliseconds(100));
   EXPECT_EQ(reported(Bench), 1U) << "its predicted end is past";
-  HostWithPeer Without({});
+  HostWithPeer Without(NotCounted);
   EXPECT_EQ(Without.reportedAfterALostAnswer(), 1U);
 }
 
