--- a/tests/auto/engineload/AdmissionReplayTest.cpp
+++ b/tests/auto/engineload/AdmissionReplayTest.cpp
@@ -80,6 +80,21 @@
   }
 }
 
+/// The aim for the long kind in the burst of long prompts.
+TEST(AdmissionReplay, PlanReachesItsAimInLongBurst) {
+  const auto Plan = replaySeeds(Cases[0], "plan", 0, 3);
+  EXPECT_GE(Plan[2].share(), 0.80);
+}
+
+/// Guards against the starvation of the largest prompts of a kind.
+TEST(AdmissionReplay, PlanServesTheLargestTenthHalfAsOftenAsItsKind) {
+  const ReplayCount Long = replaySeeds(Cases[0], "plan", 0, 3)[2];
+  const double Kind = static_cast<double>(Long.InTime + Long.Late) / Long.Sent;
+  const double Largest =
+      static_cast<double>(Long.LargestServed) / Long.LargestSent;
+  EXPECT_GE(Largest, Kind / 2);
+}
+
 /// Guards against a plan that costs value where engines are not scarce.
 TEST(AdmissionReplay, PlanLosesNothingInCalmLoad) {
   const auto Queue = replay(Cases[3], "queue", 0, 1);
--- a/tests/auto/gateway/MemoryMarginTest.cpp
+++ b/tests/auto/gateway/MemoryMarginTest.cpp
@@ -105,6 +105,14 @@
   EXPECT_GT(Bounded.deferred(), 0U);
 }
 
+/// Guards against engines that crash because hosts with old views together send
+/// more than their memory.
+TEST(MemoryMargin, KeepsTheSumBelowTheMemoryAtFullDemandWithLostReports) {
+  constexpr double PerSecond = 1.3 * Memory * Engines / (MeanTokens * 4.0);
+  StaleHosts Bounded(0.25, LostReportAge);
+  EXPECT_LE(Bounded.peakShare(PerSecond, seconds(20)), 1);
+}
+
 TEST(MemoryMargin, KeepsTheSumAtUsualLoadWithLostReportsAndDefersNothing) {
   constexpr double PerSecond = 0.4 * Memory * Engines / (MeanTokens * 4.0);
   StaleHosts Bounded(0.25, LostReportAge);
--- a/tests/auto/kernel/PluginListTest.cpp
+++ b/tests/auto/kernel/PluginListTest.cpp
@@ -49,8 +49,8 @@
   EXPECT_EQ(Used, (std::set<std::string>{
                       "active_hosts", "crashes", "departure", "engine_limits",
                       "engine_load", "engine_memory", "engine_signals",
-                      "engine_trust", "engines", "host_directory", "membership",
-                      "relays", "routes", "store_readers"}));
+                      "engine_trust", "engines", "evacuation", "host_directory",
+                      "membership", "relays", "routes", "store_readers"}));
   EXPECT_EQ(pluginsFor(ServingMode::Catalogue).size(), 19U);
 }
 
