--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -68,9 +68,10 @@
   virtual ~EngineObserver() = default;
   virtual void engineChanged(const RegisteredEngine &, Time, Actions &) {}
   virtual void engineRemoved(const UpstreamId &, Time, Actions &) {}
-  /// A registration says that the engine is cold. \p WasKnown: the engine was
+  /// A registration says that the engine is cold. \p WasWarm: the engine was
   /// registered before and was not cold, so requests to it may be under way.
-  virtual void engineCold(const EngineRecord &, bool, Time, Actions &) {}
+  virtual void engineCold(const EngineRecord & /*Record*/, bool /*WasWarm*/,
+                          Time, Actions &) {}
   /// The engine restarted. The work and memory of the earlier incarnation are
   /// lost. Followed by engineRemoved() for the earlier incarnation.
   virtual void engineRestarted(const UpstreamId &, Time, Actions &) {}
--- a/src/libs/kernel/HostShare.h
+++ b/src/libs/kernel/HostShare.h
@@ -8,14 +8,16 @@
 
 /// Share of a common limit that the active hosts divide among themselves. The
 /// other hosts have the remainder, for callers that still use an earlier answer
-/// of host discovery. The share is not larger because a host that replaces a
-/// dead one gets its part while the dead host's use still counts.
+/// of host discovery. A larger share would exceed the limit for a while when a
+/// host replaces a dead one: both parts are in use until the limited resource
+/// no longer counts the dead host's use.
 inline constexpr double ActiveHostsShare = 0.6;
 
 /// Returns this host's part of a limit on all hosts together, from 0 to 1.
 inline double hostShare(const MembershipView &Members,
                         const ActiveHostsView &Active) {
-  // Dead hosts count while they are known, because their use still counts.
+  // Dead hosts are included while they are known, because what they used, such
+  // as open connections, may not be free yet.
   const auto AllHosts = static_cast<double>(Members.peers().size() + 1);
   const auto ActiveHosts = static_cast<double>(Active.activeHosts().size());
   if (ActiveHosts >= AllHosts)
--- a/src/libs/relay/EngineLinkPool.cpp
+++ b/src/libs/relay/EngineLinkPool.cpp
@@ -64,8 +64,9 @@
   if (MaxConnections == 0)
     return Result;
   const auto Idle = this->IdleLinks.find(Engine);
-  while (Idle != this->IdleLinks.end() && !Idle->second.empty() &&
-         this->connections(Engine) >= MaxConnections)
+  // Counts first, because counting removes the links that no longer exist.
+  while (this->connections(Engine) >= MaxConnections &&
+         Idle != this->IdleLinks.end() && !Idle->second.empty())
     Idle->second.erase(Idle->second.begin());
   this->Links[Engine].push_back(Result);
   return Result;
--- a/src/libs/relay/EngineLinkPool.h
+++ b/src/libs/relay/EngineLinkPool.h
@@ -51,8 +51,9 @@
   void forget(const UpstreamId &Engine) { this->IdleLinks.erase(Engine); }
 
 private:
-  /// Returns the number of links to the upstream that are idle or in use. Only
-  /// upstreams that limit their connections are counted.
+  /// Returns the number of links that were created for the upstream with a
+  /// limit and are idle or in use. Links of create() without a limit, such as
+  /// those of report requests and orders, are not counted.
   std::size_t connections(const UpstreamId &Engine);
 
   net::any_io_executor Executor;
--- a/src/plugins/enginelimits/ColdEngines.cpp
+++ b/src/plugins/enginelimits/ColdEngines.cpp
@@ -75,6 +75,8 @@
                 .with("said", Text)
                 .with("taken_as_us", For.count())
                 .build());
+  // Whether it was in use is not known either, so the safe case is assumed.
+  // Each further unreadable time starts the cold time again.
   this->takeCold(Engine, For, true, this->Self, Now, Out);
 }
 
--- a/src/plugins/enginelimits/ConnectionUse.cpp
+++ b/src/plugins/enginelimits/ConnectionUse.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-/// Share of the limit below which a host may exceed its part. The rest covers
-/// idle connections and requests that peers have not reported yet.
-constexpr double UnboundedShare = 0.5;
+/// While all hosts together use less than this share of the limit, one of them
+/// may exceed its part. The rest covers idle connections and requests that
+/// peers have not reported yet.
+constexpr double FreeUseShare = 0.5;
 
 /// Retention of a peer's report. A peer that works reports more often.
 constexpr seconds PeerUseTtl(10);
@@ -48,11 +49,11 @@
                              std::span<const EngineWork::Item> Items,
                              Time Now) {
   std::erase_if(this->Peers, [&](const auto &Entry) {
-    const bool IsReplaced =
+    const bool IsOutdated =
         Entry.first == Peer || Now >= Entry.second.HeardAt + PeerUseTtl;
-    if (IsReplaced)
+    if (IsOutdated)
       this->forget(Entry.second);
-    return IsReplaced;
+    return IsOutdated;
   });
   PeerUse &Use = this->Peers[Peer];
   Use.HeardAt = Now;
@@ -80,8 +81,7 @@
   const auto Total = this->PeerTotals.find(Engine);
   const std::size_t OfPeers =
       Total == this->PeerTotals.end() ? 0 : Total->second;
-  return static_cast<double>(Running + OfPeers) <
-         MaxConnections * UnboundedShare;
+  return static_cast<double>(Running + OfPeers) < MaxConnections * FreeUseShare;
 }
 
 } // namespace banyanpick
--- a/src/plugins/enginelimits/ConnectionUse.h
+++ b/src/plugins/enginelimits/ConnectionUse.h
@@ -11,8 +11,8 @@
 namespace banyanpick {
 
 /// Counts the requests that run on each engine, each of which holds a
-/// connection, and decides whether this host may open another one. Responds to
-/// bursts in which many hosts send to the same engines.
+/// connection, and decides whether this host may open another one. Otherwise
+/// many hosts that send to one engine at once would exceed its limit.
 ///
 /// Each host keeps to its part of the limit. Requests are distributed unevenly
 /// over engines, so a part is often too small while the engine has many
--- a/src/plugins/enginelimits/EngineLimitsPlugin.cpp
+++ b/src/plugins/enginelimits/EngineLimitsPlugin.cpp
@@ -247,7 +247,8 @@
                         Found->second.Held.count(Now) > 0;
   if (!HasLease)
     return false;
-  // Only an engine with requests of this host can exceed its part.
+  // Without requests at the engine, this host is within its part of the
+  // connections, so the service need not be looked up.
   const ServiceId *Service = this->Connections.serviceOf(Engine);
   const RouteTable *Routes = Service ? this->Declared->routes() : nullptr;
   const ServiceEntry *Entry = Routes ? Routes->service(*Service) : nullptr;
--- a/src/plugins/enginelimits/LimitInForce.h
+++ b/src/plugins/enginelimits/LimitInForce.h
@@ -23,7 +23,9 @@
 /// counts from when it heard and keeps the latest end.
 class ColdState {
 public:
-  /// Returns whether the engine is cold for longer than was known.
+  /// Returns whether the engine is cold for longer than was known. Only then is
+  /// \p RatePerSecond taken, so a cold time keeps its rate until it is
+  /// prolonged.
   bool take(double RatePerSecond, Duration For, Time Now);
 
   bool isCold(Time Now) const { return Now < this->End; }
--- a/src/plugins/engineload/AdmissionPlan.cpp
+++ b/src/plugins/engineload/AdmissionPlan.cpp
@@ -2,11 +2,14 @@
 
 #include "base/Milliseconds.h"
 
+#include <algorithm>
+
 namespace banyanpick {
 
 namespace {
 
-/// Interval between two decisions on a prompt that waits for room.
+/// Interval between two decisions on a prompt that waits for room, of which the
+/// end is not predicted. The caller bounds it.
 constexpr double RoomCheckMs = 20;
 
 /// Returns how much longer the prompt's engines have work before it. Work of
@@ -46,7 +49,9 @@
 }
 
 void orderByArrival(EngineWork::QueuedPrompt &Prompt, Duration Waited) {
-  // The queue divides the tokens by the prefill time.
+  // The queue orders by tokens divided by prefill time, so both are set to make
+  // this the time waited. It puts back prompts that need more time than is
+  // left, so this one needs none and has plenty left.
   Prompt.PrefillMs = 1;
   Prompt.Tokens = static_cast<std::uint64_t>(inMilliseconds(Waited));
   Prompt.NeededMs = 0;
@@ -65,8 +70,9 @@
   InTimeOnly.LateShare = 0;
   std::optional<PromptPlacement> Place =
       placementFor(States, Request, Times, InTimeOnly);
-  const double LeastMs =
-      Request.Work.PrefillMs / static_cast<double>(Weights.MaxHelpers);
+  // Few engines or their other work can make the prefill longer.
+  const double LeastMs = Request.Work.PrefillMs /
+                         std::max(static_cast<double>(Weights.MaxHelpers), 1.0);
   const double RoomMs = waitMs(States, Request);
   const bool InTime = Place && Place->FirstTokenMs <= Times.ObjectiveMs;
   const bool IsReady = Place && Place->AheadMs <= Weights.AheadMs;
@@ -77,7 +83,7 @@
                        LeastMs};
   if (Request.Times.MayRetryLater)
     return RefuseNow{RoomMs};
-  // The answer is late in any case. It must not delay others.
+  // The answer is late in any case. It must not delay answers of more value.
   Place = placementFor(States, Request, Times, Weights);
   if (Place && Place->AheadMs <= Weights.AheadMs && Request.IsFirst &&
       Place->GainMs > 0)
--- a/src/plugins/engineload/AdmissionPlan.h
+++ b/src/plugins/engineload/AdmissionPlan.h
@@ -39,7 +39,7 @@
   PromptPlacement Place;
 };
 struct WaitForTurn {
-  double CheckMs = 0;  ///< Until the decision is taken again.
+  double CheckMs = 0;  ///< Until the next decision; may be negative.
   double NeededMs = 0; ///< From sending to the first token.
 };
 struct RefuseNow {
@@ -48,8 +48,8 @@
 using AdmissionDecision = std::variant<SendNow, WaitForTurn, RefuseNow>;
 
 /// Decides by the states of the engines and the work that goes before the
-/// prompt. A prompt that would be late is sent only when no other waits and its
-/// parts delay no answer.
+/// prompt. A prompt that would be late is sent only when no other goes before
+/// it and it is worth more than the answers that its parts delay.
 AdmissionDecision decideAdmission(std::span<const EngineState> States,
                                   const AdmissionRequest &Request,
                                   const PlacementWeights &Weights);
--- a/src/plugins/engineload/EngineLoadAdmission.cpp
+++ b/src/plugins/engineload/EngineLoadAdmission.cpp
@@ -10,14 +10,16 @@
 
 namespace {
 
-/// Bounds on the interval between two decisions on a waiting prompt.
+/// Bounds on the interval between two decisions on a waiting prompt: the lower
+/// limits the processor time of waiting prompts, the upper lets a prompt notice
+/// soon that those before it are gone.
 constexpr double MinPlanPollMs = 3;
 constexpr double MaxPlanPollMs = 20;
 
 /// A caller that was asked to retry goes before newer prompts of equal value:
-/// the queue sorts by tokens per prefill time, and its prompt counts with this
-/// fraction more tokens.
-constexpr std::uint64_t ReturnedShare = 2;
+/// the queue sorts by tokens per prefill time, and its prompt counts with more
+/// tokens, by its own number divided by this.
+constexpr std::uint64_t ReturnedDivisor = 2;
 
 } // namespace
 
@@ -28,7 +30,7 @@
   Own.Request = Requirements.Request.Value;
   Own.Tokens = Requirements.PromptTokens;
   if (!Requirements.MayRetryLater)
-    Own.Tokens += Requirements.PromptTokens / ReturnedShare;
+    Own.Tokens += Requirements.PromptTokens / ReturnedDivisor;
   Own.PrefillMs = Work.PrefillMs;
   Own.LeftMs = inMilliseconds(Requirements.Objective - Requirements.Waited);
   AdmissionRequest Request;
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -625,7 +625,7 @@
   this->noteChange(this->isReportedSoon(Attempt), Now);
 }
 
-void EngineLoadPlugin::forgetRun(const UpstreamId &Id, Time Now) {
+void EngineLoadPlugin::forgetProcess(const UpstreamId &Id, Time Now) {
   this->Connections.forget(Id);
   for (const RelayAttempt &Ended : this->Lost.takeOf(Id))
     this->remove(Ended, Now);
@@ -633,7 +633,7 @@
 
 void EngineLoadPlugin::engineRestarted(const UpstreamId &Id, Time Now,
                                        Actions &) {
-  this->forgetRun(Id, Now);
+  this->forgetProcess(Id, Now);
 }
 
 void EngineLoadPlugin::engineRemoved(const UpstreamId &Id, Time Now,
@@ -643,7 +643,7 @@
   this->ServiceOf.erase(Id);
   this->AreEnginesStale = true;
   this->ShortOfMemory.erase(Id);
-  this->forgetRun(Id, Now);
+  this->forgetProcess(Id, Now);
   const auto Found = this->Loads.find(Id);
   if (Found != this->Loads.end() && !Found->second.hasOwn())
     this->Loads.erase(Found);
--- a/src/plugins/engineload/EngineLoadPlugin.h
+++ b/src/plugins/engineload/EngineLoadPlugin.h
@@ -127,8 +127,9 @@
   std::size_t frontOf(std::span<const EngineState> States, std::uint32_t Slots,
                       Time Now);
   void logFront(Actions &Out);
-  /// Drops what is known of an engine's connections and lost answers.
-  void forgetRun(const UpstreamId &Id, Time Now);
+  /// Called when the process of an engine ended: its open connections and the
+  /// work of lost answers ended with it.
+  void forgetProcess(const UpstreamId &Id, Time Now);
   void takePeerWork(const HostId &From, const EngineWork &Work, Time Now);
   void reportWork(Time Now, Actions &Out);
   /// \p Soon: the change is reported without the rate limit for short work.
@@ -186,8 +187,8 @@
   double NewConnectionMs = 0;
   IdleConnections Connections;
   std::vector<ZoneId> OtherZones; ///< Numbered from 1 in EngineState::Zone.
-  ZoneFront LastFront;            ///< Of the last short prompt.
-  ZoneFront LoggedFront;
+  ZoneFront LastFront;            ///< Of the last short prompt, by zone.
+  ZoneFront LoggedFront;          ///< When logFront() was last called.
   LostAnswers Lost;
   PlacementWeights Weights;
   AdmissionOrder Admission = AdmissionOrder::Queue;
--- a/src/plugins/engineload/HelperZones.h
+++ b/src/plugins/engineload/HelperZones.h
@@ -8,7 +8,7 @@
 
 /// Returns how many transfers between zones the engines cause: one for each
 /// engine outside the zone with the most of them, and one if this zone is not
-/// the host's own. Answers the load of prompts whose parts cross between zones
+/// the host's own. Meant for prompts whose parts cross between zones
 /// although one zone could serve them as well.
 std::size_t zoneCrossings(std::span<const EngineState> States,
                           std::span<const std::size_t> Engines);
--- a/src/plugins/engineload/IdleConnections.h
+++ b/src/plugins/engineload/IdleConnections.h
@@ -12,8 +12,8 @@
 /// Tracks the connections that attempts of this host leave open. The pool of
 /// connections belongs to the traffic thread, and the outcomes of attempts
 /// already tell control all that it needs: an answer that was read to its end
-/// leaves its connection open, and the next attempt takes it. Answers the load
-/// of few requests per host and many engines, where most requests would open a
+/// leaves its connection open, and the next attempt takes it. Meant for few
+/// requests per host and many engines, where most requests would open a
 /// connection.
 class IdleConnections {
 public:
--- a/src/plugins/engineload/LostAnswers.h
+++ b/src/plugins/engineload/LostAnswers.h
@@ -14,7 +14,7 @@
 /// predicted.
 Time predictedEnd(const RelayAttempt &Attempt, const EngineParameters &Model);
 
-/// Holds the attempts that still count as load. Answers the load of engines
+/// Holds the attempts that still count as load. Meant for engines
 /// that lose a part of their answers: if the work of these attempts did not
 /// count, engines would look idle while they run it, and the retries would
 /// follow it to the same engines.
--- a/src/plugins/engineload/WarmUp.h
+++ b/src/plugins/engineload/WarmUp.h
@@ -59,8 +59,8 @@
   WarmUp() = default;
   explicit WarmUp(const WarmUpLimits &Limits) : Limits(Limits) {}
 
-  /// Begins a warm-up and forgets from where the engines were known. Returns
-  /// whether none was running before.
+  /// Begins a warm-up, or begins it again, and forgets which engines are known
+  /// and which peers reported. Returns whether none was running before.
   bool begin(ViewLoss Reason, Time Now);
   bool isRunning() const { return this->Running; }
   ViewLoss reason() const { return this->Reason; }
--- a/src/plugins/engineload/ZoneFront.h
+++ b/src/plugins/engineload/ZoneFront.h
@@ -21,7 +21,7 @@
 /// own zone while its engines are not filled to FillShare. Beyond that, it
 /// continues with the front engines of the other zones.
 ///
-/// Answers the load of many hosts that all gather their short prompts on the
+/// Meant for many hosts that all gather their short prompts on the
 /// same few engines, most of them in other zones.
 ZoneFront frontByZone(std::span<const EngineState> States, std::uint32_t Slots,
                       const PlacementWeights &Weights);
--- a/src/plugins/evacuation/EvacuationPlugin.cpp
+++ b/src/plugins/evacuation/EvacuationPlugin.cpp
@@ -83,8 +83,8 @@
                 .with("from", From)
                 .build());
     this->Unchecked.push_back(Zone);
-    this->ZoneCheckAt =
-        std::min(this->ZoneCheckAt, Now + this->UnknownZoneAfter);
+    // All zones are checked together, so the newest decides when.
+    this->ZoneCheckAt = Now + this->UnknownZoneAfter;
   }
   for (const ZoneId &Zone : Removed) {
     Out.log(logEvent(events::EvacuationEnded)
@@ -122,10 +122,14 @@
 }
 
 void EvacuationPlugin::engineChanged(const RegisteredEngine &Engine, Time,
-                                     Actions &) {
-  // An engine that registers during the evacuation needs no action: nothing was
-  // dispatched to it before.
-  this->EngineZones[Engine.Record.Id] = Engine.Record.Zone;
+                                     Actions &Out) {
+  const auto [Found, IsNew] =
+      this->EngineZones.emplace(Engine.Record.Id, Engine.Record.Zone);
+  // Nothing was dispatched to a new engine, so it need not be closed.
+  if (IsNew || Found->second == Engine.Record.Zone)
+    return;
+  Found->second = Engine.Record.Zone;
+  this->closeEngines(Out);
 }
 
 void EvacuationPlugin::engineRemoved(const UpstreamId &Id, Time, Actions &) {
--- a/src/plugins/evacuation/EvacuationPlugin.h
+++ b/src/plugins/evacuation/EvacuationPlugin.h
@@ -52,7 +52,9 @@
   Duration UnknownZoneAfter{};
   EvacuationRecords Records;
   std::vector<ZoneId> Announced; ///< The evacuated zones that were logged.
-  std::vector<ZoneId> Unchecked; ///< Evacuated, but not yet seen with engines.
+  /// Evacuated zones for which it was not checked yet whether they have
+  /// engines.
+  std::vector<ZoneId> Unchecked;
   std::map<UpstreamId, ZoneId> EngineZones;
   std::uint64_t Changes = 0;
   Time ZoneCheckAt = Never;
--- a/src/plugins/hostdirectory/HostDirectoryPlugin.h
+++ b/src/plugins/hostdirectory/HostDirectoryPlugin.h
@@ -41,8 +41,9 @@
   void logShare(const ZoneId &Zone, const ZoneStanding &Standing,
                 double NearShare, Time Now, Actions &Out);
   std::vector<CallerAddress> readyHosts() const;
-  /// Returns the hosts that may be named to the caller: the active ones or, if
-  /// none of them is in a permitted region, the others that are.
+  /// Returns the hosts that may be named to the caller: the active ones in a
+  /// permitted region or, if there are none, the other ready ones there. If no
+  /// ready host is in a permitted region, all active hosts.
   std::vector<CallerAddress> permittedHosts(const ResolveRequest &Query) const;
   /// Returns the home regions of each route of the host name that has some.
   std::vector<HomeRegions> homesOf(std::string_view Name) const;
--- a/src/plugins/hostdirectory/NearbyHosts.cpp
+++ b/src/plugins/hostdirectory/NearbyHosts.cpp
@@ -11,8 +11,8 @@
 /// answer.
 constexpr seconds CountHalfLife(2);
 
-/// Callers that the expected share counts as. With fewer, single callers would
-/// look like a wave.
+/// The expected share counts like this many callers. With fewer, single callers
+/// would look like a wave.
 constexpr double ExpectedWeight = 20;
 
 } // namespace
--- a/src/plugins/hostdirectory/NearbyHosts.h
+++ b/src/plugins/hostdirectory/NearbyHosts.h
@@ -13,8 +13,8 @@
 class ZoneDemand {
 public:
   void note(const ZoneId &Zone, Time Now);
-  /// Returns the zone's share of the callers that asked. \p Expected, the share
-  /// without any information, counts as much as a few callers.
+  /// Returns the zone's share of the callers that asked. \p Expected is the
+  /// share without any information; it matters while few callers asked.
   double shareOf(const ZoneId &Zone, double Expected, Time Now) const;
 
 private:
@@ -46,7 +46,7 @@
 /// Returns the share of the zone's callers that are sent to hosts of the zone;
 /// the others are sent to hosts of all zones. Zero while a host of the zone is
 /// suspect: the whole zone may be lost, and an answer that names only hosts
-/// that are not suspect yet would name only lost hosts. Answers the load of a
+/// that are not suspect yet would name only lost hosts. Meant for a
 /// wave of demand in one zone, which must not exceed what the hosts of the zone
 /// can serve while others are idle.
 double nearbyShare(const ZoneStanding &Zone, const NearbyLimits &Limits);
--- a/tests/auto/engineload/AdmissionReplay.h
+++ b/tests/auto/engineload/AdmissionReplay.h
@@ -164,7 +164,7 @@
   std::array<ReplayCount, 3> Counts;
 };
 
-/// The second and the first deployment with hard load.
+/// The book cataloguing and the retail assistant of docs/design/hard-load.md.
 ReplaySetup cataloguingSetup();
 ReplaySetup retailSetup();
 
--- a/tests/auto/engineload/AdmissionReplayTest.cpp
+++ b/tests/auto/engineload/AdmissionReplayTest.cpp
@@ -80,18 +80,21 @@
   }
 }
 
-/// The aim for the long kind in the burst of long prompts.
+/// The aim for the long kind in the burst of long prompts. It is not reached;
+/// see KNOWN-RED.txt.
 TEST(AdmissionReplay, PlanReachesItsAimInLongBurst) {
   const auto Plan = replaySeeds(Cases[0], "plan", 0, 3);
   EXPECT_GE(Plan[2].share(), 0.80);
 }
 
-/// Guards against the starvation of the largest prompts of a kind.
+/// Guards against the starvation of the largest prompts of a kind. Fails; see
+/// KNOWN-RED.txt.
 TEST(AdmissionReplay, PlanServesTheLargestTenthHalfAsOftenAsItsKind) {
   const ReplayCount Long = replaySeeds(Cases[0], "plan", 0, 3)[2];
-  const double Kind = static_cast<double>(Long.InTime + Long.Late) / Long.Sent;
-  const double Largest =
-      static_cast<double>(Long.LargestServed) / Long.LargestSent;
+  const double Kind = static_cast<double>(Long.InTime + Long.Late) /
+                      static_cast<double>(Long.Sent);
+  const double Largest = static_cast<double>(Long.LargestServed) /
+                         static_cast<double>(Long.LargestSent);
   EXPECT_GE(Largest, Kind / 2);
 }
 
--- a/tests/auto/engineload/ReplayEngine.cpp
+++ b/tests/auto/engineload/ReplayEngine.cpp
@@ -113,7 +113,6 @@
 void ReplayEngine::preemptNewest() {
   Task Newest = this->Decoding.back();
   this->Decoding.pop_back();
-  ++this->Preemptions;
   Newest.Admitted = false;
   Newest.LeftMs = Newest.Work.WholeMs;
   this->Prefills.push_back(Newest);
--- a/tests/auto/engineload/ReplayEngine.h
+++ b/tests/auto/engineload/ReplayEngine.h
@@ -36,13 +36,9 @@
   void cancel(Attempt Id);
   /// Returns whether the memory was free.
   bool reserve(Attempt Id, std::uint64_t Tokens);
-  void release(Attempt Id) { this->Reserved.erase(Id); }
   /// Drops all work, as when the engine fails.
   void clear();
 
-  bool isIdle() const {
-    return this->Prefills.empty() && this->Decoding.empty();
-  }
   bool inPass() const { return this->InPass; }
   /// Starts a pass and returns its length, or zero without work.
   Duration startPass();
@@ -52,7 +48,6 @@
     std::vector<Attempt> Ended;
   };
   PassResult finishPass();
-  std::size_t preemptions() const { return this->Preemptions; }
 
 private:
   struct Task {
@@ -73,7 +68,6 @@
   std::map<Attempt, std::uint64_t> Reserved;
   std::vector<Attempt> InCurrentPass; ///< Requests that decode in this pass.
   bool InPass = false;
-  std::size_t Preemptions = 0;
 };
 
 } // namespace banyanpick
