--- a/tests/auto/kernel/PluginListTest.cpp
+++ b/tests/auto/kernel/PluginListTest.cpp
@@ -44,11 +44,12 @@
   std::set<std::string> Used;
   for (const PluginDescription &Plugin : pluginsFor(ServingMode::Gateway))
     Used.emplace(Plugin.Name);
-  EXPECT_EQ(Used, (std::set<std::string>{
-                      "active_hosts", "crashes", "departure", "engine_limits",
-                      "engine_load", "engine_memory", "engine_signals",
-                      "engine_trust", "engines", "evacuation", "host_directory",
-                      "membership", "relays", "routes", "store_readers"}));
+  EXPECT_EQ(Used,
+            (std::set<std::string>{
+                "active_hosts", "crashes", "departure", "engine_limits",
+                "engine_load", "engine_memory", "engine_signals",
+                "engine_trust", "engines", "evacuation", "host_directory",
+                "membership", "regions", "relays", "routes", "store_readers"}));
   EXPECT_EQ(pluginsFor(ServingMode::Catalogue).size(), 19U);
 }
 
