--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -479,47 +479,49 @@
       [](const auto &) {});
 }
 
+void HostSimulation::dispatch(std::size_t Index,
+                              const DispatchRelay &Dispatch) {
+  const std::uint64_t Life = this->Hosts[Index].Life;
+  ++this->Current.Sent[Dispatch.Engine];
+  this->Connections.send(Index, Dispatch.Engine, Dispatch.Fresh,
+                         this->Queue.now());
+  this->UnreportedSince.try_emplace(Index, this->Queue.now());
+  const auto Target =
+      std::ranges::find(this->Engines, Dispatch.Engine, &EngineRecord::Id);
+  this->Current.SentToOtherZones +=
+      Target->Zone == this->Hosts[Index].Self.Zone ? 0 : 1;
+  const auto Sheds = this->Shedding.find(Dispatch.Engine);
+  const bool Refuses = Sheds != this->Shedding.end();
+  const Duration Backoff = Refuses ? Sheds->second : Duration(0);
+  std::vector<Arrival> &Arrivals = this->Arrived[Dispatch.Engine];
+  Arrivals.push_back({this->Queue.now(), Index, Backoff});
+  Arrivals.back().AtColdEngine = this->isCold(Dispatch.Engine);
+  if (this->Failing.contains(Dispatch.Engine) ||
+      this->FailedLinks.contains(Index)) {
+    this->Queue.after(ResetDelay, [this, Index, Life, Id = Dispatch.Attempt] {
+      this->send(Index, Life, GatewayEvent(RelayEnded{Id, RelayBroken{}}));
+    });
+    return;
+  }
+  const RunningRequest Running{Index,
+                               Life,
+                               Dispatch.Attempt,
+                               Dispatch.Request,
+                               this->Queue.now(),
+                               this->EngineRun,
+                               Arrivals.size() - 1};
+  if (Refuses)
+    this->refuseRun(Dispatch.Engine, Running, Backoff);
+  else
+    this->serve(Dispatch.Engine, Running);
+}
+
 void HostSimulation::perform(std::size_t Index,
                              const GatewayAction &Requested) {
   const std::uint64_t Life = this->Hosts[Index].Life;
   match(
       Requested,
-      [&](const DispatchRelay &Dispatch) {
-        ++this->Current.Sent[Dispatch.Engine];
-        this->Connections.send(Index, Dispatch.Engine, Dispatch.Fresh,
-                               this->Queue.now());
-        this->UnreportedSince.try_emplace(Index, this->Queue.now());
-        const auto Target = std::ranges::find(this->Engines, Dispatch.Engine,
-                                              &EngineRecord::Id);
-        this->Current.SentToOtherZones +=
-            Target->Zone == this->Hosts[Index].Self.Zone ? 0 : 1;
-        const auto Sheds = this->Shedding.find(Dispatch.Engine);
-        const bool Refuses = Sheds != this->Shedding.end();
-        const Duration Backoff = Refuses ? Sheds->second : Duration(0);
-        std::vector<Arrival> &Arrivals = this->Arrived[Dispatch.Engine];
-        Arrivals.push_back({this->Queue.now(), Index, Backoff});
-        Arrivals.back().AtColdEngine = this->isCold(Dispatch.Engine);
-        if (this->Failing.contains(Dispatch.Engine) ||
-            this->FailedLinks.contains(Index)) {
-          this->Queue.after(
-              ResetDelay, [this, Index, Life, Id = Dispatch.Attempt] {
-                this->send(Index, Life,
-                           GatewayEvent(RelayEnded{Id, RelayBroken{}}));
-              });
-          return;
-        }
-        const RunningRequest Running{Index,
-                                     Life,
-                                     Dispatch.Attempt,
-                                     Dispatch.Request,
-                                     this->Queue.now(),
-                                     this->EngineRun,
-                                     Arrivals.size() - 1};
-        if (Refuses)
-          this->refuseRun(Dispatch.Engine, Running, Backoff);
-        else
-          this->serve(Dispatch.Engine, Running);
-      },
+      [&](const DispatchRelay &Dispatch) { this->dispatch(Index, Dispatch); },
       [&](const AskReport &Asked) { this->reportLoad(Index, Asked.Engine); },
       [&](const RefuseRelay &Refusal) { this->handleRefusal(Index, Refusal); },
       [&](const BreakRelay &) { ++this->Current.Lost[Index]; },
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -268,6 +268,8 @@
   configurationAt(std::uint64_t NewVersion);
   void perform(std::size_t Index, const Action &Requested);
   void perform(std::size_t Index, const GatewayAction &Requested);
+  /// Sends the request to its engine.
+  void dispatch(std::size_t Index, const DispatchRelay &Dispatch);
   void deliver(std::size_t From, const SendToPeer &Sent);
   void scheduleWake(std::size_t Index);
   void readStore(std::size_t Index, std::uint64_t Life);
