--- a/src/plugins/engineload/LostAnswers.cpp
+++ b/src/plugins/engineload/LostAnswers.cpp
@@ -32,26 +32,26 @@
 template <class Predicate>
 std::vector<RelayAttempt> LostAnswers::takeWhere(Predicate Matches) {
   std::vector<RelayAttempt> Result;
-  for (const Entry &Each : this->Kept)
-    if (Matches(Each))
-      Result.push_back(Each.Attempt);
+  for (const Entry &Item : this->Kept)
+    if (Matches(Item))
+      Result.push_back(Item.Attempt);
   std::erase_if(this->Kept, Matches);
   return Result;
 }
 
 std::vector<RelayAttempt> LostAnswers::takeDue(Time Now) {
-  return this->takeWhere([&](const Entry &Each) { return Now >= Each.Until; });
+  return this->takeWhere([&](const Entry &Item) { return Now >= Item.Until; });
 }
 
 std::vector<RelayAttempt> LostAnswers::takeOf(const UpstreamId &Engine) {
   return this->takeWhere(
-      [&](const Entry &Each) { return Each.Attempt.Engine == Engine; });
+      [&](const Entry &Item) { return Item.Attempt.Engine == Engine; });
 }
 
 Time LostAnswers::nextDue() const {
   Time Result = Never;
-  for (const Entry &Each : this->Kept)
-    Result = std::min(Result, Each.Until);
+  for (const Entry &Item : this->Kept)
+    Result = std::min(Result, Item.Until);
   return Result;
 }
 
--- a/src/plugins/hostdirectory/HostDirectoryPlugin.cpp
+++ b/src/plugins/hostdirectory/HostDirectoryPlugin.cpp
@@ -60,11 +60,11 @@
   ZoneStanding Standing;
   double InZone = 0;
   double Sum = 0;
-  for (const CallerAddress &Each : All) {
-    const bool IsNear = Each.Zone == Zone;
+  for (const CallerAddress &Listed : All) {
+    const bool IsNear = Listed.Zone == Zone;
     Standing.Hosts += IsNear ? 1 : 0;
-    InZone += IsNear ? Each.Processor.Thousandths : 0;
-    Sum += Each.Processor.Thousandths;
+    InZone += IsNear ? Listed.Processor.Thousandths : 0;
+    Sum += Listed.Processor.Thousandths;
   }
   // The names of zones come from callers; unknown ones are not counted.
   if (Standing.Hosts == 0)
@@ -82,8 +82,8 @@
   const bool IsNearby = this->Rng->fraction() < NearShare;
   Out.count("resolves_by_zone", IsNearby ? "nearby" : "all");
   if (IsNearby)
-    std::erase_if(All,
-                  [&](const CallerAddress &Each) { return Each.Zone != Zone; });
+    std::erase_if(
+        All, [&](const CallerAddress &Listed) { return Listed.Zone != Zone; });
   return All;
 }
 
