Reproduce content that is sent after it has crashed three engines

What callers saw: a request whose content crashes engines went on crashing them, 15 in all, and cut off the requests that ran beside it.

The bound is the users' own: three sends later than three seconds after the third crash.

--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -27,6 +27,11 @@
 constexpr milliseconds Objective(300);
 constexpr seconds CallerTimeout(2);
 
+/// Tokens of a prompt that several engines prefill.
+constexpr std::uint64_t LongPrompt = 150'000;
+/// No request has this number.
+const Fingerprint CrashingContent(~std::uint64_t(0));
+
 Address addressOf(std::size_t Index) {
   return {fmt::format("10.0.{}.{}", Index / 200, Index % 200 + 1), 7000};
 }
@@ -239,7 +244,8 @@
 }
 
 void HostSimulation::renewRegistration(std::size_t Engine) {
-  this->registerEngine(Engine);
+  if (!this->Down.contains(Engine))
+    this->registerEngine(Engine);
   this->Queue.after(RenewInterval,
                     [this, Engine] { this->renewRegistration(Engine); });
 }
@@ -255,16 +261,9 @@
 void HostSimulation::submit(std::size_t Host, const Caller &Origin) {
   const RequestId Id(++this->Requests);
   this->Callers[{Host, Id}] = Origin;
-  RelayHead Head;
-  Head.Id = Id;
-  Head.Host = "a.example";
-  Head.Path = "/stream/";
-  Head.Key = "key";
-  Head.Remaining =
-      CallerTimeLimit - (this->Queue.now() - Origin.FirstRequestAt);
-  Head.PromptTokens = ShortPrompt;
-  Head.Content = Fingerprint(Id.Value);
-  this->Queue.after(CallerTimeout, [this, Host, Id] {
+  const Duration Patience =
+      Origin.IsLong ? Duration(CallerTimeLimit) : CallerTimeout;
+  this->Queue.after(Patience, [this, Host, Id] {
     const auto Found = this->Callers.find({Host, Id});
     if (Found == this->Callers.end() || Found->second.IsAnswered)
       return;
@@ -273,7 +272,22 @@
     this->send(Host, this->Hosts[Host].Life, CallerDisconnected{Id});
   });
   this->send(Host, this->Hosts[Host].Life,
-             GatewayEvent(RelayArrived{std::move(Head)}));
+             GatewayEvent(RelayArrived{this->headOf(Id, Origin)}));
+}
+
+RelayHead HostSimulation::headOf(const RequestId &Id,
+                                 const Caller &Origin) const {
+  RelayHead Head;
+  Head.Id = Id;
+  Head.Host = "a.example";
+  Head.Path = Origin.IsLong ? "/review/" : "/stream/";
+  Head.Key = "key";
+  Head.Remaining =
+      CallerTimeLimit - (this->Queue.now() - Origin.FirstRequestAt);
+  Head.PromptTokens = Origin.IsLong ? LongPrompt : ShortPrompt;
+  Head.Content =
+      Origin.CrashesEngines ? CrashingContent : Fingerprint(Id.Value);
+  return Head;
 }
 
 void HostSimulation::handleRefusal(std::size_t Host,
@@ -283,6 +297,8 @@
     return;
   Caller Origin = Found->second;
   this->Callers.erase(Found);
+  if (Origin.CrashesEngines)
+    return;
   if (Origin.HasRetried || Refusal.Kind != RefusalKind::NotRun) {
     ++this->Current.Lost[Host];
     return;
@@ -303,10 +319,15 @@
   if (Found == this->Callers.end())
     return; // The caller has disconnected meanwhile.
   ++this->BusySlots[Engine];
+  this->RunningByEngine[Engine].push_back(Running);
   const Duration FirstEvent = this->firstEventAfter(Engine);
+  if (Found->second.CrashesEngines) {
+    this->crashLater(Engine, Running);
+    return;
+  }
   this->Queue.after(FirstEvent, [this, Engine, Running] {
     const auto Origin = this->Callers.find({Running.Host, Running.Request});
-    if (Origin == this->Callers.end())
+    if (Origin == this->Callers.end() || !this->runsOn(Engine, Running))
       return;
     Origin->second.IsAnswered = true;
     const Duration Took = this->Queue.now() - Origin->second.FirstRequestAt;
@@ -323,8 +344,12 @@
 
 void HostSimulation::finish(const UpstreamId &Engine,
                             const RunningRequest &Running) {
-  if (Running.EngineRun != this->EngineRun)
+  if (Running.EngineRun != this->EngineRun || !this->runsOn(Engine, Running))
     return;
+  std::erase_if(this->RunningByEngine[Engine],
+                [&](const RunningRequest &Other) {
+                  return Other.Attempt == Running.Attempt;
+                });
   this->Connections.keep(Running.Host, Engine, this->Queue.now());
   this->send(Running.Host, Running.Life,
              GatewayEvent(RelayEnded{Running.Attempt, RelayDelivered{}}));
@@ -486,6 +511,16 @@
   this->Connections.send(Index, Dispatch.Engine, Dispatch.Fresh,
                          this->Queue.now());
   this->UnreportedSince.try_emplace(Index, this->Queue.now());
+  if (const auto Lost = this->outcomeWithoutEngine(Dispatch)) {
+    this->Queue.after(
+        ResetDelay, [this, Index, Life, Id = Dispatch.Attempt, Lost] {
+          this->send(Index, Life, GatewayEvent(RelayEnded{Id, *Lost}));
+        });
+    return;
+  }
+  const auto Caller = this->Callers.find({Index, Dispatch.Request});
+  if (Caller != this->Callers.end() && Caller->second.CrashesEngines)
+    this->CrashingArrivals.push_back(this->Queue.now());
   const auto Target =
       std::ranges::find(this->Engines, Dispatch.Engine, &EngineRecord::Id);
   this->Current.SentToOtherZones +=
@@ -523,6 +558,7 @@
       Requested,
       [&](const DispatchRelay &Dispatch) { this->dispatch(Index, Dispatch); },
       [&](const AskReport &Asked) { this->reportLoad(Index, Asked.Engine); },
+      [&](const CancelRelay &Order) { this->Cancelled.insert(Order.Attempt); },
       [&](const RefuseRelay &Refusal) { this->handleRefusal(Index, Refusal); },
       [&](const BreakRelay &) { ++this->Current.Lost[Index]; },
       [&](const DeliverFailure &) { ++this->Current.Lost[Index]; },
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -154,6 +154,19 @@
   /// begun after two seconds.
   void sendRequest(std::size_t Host, Duration RunsFor);
 
+  /// Sends a request with a prompt that several engines prefill, so that it
+  /// waits for its turn among others like it.
+  void sendLong(std::size_t Host, Duration RunsFor);
+  /// The same with a content that crashes each engine that begins to run it.
+  /// The engine returns after some time under a new id.
+  void sendCrashing(std::size_t Host);
+  /// Returns when engines crashed.
+  const std::vector<Time> &crashes() const { return this->Crashes; }
+  /// Returns when requests with the crashing content reached engines.
+  const std::vector<Time> &crashingArrivals() const {
+    return this->CrashingArrivals;
+  }
+
   /// Returns the hosts that \p Host would name now in its answer to a resolve
   /// request.
   /// \p Zone is the zone of the caller that asks; empty: unknown.
@@ -220,6 +233,8 @@
     bool HasRetried = false;
     bool IsAnswered = false;
     Duration RunsFor{};
+    bool IsLong = false;
+    bool CrashesEngines = false;
   };
   using CallerKey = std::pair<std::size_t, RequestId>;
   /// One attempt on an engine.
@@ -234,6 +249,16 @@
   };
 
   void submit(std::size_t Host, const Caller &Origin);
+  RelayHead headOf(const RequestId &Id, const Caller &Origin) const;
+  /// Crashes the engine that has begun to run the request.
+  void crashLater(const UpstreamId &Engine, const RunningRequest &Running);
+  void crash(const UpstreamId &Engine);
+  void returnUnderNewId(std::size_t Engine);
+  void breakAttempt(const RunningRequest &Running);
+  /// Returns how an attempt ends that the engine's process does not receive, or
+  /// nothing if it does.
+  std::optional<RelayOutcome>
+  outcomeWithoutEngine(const DispatchRelay &Dispatch) const;
   /// Drops all work of all engines.
   void dropEngineWork();
   /// Returns when the engine's next prefill ends, if it begins now.
@@ -251,6 +276,7 @@
   void answer(const UpstreamId &Engine, const RunningRequest &Running,
               const AnswerSignals &Signals);
   void finish(const UpstreamId &Engine, const RunningRequest &Running);
+  bool runsOn(const UpstreamId &Engine, const RunningRequest &Request) const;
   void start(std::size_t Index);
   void send(std::size_t Index, std::uint64_t Life, const Event &Incoming,
             std::size_t Bytes = 0);
@@ -323,6 +349,12 @@
   std::map<UpstreamId, Duration> Shedding; ///< With the requested backoff.
   std::set<UpstreamId> SignalsLeaving;
   std::map<UpstreamId, std::vector<Arrival>> Arrived;
+  /// The requests that each engine runs.
+  std::map<UpstreamId, std::vector<RunningRequest>> RunningByEngine;
+  std::set<std::size_t> Down; ///< Engines without a process.
+  std::set<AttemptId> Cancelled;
+  std::vector<Time> Crashes;
+  std::vector<Time> CrashingArrivals;
   std::vector<Address> Answer;
   Tally Current;
   std::set<std::pair<std::size_t, std::size_t>> Pairs;
--- a/tests/auto/manyhosts/SimulatedRestart.cpp
+++ b/tests/auto/manyhosts/SimulatedRestart.cpp
@@ -61,6 +61,7 @@
 void HostSimulation::dropEngineWork() {
   ++this->EngineRun;
   this->BusySlots.clear();
+  this->RunningByEngine.clear();
   this->Queued.clear();
   this->PrefillsUntil.clear();
 }
