Log which content a request has and how long a crash was only suspected

Cause: the logs of the incident name contents only where a crash is confirmed (830). Which request had that content, and so whether it was sent after its quarantine, had to be inferred from paths and engines; whether the quarantine began late could not be told from its not being heeded.

Change: 820 bears the content's fingerprint, as 830 does, and 830 bears how long the crash had been a mere suspicion at the host that confirmed it.

Result: the two hypotheses (asked only at the arrival; begins too late) are told apart by two greps: 821 of requests with a quarantined content, and the sizes of suspected_us.

--- a/src/plugins/crashes/CrashTracker.cpp
+++ b/src/plugins/crashes/CrashTracker.cpp
@@ -6,16 +6,18 @@
   this->Suspicions[Observed] = Now;
 }
 
-std::vector<Crash> CrashTracker::confirm(const UpstreamId &Engine, Time Now) {
-  std::vector<Crash> Result;
+std::vector<ConfirmedCrash> CrashTracker::confirm(const UpstreamId &Engine,
+                                                  Time Now) {
+  std::vector<ConfirmedCrash> Result;
   for (const auto &[Observed, At] : this->Suspicions)
     if (Observed.Engine == Engine && Now <= At + this->SuspicionLifetime)
-      Result.push_back(Observed);
+      Result.push_back({Observed, Now - At});
   std::erase_if(this->Suspicions, [&](const auto &Entry) {
     return Entry.first.Engine == Engine;
   });
-  std::erase_if(
-      Result, [&](const Crash &Observed) { return !this->add(Observed, Now); });
+  std::erase_if(Result, [&](const ConfirmedCrash &Found) {
+    return !this->add(Found.Observed, Now);
+  });
   return Result;
 }
 
--- a/src/plugins/crashes/CrashTracker.h
+++ b/src/plugins/crashes/CrashTracker.h
@@ -20,6 +20,12 @@
   auto operator<=>(const Crash &) const = default;
 };
 
+/// A crash that the death of its upstream confirmed.
+struct ConfirmedCrash {
+  Crash Observed;
+  Duration SuspectedFor{}; ///< Time from the lost connection to the evidence.
+};
+
 /// Counts the upstreams that each content crashed. A lost connection is only a
 /// suspicion; the upstream's death confirms it as a crash. Unaffected contents
 /// that ran beside the cause do not run on the next upstream that dies, so only
@@ -36,7 +42,7 @@
 
   void addSuspicion(const Crash &Observed, Time Now);
   /// Called when an upstream has died. Returns the newly confirmed crashes.
-  std::vector<Crash> confirm(const UpstreamId &Engine, Time Now);
+  std::vector<ConfirmedCrash> confirm(const UpstreamId &Engine, Time Now);
   /// Adds a confirmed crash. Returns whether it is new.
   bool add(const Crash &Observed, Time Now);
 
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -43,7 +43,7 @@
           return;
         const Crash Observed{Notice->Content, Notice->Upstream};
         if (this->Tracker.add(Observed, Now))
-          this->log(Observed, Received.Message.From.Value, Out);
+          this->log(Observed, Received.Message.From.Value, Duration(0), Out);
       },
       [](const auto &) {});
 }
@@ -86,8 +86,9 @@
 }
 
 void CrashesPlugin::confirm(const UpstreamId &Engine, Time Now, Actions &Out) {
-  for (const Crash &Observed : this->Tracker.confirm(Engine, Now)) {
-    this->log(Observed, "here", Out);
+  for (const auto &[Observed, SuspectedFor] :
+       this->Tracker.confirm(Engine, Now)) {
+    this->log(Observed, "here", SuspectedFor, Out);
     for (const HostId &Peer : this->Members->livePeers())
       Out.add(
           SendToPeer{Peer, makeNotice(Observed, Now + this->RetentionTime)});
@@ -95,7 +96,7 @@
 }
 
 void CrashesPlugin::log(const Crash &Observed, std::string_view From,
-                        Actions &Out) const {
+                        Duration SuspectedFor, Actions &Out) const {
   Out.count("content_crashes");
   Out.log(logEvent(events::ContentCrashed)
               .with("content", Observed.Content.Value)
@@ -105,6 +106,7 @@
                                        ? "true"
                                        : "false")
               .with("from", From)
+              .with("suspected_us", SuspectedFor.count())
               .build());
 }
 
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -30,7 +30,9 @@
 
 private:
   void confirm(const UpstreamId &Engine, Time Now, Actions &Out);
-  void log(const Crash &Observed, std::string_view From, Actions &Out) const;
+  /// \p From is the host that confirmed the crash, for logs.
+  void log(const Crash &Observed, std::string_view From, Duration SuspectedFor,
+           Actions &Out) const;
 
   const MembershipView *Members = nullptr;
   CrashTracker Tracker;
--- a/src/plugins/relays/RelayLog.cpp
+++ b/src/plugins/relays/RelayLog.cpp
@@ -37,6 +37,7 @@
   Out.log(logEvent(events::RelayReceived)
               .with("request", Relay.Head.Id.Value)
               .with("caller_attempt", Relay.Head.CallerAttempt)
+              .with("content", Relay.Head.Content.Value)
               .with("route", RouteName)
               .with("service", Relay.Service.Value)
               .with("team", Relay.Team.Value)
