Ask whether content is quarantined before every attempt, not at arrival only

What callers saw: a request whose content had crashed three engines was sent four times more, later than three seconds after the third crash; each send crashed a further engine and cut off the requests that ran there.

Cause: RelaysPlugin asked CrashView once, when a request arrived. A request that had been admitted before waits for its turn, for memory, for an engine or for its next attempt for seconds, and was then sent whatever had become known meanwhile. The hosts of the catalogue ask before every attempt; the gateway's copy of that decision stood in another place.

Change: the question stands in send(), through which every attempt goes, and CrashesPlugin tells QuarantineObserver of each quarantine. Requests that wait then end at once; an attempt of which no event has arrived is cancelled, and its caller is told that it may have run; an answer that arrives goes on. Requests are ended after the event, as the quarantine may be found while one of their attempts ends.

Why it works: a request can be in three places, waiting, at an engine, or between two attempts. The observer ends the first two, send() the third.

--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -167,6 +167,14 @@
   virtual bool isQuarantined(Fingerprint Content, Time Now) const = 0;
 };
 
+/// Notified when a content is quarantined.
+class QuarantineObserver {
+public:
+  virtual ~QuarantineObserver() = default;
+  virtual void contentQuarantined(Fingerprint Content, Time Now,
+                                  Actions &Out) = 0;
+};
+
 /// The home regions of a request. Both lists are binding.
 struct HomeRegions {
   std::vector<RegionId> OfRoute; ///< Empty: not restricted.
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -22,6 +22,7 @@
 void CrashesPlugin::initialize(PluginContext &Context) {
   const Settings &Values = Context.settings();
   const std::string_view SectionName = "crashes";
+  this->Registry = &Context.services();
   this->Members = &Context.services().get<MembershipView>();
   this->RetentionTime = Values.span(SectionName, "keep_for");
   this->Tracker = CrashTracker(Values.whole(SectionName, "most"),
@@ -42,8 +43,10 @@
         if (!Notice)
           return;
         const Crash Observed{Notice->Content, Notice->Upstream};
-        if (this->Tracker.add(Observed, Now))
-          this->log(Observed, Received.Message.From.Value, Duration(0), Out);
+        if (!this->Tracker.add(Observed, Now))
+          return;
+        this->log(Observed, Received.Message.From.Value, Duration(0), Out);
+        this->notifyIfQuarantined(Observed.Content, Now, Out);
       },
       [](const auto &) {});
 }
@@ -89,12 +92,22 @@
   for (const auto &[Observed, SuspectedFor] :
        this->Tracker.confirm(Engine, Now)) {
     this->log(Observed, "here", SuspectedFor, Out);
+    this->notifyIfQuarantined(Observed.Content, Now, Out);
     for (const HostId &Peer : this->Members->livePeers())
       Out.add(
           SendToPeer{Peer, makeNotice(Observed, Now + this->RetentionTime)});
   }
 }
 
+void CrashesPlugin::notifyIfQuarantined(Fingerprint Content, Time Now,
+                                        Actions &Out) {
+  if (!this->Tracker.isQuarantined(Content))
+    return;
+  for (QuarantineObserver *Observer :
+       this->Registry->list<QuarantineObserver>().all())
+    Observer->contentQuarantined(Content, Now, Out);
+}
+
 void CrashesPlugin::log(const Crash &Observed, std::string_view From,
                         Duration SuspectedFor, Actions &Out) const {
   Out.count("content_crashes");
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -9,7 +9,7 @@
 namespace banyanpick {
 
 /// Confirms crashes and reports every crash to all peers. Reports all known
-/// crashes to each host that starts.
+/// crashes to each host that starts. Notifies QuarantineObserver.
 class CrashesPlugin : public Plugin,
                       public CrashView,
                       public RelayObserver,
@@ -30,10 +30,12 @@
 
 private:
   void confirm(const UpstreamId &Engine, Time Now, Actions &Out);
+  void notifyIfQuarantined(Fingerprint Content, Time Now, Actions &Out);
   /// \p From is the host that confirmed the crash, for logs.
   void log(const Crash &Observed, std::string_view From, Duration SuspectedFor,
            Actions &Out) const;
 
+  Services *Registry = nullptr;
   const MembershipView *Members = nullptr;
   CrashTracker Tracker;
   Duration RetentionTime{};
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -19,6 +19,9 @@
 /// network delay and the shortest processing time.
 constexpr milliseconds MinAttemptTime(20);
 
+/// When the caller of a quarantined content should come back.
+constexpr seconds QuarantineRetryAfter(5);
+
 /// Whether the attempt is lost with the engine: it runs there, or the engine
 /// prefills or holds parts of its prompt.
 bool dependsOn(const RelayAttempt &Attempt, const UpstreamId &Engine) {
@@ -56,6 +59,7 @@
   this->Quota = &Context.services().get<EngineQuota>();
   Context.services().list<MemoryObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
+  Context.services().list<QuarantineObserver>().add(*this);
   this->Crashes = &Context.services().get<CrashView>();
   this->RandomSource = &Context.random();
   this->Options = readRelaySettings(Context.settings());
@@ -89,6 +93,7 @@
         this->StoppingSince = std::min(this->StoppingSince, Now);
       },
       [](const auto &) {});
+  this->finishNewlyQuarantined(Now, Out);
   if (Now < this->NextCheck)
     return;
   this->NextCheck = Never;
@@ -154,11 +159,6 @@
   Relay.Deadline = Now + (Relay.IsLimitedByRoute ? Route.TimeLimit : Remaining);
   this->Allowance.recordRequest(Relay.Service, Now);
   logReceived(Relay, Route.Name, Now, Out);
-  if (this->Crashes->isQuarantined(Head.Content, Now)) {
-    this->refuse(Head, RefusalKind::NotRun, seconds(5),
-                 "this content crashed engines and is not run", Out);
-    return;
-  }
   if (this->refusesWhileStopping(Now)) {
     this->refuse(Head, RefusalKind::NotRun, milliseconds(10),
                  "this host stops; ask for another one", Out);
@@ -168,6 +168,10 @@
 }
 
 void RelaysPlugin::send(RunningRelay &Relay, Time Now, Actions &Out) {
+  if (this->Crashes->isQuarantined(Relay.Head.Content, Now)) {
+    this->finishQuarantined(Relay, Now, Out);
+    return;
+  }
   if (Relay.Sends >= this->Options.MaxSends ||
       Relay.Deadline - Now < MinAttemptTime) {
     this->finish(Relay, Relay.refusal(), "tries or time used up", Now, Out);
@@ -346,6 +350,34 @@
   }
 }
 
+void RelaysPlugin::contentQuarantined(Fingerprint Content, Time, Actions &) {
+  // Requests are not ended here, because this may be called while one of their
+  // attempts ends.
+  this->NewlyQuarantined.insert(Content);
+}
+
+void RelaysPlugin::finishNewlyQuarantined(Time Now, Actions &Out) {
+  if (this->NewlyQuarantined.empty())
+    return;
+  for (const RequestId &Id : this->Running.ids()) {
+    RunningRelay *Relay = this->Running.find(Id);
+    // An answer that arrives shows that the engine survived the start.
+    if (Relay && this->NewlyQuarantined.contains(Relay->Head.Content) &&
+        !Relay->isAnswerArriving())
+      this->finishQuarantined(*Relay, Now, Out);
+  }
+  this->NewlyQuarantined.clear();
+}
+
+void RelaysPlugin::finishQuarantined(RunningRelay &Relay, Time Now,
+                                     Actions &Out) {
+  if (Relay.LiveAttempt)
+    Relay.RanOn.push_back(Relay.LiveAttempt->Engine);
+  this->finish(Relay, Relay.refusal(),
+               "this content crashed engines and is not run", Now, Out,
+               QuarantineRetryAfter);
+}
+
 void RelaysPlugin::applyVerdict(RunningRelay &Relay, const RelayAttempt &Ended,
                                 const RelayOutcome &Outcome, Time Now,
                                 Actions &Out) {
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -10,6 +10,8 @@
 #include "plugins/relays/RetryAllowance.h"
 #include "plugins/relays/RunningRelay.h"
 
+#include <set>
+
 namespace banyanpick {
 
 /// The settings of section [relays].
@@ -36,7 +38,8 @@
 class RelaysPlugin : public Plugin,
                      public RelayCount,
                      public EngineObserver,
-                     public MemoryObserver {
+                     public MemoryObserver,
+                     public QuarantineObserver {
 public:
   void initialize(PluginContext &Context) override;
   void start(Time Now, Actions &Out) override;
@@ -56,6 +59,8 @@
   /// at once, instead of after their timeout.
   void engineRestarted(const UpstreamId &Id, Time Now, Actions &Out) override;
 
+  void contentQuarantined(Fingerprint Content, Time Now, Actions &Out) override;
+
   static std::vector<SettingDeclaration> settings();
 
 private:
@@ -87,6 +92,11 @@
               std::optional<Duration> RetryAfter = std::nullopt);
   void refuse(const RelayHead &Head, RefusalKind Kind, Duration RetryAfter,
               std::string_view Reason, Actions &Out);
+  /// Ends the requests with newly quarantined contents, except those whose
+  /// answers arrive.
+  void finishNewlyQuarantined(Time Now, Actions &Out);
+  /// Ends a request whose content is quarantined without a further attempt.
+  void finishQuarantined(RunningRelay &Relay, Time Now, Actions &Out);
   /// Cancels the live attempt.
   void cancelAttempt(RunningRelay &Relay, Time Now, Actions &Out);
   void callerGone(const RequestId &Id, Time Now, Actions &Out);
@@ -124,6 +134,8 @@
   /// Time of each engine's last answer.
   std::map<UpstreamId, Time> LastAnswers;
   RunningRelays Running;
+  /// Contents that were quarantined during the present event.
+  std::set<Fingerprint> NewlyQuarantined;
   std::uint64_t AttemptCount = 0;
   Time StoppingSince = Never;
   Time NextCheck = Never;
--- a/src/plugins/relays/RunningRelay.h
+++ b/src/plugins/relays/RunningRelay.h
@@ -62,6 +62,10 @@
     return !this->LiveAttempt && !this->PendingReservation &&
            (this->AwaitsTurn || this->WaitingSince != Never);
   }
+  /// Whether events of the live attempt have reached the caller.
+  bool isAnswerArriving() const {
+    return this->LiveAttempt && this->LiveAttempt->Began;
+  }
   bool mayHaveRun() const { return !this->RanOn.empty(); }
   /// The refusal with which the request ends when no attempt is left.
   RefusalKind refusal() const {
