Count a crash only where the engine refuses the connection

A content can be refused as one that crashes engines although no engine has died.

Cause: CrashesPlugin took every attempt that was never sent for the death of its engine. An attempt is also not sent because this host withdrew it (the engine asked for a backoff, its zone is evacuated), or because a connection timed out (a cut link, lost packets). Connections lost at that engine in the six seconds before were then counted as crashes, and three of them quarantine a content.

Change: RelayNeverSent says why; only a refused connection, which a port without a process gives at once, counts. The log names it (how=connection_refused).

--- a/src/libs/gateway/RelayedRequest.cpp
+++ b/src/libs/gateway/RelayedRequest.cpp
@@ -18,6 +18,18 @@
   return "unknown";
 }
 
+std::string_view name(RelayNeverSent::Why Reason) {
+  switch (Reason) {
+  case RelayNeverSent::Why::NotConnected:
+    return "unsent";
+  case RelayNeverSent::Why::Refused:
+    return "connection_refused";
+  case RelayNeverSent::Why::Withdrawn:
+    return "taken_back";
+  }
+  return "unknown";
+}
+
 std::string_view name(RelayBroken::Why Reason) {
   switch (Reason) {
   case RelayBroken::Why::Reset:
--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -110,13 +110,20 @@
 
 /// No byte of the request was passed to a transport.
 struct RelayNeverSent {
-  /// This host withdrew the attempt because the upstream asked for a backoff,
-  /// or its zone was evacuated, in the meantime.
-  bool Withdrawn = false;
+  enum class Why {
+    NotConnected, ///< The transport timed out or failed.
+    Refused,      ///< No process accepts connections at the address.
+    Withdrawn,    ///< This host withdrew the attempt because the upstream asked
+                  ///< for a backoff, or its zone was evacuated, in the
+                  ///< meantime.
+  } Reason = Why::NotConnected;
 
   bool operator==(const RelayNeverSent &) const = default;
 };
 
+/// Returns the reason's name in logs and metrics.
+std::string_view name(RelayNeverSent::Why Reason);
+
 /// The upstream reported that it did not run the request.
 struct RelayNotRun {
   bool OtherEngine = false;        ///< Another upstream has the address now.
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -45,13 +45,16 @@
     this->Order.LastEvent = this->Caller->lastEvent();
   if (!this->Order.Fresh)
     this->Link = this->Pool.takeIdle(this->Order.Engine);
-  if (!this->Link && !co_await this->connect())
-    co_return RelayNeverSent{};
+  if (!this->Link) {
+    const auto Failed = co_await this->connect();
+    if (Failed)
+      co_return RelayNeverSent{*Failed};
+  }
   // The caller may have disconnected while the connection was being set up,
   // before control could cancel the attempt.
   RelayOutcome Result = RelayNeverSent{};
   if (this->Caller->request() && !Listener.MaySend())
-    Result = RelayNeverSent{true};
+    Result = RelayNeverSent{RelayNeverSent::Why::Withdrawn};
   else if (this->Caller->request())
     Result = co_await this->exchange(Remaining, Listener);
   this->TimeoutTimer.cancel();
@@ -71,7 +74,7 @@
   this->Link->Socket.close(Ignored);
 }
 
-Task<bool> EngineRun::connect() {
+Task<std::optional<RelayNeverSent::Why>> EngineRun::connect() {
   this->Link =
       this->Pool.create(this->Order.Engine, this->Order.MaxConnections);
   this->armTimeout(this->Limits.ConnectTimeout);
@@ -79,10 +82,12 @@
   co_await this->Link->Socket.async_connect(endpointOf(this->Order.At),
                                             into(Failure));
   this->TimeoutTimer.cancel();
+  if (Failure == net::error::connection_refused)
+    co_return RelayNeverSent::Why::Refused;
   if (Failure || this->Cancelled || this->TimedOut)
-    co_return false;
+    co_return RelayNeverSent::Why::NotConnected;
   tuneConnection(this->Link->Socket);
-  co_return true;
+  co_return std::nullopt;
 }
 
 void EngineRun::armTimeout(Duration Limit) {
--- a/src/libs/relay/EngineRun.h
+++ b/src/libs/relay/EngineRun.h
@@ -54,7 +54,8 @@
 private:
   using Parser = http::response_parser<http::buffer_body>;
 
-  Task<bool> connect();
+  /// Returns why there is no connection, or nothing if there is one.
+  Task<std::optional<RelayNeverSent::Why>> connect();
   /// Returns false if the connection failed. An answer may have arrived
   /// nevertheless.
   Task<bool> sendRequest(Duration Remaining);
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -64,9 +64,12 @@
         if (Broken.Reason == RelayBroken::Why::Reset)
           this->Tracker.addSuspicion({Attempt.Content, Attempt.Engine}, Now);
       },
-      // The engine no longer accepts connections. It has died and ended the
-      // requests that recently ran there.
-      [&](const RelayNeverSent &) { this->confirm(Attempt.Engine, Now, Out); },
+      // A process that does not accept connections has died, with the requests
+      // that recently ran there. No other reason for not sending shows that.
+      [&](const RelayNeverSent &NeverSent) {
+        if (NeverSent.Reason == RelayNeverSent::Why::Refused)
+          this->confirm(Attempt.Engine, Now, Out);
+      },
       [](const auto &) {});
 }
 
--- a/src/plugins/enginetrust/TrustRecord.cpp
+++ b/src/plugins/enginetrust/TrustRecord.cpp
@@ -64,7 +64,9 @@
   return match(
       Outcome,
       [](const RelayNeverSent &Result) {
-        return Result.Withdrawn ? Verdict::Neutral : Verdict::Silent;
+        return Result.Reason == RelayNeverSent::Why::Withdrawn
+                   ? Verdict::Neutral
+                   : Verdict::Silent;
       },
       [](const RelayNotRun &) { return Verdict::Neutral; },
       [](const RelayDelivered &) { return Verdict::Healthy; },
--- a/src/plugins/relays/RelayLog.cpp
+++ b/src/plugins/relays/RelayLog.cpp
@@ -10,9 +10,7 @@
 std::string_view outcomeName(const RelayOutcome &Outcome) {
   return match(
       Outcome,
-      [](const RelayNeverSent &NeverSent) {
-        return std::string_view(NeverSent.Withdrawn ? "taken_back" : "unsent");
-      },
+      [](const RelayNeverSent &NeverSent) { return name(NeverSent.Reason); },
       [](const RelayNotRun &NotRun) {
         return std::string_view(NotRun.OtherEngine ? "other_engine"
                                                    : "not_run");
--- a/tests/auto/manyhosts/SimulatedCrashes.cpp
+++ b/tests/auto/manyhosts/SimulatedCrashes.cpp
@@ -92,7 +92,7 @@
       std::ranges::find(this->Engines, Dispatch.At, &EngineRecord::At);
   const auto Index = static_cast<std::size_t>(Found - this->Engines.begin());
   if (this->Down.contains(Index))
-    return RelayNeverSent{};
+    return RelayNeverSent{RelayNeverSent::Why::Refused};
   if (Found->Id == Dispatch.Engine)
     return std::nullopt;
   return RelayNotRun{true, MisdirectedStatus, std::nullopt};
