Ask an engine that lost a connection whether it has died

What callers saw: a content that crashes engines crashed up to 26 of them before it was refused; each took the requests of others with it.

Cause: a lost connection became a crash only when the same host learned of the engine's death: from its registration, which ends up to three heartbeats (3.6 s) later, or from a connection of its own that was refused. Other hosts' refused connections did not count, as each host confirms its own suspicions only. So a quarantine could begin later than the three seconds in which sending on is allowed, whatever was done about it then.

Change: a host that loses a connection asks the engine for a report at once, at most every 200 ms for an engine and never where it asked for a backoff, is blocked or limits requests. A refused connection confirms the suspicions. So does an answer of another engine at the address. The rule about when to ask for a report stood in EngineLoadPlugin; both use ReportRequest.h now.

Why it works: a crash closes the engine's port with its connections, so the report is refused within a round trip and the crash is counted then, not when the registration ends. An engine that lives answers, and nothing is counted.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -378,7 +378,10 @@
                      .build(),
                  this->Context.Clock.now());
   }
-  this->Context.Events.send(GatewayEvent(EngineReportFailed{Wanted.Engine}));
+  const auto *Failure = std::get_if<ClientFailure>(&Result);
+  const bool Refused = Failure && *Failure == ClientFailure::ConnectionRefused;
+  this->Context.Events.send(
+      GatewayEvent(EngineReportFailed{Wanted.Engine, Refused}));
 }
 
 Task<void> GatewayTraffic::reserve(ReserveMemory Wanted) {
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -76,6 +76,7 @@
 };
 struct EngineReportFailed {
   UpstreamId Engine;
+  bool Refused = false; ///< No process accepts connections at its address.
 };
 enum class ReservationResult {
   Held,    ///< The memory is reserved.
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -3,6 +3,7 @@
 #include "base/EventNumbers.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
+#include "kernel/ReportRequest.h"
 
 namespace banyanpick {
 
@@ -24,7 +25,11 @@
   const std::string_view SectionName = "crashes";
   this->Registry = &Context.services();
   this->Members = &Context.services().get<MembershipView>();
+  this->Directory = &Context.services().get<EngineDirectory>();
+  this->Gate = &Context.services().get<EngineGate>();
+  this->Quota = &Context.services().get<EngineQuota>();
   this->RetentionTime = Values.span(SectionName, "keep_for");
+  this->VerifyInterval = Values.span(SectionName, "verify_interval");
   this->Tracker = CrashTracker(Values.whole(SectionName, "most"),
                                Values.span(SectionName, "suspect_for"),
                                this->RetentionTime);
@@ -48,6 +53,11 @@
         this->log(Observed, Received.Message.From.Value, Duration(0), Out);
         this->notifyIfQuarantined(Observed.Content, Now, Out);
       },
+      [&](const GatewayEvent &Change) {
+        const auto *Failed = std::get_if<EngineReportFailed>(&Change);
+        if (Failed && Failed->Refused)
+          this->confirm(Failed->Engine, Now, Out);
+      },
       [](const auto &) {});
 }
 
@@ -61,8 +71,10 @@
   match(
       Outcome,
       [&](const RelayBroken &Broken) {
-        if (Broken.Reason == RelayBroken::Why::Reset)
-          this->Tracker.addSuspicion({Attempt.Content, Attempt.Engine}, Now);
+        if (Broken.Reason != RelayBroken::Why::Reset)
+          return;
+        this->Tracker.addSuspicion({Attempt.Content, Attempt.Engine}, Now);
+        this->verify(Attempt.Engine, Now, Out);
       },
       // A process that does not accept connections has died, with the requests
       // that recently ran there. No other reason for not sending shows that.
@@ -70,9 +82,24 @@
         if (NeverSent.Reason == RelayNeverSent::Why::Refused)
           this->confirm(Attempt.Engine, Now, Out);
       },
+      // Another engine has the address, so the one that had it has died.
+      [&](const RelayNotRun &NotRun) {
+        if (NotRun.OtherEngine)
+          this->confirm(faultyEngine(NotRun, Attempt.Engine, Attempt.Helpers),
+                        Now, Out);
+      },
       [](const auto &) {});
 }
 
+void CrashesPlugin::verify(const UpstreamId &Engine, Time Now, Actions &Out) {
+  std::erase_if(this->VerifiedAt, [&](const auto &Entry) {
+    return Now >= Entry.second + this->VerifyInterval;
+  });
+  if (!this->VerifiedAt.try_emplace(Engine, Now).second)
+    return;
+  requestReport(Engine, *this->Directory, *this->Gate, *this->Quota, Now, Out);
+}
+
 void CrashesPlugin::engineRemoved(const UpstreamId &Id, Time Now,
                                   Actions &Out) {
   this->confirm(Id, Now, Out);
@@ -136,6 +163,10 @@
        "within so long: three missed renewals of its registration and a "
        "margin.",
        100e3, 60e6},
+      {SectionName, "verify_interval", SettingKind::Span, "200ms",
+       "An engine that loses connections is asked for a report no more often; "
+       "one that refuses the connection has crashed.",
+       1e3, 60e6},
       {SectionName, "keep_for", SettingKind::Span, "10min",
        "How long a content is remembered after its last crash.", 1e6, 86400e6},
   };
@@ -145,7 +176,7 @@
 
 const PluginRegistration
     Registration({"crashes",
-                  {"membership"},
+                  {"engine_limits", "engine_signals", "engines", "membership"},
                   CrashesPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<CrashesPlugin>();
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -10,6 +10,10 @@
 
 /// Confirms crashes and reports every crash to all peers. Reports all known
 /// crashes to each host that starts. Notifies QuarantineObserver.
+///
+/// An engine that lost a connection is asked for a report at once: the end of
+/// its registration, which also confirms its death, follows only seconds later,
+/// and its content would crash further engines meanwhile.
 class CrashesPlugin : public Plugin,
                       public CrashView,
                       public RelayObserver,
@@ -30,6 +34,8 @@
 
 private:
   void confirm(const UpstreamId &Engine, Time Now, Actions &Out);
+  /// Asks the engine for a report to find out whether it has died.
+  void verify(const UpstreamId &Engine, Time Now, Actions &Out);
   void notifyIfQuarantined(Fingerprint Content, Time Now, Actions &Out);
   /// \p From is the host that confirmed the crash, for logs.
   void log(const Crash &Observed, std::string_view From, Duration SuspectedFor,
@@ -37,8 +43,14 @@
 
   Services *Registry = nullptr;
   const MembershipView *Members = nullptr;
+  const EngineDirectory *Directory = nullptr;
+  const EngineGate *Gate = nullptr;
+  const EngineQuota *Quota = nullptr;
   CrashTracker Tracker;
   Duration RetentionTime{};
+  Duration VerifyInterval{};
+  /// Engines that were asked within VerifyInterval, and when.
+  std::map<UpstreamId, Time> VerifiedAt;
   /// The incarnations that were sent all known crashes.
   std::map<HostId, Incarnation> InformedIncarnations;
 };
--- a/src/plugins/engineload/EngineLoadPlugin.cpp
+++ b/src/plugins/engineload/EngineLoadPlugin.cpp
@@ -4,6 +4,7 @@
 #include "base/Milliseconds.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
+#include "kernel/ReportRequest.h"
 #include "plugins/engineload/Deferral.h"
 #include "plugins/engineload/PrefillCost.h"
 #include "plugins/engineload/SharedPlacement.h"
@@ -158,14 +159,7 @@
 
 void EngineLoadPlugin::askReport(const UpstreamId &Engine, Time Now,
                                  Actions &Out) const {
-  // A report request also counts as a request, and an engine that limits
-  // requests or is backing off accepts few or none.
-  const bool AcceptsRequests =
-      !this->Quota->isLimited(Engine) && !this->Gate->blocked(Engine, Now);
-  if (!AcceptsRequests)
-    return;
-  if (const RegisteredEngine *Registered = this->Directory->find(Engine))
-    Out.add(GatewayAction(AskReport{Engine, Registered->Record.At}));
+  requestReport(Engine, *this->Directory, *this->Gate, *this->Quota, Now, Out);
 }
 
 void EngineLoadPlugin::takeReport(const EngineReport &Report, Time Now,
--- a/tests/auto/gatewayrandom/GatewaySimulation.cpp
+++ b/tests/auto/gatewayrandom/GatewaySimulation.cpp
@@ -190,8 +190,10 @@
         });
       },
       [&](const AskReport &Order) {
-        this->after(milliseconds(2), [this, At, Life, Engine = Order.Engine] {
-          this->send(At, Life, GatewayEvent(EngineReportFailed{Engine}));
+        this->after(milliseconds(2), [this, At, Life, Order] {
+          const bool Refused = !this->Upstreams.at(Order.At);
+          this->send(At, Life,
+                     GatewayEvent(EngineReportFailed{Order.Engine, Refused}));
         });
       },
       [&](const FollowStore &Order) {
