--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -261,6 +261,7 @@
 void HostSimulation::submit(std::size_t Host, const Caller &Origin) {
   const RequestId Id(++this->Requests);
   this->Callers[{Host, Id}] = Origin;
+  this->RequestTimes.push_back(this->Queue.now());
   const Duration Patience =
       Origin.IsLong ? Duration(CallerTimeLimit) : CallerTimeout;
   this->Queue.after(Patience, [this, Host, Id] {
@@ -518,6 +519,8 @@
         });
     return;
   }
+  if (!this->Reached.insert(Dispatch.Request).second)
+    this->RepeatTimes.push_back(this->Queue.now());
   const auto Caller = this->Callers.find({Index, Dispatch.Request});
   if (Caller != this->Callers.end() && Caller->second.CrashesEngines)
     this->CrashingArrivals.push_back(this->Queue.now());
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -167,6 +167,11 @@
     return this->CrashingArrivals;
   }
 
+  /// Returns when callers sent requests.
+  const std::vector<Time> &requestTimes() const { return this->RequestTimes; }
+  /// Returns when requests reached an engine that had reached one before.
+  const std::vector<Time> &repeatTimes() const { return this->RepeatTimes; }
+
   /// Returns the hosts that \p Host would name now in its answer to a resolve
   /// request.
   /// \p Zone is the zone of the caller that asks; empty: unknown.
@@ -355,6 +360,9 @@
   std::set<AttemptId> Cancelled;
   std::vector<Time> Crashes;
   std::vector<Time> CrashingArrivals;
+  std::vector<Time> RequestTimes;
+  std::vector<Time> RepeatTimes;
+  std::set<RequestId> Reached; ///< Requests that reached an engine.
   std::vector<Address> Answer;
   Tally Current;
   std::set<std::pair<std::size_t, std::size_t>> Pairs;
