Withhold the constant part of the retry budget for a window after a start

Cause: what a host has used of the budget lives in its process. A process that is killed and started again took its whole part of the constant a second time, in the same window; for its first moments, before it knows a peer, it even took itself for the only host, with the part of all.

The users' record has no such case, so that their report has this cause is likely, not shown.

Change: a process uses none of the constant for one window after its start, unless its settings say that no host had an earlier process ([retry_budget] first_start, from the platform's FirstStart). The part that grows with the host's own new requests is there at once.

Why it works: after one window nothing that the earlier process used counts any more, and by then the host knows its peers.

RetryAllowance.WithholdsTheConstantForAWindowAfterARestart is new. The price is fewer retries in the ten seconds after a restart.

--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -67,7 +67,10 @@
   Context.services().provide<RelayCount>(*this);
 }
 
-void RelaysPlugin::start(Time, Actions &) {}
+void RelaysPlugin::start(Time Now, Actions &) {
+  if (!this->Options.FirstStart)
+    this->Allowance.withholdConstant(Now);
+}
 
 void RelaysPlugin::handle(const Event &Incoming, Time Now, Actions &Out) {
   match(
--- a/src/plugins/relays/RelaysSettings.cpp
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -82,6 +82,10 @@
        "So many more are allowed in a window, over all hosts.", 0, 1e6},
       {Budget, "window", Span, "10s", "The window of the budget.", 100e3,
        3600e6},
+      {Budget, "first_start", SettingKind::Flag, "false",
+       "Whether no host had an earlier process. Otherwise a process withholds "
+       "its part of the constant for one window, as an earlier one may have "
+       "used it."},
   };
 }
 
@@ -109,6 +113,7 @@
                           Values.span(Section, "silence_long")};
   Result.AnswerTimeoutFactor = Values.fraction(Section, "patience_factor");
   Result.RefuseAfterStopping = Values.span(Section, "refuse_after_leaving");
+  Result.FirstStart = Values.flag(BudgetSection, "first_start");
   Result.MaxSends =
       static_cast<std::uint32_t>(Values.whole(Section, "most_sends"));
   return Result;
--- a/src/plugins/relays/RetryAllowance.cpp
+++ b/src/plugins/relays/RetryAllowance.cpp
@@ -41,7 +41,9 @@
     Requests += Part.Requests;
     Retries += Part.Retries;
   }
-  const double Constant = this->Limits.Constant * UsableShare * Share;
+  const bool IsWithheld = Now < this->ConstantFrom;
+  const double Constant =
+      IsWithheld ? 0 : this->Limits.Constant * UsableShare * Share;
   if (Retries + 1 > this->Limits.Ratio * UsableShare * Requests + Constant)
     return false;
   ++Latest.Retries;
--- a/src/plugins/relays/RetryAllowance.h
+++ b/src/plugins/relays/RetryAllowance.h
@@ -20,6 +20,9 @@
 /// requests and retries, for each service. The constant part of the budget is
 /// divided among the hosts. The part that is proportional to requests needs no
 /// coordination: if every host keeps it, the sum over all hosts does too.
+///
+/// A process does not know what an earlier one of its host used. It withholds
+/// the constant part for a window, until that use no longer counts.
 class RetryAllowance {
 public:
   RetryAllowance() = default;
@@ -31,6 +34,10 @@
   bool tryAcquire(const ServiceId &Service, double Share, Time Now);
   /// Returns a retry that did not reach the service.
   void refund(const ServiceId &Service, Time Now);
+  /// Called at the start of a process that may have had a predecessor.
+  void withholdConstant(Time Now) {
+    this->ConstantFrom = Now + this->Limits.Window;
+  }
   void setLimits(RetryBudgetLimits NewLimits) { this->Limits = NewLimits; }
 
 private:
@@ -43,6 +50,7 @@
   Slice &current(const ServiceId &Service, Time Now);
 
   RetryBudgetLimits Limits;
+  Time ConstantFrom{}; ///< When the constant part may be used.
   std::map<ServiceId, std::deque<Slice>> Slices;
 };
 
--- a/tests/auto/gateway/GatewayBench.cpp
+++ b/tests/auto/gateway/GatewayBench.cpp
@@ -16,13 +16,19 @@
   return Result;
 }
 
+/// No earlier process has used the retry budget.
+Settings firstStart(Settings Values) {
+  Values.set("retry_budget", "first_start", "true");
+  return Values;
+}
+
 } // namespace
 
 GatewayBench::GatewayBench(std::span<const SettingChange> Changes)
     : GatewayBench(gatewaySettingsForTests(Changes)) {}
 
 GatewayBench::GatewayBench(const Settings &Values)
-    : Decider(identity(), Values, 7, ServingMode::Gateway) {
+    : Decider(identity(), firstStart(Values), 7, ServingMode::Gateway) {
   this->Decider.checkEveryEvent();
   this->send(Tick{});
 }
--- a/tests/auto/gateway/RetryAllowanceTest.cpp
+++ b/tests/auto/gateway/RetryAllowanceTest.cpp
@@ -43,6 +43,22 @@
   EXPECT_TRUE(Allowance.tryAcquire(Desk, 1.0 / 5, Time(seconds(13))));
 }
 
+/// Guards against a second use of what a process used before its restart.
+TEST(RetryAllowance, WithholdsTheConstantForAWindowAfterARestart) {
+  RetryAllowance Allowance(Limits);
+  Allowance.withholdConstant(Time(seconds(1)));
+  EXPECT_FALSE(Allowance.tryAcquire(Desk, 1, Time(seconds(1))));
+  for (int Count = 0; Count < 100; ++Count)
+    Allowance.recordRequest(Desk, Time(seconds(5)));
+  EXPECT_TRUE(Allowance.tryAcquire(Desk, 1, Time(seconds(5))))
+      << "the part for new requests is not withheld";
+  int Taken = 1;
+  while (Allowance.tryAcquire(Desk, 1, Time(seconds(10))))
+    ++Taken;
+  EXPECT_LE(Taken, 20);
+  EXPECT_TRUE(Allowance.tryAcquire(Desk, 1, Time(seconds(11))));
+}
+
 TEST(RetryAllowance, CountsServicesSeparately) {
   RetryAllowance Allowance(Limits);
   while (Allowance.tryAcquire(Desk, 1.0 / 5, Time(seconds(1))))
