Say in the process tests that their hosts start for the first time

Cases of EngineRest and Gateway failed.

Change: the settings of a host's first process say first_start = true, those of a process that follows one on the same host do not. The tests are unchanged.

--- a/tests/process/GatewayDeployment.cpp
+++ b/tests/process/GatewayDeployment.cpp
@@ -153,10 +153,11 @@
       "[platform]\nlog = {}\nhost_list = {}\n"
       "[membership]\ndiscovery = gossip\nseeds = {}\n"
       "heartbeat_interval = 100ms\nhost_list_interval = 500ms\n"
-      "[peers]\nencryption = none\n",
+      "[peers]\nencryption = none\n"
+      "[retry_budget]\nfirst_start = {}\n",
       ForHost.Name, ForHost.Callers, ForHost.Peers, ForHost.Directory,
       ForHost.Readiness, ForHost.Metrics, ForHost.Store, ForHost.Store,
-      this->Hosts.front().Peers);
+      this->Hosts.front().Peers, !ForHost.Process);
 }
 
 HttpReply
--- a/tests/process/GatewayDeployment.h
+++ b/tests/process/GatewayDeployment.h
@@ -55,7 +55,8 @@
   std::size_t upstreams() const { return this->Upstreams.size(); }
   ChildProcess &store() { return *this->StoreProcess; }
 
-  /// Starts the process of the host at the same addresses.
+  /// Starts the process of the host at the same addresses. Its settings say
+  /// whether it is the first one.
   void startHost(Host &Target);
   /// Starts another upstream with a new id at the same address.
   void replaceUpstream(Upstream &Target);
