Store quarantines, so that a restart of all hosts does not end them

After a restart of all hosts a content that had crashed three engines is sent again, and three more engines crash with the requests that run there.

Cause: known crashes live in the processes and are told to hosts that join. When all processes end together nobody is left to tell.

Change: the host that confirms the crash by which a content is quarantined writes a record with its fingerprint beside those of the hosts. When the quarantine expires, the first of the live hosts removes the record.

Why it works: the record is written some milliseconds after the quarantine begins, and read before a restarted host has its peers.

--- /dev/null
+++ b/src/app/QuarantineRecord.cpp
@@ -0,0 +1,37 @@
+#include "app/QuarantineRecord.h"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace banyanpick {
+
+namespace {
+
+constexpr int HexBase = 16;
+
+} // namespace
+
+KeyedRecord writeQuarantineRecord(const StoreQuarantine &Wanted) {
+  KeyedRecord Result;
+  Result.Key =
+      fmt::format("{}{:016x}", QuarantineKeyPrefix, Wanted.Content.Value);
+  if (Wanted.Present)
+    Result.Value = "quarantined";
+  return Result;
+}
+
+std::optional<Fingerprint> readQuarantineRecord(const KeyedRecord &Record) {
+  if (!Record.Value || !Record.Key.starts_with(QuarantineKeyPrefix))
+    return std::nullopt;
+  const std::string_view Digits =
+      std::string_view(Record.Key).substr(QuarantineKeyPrefix.size());
+  std::uint64_t Content = 0;
+  const char *End = Digits.data() + Digits.size();
+  const auto [Read, Failure] =
+      std::from_chars(Digits.data(), End, Content, HexBase);
+  if (Failure != std::errc() || Read != End || Digits.empty())
+    return std::nullopt;
+  return Fingerprint(Content);
+}
+
+} // namespace banyanpick
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -200,6 +200,8 @@
     829, LogLevel::Warning, "newer configuration is missing here"};
 inline constexpr EventKind PeerConfigurationMalformed{
     831, LogLevel::Error, "configuration from a peer is malformed"};
+inline constexpr EventKind QuarantineRestored{832, LogLevel::Info,
+                                              "quarantine read from the store"};
 inline constexpr EventKind ContentCrashed{830, LogLevel::Warning,
                                           "content crashed an engine"};
 inline constexpr EventKind MemoryReserved{840, LogLevel::Info,
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -89,6 +89,10 @@
   std::string Name;
   ReservationResult Result = ReservationResult::Unknown;
 };
+/// The quarantined contents in the store, read at the start.
+struct QuarantinesRead {
+  std::vector<Fingerprint> Contents;
+};
 /// The settings file has changed and is valid.
 struct SettingsReloaded {
   std::shared_ptr<const class Settings> Values;
@@ -98,7 +102,8 @@
     std::variant<RelayArrived, RelayBegan, RelayEnded, EngineSignalsReceived,
                  ConfigurationRead, ConfigurationUnreadable, EnginesRead,
                  EvacuationsRead, StoreObserved, EngineReported,
-                 EngineReportFailed, ReservationAnswered, SettingsReloaded>;
+                 EngineReportFailed, ReservationAnswered, QuarantinesRead,
+                 SettingsReloaded>;
 
 // --- actions
 
@@ -157,6 +162,13 @@
 
   bool operator==(const FollowStore &) const = default;
 };
+/// Writes or removes the record of a quarantined content in the store.
+struct StoreQuarantine {
+  Fingerprint Content;
+  bool Present = true;
+
+  bool operator==(const StoreQuarantine &) const = default;
+};
 /// Writes or removes this host's record in the store.
 struct AnnounceHost {
   bool Present = true;
@@ -168,6 +180,6 @@
     std::variant<DispatchRelay, CancelRelay, RefuseRelay, DeliverFailure,
                  BreakRelay, DecodeConfiguration, LimitCallers, AskReport,
                  ReserveMemory, ReleaseMemory, CloseCallers, CloseEngines,
-                 FollowStore, AnnounceHost>;
+                 FollowStore, StoreQuarantine, AnnounceHost>;
 
 } // namespace banyanpick
--- a/src/plugins/crashes/CrashTracker.cpp
+++ b/src/plugins/crashes/CrashTracker.cpp
@@ -32,6 +32,21 @@
   return Found == this->Records.end() ? 0 : Found->second.Engines.size();
 }
 
+bool CrashTracker::isQuarantined(Fingerprint Content) const {
+  const auto Found = this->Records.find(Content);
+  return Found != this->Records.end() && this->isQuarantined(Found->second);
+}
+
+bool CrashTracker::isQuarantined(const Record &Entry) const {
+  return Entry.IsRestored || Entry.Engines.size() >= this->QuarantineThreshold;
+}
+
+void CrashTracker::restore(Fingerprint Content, Time Now) {
+  Record &Entry = this->Records[Content];
+  Entry.IsRestored = true;
+  Entry.LastAt = Now;
+}
+
 std::vector<Crash> CrashTracker::confirmedCrashes() const {
   std::vector<Crash> Result;
   for (const auto &[Content, Entry] : this->Records)
@@ -40,13 +55,18 @@
   return Result;
 }
 
-void CrashTracker::removeExpired(Time Now) {
+std::vector<Fingerprint> CrashTracker::removeExpired(Time Now) {
+  std::vector<Fingerprint> Released;
   std::erase_if(this->Suspicions, [&](const auto &Entry) {
     return Now > Entry.second + this->SuspicionLifetime;
   });
   std::erase_if(this->Records, [&](const auto &Entry) {
-    return Now > Entry.second.LastAt + this->RetentionTime;
+    const bool IsExpired = Now > Entry.second.LastAt + this->RetentionTime;
+    if (IsExpired && this->isQuarantined(Entry.second))
+      Released.push_back(Entry.first);
+    return IsExpired;
   });
+  return Released;
 }
 
 } // namespace banyanpick
--- a/src/plugins/crashes/CrashTracker.h
+++ b/src/plugins/crashes/CrashTracker.h
@@ -48,19 +48,23 @@
 
   /// Returns how many upstreams the content crashed.
   std::size_t crashCount(Fingerprint Content) const;
-  bool isQuarantined(Fingerprint Content) const {
-    return this->crashCount(Content) >= this->QuarantineThreshold;
-  }
+  bool isQuarantined(Fingerprint Content) const;
+  /// Quarantines a content whose crashes an earlier process counted.
+  void restore(Fingerprint Content, Time Now);
   std::vector<Crash> confirmedCrashes() const;
-  /// Removes expired suspicions and records.
-  void removeExpired(Time Now);
+  /// Removes expired suspicions and records. Returns the contents that are no
+  /// longer quarantined.
+  std::vector<Fingerprint> removeExpired(Time Now);
 
 private:
   struct Record {
     std::set<UpstreamId> Engines;
     Time LastAt{};
+    bool IsRestored = false; ///< Its crashes were before this process.
   };
 
+  bool isQuarantined(const Record &Entry) const;
+
   std::size_t QuarantineThreshold = 0;
   Duration SuspicionLifetime{};
   Duration RetentionTime{};
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -5,6 +5,8 @@
 #include "kernel/PluginRegistry.h"
 #include "kernel/ReportRequest.h"
 
+#include <algorithm>
+
 namespace banyanpick {
 
 namespace {
@@ -24,6 +26,7 @@
   const Settings &Values = Context.settings();
   const std::string_view SectionName = "crashes";
   this->Registry = &Context.services();
+  this->Own = Context.self().Host;
   this->Members = &Context.services().get<MembershipView>();
   this->Directory = &Context.services().get<EngineDirectory>();
   this->Gate = &Context.services().get<EngineGate>();
@@ -54,9 +57,11 @@
         this->notifyIfQuarantined(Observed.Content, Now, Out);
       },
       [&](const GatewayEvent &Change) {
-        const auto *Failed = std::get_if<EngineReportFailed>(&Change);
-        if (Failed && Failed->Refused)
+        if (const auto *Failed = std::get_if<EngineReportFailed>(&Change);
+            Failed && Failed->Refused)
           this->confirm(Failed->Engine, Now, Out);
+        if (const auto *Read = std::get_if<QuarantinesRead>(&Change))
+          this->restore(*Read, Now, Out);
       },
       [](const auto &) {});
 }
@@ -103,7 +108,32 @@
 void CrashesPlugin::engineRemoved(const UpstreamId &Id, Time Now,
                                   Actions &Out) {
   this->confirm(Id, Now, Out);
-  this->Tracker.removeExpired(Now);
+  this->removeExpired(Now, Out);
+}
+
+void CrashesPlugin::removeExpired(Time Now, Actions &Out) {
+  const std::vector<Fingerprint> Released = this->Tracker.removeExpired(Now);
+  for (const Fingerprint &Content : Released)
+    this->Stored.erase(Content);
+  // All hosts forget it at about the same time, and one removal is enough.
+  const std::vector<HostId> Peers = this->Members->livePeers();
+  const bool IsFirst = std::ranges::all_of(
+      Peers, [&](const HostId &Peer) { return this->Own < Peer; });
+  if (!IsFirst)
+    return;
+  for (const Fingerprint &Content : Released)
+    Out.add(GatewayAction(StoreQuarantine{Content, false}));
+}
+
+void CrashesPlugin::restore(const QuarantinesRead &Read, Time Now,
+                            Actions &Out) {
+  for (const Fingerprint &Content : Read.Contents) {
+    this->Tracker.restore(Content, Now);
+    Out.log(logEvent(events::QuarantineRestored)
+                .with("content", Content.Value)
+                .build());
+    this->notifyIfQuarantined(Content, Now, Out);
+  }
 }
 
 void CrashesPlugin::memberChanged(const Member &Changed, Time Now,
@@ -123,6 +153,9 @@
        this->Tracker.confirm(Engine, Now)) {
     this->log(Observed, "here", SuspectedFor, Out);
     this->notifyIfQuarantined(Observed.Content, Now, Out);
+    if (this->Tracker.isQuarantined(Observed.Content) &&
+        this->Stored.insert(Observed.Content).second)
+      Out.add(GatewayAction(StoreQuarantine{Observed.Content, true}));
     for (const HostId &Peer : this->Members->livePeers())
       Out.add(
           SendToPeer{Peer, makeNotice(Observed, Now + this->RetentionTime)});
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -9,7 +9,8 @@
 namespace banyanpick {
 
 /// Confirms crashes and reports every crash to all peers. Reports all known
-/// crashes to each host that starts. Notifies QuarantineObserver.
+/// crashes to each host that starts. Notifies QuarantineObserver. Quarantines
+/// are stored, so that they hold on after a restart of all hosts.
 ///
 /// An engine that lost a connection is asked for a report at once: the end of
 /// its registration, which also confirms its death, follows only seconds later,
@@ -36,12 +37,16 @@
   void confirm(const UpstreamId &Engine, Time Now, Actions &Out);
   /// Asks the engine for a report to find out whether it has died.
   void verify(const UpstreamId &Engine, Time Now, Actions &Out);
+  void removeExpired(Time Now, Actions &Out);
+  /// Quarantines contents that an earlier process of any host stored.
+  void restore(const QuarantinesRead &Read, Time Now, Actions &Out);
   void notifyIfQuarantined(Fingerprint Content, Time Now, Actions &Out);
   /// \p From is the host that confirmed the crash, for logs.
   void log(const Crash &Observed, std::string_view From, Duration SuspectedFor,
            Actions &Out) const;
 
   Services *Registry = nullptr;
+  HostId Own;
   const MembershipView *Members = nullptr;
   const EngineDirectory *Directory = nullptr;
   const EngineGate *Gate = nullptr;
@@ -51,6 +56,7 @@
   Duration VerifyInterval{};
   /// Engines that were asked within VerifyInterval, and when.
   std::map<UpstreamId, Time> VerifiedAt;
+  std::set<Fingerprint> Stored; ///< Quarantines that this host stored.
   /// The incarnations that were sent all known crashes.
   std::map<HostId, Incarnation> InformedIncarnations;
 };
--- a/tests/auto/gateway/CrashDetectionTest.cpp
+++ b/tests/auto/gateway/CrashDetectionTest.cpp
@@ -15,9 +15,21 @@
     this->Bench.registerEngines("desk", 1);
   }
 
+  /// All requests have the same content.
+  RequestId arrive() {
+    RelayHead Head;
+    Head.Id = RequestId(++this->LastRequest);
+    Head.Host = "a.example";
+    Head.Path = "/once/1";
+    Head.Key = "key";
+    Head.Remaining = seconds(5);
+    Head.Content = this->Content;
+    this->Bench.send(GatewayEvent(RelayArrived{Head}));
+    return Head.Id;
+  }
   /// Sends a request and resets its connection.
   void loseConnection() {
-    this->Bench.arrive("/once/1");
+    this->arrive();
     this->end(RelayBroken{RelayBroken::Why::Reset, false, std::nullopt});
   }
   void end(const RelayOutcome &Outcome) {
@@ -31,6 +43,8 @@
   }
 
   const UpstreamId Engine{"e1"};
+  const Fingerprint Content{5};
+  std::uint64_t LastRequest = 500;
   GatewayBench Bench;
 };
 
@@ -52,7 +66,7 @@
 
 TEST_F(CrashDetection, CountsACrashOnceAnotherEngineHasTheAddress) {
   this->loseConnection();
-  this->Bench.arrive("/once/2");
+  this->arrive();
   RelayNotRun Other;
   Other.OtherEngine = true;
   this->end(Other);
@@ -69,12 +83,49 @@
 }
 
 TEST_F(CrashDetection, AsksNoEngineThatRequestedABackoff) {
-  this->Bench.arrive("/once/1");
+  this->arrive();
   this->Bench.requestBackoff(this->Engine, seconds(3));
   this->end(RelayBroken{RelayBroken::Why::Reset, false, std::nullopt});
   EXPECT_EQ(this->reportRequests(), 0U);
 }
 
+/// Guards against quarantines that are lost when all hosts restart.
+TEST_F(CrashDetection, StoresAQuarantineOnce) {
+  this->Bench.registerEngines("desk", 4);
+  for (int Count = 0; Count < 3; ++Count) {
+    EXPECT_TRUE(this->Bench.all<StoreQuarantine>().empty());
+    this->loseConnection();
+    this->Bench.send(GatewayEvent(
+        EngineReportFailed{this->Bench.last<DispatchRelay>().Engine, true}));
+  }
+  EXPECT_EQ(this->crashes(), 3U);
+  ASSERT_EQ(this->Bench.all<StoreQuarantine>().size(), 1U);
+  EXPECT_TRUE(this->Bench.last<StoreQuarantine>().Present);
+}
+
+TEST_F(CrashDetection, RefusesAContentWhoseQuarantineWasStored) {
+  const RequestId Before = this->arrive();
+  this->Bench.send(GatewayEvent(QuarantinesRead{{this->Content}}));
+  EXPECT_EQ(this->Bench.last<RefuseRelay>().Request, Before);
+  const RequestId After = this->arrive();
+  EXPECT_EQ(this->Bench.last<RefuseRelay>().Request, After);
+  EXPECT_EQ(this->Bench.last<RefuseRelay>().Kind, RefusalKind::NotRun);
+}
+
+TEST_F(CrashDetection, RemovesAStoredQuarantineWhenItExpires) {
+  this->Bench.send(GatewayEvent(QuarantinesRead{{this->Content}}));
+  this->Bench.advance(seconds(601));
+  EngineChange Removal;
+  Removal.Engine.Id = this->Engine;
+  Removal.Removed = true;
+  Removal.Offset = 30;
+  this->Bench.send(GatewayEvent(EnginesRead{{Removal}, false, 31}));
+  // The registration may only be late, as the store was not read for long.
+  this->Bench.advance(seconds(3));
+  EXPECT_EQ(this->Bench.last<StoreQuarantine>(),
+            (StoreQuarantine{this->Content, false}));
+}
+
 /// Guards against a quarantine of content whose engine has not died.
 class UnsentAttempt : public CrashDetection,
                       public testing::WithParamInterface<RelayNeverSent::Why> {
@@ -82,7 +133,7 @@
 
 TEST_P(UnsentAttempt, CountsACrashOnlyIfTheConnectionIsRefused) {
   this->loseConnection();
-  this->Bench.arrive("/once/2");
+  this->arrive();
   this->end(RelayNeverSent{GetParam()});
   EXPECT_EQ(this->crashes(),
             GetParam() == RelayNeverSent::Why::Refused ? 1U : 0U);
--- a/tests/auto/gateway/CrashTrackerTest.cpp
+++ b/tests/auto/gateway/CrashTrackerTest.cpp
@@ -48,6 +48,15 @@
   EXPECT_EQ(Tracker.crashCount(FaultyContent), 1U);
 }
 
+TEST(CrashTracker, QuarantinesARestoredContentUntilItExpires) {
+  CrashTracker Tracker = makeTracker();
+  Tracker.restore(FaultyContent, at(0));
+  EXPECT_TRUE(Tracker.isQuarantined(FaultyContent));
+  EXPECT_TRUE(Tracker.removeExpired(at(600)).empty());
+  EXPECT_EQ(Tracker.removeExpired(at(601)), std::vector{FaultyContent});
+  EXPECT_FALSE(Tracker.isQuarantined(FaultyContent));
+}
+
 TEST(CrashTracker, RemovesExpiredCrashes) {
   CrashTracker Tracker = makeTracker();
   Tracker.add({FaultyContent, UpstreamId("e1")}, at(0));
--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -13,7 +13,6 @@
 
 constexpr Time Begin = Time(seconds(1000));
 constexpr milliseconds NetworkDelay(1);
-constexpr milliseconds StoreDelay(4);
 constexpr milliseconds StoreReadInterval(200);
 constexpr milliseconds RenewInterval(1200);
 constexpr std::size_t Seeds = 3;
@@ -421,6 +420,7 @@
   Started.NextDeclaration = 0;
   this->send(Index, Started.Life, Tick{});
   this->readStore(Index, Started.Life);
+  this->readQuarantines(Index);
 }
 
 void HostSimulation::send(std::size_t Index, std::uint64_t Life,
@@ -562,6 +562,7 @@
       [&](const DispatchRelay &Dispatch) { this->dispatch(Index, Dispatch); },
       [&](const AskReport &Asked) { this->reportLoad(Index, Asked.Engine); },
       [&](const CancelRelay &Order) { this->Cancelled.insert(Order.Attempt); },
+      [&](const StoreQuarantine &Wanted) { this->storeQuarantine(Wanted); },
       [&](const RefuseRelay &Refusal) { this->handleRefusal(Index, Refusal); },
       [&](const BreakRelay &) { ++this->Current.Lost[Index]; },
       [&](const DeliverFailure &) { ++this->Current.Lost[Index]; },
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -25,6 +25,7 @@
   static constexpr std::size_t Zones = 5;
   static constexpr std::uint64_t ShortPrompt = 5000; ///< Tokens.
   static constexpr seconds CallerTimeLimit{10};
+  static constexpr milliseconds StoreDelay{4};
 
   /// Starts all hosts at once, distributed over the zones in turn. Three of
   /// them are seeds.
@@ -305,6 +306,9 @@
   void scheduleWake(std::size_t Index);
   void readStore(std::size_t Index, std::uint64_t Life);
   void readEvacuations(std::size_t Index);
+  void storeQuarantine(const StoreQuarantine &Wanted);
+  /// Sends the host that has started the stored quarantines.
+  void readQuarantines(std::size_t Index);
   /// Renews the registration of the engine periodically.
   void renewRegistration(std::size_t Engine);
   void registerEngine(std::size_t Engine);
@@ -356,6 +360,7 @@
   std::map<UpstreamId, std::vector<Arrival>> Arrived;
   /// The requests that each engine runs.
   std::map<UpstreamId, std::vector<RunningRequest>> RunningByEngine;
+  std::set<Fingerprint> StoredQuarantines;
   std::set<std::size_t> Down; ///< Engines without a process.
   std::set<AttemptId> Cancelled;
   std::vector<Time> Crashes;
--- a/tests/auto/manyhosts/SimulatedCrashes.cpp
+++ b/tests/auto/manyhosts/SimulatedCrashes.cpp
@@ -86,6 +86,26 @@
              GatewayEvent(RelayEnded{Request.Attempt, RelayBroken{}}));
 }
 
+void HostSimulation::storeQuarantine(const StoreQuarantine &Wanted) {
+  this->Queue.after(StoreDelay, [this, Wanted] {
+    if (Wanted.Present)
+      this->StoredQuarantines.insert(Wanted.Content);
+    else
+      this->StoredQuarantines.erase(Wanted.Content);
+  });
+}
+
+void HostSimulation::readQuarantines(std::size_t Index) {
+  // A host announces itself first, and then reads.
+  this->Queue.after(
+      2 * StoreDelay, [this, Index, Life = this->Hosts[Index].Life] {
+        const std::vector<Fingerprint> Contents(this->StoredQuarantines.begin(),
+                                                this->StoredQuarantines.end());
+        if (!Contents.empty())
+          this->send(Index, Life, GatewayEvent(QuarantinesRead{Contents}));
+      });
+}
+
 std::optional<RelayOutcome>
 HostSimulation::outcomeWithoutEngine(const DispatchRelay &Dispatch) const {
   const auto Found =
--- a/tests/standins/StandinUpstream.cpp
+++ b/tests/standins/StandinUpstream.cpp
@@ -12,7 +12,8 @@
 /// failure: every answer announces the accepted requests per second (--limit).
 /// `rest` refuses every request and asks for a backoff of --rest seconds.
 /// `leaving` announces in every answer that the upstream is leaving, while its
-/// registration does not.
+/// registration does not. `crash` ends the process at a request with the body
+/// "crash".
 ///
 /// `GET /standin/runs` returns the number of runs of each attempt, the arrivals
 /// since the first answer with a limit, and all arrivals with a mark for those
@@ -79,6 +80,8 @@
       return;
     }
     this->recordRun(Incoming, Attempt);
+    if (FLAGS_fault == "crash" && Incoming.body() == "crash")
+      std::_Exit(EXIT_FAILURE);
     if (Incoming.path().front() == "stream")
       sendStream(Incoming, Attempt);
     else
