--- a/tests/auto/gateway/EvacuationTest.cpp
+++ b/tests/auto/gateway/EvacuationTest.cpp
@@ -124,7 +124,8 @@
   this->readStored(Far, true, 11);
   this->readStored(Own, false, 12);
   for (const DispatchRelay &Sent : First)
-    this->Bench.endAttempt(Sent.Attempt, RelayNeverSent{RelayNeverSent::Why::Withdrawn});
+    this->Bench.endAttempt(Sent.Attempt,
+                           RelayNeverSent{RelayNeverSent::Why::Withdrawn});
   const auto All = this->Bench.all<DispatchRelay>();
   ASSERT_EQ(All.size(), 16U);
   for (std::size_t Index = First.size(); Index < All.size(); ++Index)
