--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -1,14 +1,11 @@
 #include "app/GatewayTraffic.h"
 
-#include "app/HostRecord.h"
-#include "app/QuarantineRecord.h"
 #include "app/TrafficLoop.h"
 #include "base/EventNumbers.h"
 #include "base/Visitor.h"
 #include "logging/LineLog.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace banyanpick {
 
@@ -36,6 +33,10 @@
     : Context(Context), Io(1), Work(net::make_work_guard(this->Io)),
       Store(Context.Protocol.openStore(this->Io.get_executor(),
                                        Context.Values.Store)),
+      Hosts(this->Io.get_executor(), *this->Store,
+            {Context.Self, Context.Events, Context.HostMetrics, Context.Clock,
+             Context.Values.Engines.InitialRetryDelay,
+             Context.Values.Engines.MaxRetryDelay}),
       Links(this->Io.get_executor(), Context.Values.LinkIdle,
             Context.Values.LinksPerUpstream),
       Calls(this->Links, MaxReportBytes),
@@ -47,7 +48,7 @@
   this->Server = &CallersServer;
   this->followDeclarations();
   this->followEngines();
-  net::co_spawn(this->Io, this->join(), net::detached);
+  net::co_spawn(this->Io, this->Hosts.join(), net::detached);
   this->Thread =
       std::thread([this] { runTrafficLoop(this->Io, this->Context.Clock); });
 }
@@ -72,7 +73,7 @@
         this->ResolveAnswers.answer(Item.Id.Value, Item);
       },
       [&](const ReadHostList &) {
-        net::co_spawn(this->Io, this->readHosts(), net::detached);
+        net::co_spawn(this->Io, this->Hosts.readHosts(), net::detached);
       },
       [](const auto &) {});
 }
@@ -119,11 +120,12 @@
         this->Engines->setFollowing(Item.Enabled);
       },
       [&](const StoreQuarantine &Item) {
-        net::co_spawn(this->Io, this->append(writeQuarantineRecord(Item)),
+        net::co_spawn(this->Io, this->Hosts.storeQuarantine(Item),
                       net::detached);
       },
       [&](const AnnounceHost &Item) {
-        net::co_spawn(this->Io, this->announce(Item.Present), net::detached);
+        net::co_spawn(this->Io, this->Hosts.announce(Item.Present),
+                      net::detached);
       });
 }
 
@@ -420,94 +422,6 @@
                               : "unanswered");
 }
 
-Task<std::optional<std::vector<KeyedRecord>>>
-GatewayTraffic::readHostTopic(std::string After) {
-  std::vector<KeyedRecord> All;
-  for (bool More = true; More;) {
-    NewestResult Result =
-        co_await this->Store->newest(StoreTopic::Hosts, After);
-    if (std::holds_alternative<StoreFailure>(Result))
-      co_return std::nullopt;
-    NewestPage &Page = std::get<NewestPage>(Result);
-    More = Page.More && !Page.Records.empty();
-    if (More)
-      After = Page.Records.back().Key;
-    std::ranges::move(Page.Records, std::back_inserter(All));
-  }
-  co_return All;
-}
-
-Task<void> GatewayTraffic::readHosts() {
-  const auto Records = co_await this->readHostTopic("");
-  if (!Records) {
-    this->Context.Events.send(HostListReadFailed{});
-    co_return;
-  }
-  HostListRead Read;
-  for (const KeyedRecord &Record : *Records)
-    if (auto Host = readHostRecord(Record))
-      Read.Hosts.push_back(std::move(*Host));
-  this->Context.Events.send(std::move(Read));
-}
-
-Task<void> GatewayTraffic::join() {
-  co_await this->announce(true);
-  co_await this->readQuarantines();
-}
-
-Task<void> GatewayTraffic::readQuarantines() {
-  net::steady_timer Pause(this->Io);
-  Duration Retry = this->Context.Values.Engines.InitialRetryDelay;
-  auto Records = co_await this->readHostTopic(std::string(QuarantineKeyPrefix));
-  while (!Records) {
-    co_await this->pauseBeforeRetry(Pause, Retry);
-    Records = co_await this->readHostTopic(std::string(QuarantineKeyPrefix));
-  }
-  QuarantinesRead Read;
-  for (const KeyedRecord &Record : *Records)
-    if (const auto Content = readQuarantineRecord(Record))
-      Read.Contents.push_back(*Content);
-  if (!Read.Contents.empty())
-    this->Context.Events.send(GatewayEvent(std::move(Read)));
-}
-
-Task<void> GatewayTraffic::announce(bool Present) {
-  const Identity &Self = this->Context.Self;
-  KeyedRecord Record = writeHostRecord(
-      {Self.Host, Self.Zone, Self.Callers, Self.Peers, false, Self.Processor});
-  if (Present) {
-    co_await this->append(std::move(Record));
-    co_return;
-  }
-  // A failed withdrawal is not retried, because peers detect the death of a
-  // stopped host.
-  Record.Value.reset();
-  co_await this->tryAppend(std::move(Record));
-}
-
-Task<void> GatewayTraffic::append(KeyedRecord Record) {
-  net::steady_timer Pause(this->Io);
-  Duration Retry = this->Context.Values.Engines.InitialRetryDelay;
-  while (!co_await this->tryAppend(Record))
-    co_await this->pauseBeforeRetry(Pause, Retry);
-}
-
-Task<bool> GatewayTraffic::tryAppend(KeyedRecord Record) {
-  const StoreAppendResult Result =
-      co_await this->Store->append(StoreTopic::Hosts, std::move(Record));
-  const bool IsAccepted = std::holds_alternative<AppendAccepted>(Result);
-  this->count("announcements", IsAccepted ? "taken" : "failed");
-  co_return IsAccepted;
-}
-
-Task<void> GatewayTraffic::pauseBeforeRetry(net::steady_timer &Pause,
-                                            Duration &Retry) const {
-  Pause.expires_after(Retry);
-  Retry = std::min(Retry * 2, this->Context.Values.Engines.MaxRetryDelay);
-  ErrorCode Ignored;
-  co_await Pause.async_wait(into(Ignored));
-}
-
 void GatewayTraffic::count(std::string_view Name, std::string_view Label) {
   this->Context.HostMetrics.record(
       {RecordMeasurement::Kind::Count, Name, std::string(Label), 1});
--- a/src/app/GatewayTraffic.h
+++ b/src/app/GatewayTraffic.h
@@ -4,6 +4,7 @@
 
 #include "app/EventSink.h"
 #include "app/GatewaySettings.h"
+#include "app/HostTopic.h"
 #include "app/PendingAnswers.h"
 #include "app/ProcessClock.h"
 #include "gateway/EngineBackoffs.h"
@@ -75,21 +76,6 @@
   Task<void> requestReport(AskReport Wanted);
   Task<void> reserve(ReserveMemory Wanted);
   Task<void> release(ReleaseMemory Wanted);
-  Task<void> readHosts();
-  /// Announces this host, and then reads the quarantined contents.
-  Task<void> join();
-  Task<void> announce(bool Present);
-  Task<void> readQuarantines();
-  /// Appends the record to the hosts' topic, again until the store accepts it.
-  Task<void> append(KeyedRecord Record);
-  /// Returns whether the store accepted the record.
-  Task<bool> tryAppend(KeyedRecord Record);
-  /// Pauses for \p Retry and doubles it, up to the longest retry delay.
-  Task<void> pauseBeforeRetry(net::steady_timer &Pause, Duration &Retry) const;
-  /// Returns the records of the hosts' topic whose keys follow \p After, or
-  /// nothing if the store does not answer.
-  Task<std::optional<std::vector<KeyedRecord>>>
-  readHostTopic(std::string After);
   void followDeclarations();
   void followEngines();
   void takeEngines(std::span<const KeyedRecord> Records, bool Complete,
@@ -108,6 +94,7 @@
   net::executor_work_guard<net::io_context::executor_type> Work;
   HttpServer *Server = nullptr;
   std::unique_ptr<OrderedStore> Store;
+  HostTopic Hosts;
   std::shared_ptr<KeyedFollower> Declarations;
   std::shared_ptr<KeyedFollower> Engines;
   EngineLinkPool Links;
--- a/src/app/QuarantineRecord.cpp
+++ b/src/app/QuarantineRecord.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int HexBase = 16;
+/// The value of a record. The key holds all that is needed.
+constexpr std::string_view PresentValue = "quarantined";
 
 } // namespace
 
@@ -16,12 +18,16 @@
   Result.Key =
       fmt::format("{}{:016x}", QuarantineKeyPrefix, Wanted.Content.Value);
   if (Wanted.Present)
-    Result.Value = "quarantined";
+    Result.Value = std::string(PresentValue);
   return Result;
 }
 
+bool isQuarantineRecord(const KeyedRecord &Record) {
+  return Record.Value && Record.Key.starts_with(QuarantineKeyPrefix);
+}
+
 std::optional<Fingerprint> readQuarantineRecord(const KeyedRecord &Record) {
-  if (!Record.Value || !Record.Key.starts_with(QuarantineKeyPrefix))
+  if (!isQuarantineRecord(Record))
     return std::nullopt;
   const std::string_view Digits =
       std::string_view(Record.Key).substr(QuarantineKeyPrefix.size());
--- a/src/app/QuarantineRecord.h
+++ b/src/app/QuarantineRecord.h
@@ -16,8 +16,10 @@
 
 KeyedRecord writeQuarantineRecord(const StoreQuarantine &Wanted);
 
-/// Returns nothing when the record is malformed, was removed or is that of a
-/// host.
+/// Whether it is, by its key, the record of a content that is quarantined.
+bool isQuarantineRecord(const KeyedRecord &Record);
+
+/// Returns nothing when the record is malformed or no such record.
 std::optional<Fingerprint> readQuarantineRecord(const KeyedRecord &Record);
 
 } // namespace banyanpick
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -202,6 +202,8 @@
     831, LogLevel::Error, "configuration from a peer is malformed"};
 inline constexpr EventKind QuarantineRestored{832, LogLevel::Info,
                                               "quarantine read from the store"};
+inline constexpr EventKind StoredQuarantineUnreadable{
+    833, LogLevel::Warning, "stored quarantine unreadable"};
 inline constexpr EventKind ContentCrashed{830, LogLevel::Warning,
                                           "content crashed an engine"};
 inline constexpr EventKind MemoryReserved{840, LogLevel::Info,
--- a/tests/auto/daemon/QuarantineRecordTest.cpp
+++ b/tests/auto/daemon/QuarantineRecordTest.cpp
@@ -29,6 +29,8 @@
   for (const char *Key : {"quarantine/", "quarantine/5g", "quarantine/ 5",
                           "quarantine/10000000000000000", "front-1"})
     EXPECT_FALSE(readQuarantineRecord({Key, "quarantined", 0})) << Key;
+  EXPECT_TRUE(isQuarantineRecord({"quarantine/5g", "quarantined", 0}))
+      << "so that it is logged";
 }
 
 } // namespace
