Ask again whether an engine lives when its report is lost

Cause: a process that ends may accept a connection for a moment after it has reset others. The report request then is lost instead of refused, and nothing asked again, so that the crash was confirmed by the registration's end only. A connection that was lost within 200 ms after a request was not looked into either.

Evidence: in a trace upstream u2 reset an attempt at 37.506 ms and refused a connection of the other host at 39.819, and its crash was never logged (830) by the host that had asked.

Change: DeathCheck asks again after 100 ms, four times in all, while reports are lost, or when further connections are. An engine that never answers is asked no more; its registration ends soon after.

--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -32,7 +32,7 @@
   this->Gate = &Context.services().get<EngineGate>();
   this->Quota = &Context.services().get<EngineQuota>();
   this->RetentionTime = Values.span(SectionName, "keep_for");
-  this->VerifyInterval = Values.span(SectionName, "verify_interval");
+  this->Check = DeathCheck(Values.span(SectionName, "verify_interval"));
   this->Tracker = CrashTracker(Values.whole(SectionName, "most"),
                                Values.span(SectionName, "suspect_for"),
                                this->RetentionTime);
@@ -57,13 +57,26 @@
         this->notifyIfQuarantined(Observed.Content, Now, Out);
       },
       [&](const GatewayEvent &Change) {
-        if (const auto *Failed = std::get_if<EngineReportFailed>(&Change);
-            Failed && Failed->Refused)
-          this->confirm(Failed->Engine, Now, Out);
+        this->takeReport(Change, Now, Out);
         if (const auto *Read = std::get_if<QuarantinesRead>(&Change))
           this->restore(*Read, Now, Out);
       },
       [](const auto &) {});
+  for (const UpstreamId &Engine : this->Check.takeDue(Now))
+    this->askWhetherAlive(Engine, Now, Out);
+}
+
+void CrashesPlugin::takeReport(const GatewayEvent &Answer, Time Now,
+                               Actions &Out) {
+  if (const auto *Reported = std::get_if<EngineReported>(&Answer))
+    this->Check.remove(Reported->Report.Engine);
+  const auto *Failed = std::get_if<EngineReportFailed>(&Answer);
+  if (!Failed)
+    return;
+  if (Failed->Refused)
+    this->confirm(Failed->Engine, Now, Out);
+  else
+    this->Check.reportLost(Failed->Engine, Now);
 }
 
 bool CrashesPlugin::isQuarantined(Fingerprint Content, Time) const {
@@ -79,7 +92,8 @@
         if (Broken.Reason != RelayBroken::Why::Reset)
           return;
         this->Tracker.addSuspicion({Attempt.Content, Attempt.Engine}, Now);
-        this->verify(Attempt.Engine, Now, Out);
+        if (this->Check.connectionLost(Attempt.Engine, Now))
+          this->askWhetherAlive(Attempt.Engine, Now, Out);
       },
       // A process that does not accept connections has died, with the requests
       // that recently ran there. No other reason for not sending shows that.
@@ -96,12 +110,8 @@
       [](const auto &) {});
 }
 
-void CrashesPlugin::verify(const UpstreamId &Engine, Time Now, Actions &Out) {
-  std::erase_if(this->VerifiedAt, [&](const auto &Entry) {
-    return Now >= Entry.second + this->VerifyInterval;
-  });
-  if (!this->VerifiedAt.try_emplace(Engine, Now).second)
-    return;
+void CrashesPlugin::askWhetherAlive(const UpstreamId &Engine, Time Now,
+                                    Actions &Out) const {
   requestReport(Engine, *this->Directory, *this->Gate, *this->Quota, Now, Out);
 }
 
@@ -149,6 +159,7 @@
 }
 
 void CrashesPlugin::confirm(const UpstreamId &Engine, Time Now, Actions &Out) {
+  this->Check.remove(Engine);
   for (const auto &[Observed, SuspectedFor] :
        this->Tracker.confirm(Engine, Now)) {
     this->log(Observed, "here", SuspectedFor, Out);
@@ -196,7 +207,7 @@
        "within so long: three missed renewals of its registration and a "
        "margin.",
        100e3, 60e6},
-      {SectionName, "verify_interval", SettingKind::Span, "200ms",
+      {SectionName, "verify_interval", SettingKind::Span, "100ms",
        "An engine that loses connections is asked for a report no more often; "
        "one that refuses the connection has crashed.",
        1e3, 60e6},
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -5,6 +5,7 @@
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
 #include "plugins/crashes/CrashTracker.h"
+#include "plugins/crashes/DeathCheck.h"
 
 namespace banyanpick {
 
@@ -23,7 +24,7 @@
 public:
   void initialize(PluginContext &Context) override;
   void handle(const Event &Incoming, Time Now, Actions &Out) override;
-  Time nextWake() const override { return Never; }
+  Time nextWake() const override { return this->Check.nextDue(); }
 
   bool isQuarantined(Fingerprint Content, Time Now) const override;
   void attemptEnded(const RelayAttempt &Attempt, const RelayOutcome &Outcome,
@@ -35,8 +36,10 @@
 
 private:
   void confirm(const UpstreamId &Engine, Time Now, Actions &Out);
+  /// Takes an engine's answer to a request for a report.
+  void takeReport(const GatewayEvent &Answer, Time Now, Actions &Out);
   /// Asks the engine for a report to find out whether it has died.
-  void verify(const UpstreamId &Engine, Time Now, Actions &Out);
+  void askWhetherAlive(const UpstreamId &Engine, Time Now, Actions &Out) const;
   void removeExpired(Time Now, Actions &Out);
   /// Quarantines contents that an earlier process of any host stored.
   void restore(const QuarantinesRead &Read, Time Now, Actions &Out);
@@ -53,9 +56,7 @@
   const EngineQuota *Quota = nullptr;
   CrashTracker Tracker;
   Duration RetentionTime{};
-  Duration VerifyInterval{};
-  /// Engines that were asked within VerifyInterval, and when.
-  std::map<UpstreamId, Time> VerifiedAt;
+  DeathCheck Check;
   std::set<Fingerprint> Stored; ///< Quarantines that this host stored.
   /// The incarnations that were sent all known crashes.
   std::map<HostId, Incarnation> InformedIncarnations;
--- /dev/null
+++ b/src/plugins/crashes/DeathCheck.cpp
@@ -0,0 +1,58 @@
+#include "plugins/crashes/DeathCheck.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// Requests to an engine that answers none. Its registration ends soon after.
+constexpr std::uint32_t MaxRequests = 4;
+
+/// Time after which the check of an engine begins anew.
+constexpr seconds CheckLifetime(2);
+
+} // namespace
+
+bool DeathCheck::connectionLost(const UpstreamId &Engine, Time Now) {
+  std::erase_if(this->Checks, [&](const auto &Entry) {
+    return Now >= Entry.second.AskedAt + Duration(CheckLifetime);
+  });
+  const auto [Found, IsNew] = this->Checks.try_emplace(Engine);
+  Check &Current = Found->second;
+  if (IsNew) {
+    Current = {Now, Never, 1};
+    return true;
+  }
+  if (Current.Requests < MaxRequests)
+    Current.NextAt = std::min(Current.NextAt,
+                              std::max(Now, Current.AskedAt + this->Interval));
+  return false;
+}
+
+void DeathCheck::reportLost(const UpstreamId &Engine, Time Now) {
+  const auto Found = this->Checks.find(Engine);
+  if (Found == this->Checks.end() || Found->second.Requests >= MaxRequests)
+    return;
+  Found->second.NextAt = std::min(Found->second.NextAt, Now + this->Interval);
+}
+
+std::vector<UpstreamId> DeathCheck::takeDue(Time Now) {
+  std::vector<UpstreamId> Result;
+  for (auto &[Engine, Current] : this->Checks) {
+    if (Now < Current.NextAt)
+      continue;
+    Current = {Now, Never, Current.Requests + 1};
+    Result.push_back(Engine);
+  }
+  return Result;
+}
+
+Time DeathCheck::nextDue() const {
+  Time Result = Never;
+  for (const auto &[Engine, Current] : this->Checks)
+    Result = std::min(Result, Current.NextAt);
+  return Result;
+}
+
+} // namespace banyanpick
