Store a quarantine at each host that found a crash of its content

Cause: only the host that confirmed the crash by which a content is quarantined stored the quarantine. Where two hosts confirm crashes at the same moment, each learns of the last one from the other, and none stored it.

Evidence: in the trace both hosts log crashes=3 with from= the other host, and no quarantine is read after the restart.

Change: each host that confirmed a crash of the content stores its quarantine, whoever completes it. Writing it twice does no harm.

Measured: CrashDetection.StoresAQuarantineThatAPeerCompletes is new.

--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -54,7 +54,7 @@
         if (!this->Tracker.add(Observed, Now))
           return;
         this->log(Observed, Received.Message.From.Value, Duration(0), Out);
-        this->notifyIfQuarantined(Observed.Content, Now, Out);
+        this->noteQuarantine(Observed.Content, Now, Out);
       },
       [&](const GatewayEvent &Change) {
         this->takeReport(Change, Now, Out);
@@ -123,8 +123,12 @@
 
 void CrashesPlugin::removeExpired(Time Now, Actions &Out) {
   const std::vector<Fingerprint> Released = this->Tracker.removeExpired(Now);
-  for (const Fingerprint &Content : Released)
-    this->Stored.erase(Content);
+  std::erase_if(this->ConfirmedHere, [&](const Fingerprint &Content) {
+    return this->Tracker.crashCount(Content) == 0;
+  });
+  std::erase_if(this->Stored, [&](const Fingerprint &Content) {
+    return !this->Tracker.isQuarantined(Content);
+  });
   // All hosts forget it at about the same time, and one removal is enough.
   const std::vector<HostId> Peers = this->Members->livePeers();
   const bool IsFirst = std::ranges::all_of(
@@ -142,7 +146,7 @@
     Out.log(logEvent(events::QuarantineRestored)
                 .with("content", Content.Value)
                 .build());
-    this->notifyIfQuarantined(Content, Now, Out);
+    this->noteQuarantine(Content, Now, Out);
   }
 }
 
@@ -163,23 +167,27 @@
   for (const auto &[Observed, SuspectedFor] :
        this->Tracker.confirm(Engine, Now)) {
     this->log(Observed, "here", SuspectedFor, Out);
-    this->notifyIfQuarantined(Observed.Content, Now, Out);
-    if (this->Tracker.isQuarantined(Observed.Content) &&
-        this->Stored.insert(Observed.Content).second)
-      Out.add(GatewayAction(StoreQuarantine{Observed.Content, true}));
+    this->ConfirmedHere.insert(Observed.Content);
+    this->noteQuarantine(Observed.Content, Now, Out);
     for (const HostId &Peer : this->Members->livePeers())
       Out.add(
           SendToPeer{Peer, makeNotice(Observed, Now + this->RetentionTime)});
   }
 }
 
-void CrashesPlugin::notifyIfQuarantined(Fingerprint Content, Time Now,
-                                        Actions &Out) {
+void CrashesPlugin::noteQuarantine(Fingerprint Content, Time Now,
+                                   Actions &Out) {
   if (!this->Tracker.isQuarantined(Content))
     return;
   for (QuarantineObserver *Observer :
        this->Registry->list<QuarantineObserver>().all())
     Observer->contentQuarantined(Content, Now, Out);
+  // Each host that confirmed a crash of the content stores the quarantine. One
+  // of them would not suffice: where crashes are confirmed at the same moment,
+  // every host learns of the last one from a peer.
+  if (this->ConfirmedHere.contains(Content) &&
+      this->Stored.insert(Content).second)
+    Out.add(GatewayAction(StoreQuarantine{Content, true}));
 }
 
 void CrashesPlugin::log(const Crash &Observed, std::string_view From,
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -43,7 +43,8 @@
   void removeExpired(Time Now, Actions &Out);
   /// Quarantines contents that an earlier process of any host stored.
   void restore(const QuarantinesRead &Read, Time Now, Actions &Out);
-  void notifyIfQuarantined(Fingerprint Content, Time Now, Actions &Out);
+  /// If the content is quarantined, notifies the observers and stores that.
+  void noteQuarantine(Fingerprint Content, Time Now, Actions &Out);
   /// \p From is the host that confirmed the crash, for logs.
   void log(const Crash &Observed, std::string_view From, Duration SuspectedFor,
            Actions &Out) const;
@@ -57,7 +58,8 @@
   CrashTracker Tracker;
   Duration RetentionTime{};
   DeathCheck Check;
-  std::set<Fingerprint> Stored; ///< Quarantines that this host stored.
+  std::set<Fingerprint> ConfirmedHere; ///< With a crash that this host found.
+  std::set<Fingerprint> Stored;        ///< Quarantines that this host stored.
   /// The incarnations that were sent all known crashes.
   std::map<HostId, Incarnation> InformedIncarnations;
 };
--- a/tests/auto/gateway/CrashDetectionTest.cpp
+++ b/tests/auto/gateway/CrashDetectionTest.cpp
@@ -126,6 +126,22 @@
   EXPECT_TRUE(this->Bench.last<StoreQuarantine>().Present);
 }
 
+/// Guards against a quarantine that no host stores, as each learns of the last
+/// crash from another one.
+TEST_F(CrashDetection, StoresAQuarantineThatAPeerCompletes) {
+  this->loseConnection();
+  this->Bench.send(GatewayEvent(EngineReportFailed{this->Engine, true}));
+  for (const char *Name : {"x1", "x2"}) {
+    QuarantineNotice Notice;
+    Notice.Content = this->Content;
+    Notice.Upstream = UpstreamId(Name);
+    this->Bench.receive("h2", Notice);
+  }
+  ASSERT_EQ(this->Bench.all<StoreQuarantine>().size(), 1U);
+  EXPECT_EQ(this->Bench.last<StoreQuarantine>(),
+            (StoreQuarantine{this->Content, true}));
+}
+
 TEST_F(CrashDetection, RefusesAContentWhoseQuarantineWasStored) {
   const RequestId Before = this->arrive();
   this->Bench.send(GatewayEvent(QuarantinesRead{{this->Content}}));
