Keep what is stored of a quarantine with its record

Two sets in CrashesPlugin followed the lifetime of CrashTracker's records and were pruned beside them; they are flags of the record now, which ends with it. DeathCheck looked through all its engines at every event of the kernel; it knows when the next one is due. Behaviour is unchanged.

--- a/src/plugins/crashes/CrashTracker.cpp
+++ b/src/plugins/crashes/CrashTracker.cpp
@@ -1,5 +1,7 @@
 #include "plugins/crashes/CrashTracker.h"
 
+#include <utility>
+
 namespace banyanpick {
 
 void CrashTracker::addSuspicion(const Crash &Observed, Time Now) {
@@ -18,6 +20,8 @@
   std::erase_if(Result, [&](const ConfirmedCrash &Found) {
     return !this->add(Found.Observed, Now);
   });
+  for (const ConfirmedCrash &Found : Result)
+    this->Records[Found.Observed.Content].IsFoundHere = true;
   return Result;
 }
 
@@ -41,6 +45,14 @@
   return Entry.IsRestored || Entry.Engines.size() >= this->QuarantineThreshold;
 }
 
+bool CrashTracker::takeToStore(Fingerprint Content) {
+  const auto Found = this->Records.find(Content);
+  if (Found == this->Records.end() || !this->isQuarantined(Found->second))
+    return false;
+  Record &Entry = Found->second;
+  return Entry.IsFoundHere && !std::exchange(Entry.IsStored, true);
+}
+
 void CrashTracker::restore(Fingerprint Content, Time Now) {
   Record &Entry = this->Records[Content];
   Entry.IsRestored = true;
--- a/src/plugins/crashes/CrashTracker.h
+++ b/src/plugins/crashes/CrashTracker.h
@@ -49,6 +49,9 @@
   /// Returns how many upstreams the content crashed.
   std::size_t crashCount(Fingerprint Content) const;
   bool isQuarantined(Fingerprint Content) const;
+  /// Returns, once, that this host is to store the quarantine of the content:
+  /// it is quarantined, and this host found one of its crashes.
+  bool takeToStore(Fingerprint Content);
   /// Quarantines a content whose crashes an earlier process counted.
   void restore(Fingerprint Content, Time Now);
   std::vector<Crash> confirmedCrashes() const;
@@ -60,7 +63,9 @@
   struct Record {
     std::set<UpstreamId> Engines;
     Time LastAt{};
-    bool IsRestored = false; ///< Its crashes were before this process.
+    bool IsFoundHere = false; ///< This host confirmed one of its crashes.
+    bool IsStored = false;    ///< This host has stored its quarantine.
+    bool IsRestored = false;  ///< Its crashes were before this process.
   };
 
   bool isQuarantined(const Record &Entry) const;
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -123,12 +123,6 @@
 
 void CrashesPlugin::removeExpired(Time Now, Actions &Out) {
   const std::vector<Fingerprint> Released = this->Tracker.removeExpired(Now);
-  std::erase_if(this->ConfirmedHere, [&](const Fingerprint &Content) {
-    return this->Tracker.crashCount(Content) == 0;
-  });
-  std::erase_if(this->Stored, [&](const Fingerprint &Content) {
-    return !this->Tracker.isQuarantined(Content);
-  });
   // All hosts forget it at about the same time, and one removal is enough.
   const std::vector<HostId> Peers = this->Members->livePeers();
   const bool IsFirst = std::ranges::all_of(
@@ -167,7 +161,6 @@
   for (const auto &[Observed, SuspectedFor] :
        this->Tracker.confirm(Engine, Now)) {
     this->log(Observed, "here", SuspectedFor, Out);
-    this->ConfirmedHere.insert(Observed.Content);
     this->noteQuarantine(Observed.Content, Now, Out);
     for (const HostId &Peer : this->Members->livePeers())
       Out.add(
@@ -185,8 +178,7 @@
   // Each host that confirmed a crash of the content stores the quarantine. One
   // of them would not suffice: where crashes are confirmed at the same moment,
   // every host learns of the last one from a peer.
-  if (this->ConfirmedHere.contains(Content) &&
-      this->Stored.insert(Content).second)
+  if (this->Tracker.takeToStore(Content))
     Out.add(GatewayAction(StoreQuarantine{Content, true}));
 }
 
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -58,8 +58,6 @@
   CrashTracker Tracker;
   Duration RetentionTime{};
   DeathCheck Check;
-  std::set<Fingerprint> ConfirmedHere; ///< With a crash that this host found.
-  std::set<Fingerprint> Stored;        ///< Quarantines that this host stored.
   /// The incarnations that were sent all known crashes.
   std::map<HostId, Incarnation> InformedIncarnations;
 };
--- a/src/plugins/crashes/DeathCheck.cpp
+++ b/src/plugins/crashes/DeathCheck.cpp
@@ -24,35 +24,38 @@
     Current = {Now, Never, 1};
     return true;
   }
-  if (Current.Requests < MaxRequests)
-    Current.NextAt = std::min(Current.NextAt,
-                              std::max(Now, Current.AskedAt + this->Interval));
+  this->askAgain(Current, std::max(Now, Current.AskedAt + this->Interval));
   return false;
 }
 
 void DeathCheck::reportLost(const UpstreamId &Engine, Time Now) {
   const auto Found = this->Checks.find(Engine);
-  if (Found == this->Checks.end() || Found->second.Requests >= MaxRequests)
+  if (Found != this->Checks.end())
+    this->askAgain(Found->second, Now + this->Interval);
+}
+
+void DeathCheck::askAgain(Check &Current, Time At) {
+  if (Current.Requests >= MaxRequests)
     return;
-  Found->second.NextAt = std::min(Found->second.NextAt, Now + this->Interval);
+  Current.NextAt = std::min(Current.NextAt, At);
+  this->NextDue = std::min(this->NextDue, At);
 }
 
 std::vector<UpstreamId> DeathCheck::takeDue(Time Now) {
   std::vector<UpstreamId> Result;
+  // Called at every event, but rarely due.
+  if (Now < this->NextDue)
+    return Result;
+  this->NextDue = Never;
   for (auto &[Engine, Current] : this->Checks) {
-    if (Now < Current.NextAt)
+    if (Now < Current.NextAt) {
+      this->NextDue = std::min(this->NextDue, Current.NextAt);
       continue;
+    }
     Current = {Now, Never, Current.Requests + 1};
     Result.push_back(Engine);
   }
   return Result;
 }
 
-Time DeathCheck::nextDue() const {
-  Time Result = Never;
-  for (const auto &[Engine, Current] : this->Checks)
-    Result = std::min(Result, Current.NextAt);
-  return Result;
-}
-
 } // namespace banyanpick
--- a/src/plugins/crashes/DeathCheck.h
+++ b/src/plugins/crashes/DeathCheck.h
@@ -30,7 +30,7 @@
   /// Returns the engines to ask now.
   std::vector<UpstreamId> takeDue(Time Now);
   /// Returns when takeDue() returns an engine next.
-  Time nextDue() const;
+  Time nextDue() const { return this->NextDue; }
 
 private:
   struct Check {
@@ -39,8 +39,12 @@
     std::uint32_t Requests = 0;
   };
 
+  /// Asks the engine again at \p At or earlier, unless it was asked too often.
+  void askAgain(Check &Current, Time At);
+
   Duration Interval{};
   std::map<UpstreamId, Check> Checks;
+  Time NextDue = Never; ///< No later than the first NextAt.
 };
 
 } // namespace banyanpick
