Read and write fingerprints with the functions that exist

QuarantineRecord parsed and formatted hexadecimal fingerprints itself, as OperatorJson does; it calls fingerprintText() and parseFingerprint() now. HostTopic had a copy of half of GatewayContext; the context stands in a header of its own, and both use it. Behaviour is unchanged.

--- a/src/app/GatewayTraffic.h
+++ b/src/app/GatewayTraffic.h
@@ -2,32 +2,18 @@
 /// The traffic thread of a gateway.
 #pragma once
 
-#include "app/EventSink.h"
-#include "app/GatewaySettings.h"
+#include "app/GatewayContext.h"
 #include "app/HostTopic.h"
 #include "app/PendingAnswers.h"
-#include "app/ProcessClock.h"
 #include "gateway/EngineBackoffs.h"
 #include "http/HttpServer.h"
-#include "metrics/Metrics.h"
 #include "relay/EngineCalls.h"
-#include "relay/GatewayProtocol.h"
 
 #include <set>
 #include <thread>
 
 namespace banyanpick {
 
-/// The objects and settings that the traffic thread of a gateway uses.
-struct GatewayContext {
-  Identity Self;
-  GatewaySettings Values;
-  const GatewayProtocol &Protocol;
-  EventSink &Events;
-  Metrics &HostMetrics;
-  const ProcessClock &Clock;
-};
-
 /// Relays requests, reads the store and calls upstreams, on one thread.
 class GatewayTraffic {
 public:
--- a/src/app/HostTopic.cpp
+++ b/src/app/HostTopic.cpp
@@ -23,7 +23,7 @@
 }
 
 Task<void> HostTopic::announce(bool Present) {
-  const Identity &Self = this->Given.Self;
+  const Identity &Self = this->Context.Self;
   KeyedRecord Record = writeHostRecord(
       {Self.Host, Self.Zone, Self.Callers, Self.Peers, false, Self.Processor});
   if (Present) {
@@ -39,14 +39,14 @@
 Task<void> HostTopic::readHosts() {
   const auto Records = co_await this->read("");
   if (!Records) {
-    this->Given.Events.send(HostListReadFailed{});
+    this->Context.Events.send(HostListReadFailed{});
     co_return;
   }
   HostListRead Read;
   for (const KeyedRecord &Record : *Records)
     if (auto Host = readHostRecord(Record))
       Read.Hosts.push_back(std::move(*Host));
-  this->Given.Events.send(std::move(Read));
+  this->Context.Events.send(std::move(Read));
 }
 
 Task<void> HostTopic::storeQuarantine(StoreQuarantine Wanted) {
@@ -71,7 +71,7 @@
 
 Task<void> HostTopic::readQuarantines() {
   const std::string First(QuarantineKeyPrefix);
-  Duration Retry = this->Given.InitialRetryDelay;
+  Duration Retry = this->Context.Values.Engines.InitialRetryDelay;
   auto Records = co_await this->read(First);
   while (!Records) {
     co_await this->pause(Retry);
@@ -92,14 +92,14 @@
                        .with("key", Record.Key)
                        .with("offset", Record.Offset)
                        .build(),
-                   this->Given.Clock.now());
+                   this->Context.Clock.now());
   }
   if (!Read.Contents.empty())
-    this->Given.Events.send(GatewayEvent(std::move(Read)));
+    this->Context.Events.send(GatewayEvent(std::move(Read)));
 }
 
 Task<void> HostTopic::append(KeyedRecord Record, std::string_view Metric) {
-  Duration Retry = this->Given.InitialRetryDelay;
+  Duration Retry = this->Context.Values.Engines.InitialRetryDelay;
   while (!co_await this->tryAppend(Record, Metric))
     co_await this->pause(Retry);
 }
@@ -108,14 +108,14 @@
   const StoreAppendResult Result =
       co_await this->Store.append(StoreTopic::Hosts, std::move(Record));
   const bool IsAccepted = std::holds_alternative<AppendAccepted>(Result);
-  this->Given.HostMetrics.record({RecordMeasurement::Kind::Count, Metric,
-                                  IsAccepted ? "taken" : "failed", 1});
+  this->Context.HostMetrics.record({RecordMeasurement::Kind::Count, Metric,
+                                    IsAccepted ? "taken" : "failed", 1});
   co_return IsAccepted;
 }
 
 Task<void> HostTopic::pause(Duration &Retry) const {
   net::steady_timer Timer(this->Executor, Retry);
-  Retry = std::min(Retry * 2, this->Given.MaxRetryDelay);
+  Retry = std::min(Retry * 2, this->Context.Values.Engines.MaxRetryDelay);
   ErrorCode Ignored;
   co_await Timer.async_wait(into(Ignored));
 }
--- a/src/app/HostTopic.h
+++ b/src/app/HostTopic.h
@@ -2,32 +2,23 @@
 /// The topic of the store in which the entry hosts keep their records.
 #pragma once
 
-#include "app/EventSink.h"
-#include "app/GatewaySettings.h"
-#include "app/ProcessClock.h"
+#include "app/GatewayContext.h"
 #include "gateway/GatewayEvent.h"
-#include "metrics/Metrics.h"
 #include "relay/OrderedStore.h"
 
+#include <optional>
+#include <span>
+#include <vector>
+
 namespace banyanpick {
 
 /// Keeps this host's record and those of quarantined contents, and reads the
 /// records of all hosts. Used on the thread of its executor.
 class HostTopic {
 public:
-  struct Dependencies {
-    const Identity &Self;
-    EventSink &Events;
-    Metrics &HostMetrics;
-    const ProcessClock &Clock;
-    /// Between attempts on a store that does not answer.
-    Duration InitialRetryDelay{};
-    Duration MaxRetryDelay{};
-  };
-
   HostTopic(const net::any_io_executor &Executor, OrderedStore &Store,
-            const Dependencies &Given)
-      : Executor(Executor), Store(Store), Given(Given) {}
+            const GatewayContext &Context)
+      : Executor(Executor), Store(Store), Context(Context) {}
 
   /// Announces this host and reads the quarantined contents, both again until
   /// the store answers.
@@ -57,7 +48,7 @@
 
   net::any_io_executor Executor;
   OrderedStore &Store;
-  Dependencies Given;
+  const GatewayContext &Context;
 };
 
 } // namespace banyanpick
--- a/src/app/QuarantineRecord.cpp
+++ b/src/app/QuarantineRecord.cpp
@@ -1,13 +1,12 @@
 #include "app/QuarantineRecord.h"
 
-#include <charconv>
-#include <fmt/format.h>
+#include "base/Error.h"
+#include "operators/OperatorJson.h"
 
 namespace banyanpick {
 
 namespace {
 
-constexpr int HexBase = 16;
 /// The value of a record. The key holds all that is needed.
 constexpr std::string_view PresentValue = "quarantined";
 
@@ -16,7 +15,7 @@
 KeyedRecord writeQuarantineRecord(const StoreQuarantine &Wanted) {
   KeyedRecord Result;
   Result.Key =
-      fmt::format("{}{:016x}", QuarantineKeyPrefix, Wanted.Content.Value);
+      std::string(QuarantineKeyPrefix) + fingerprintText(Wanted.Content);
   if (Wanted.Present)
     Result.Value = std::string(PresentValue);
   return Result;
@@ -29,15 +28,12 @@
 std::optional<Fingerprint> readQuarantineRecord(const KeyedRecord &Record) {
   if (!isQuarantineRecord(Record))
     return std::nullopt;
-  const std::string_view Digits =
-      std::string_view(Record.Key).substr(QuarantineKeyPrefix.size());
-  std::uint64_t Content = 0;
-  const char *End = Digits.data() + Digits.size();
-  const auto [Read, Failure] =
-      std::from_chars(Digits.data(), End, Content, HexBase);
-  if (Failure != std::errc() || Read != End || Digits.empty())
+  try {
+    return parseFingerprint(
+        std::string_view(Record.Key).substr(QuarantineKeyPrefix.size()));
+  } catch (const Error &) {
     return std::nullopt;
-  return Fingerprint(Content);
+  }
 }
 
 } // namespace banyanpick
