Name the setting of the retry budget after what it does

[retry_budget] first_start repeated a word of the platform's settings outside platform/, and a reader had to know what follows from a first start. Behaviour is unchanged.

gateway_test, settings_test, pages_test and process_test pass.

--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -68,7 +68,7 @@
 }
 
 void RelaysPlugin::start(Time Now, Actions &) {
-  if (!this->Options.FirstStart)
+  if (this->Options.WithholdBudgetAtStart)
     this->Allowance.withholdConstant(Now);
 }
 
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -29,7 +29,7 @@
   double AnswerTimeoutFactor = 0;
   Duration RefuseAfterStopping{};
   std::uint32_t MaxSends = 0;
-  bool FirstStart = false; ///< No host had an earlier process.
+  bool WithholdBudgetAtStart = true;
 };
 
 /// Dispatches relayed requests to engines, retries them and ends them. A
--- a/src/plugins/relays/RelaysSettings.cpp
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -82,10 +82,10 @@
        "So many more are allowed in a window, over all hosts.", 0, 1e6},
       {Budget, "window", Span, "10s", "The window of the budget.", 100e3,
        3600e6},
-      {Budget, "first_start", SettingKind::Flag, "false",
-       "Whether no host had an earlier process. Otherwise a process withholds "
-       "its part of the constant for one window, as an earlier one may have "
-       "used it."},
+      {Budget, "withhold_at_start", SettingKind::Flag, "true",
+       "Whether a process uses none of its part of the constant for one window "
+       "after its start, as an earlier process of the host may have used it. "
+       "Not needed where no host had an earlier process."},
   };
 }
 
@@ -113,7 +113,8 @@
                           Values.span(Section, "silence_long")};
   Result.AnswerTimeoutFactor = Values.fraction(Section, "patience_factor");
   Result.RefuseAfterStopping = Values.span(Section, "refuse_after_leaving");
-  Result.FirstStart = Values.flag(BudgetSection, "first_start");
+  Result.WithholdBudgetAtStart =
+      Values.flag(BudgetSection, "withhold_at_start");
   Result.MaxSends =
       static_cast<std::uint32_t>(Values.whole(Section, "most_sends"));
   return Result;
--- a/tests/auto/gateway/GatewayBench.cpp
+++ b/tests/auto/gateway/GatewayBench.cpp
@@ -17,8 +17,8 @@
 }
 
 /// No earlier process has used the retry budget.
-Settings firstStart(Settings Values) {
-  Values.set("retry_budget", "first_start", "true");
+Settings withWholeBudget(Settings Values) {
+  Values.set("retry_budget", "withhold_at_start", "false");
   return Values;
 }
 
@@ -28,7 +28,7 @@
     : GatewayBench(gatewaySettingsForTests(Changes)) {}
 
 GatewayBench::GatewayBench(const Settings &Values)
-    : Decider(identity(), firstStart(Values), 7, ServingMode::Gateway) {
+    : Decider(identity(), withWholeBudget(Values), 7, ServingMode::Gateway) {
   this->Decider.checkEveryEvent();
   this->send(Tick{});
 }
--- a/tests/process/GatewayDeployment.cpp
+++ b/tests/process/GatewayDeployment.cpp
@@ -154,10 +154,10 @@
       "[membership]\ndiscovery = gossip\nseeds = {}\n"
       "heartbeat_interval = 100ms\nhost_list_interval = 500ms\n"
       "[peers]\nencryption = none\n"
-      "[retry_budget]\nfirst_start = {}\n",
+      "[retry_budget]\nwithhold_at_start = {}\n",
       ForHost.Name, ForHost.Callers, ForHost.Peers, ForHost.Directory,
       ForHost.Readiness, ForHost.Metrics, ForHost.Store, ForHost.Store,
-      this->Hosts.front().Peers, !ForHost.Process);
+      this->Hosts.front().Peers, ForHost.Process != nullptr);
 }
 
 HttpReply
--- a/tests/process/GatewayDeployment.h
+++ b/tests/process/GatewayDeployment.h
@@ -55,8 +55,8 @@
   std::size_t upstreams() const { return this->Upstreams.size(); }
   ChildProcess &store() { return *this->StoreProcess; }
 
-  /// Starts the process of the host at the same addresses. Its settings say
-  /// whether it is the first one.
+  /// Starts the process of the host at the same addresses. Only
+  /// the first one may use the constant part of the retry budget at once.
   void startHost(Host &Target);
   /// Starts another upstream with a new id at the same address.
   void replaceUpstream(Upstream &Target);
