Make one piece of what tests of crashing content wrote several times

GatewayBench sends a request with a given content and reports a crash, which three test files did by themselves; HostSimulation finds an engine by its id in one place of five; two tests share the restart of all hosts under load. Unused includes are gone, and a loop variable says what it is. All assertions, bounds and seeds stay.

--- a/tests/auto/gateway/CrashDetectionTest.cpp
+++ b/tests/auto/gateway/CrashDetectionTest.cpp
@@ -17,15 +17,7 @@
 
   /// All requests have the same content.
   RequestId arrive() {
-    RelayHead Head;
-    Head.Id = RequestId(++this->LastRequest);
-    Head.Host = "a.example";
-    Head.Path = "/once/1";
-    Head.Key = "key";
-    Head.Remaining = seconds(5);
-    Head.Content = this->Content;
-    this->Bench.send(GatewayEvent(RelayArrived{Head}));
-    return Head.Id;
+    return this->Bench.arrive("/once/1", 0, seconds(5), this->Content);
   }
   /// Sends a request and resets its connection.
   void loseConnection() {
@@ -44,7 +36,6 @@
 
   const UpstreamId Engine{"e1"};
   const Fingerprint Content{5};
-  std::uint64_t LastRequest = 500;
   GatewayBench Bench;
 };
 
@@ -131,12 +122,8 @@
 TEST_F(CrashDetection, StoresAQuarantineThatAPeerCompletes) {
   this->loseConnection();
   this->Bench.send(GatewayEvent(EngineReportFailed{this->Engine, true}));
-  for (const char *Name : {"x1", "x2"}) {
-    QuarantineNotice Notice;
-    Notice.Content = this->Content;
-    Notice.Upstream = UpstreamId(Name);
-    this->Bench.receive("h2", Notice);
-  }
+  for (const char *Name : {"x1", "x2"})
+    this->Bench.reportCrash(this->Content, Name);
   ASSERT_EQ(this->Bench.all<StoreQuarantine>().size(), 1U);
   EXPECT_EQ(this->Bench.last<StoreQuarantine>(),
             (StoreQuarantine{this->Content, true}));
--- a/tests/auto/gateway/CrashingContentTest.cpp
+++ b/tests/auto/gateway/CrashingContentTest.cpp
@@ -6,7 +6,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <array>
 
 namespace banyanpick {
 namespace {
@@ -24,25 +23,13 @@
 
   RequestId arrive(std::string Path, std::uint64_t PromptTokens = 0,
                    Duration Remaining = seconds(5)) {
-    RelayHead Head;
-    Head.Id = RequestId(++this->LastRequest);
-    Head.Host = "a.example";
-    Head.Path = std::move(Path);
-    Head.Key = "key";
-    Head.Remaining = Remaining;
-    Head.PromptTokens = PromptTokens;
-    Head.Content = CrashingContent;
-    this->Bench.send(GatewayEvent(RelayArrived{Head}));
-    return Head.Id;
+    return this->Bench.arrive(std::move(Path), PromptTokens, Remaining,
+                              CrashingContent);
   }
   /// A peer reports three crashes, which quarantine the content.
   void quarantine() {
-    for (const char *Engine : {"x1", "x2", "x3"}) {
-      QuarantineNotice Notice;
-      Notice.Content = CrashingContent;
-      Notice.Upstream = UpstreamId(Engine);
-      this->Bench.receive("h2", Notice);
-    }
+    for (const char *Engine : {"x1", "x2", "x3"})
+      this->Bench.reportCrash(CrashingContent, Engine);
   }
   std::size_t sends(const RequestId &Id) const {
     const auto All = this->Bench.all<DispatchRelay>();
@@ -58,7 +45,6 @@
   }
 
   GatewayBench Bench;
-  std::uint64_t LastRequest = 500;
 };
 
 using Refusals = std::vector<RefusalKind>;
@@ -93,9 +79,9 @@
   ASSERT_FALSE(Reservations.empty());
   this->quarantine();
   EXPECT_EQ(this->refusals(Reserving), Refusals{RefusalKind::NotRun});
-  for (const ReserveMemory &Each : Reservations)
-    this->Bench.send(GatewayEvent(
-        ReservationAnswered{Each.Engine, Each.Name, ReservationResult::Held}));
+  for (const ReserveMemory &Reserved : Reservations)
+    this->Bench.send(GatewayEvent(ReservationAnswered{
+        Reserved.Engine, Reserved.Name, ReservationResult::Held}));
   EXPECT_EQ(this->sends(Reserving), 0U);
   EXPECT_GE(this->Bench.all<ReleaseMemory>().size(), Reservations.size());
 }
--- a/tests/auto/gateway/GatewayBench.cpp
+++ b/tests/auto/gateway/GatewayBench.cpp
@@ -105,7 +105,8 @@
 }
 
 RequestId GatewayBench::arrive(std::string Path, std::uint64_t PromptTokens,
-                               Duration Remaining) {
+                               Duration Remaining,
+                               std::optional<Fingerprint> Content) {
   RelayHead Head;
   Head.Id = RequestId(++this->Requests);
   Head.Host = "a.example";
@@ -113,12 +114,19 @@
   Head.Key = "key";
   Head.Remaining = Remaining;
   Head.PromptTokens = PromptTokens;
-  Head.Content = Fingerprint(Head.Id.Value);
+  Head.Content = Content.value_or(Fingerprint(Head.Id.Value));
   const RequestId Id = Head.Id;
   this->send(GatewayEvent(RelayArrived{std::move(Head)}));
   return Id;
 }
 
+void GatewayBench::reportCrash(Fingerprint Content, const char *Engine) {
+  QuarantineNotice Notice;
+  Notice.Content = Content;
+  Notice.Upstream = UpstreamId(Engine);
+  this->receive("h2", Notice);
+}
+
 void GatewayBench::report(const UpstreamId &Engine) {
   EngineReport Report;
   Report.Engine = Engine;
--- a/tests/auto/gateway/GatewayBench.h
+++ b/tests/auto/gateway/GatewayBench.h
@@ -6,6 +6,7 @@
 #include "fakes/GatewayDeclarations.h"
 #include "kernel/Kernel.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,8 +33,12 @@
   /// Registers an engine of the service `desk` in the zone.
   void registerEngineIn(const char *Zone, const char *Name, LogOffset Offset);
   /// Sends a request with a valid key to the path.
+  /// Without \p Content, no other request has the same content.
   RequestId arrive(std::string Path, std::uint64_t PromptTokens = 0,
-                   Duration Remaining = seconds(5));
+                   Duration Remaining = seconds(5),
+                   std::optional<Fingerprint> Content = std::nullopt);
+  /// Delivers a peer's notice that the content crashed the engine.
+  void reportCrash(Fingerprint Content, const char *Engine);
   /// Delivers an engine's load report, which identifies its incarnation.
   void report(const UpstreamId &Engine);
   void endAttempt(const AttemptId &Attempt, RelayOutcome Outcome);
--- a/tests/auto/gateway/RelaysTest.cpp
+++ b/tests/auto/gateway/RelaysTest.cpp
@@ -261,19 +261,10 @@
 }
 
 TEST_F(Relays, ContentThatCrashedThreeEnginesIsNotRun) {
-  for (const char *Engine : {"x1", "x2", "x3"}) {
-    QuarantineNotice Notice;
-    Notice.Content = Fingerprint(5);
-    Notice.Upstream = UpstreamId(Engine);
-    this->Bench.receive("h2", Notice);
-  }
-  RelayHead Head;
-  Head.Id = RequestId(500);
-  Head.Host = "a.example";
-  Head.Path = "/safe/1";
-  Head.Key = "key";
-  Head.Content = Fingerprint(5);
-  this->Bench.send(GatewayEvent(RelayArrived{Head}));
+  const Fingerprint Content(5);
+  for (const char *Engine : {"x1", "x2", "x3"})
+    this->Bench.reportCrash(Content, Engine);
+  this->Bench.arrive("/safe/1", 0, seconds(5), Content);
   EXPECT_EQ(this->sends(), 0U);
   EXPECT_EQ(this->refused().Kind, RefusalKind::NotRun);
 }
--- a/tests/auto/manyhosts/CrashingContentTest.cpp
+++ b/tests/auto/manyhosts/CrashingContentTest.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
-#include <numeric>
 
 namespace banyanpick {
 namespace {
@@ -67,17 +66,12 @@
 /// Guards against a quarantine that is lost with the processes that know it.
 TEST_P(CrashingContentAtSize, StaysQuarantinedWhenAllHostsRestart) {
   const SimulationSize Size = GetParam();
-  std::vector<std::size_t> All(Size.Hosts);
-  std::iota(All.begin(), All.end(), 0U);
   for (std::uint64_t Seed = 0; Seed < seedCount(); ++Seed) {
     HostSimulation Simulation(Size.Hosts, Size.Engines);
     Simulation.publish(1);
     Simulation.run(seconds(25) + milliseconds(37) * Seed);
     offerCrashingLoad(Simulation, Size, seconds(4), 2 + Seed % 3);
-    Simulation.killAll(HostSimulation::OrphanedWork::Dropped, All);
-    offerLoad(Simulation, milliseconds(500), Size.RequestInterval);
-    Simulation.restartAll();
-    Simulation.run(milliseconds(500));
+    restartAllUnderLoad(Simulation, Size.RequestInterval);
     offerCrashingLoad(Simulation, Size, seconds(5), 2 + Seed % 3);
     EXPECT_LE(sendsAfterThirdCrash(Simulation), MaxLaterSends)
         << "seed " << Seed;
--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -97,6 +97,12 @@
 
 HostSimulation::~HostSimulation() = default;
 
+std::size_t HostSimulation::indexOf(const UpstreamId &Engine) const {
+  const auto Found =
+      std::ranges::find(this->Engines, Engine, &EngineRecord::Id);
+  return static_cast<std::size_t>(Found - this->Engines.begin());
+}
+
 void HostSimulation::run(Duration For) {
   this->Queue.runUntil(this->Queue.now() + For);
 }
@@ -524,10 +530,9 @@
   const auto Caller = this->Callers.find({Index, Dispatch.Request});
   if (Caller != this->Callers.end() && Caller->second.CrashesEngines)
     this->CrashingArrivals.push_back(this->Queue.now());
-  const auto Target =
-      std::ranges::find(this->Engines, Dispatch.Engine, &EngineRecord::Id);
+  const EngineRecord &Target = this->Engines[this->indexOf(Dispatch.Engine)];
   this->Current.SentToOtherZones +=
-      Target->Zone == this->Hosts[Index].Self.Zone ? 0 : 1;
+      Target.Zone == this->Hosts[Index].Self.Zone ? 0 : 1;
   const auto Sheds = this->Shedding.find(Dispatch.Engine);
   const bool Refuses = Sheds != this->Shedding.end();
   const Duration Backoff = Refuses ? Sheds->second : Duration(0);
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -254,6 +254,8 @@
     std::size_t Arrived = 0;     ///< Its index among the engine's arrivals.
   };
 
+  /// Returns the engine with this id, or the number of engines.
+  std::size_t indexOf(const UpstreamId &Engine) const;
   void submit(std::size_t Host, const Caller &Origin);
   RelayHead headOf(const RequestId &Id, const Caller &Origin) const;
   /// Crashes the engine that has begun to run the request.
--- a/tests/auto/manyhosts/RetryBudgetTest.cpp
+++ b/tests/auto/manyhosts/RetryBudgetTest.cpp
@@ -4,11 +4,11 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
-#include <numeric>
 
 namespace banyanpick {
 namespace {
 
+/// The retry budget: in each window a share of the requests, and a constant.
 constexpr seconds Window(10);
 constexpr double Ratio = 0.2;
 constexpr double Constant = 100;
@@ -66,13 +66,8 @@
 TEST_P(RetryBudget, IsKeptWhenAllHostsRestartWhileEnginesFail) {
   this->setAllFailing(true);
   this->offer(seconds(4));
-  std::vector<std::size_t> All(this->Simulation.size());
-  std::iota(All.begin(), All.end(), 0U);
   for (int Round = 0; Round < 2; ++Round) {
-    this->Simulation.killAll(HostSimulation::OrphanedWork::Dropped, All);
-    this->offer(milliseconds(500));
-    this->Simulation.restartAll();
-    this->Simulation.run(milliseconds(500));
+    restartAllUnderLoad(this->Simulation, GetParam().RequestInterval);
     this->offer(seconds(3));
   }
   EXPECT_EQ(maxExcess(this->Simulation), 0);
--- a/tests/auto/manyhosts/SimulatedColdEngines.cpp
+++ b/tests/auto/manyhosts/SimulatedColdEngines.cpp
@@ -2,8 +2,6 @@
 /// The cold engines of the simulation.
 #include "auto/manyhosts/HostSimulation.h"
 
-#include <algorithm>
-
 namespace banyanpick {
 
 Time HostSimulation::coldUntil(std::size_t Engine) const {
@@ -23,9 +21,7 @@
 }
 
 bool HostSimulation::isCold(const UpstreamId &Engine) const {
-  const auto Found =
-      std::ranges::find(this->Engines, Engine, &EngineRecord::Id);
-  return this->isCold(static_cast<std::size_t>(Found - this->Engines.begin()));
+  return this->isCold(this->indexOf(Engine));
 }
 
 } // namespace banyanpick
--- a/tests/auto/manyhosts/SimulatedCrashes.cpp
+++ b/tests/auto/manyhosts/SimulatedCrashes.cpp
@@ -55,9 +55,7 @@
 }
 
 void HostSimulation::crash(const UpstreamId &Engine) {
-  const auto Found =
-      std::ranges::find(this->Engines, Engine, &EngineRecord::Id);
-  const auto Index = static_cast<std::size_t>(Found - this->Engines.begin());
+  const std::size_t Index = this->indexOf(Engine);
   this->Crashes.push_back(this->Queue.now());
   this->Down.insert(Index);
   for (const RunningRequest &Request : this->RunningByEngine[Engine])
--- a/tests/auto/manyhosts/SimulatedRestart.cpp
+++ b/tests/auto/manyhosts/SimulatedRestart.cpp
@@ -2,8 +2,6 @@
 /// Kills and restarts all simulated hosts, and reports the load of engines.
 #include "auto/manyhosts/HostSimulation.h"
 
-#include <algorithm>
-
 namespace banyanpick {
 
 namespace {
@@ -90,10 +88,8 @@
 
 void HostSimulation::reportLoad(std::size_t Host, const UpstreamId &Engine) {
   ++this->Current.ReportRequests[Engine];
-  const auto Asked =
-      std::ranges::find(this->Engines, Engine, &EngineRecord::Id);
-  const auto Position = static_cast<std::size_t>(Asked - this->Engines.begin());
-  if (Asked == this->Engines.end() || this->Down.contains(Position)) {
+  const std::size_t Asked = this->indexOf(Engine);
+  if (Asked == this->Engines.size() || this->Down.contains(Asked)) {
     this->Queue.after(ReportDelay, [this, Host, Engine,
                                     Life = this->Hosts[Host].Life] {
       this->send(Host, Life, GatewayEvent(EngineReportFailed{Engine, true}));
--- a/tests/auto/manyhosts/SimulationLoad.cpp
+++ b/tests/auto/manyhosts/SimulationLoad.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <numeric>
 
 namespace banyanpick {
 
@@ -42,6 +43,15 @@
   return Count;
 }
 
+void restartAllUnderLoad(HostSimulation &Simulation, Duration RequestInterval) {
+  std::vector<std::size_t> All(Simulation.size());
+  std::iota(All.begin(), All.end(), 0U);
+  Simulation.killAll(HostSimulation::OrphanedWork::Dropped, All);
+  offerLoad(Simulation, milliseconds(500), RequestInterval);
+  Simulation.restartAll();
+  Simulation.run(milliseconds(500));
+}
+
 void restoreAll(HostSimulation &Simulation) {
   for (std::size_t Host = 0; Host < Simulation.size(); ++Host) {
     Simulation.setPartitioned(Host, false);
--- a/tests/auto/manyhosts/SimulationLoad.h
+++ b/tests/auto/manyhosts/SimulationLoad.h
@@ -39,6 +39,10 @@
 std::size_t offerLoad(HostSimulation &Simulation, Duration For,
                       Duration RequestInterval);
 
+/// Kills all hosts and restarts them half a second later. Callers send requests
+/// meanwhile. Returns half a second after the restart.
+void restartAllUnderLoad(HostSimulation &Simulation, Duration RequestInterval);
+
 /// Restarts all stopped hosts and ends all partitions.
 void restoreAll(HostSimulation &Simulation);
 
--- a/tests/process/CrashingContentTest.cpp
+++ b/tests/process/CrashingContentTest.cpp
@@ -3,7 +3,6 @@
 #include "process/Deployment.h"
 #include "process/GatewayDeployment.h"
 
-#include <csignal>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <iostream>
