Tell how current a refusing host is and who holds its memory

Nothing told whether a host that refused a request knew of a newer version, nor how old its newest news of versions was, nor which part of a host held memory. The log line of a refusal has both now; gauges and the line of late decisions have the memory by owner. ConfigurationNews takes over what RoutesPlugin kept of newer versions; no decision changes.

--- a/src/app/Control.cpp
+++ b/src/app/Control.cpp
@@ -16,6 +16,7 @@
   HostState &State;
   const ProcessClock &Clock;
   std::atomic<std::size_t> &Waiting; ///< Number of queued events.
+  std::atomic<std::size_t> &WaitingBytes;
   ControlDelay Delay;
   /// When the current wake message arrives. Wake messages scheduled earlier for
   /// a later time still arrive and are ignored. If they were handled, each
@@ -28,10 +29,12 @@
       this->Router.forget(Ended->Attempt);
   }
 
-  void recordDelay(Time SentAt) {
+  void recordDelay(Time SentAt, std::size_t Bytes) {
     const Time Now = this->Clock.now();
+    this->WaitingBytes -= Bytes;
     Actions Out;
-    this->Delay.record(Now - SentAt, --this->Waiting, Now, Out);
+    this->Delay.record(Now - SentAt, {--this->Waiting, this->WaitingBytes}, Now,
+                       Out);
     if (!Out.items().empty())
       this->Router.perform(Out.take());
   }
@@ -74,7 +77,7 @@
   handleEvent(Self, *Data, Tick{});
   return {
       [=](const ControlEvent &Message) {
-        Data->recordDelay(Message.SentAt);
+        Data->recordDelay(Message.SentAt, Message.Bytes);
         handleEvent(Self, *Data, Message.Payload);
       },
       [=](WakeAtom, Duration::rep PlannedFor) {
@@ -106,6 +109,7 @@
                                                     State,
                                                     this->Clock,
                                                     this->Waiting,
+                                                    this->WaitingBytes,
                                                     {},
                                                     Never});
   this->Actor = this->System->spawn<caf::detached>(runControl, Data);
@@ -120,13 +124,14 @@
   this->System.reset();
 }
 
-void Control::send(Event Incoming) {
+void Control::send(Event Incoming, std::size_t Bytes) {
   // Lost events do not count as queued.
   if (!this->Actor)
     return;
   ++this->Waiting;
+  this->WaitingBytes += Bytes;
   caf::anon_send(this->Actor,
-                 ControlEvent{std::move(Incoming), this->Clock.now()});
+                 ControlEvent{std::move(Incoming), this->Clock.now(), Bytes});
 }
 
 } // namespace banyanpick
--- a/src/app/Control.h
+++ b/src/app/Control.h
@@ -18,6 +18,7 @@
 struct ControlEvent {
   Event Payload;
   Time SentAt{};
+  std::size_t Bytes = 0; ///< Size of the peer message in it.
 };
 
 /// The settings of the actor system, for a process with one actor.
@@ -39,13 +40,18 @@
   /// Stops the actor and waits for its thread.
   void stop();
 
-  void send(Event Incoming) override;
+  void send(Event Incoming) override { this->send(std::move(Incoming), 0); }
+  /// The same for an event with a peer message of \p Bytes bytes.
+  void send(Event Incoming, std::size_t Bytes);
   /// Returns the number of queued events.
   std::size_t waiting() const { return this->Waiting; }
+  /// Returns the size of the peer messages in the queued events.
+  std::size_t waitingBytes() const { return this->WaitingBytes; }
 
 private:
   const ProcessClock &Clock;
   std::atomic<std::size_t> Waiting = 0; ///< Number of queued events.
+  std::atomic<std::size_t> WaitingBytes = 0;
   ControlSystemConfig Config;
   std::unique_ptr<caf::actor_system> System;
   caf::actor Actor;
--- a/src/app/ControlDelay.cpp
+++ b/src/app/ControlDelay.cpp
@@ -1,5 +1,6 @@
 #include "app/ControlDelay.h"
 
+#include "app/MemoryGauges.h"
 #include "base/EventNumbers.h"
 
 #include <algorithm>
@@ -16,10 +17,11 @@
 
 } // namespace
 
-void ControlDelay::record(Duration Waited, std::size_t Waiting, Time Now,
+void ControlDelay::record(Duration Waited, const Queue &Waiting, Time Now,
                           Actions &Out) {
   this->MaxDelay = std::max(this->MaxDelay, Waited);
-  this->MaxWaiting = std::max(this->MaxWaiting, Waiting);
+  this->MaxWaiting.Events = std::max(this->MaxWaiting.Events, Waiting.Events);
+  this->MaxWaiting.Bytes = std::max(this->MaxWaiting.Bytes, Waiting.Bytes);
   if (Now >= this->IntervalStart + Duration(ReportInterval))
     this->report(Now, Out);
 }
@@ -30,15 +32,20 @@
                             inSeconds(this->MaxDelay)});
   Out.add(RecordMeasurement{RecordMeasurement::Kind::Gauge,
                             "control_most_waiting", "",
-                            static_cast<double>(this->MaxWaiting)});
-  if (this->MaxDelay >= Duration(LateThreshold))
+                            static_cast<double>(this->MaxWaiting.Events)});
+  if (this->MaxDelay >= Duration(LateThreshold)) {
+    const ProcessMemory Memory = readProcessMemory();
     Out.log(logEvent(events::DecisionsLate)
                 .with("late_us", this->MaxDelay.count())
-                .with("most_waiting", this->MaxWaiting)
+                .with("most_waiting", this->MaxWaiting.Events)
+                .with("most_waiting_bytes", this->MaxWaiting.Bytes)
+                .with("resident_bytes", Memory.Resident)
+                .with("allocator_used_bytes", Memory.AllocatorUsed)
                 .build());
+  }
   this->IntervalStart = Now;
   this->MaxDelay = Duration(0);
-  this->MaxWaiting = 0;
+  this->MaxWaiting = {};
 }
 
 } // namespace banyanpick
--- a/src/app/ControlDelay.h
+++ b/src/app/ControlDelay.h
@@ -11,16 +11,20 @@
 /// the delay exceeds a threshold.
 class ControlDelay {
 public:
-  /// \p Waited is the queueing delay of the event. \p Waiting is the number of
-  /// events that are still queued.
-  void record(Duration Waited, std::size_t Waiting, Time Now, Actions &Out);
+  /// The events that are still queued.
+  struct Queue {
+    std::size_t Events = 0;
+    std::size_t Bytes = 0; ///< Size of the peer messages in them.
+  };
+  /// \p Waited is the queueing delay of the event.
+  void record(Duration Waited, const Queue &Waiting, Time Now, Actions &Out);
 
 private:
   void report(Time Now, Actions &Out);
 
   Time IntervalStart{}; ///< When the current measuring interval began.
   Duration MaxDelay{};
-  std::size_t MaxWaiting = 0; ///< Longest queue, in events.
+  Queue MaxWaiting; ///< The maximum of each.
 };
 
 } // namespace banyanpick
--- a/src/app/GatewayDaemon.cpp
+++ b/src/app/GatewayDaemon.cpp
@@ -1,5 +1,6 @@
 #include "app/GatewayDaemon.h"
 
+#include "app/MemoryGauges.h"
 #include "app/PeerEvents.h"
 #include "app/TrafficSettings.h"
 #include "base/EventNumbers.h"
@@ -152,11 +153,20 @@
 }
 
 Task<void> GatewayDaemon::serveMetrics(HttpExchange &Exchange) {
+  this->recordMemoryUse();
   HttpAnswer Page =
       this->Pages.find(Exchange.target().Path).value_or(noSuchTarget());
   co_await Exchange.respond(std::move(Page));
 }
 
+void GatewayDaemon::recordMemoryUse() {
+  Metrics &Gauges = this->HostMetrics;
+  recordMemory(Gauges, readProcessMemory());
+  recordMemory(Gauges, "caller_bodies", this->Callers->bodyBytes());
+  recordMemory(Gauges, "control_queue", this->Events.waitingBytes());
+  recordMemory(Gauges, "peer_queue", this->Peers->outgoingBytes());
+}
+
 void GatewayDaemon::run() {
   this->Shutdown.wait(this->Clock, this->Context.Values.FlushAtStop,
                       [this] { return this->unsentAnswers(); });
--- a/src/app/GatewayDaemon.h
+++ b/src/app/GatewayDaemon.h
@@ -69,6 +69,8 @@
   void applySettings(std::shared_ptr<const Settings> Values);
   Task<void> serveReadiness(HttpExchange &Exchange);
   Task<void> serveMetrics(HttpExchange &Exchange);
+  /// Updates the gauges of the memory that the parts of this host use.
+  void recordMemoryUse();
   /// Returns the number of answers that are not yet written to their callers.
   std::size_t unsentAnswers();
 
--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -265,6 +265,7 @@
       if (Record.Value &&
           this->Context.Protocol.documents().isConfiguration(Record.Key))
         this->decode(*Record.Value, ConfigurationSource::Store);
+    this->Context.Events.send(GatewayEvent(DeclarationsRead{}));
   };
   Callbacks.OnReachable = [this](bool Reachable, std::string_view Why) {
     this->Context.Events.send(GatewayEvent(
--- a/src/app/PeerEvents.cpp
+++ b/src/app/PeerEvents.cpp
@@ -17,13 +17,13 @@
 PeerNetwork::Listener peerEvents(Control &Events, Metrics &HostMetrics,
                                  const ProcessClock &Clock) {
   return {
-      [&Events, &HostMetrics](PeerMessage Message) {
+      [&Events, &HostMetrics](PeerMessage Message, std::size_t Bytes) {
         if (Events.waiting() >= MaxWaitingEvents) {
           HostMetrics.record(
               {RecordMeasurement::Kind::Count, "peer_messages_dropped", "", 1});
           return;
         }
-        Events.send(PeerMessageReceived{std::move(Message)});
+        Events.send(PeerMessageReceived{std::move(Message)}, Bytes);
       },
       [&HostMetrics, &Clock](std::string_view Why) {
         HostMetrics.record(
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -42,6 +42,9 @@
   std::shared_ptr<const GatewayConfiguration> Declared;
   ConfigurationSource From = ConfigurationSource::Store;
 };
+/// The store's topic of configurations was read to its end. Sent after the
+/// events for the records that were read.
+struct DeclarationsRead {};
 /// A document is not a valid configuration; the one in force is kept.
 struct ConfigurationUnreadable {
   std::string Why;
@@ -101,9 +104,9 @@
 using GatewayEvent =
     std::variant<RelayArrived, RelayBegan, RelayEnded, EngineSignalsReceived,
                  ConfigurationRead, ConfigurationUnreadable, EnginesRead,
-                 EvacuationsRead, StoreObserved, EngineReported,
-                 EngineReportFailed, ReservationAnswered, QuarantinesRead,
-                 SettingsReloaded>;
+                 EvacuationsRead, DeclarationsRead, StoreObserved,
+                 EngineReported, EngineReportFailed, ReservationAnswered,
+                 QuarantinesRead, SettingsReloaded>;
 
 // --- actions
 
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -9,6 +9,16 @@
 
 namespace banyanpick {
 
+/// What a host knows about how current its configuration is.
+struct ConfigurationFreshness {
+  /// The oldest version in force elsewhere that this host lacks; 0: none known.
+  std::uint64_t MissingVersion = 0;
+  Duration MissingFor{}; ///< Since it was first known to be in force elsewhere.
+  /// Age of the newest report of a peer or the store. The maximum means that
+  /// there was none.
+  Duration ReportAge = Duration::max();
+};
+
 /// The configuration in force.
 class RouteView {
 public:
@@ -18,6 +28,7 @@
   /// Whether another host has had a newer configuration in force for longer
   /// than the allowed propagation time.
   virtual bool isStale(Time Now) const = 0;
+  virtual ConfigurationFreshness freshness(Time Now) const = 0;
 };
 
 /// Whether an upstream may receive requests.
--- a/src/libs/peers/PeerNetwork.cpp
+++ b/src/libs/peers/PeerNetwork.cpp
@@ -130,6 +130,11 @@
   this->wake();
 }
 
+std::size_t PeerNetwork::outgoingBytes() {
+  const std::lock_guard Lock(this->Mutex);
+  return this->OutgoingBytes;
+}
+
 void PeerNetwork::wake() {
   const std::uint64_t Increment = 1;
   // Fails only when the counter is full; the thread then wakes up anyway.
@@ -211,7 +216,7 @@
     PeerMessage Message = decodePeerMessage(Payload.to_string_view());
     if (this->Values.Encrypted)
       requireSenderKey(Payload, Message.From);
-    this->Callbacks.OnMessage(std::move(Message));
+    this->Callbacks.OnMessage(std::move(Message), Payload.size());
   } catch (const std::exception &Failure) {
     this->Callbacks.OnMalformed(Failure.what());
   }
--- a/src/libs/peers/PeerNetwork.h
+++ b/src/libs/peers/PeerNetwork.h
@@ -21,7 +21,8 @@
 public:
   /// Callbacks, called on the internal thread.
   struct Listener {
-    std::function<void(PeerMessage)> OnMessage;
+    /// \p Bytes is the size of the message as it was received.
+    std::function<void(PeerMessage, std::size_t Bytes)> OnMessage;
     std::function<void(std::string_view Why)> OnMalformed;
   };
 
@@ -36,6 +37,8 @@
   /// list. Connects to a peer when a message is sent to it.
   void connect(std::vector<HostListing> Peers);
   void send(const HostId &To, PeerMessageBody Body);
+  /// Returns the size of the messages that wait for the internal thread.
+  std::size_t outgoingBytes();
 
   /// Returns the bound port, for tests that listen on port 0.
   std::uint16_t port() const;
--- a/src/plugins/relays/RelayLog.cpp
+++ b/src/plugins/relays/RelayLog.cpp
@@ -46,17 +46,25 @@
 }
 
 void logRefused(const RelayHead &Head, RefusalKind Kind,
-                std::string_view Reason, std::uint64_t Version, Actions &Out) {
+                std::string_view Reason, const RouteView &Routes, Time Now,
+                Actions &Out) {
+  const RouteTable *Table = Routes.routes();
+  const ConfigurationFreshness Current = Routes.freshness(Now);
+  const bool Reported = Current.ReportAge != Duration::max();
   Out.count("relays_ended", name(Kind));
-  Out.log(logEvent(events::RelayAnswered)
-              .with("request", Head.Id.Value)
-              .with("caller_attempt", Head.CallerAttempt)
-              .with("host_name", Head.Host)
-              .with("path", Head.Path)
-              .with("how", name(Kind))
-              .with("why", Reason)
-              .with("version", Version)
-              .build());
+  Out.log(
+      logEvent(events::RelayAnswered)
+          .with("request", Head.Id.Value)
+          .with("caller_attempt", Head.CallerAttempt)
+          .with("host_name", Head.Host)
+          .with("path", Head.Path)
+          .with("how", name(Kind))
+          .with("why", Reason)
+          .with("version", Table ? Table->version() : 0)
+          .with("missing_version", Current.MissingVersion)
+          .with("missing_for_us", Current.MissingFor.count())
+          .with("reported_us_ago", Reported ? Current.ReportAge.count() : -1)
+          .build());
 }
 
 void logSent(const RunningRelay &Relay, const RelayAttempt &Attempt,
--- a/src/plugins/relays/RelayLog.h
+++ b/src/plugins/relays/RelayLog.h
@@ -3,6 +3,7 @@
 /// behind the decision. docs/EVENTS.md lists the events.
 #pragma once
 
+#include "kernel/GatewayServices.h"
 #include "plugins/relays/RunningRelay.h"
 
 #include <string_view>
@@ -11,9 +12,11 @@
 
 void logReceived(const RunningRelay &Relay, std::string_view RouteName,
                  Time Now, Actions &Out);
-/// Logs a request that is refused before its first attempt.
+/// Logs a request that is refused before its first attempt. \p Routes decides
+/// with which configuration, and how current that is.
 void logRefused(const RelayHead &Head, RefusalKind Kind,
-                std::string_view Reason, std::uint64_t Version, Actions &Out);
+                std::string_view Reason, const RouteView &Routes, Time Now,
+                Actions &Out);
 /// \p Chosen counts the engines that were skipped because they are at their
 /// limit.
 void logSent(const RunningRelay &Relay, const RelayAttempt &Attempt,
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -111,24 +111,24 @@
   const RouteTable *Routes = this->RouteState->routes();
   if (!Routes) {
     this->refuse(Head, RefusalKind::NotRun, this->Options.DefaultRetryAfter,
-                 "no configuration is known here yet", Out);
+                 "no configuration is known here yet", Now, Out);
     return;
   }
   if (this->RouteState->isStale(Now)) {
     this->refuse(Head, RefusalKind::NotRun, this->Options.DefaultRetryAfter,
-                 "a newer configuration is on its way here", Out);
+                 "a newer configuration is on its way here", Now, Out);
     return;
   }
   const RouteEntry *Route = Routes->find(Head.Host, Head.Path);
   if (!Route) {
     this->refuse(Head, RefusalKind::NoSuchRoute, Duration(0),
-                 "no route takes this host and path", Out);
+                 "no route takes this host and path", Now, Out);
     return;
   }
   const KeyOwner *Owner = Routes->ownerOf(Head.Key);
   if (Routes->configuration().NeedsKeys && !Route->Public && !Owner) {
     this->refuse(Head, RefusalKind::UnknownKey, Duration(0),
-                 "the key is missing or unknown", Out);
+                 "the key is missing or unknown", Now, Out);
     return;
   }
   this->admit(Head, *Route, Owner, Now, Out);
@@ -164,7 +164,7 @@
   logReceived(Relay, Route.Name, Now, Out);
   if (this->refusesWhileStopping(Now)) {
     this->refuse(Head, RefusalKind::NotRun, milliseconds(10),
-                 "this host stops; ask for another one", Out);
+                 "this host stops; ask for another one", Now, Out);
     return;
   }
   this->send(this->Running.add(std::move(Relay)), Now, Out);
@@ -435,9 +435,8 @@
 
 void RelaysPlugin::refuse(const RelayHead &Head, RefusalKind Kind,
                           Duration RetryAfter, std::string_view Reason,
-                          Actions &Out) {
-  const RouteTable *Routes = this->RouteState->routes();
-  logRefused(Head, Kind, Reason, Routes ? Routes->version() : 0, Out);
+                          Time Now, Actions &Out) {
+  logRefused(Head, Kind, Reason, *this->RouteState, Now, Out);
   Out.add(GatewayAction(
       RefuseRelay{Head.Id, Kind, RetryAfter, std::string(Reason)}));
 }
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -92,7 +92,7 @@
               Time Now, Actions &Out,
               std::optional<Duration> RetryAfter = std::nullopt);
   void refuse(const RelayHead &Head, RefusalKind Kind, Duration RetryAfter,
-              std::string_view Reason, Actions &Out);
+              std::string_view Reason, Time Now, Actions &Out);
   /// Ends the requests with newly quarantined contents, except those whose
   /// answers arrive.
   void finishNewlyQuarantined(Time Now, Actions &Out);
--- a/src/plugins/routes/RoutesPlugin.cpp
+++ b/src/plugins/routes/RoutesPlugin.cpp
@@ -18,9 +18,6 @@
 /// this size.
 constexpr std::size_t MaxDocumentBytes = 16'000'000;
 
-/// Number of newer versions that are recorded. Only the oldest ones matter.
-constexpr std::size_t MaxNewerVersions = 64;
-
 } // namespace
 
 void RoutesPlugin::initialize(PluginContext &Context) {
@@ -41,13 +38,15 @@
   match(
       Incoming,
       [&](const GatewayEvent &Gateway) {
+        if (std::holds_alternative<DeclarationsRead>(Gateway))
+          this->News.noteReport(Now);
         if (const auto *Read = std::get_if<ConfigurationRead>(&Gateway))
           this->activate(*Read, Out);
         if (const auto *Failure =
                 std::get_if<ConfigurationUnreadable>(&Gateway)) {
           // A version that can't be decoded is not fetched again and does not
           // make the local one stale.
-          this->NewerVersions.clear();
+          this->News.forgetAll();
           this->UnreadableVersion = this->DecodingVersion;
           Out.log(logEvent(events::ConfigurationUnreadable)
                       .with("why", Failure->Why)
@@ -70,8 +69,11 @@
 }
 
 bool RoutesPlugin::isStale(Time Now) const {
-  return !this->NewerVersions.empty() &&
-         Now >= this->NewerVersions.begin()->second + this->StaleAfter;
+  return this->News.isOlderThan(this->StaleAfter, Now);
+}
+
+ConfigurationFreshness RoutesPlugin::freshness(Time Now) const {
+  return this->News.freshness(Now);
 }
 
 bool RoutesPlugin::isReady() const {
@@ -89,8 +91,7 @@
   const std::uint64_t PreviousVersion = this->version();
   this->Table = std::make_unique<RouteTable>(Read.Declared);
   this->HighestVersion = std::max(this->HighestVersion, this->version());
-  this->NewerVersions.erase(this->NewerVersions.begin(),
-                            this->NewerVersions.upper_bound(this->version()));
+  this->News.forgetUpTo(this->version());
   Out.add(GatewayAction(LimitCallers{Read.Declared->Limits}));
   Out.log(logEvent(events::ConfigurationInForce)
               .with("version", this->version())
@@ -127,9 +128,9 @@
 
 void RoutesPlugin::handleHeartbeat(const HostId &From, std::uint64_t InForce,
                                    Time Now, Actions &Out) {
-  if (InForce > std::max(this->version(), this->UnreadableVersion) &&
-      this->NewerVersions.size() < MaxNewerVersions)
-    this->NewerVersions.emplace(InForce, Now);
+  this->News.noteReport(Now);
+  if (InForce > std::max(this->version(), this->UnreadableVersion))
+    this->News.noteNewer(InForce, Now);
   // Requests the version at once, because a revoked key must stop working on
   // this host too.
   if (this->isNewer(InForce) && this->Fetch.mayRequest(Now))
@@ -212,14 +213,14 @@
 void RoutesPlugin::reportMissing(Time Now, Actions &Out) {
   if (!this->isStale(Now))
     return;
-  const auto &[Version, KnownSince] = *this->NewerVersions.begin();
-  if (Version == this->ReportedMissing)
+  const ConfigurationFreshness Current = this->News.freshness(Now);
+  if (Current.MissingVersion == this->ReportedMissing)
     return;
-  this->ReportedMissing = Version;
+  this->ReportedMissing = Current.MissingVersion;
   Out.log(logEvent(events::ConfigurationMissing)
-              .with("version", Version)
+              .with("version", Current.MissingVersion)
               .with("in_force", this->version())
-              .with("known_for_us", (Now - KnownSince).count())
+              .with("known_for_us", Current.MissingFor.count())
               .build());
 }
 
--- a/src/plugins/routes/RoutesPlugin.h
+++ b/src/plugins/routes/RoutesPlugin.h
@@ -6,8 +6,8 @@
 #include "kernel/Plugin.h"
 #include "plugins/routes/ChunkQueue.h"
 #include "plugins/routes/ConfigurationFetch.h"
+#include "plugins/routes/ConfigurationNews.h"
 
-#include <map>
 #include <memory>
 
 namespace banyanpick {
@@ -26,6 +26,7 @@
 
   const RouteTable *routes() const override { return this->Table.get(); }
   bool isStale(Time Now) const override;
+  ConfigurationFreshness freshness(Time Now) const override;
   bool isReady() const override;
   std::uint64_t version() const override;
 
@@ -57,8 +58,7 @@
   ChunkQueue PendingRequests;
   std::string Packed; ///< As received from a peer or packed on this host.
   std::uint64_t PackedVersion = 0; ///< The version of the packed document.
-  /// Newer versions and the time of the first report of each.
-  std::map<std::uint64_t, Time> NewerVersions;
+  ConfigurationNews News;
   std::uint64_t DecodingVersion = 0;   ///< The version being decoded.
   std::uint64_t ReportedMissing = 0;   ///< The last version logged as missing.
   std::uint64_t UnreadableVersion = 0; ///< A version that can't be decoded.
--- a/tests/auto/daemon/PeerNetworkTest.cpp
+++ b/tests/auto/daemon/PeerNetworkTest.cpp
@@ -16,7 +16,7 @@
 class Inbox {
 public:
   PeerNetwork::Listener listener() {
-    return {[this](PeerMessage Message) {
+    return {[this](PeerMessage Message, std::size_t) {
               const std::lock_guard Lock(this->Mutex);
               this->Received.push_back(std::move(Message));
               this->Arrived.notify_all();
@@ -48,7 +48,7 @@
 
 /// A listener for networks that only send.
 PeerNetwork::Listener ignoringListener() {
-  return {[](const PeerMessage &) {}, [](std::string_view) {}};
+  return {[](const PeerMessage &, std::size_t) {}, [](std::string_view) {}};
 }
 
 PeerSettings settingsWith(const CurveKeyPair &Own, std::string_view Allowed) {
