Reproduce answers by an older configuration after its bound

A single host refuses unknown routes and keys for good although it knows that it lacks a version, or hears nothing.

--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -266,6 +266,7 @@
 void HostSimulation::submit(std::size_t Host, const Caller &Origin) {
   const RequestId Id(++this->Requests);
   this->Callers[{Host, Id}] = Origin;
+  this->Callers[{Host, Id}].RequestedAt = this->Queue.now();
   this->RequestTimes.push_back(this->Queue.now());
   const Duration Patience =
       Origin.IsLong ? Duration(CallerTimeLimit) : CallerTimeout;
@@ -287,6 +288,8 @@
   Head.Id = Id;
   Head.Host = "a.example";
   Head.Path = Origin.IsLong ? "/review/" : "/stream/";
+  if (Origin.IsUnknownRoute)
+    Head.Path = "/nowhere/";
   Head.Key = "key";
   Head.Remaining =
       CallerTimeLimit - (this->Queue.now() - Origin.FirstRequestAt);
@@ -296,8 +299,24 @@
   return Head;
 }
 
+void HostSimulation::sendUnknownRoute(std::size_t Host) {
+  Caller Origin{this->Queue.now()};
+  Origin.IsUnknownRoute = true;
+  this->submit(Host, Origin);
+}
+
+void HostSimulation::recordDecision(std::size_t Host, const RequestId &Id) {
+  const auto Found = this->Callers.find({Host, Id});
+  if (Found != this->Callers.end())
+    this->Decisions.push_back(
+        {Found->second.RequestedAt, this->versionAt(Host)});
+}
+
 void HostSimulation::handleRefusal(std::size_t Host,
                                    const RefuseRelay &Refusal) {
+  if (Refusal.Kind == RefusalKind::NoSuchRoute ||
+      Refusal.Kind == RefusalKind::UnknownKey)
+    this->recordDecision(Host, Refusal.Request);
   const auto Found = this->Callers.find({Host, Refusal.Request});
   if (Found == this->Callers.end())
     return;
@@ -514,6 +533,7 @@
 void HostSimulation::dispatch(std::size_t Index,
                               const DispatchRelay &Dispatch) {
   const std::uint64_t Life = this->Hosts[Index].Life;
+  this->recordDecision(Index, Dispatch.Request);
   ++this->Current.Sent[Dispatch.Engine];
   this->Connections.send(Index, Dispatch.Engine, Dispatch.Fresh,
                          this->Queue.now());
@@ -657,6 +677,7 @@
                  GatewayEvent(ConfigurationRead{this->configurationAt(Newest),
                                                 ConfigurationSource::Store}));
     this->readEvacuations(Index);
+    this->send(Index, Life, GatewayEvent(DeclarationsRead{}));
     this->send(
         Index, Life,
         GatewayEvent(StoreObserved{StoreObserved::Part::Engines, true, ""}));
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -155,6 +155,17 @@
   /// begun after two seconds.
   void sendRequest(std::size_t Host, Duration RunsFor);
 
+  /// Sends a request on a route that no configuration has.
+  void sendUnknownRoute(std::size_t Host);
+  /// How a host decided on a request, by its configuration.
+  struct Decision {
+    Time RequestedAt{};
+    std::uint64_t Version = 0; ///< In force on the host that decided.
+  };
+  /// Returns the requests that were sent to engines or refused for good because
+  /// of the configuration.
+  std::span<const Decision> decisions() const { return this->Decisions; }
+
   /// Sends a request with a prompt that several engines prefill, so that it
   /// waits for its turn among others like it.
   void sendLong(std::size_t Host, Duration RunsFor);
@@ -241,6 +252,8 @@
     Duration RunsFor{};
     bool IsLong = false;
     bool CrashesEngines = false;
+    bool IsUnknownRoute = false;
+    Time RequestedAt{}; ///< The latest request.
   };
   using CallerKey = std::pair<std::size_t, RequestId>;
   /// One attempt on an engine.
@@ -257,6 +270,8 @@
   /// Returns the engine with this id, or the number of engines.
   std::size_t indexOf(const UpstreamId &Engine) const;
   void submit(std::size_t Host, const Caller &Origin);
+  /// Records with which configuration the host decided on the request.
+  void recordDecision(std::size_t Host, const RequestId &Id);
   RelayHead headOf(const RequestId &Id, const Caller &Origin) const;
   /// Crashes the engine that has begun to run the request.
   void crashLater(const UpstreamId &Engine, const RunningRequest &Running);
@@ -367,6 +382,7 @@
   std::set<AttemptId> Cancelled;
   std::vector<Time> Crashes;
   std::vector<Time> CrashingArrivals;
+  std::vector<Decision> Decisions;
   std::vector<Time> RequestTimes;
   std::vector<Time> RepeatTimes;
   std::set<RequestId> Reached; ///< Requests that reached an engine.
