Refuse for good only what the newest configuration does not allow

What callers saw: 404 for a route that a version acknowledged 3.5 s before had added, where three seconds are allowed.

Cause: a host counted its limit from when it handled the first heartbeat that named a newer version. A host that hears late, handles late or hears nothing was inside its own limit and beyond the users'; until the limit its refusals were final although it knew, or had to assume, that it lacked a version. An overloaded host dropped the heartbeats that would have told it.

Fix: heartbeats carry the newest versions known to be in force on any host and since when, also those that the sender lacks, and the time that an event waits counts. A refusal is 503 with the expected delay while a version is missing or there was no report for stale_after.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -247,9 +247,11 @@
 
 void GatewayTraffic::decode(const std::string &Document,
                             ConfigurationSource From) {
+  const Time ReadAt = this->Context.Clock.now();
   try {
     this->Context.Events.send(GatewayEvent(ConfigurationRead{
-        this->Context.Protocol.documents().readConfiguration(Document), From}));
+        this->Context.Protocol.documents().readConfiguration(Document), From,
+        ReadAt}));
   } catch (const Error &Failure) {
     this->Context.Events.send(
         GatewayEvent(ConfigurationUnreadable{Failure.what()}));
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -8,6 +8,7 @@
 #include "gateway/RelayedRequest.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -41,6 +42,8 @@
 struct ConfigurationRead {
   std::shared_ptr<const GatewayConfiguration> Declared;
   ConfigurationSource From = ConfigurationSource::Store;
+  /// When it was read from the store, if it waited to be handled.
+  std::optional<Time> ReadAt;
 };
 /// The store's topic of configurations was read to its end. Sent after the
 /// events for the records that were read.
--- a/src/libs/kernel/Event.h
+++ b/src/libs/kernel/Event.h
@@ -120,6 +120,8 @@
 
 struct PeerMessageReceived {
   PeerMessage Message;
+  /// When it was received, if it waited to be handled.
+  std::optional<Time> ReceivedAt;
 };
 struct OperatorRequest {
   OperatorRequestId Id;
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -17,6 +17,8 @@
   /// Age of the newest report of a peer or the store. The maximum means that
   /// there was none.
   Duration ReportAge = Duration::max();
+  /// Estimated time until the missing version is in force here; 0: unknown.
+  Duration ExpectedIn{};
 };
 
 /// The configuration in force.
@@ -28,6 +30,9 @@
   /// Whether another host has had a newer configuration in force for longer
   /// than the allowed propagation time.
   virtual bool isStale(Time Now) const = 0;
+  /// Whether a newer configuration may be in force elsewhere, so that what this
+  /// one does not allow may be allowed.
+  virtual bool mayBeOutdated(Time Now) const = 0;
   virtual ConfigurationFreshness freshness(Time Now) const = 0;
 };
 
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -31,6 +31,17 @@
   bool operator==(const MemberUpdate &) const = default;
 };
 
+/// A version of the configuration that some host has in force.
+struct VersionInForce {
+  std::uint64_t Version = 0;
+  Duration Age{}; ///< Since it was first known to be in force on any host.
+
+  bool operator==(const VersionInForce &) const = default;
+};
+
+/// Maximum number of versions in one heartbeat.
+inline constexpr std::size_t MaxRecentVersions = 4;
+
 /// Announces that the sender is alive, with its state.
 struct Heartbeat {
   std::uint64_t Sequence = 0;
@@ -57,6 +68,9 @@
   Duration Late{};
   /// The newest evacuation record of each zone that the sender knows.
   std::vector<EvacuationRecord> Evacuations;
+  /// The newest versions of the configuration that the sender knows to be in
+  /// force on any host, also versions that it lacks itself.
+  std::vector<VersionInForce> RecentVersions;
 
   bool operator==(const Heartbeat &) const = default;
 };
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -52,6 +52,9 @@
   virtual bool isReady() const = 0;
   /// The version in force; 0 when there is none.
   virtual std::uint64_t version() const = 0;
+  /// Returns the newest versions that are known to be in force on any host, at
+  /// most MaxRecentVersions.
+  virtual std::vector<VersionInForce> recentVersions(Time Now) const = 0;
 };
 
 /// The engines of one service from which a host selects.
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -76,6 +76,11 @@
     Item.set_active(Record.Active);
     Item.set_offset(Record.Offset);
   }
+  for (const banyanpick::VersionInForce &Recent : Body.RecentVersions) {
+    VersionInForce &Item = *Out.add_recent_versions();
+    Item.set_version(Recent.Version);
+    Item.set_age_us(static_cast<std::uint64_t>(Recent.Age.count()));
+  }
 }
 
 void write(const banyanpick::WorkSent &Body, Envelope &Envelope) {
@@ -426,6 +431,13 @@
     Result.Evacuations.push_back(
         {ZoneId(Item.zone()), Item.active(), Item.offset()});
   }
+  const std::size_t Versions = std::min<std::size_t>(
+      static_cast<std::size_t>(In.recent_versions_size()), MaxRecentVersions);
+  for (std::size_t Index = 0; Index < Versions; ++Index) {
+    const VersionInForce &Item = In.recent_versions(static_cast<int>(Index));
+    Result.RecentVersions.push_back(
+        {Item.version(), Duration(std::min(Item.age_us(), OldestUs))});
+  }
   return Result;
 }
 
--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -425,6 +425,8 @@
   }
   if (this->Evacuations)
     Beat.Evacuations = this->Evacuations->records();
+  if (this->InForce)
+    Beat.RecentVersions = this->InForce->recentVersions(Now);
   Beat.Late = this->Health.lateness();
   if (this->Store && this->Store->storeConfirmedAt() != Time{})
     Beat.StoreAge = Now - this->Store->storeConfirmedAt();
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -121,19 +121,33 @@
   }
   const RouteEntry *Route = Routes->find(Head.Host, Head.Path);
   if (!Route) {
-    this->refuse(Head, RefusalKind::NoSuchRoute, Duration(0),
-                 "no route takes this host and path", Now, Out);
+    this->refuseByConfiguration(Head, RefusalKind::NoSuchRoute,
+                                "no route takes this host and path", Now, Out);
     return;
   }
   const KeyOwner *Owner = Routes->ownerOf(Head.Key);
   if (Routes->configuration().NeedsKeys && !Route->Public && !Owner) {
-    this->refuse(Head, RefusalKind::UnknownKey, Duration(0),
-                 "the key is missing or unknown", Now, Out);
+    this->refuseByConfiguration(Head, RefusalKind::UnknownKey,
+                                "the key is missing or unknown", Now, Out);
     return;
   }
   this->admit(Head, *Route, Owner, Now, Out);
 }
 
+void RelaysPlugin::refuseByConfiguration(const RelayHead &Head,
+                                         RefusalKind Kind,
+                                         std::string_view Reason, Time Now,
+                                         Actions &Out) {
+  if (!this->RouteState->mayBeOutdated(Now)) {
+    this->refuse(Head, Kind, Duration(0), Reason, Now, Out);
+    return;
+  }
+  const Duration Expected = this->RouteState->freshness(Now).ExpectedIn;
+  this->refuse(Head, RefusalKind::NotRun,
+               std::max(Expected, this->Options.DefaultRetryAfter),
+               "a newer configuration may allow this request", Now, Out);
+}
+
 void RelaysPlugin::admit(const RelayHead &Head, const RouteEntry &Route,
                          const KeyOwner *Owner, Time Now, Actions &Out) {
   RunningRelay Relay;
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -93,6 +93,10 @@
               std::optional<Duration> RetryAfter = std::nullopt);
   void refuse(const RelayHead &Head, RefusalKind Kind, Duration RetryAfter,
               std::string_view Reason, Time Now, Actions &Out);
+  /// Refuses a request that the configuration does not allow. The refusal is
+  /// final only if no newer configuration may allow it.
+  void refuseByConfiguration(const RelayHead &Head, RefusalKind Kind,
+                             std::string_view Reason, Time Now, Actions &Out);
   /// Ends the requests with newly quarantined contents, except those whose
   /// answers arrive.
   void finishNewlyQuarantined(Time Now, Actions &Out);
--- a/src/plugins/routes/ConfigurationNews.cpp
+++ b/src/plugins/routes/ConfigurationNews.cpp
@@ -1,44 +1,93 @@
 #include "plugins/routes/ConfigurationNews.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace banyanpick {
 
 namespace {
 
-/// Number of newer versions that are recorded. Only the oldest ones matter.
-constexpr std::size_t MaxNewerVersions = 64;
+/// Number of versions that are recorded; further ones replace the oldest that
+/// this host has.
+constexpr std::size_t MaxVersions = 64;
 
 } // namespace
 
-void ConfigurationNews::noteNewer(std::uint64_t Version, Time Since) {
+void ConfigurationNews::noteReport(Time At) {
+  this->ReportedAt = std::max(this->ReportedAt, At);
+}
+
+void ConfigurationNews::noteStoreRead(Time At) {
+  this->StoreReadAt = std::max(this->StoreReadAt, At);
+}
+
+void ConfigurationNews::noteReadFromStore(std::uint64_t Version, Time At) {
+  const bool HasEarlierRead = this->StoreReadAt != Time{};
+  this->noteInForce(Version,
+                    HasEarlierRead ? std::min(At, this->StoreReadAt) : At);
+}
+
+void ConfigurationNews::noteInForce(std::uint64_t Version, Time Since) {
+  if (Version == 0)
+    return;
   const auto Known = this->InForceSince.find(Version);
-  if (Known != this->InForceSince.end())
+  if (Known != this->InForceSince.end()) {
     Known->second = std::min(Known->second, Since);
-  else if (this->InForceSince.size() < MaxNewerVersions)
-    this->InForceSince.emplace(Version, Since);
+    return;
+  }
+  if (this->InForceSince.size() == MaxVersions) {
+    const auto Oldest = this->InForceSince.begin();
+    if (Oldest->first > this->KnownUpTo || Oldest->first > Version)
+      return;
+    this->InForceSince.erase(Oldest);
+  }
+  this->InForceSince.emplace(Version, Since);
 }
 
-void ConfigurationNews::forgetUpTo(std::uint64_t Version) {
-  this->InForceSince.erase(this->InForceSince.begin(),
-                           this->InForceSince.upper_bound(Version));
+void ConfigurationNews::activated(std::uint64_t Version, Time Now) {
+  const auto Known = this->InForceSince.find(Version);
+  if (Known != this->InForceSince.end())
+    this->LastPropagation = Now - Known->second;
+  this->setKnownUpTo(Version);
+}
+
+void ConfigurationNews::setKnownUpTo(std::uint64_t Version) {
+  this->KnownUpTo = std::max(this->KnownUpTo, Version);
+}
+
+ConfigurationNews::Versions::const_iterator
+ConfigurationNews::oldestMissing() const {
+  return this->InForceSince.upper_bound(this->KnownUpTo);
 }
 
 bool ConfigurationNews::isOlderThan(Duration Limit, Time Now) const {
-  return !this->InForceSince.empty() &&
-         Now >= this->InForceSince.begin()->second + Limit;
+  const auto Missing = this->oldestMissing();
+  return Missing != this->InForceSince.end() && Now >= Missing->second + Limit;
 }
 
 ConfigurationFreshness ConfigurationNews::freshness(Time Now) const {
   ConfigurationFreshness Result;
-  if (!this->InForceSince.empty()) {
-    const auto &[Version, Since] = *this->InForceSince.begin();
-    Result.MissingVersion = Version;
-    Result.MissingFor = Now - Since;
+  const auto Missing = this->oldestMissing();
+  if (Missing != this->InForceSince.end()) {
+    Result.MissingVersion = Missing->first;
+    Result.MissingFor = Now - Missing->second;
+    Result.ExpectedIn =
+        std::max(Duration(0), this->LastPropagation - Result.MissingFor);
   }
   if (this->ReportedAt != Time{})
     Result.ReportAge = std::max(Duration(0), Now - this->ReportedAt);
   return Result;
 }
 
+std::vector<VersionInForce> ConfigurationNews::recent(Time Now) const {
+  const std::size_t Count =
+      std::min(this->InForceSince.size(), MaxRecentVersions);
+  std::vector<VersionInForce> Result;
+  for (auto Next = std::prev(this->InForceSince.end(),
+                             static_cast<std::ptrdiff_t>(Count));
+       Next != this->InForceSince.end(); ++Next)
+    Result.push_back({Next->first, std::max(Duration(0), Now - Next->second)});
+  return Result;
+}
+
 } // namespace banyanpick
--- a/src/plugins/routes/RoutesPlugin.cpp
+++ b/src/plugins/routes/RoutesPlugin.cpp
@@ -38,16 +38,18 @@
   match(
       Incoming,
       [&](const GatewayEvent &Gateway) {
-        if (std::holds_alternative<DeclarationsRead>(Gateway))
+        if (std::holds_alternative<DeclarationsRead>(Gateway)) {
           this->News.noteReport(Now);
+          this->News.noteStoreRead(Now);
+        }
         if (const auto *Read = std::get_if<ConfigurationRead>(&Gateway))
-          this->activate(*Read, Out);
+          this->activate(*Read, Now, Out);
         if (const auto *Failure =
                 std::get_if<ConfigurationUnreadable>(&Gateway)) {
           // A version that can't be decoded is not fetched again and does not
           // make the local one stale.
-          this->News.forgetAll();
           this->UnreadableVersion = this->DecodingVersion;
+          this->News.setKnownUpTo(this->UnreadableVersion);
           Out.log(logEvent(events::ConfigurationUnreadable)
                       .with("why", Failure->Why)
                       .with("in_force", this->version())
@@ -55,7 +57,7 @@
         }
       },
       [&](const PeerMessageReceived &Received) {
-        this->handlePeerMessage(Received.Message, Now, Out);
+        this->handlePeerMessage(Received, Now, Out);
       },
       [](const auto &) {});
   if (Now >= this->NextCheck)
@@ -72,6 +74,15 @@
   return this->News.isOlderThan(this->StaleAfter, Now);
 }
 
+bool RoutesPlugin::mayBeOutdated(Time Now) const {
+  const ConfigurationFreshness Current = this->News.freshness(Now);
+  return Current.MissingVersion != 0 || Current.ReportAge >= this->StaleAfter;
+}
+
+std::vector<VersionInForce> RoutesPlugin::recentVersions(Time Now) const {
+  return this->News.recent(Now);
+}
+
 ConfigurationFreshness RoutesPlugin::freshness(Time Now) const {
   return this->News.freshness(Now);
 }
@@ -85,13 +96,19 @@
   return this->Table ? this->Table->version() : 0;
 }
 
-void RoutesPlugin::activate(const ConfigurationRead &Read, Actions &Out) {
+void RoutesPlugin::activate(const ConfigurationRead &Read, Time Now,
+                            Actions &Out) {
+  const bool IsFromStore = Read.From == ConfigurationSource::Store;
+  if (IsFromStore)
+    this->News.noteReport(Now);
   if (this->Table && Read.Declared->Version <= this->version())
     return;
   const std::uint64_t PreviousVersion = this->version();
   this->Table = std::make_unique<RouteTable>(Read.Declared);
   this->HighestVersion = std::max(this->HighestVersion, this->version());
-  this->News.forgetUpTo(this->version());
+  if (IsFromStore)
+    this->News.noteReadFromStore(this->version(), Read.ReadAt.value_or(Now));
+  this->News.activated(this->version(), Now);
   Out.add(GatewayAction(LimitCallers{Read.Declared->Limits}));
   Out.log(logEvent(events::ConfigurationInForce)
               .with("version", this->version())
@@ -105,8 +122,9 @@
             Read.From == ConfigurationSource::Store ? "store" : "peer");
 }
 
-void RoutesPlugin::handlePeerMessage(const PeerMessage &Message, Time Now,
-                                     Actions &Out) {
+void RoutesPlugin::handlePeerMessage(const PeerMessageReceived &Received,
+                                     Time Now, Actions &Out) {
+  const PeerMessage &Message = Received.Message;
   match(
       Message.Body,
       [&](const ConfigurationRequest &Request) {
@@ -117,7 +135,8 @@
         this->receiveChunk(Message.From, Chunk, Now, Out);
       },
       [&](const Heartbeat &Beat) {
-        this->handleHeartbeat(Message.From, Beat.InForce, Now, Out);
+        this->handleHeartbeat(Message.From, Beat,
+                              Received.ReceivedAt.value_or(Now), Now, Out);
       },
       [](const auto &) {});
 }
@@ -126,14 +145,17 @@
   return Version > std::max(this->version(), this->DecodingVersion);
 }
 
-void RoutesPlugin::handleHeartbeat(const HostId &From, std::uint64_t InForce,
-                                   Time Now, Actions &Out) {
-  this->News.noteReport(Now);
-  if (InForce > std::max(this->version(), this->UnreadableVersion))
-    this->News.noteNewer(InForce, Now);
+void RoutesPlugin::handleHeartbeat(const HostId &From, const Heartbeat &Beat,
+                                   Time ReceivedAt, Time Now, Actions &Out) {
+  this->News.noteReport(ReceivedAt);
+  if (Beat.StoreAge != Duration::max())
+    this->News.noteStoreRead(ReceivedAt - Beat.StoreAge);
+  for (const VersionInForce &Recent : Beat.RecentVersions)
+    this->News.noteInForce(Recent.Version, ReceivedAt - Recent.Age);
+  this->News.noteInForce(Beat.InForce, ReceivedAt);
   // Requests the version at once, because a revoked key must stop working on
   // this host too.
-  if (this->isNewer(InForce) && this->Fetch.mayRequest(Now))
+  if (this->isNewer(Beat.InForce) && this->Fetch.mayRequest(Now))
     Out.add(SendToPeer{From, this->Fetch.makeRequest(this->version(), Now)});
 }
 
--- a/src/plugins/routes/RoutesPlugin.h
+++ b/src/plugins/routes/RoutesPlugin.h
@@ -26,18 +26,23 @@
 
   const RouteTable *routes() const override { return this->Table.get(); }
   bool isStale(Time Now) const override;
+  bool mayBeOutdated(Time Now) const override;
   ConfigurationFreshness freshness(Time Now) const override;
   bool isReady() const override;
   std::uint64_t version() const override;
+  std::vector<VersionInForce> recentVersions(Time Now) const override;
 
   static std::vector<SettingDeclaration> settings();
 
 private:
   /// Puts a newer configuration in force.
-  void activate(const ConfigurationRead &Read, Actions &Out);
-  void handlePeerMessage(const PeerMessage &Message, Time Now, Actions &Out);
-  void handleHeartbeat(const HostId &From, std::uint64_t InForce, Time Now,
-                       Actions &Out);
+  void activate(const ConfigurationRead &Read, Time Now, Actions &Out);
+  void handlePeerMessage(const PeerMessageReceived &Received, Time Now,
+                         Actions &Out);
+  /// \p ReceivedAt is when the heartbeat arrived, before it waited for the
+  /// control thread.
+  void handleHeartbeat(const HostId &From, const Heartbeat &Beat,
+                       Time ReceivedAt, Time Now, Actions &Out);
   void receiveChunk(const HostId &From, const ConfigurationRelayed &Chunk,
                     Time Now, Actions &Out);
   /// Sends chunks to waiting peers, as the rate allows.
--- a/tests/auto/engineload/AdmissionReplay.h
+++ b/tests/auto/engineload/AdmissionReplay.h
@@ -105,6 +105,7 @@
                    Actions &) override {}
   const RouteTable *routes() const override { return this->Table.get(); }
   bool isStale(Time) const override { return false; }
+  bool mayBeOutdated(Time) const override { return false; }
   ConfigurationFreshness freshness(Time) const override { return {}; }
   bool isAvoided(const UpstreamId &Id, Time Now) const override;
   std::vector<EngineWork::Distrust> distrusted(Time) const override {
--- a/tests/auto/gateway/OutdatedRefusalTest.cpp
+++ b/tests/auto/gateway/OutdatedRefusalTest.cpp
@@ -26,6 +26,22 @@
     this->Bench.receive("h2", Beat);
   }
 
+  /// Receives a heartbeat of a peer that knows a version to be in force
+  /// elsewhere. The heartbeat waited for the control thread.
+  void hearOf(const VersionInForce &Version, Duration Waited = {}) {
+    Heartbeat Beat;
+    Beat.Sequence = 1;
+    Beat.InForce = 5;
+    Beat.RecentVersions.push_back(Version);
+    HostListing Listing;
+    Listing.Id = HostId("h2");
+    Listing.Zone = ZoneId("z");
+    Listing.Peers = {"127.0.0.1", 11};
+    Beat.KnownHosts.push_back(Listing);
+    this->Bench.send(Event(PeerMessageReceived{
+        {HostId("h2"), Incarnation(1), Beat}, this->Bench.Now - Waited}));
+  }
+
   /// Sends a request with an unknown key.
   void arriveWithUnknownKey() {
     RelayHead Head;
@@ -74,5 +90,36 @@
   EXPECT_EQ(this->refused().Kind, RefusalKind::NotRun);
 }
 
+TEST_F(OutdatedRefusal, IsNotFinalAfterHearsayOfANewerVersion) {
+  this->hearOf({6, Duration(0)});
+  this->Bench.arrive("/nowhere/1");
+  EXPECT_EQ(this->refused().Kind, RefusalKind::NotRun);
+}
+
+TEST_F(OutdatedRefusal, CountsFromWhenTheVersionWasInForceElsewhere) {
+  this->hearOf({6, milliseconds(2400)});
+  this->Bench.arrive("/safe/1");
+  EXPECT_TRUE(this->Bench.all<RefuseRelay>().empty());
+  this->Bench.advance(milliseconds(200));
+  this->Bench.arrive("/safe/2");
+  EXPECT_EQ(this->refused().Kind, RefusalKind::NotRun);
+}
+
+TEST_F(OutdatedRefusal, CountsTheTimeThatTheReportWaited) {
+  this->hearOf({6, milliseconds(1500)}, milliseconds(1000));
+  this->Bench.arrive("/safe/1");
+  EXPECT_EQ(this->refused().Kind, RefusalKind::NotRun);
+}
+
+TEST_F(OutdatedRefusal, PassesOnVersionsThatThisHostLacks) {
+  this->hearOf({6, milliseconds(1000)});
+  this->Bench.advance(seconds(1));
+  const auto Beats = this->Bench.sent<Heartbeat>();
+  ASSERT_FALSE(Beats.empty());
+  ASSERT_FALSE(Beats.back().RecentVersions.empty());
+  EXPECT_EQ(Beats.back().RecentVersions.back().Version, 6U);
+  EXPECT_GE(Beats.back().RecentVersions.back().Age, milliseconds(1000));
+}
+
 } // namespace
 } // namespace banyanpick
--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -642,11 +642,12 @@
                                 ? 0
                                 : encodePeerMessage(Message).size();
   this->chargeSending(From, Bytes);
-  this->Queue.after(NetworkDelay + this->transfer(From, To, Bytes),
-                    [this, To, Bytes, Message = std::move(Message)] {
-                      this->send(To, this->Hosts[To].Life,
-                                 PeerMessageReceived{Message}, Bytes);
-                    });
+  this->Queue.after(
+      NetworkDelay + this->transfer(From, To, Bytes),
+      [this, To, Bytes, Message = std::move(Message)] {
+        this->send(To, this->Hosts[To].Life,
+                   PeerMessageReceived{Message, this->Queue.now()}, Bytes);
+      });
 }
 
 void HostSimulation::readStore(std::size_t Index, std::uint64_t Life) {
@@ -675,7 +676,8 @@
     if (std::exchange(Reader.SeenVersion, Newest) != Newest)
       this->send(Index, Life,
                  GatewayEvent(ConfigurationRead{this->configurationAt(Newest),
-                                                ConfigurationSource::Store}));
+                                                ConfigurationSource::Store,
+                                                this->Queue.now()}));
     this->readEvacuations(Index);
     this->send(Index, Life, GatewayEvent(DeclarationsRead{}));
     this->send(
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -136,6 +136,9 @@
   }
   /// Pauses the host. Events that arrive meanwhile are delayed.
   void pause(std::size_t Host, Duration For);
+  bool isPaused(std::size_t Host) const {
+    return this->Queue.now() < this->Hosts[Host].PausedUntil;
+  }
   /// Drops all messages between the host and its peers.
   void setPartitioned(std::size_t Host, bool On);
   /// A request that reached an engine.
--- a/tests/auto/manyhosts/OutdatedAnswersTest.cpp
+++ b/tests/auto/manyhosts/OutdatedAnswersTest.cpp
@@ -59,7 +59,8 @@
 /// Delays random hosts.
 void delayHosts(HostSimulation &Simulated, Random &Rng) {
   for (std::size_t Host = 0; Host < Simulated.size(); ++Host)
-    if (Rng.below(DelayInterval / RequestInterval) == 0)
+    if (!Simulated.isPaused(Host) &&
+        Rng.below(DelayInterval / RequestInterval) == 0)
       Simulated.pause(Host, MaxControlDelay * (1 + Rng.below(4)) / 4);
 }
 
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -148,6 +148,11 @@
   });
   if (Result.Evacuations.size() > MaxEvacuationRecords)
     Result.Evacuations.resize(MaxEvacuationRecords);
+  Result.RecentVersions = anyVector([] {
+    return VersionInForce{anyUint64(), Duration(anyUint32())};
+  });
+  if (Result.RecentVersions.size() > MaxRecentVersions)
+    Result.RecentVersions.resize(MaxRecentVersions);
   return Result;
 }
 
