--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -268,6 +268,7 @@
   this->Callers[{Host, Id}] = Origin;
   this->Callers[{Host, Id}].RequestedAt = this->Queue.now();
   this->RequestTimes.push_back(this->Queue.now());
+  this->Current.FirstTries[Host] += Origin.HasRetried ? 0 : 1;
   const Duration Patience =
       Origin.IsLong ? Duration(CallerTimeLimit) : CallerTimeout;
   this->Queue.after(Patience, [this, Host, Id] {
@@ -355,6 +356,7 @@
     if (Origin == this->Callers.end() || !this->runsOn(Engine, Running))
       return;
     Origin->second.IsAnswered = true;
+    this->noteServed(Running.Host, Origin->second);
     const Duration Took = this->Queue.now() - Origin->second.FirstRequestAt;
     this->Current.Answers.push_back({Origin->second.FirstRequestAt, Took});
     const bool InTime = Took <= Objective;
@@ -538,6 +540,13 @@
   this->Connections.send(Index, Dispatch.Engine, Dispatch.Fresh,
                          this->Queue.now());
   this->UnreportedSince.try_emplace(Index, this->Queue.now());
+  if (const auto Lost = this->lostAttempt(Index, Dispatch)) {
+    this->Queue.after(
+        Lost->After, [this, Index, Life, Id = Dispatch.Attempt, Lost] {
+          this->send(Index, Life, GatewayEvent(RelayEnded{Id, Lost->Outcome}));
+        });
+    return;
+  }
   if (const auto Lost = this->outcomeWithoutEngine(Dispatch)) {
     this->Queue.after(
         ResetDelay, [this, Index, Life, Id = Dispatch.Attempt, Lost] {
@@ -585,7 +594,10 @@
   match(
       Requested,
       [&](const DispatchRelay &Dispatch) { this->dispatch(Index, Dispatch); },
-      [&](const AskReport &Asked) { this->reportLoad(Index, Asked.Engine); },
+      [&](const AskReport &Asked) {
+        if (!this->failReport(Index, Asked.Engine))
+          this->reportLoad(Index, Asked.Engine);
+      },
       [&](const CancelRelay &Order) { this->Cancelled.insert(Order.Attempt); },
       [&](const StoreQuarantine &Wanted) { this->storeQuarantine(Wanted); },
       [&](const RefuseRelay &Refusal) { this->handleRefusal(Index, Refusal); },
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -105,6 +105,15 @@
   }
   /// Makes the engine close every connection at once.
   void setFailing(std::size_t Engine, bool On);
+  /// What happens to the connections of a host that has lost its links to all
+  /// engines.
+  enum class LinkLoss {
+    Hang,      ///< Nothing arrives; new connections time out.
+    Reset,     ///< They are reset; new ones are refused.
+    RefuseNew, ///< They live on; new ones are refused.
+  };
+  /// Cuts the host off from all engines, or restores its links.
+  void setCutOff(std::size_t Host, std::optional<LinkLoss> How);
   /// Makes every connection of the host to an engine fail at once.
   void setLinkFailed(std::size_t Host, bool On);
   /// Sets the limit of requests per second that the engine's answers state, or
@@ -210,6 +219,8 @@
     Duration MaxReportDelay{};
     std::map<std::size_t, std::size_t> Lost; ///< Requests without an answer, by
                                              ///< host.
+    std::map<std::size_t, std::size_t> FirstTries;  ///< By host.
+    std::map<std::size_t, std::size_t> FirstServed; ///< Of these, answered.
     std::size_t InTime = 0; ///< Answers that began within the objective.
     std::size_t Late = 0;   ///< Answers that began after the objective.
     std::size_t RetryLaterAnswers = 0; ///< Callers that were asked to retry.
@@ -285,6 +296,17 @@
   /// nothing if it does.
   std::optional<RelayOutcome>
   outcomeWithoutEngine(const DispatchRelay &Dispatch) const;
+  /// Returns how an attempt of a host that is cut off ends, and when.
+  struct LostAttempt {
+    RelayOutcome Outcome;
+    Duration After{};
+  };
+  std::optional<LostAttempt> lostAttempt(std::size_t Index,
+                                         const DispatchRelay &Dispatch) const;
+  /// Answers a request for a report with a failure if the host is cut off.
+  bool failReport(std::size_t Index, const UpstreamId &Engine);
+  /// Counts the answer to a first try.
+  void noteServed(std::size_t Host, const Caller &Origin);
   /// Drops all work of all engines.
   void dropEngineWork();
   /// Returns when the engine's next prefill ends, if it begins now.
@@ -369,6 +391,7 @@
   Random Draws{1};
   std::set<UpstreamId> Failing;
   std::set<std::size_t> FailedLinks;
+  std::map<std::size_t, LinkLoss> CutOff; ///< Hosts without links to engines.
   std::set<std::size_t> RefusedReaders;
   std::set<std::size_t> Partitioned;
   std::map<UpstreamId, double> Limits;
