Bound the messages that wait for each peer

What callers saw: hosts of 160 MB ended over their memory limit, six within two seconds, and took their requests with them.

Cause: a thousand messages could wait in each direction of each of 77 connections between hosts. A host whose processor falls behind takes messages in more slowly than its peers send them, so up to 77,000 of them collect; all news on them waits as long. Class of fault: a bound per peer without a bound of the sum.

SlowPeer failed before: more than 16 MB for one connection.

Fix: [peers] queue_messages is 32 by default. Peers repeat what is important, and what a peer does not take in is superseded by newer messages.

--- a/src/libs/peers/PeerSettings.cpp
+++ b/src/libs/peers/PeerSettings.cpp
@@ -47,8 +47,10 @@
       {"peers", "max_message_bytes", SettingKind::Size, "16MB",
        "Largest message between hosts; a larger one ends the connection.", 1024,
        1e9},
-      {"peers", "queue_messages", SettingKind::Whole, "1000",
-       "Messages waiting for one peer; more are dropped.", 1, 1e6},
+      {"peers", "queue_messages", SettingKind::Whole, "32",
+       "Messages that wait for one peer, and of one peer; more are dropped. A "
+       "host has as many queues as peers.",
+       1, 1e6},
   };
 }
 
