Forward requests from hosts that reach no engine

Cause: a host had one way to an engine, its own connection, and took the state of its links for that of the engines. Its peers and directories did not know. Class of fault: no second path, and local failure not told from remote failure.

Fix: the plug-in engine_reach judges by service: two engines fail within two seconds and none answers. Such a host forwards requests over HTTP to a peer that reaches engines, one hop, keeping the caller's headers, with the remaining time. The peer decides as for its own callers; its answer is passed on as it is. What the peer may have run is not sent again, so it runs once although either half of the way may break; what it refuses goes to another peer, three at most. Heartbeats and gossip carry the state; directories leave out such hosts while others serve. With everybody cut off, all is as before.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -172,9 +172,12 @@
         GatewayEvent(RelayEnded{Order.Attempt, RelayDelivered{}}));
     return;
   }
-  auto Run = std::make_shared<EngineRun>(
-      this->Io.get_executor(), Order, Side, this->Links,
-      this->Context.Protocol.engines(), this->Context.Values.RunLimits);
+  const EngineProtocol &Protocol = Order.IsForward
+                                       ? this->Context.Protocol.hosts()
+                                       : this->Context.Protocol.engines();
+  auto Run = std::make_shared<EngineRun>(this->Io.get_executor(), Order, Side,
+                                         this->Links, Protocol,
+                                         this->Context.Values.RunLimits);
   this->Runs[Order.Attempt] = Run;
   net::co_spawn(this->Io, this->runAttempt(std::move(Run), Order),
                 net::detached);
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -206,6 +206,12 @@
     833, LogLevel::Warning, "stored quarantine unreadable"};
 inline constexpr EventKind ContentCrashed{830, LogLevel::Warning,
                                           "content crashed an engine"};
+inline constexpr EventKind RelayForwarded{
+    834, LogLevel::Info, "relayed request forwarded to another host"};
+inline constexpr EventKind EnginesOutOfReach{
+    835, LogLevel::Warning, "engines of a service are out of reach"};
+inline constexpr EventKind EnginesInReach{836, LogLevel::Info,
+                                          "engines of a service are in reach"};
 inline constexpr EventKind MemoryReserved{840, LogLevel::Info,
                                           "engine memory reserved"};
 inline constexpr EventKind MemoryReleased{841, LogLevel::Info,
--- a/src/libs/gateway/RelayedRequest.cpp
+++ b/src/libs/gateway/RelayedRequest.cpp
@@ -54,4 +54,9 @@
   return Engine;
 }
 
+bool isAnswer(const RelayOutcome &Outcome) {
+  return !std::holds_alternative<RelayNeverSent>(Outcome) &&
+         !std::holds_alternative<RelayBroken>(Outcome);
+}
+
 } // namespace banyanpick
--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -25,7 +25,8 @@
   std::uint64_t PromptTokens = 0;
   std::uint64_t MaxOutputTokens = 0;
   std::optional<std::uint64_t> LastEvent; ///< The caller resumes after this.
-  Fingerprint Content; ///< Equal for equal path, caller and body.
+  Fingerprint Content;      ///< Equal for equal path, caller and body.
+  bool IsForwarded = false; ///< Another host forwards it.
 
   bool operator==(const RelayHead &) const = default;
 };
@@ -52,8 +53,9 @@
   std::optional<std::uint32_t> Urgency;   ///< 0 is the most urgent.
   std::optional<std::uint64_t> LastEvent; ///< Resume after this event.
   std::vector<HelperEngine> Helpers;
-  bool Fresh = false;  ///< Do not reuse a connection.
-  bool Stream = false; ///< The answer is a series of events.
+  bool Fresh = false;     ///< Do not reuse a connection.
+  bool Stream = false;    ///< The answer is a series of events.
+  bool IsForward = false; ///< At is another host, which sends it to an engine.
   /// A stream that sends nothing for this time after its first event fails as
   /// silent. Zero disables the timeout.
   Duration MaxSilence{};
@@ -174,4 +176,7 @@
 using RelayOutcome = std::variant<RelayNeverSent, RelayNotRun, RelayDelivered,
                                   RelayFailed, RelayBroken>;
 
+/// Whether the upstream sent an answer of any kind.
+bool isAnswer(const RelayOutcome &Outcome);
+
 } // namespace banyanpick
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -107,6 +107,9 @@
   Duration Predicted{};   ///< From sending to the first event; zero: unknown.
   Duration MaxEventGap{}; ///< Between its events; zero: not declared.
   bool Began = false;     ///< The first event was sent to the caller.
+  /// It was forwarded to another host, which Engine names. Observers are not
+  /// notified of it.
+  bool IsForward = false;
 };
 
 /// Notified of each state change of an attempt.
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -27,6 +27,8 @@
   std::uint64_t Version = 0; ///< Raised by the member to refute a suspicion.
   MemberState State = MemberState::Alive;
   bool Ready = false; ///< This incarnation has begun to admit requests.
+  /// It is partitioned from the engines of a service, as of this version.
+  bool CutOff = false;
 
   bool operator==(const MemberUpdate &) const = default;
 };
@@ -71,6 +73,8 @@
   /// The newest versions of the configuration that the sender knows to be in
   /// force on any host, also versions that it lacks itself.
   std::vector<VersionInForce> RecentVersions;
+  /// The sender is partitioned from the engines of a service.
+  bool CutOff = false;
 
   bool operator==(const Heartbeat &) const = default;
 };
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -42,6 +42,7 @@
   Time LogConfirmedAt{};           ///< From its heartbeat.
   LogOffset EnginesKnownTo = 0;    ///< From its heartbeat.
   std::uint64_t EnginesDigest = 0; ///< From its heartbeat.
+  bool CutOff = false; ///< Partitioned from the engines of a service.
 };
 
 /// The state of the configuration in force, as sent in heartbeats.
@@ -57,6 +58,16 @@
   virtual std::vector<VersionInForce> recentVersions(Time Now) const = 0;
 };
 
+/// Whether this host has a path to the engines.
+class EngineReachView {
+public:
+  virtual ~EngineReachView() = default;
+  /// Whether this host seems to be partitioned from all engines of the service.
+  virtual bool isCutOff(const ServiceId &Service, Time Now) const = 0;
+  /// The same for any service.
+  virtual bool isCutOff(Time Now) const = 0;
+};
+
 /// The engines of one service from which a host selects.
 struct EngineShare {
   /// For each partition of the engines, whether the host uses it. Empty if the
--- a/src/libs/relay/GatewayProtocol.h
+++ b/src/libs/relay/GatewayProtocol.h
@@ -115,6 +115,8 @@
   virtual ~GatewayProtocol() = default;
   virtual const CallerProtocol &callers() const = 0;
   virtual const EngineProtocol &engines() const = 0;
+  /// Translates requests that are forwarded to other hosts and their answers.
+  virtual const EngineProtocol &hosts() const = 0;
   virtual const StoreDocuments &documents() const = 0;
   /// Creates a client of the store at the address. The client is used on the
   /// executor's thread.
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -62,6 +62,7 @@
     Item.set_version(Update.Version);
     Item.set_state(static_cast<std::uint32_t>(Update.State));
     Item.set_ready(Update.Ready);
+    Item.set_cut_off(Update.CutOff);
   }
   for (const HostListing &Host : Body.KnownHosts)
     write(Host, *Out.add_known());
@@ -81,6 +82,7 @@
     Item.set_version(Recent.Version);
     Item.set_age_us(static_cast<std::uint64_t>(Recent.Age.count()));
   }
+  Out.set_cut_off(Body.CutOff);
 }
 
 void write(const banyanpick::WorkSent &Body, Envelope &Envelope) {
@@ -411,9 +413,10 @@
   Result.InForce = In.in_force();
   Result.LogConfirmedAt = timeFromWire(In.log_confirmed_at_us());
   for (const Rumour &Update : In.rumours())
-    Result.Updates.push_back(
-        {HostId(Update.host()), Incarnation(Update.life()), Update.version(),
-         checkedEnum(Update.state(), MemberState::Leaving), Update.ready()});
+    Result.Updates.push_back({HostId(Update.host()), Incarnation(Update.life()),
+                              Update.version(),
+                              checkedEnum(Update.state(), MemberState::Leaving),
+                              Update.ready(), Update.cut_off()});
   for (const Listing &Host : In.known())
     Result.KnownHosts.push_back(read(Host));
   Result.EnginesKnownTo = In.engines_known_to();
@@ -438,6 +441,7 @@
     Result.RecentVersions.push_back(
         {Item.version(), Duration(std::min(Item.age_us(), OldestUs))});
   }
+  Result.CutOff = In.cut_off();
   return Result;
 }
 
--- /dev/null
+++ b/src/plugins/enginereach/ServiceReach.cpp
@@ -0,0 +1,47 @@
+#include "plugins/enginereach/ServiceReach.h"
+
+#include <algorithm>
+
+namespace banyanpick {
+
+namespace {
+
+/// Engines that fail before the host's own links are suspected.
+constexpr std::size_t MinFailedEngines = 2;
+
+/// Time for which a failure counts without a new one.
+constexpr seconds EvidenceLifetime(2);
+
+} // namespace
+
+void ServiceReach::noteAnswer(Time) {
+  this->FailedAt.clear();
+  this->SilentSince = Never;
+}
+
+void ServiceReach::noteFailure(const UpstreamId &Engine, Time Now) {
+  std::erase_if(this->FailedAt, [&](const auto &Entry) {
+    return Now >= Entry.second + Duration(EvidenceLifetime);
+  });
+  this->FailedAt[Engine] = Now;
+}
+
+void ServiceReach::noteSent(Time ExpectedAt) {
+  ++this->Waiting;
+  this->SilentSince = std::min(this->SilentSince, ExpectedAt);
+}
+
+void ServiceReach::noteEnded() {
+  if (--this->Waiting == 0)
+    this->SilentSince = Never;
+}
+
+bool ServiceReach::isCutOff(Time Now) const {
+  const auto Failed = static_cast<std::size_t>(
+      std::ranges::count_if(this->FailedAt, [&](const auto &Entry) {
+        return Now < Entry.second + Duration(EvidenceLifetime);
+      }));
+  return Failed >= MinFailedEngines;
+}
+
+} // namespace banyanpick
--- a/src/plugins/hostdirectory/HostDirectoryPlugin.cpp
+++ b/src/plugins/hostdirectory/HostDirectoryPlugin.cpp
@@ -33,6 +33,7 @@
 void HostDirectoryPlugin::start(Time, Actions &) {
   this->InForce = &this->Registry->get<InForceView>();
   this->ActiveHosts = &this->Registry->get<ActiveHostsView>();
+  this->Reach = &this->Registry->get<EngineReachView>();
   this->Routing = &this->Registry->get<RouteView>();
   this->Regions = &this->Registry->get<RegionView>();
 }
@@ -50,10 +51,20 @@
       [](const auto &) {});
 }
 
+std::vector<HostDirectoryPlugin::CallerAddress>
+HostDirectoryPlugin::withoutCutOff(std::vector<CallerAddress> Hosts) {
+  const bool AnyReachesEngines =
+      std::ranges::find(Hosts, false, &CallerAddress::CutOff) != Hosts.end();
+  if (AnyReachesEngines)
+    std::erase_if(Hosts, [](const CallerAddress &Host) { return Host.CutOff; });
+  return Hosts;
+}
+
 std::vector<HostDirectoryPlugin::CallerAddress>
 HostDirectoryPlugin::hostsFor(const ResolveRequest &Query, Time Now,
                               Actions &Out) {
-  std::vector<CallerAddress> All = this->permittedHosts(Query);
+  std::vector<CallerAddress> All =
+      withoutCutOff(this->permittedHosts(Query, Now));
   const ZoneId &Zone = Query.Zone;
   if (!this->PrefersNearby || Zone.Value.empty())
     return All;
@@ -138,8 +149,9 @@
 }
 
 std::vector<HostDirectoryPlugin::CallerAddress>
-HostDirectoryPlugin::permittedHosts(const ResolveRequest &Query) const {
-  const std::vector<CallerAddress> Ready = this->readyHosts();
+HostDirectoryPlugin::permittedHosts(const ResolveRequest &Query,
+                                    Time Now) const {
+  const std::vector<CallerAddress> Ready = this->readyHosts(Now);
   const std::vector<HomeRegions> Homes = this->homesOf(Query.Name);
   const RegionId CallerRegion = Query.Region.empty()
                                     ? this->Regions->regionOf(Query.Zone)
@@ -164,7 +176,7 @@
 }
 
 std::vector<HostDirectoryPlugin::CallerAddress>
-HostDirectoryPlugin::readyHosts() const {
+HostDirectoryPlugin::readyHosts(Time Now) const {
   std::vector<CallerAddress> Result;
   const auto Add = [&](const HostId &Host, CallerAddress Listed) {
     Listed.IsActive =
@@ -172,12 +184,12 @@
     Result.push_back(std::move(Listed));
   };
   if (this->InForce->isReady())
-    Add(this->Self.Host,
-        {this->Self.Callers, this->Self.Processor, this->Self.Zone});
+    Add(this->Self.Host, {this->Self.Callers, this->Self.Processor,
+                          this->Self.Zone, false, this->Reach->isCutOff(Now)});
   for (const Member &Peer : this->Members->peers())
     if (Peer.State == MemberState::Alive && Peer.Ready)
-      Add(Peer.Listing.Id,
-          {Peer.Listing.Callers, Peer.Listing.Processor, Peer.Listing.Zone});
+      Add(Peer.Listing.Id, {Peer.Listing.Callers, Peer.Listing.Processor,
+                            Peer.Listing.Zone, false, Peer.CutOff});
   return Result;
 }
 
--- a/src/plugins/hostdirectory/HostDirectoryPlugin.h
+++ b/src/plugins/hostdirectory/HostDirectoryPlugin.h
@@ -31,8 +31,13 @@
     ProcessorShare Processor;
     ZoneId Zone;
     bool IsActive = false;
+    bool CutOff = false; ///< Partitioned from the engines of a service.
   };
 
+  /// Drops the hosts that are cut off, if there are others.
+  static std::vector<CallerAddress>
+  withoutCutOff(std::vector<CallerAddress> Hosts);
+
   /// Returns the hosts for one answer.
   std::vector<Address> sampleHosts(std::span<const CallerAddress> All);
   /// Returns the hosts from which the answer to a caller is drawn.
@@ -40,11 +45,12 @@
                                       Actions &Out);
   void logShare(const ZoneId &Zone, const ZoneStanding &Standing,
                 double NearShare, Time Now, Actions &Out);
-  std::vector<CallerAddress> readyHosts() const;
+  std::vector<CallerAddress> readyHosts(Time Now) const;
   /// Returns the hosts that may be named to the caller: the active ones in a
   /// permitted region or, if there are none, the other ready ones there. If no
   /// ready host is in a permitted region, all active hosts.
-  std::vector<CallerAddress> permittedHosts(const ResolveRequest &Query) const;
+  std::vector<CallerAddress> permittedHosts(const ResolveRequest &Query,
+                                            Time Now) const;
   /// Returns the home regions of each route of the host name that has some.
   std::vector<HomeRegions> homesOf(std::string_view Name) const;
 
@@ -53,6 +59,7 @@
   const InForceView *InForce = nullptr;
   const ActiveHostsView *ActiveHosts = nullptr;
   const RouteView *Routing = nullptr;
+  const EngineReachView *Reach = nullptr;
   const RegionView *Regions = nullptr;
   Identity Self;
   Random *Rng = nullptr;
--- a/src/plugins/membership/IncarnationState.cpp
+++ b/src/plugins/membership/IncarnationState.cpp
@@ -11,6 +11,8 @@
   IncarnationState Result = SecondWins ? Second : First;
   Result.Leaving = First.Leaving || Second.Leaving;
   Result.Ready = First.Ready || Second.Ready;
+  if (First.Version == Second.Version)
+    Result.CutOff = First.CutOff || Second.CutOff;
   return Result;
 }
 
@@ -26,7 +28,7 @@
 
 IncarnationState incarnationState(const MemberUpdate &Update) {
   IncarnationState Result{Update.Version, IncarnationState::Liveness::Alive,
-                          false, Update.Ready};
+                          false, Update.Ready, Update.CutOff};
   switch (Update.State) {
   case MemberState::Alive:
     break;
--- a/src/plugins/membership/IncarnationState.h
+++ b/src/plugins/membership/IncarnationState.h
@@ -10,6 +10,7 @@
 /// Motivala, 2002). Only the host itself raises Version, to refute a suspicion.
 /// At equal versions the worse status wins. An incarnation that began to leave
 /// never returns, and one that admitted requests admits them until it leaves.
+/// Whether it is cut off changes only with its version.
 /// States may therefore be joined in any order and any number of times.
 struct IncarnationState {
   enum class Liveness { Alive, Suspect, Dead };
@@ -17,7 +18,8 @@
   std::uint64_t Version = 0;
   Liveness Status = Liveness::Alive;
   bool Leaving = false;
-  bool Ready = false; ///< The host has begun to admit requests.
+  bool Ready = false;  ///< The host has begun to admit requests.
+  bool CutOff = false; ///< As the host said with the highest version.
 
   bool operator==(const IncarnationState &) const = default;
 };
--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -96,6 +96,7 @@
   this->ActiveHosts = this->Registry->find<ActiveHostsView>();
   this->Store = this->Registry->find<StoreFreshness>();
   this->Evacuations = this->Registry->find<EvacuationView>();
+  this->EngineReach = this->Registry->find<EngineReachView>();
   if (this->GossipDiscovery)
     this->connect(Out);
 }
@@ -124,6 +125,7 @@
     this->NextListRead = Now + this->listReadInterval();
     Out.add(ReadHostList{});
   }
+  this->updateCutOff(Now);
   if (Now >= std::min(this->NextHeartbeat, this->updateDue()))
     this->sendHeartbeats(Now, Out);
   this->announceChanges(Now, Out);
@@ -335,6 +337,15 @@
   this->Updates.add(this->ownUpdate());
 }
 
+void MembershipPlugin::updateCutOff(Time Now) {
+  if (!this->EngineReach || this->EngineReach->isCutOff(Now) == this->CutOff)
+    return;
+  this->CutOff = !this->CutOff;
+  ++this->OwnVersion;
+  this->Updates.add(this->ownUpdate());
+  this->NextHeartbeat = Now;
+}
+
 void MembershipPlugin::leave(Time Now, Actions &Out) {
   if (this->Leaving)
     return;
@@ -427,6 +438,7 @@
     Beat.Evacuations = this->Evacuations->records();
   if (this->InForce)
     Beat.RecentVersions = this->InForce->recentVersions(Now);
+  Beat.CutOff = this->CutOff;
   Beat.Late = this->Health.lateness();
   if (this->Store && this->Store->storeConfirmedAt() != Time{})
     Beat.StoreAge = Now - this->Store->storeConfirmedAt();
@@ -474,14 +486,17 @@
 MemberUpdate MembershipPlugin::updateOf(std::size_t Index) const {
   const Member &Peer = this->Peers.member(Index);
   const IncarnationState &MergedState = this->Peers.record(Index).MergedState;
-  return {Peer.Listing.Id, Peer.Life, MergedState.Version,
-          memberState(MergedState), MergedState.Ready};
+  return {Peer.Listing.Id,          Peer.Life,         MergedState.Version,
+          memberState(MergedState), MergedState.Ready, MergedState.CutOff};
 }
 
 MemberUpdate MembershipPlugin::ownUpdate() const {
-  return {this->Self.Host, this->Self.Life, this->OwnVersion,
+  return {this->Self.Host,
+          this->Self.Life,
+          this->OwnVersion,
           this->Leaving ? MemberState::Leaving : MemberState::Alive,
-          this->InForce && this->InForce->isReady()};
+          this->InForce && this->InForce->isReady(),
+          this->CutOff};
 }
 
 void MembershipPlugin::announceChanges(Time Now, Actions &Out) {
--- a/src/plugins/membership/MembershipPlugin.h
+++ b/src/plugins/membership/MembershipPlugin.h
@@ -68,6 +68,8 @@
   void applyUpdate(const MemberUpdate &Update, Time Now);
   void refute(const MemberUpdate &Update, Time Now);
   void leave(Time Now, Actions &Out);
+  /// Tells peers when this host loses or regains its path to engines.
+  void updateCutOff(Time Now);
   void sendHeartbeats(Time Now, Actions &Out);
   void send(std::size_t To, std::optional<std::uint64_t> AcknowledgedSequence,
             bool Newcomer, Time Now, Actions &Out);
@@ -84,6 +86,7 @@
   const ActiveHostsView *ActiveHosts = nullptr;
   const StoreFreshness *Store = nullptr;
   const EvacuationView *Evacuations = nullptr;
+  const EngineReachView *EngineReach = nullptr;
   Random *Rng = nullptr;
   SeedContacts Seeds;
   std::uint64_t SentVersion = 0;
@@ -106,6 +109,7 @@
   Time LastHeartbeat = Never;
   std::uint64_t OwnVersion = 0;
   bool Leaving = false;
+  bool CutOff = false; ///< As last sent to peers.
   std::uint64_t Sequence = 0;
   bool ListReachable = true;
   bool ListRead = false; ///< The host list was read at least once.
--- a/src/plugins/membership/PeerTable.cpp
+++ b/src/plugins/membership/PeerTable.cpp
@@ -144,10 +144,10 @@
   Peer.EnginesDigest = Beat.EnginesDigest;
   if (Differs)
     this->changeOf(Peer.Listing.Id);
-  this->joinState(
-      Index,
-      {Beat.Version, IncarnationState::Liveness::Alive, Beat.Leaving, ReadyNow},
-      Now);
+  this->joinState(Index,
+                  {Beat.Version, IncarnationState::Liveness::Alive,
+                   Beat.Leaving, ReadyNow, Beat.CutOff},
+                  Now);
 }
 
 void PeerTable::applyUpdate(std::size_t Index, const MemberUpdate &Update,
@@ -308,6 +308,10 @@
     Peer.Ready = true;
     this->changeOf(Peer.Listing.Id);
   }
+  if (this->Records[Index].MergedState.CutOff != Peer.CutOff) {
+    Peer.CutOff = !Peer.CutOff;
+    this->changeOf(Peer.Listing.Id);
+  }
   MemberState Next = memberState(this->Records[Index].MergedState);
   if (Peer.Listing.Leaving && Next != MemberState::Dead)
     Next = MemberState::Leaving;
--- a/src/plugins/relays/AttemptVerdict.cpp
+++ b/src/plugins/relays/AttemptVerdict.cpp
@@ -21,10 +21,40 @@
   return std::ranges::count(NotRunStatuses, Status) != 0;
 }
 
+/// Judges an attempt that was forwarded to another host. That host has made all
+/// attempts that the request's kind allows, so only a request that certainly
+/// did not run is sent again.
+AttemptVerdict judgeForward(RunningRelay &Relay, const RelayAttempt &Attempt,
+                            const RelayOutcome &Outcome) {
+  const auto NotRunThere = [&]() -> AttemptVerdict {
+    Relay.NotRunOn.push_back(Attempt.Engine);
+    return RetryElsewhere{false};
+  };
+  return match(
+      Outcome, [&](const RelayNeverSent &) { return NotRunThere(); },
+      [&](const RelayNotRun &) { return NotRunThere(); },
+      [&](const RelayDelivered &Delivered) -> AttemptVerdict {
+        Relay.MaxEventGap = Delivered.MaxEventGap;
+        return RelayCompleted{};
+      },
+      [&](const RelayFailed &) -> AttemptVerdict {
+        Relay.RanOn.push_back(Attempt.Engine);
+        Relay.KeptFailure = Attempt.Id;
+        return GiveUp{RefusalKind::OutcomeUnknown};
+      },
+      [&](const RelayBroken &Broken) -> AttemptVerdict {
+        Relay.RanOn.push_back(Attempt.Engine);
+        Relay.Began = Relay.Began || Broken.Began;
+        return GiveUp{RefusalKind::OutcomeUnknown};
+      });
+}
+
 } // namespace
 
 AttemptVerdict judgeAttempt(RunningRelay &Relay, const RelayAttempt &Attempt,
                             const RelayOutcome &Outcome) {
+  if (Attempt.IsForward)
+    return judgeForward(Relay, Attempt, Outcome);
   return match(
       Outcome,
       [&](const RelayNeverSent &) -> AttemptVerdict {
--- a/src/plugins/relays/RelayDispatch.cpp
+++ b/src/plugins/relays/RelayDispatch.cpp
@@ -1,5 +1,7 @@
 #include "plugins/relays/RelayDispatch.h"
 
+#include "plugins/relays/PeerChoice.h"
+
 namespace banyanpick {
 
 std::string_view reasonOf(const RetryLater &Refusal) {
@@ -79,4 +81,35 @@
   return Result;
 }
 
+RelayAttempt makeForward(const RunningRelay &Relay, const HostId &Peer,
+                         const AttemptId &Id, Time Now) {
+  RelayAttempt Result;
+  Result.Id = Id;
+  Result.Request = Relay.Head.Id;
+  Result.Engine = forwardTarget(Peer);
+  Result.Service = Relay.Service;
+  Result.Content = Relay.Head.Content;
+  Result.SentAt = Now;
+  Result.IsForward = true;
+  return Result;
+}
+
+DispatchRelay makeForwardDispatch(const RunningRelay &Relay,
+                                  const RelayAttempt &Attempt,
+                                  const Address &PeerAddress) {
+  DispatchRelay Result;
+  Result.Attempt = Attempt.Id;
+  Result.Request = Relay.Head.Id;
+  Result.Engine = Attempt.Engine;
+  Result.At = PeerAddress;
+  Result.Deadline = Relay.Deadline;
+  Result.LastEvent = Relay.LastEvent;
+  // A kept connection may be closed by the peer at the same moment; the request
+  // would then be lost, since the peer may have sent it to an engine.
+  Result.Fresh = true;
+  Result.Stream = Relay.Terms.Kind == RequestKind::Stream;
+  Result.IsForward = true;
+  return Result;
+}
+
 } // namespace banyanpick
--- a/src/plugins/relays/RelayDispatch.h
+++ b/src/plugins/relays/RelayDispatch.h
@@ -36,4 +36,13 @@
                            const Address &EngineAddress,
                            const StreamSilenceLimits &Limits);
 
+/// Returns an attempt that forwards the request to the host.
+RelayAttempt makeForward(const RunningRelay &Relay, const HostId &Peer,
+                         const AttemptId &Id, Time Now);
+
+/// Returns the order to forward the request to the host at \p PeerAddress.
+DispatchRelay makeForwardDispatch(const RunningRelay &Relay,
+                                  const RelayAttempt &Attempt,
+                                  const Address &PeerAddress);
+
 } // namespace banyanpick
--- a/src/plugins/relays/RelayLog.cpp
+++ b/src/plugins/relays/RelayLog.cpp
@@ -85,6 +85,18 @@
               .build());
 }
 
+void logForwarded(const RunningRelay &Relay, const RelayAttempt &Attempt,
+                  Actions &Out) {
+  Out.count("relays_forwarded", Relay.Service.Value);
+  Out.log(logEvent(events::RelayForwarded)
+              .with("request", Relay.Head.Id.Value)
+              .with("try", Attempt.Id.Sequence)
+              .with("to", Attempt.Engine.Value)
+              .with("service", Relay.Service.Value)
+              .with("forwards", Relay.Forwards)
+              .build());
+}
+
 void logWaiting(const RunningRelay &Relay, Actions &Out) {
   Out.count("relays_waited");
   Out.log(logEvent(events::RelayWaits)
--- a/src/plugins/relays/RelayLog.h
+++ b/src/plugins/relays/RelayLog.h
@@ -22,6 +22,9 @@
 void logSent(const RunningRelay &Relay, const RelayAttempt &Attempt,
              const RegisteredEngine &Engine, const SelectedEngine &Chosen,
              Actions &Out);
+/// Logs that the request is forwarded to the host that \p Attempt names.
+void logForwarded(const RunningRelay &Relay, const RelayAttempt &Attempt,
+                  Actions &Out);
 void logWaiting(const RunningRelay &Relay, Actions &Out);
 void logQueued(const RunningRelay &Relay, Actions &Out);
 
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -4,6 +4,7 @@
 #include "gateway/PromptSize.h"
 #include "kernel/HostShare.h"
 #include "kernel/PluginRegistry.h"
+#include "plugins/relays/PeerChoice.h"
 #include "plugins/relays/RelayLog.h"
 
 #include <algorithm>
@@ -12,6 +13,9 @@
 
 namespace {
 
+/// Hosts to which one request is forwarded in turn.
+constexpr std::uint32_t MaxForwards = 3;
+
 /// Remaining time of a request whose caller does not state one.
 constexpr seconds DefaultRemaining(30);
 
@@ -38,12 +42,6 @@
          std::holds_alternative<AwaitTurn>(Choice);
 }
 
-/// Whether the upstream sent an answer of any kind.
-bool isAnswer(const RelayOutcome &Outcome) {
-  return !std::holds_alternative<RelayNeverSent>(Outcome) &&
-         !std::holds_alternative<RelayBroken>(Outcome);
-}
-
 } // namespace
 
 void RelaysPlugin::initialize(PluginContext &Context) {
@@ -61,6 +59,7 @@
   Context.services().list<EngineObserver>().add(*this);
   Context.services().list<QuarantineObserver>().add(*this);
   this->Crashes = &Context.services().get<CrashView>();
+  this->Reach = &Context.services().get<EngineReachView>();
   this->RandomSource = &Context.random();
   this->Options = readRelaySettings(Context.settings());
   this->Allowance = RetryAllowance(retryBudgetLimits(Context.settings()));
@@ -174,7 +173,9 @@
   const bool Limited = Route.TimeLimit > Duration(0);
   Relay.IsLimitedByRoute = Limited && Route.TimeLimit <= Remaining;
   Relay.Deadline = Now + (Relay.IsLimitedByRoute ? Route.TimeLimit : Remaining);
-  this->Allowance.recordRequest(Relay.Service, Now);
+  // The host to which it is forwarded counts it.
+  if (!this->isOutOfReach(Relay, Now))
+    this->Allowance.recordRequest(Relay.Service, Now);
   logReceived(Relay, Route.Name, Now, Out);
   if (this->refusesWhileStopping(Now)) {
     this->refuse(Head, RefusalKind::NotRun, milliseconds(10),
@@ -194,6 +195,15 @@
     this->finish(Relay, Relay.refusal(), "tries or time used up", Now, Out);
     return;
   }
+  if (this->isOutOfReach(Relay, Now)) {
+    if (Relay.Head.IsForwarded) {
+      this->finish(Relay, Relay.refusal(), "this host reaches no engine", Now,
+                   Out);
+      return;
+    }
+    if (this->forward(Relay, Now, Out))
+      return;
+  }
   std::vector<UpstreamId> Excluded = Relay.RanOn;
   Excluded.insert(Excluded.end(), Relay.NotRunOn.begin(), Relay.NotRunOn.end());
   match(
@@ -211,6 +221,49 @@
       [&](const NoEngine &) { this->wait(Relay, Now, Out); });
 }
 
+bool RelaysPlugin::isOutOfReach(const RunningRelay &Relay, Time Now) const {
+  return this->Reach->isCutOff(Relay.Service, Now);
+}
+
+bool RelaysPlugin::forward(RunningRelay &Relay, Time Now, Actions &Out) {
+  const Member *Peer = choosePeer(this->Members->peers(), this->Own.Zone,
+                                  Relay.NotRunOn, *this->RandomSource);
+  if (!Peer || Relay.Forwards == MaxForwards)
+    return false;
+  ++Relay.Forwards;
+  const RelayAttempt Attempt = makeForward(
+      Relay, Peer->Listing.Id, {this->Own.Life, ++this->AttemptCount}, Now);
+  Relay.AnswerTimeoutAt = Never;
+  Out.add(GatewayAction(
+      makeForwardDispatch(Relay, Attempt, Peer->Listing.Callers)));
+  logForwarded(Relay, Attempt, Out);
+  this->beginAttempt(Relay, Attempt, Now, Out);
+  return true;
+}
+
+void RelaysPlugin::beginAttempt(RunningRelay &Relay,
+                                const RelayAttempt &Attempt, Time Now,
+                                Actions &Out) {
+  Relay.AwaitsTurn = false;
+  Relay.WaitingSince = Never;
+  ++Relay.Sends;
+  Relay.LiveAttempt = Attempt;
+  this->Running.link(Attempt.Id, Relay.Head.Id);
+  this->notifyObservers(Attempt, [&](RelayObserver &Observer) {
+    Observer.attemptSent(Attempt, Now, Out);
+  });
+  this->scheduleCheck(Relay, Now);
+}
+
+template <class Function>
+void RelaysPlugin::notifyObservers(const RelayAttempt &Attempt,
+                                   Function Notify) const {
+  if (Attempt.IsForward)
+    return;
+  for (RelayObserver *Observer : this->Registry->list<RelayObserver>().all())
+    Notify(*Observer);
+}
+
 void RelaysPlugin::dispatchChoice(RunningRelay &Relay,
                                   const SelectedEngine &Chosen, Time Now,
                                   Actions &Out) {
@@ -267,8 +320,6 @@
 void RelaysPlugin::dispatch(RunningRelay &Relay, const SelectedEngine &Chosen,
                             Time Now, Actions &Out) {
   const RegisteredEngine *Engine = this->Directory->find(Chosen.Engine);
-  Relay.WaitingSince = Never;
-  ++Relay.Sends;
   const RelayAttempt Attempt =
       makeAttempt(Relay, Chosen, {this->Own.Life, ++this->AttemptCount}, Now);
   Relay.AnswerTimeoutAt =
@@ -278,11 +329,7 @@
   Order.MaxConnections = this->Quota->maxConnections(Chosen.Engine);
   Out.add(GatewayAction(std::move(Order)));
   logSent(Relay, Attempt, *Engine, Chosen, Out);
-  Relay.LiveAttempt = Attempt;
-  this->Running.link(Attempt.Id, Relay.Head.Id);
-  for (RelayObserver *Observer : this->Registry->list<RelayObserver>().all())
-    Observer->attemptSent(Attempt, Now, Out);
-  this->scheduleCheck(Relay, Now);
+  this->beginAttempt(Relay, Attempt, Now, Out);
 }
 
 void RelaysPlugin::wait(RunningRelay &Relay, Time Now, Actions &Out) {
@@ -319,8 +366,9 @@
   this->LastAnswers[Relay->LiveAttempt->Engine] = Now;
   Relay->LiveAttempt->Began = true;
   Relay->AnswerTimeoutAt = Never;
-  for (RelayObserver *Observer : this->Registry->list<RelayObserver>().all())
-    Observer->attemptBegan(*Relay->LiveAttempt, Now, Out);
+  this->notifyObservers(*Relay->LiveAttempt, [&](RelayObserver &Observer) {
+    Observer.attemptBegan(*Relay->LiveAttempt, Now, Out);
+  });
 }
 
 void RelaysPlugin::ended(const RelayEnded &End, Time Now, Actions &Out) {
@@ -348,8 +396,9 @@
   Relay.AnswerTimeoutAt = Never;
   this->Memory->release(Relay.Head.Id, Now, Out);
   logAttemptEnded(Relay, Ended, Outcome, Now, Out);
-  for (RelayObserver *Observer : this->Registry->list<RelayObserver>().all())
-    Observer->attemptEnded(Ended, Outcome, Now, Out);
+  this->notifyObservers(Ended, [&](RelayObserver &Observer) {
+    Observer.attemptEnded(Ended, Outcome, Now, Out);
+  });
   return Ended;
 }
 
@@ -457,8 +506,9 @@
 
 void RelaysPlugin::cancelAttempt(RunningRelay &Relay, Time Now, Actions &Out) {
   Out.add(GatewayAction(CancelRelay{Relay.LiveAttempt->Id}));
-  for (RelayObserver *Observer : this->Registry->list<RelayObserver>().all())
-    Observer->attemptCancelled(*Relay.LiveAttempt, Now, Out);
+  this->notifyObservers(*Relay.LiveAttempt, [&](RelayObserver &Observer) {
+    Observer.attemptCancelled(*Relay.LiveAttempt, Now, Out);
+  });
   this->Running.unlink(Relay.LiveAttempt->Id);
   Relay.LiveAttempt.reset();
   Relay.AnswerTimeoutAt = Never;
@@ -589,15 +639,16 @@
 
 namespace {
 
-const PluginRegistration Registration(
-    {"relays",
-     {"active_hosts", "crashes", "engine_limits", "engine_load",
-      "engine_memory", "engine_signals", "engines", "membership", "routes"},
-     RelaysPlugin::settings,
-     []() -> std::unique_ptr<Plugin> {
-       return std::make_unique<RelaysPlugin>();
-     },
-     PluginUse::Gateway});
+const PluginRegistration
+    Registration({"relays",
+                  {"active_hosts", "crashes", "engine_limits", "engine_load",
+                   "engine_memory", "engine_reach", "engine_signals", "engines",
+                   "membership", "routes"},
+                  RelaysPlugin::settings,
+                  []() -> std::unique_ptr<Plugin> {
+                    return std::make_unique<RelaysPlugin>();
+                  },
+                  PluginUse::Gateway});
 
 } // namespace
 
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -70,6 +70,17 @@
              const KeyOwner *Owner, Time Now, Actions &Out);
   /// Sends the request to an upstream, or lets it wait for one.
   void send(RunningRelay &Relay, Time Now, Actions &Out);
+  /// Whether this host has no path to the engines of the request's service.
+  bool isOutOfReach(const RunningRelay &Relay, Time Now) const;
+  /// Forwards the request to another host. Returns false if there is none that
+  /// reaches the engines.
+  bool forward(RunningRelay &Relay, Time Now, Actions &Out);
+  /// Makes \p Attempt the live attempt of the request.
+  void beginAttempt(RunningRelay &Relay, const RelayAttempt &Attempt, Time Now,
+                    Actions &Out);
+  /// Calls \p Notify for each observer, unless the attempt is a forward.
+  template <class Function>
+  void notifyObservers(const RelayAttempt &Attempt, Function Notify) const;
   /// Sends the request, after a memory reservation if the choice needs one.
   void dispatchChoice(RunningRelay &Relay, const SelectedEngine &Chosen,
                       Time Now, Actions &Out);
@@ -132,6 +143,7 @@
   const EngineGate *Gate = nullptr;
   const EngineQuota *Quota = nullptr;
   const CrashView *Crashes = nullptr;
+  const EngineReachView *Reach = nullptr;
   Random *RandomSource = nullptr;
   RelaySettings Options;
   RetryAllowance Allowance;
--- a/src/plugins/relays/RunningRelay.h
+++ b/src/plugins/relays/RunningRelay.h
@@ -40,6 +40,7 @@
   /// run there.
   std::vector<UpstreamId> NotRunOn;
   std::uint32_t Sends = 0;
+  std::uint32_t Forwards = 0; ///< Hosts to which it was forwarded.
   /// Set while memory is being reserved.
   std::optional<SelectedEngine> PendingReservation;
   bool Began = false; ///< Part of the answer was sent to the caller.
--- a/tests/auto/kernel/PluginListTest.cpp
+++ b/tests/auto/kernel/PluginListTest.cpp
@@ -14,15 +14,15 @@
 
 TEST(PluginListTest, ExactlyTheDeclaredPluginsAreLinked) {
   const std::set<std::string> Declared = {
-      "active_hosts", "admission",      "catalogue",      "claims",
-      "crashes",      "departure",      "drain",          "engine_limits",
-      "engine_load",  "engine_memory",  "engine_signals", "engine_trust",
-      "engines",      "evacuation",     "fairness",       "fleet",
-      "groups",       "host_directory", "limits",         "log",
-      "membership",   "operators",      "orders",         "prefixcache",
-      "quarantine",   "reclaim",        "regions",        "relays",
-      "requests",     "resolve",        "retry",          "routes",
-      "routing",      "store_readers"};
+      "active_hosts", "admission",     "catalogue",      "claims",
+      "crashes",      "departure",     "drain",          "engine_limits",
+      "engine_load",  "engine_memory", "engine_reach",   "engine_signals",
+      "engine_trust", "engines",       "evacuation",     "fairness",
+      "fleet",        "groups",        "host_directory", "limits",
+      "log",          "membership",    "operators",      "orders",
+      "prefixcache",  "quarantine",    "reclaim",        "regions",
+      "relays",       "requests",      "resolve",        "retry",
+      "routes",       "routing",       "store_readers"};
   std::set<std::string> Linked;
   for (const PluginDescription &Plugin : registeredPlugins())
     EXPECT_TRUE(Linked.emplace(Plugin.Name).second)
@@ -44,12 +44,12 @@
   std::set<std::string> Used;
   for (const PluginDescription &Plugin : pluginsFor(ServingMode::Gateway))
     Used.emplace(Plugin.Name);
-  EXPECT_EQ(Used,
-            (std::set<std::string>{
-                "active_hosts", "crashes", "departure", "engine_limits",
-                "engine_load", "engine_memory", "engine_signals",
-                "engine_trust", "engines", "evacuation", "host_directory",
-                "membership", "regions", "relays", "routes", "store_readers"}));
+  EXPECT_EQ(Used, (std::set<std::string>{
+                      "active_hosts", "crashes", "departure", "engine_limits",
+                      "engine_load", "engine_memory", "engine_reach",
+                      "engine_signals", "engine_trust", "engines", "evacuation",
+                      "host_directory", "membership", "regions", "relays",
+                      "routes", "store_readers"}));
   EXPECT_EQ(pluginsFor(ServingMode::Catalogue).size(), 19U);
 }
 
--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds ResetDelay(5);
 constexpr milliseconds RefusalDelay(4);
 constexpr std::uint32_t RefusedStatus = 503;
+constexpr std::uint32_t BadGateway = 502;
 constexpr std::uint32_t RegisteredSlots = 10;
 
 /// Requests that an engine serves at once, as declared.
@@ -318,6 +319,11 @@
   if (Refusal.Kind == RefusalKind::NoSuchRoute ||
       Refusal.Kind == RefusalKind::UnknownKey)
     this->recordDecision(Host, Refusal.Request);
+  RelayOutcome AtForwarder = RelayFailed{BadGateway};
+  if (Refusal.Kind == RefusalKind::NotRun)
+    AtForwarder = RelayNotRun{};
+  if (this->endForward(Host, Refusal.Request, AtForwarder))
+    return;
   const auto Found = this->Callers.find({Host, Refusal.Request});
   if (Found == this->Callers.end())
     return;
@@ -380,7 +386,8 @@
   this->Connections.keep(Running.Host, Engine, this->Queue.now());
   this->send(Running.Host, Running.Life,
              GatewayEvent(RelayEnded{Running.Attempt, RelayDelivered{}}));
-  this->Callers.erase({Running.Host, Running.Request});
+  if (!this->endForward(Running.Host, Running.Request, RelayDelivered{}))
+    this->Callers.erase({Running.Host, Running.Request});
   --this->BusySlots[Engine];
   std::deque<RunningRequest> &Pending = this->Queued[Engine];
   while (!Pending.empty() && this->BusySlots[Engine] < EngineSlots) {
@@ -536,6 +543,10 @@
                               const DispatchRelay &Dispatch) {
   const std::uint64_t Life = this->Hosts[Index].Life;
   this->recordDecision(Index, Dispatch.Request);
+  if (Dispatch.IsForward) {
+    this->forward(Index, Dispatch);
+    return;
+  }
   ++this->Current.Sent[Dispatch.Engine];
   this->Connections.send(Index, Dispatch.Engine, Dispatch.Fresh,
                          this->Queue.now());
@@ -598,11 +609,20 @@
         if (!this->failReport(Index, Asked.Engine))
           this->reportLoad(Index, Asked.Engine);
       },
-      [&](const CancelRelay &Order) { this->Cancelled.insert(Order.Attempt); },
+      [&](const CancelRelay &Order) {
+        this->Cancelled.insert(Order.Attempt);
+        this->cancelForward(Order.Attempt);
+      },
       [&](const StoreQuarantine &Wanted) { this->storeQuarantine(Wanted); },
       [&](const RefuseRelay &Refusal) { this->handleRefusal(Index, Refusal); },
-      [&](const BreakRelay &) { ++this->Current.Lost[Index]; },
-      [&](const DeliverFailure &) { ++this->Current.Lost[Index]; },
+      [&](const BreakRelay &Broken) {
+        if (!this->endForward(Index, Broken.Request, RelayBroken{}))
+          ++this->Current.Lost[Index];
+      },
+      [&](const DeliverFailure &Failed) {
+        if (!this->endForward(Index, Failed.Request, RelayFailed{BadGateway}))
+          ++this->Current.Lost[Index];
+      },
       [&](const FollowStore &Follow) {
         const bool Before =
             std::exchange(this->Hosts[Index].ReadsStore, Follow.Enabled);
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -267,6 +267,14 @@
     bool IsLong = false;
     bool CrashesEngines = false;
     bool IsUnknownRoute = false;
+    /// The attempt of another host that forwarded the request here.
+    struct Forwarder {
+      std::size_t Host = 0;
+      std::uint64_t Life = 0;
+      AttemptId Attempt;
+      RequestId Request; ///< Its id at that host.
+    };
+    std::optional<Forwarder> ForwardedBy;
     Time RequestedAt{}; ///< The latest request.
   };
   using CallerKey = std::pair<std::size_t, RequestId>;
@@ -305,8 +313,17 @@
                                          const DispatchRelay &Dispatch) const;
   /// Answers a request for a report with a failure if the host is cut off.
   bool failReport(std::size_t Index, const UpstreamId &Engine);
-  /// Counts the answer to a first try.
+  /// Counts the first event of an answer, and passes it on to the host that
+  /// forwarded the request.
   void noteServed(std::size_t Host, const Caller &Origin);
+  /// Delivers the request to another host.
+  void forward(std::size_t Index, const DispatchRelay &Dispatch);
+  /// Ends the attempt of the host that forwarded the request, if there is one.
+  /// Returns whether there is.
+  bool endForward(std::size_t Host, const RequestId &Id,
+                  const RelayOutcome &Outcome);
+  /// Tells the host to which the attempt was forwarded that its caller left.
+  void cancelForward(const AttemptId &Attempt);
   /// Drops all work of all engines.
   void dropEngineWork();
   /// Returns when the engine's next prefill ends, if it begins now.
@@ -392,6 +409,8 @@
   std::set<UpstreamId> Failing;
   std::set<std::size_t> FailedLinks;
   std::map<std::size_t, LinkLoss> CutOff; ///< Hosts without links to engines.
+  /// Forwarded attempts and the requests that they became.
+  std::map<AttemptId, CallerKey> Forwards;
   std::set<std::size_t> RefusedReaders;
   std::set<std::size_t> Partitioned;
   std::map<UpstreamId, double> Limits;
