Take a refused connection for a death only while engines are in reach

What callers saw: requests with a sound content were refused.

Cause: a refused connection counted as proof that the engine had died, also when it was this host's own link that failed.

Evidence: CountsNoCrashWhileAllEnginesAreOutOfReach failed before (two crashes confirmed by two refusals).

Fix: while a service is out of reach, refusals are only noted, and the engines are asked again once one of them answers. An engine that is known to have crashed is no evidence of a partition, so contents that crash one engine after the other are confirmed as soon as before. The first refusal of a partition is still taken for a death, as one engine alone can't tell: at most one crash.

--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -66,6 +66,9 @@
   virtual bool isCutOff(const ServiceId &Service, Time Now) const = 0;
   /// The same for any service.
   virtual bool isCutOff(Time Now) const = 0;
+  /// Called when the engine is known to have died. Its failures are no evidence
+  /// of a partition then.
+  virtual void engineDied(const UpstreamId &Engine) = 0;
 };
 
 /// The engines of one service from which a host selects.
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -31,11 +31,12 @@
   this->Directory = &Context.services().get<EngineDirectory>();
   this->Gate = &Context.services().get<EngineGate>();
   this->Quota = &Context.services().get<EngineQuota>();
+  this->Reach = &Context.services().get<EngineReachView>();
+  this->SuspicionLifetime = Values.span(SectionName, "suspect_for");
   this->RetentionTime = Values.span(SectionName, "keep_for");
   this->Check = DeathCheck(Values.span(SectionName, "verify_interval"));
   this->Tracker = CrashTracker(Values.whole(SectionName, "most"),
-                               Values.span(SectionName, "suspect_for"),
-                               this->RetentionTime);
+                               this->SuspicionLifetime, this->RetentionTime);
   Context.services().provide<CrashView>(*this);
   Context.services().list<RelayObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
@@ -62,6 +63,7 @@
           this->restore(*Read, Now, Out);
       },
       [](const auto &) {});
+  this->verifyRefusals(Now, Out);
   for (const UpstreamId &Engine : this->Check.takeDue(Now))
     this->askWhetherAlive(Engine, Now, Out);
 }
@@ -74,7 +76,7 @@
   if (!Failed)
     return;
   if (Failed->Refused)
-    this->confirm(Failed->Engine, Now, Out);
+    this->refused(Failed->Engine, Now, Out);
   else
     this->Check.reportLost(Failed->Engine, Now);
 }
@@ -96,10 +98,11 @@
           this->askWhetherAlive(Attempt.Engine, Now, Out);
       },
       // A process that does not accept connections has died, with the requests
-      // that recently ran there. No other reason for not sending shows that.
+      // that recently ran there, unless this host's own links fail. No other
+      // reason for not sending shows that.
       [&](const RelayNeverSent &NeverSent) {
         if (NeverSent.Reason == RelayNeverSent::Why::Refused)
-          this->confirm(Attempt.Engine, Now, Out);
+          this->refused(Attempt.Engine, Now, Out);
       },
       // Another engine has the address, so the one that had it has died.
       [&](const RelayNotRun &NotRun) {
@@ -158,8 +161,11 @@
 
 void CrashesPlugin::confirm(const UpstreamId &Engine, Time Now, Actions &Out) {
   this->Check.remove(Engine);
-  for (const auto &[Observed, SuspectedFor] :
-       this->Tracker.confirm(Engine, Now)) {
+  const std::vector<ConfirmedCrash> Crashes =
+      this->Tracker.confirm(Engine, Now);
+  if (!Crashes.empty())
+    this->Reach->engineDied(Engine);
+  for (const auto &[Observed, SuspectedFor] : Crashes) {
     this->log(Observed, "here", SuspectedFor, Out);
     this->noteQuarantine(Observed.Content, Now, Out);
     for (const HostId &Peer : this->Members->livePeers())
@@ -168,6 +174,32 @@
   }
 }
 
+void CrashesPlugin::refused(const UpstreamId &Engine, Time Now, Actions &Out) {
+  if (this->isOutOfReach(Engine, Now))
+    this->Refusals.try_emplace(Engine, Now);
+  else
+    this->confirm(Engine, Now, Out);
+}
+
+void CrashesPlugin::verifyRefusals(Time Now, Actions &Out) {
+  for (auto Next = this->Refusals.begin(); Next != this->Refusals.end();) {
+    const auto &[Engine, At] = *Next;
+    const bool IsTooOld = Now >= At + this->SuspicionLifetime;
+    if (!IsTooOld && this->isOutOfReach(Engine, Now)) {
+      ++Next;
+      continue;
+    }
+    if (!IsTooOld)
+      this->askWhetherAlive(Engine, Now, Out);
+    Next = this->Refusals.erase(Next);
+  }
+}
+
+bool CrashesPlugin::isOutOfReach(const UpstreamId &Engine, Time Now) const {
+  const RegisteredEngine *Registered = this->Directory->find(Engine);
+  return Registered && this->Reach->isCutOff(Registered->Record.Service, Now);
+}
+
 void CrashesPlugin::noteQuarantine(Fingerprint Content, Time Now,
                                    Actions &Out) {
   if (!this->Tracker.isQuarantined(Content))
@@ -220,7 +252,8 @@
 
 const PluginRegistration
     Registration({"crashes",
-                  {"engine_limits", "engine_signals", "engines", "membership"},
+                  {"engine_limits", "engine_reach", "engine_signals", "engines",
+                   "membership"},
                   CrashesPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<CrashesPlugin>();
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -15,7 +15,8 @@
 ///
 /// An engine that lost a connection is asked for a report at once: the end of
 /// its registration, which also confirms its death, follows only seconds later,
-/// and its content would crash further engines meanwhile.
+/// and its content would crash further engines meanwhile. A refused connection
+/// shows a death only while other engines are in reach.
 class CrashesPlugin : public Plugin,
                       public CrashView,
                       public RelayObserver,
@@ -36,6 +37,11 @@
 
 private:
   void confirm(const UpstreamId &Engine, Time Now, Actions &Out);
+  /// The engine refused a connection: it has died, or this host's links fail.
+  void refused(const UpstreamId &Engine, Time Now, Actions &Out);
+  /// Asks engines that refused connections again once links work.
+  void verifyRefusals(Time Now, Actions &Out);
+  bool isOutOfReach(const UpstreamId &Engine, Time Now) const;
   /// Takes an engine's answer to a request for a report.
   void takeReport(const GatewayEvent &Answer, Time Now, Actions &Out);
   /// Asks the engine for a report to find out whether it has died.
@@ -55,7 +61,12 @@
   const EngineDirectory *Directory = nullptr;
   const EngineGate *Gate = nullptr;
   const EngineQuota *Quota = nullptr;
+  EngineReachView *Reach = nullptr;
+  /// Engines that refused connections while this host's links seemed to fail,
+  /// and when.
+  std::map<UpstreamId, Time> Refusals;
   CrashTracker Tracker;
+  Duration SuspicionLifetime{};
   Duration RetentionTime{};
   DeathCheck Check;
   /// The incarnations that were sent all known crashes.
--- a/src/plugins/enginereach/EngineReachPlugin.cpp
+++ b/src/plugins/enginereach/EngineReachPlugin.cpp
@@ -64,6 +64,11 @@
   });
 }
 
+void EngineReachPlugin::engineDied(const UpstreamId &Engine) {
+  for (auto &[Id, State] : this->Services)
+    State.Reach.forget(Engine);
+}
+
 void EngineReachPlugin::takeReport(const GatewayEvent &Answer, Time Now) {
   if (const auto *Reported = std::get_if<EngineReported>(&Answer)) {
     if (const auto *Engine = this->Directory->find(Reported->Report.Engine))
--- a/src/plugins/enginereach/EngineReachPlugin.h
+++ b/src/plugins/enginereach/EngineReachPlugin.h
@@ -26,6 +26,7 @@
 
   bool isCutOff(const ServiceId &Service, Time Now) const override;
   bool isCutOff(Time Now) const override;
+  void engineDied(const UpstreamId &Engine) override;
 
   void attemptSent(const RelayAttempt &Attempt, Time Now,
                    Actions &Out) override;
--- a/src/plugins/enginereach/ServiceReach.h
+++ b/src/plugins/enginereach/ServiceReach.h
@@ -20,6 +20,8 @@
   void noteAnswer(Time Now);
   /// The engine refused a connection, or a connection to it failed.
   void noteFailure(const UpstreamId &Engine, Time Now);
+  /// The engine is known to have died.
+  void forget(const UpstreamId &Engine) { this->FailedAt.erase(Engine); }
   bool isCutOff(Time Now) const;
 
   /// A request was sent to an engine of the service. Its first event is
--- a/tests/auto/gateway/CrashDetectionTest.cpp
+++ b/tests/auto/gateway/CrashDetectionTest.cpp
@@ -103,6 +103,42 @@
   EXPECT_EQ(this->reportRequests(), 0U);
 }
 
+/// Guards against contents that are quarantined because the host's own links to
+/// engines are reset.
+TEST_F(CrashDetection, CountsNoCrashWhileAllEnginesAreOutOfReach) {
+  this->Bench.registerEngines("desk", 4);
+  // The first refusal may be a death; two engines and no answer are not.
+  this->loseConnection();
+  this->loseConnection();
+  for (const char *Name : {"e1", "e2", "e3", "e4"})
+    this->Bench.send(GatewayEvent(EngineReportFailed{UpstreamId(Name), true}));
+  EXPECT_LE(this->crashes(), 1U);
+  // The links work again, and all engines live.
+  for (const char *Name : {"e1", "e2", "e3", "e4"})
+    this->Bench.report(UpstreamId(Name));
+  this->Bench.advance(seconds(1));
+  EXPECT_LE(this->crashes(), 1U);
+}
+
+/// Guards against deaths that are missed because several engines died at once.
+TEST_F(CrashDetection, CountsCrashesOnceAnotherEngineAnswers) {
+  this->Bench.registerEngines("desk", 4);
+  this->loseConnection();
+  const UpstreamId First = this->Bench.last<DispatchRelay>().Engine;
+  this->loseConnection();
+  const UpstreamId Second = this->Bench.last<DispatchRelay>().Engine;
+  ASSERT_NE(First, Second);
+  for (const UpstreamId &Dead : {First, Second})
+    this->Bench.send(GatewayEvent(EngineReportFailed{Dead, true}));
+  for (const char *Name : {"e1", "e2", "e3", "e4"})
+    if (UpstreamId(Name) != First && UpstreamId(Name) != Second)
+      this->Bench.report(UpstreamId(Name));
+  this->Bench.advance(milliseconds(5));
+  for (const UpstreamId &Dead : {First, Second})
+    this->Bench.send(GatewayEvent(EngineReportFailed{Dead, true}));
+  EXPECT_EQ(this->crashes(), 2U);
+}
+
 /// Guards against quarantines that are lost when all hosts restart.
 TEST_F(CrashDetection, StoresAQuarantineOnce) {
   this->Bench.registerEngines("desk", 4);
