Forward no request that may have run

What callers would have seen: a content that crashes engines reached more of them than its route allows.

Cause: a host whose engines failed one after the other forwarded a repeatable request that had used an attempt, and the other host made all attempts of the route once more.

Fix: only what certainly did not run is forwarded. DoesNotTakeWhatMayHaveRun failed before.

--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -228,7 +228,9 @@
 bool RelaysPlugin::forward(RunningRelay &Relay, Time Now, Actions &Out) {
   const Member *Peer = choosePeer(this->Members->peers(), this->Own.Zone,
                                   Relay.NotRunOn, *this->RandomSource);
-  if (!Peer || Relay.Forwards == MaxForwards)
+  // The other host may use all attempts of the route, so it gets no request
+  // that has used one.
+  if (!Peer || Relay.Forwards == MaxForwards || Relay.mayHaveRun())
     return false;
   ++Relay.Forwards;
   const RelayAttempt Attempt = makeForward(
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -73,7 +73,7 @@
   /// Whether this host has no path to the engines of the request's service.
   bool isOutOfReach(const RunningRelay &Relay, Time Now) const;
   /// Forwards the request to another host. Returns false if there is none that
-  /// reaches the engines.
+  /// reaches the engines, or if the request may have run.
   bool forward(RunningRelay &Relay, Time Now, Actions &Out);
   /// Makes \p Attempt the live attempt of the request.
   void beginAttempt(RunningRelay &Relay, const RelayAttempt &Attempt, Time Now,
--- a/tests/auto/gateway/ForwardingTest.cpp
+++ b/tests/auto/gateway/ForwardingTest.cpp
@@ -124,6 +124,15 @@
   EXPECT_EQ(this->sends(), Before) << "the other host made all attempts";
 }
 
+/// Guards against a content that crashes engines and is sent to more of them
+/// than its route allows, by two hosts in turn.
+TEST_F(Forwarding, DoesNotTakeWhatMayHaveRun) {
+  this->Bench.arrive("/safe/1");
+  this->end(RelayNeverSent{RelayNeverSent::Why::Refused});
+  this->end(RelayBroken{RelayBroken::Why::Reset, false, std::nullopt});
+  EXPECT_FALSE(this->sent().IsForward);
+}
+
 TEST_F(Forwarding, PassesTheOtherHostsFailureOn) {
   this->loseEngines();
   const DispatchRelay Forward = this->sent();
