End a suspected partition when any engine answers at all

Cause: an engine that answers a request for its report, but with no readable report, counted as out of reach. Engines that have died and one that had none to give made a partition, which withheld the confirmation of crashes. Only two engines were asked at first, in the process test both dead.

Fix: EngineReportFailed tells whether the engine answered, which shows that the link works; eight engines are asked when a partition is first suspected.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -391,8 +391,8 @@
   }
   const auto *Failure = std::get_if<ClientFailure>(&Result);
   const bool Refused = Failure && *Failure == ClientFailure::ConnectionRefused;
-  this->Context.Events.send(
-      GatewayEvent(EngineReportFailed{Wanted.Engine, Refused}));
+  this->Context.Events.send(GatewayEvent(
+      EngineReportFailed{Wanted.Engine, Refused, Answer != nullptr}));
 }
 
 Task<void> GatewayTraffic::reserve(ReserveMemory Wanted) {
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -83,6 +83,8 @@
 struct EngineReportFailed {
   UpstreamId Engine;
   bool Refused = false; ///< No process accepts connections at its address.
+  /// It answered, but with no readable report.
+  bool Answered = false;
 };
 enum class ReservationResult {
   Held,    ///< The memory is reserved.
--- a/src/plugins/enginereach/EngineReachPlugin.cpp
+++ b/src/plugins/enginereach/EngineReachPlugin.cpp
@@ -15,6 +15,10 @@
 /// detect a partition.
 constexpr std::size_t EnginesPerProbe = 2;
 
+/// The same when a partition is first suspected. If engines have died instead,
+/// one of these probably lives, and its report ends the suspicion at once.
+constexpr std::size_t EnginesPerFirstProbe = 8;
+
 /// While requests wait without an answer but nothing has failed, engines are
 /// asked more seldom, because a long prefill is not unusual.
 constexpr int SilentIntervalFactor = 4;
@@ -79,7 +83,12 @@
   const auto *Engine = Failed ? this->Directory->find(Failed->Engine) : nullptr;
   if (!Engine)
     return;
-  this->Services[Engine->Record.Service].Reach.noteFailure(Failed->Engine, Now);
+  Service &State = this->Services[Engine->Record.Service];
+  if (Failed->Answered) {
+    this->noteAnswer(State, Now);
+    return;
+  }
+  State.Reach.noteFailure(Failed->Engine, Now);
   this->NextProbe = Now;
 }
 
@@ -133,17 +142,12 @@
   this->NextProbe = Never;
   bool HasChanged = false;
   for (auto &[Id, State] : this->Services) {
-    HasChanged |= this->updateState(Id, State, Now, Out);
-    if (Now >= this->probeDue(State, Now)) {
-      State.ProbedAt = Now;
-      const auto Engines = this->Directory->ofService(Id);
-      const std::size_t Count = std::min(EnginesPerProbe, Engines.size());
-      for (std::size_t Asked = 0; Asked < Count; ++Asked) {
-        const auto *Engine = Engines[State.NextEngine++ % Engines.size()];
-        requestReport(Engine->Record.Id, *this->Directory, *this->Gate,
-                      *this->Quota, Now, Out);
-      }
-    }
+    const bool Changed = this->updateState(Id, State, Now, Out);
+    HasChanged |= Changed;
+    if (Changed && State.WasCutOff)
+      this->askForReports(Id, State, EnginesPerFirstProbe, Now, Out);
+    else if (Now >= this->probeDue(State, Now))
+      this->askForReports(Id, State, EnginesPerProbe, Now, Out);
     this->NextProbe = std::min(this->NextProbe, this->probeDue(State, Now));
   }
   // Membership, which comes before this plug-in, tells peers at the next event.
@@ -151,6 +155,19 @@
     this->NextProbe = Now;
 }
 
+void EngineReachPlugin::askForReports(const ServiceId &Id, Service &State,
+                                      std::size_t MaxCount, Time Now,
+                                      Actions &Out) const {
+  State.ProbedAt = Now;
+  const auto Engines = this->Directory->ofService(Id);
+  const std::size_t Count = std::min(MaxCount, Engines.size());
+  for (std::size_t Asked = 0; Asked < Count; ++Asked) {
+    const auto *Engine = Engines[State.NextEngine++ % Engines.size()];
+    requestReport(Engine->Record.Id, *this->Directory, *this->Gate,
+                  *this->Quota, Now, Out);
+  }
+}
+
 bool EngineReachPlugin::updateState(const ServiceId &Id, Service &State,
                                     Time Now, Actions &Out) const {
   const bool IsCutOff = State.Reach.isCutOff(Now);
--- a/src/plugins/enginereach/EngineReachPlugin.h
+++ b/src/plugins/enginereach/EngineReachPlugin.h
@@ -52,6 +52,9 @@
   void noteAnswer(Service &State, Time Now);
   /// Asks engines of the services that are or may be out of reach for reports.
   void probe(Time Now, Actions &Out);
+  /// Asks up to \p MaxCount engines of the service, in turn.
+  void askForReports(const ServiceId &Id, Service &State, std::size_t MaxCount,
+                     Time Now, Actions &Out) const;
   /// Returns when the service is probed next, or Never.
   Time probeDue(const Service &State, Time Now) const;
   /// Logs whether the service has come in or out of reach. Returns whether it
--- a/tests/auto/gateway/ForwardingTest.cpp
+++ b/tests/auto/gateway/ForwardingTest.cpp
@@ -78,6 +78,15 @@
   EXPECT_FALSE(this->sent().IsForward);
 }
 
+/// Guards against engines without reports that seem to be out of reach.
+TEST_F(Forwarding, EndsWhenAnEngineAnswersWithoutAReport) {
+  this->loseEngines();
+  this->Bench.send(
+      GatewayEvent(EngineReportFailed{UpstreamId("e1"), false, true}));
+  this->Bench.arrive("/once/2");
+  EXPECT_FALSE(this->sent().IsForward);
+}
+
 TEST_F(Forwarding, AsksEnginesForReportsMeanwhile) {
   this->loseEngines();
   const std::size_t Before = this->Bench.all<AskReport>().size();
@@ -133,6 +142,14 @@
   EXPECT_FALSE(this->sent().IsForward);
 }
 
+/// Guards against a death that is confirmed late because several engines died.
+TEST_F(Forwarding, AsksAllOfAFewEnginesForReportsWhenItBegins) {
+  const std::size_t Before = this->Bench.all<AskReport>().size();
+  this->loseEngines();
+  this->Bench.advance(milliseconds(1));
+  EXPECT_GE(this->Bench.all<AskReport>().size(), Before + 4);
+}
+
 TEST_F(Forwarding, PassesTheOtherHostsFailureOn) {
   this->loseEngines();
   const DispatchRelay Forward = this->sent();
