--- a/src/libs/gateway/RelayedRequest.cpp
+++ b/src/libs/gateway/RelayedRequest.cpp
@@ -1,5 +1,8 @@
 #include "gateway/RelayedRequest.h"
 
+#include <algorithm>
+#include <array>
+
 namespace banyanpick {
 
 std::string_view name(RefusalKind Kind) {
@@ -54,6 +57,11 @@
   return Engine;
 }
 
+bool claimsNotRun(std::uint32_t Status) {
+  constexpr std::array<std::uint32_t, 4> NotRunStatuses{408, 421, 429, 503};
+  return std::ranges::count(NotRunStatuses, Status) != 0;
+}
+
 bool isAnswer(const RelayOutcome &Outcome) {
   return !std::holds_alternative<RelayNeverSent>(Outcome) &&
          !std::holds_alternative<RelayBroken>(Outcome);
--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -176,6 +176,11 @@
 using RelayOutcome = std::variant<RelayNeverSent, RelayNotRun, RelayDelivered,
                                   RelayFailed, RelayBroken>;
 
+/// Returns whether callers read the HTTP status as "the request never ran". An
+/// engine that ran the request and failed may answer with it nevertheless; its
+/// caller would send the request again.
+bool claimsNotRun(std::uint32_t Status);
+
 /// Whether the upstream sent an answer of any kind.
 bool isAnswer(const RelayOutcome &Outcome);
 
--- a/src/plugins/relays/AttemptVerdict.cpp
+++ b/src/plugins/relays/AttemptVerdict.cpp
@@ -2,9 +2,6 @@
 
 #include "base/Visitor.h"
 
-#include <algorithm>
-#include <array>
-
 namespace banyanpick {
 
 namespace {
@@ -13,14 +10,6 @@
 /// upstream may not have. Lower error statuses report an invalid request.
 constexpr std::uint32_t FirstServerError = 500;
 
-/// Returns whether callers read the status as "the request never ran". An
-/// engine that ran the request and failed may answer with it nevertheless; its
-/// caller would send the request again.
-bool claimsNotRun(std::uint32_t Status) {
-  constexpr std::array<std::uint32_t, 4> NotRunStatuses{408, 421, 429, 503};
-  return std::ranges::count(NotRunStatuses, Status) != 0;
-}
-
 /// Judges an attempt that was forwarded to another host. That host has made all
 /// attempts that the request's kind allows, so only a request that certainly
 /// did not run is sent again.
--- a/src/plugins/relays/RelayDispatch.cpp
+++ b/src/plugins/relays/RelayDispatch.cpp
@@ -35,19 +35,44 @@
   return Result;
 }
 
-RelayAttempt makeAttempt(const RunningRelay &Relay,
-                         const SelectedEngine &Chosen, const AttemptId &Id,
-                         Time Now) {
+namespace {
+
+/// Returns what attempts at engines and at other hosts have in common.
+RelayAttempt attemptAt(const RunningRelay &Relay, UpstreamId Target,
+                       const AttemptId &Id, Time Now) {
   RelayAttempt Result;
   Result.Id = Id;
   Result.Request = Relay.Head.Id;
-  Result.Engine = Chosen.Engine;
+  Result.Engine = std::move(Target);
   Result.Service = Relay.Service;
+  Result.Content = Relay.Head.Content;
+  Result.SentAt = Now;
+  return Result;
+}
+
+/// Returns what orders to engines and to other hosts have in common.
+DispatchRelay dispatchTo(const RunningRelay &Relay, const RelayAttempt &Attempt,
+                         const Address &At) {
+  DispatchRelay Result;
+  Result.Attempt = Attempt.Id;
+  Result.Request = Relay.Head.Id;
+  Result.Engine = Attempt.Engine;
+  Result.At = At;
+  Result.Deadline = Relay.Deadline;
+  Result.LastEvent = Relay.LastEvent;
+  Result.Stream = Relay.Terms.Kind == RequestKind::Stream;
+  return Result;
+}
+
+} // namespace
+
+RelayAttempt makeAttempt(const RunningRelay &Relay,
+                         const SelectedEngine &Chosen, const AttemptId &Id,
+                         Time Now) {
+  RelayAttempt Result = attemptAt(Relay, Chosen.Engine, Id, Now);
   Result.Helpers = Chosen.Helpers;
   Result.PromptTokens = Relay.Head.PromptTokens;
   Result.OutputTokens = Relay.Head.MaxOutputTokens;
-  Result.Content = Relay.Head.Content;
-  Result.SentAt = Now;
   Result.Predicted = Chosen.Predicted;
   Result.MaxEventGap = Relay.Terms.MaxEventGap;
   return Result;
@@ -58,21 +83,14 @@
                            const SelectedEngine &Chosen,
                            const Address &EngineAddress,
                            const StreamSilenceLimits &Limits) {
-  DispatchRelay Result;
-  Result.Attempt = Attempt.Id;
-  Result.Request = Relay.Head.Id;
-  Result.Engine = Chosen.Engine;
-  Result.At = EngineAddress;
+  DispatchRelay Result = dispatchTo(Relay, Attempt, EngineAddress);
   Result.Team = Relay.Team;
   Result.DropKey = Relay.NeedsKey;
-  Result.Deadline = Relay.Deadline;
   Result.Urgency = Chosen.Urgency;
-  Result.LastEvent = Relay.LastEvent;
   Result.Helpers = Chosen.Helpers;
   // A request is lost when the upstream closes the reused connection at the
   // same moment. Only idempotent requests may take this risk.
   Result.Fresh = !Relay.isIdempotent();
-  Result.Stream = Relay.Terms.Kind == RequestKind::Stream;
   // Without a further attempt, cancelling a silent stream gains nothing.
   const bool CanResume = Relay.RanOn.size() + 1 < Relay.Terms.Attempts;
   if (Result.Stream && Relay.isIdempotent() && CanResume)
@@ -83,13 +101,7 @@
 
 RelayAttempt makeForward(const RunningRelay &Relay, const HostId &Peer,
                          const AttemptId &Id, Time Now) {
-  RelayAttempt Result;
-  Result.Id = Id;
-  Result.Request = Relay.Head.Id;
-  Result.Engine = forwardTarget(Peer);
-  Result.Service = Relay.Service;
-  Result.Content = Relay.Head.Content;
-  Result.SentAt = Now;
+  RelayAttempt Result = attemptAt(Relay, forwardTarget(Peer), Id, Now);
   Result.IsForward = true;
   return Result;
 }
@@ -97,17 +109,10 @@
 DispatchRelay makeForwardDispatch(const RunningRelay &Relay,
                                   const RelayAttempt &Attempt,
                                   const Address &PeerAddress) {
-  DispatchRelay Result;
-  Result.Attempt = Attempt.Id;
-  Result.Request = Relay.Head.Id;
-  Result.Engine = Attempt.Engine;
-  Result.At = PeerAddress;
-  Result.Deadline = Relay.Deadline;
-  Result.LastEvent = Relay.LastEvent;
+  DispatchRelay Result = dispatchTo(Relay, Attempt, PeerAddress);
   // A kept connection may be closed by the peer at the same moment; the request
   // would then be lost, since the peer may have sent it to an engine.
   Result.Fresh = true;
-  Result.Stream = Relay.Terms.Kind == RequestKind::Stream;
   Result.IsForward = true;
   return Result;
 }
