--- a/src/app/Control.cpp
+++ b/src/app/Control.cpp
@@ -104,14 +104,9 @@
 void Control::start(std::unique_ptr<Kernel> HostKernel, ActionPerformer &Router,
                     HostState &State) {
   this->System = std::make_unique<caf::actor_system>(this->Config);
-  auto Data = std::make_shared<ActorData>(ActorData{std::move(HostKernel),
-                                                    Router,
-                                                    State,
-                                                    this->Clock,
-                                                    this->Waiting,
-                                                    this->WaitingBytes,
-                                                    {},
-                                                    Never});
+  auto Data = std::make_shared<ActorData>(ActorData{
+      std::move(HostKernel), Router, State, this->Clock, this->Waiting,
+      this->WaitingBytes, ControlDelay(readProcessMemory), Never});
   this->Actor = this->System->spawn<caf::detached>(runControl, Data);
 }
 
--- a/src/app/ControlDelay.cpp
+++ b/src/app/ControlDelay.cpp
@@ -1,6 +1,5 @@
 #include "app/ControlDelay.h"
 
-#include "app/MemoryGauges.h"
 #include "base/EventNumbers.h"
 
 #include <algorithm>
@@ -34,7 +33,7 @@
                             "control_most_waiting", "",
                             static_cast<double>(this->MaxWaiting.Events)});
   if (this->MaxDelay >= Duration(LateThreshold)) {
-    const ProcessMemory Memory = readProcessMemory();
+    const ProcessMemory Memory = this->ReadMemory();
     Out.log(logEvent(events::DecisionsLate)
                 .with("late_us", this->MaxDelay.count())
                 .with("most_waiting", this->MaxWaiting.Events)
--- a/src/app/ControlDelay.h
+++ b/src/app/ControlDelay.h
@@ -2,6 +2,7 @@
 /// Measures how long events wait for the control thread.
 #pragma once
 
+#include "app/MemoryGauges.h"
 #include "kernel/Action.h"
 
 namespace banyanpick {
@@ -11,6 +12,9 @@
 /// the delay exceeds a threshold.
 class ControlDelay {
 public:
+  using MemoryReader = ProcessMemory (*)();
+  explicit ControlDelay(MemoryReader ReadMemory) : ReadMemory(ReadMemory) {}
+
   /// The events that are still queued.
   struct Queue {
     std::size_t Events = 0;
@@ -22,6 +26,7 @@
 private:
   void report(Time Now, Actions &Out);
 
+  MemoryReader ReadMemory = nullptr; ///< Called only for a log line.
   Time IntervalStart{}; ///< When the current measuring interval began.
   Duration MaxDelay{};
   Queue MaxWaiting; ///< The maximum of each.
