Make one heartbeat and one request for the tests of a gateway

Three files made the heartbeat of a ready peer and three a request with a valid key; GatewayBench does now. All assertions and bounds stay; one case is renamed from hearsay to gossip.

--- a/tests/auto/daemon/SlowPeerTest.cpp
+++ b/tests/auto/daemon/SlowPeerTest.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// Both hosts together hold no more for one connection, with the buffers of
-/// the system. A small host has 160 MB and 77 peers.
+/// the system.
 constexpr std::size_t MaxHeldBytes = 16'000'000;
 
 constexpr std::size_t MessageBytes = 32'768;
--- a/tests/auto/gateway/ForwardingTest.cpp
+++ b/tests/auto/gateway/ForwardingTest.cpp
@@ -20,17 +20,9 @@
 
   /// Receives a heartbeat of a ready peer.
   void hearPeer(const char *Name, std::uint16_t Port, bool CutOff = false) {
-    Heartbeat Beat;
-    Beat.Sequence = 1;
-    Beat.Ready = true;
+    Heartbeat Beat = heartbeatOf(Name, Port);
     Beat.Version = CutOff ? 1 : 0;
     Beat.CutOff = CutOff;
-    HostListing Listing;
-    Listing.Id = HostId(Name);
-    Listing.Zone = ZoneId("z");
-    Listing.Callers = {"127.0.0.1", Port};
-    Listing.Peers = {"127.0.0.1", static_cast<std::uint16_t>(Port + 1)};
-    Beat.KnownHosts.push_back(Listing);
     this->Bench.receive(Name, Beat);
   }
 
@@ -167,11 +159,7 @@
 TEST_F(Forwarding, MakesNoSecondHop) {
   this->loseEngines();
   const std::size_t Before = this->sends();
-  RelayHead Head;
-  Head.Id = RequestId(99);
-  Head.Host = "a.example";
-  Head.Path = "/once/1";
-  Head.Key = "key";
+  RelayHead Head = GatewayBench::headOf(RequestId(99), "/once/1");
   Head.IsForwarded = true;
   this->Bench.send(GatewayEvent(RelayArrived{Head}));
   EXPECT_EQ(this->sends(), Before);
--- a/tests/auto/gateway/GatewayBench.cpp
+++ b/tests/auto/gateway/GatewayBench.cpp
@@ -58,6 +58,19 @@
   this->Now = Until;
 }
 
+Heartbeat heartbeatOf(const char *Host, std::uint16_t CallersPort) {
+  Heartbeat Result;
+  Result.Sequence = 1;
+  Result.Ready = true;
+  HostListing Listing;
+  Listing.Id = HostId(Host);
+  Listing.Zone = ZoneId("z");
+  Listing.Callers = {"127.0.0.1", CallersPort};
+  Listing.Peers = {"127.0.0.1", static_cast<std::uint16_t>(CallersPort + 1)};
+  Result.KnownHosts.push_back(Listing);
+  return Result;
+}
+
 void GatewayBench::configure(std::uint64_t Version) {
   this->send(GatewayEvent(ConfigurationRead{gatewayDeclarations(Version),
                                             ConfigurationSource::Store}));
@@ -104,14 +117,19 @@
       }));
 }
 
+RelayHead GatewayBench::headOf(const RequestId &Id, std::string Path) {
+  RelayHead Result;
+  Result.Id = Id;
+  Result.Host = "a.example";
+  Result.Path = std::move(Path);
+  Result.Key = "key";
+  return Result;
+}
+
 RequestId GatewayBench::arrive(std::string Path, std::uint64_t PromptTokens,
                                Duration Remaining,
                                std::optional<Fingerprint> Content) {
-  RelayHead Head;
-  Head.Id = RequestId(++this->Requests);
-  Head.Host = "a.example";
-  Head.Path = std::move(Path);
-  Head.Key = "key";
+  RelayHead Head = headOf(RequestId(++this->Requests), std::move(Path));
   Head.Remaining = Remaining;
   Head.PromptTokens = PromptTokens;
   Head.Content = Content.value_or(Fingerprint(Head.Id.Value));
--- a/tests/auto/gateway/GatewayBench.h
+++ b/tests/auto/gateway/GatewayBench.h
@@ -12,6 +12,10 @@
 
 namespace banyanpick {
 
+/// Returns a heartbeat of a ready peer that lists itself. Peers connect to the
+/// port after the one for callers.
+Heartbeat heartbeatOf(const char *Host, std::uint16_t CallersPort);
+
 /// One host with a configuration of three routes at `a.example`:
 /// `/safe/` (repeatable, two attempts), `/once/` (at most once) and `/stream/`
 /// (resumable, two attempts) to the service `desk`, or, for streams, `ring`.
@@ -37,6 +41,8 @@
   RequestId arrive(std::string Path, std::uint64_t PromptTokens = 0,
                    Duration Remaining = seconds(5),
                    std::optional<Fingerprint> Content = std::nullopt);
+  /// Returns a request with a valid key to the path.
+  static RelayHead headOf(const RequestId &Id, std::string Path);
   /// Delivers a peer's notice that the content crashed the engine.
   void reportCrash(Fingerprint Content, const char *Engine);
   /// Delivers an engine's load report, which identifies its incarnation.
--- a/tests/auto/gateway/OutdatedRefusalTest.cpp
+++ b/tests/auto/gateway/OutdatedRefusalTest.cpp
@@ -29,25 +29,16 @@
   /// Receives a heartbeat of a peer that knows a version to be in force
   /// elsewhere. The heartbeat waited for the control thread.
   void hearOf(const VersionInForce &Version, Duration Waited = {}) {
-    Heartbeat Beat;
-    Beat.Sequence = 1;
+    Heartbeat Beat = heartbeatOf("h2", 10);
     Beat.InForce = 5;
     Beat.RecentVersions.push_back(Version);
-    HostListing Listing;
-    Listing.Id = HostId("h2");
-    Listing.Zone = ZoneId("z");
-    Listing.Peers = {"127.0.0.1", 11};
-    Beat.KnownHosts.push_back(Listing);
     this->Bench.send(Event(PeerMessageReceived{
         {HostId("h2"), Incarnation(1), Beat}, this->Bench.Now - Waited}));
   }
 
   /// Sends a request with an unknown key.
   void arriveWithUnknownKey() {
-    RelayHead Head;
-    Head.Id = RequestId(99);
-    Head.Host = "a.example";
-    Head.Path = "/safe/1";
+    RelayHead Head = GatewayBench::headOf(RequestId(99), "/safe/1");
     Head.Key = "unknown";
     this->Bench.send(GatewayEvent(RelayArrived{Head}));
   }
@@ -90,7 +81,7 @@
   EXPECT_EQ(this->refused().Kind, RefusalKind::NotRun);
 }
 
-TEST_F(OutdatedRefusal, IsNotFinalAfterHearsayOfANewerVersion) {
+TEST_F(OutdatedRefusal, IsNotFinalAfterGossipOfANewerVersion) {
   this->hearOf({6, Duration(0)});
   this->Bench.arrive("/nowhere/1");
   EXPECT_EQ(this->refused().Kind, RefusalKind::NotRun);
--- a/tests/auto/gateway/PeerPropagationTest.cpp
+++ b/tests/auto/gateway/PeerPropagationTest.cpp
@@ -10,19 +10,6 @@
 namespace banyanpick {
 namespace {
 
-Heartbeat beatOf(const char *Host, std::uint16_t Port) {
-  Heartbeat Result;
-  Result.Sequence = 1;
-  Result.Ready = true;
-  HostListing Listing;
-  Listing.Id = HostId(Host);
-  Listing.Zone = ZoneId("z");
-  Listing.Callers = {"127.0.0.1", Port};
-  Listing.Peers = {"127.0.0.1", static_cast<std::uint16_t>(Port + 1)};
-  Result.KnownHosts.push_back(Listing);
-  return Result;
-}
-
 std::shared_ptr<GatewayConfiguration> version(std::uint64_t Number) {
   auto Result = std::make_shared<GatewayConfiguration>();
   Result->Version = Number;
@@ -42,7 +29,7 @@
 TEST(PeerPropagation, RequestsANewerVersionFromAPeerAtOnce) {
   GatewayBench Bench;
   Bench.configure(5);
-  Heartbeat Beat = beatOf("h2", 10);
+  Heartbeat Beat = heartbeatOf("h2", 10);
   Beat.InForce = 6;
   Bench.receive("h2", Beat);
   ASSERT_EQ(Bench.sent<ConfigurationRequest>().size(), 1U);
@@ -59,7 +46,7 @@
   for (std::uint16_t Index = 0; Index < Peers; ++Index) {
     const std::string Name = "p" + std::to_string(Index);
     Heartbeat Beat =
-        beatOf(Name.c_str(), static_cast<std::uint16_t>(100 + Index * 2));
+        heartbeatOf(Name.c_str(), static_cast<std::uint16_t>(100 + Index * 2));
     Beat.InForce = InForce;
     Beat.StoreAge = Duration(0);
     Bench.receive(Name.c_str(), Beat);
@@ -92,7 +79,7 @@
 TEST(PeerPropagation, RequestsAMalformedDocumentAgain) {
   GatewayBench Bench;
   Bench.configure(5);
-  Heartbeat Beat = beatOf("h2", 10);
+  Heartbeat Beat = heartbeatOf("h2", 10);
   Beat.InForce = 6;
   Bench.receive("h2", Beat);
   Bench.receive("h2", ConfigurationRelayed{6, "not compressed", 0, 14});
@@ -107,7 +94,7 @@
 TEST(PeerPropagation, SendsTheConfigurationToAPeerThatLags) {
   GatewayBench Bench;
   Bench.configure(5);
-  Bench.receive("h2", beatOf("h2", 10));
+  Bench.receive("h2", heartbeatOf("h2", 10));
   Bench.receive("h2", ConfigurationRequest{4});
   ASSERT_EQ(Bench.sent<ConfigurationRelayed>().size(), 1U);
   EXPECT_EQ(
@@ -120,7 +107,7 @@
 TEST(PeerPropagation, AnnouncesANewVersionToPeersAtOnce) {
   GatewayBench Bench;
   Bench.configure(5);
-  Bench.receive("h2", beatOf("h2", 10));
+  Bench.receive("h2", heartbeatOf("h2", 10));
   Bench.advance(milliseconds(10));
   const std::size_t Before = Bench.sent<Heartbeat>().size();
   Bench.configure(6);
@@ -132,7 +119,7 @@
 TEST(PeerPropagation, ReceivesEnginesFromAPeerThatIsAhead) {
   GatewayBench Bench;
   Bench.configure(1);
-  Heartbeat Beat = beatOf("h2", 10);
+  Heartbeat Beat = heartbeatOf("h2", 10);
   Beat.EnginesKnownTo = 9;
   Beat.EnginesDigest = 1; // The peer knows an engine, this host none.
   Beat.StoreAge = Duration(0);
@@ -194,10 +181,10 @@
 TEST(PeerPropagation, ResolvesToReadyHostsAndOmitsLeavingOnes) {
   GatewayBench Bench;
   Bench.configure(1);
-  Bench.receive("h2", beatOf("h2", 10));
+  Bench.receive("h2", heartbeatOf("h2", 10));
   Bench.send(Event(ResolveRequest{ResolveRequestId(1), TeamId(), ZoneId("z")}));
   EXPECT_EQ(Bench.resolved().size(), 2U);
-  Heartbeat Leaving = beatOf("h2", 10);
+  Heartbeat Leaving = heartbeatOf("h2", 10);
   Leaving.Leaving = true;
   Leaving.Ready = false;
   Leaving.Version = 1;
--- a/tests/auto/gateway/RelaysTest.cpp
+++ b/tests/auto/gateway/RelaysTest.cpp
@@ -40,10 +40,7 @@
 TEST_F(Relays, WithUnknownPathOrKeyAreRefusedAndNotSent) {
   this->Bench.arrive("/nowhere/1");
   EXPECT_EQ(this->refused().Kind, RefusalKind::NoSuchRoute);
-  RelayHead Head;
-  Head.Id = RequestId(99);
-  Head.Host = "a.example";
-  Head.Path = "/safe/1";
+  RelayHead Head = GatewayBench::headOf(RequestId(99), "/safe/1");
   Head.Key = "wrong";
   this->Bench.send(GatewayEvent(RelayArrived{Head}));
   EXPECT_EQ(this->refused().Kind, RefusalKind::UnknownKey);
--- a/tests/auto/manyhosts/OutdatedAnswersTest.cpp
+++ b/tests/auto/manyhosts/OutdatedAnswersTest.cpp
@@ -20,7 +20,7 @@
 /// Longest delay of a host's control thread.
 constexpr milliseconds MaxControlDelay(1000);
 
-/// A document of 4,500 routes.
+/// The largest document that the store accepts in one record.
 constexpr std::size_t DocumentBytes = 500'000;
 
 constexpr double SmallestLink = 2.5e6; ///< Bytes a second.
@@ -102,7 +102,7 @@
   return Judge.countOutdated(Simulated.decisions());
 }
 
-/// Runs a tenth of the seeds of other tests, and with 300 hosts one.
+/// Plays the seeds from 1 on. More hosts take longer, so they get fewer.
 void expectNoOutdatedAnswers(std::size_t Hosts, std::uint64_t Seeds) {
   for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
     EXPECT_EQ(countOutdatedAnswers(Seed, Hosts), 0U) << "seed " << Seed;
