Name the tracker of versions after what it does

ConfigurationNews is VersionTracker; ServiceReach::noteAnswer loses a parameter that it did not use.

--- a/src/plugins/enginereach/EngineReachPlugin.cpp
+++ b/src/plugins/enginereach/EngineReachPlugin.cpp
@@ -93,7 +93,7 @@
 }
 
 void EngineReachPlugin::noteAnswer(Service &State, Time Now) {
-  State.Reach.noteAnswer(Now);
+  State.Reach.noteAnswer();
   if (State.WasCutOff)
     this->NextProbe = Now;
 }
--- a/src/plugins/enginereach/ServiceReach.cpp
+++ b/src/plugins/enginereach/ServiceReach.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-void ServiceReach::noteAnswer(Time) {
+void ServiceReach::noteAnswer() {
   this->FailedAt.clear();
   this->SilentSince = Never;
 }
--- a/src/plugins/enginereach/ServiceReach.h
+++ b/src/plugins/enginereach/ServiceReach.h
@@ -17,7 +17,7 @@
 class ServiceReach {
 public:
   /// An engine of the service answered.
-  void noteAnswer(Time Now);
+  void noteAnswer();
   /// The engine refused a connection, or a connection to it failed.
   void noteFailure(const UpstreamId &Engine, Time Now);
   /// The engine is known to have died.
--- a/src/plugins/routes/RoutesPlugin.cpp
+++ b/src/plugins/routes/RoutesPlugin.cpp
@@ -39,8 +39,8 @@
       Incoming,
       [&](const GatewayEvent &Gateway) {
         if (std::holds_alternative<DeclarationsRead>(Gateway)) {
-          this->News.noteReport(Now);
-          this->News.noteStoreRead(Now);
+          this->Tracker.noteReport(Now);
+          this->Tracker.noteStoreRead(Now);
         }
         if (const auto *Read = std::get_if<ConfigurationRead>(&Gateway))
           this->activate(*Read, Now, Out);
@@ -49,7 +49,7 @@
           // A version that can't be decoded is not fetched again and does not
           // make the local one stale.
           this->UnreadableVersion = this->DecodingVersion;
-          this->News.setKnownUpTo(this->UnreadableVersion);
+          this->Tracker.setKnownUpTo(this->UnreadableVersion);
           Out.log(logEvent(events::ConfigurationUnreadable)
                       .with("why", Failure->Why)
                       .with("in_force", this->version())
@@ -71,20 +71,20 @@
 }
 
 bool RoutesPlugin::isStale(Time Now) const {
-  return this->News.isOlderThan(this->StaleAfter, Now);
+  return this->Tracker.isOlderThan(this->StaleAfter, Now);
 }
 
 bool RoutesPlugin::mayBeOutdated(Time Now) const {
-  const ConfigurationFreshness Current = this->News.freshness(Now);
+  const ConfigurationFreshness Current = this->Tracker.freshness(Now);
   return Current.MissingVersion != 0 || Current.ReportAge >= this->StaleAfter;
 }
 
 std::vector<VersionInForce> RoutesPlugin::recentVersions(Time Now) const {
-  return this->News.recent(Now);
+  return this->Tracker.recent(Now);
 }
 
 ConfigurationFreshness RoutesPlugin::freshness(Time Now) const {
-  return this->News.freshness(Now);
+  return this->Tracker.freshness(Now);
 }
 
 bool RoutesPlugin::isReady() const {
@@ -100,15 +100,15 @@
                             Actions &Out) {
   const bool IsFromStore = Read.From == ConfigurationSource::Store;
   if (IsFromStore)
-    this->News.noteReport(Now);
+    this->Tracker.noteReport(Now);
   if (this->Table && Read.Declared->Version <= this->version())
     return;
   const std::uint64_t PreviousVersion = this->version();
   this->Table = std::make_unique<RouteTable>(Read.Declared);
   this->HighestVersion = std::max(this->HighestVersion, this->version());
   if (IsFromStore)
-    this->News.noteReadFromStore(this->version(), Read.ReadAt.value_or(Now));
-  this->News.activated(this->version(), Now);
+    this->Tracker.noteReadFromStore(this->version(), Read.ReadAt.value_or(Now));
+  this->Tracker.activated(this->version(), Now);
   Out.add(GatewayAction(LimitCallers{Read.Declared->Limits}));
   Out.log(logEvent(events::ConfigurationInForce)
               .with("version", this->version())
@@ -147,12 +147,12 @@
 
 void RoutesPlugin::handleHeartbeat(const HostId &From, const Heartbeat &Beat,
                                    Time ReceivedAt, Time Now, Actions &Out) {
-  this->News.noteReport(ReceivedAt);
+  this->Tracker.noteReport(ReceivedAt);
   if (Beat.StoreAge != Duration::max())
-    this->News.noteStoreRead(ReceivedAt - Beat.StoreAge);
+    this->Tracker.noteStoreRead(ReceivedAt - Beat.StoreAge);
   for (const VersionInForce &Recent : Beat.RecentVersions)
-    this->News.noteInForce(Recent.Version, ReceivedAt - Recent.Age);
-  this->News.noteInForce(Beat.InForce, ReceivedAt);
+    this->Tracker.noteInForce(Recent.Version, ReceivedAt - Recent.Age);
+  this->Tracker.noteInForce(Beat.InForce, ReceivedAt);
   // Requests the version at once, because a revoked key must stop working on
   // this host too.
   if (this->isNewer(Beat.InForce) && this->Fetch.mayRequest(Now))
@@ -235,7 +235,7 @@
 void RoutesPlugin::reportMissing(Time Now, Actions &Out) {
   if (!this->isStale(Now))
     return;
-  const ConfigurationFreshness Current = this->News.freshness(Now);
+  const ConfigurationFreshness Current = this->Tracker.freshness(Now);
   if (Current.MissingVersion == this->ReportedMissing)
     return;
   this->ReportedMissing = Current.MissingVersion;
--- a/src/plugins/routes/RoutesPlugin.h
+++ b/src/plugins/routes/RoutesPlugin.h
@@ -6,7 +6,7 @@
 #include "kernel/Plugin.h"
 #include "plugins/routes/ChunkQueue.h"
 #include "plugins/routes/ConfigurationFetch.h"
-#include "plugins/routes/ConfigurationNews.h"
+#include "plugins/routes/VersionTracker.h"
 
 #include <memory>
 
@@ -63,7 +63,7 @@
   ChunkQueue PendingRequests;
   std::string Packed; ///< As received from a peer or packed on this host.
   std::uint64_t PackedVersion = 0; ///< The version of the packed document.
-  ConfigurationNews News;
+  VersionTracker Tracker;
   std::uint64_t DecodingVersion = 0;   ///< The version being decoded.
   std::uint64_t ReportedMissing = 0;   ///< The last version logged as missing.
   std::uint64_t UnreadableVersion = 0; ///< A version that can't be decoded.
--- a/src/plugins/routes/ConfigurationNews.cpp
+++ b/src/plugins/routes/VersionTracker.cpp
@@ -1,4 +1,4 @@
-#include "plugins/routes/ConfigurationNews.h"
+#include "plugins/routes/VersionTracker.h"
 
 #include <algorithm>
 #include <iterator>
@@ -13,21 +13,21 @@
 
 } // namespace
 
-void ConfigurationNews::noteReport(Time At) {
+void VersionTracker::noteReport(Time At) {
   this->ReportedAt = std::max(this->ReportedAt, At);
 }
 
-void ConfigurationNews::noteStoreRead(Time At) {
+void VersionTracker::noteStoreRead(Time At) {
   this->StoreReadAt = std::max(this->StoreReadAt, At);
 }
 
-void ConfigurationNews::noteReadFromStore(std::uint64_t Version, Time At) {
+void VersionTracker::noteReadFromStore(std::uint64_t Version, Time At) {
   const bool HasEarlierRead = this->StoreReadAt != Time{};
   this->noteInForce(Version,
                     HasEarlierRead ? std::min(At, this->StoreReadAt) : At);
 }
 
-void ConfigurationNews::noteInForce(std::uint64_t Version, Time Since) {
+void VersionTracker::noteInForce(std::uint64_t Version, Time Since) {
   if (Version == 0)
     return;
   const auto Known = this->InForceSince.find(Version);
@@ -44,28 +44,27 @@
   this->InForceSince.emplace(Version, Since);
 }
 
-void ConfigurationNews::activated(std::uint64_t Version, Time Now) {
+void VersionTracker::activated(std::uint64_t Version, Time Now) {
   const auto Known = this->InForceSince.find(Version);
   if (Known != this->InForceSince.end())
     this->LastPropagation = Now - Known->second;
   this->setKnownUpTo(Version);
 }
 
-void ConfigurationNews::setKnownUpTo(std::uint64_t Version) {
+void VersionTracker::setKnownUpTo(std::uint64_t Version) {
   this->KnownUpTo = std::max(this->KnownUpTo, Version);
 }
 
-ConfigurationNews::Versions::const_iterator
-ConfigurationNews::oldestMissing() const {
+VersionTracker::Versions::const_iterator VersionTracker::oldestMissing() const {
   return this->InForceSince.upper_bound(this->KnownUpTo);
 }
 
-bool ConfigurationNews::isOlderThan(Duration Limit, Time Now) const {
+bool VersionTracker::isOlderThan(Duration Limit, Time Now) const {
   const auto Missing = this->oldestMissing();
   return Missing != this->InForceSince.end() && Now >= Missing->second + Limit;
 }
 
-ConfigurationFreshness ConfigurationNews::freshness(Time Now) const {
+ConfigurationFreshness VersionTracker::freshness(Time Now) const {
   ConfigurationFreshness Result;
   const auto Missing = this->oldestMissing();
   if (Missing != this->InForceSince.end()) {
@@ -79,7 +78,7 @@
   return Result;
 }
 
-std::vector<VersionInForce> ConfigurationNews::recent(Time Now) const {
+std::vector<VersionInForce> VersionTracker::recent(Time Now) const {
   const std::size_t Count =
       std::min(this->InForceSince.size(), MaxRecentVersions);
   std::vector<VersionInForce> Result;
--- a/src/plugins/routes/ConfigurationNews.h
+++ b/src/plugins/routes/VersionTracker.h
@@ -15,7 +15,7 @@
 /// What this host knows of the versions in force, and when it was last told.
 /// Ages travel with the versions, so that a host that hears of a version late,
 /// or from a host that lacks it too, knows how long it has been behind.
-class ConfigurationNews {
+class VersionTracker {
 public:
   /// A peer or the store reported at \p At which version is in force.
   void noteReport(Time At);
