Log how long engine memory was reserved

The log told when memory was released, not for how long it had been reserved, so it could not tell memory that waits for its deadline from memory that is in use. Event 841 now says so (held_us).

--- a/src/plugins/enginememory/EngineMemoryPlugin.cpp
+++ b/src/plugins/enginememory/EngineMemoryPlugin.cpp
@@ -166,8 +166,11 @@
   if (Found == this->Reservations.end())
     return;
   this->releaseAll(Found->second, Now, Out);
+  Out.log(logEvent(events::MemoryReleased)
+              .with("request", Id.Value)
+              .with("held_us", (Now - Found->second.RequestedAt).count())
+              .build());
   this->Reservations.erase(Found);
-  Out.log(logEvent(events::MemoryReleased).with("request", Id.Value).build());
 }
 
 void EngineMemoryPlugin::engineRestarted(const UpstreamId &Id, Time Now,
