Reproduce engine memory that stays reserved without use

Engines written for the test keep reservations and report whether a request uses them. Four cases fail and are listed; two cases, in which memory in use is kept, pass.

--- a/tests/auto/gateway/GatewayMemoryTest.cpp
+++ b/tests/auto/gateway/GatewayMemoryTest.cpp
@@ -6,7 +6,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <string>
 
 namespace banyanpick {
 namespace {
@@ -108,5 +110,149 @@
   EXPECT_FALSE(this->released().contains(Reserving.Reservation));
 }
 
+/// Engines that keep reservations and report whether they are in use. Measures
+/// how long memory stays reserved without use.
+class ReservingEngines {
+public:
+  explicit ReservingEngines(GatewayBench &Bench) : Bench(Bench) {}
+
+  /// How long requests use their memory after they were sent.
+  Duration UsedFor{};
+  bool AnswersReports = true;
+
+  /// Advances the time; engines answer all orders on the way.
+  void run(Duration For) {
+    const Time Until = this->Bench.Now + For;
+    while (this->Bench.Now < Until) {
+      this->answerNew();
+      this->Bench.advance(Step);
+      this->measure();
+    }
+  }
+  Duration longestIdle() const { return this->Longest; }
+
+private:
+  static constexpr milliseconds Step{50};
+
+  struct Kept {
+    UpstreamId Engine;
+    Time Until{};
+    Time UnusedSince{};
+  };
+
+  void answerNew() {
+    const auto Reserved = this->Bench.all<ReserveMemory>();
+    for (; this->Answered < Reserved.size(); ++this->Answered)
+      this->reserve(Reserved[this->Answered]);
+    const auto Released = this->Bench.all<ReleaseMemory>();
+    for (; this->Taken < Released.size(); ++this->Taken)
+      this->Memory.erase(Released[this->Taken].Name);
+    const auto Asked = this->Bench.all<AskReport>();
+    for (; this->Reported < Asked.size(); ++this->Reported)
+      if (this->AnswersReports)
+        this->report(Asked[this->Reported].Engine);
+  }
+  void reserve(const ReserveMemory &Order) {
+    const auto [At, IsNew] = this->Memory.try_emplace(Order.Name);
+    if (IsNew)
+      At->second = {Order.Engine, {}, this->Bench.Now};
+    At->second.Until = this->Bench.Now + Order.Hold;
+    this->Bench.send(GatewayEvent(ReservationAnswered{
+        Order.Engine, Order.Name, ReservationResult::Held}));
+  }
+  bool isUsed(const std::string &Name) const {
+    for (const DispatchRelay &Sent : this->Bench.all<DispatchRelay>())
+      for (const HelperEngine &Helper : Sent.Helpers)
+        if (Helper.Reservation == Name)
+          return this->Bench.Now < this->sentAt(Sent.Attempt) + this->UsedFor;
+    return false;
+  }
+  Time sentAt(const AttemptId &Attempt) const {
+    return this->SentAt.try_emplace(Attempt, this->Bench.Now).first->second;
+  }
+  void report(const UpstreamId &Engine) {
+    EngineReport Report;
+    Report.Engine = Engine;
+    for (const auto &[Name, Entry] : this->Memory)
+      if (Entry.Engine == Engine)
+        Report.Reservations.push_back({Name, 1, this->isUsed(Name), {}});
+    this->Bench.send(GatewayEvent(EngineReported{Report}));
+  }
+  void measure() {
+    std::erase_if(this->Memory, [&](const auto &Entry) {
+      return Entry.second.Until <= this->Bench.Now;
+    });
+    for (auto &[Name, Entry] : this->Memory) {
+      if (this->isUsed(Name))
+        Entry.UnusedSince = this->Bench.Now;
+      this->Longest = std::max<Duration>(this->Longest,
+                                         this->Bench.Now - Entry.UnusedSince);
+    }
+  }
+
+  GatewayBench &Bench;
+  std::size_t Answered = 0;
+  std::size_t Taken = 0;
+  std::size_t Reported = 0;
+  std::map<std::string, Kept> Memory;
+  mutable std::map<AttemptId, Time> SentAt;
+  Duration Longest{};
+};
+
+/// How long memory may stay reserved before a request uses it, and after the
+/// last one that did.
+constexpr seconds MaxIdleBeforeUse(9);
+constexpr seconds MaxIdleAfterUse(4);
+
+class IdleMemory : public EngineMemory {
+protected:
+  ReservingEngines Engines{this->Bench};
+};
+
+TEST_F(IdleMemory, IsReleasedWhenTheRequestWaitsAtItsEngine) {
+  this->Engines.run(seconds(30));
+  EXPECT_LT(this->Engines.longestIdle(), MaxIdleBeforeUse);
+  EXPECT_GE(this->Bench.all<DispatchRelay>().size(), 2U) << "tried elsewhere";
+}
+
+TEST_F(IdleMemory, IsReleasedWhenItsUseIsNotReported) {
+  this->Engines.AnswersReports = false;
+  this->Engines.run(seconds(30));
+  EXPECT_LT(this->Engines.longestIdle(), MaxIdleBeforeUse);
+}
+
+TEST_F(IdleMemory, IsReleasedWhenTheAnswerWasLost) {
+  this->Engines.UsedFor = seconds(3);
+  this->Engines.run(seconds(30));
+  EXPECT_LT(this->Engines.longestIdle(), MaxIdleAfterUse);
+  EXPECT_GE(this->Bench.all<DispatchRelay>().size(), 2U) << "tried elsewhere";
+}
+
+TEST_F(IdleMemory, IsReleasedWhenTheAnswerStopped) {
+  this->Engines.UsedFor = seconds(3);
+  this->Engines.run(seconds(2));
+  this->Bench.send(
+      GatewayEvent(RelayBegan{this->Bench.last<DispatchRelay>().Attempt}));
+  this->Engines.run(seconds(28));
+  EXPECT_LT(this->Engines.longestIdle(), MaxIdleAfterUse);
+}
+
+TEST_F(IdleMemory, IsKeptWhileTheRequestUsesIt) {
+  this->Engines.UsedFor = seconds(60);
+  this->Engines.run(seconds(9));
+  EXPECT_TRUE(this->Bench.all<CancelRelay>().empty());
+  EXPECT_TRUE(this->released().empty());
+}
+
+TEST_F(IdleMemory, IsKeptWhileTheAnswerArrivesAndReportsAreLost) {
+  this->Engines.run(seconds(1));
+  this->Engines.AnswersReports = false;
+  this->Bench.send(
+      GatewayEvent(RelayBegan{this->Bench.last<DispatchRelay>().Attempt}));
+  this->Engines.run(seconds(25));
+  EXPECT_TRUE(this->Bench.all<CancelRelay>().empty());
+  EXPECT_TRUE(this->released().empty());
+}
+
 } // namespace
 } // namespace banyanpick
