Release engine memory that no request uses

What callers saw: long prompts waited for, or were refused, memory of engines that was reserved for nothing. Cause: a reservation was renewed as long as its attempt lived, whether or not the engine ran it; an attempt that waits in a queue or whose answer was lost lives until its deadline (15 s for the longest prompts). Class of fault: a lease that is renewed without evidence of use.

Change: MemoryUse decides from the reports of the engine that runs the request, and from the begin of the answer, whether the memory is idle. Engines are asked every two seconds. Memory that was not used is released in time for idle_limit even if the release is lost; memory that a report shows as unused after its use, a second later. A lost report alone ends nothing. The attempt ends as silent, and the request is tried elsewhere as far as its kind allows.

Evidence: IdleMemory, four cases failed (15.5 s without use, 9 allowed; 12.5 and 27 s after the last use, 4 allowed), all pass; the two cases of memory in use passed before and pass now. gateway_test: 322 pass, 1 known red as before.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -216,6 +216,8 @@
                                           "engine memory reserved"};
 inline constexpr EventKind MemoryReleased{841, LogLevel::Info,
                                           "engine memory released"};
+inline constexpr EventKind MemoryIdle{842, LogLevel::Warning,
+                                      "reserved engine memory is not used"};
 inline constexpr EventKind WarmUpBegan{850, LogLevel::Info,
                                        "view of the engines' load incomplete"};
 inline constexpr EventKind WarmUpEnded{851, LogLevel::Info,
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -299,6 +299,8 @@
   /// held, if not all of them could be reserved.
   virtual void memoryDecided(const RequestId &, std::span<const HelperEngine>,
                              Time, Actions &) {}
+  /// The request that was sent does not use its memory, which was released.
+  virtual void memoryIdle(const RequestId &, Time, Actions &) {}
 };
 
 /// The number of requests that this gateway is relaying.
--- a/src/plugins/enginememory/EngineMemoryPlugin.cpp
+++ b/src/plugins/enginememory/EngineMemoryPlugin.cpp
@@ -3,11 +3,30 @@
 #include "base/EventNumbers.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
+#include "kernel/ReportRequest.h"
 
 #include <algorithm>
 
 namespace banyanpick {
 
+namespace {
+
+/// How long it may take until a release has reached all engines.
+constexpr milliseconds ReleaseDelay(500);
+
+/// A report of unused memory may overtake the last events of an answer that has
+/// just ended.
+constexpr seconds UnusedConfirmation(1);
+
+/// Returns the limits by which memory is free again after \p MaxIdle even if
+/// the release is lost and the memory lapses after \p Hold.
+MemoryUseLimits useLimits(Duration MaxIdle, Duration Hold) {
+  const Duration BeforeUse = MaxIdle - Hold - ReleaseDelay;
+  return {std::max(BeforeUse, Duration(0)), UnusedConfirmation};
+}
+
+} // namespace
+
 void EngineMemoryPlugin::initialize(PluginContext &Context) {
   const Settings &Values = Context.settings();
   const std::string_view Section = "engine_memory";
@@ -19,10 +38,14 @@
   this->AcquireFor = Values.span(Section, "acquire_for");
   this->LateFor = Values.span(Section, "late_for");
   this->LateInterval = Values.span(Section, "late_interval");
+  this->CheckInterval = Values.span(Section, "check_interval");
+  this->UseLimits = useLimits(Values.span(Section, "idle_limit"), this->Hold);
+  this->Directory = &Context.services().get<EngineDirectory>();
   this->Gate = &Context.services().get<EngineGate>();
   this->Quota = &Context.services().get<EngineQuota>();
   Context.services().provide<MemoryReserver>(*this);
   Context.services().list<EngineObserver>().add(*this);
+  Context.services().list<RelayObserver>().add(*this);
 }
 
 void EngineMemoryPlugin::start(Time, Actions &) {}
@@ -33,19 +56,26 @@
       [&](const GatewayEvent &Change) {
         if (const auto *Answered = std::get_if<ReservationAnswered>(&Change))
           this->takeAnswer(*Answered, Now, Out);
+        if (const auto *Reported = std::get_if<EngineReported>(&Change))
+          this->takeReport(Reported->Report, Now);
       },
       [](const auto &) {});
   if (Now < this->nextWake())
     return;
   this->renew(Now, Out);
   this->releaseLate(Now, Out);
+  this->checkUse(Now, Out);
 }
 
 Time EngineMemoryPlugin::nextWake() const {
   Time Result = Never;
-  for (const auto &[Id, Reserved] : this->Reservations)
+  for (const auto &[Id, Reserved] : this->Reservations) {
     for (const Share &Part : Reserved.Shares)
       Result = std::min(Result, Part.NextRequestAt);
+    if (Reserved.NextCheckAt != Never)
+      Result = std::min(
+          {Result, Reserved.NextCheckAt, Reserved.Use.idleAt(this->UseLimits)});
+  }
   for (const LateRelease &Release : this->LateReleases)
     Result = std::min(Result, Release.NextAt);
   return Result;
@@ -57,6 +87,7 @@
   this->release(Id, Now, Out);
   Reservation &Reserved = this->Reservations[Id];
   Reserved.RequestedAt = Now;
+  Reserved.Use = MemoryUse(Now);
   Reserved.Helpers.assign(Shares.begin(), Shares.end());
   for (HelperEngine &Helper : Reserved.Helpers) {
     if (Helper.Tokens == 0)
@@ -145,6 +176,7 @@
   if (!All && !Failed)
     return;
   Reserved.Decided = true;
+  Reserved.NextCheckAt = Now + this->CheckInterval;
   Out.log(logEvent(events::MemoryReserved)
               .with("request", Id.Value)
               .with("engines", Reserved.Shares.size())
@@ -165,10 +197,12 @@
   const auto Found = this->Reservations.find(Id);
   if (Found == this->Reservations.end())
     return;
-  this->releaseAll(Found->second, Now, Out);
+  const Reservation &Reserved = Found->second;
+  this->releaseAll(Reserved, Now, Out);
   Out.log(logEvent(events::MemoryReleased)
               .with("request", Id.Value)
-              .with("held_us", (Now - Found->second.RequestedAt).count())
+              .with("held_us", (Now - Reserved.RequestedAt).count())
+              .with("used", Reserved.Use.wasUsed() ? "true" : "false")
               .build());
   this->Reservations.erase(Found);
 }
@@ -238,6 +272,75 @@
   });
 }
 
+void EngineMemoryPlugin::attemptBegan(const RelayAttempt &Attempt, Time Now,
+                                      Actions &) {
+  const auto Found = this->Reservations.find(Attempt.Request);
+  if (Found != this->Reservations.end())
+    Found->second.Use.note(true, Now);
+}
+
+void EngineMemoryPlugin::takeReport(const EngineReport &Report, Time Now) {
+  for (auto &[Id, Reserved] : this->Reservations)
+    for (const Share &Part : Reserved.Shares) {
+      if (Part.Target.Engine != Report.Engine)
+        continue;
+      const auto Found =
+          std::ranges::find(Report.Reservations, Part.Target.Reservation,
+                            &EngineReservation::Name);
+      // Shares are filled in turn, so only the first one shows that the request
+      // uses none.
+      const bool IsFirst = &Part == &Reserved.Shares.front();
+      if (Found != Report.Reservations.end() && (Found->Used || IsFirst))
+        Reserved.Use.note(Found->Used, Now);
+    }
+}
+
+void EngineMemoryPlugin::checkUse(Time Now, Actions &Out) {
+  std::vector<RequestId> Idle;
+  for (auto &[Id, Reserved] : this->Reservations) {
+    if (Reserved.NextCheckAt == Never)
+      continue;
+    if (Reserved.Use.isIdle(this->UseLimits, Now)) {
+      Idle.push_back(Id);
+    } else if (Now >= Reserved.NextCheckAt) {
+      Reserved.NextCheckAt = Now + this->CheckInterval;
+      this->askAboutUse(Reserved, Now, Out);
+    }
+  }
+  for (const RequestId &Id : Idle)
+    this->notifyIdle(Id, Now, Out);
+}
+
+void EngineMemoryPlugin::askAboutUse(const Reservation &Reserved, Time Now,
+                                     Actions &Out) const {
+  for (const Share &Part : Reserved.Shares) {
+    const UpstreamId &Engine = Part.Target.Engine;
+    if (this->Quota->isCold(Engine, Now) || this->Quota->isLimited(Engine) ||
+        this->Gate->blocked(Engine, Now))
+      continue;
+    requestReport(Engine, *this->Directory, *this->Gate, *this->Quota, Now,
+                  Out);
+    return;
+  }
+}
+
+void EngineMemoryPlugin::notifyIdle(const RequestId &Id, Time Now,
+                                    Actions &Out) {
+  const auto Found = this->Reservations.find(Id);
+  if (Found == this->Reservations.end())
+    return;
+  Out.log(logEvent(events::MemoryIdle)
+              .with("request", Id.Value)
+              .with("engines", Found->second.Shares.size())
+              .with("held_us", (Now - Found->second.RequestedAt).count())
+              .with("used", Found->second.Use.wasUsed() ? "true" : "false")
+              .build());
+  Out.count("memory_idle");
+  this->release(Id, Now, Out);
+  for (MemoryObserver *Observer : this->Registry->list<MemoryObserver>().all())
+    Observer->memoryIdle(Id, Now, Out);
+}
+
 std::vector<SettingDeclaration> EngineMemoryPlugin::settings() {
   constexpr auto Span = SettingKind::Span;
   const std::string Section = "engine_memory";
@@ -263,6 +366,13 @@
       {Section, "late_interval", Span, "1s",
        "How often memory is let go again after an order without an answer.",
        10e3, 60e6},
+      {Section, "check_interval", Span, "2s",
+       "How often an engine is asked whether the request uses its memory.",
+       10e3, 60e6},
+      {Section, "idle_limit", Span, "9s",
+       "No memory stays set aside for so long without a request that uses it. "
+       "It must exceed hold by a second or more.",
+       100e3, 600e6},
   };
 }
 
@@ -270,7 +380,7 @@
 
 const PluginRegistration
     Registration({"engine_memory",
-                  {"engine_signals"},
+                  {"engine_signals", "engines"},
                   EngineMemoryPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<EngineMemoryPlugin>();
--- a/src/plugins/enginememory/EngineMemoryPlugin.h
+++ b/src/plugins/enginememory/EngineMemoryPlugin.h
@@ -5,6 +5,7 @@
 
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
+#include "plugins/enginememory/MemoryUse.h"
 
 #include <map>
 #include <vector>
@@ -14,10 +15,12 @@
 /// Requests all shares of a request at once, and releases all when one is
 /// refused, so that two requests never wait for each other. Reservations are
 /// short and renewed while in use. When their owner dies, engines free them on
-/// their own, sooner than any other host could notice.
+/// their own, sooner than any other host could notice. Engines are asked
+/// whether the request uses its memory, which is released otherwise.
 class EngineMemoryPlugin : public Plugin,
                            public MemoryReserver,
-                           public EngineObserver {
+                           public EngineObserver,
+                           public RelayObserver {
 public:
   void initialize(PluginContext &Context) override;
   void start(Time Now, Actions &Out) override;
@@ -32,6 +35,9 @@
   /// neither renewed nor released on the new one.
   void engineRestarted(const UpstreamId &Id, Time Now, Actions &Out) override;
 
+  void attemptBegan(const RelayAttempt &Attempt, Time Now,
+                    Actions &Out) override;
+
   static std::vector<SettingDeclaration> settings();
 
 private:
@@ -48,6 +54,8 @@
     std::vector<Share> Shares;
     Time RequestedAt{};
     bool Decided = false;
+    MemoryUse Use;
+    Time NextCheckAt = Never; ///< When an engine is asked about the use.
   };
   /// A repeated release, as an order without an answer may take effect late.
   struct LateRelease {
@@ -66,8 +74,17 @@
   void releaseAll(const Reservation &Reserved, Time Now, Actions &Out);
   void renew(Time Now, Actions &Out);
   void releaseLate(Time Now, Actions &Out);
+  void takeReport(const EngineReport &Report, Time Now);
+  /// Asks engines whether memory is in use, and reports idle memory to the
+  /// observers.
+  void checkUse(Time Now, Actions &Out);
+  /// Asks the first engine that may be asked, the one that runs the request
+  /// before the others.
+  void askAboutUse(const Reservation &Reserved, Time Now, Actions &Out) const;
+  void notifyIdle(const RequestId &Id, Time Now, Actions &Out);
 
   Services *Registry = nullptr;
+  const EngineDirectory *Directory = nullptr;
   const EngineGate *Gate = nullptr;
   const EngineQuota *Quota = nullptr;
   Identity Self;
@@ -77,6 +94,8 @@
   Duration AcquireFor{};
   Duration LateFor{};
   Duration LateInterval{};
+  Duration CheckInterval{};
+  MemoryUseLimits UseLimits;
   std::uint64_t NameCount = 0;
   std::map<RequestId, Reservation> Reservations;
   std::vector<LateRelease> LateReleases;
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -410,14 +410,24 @@
     RunningRelay *Relay = this->Running.find(Request);
     if (!Relay || !Relay->LiveAttempt || !dependsOn(*Relay->LiveAttempt, Id))
       continue;
-    Out.add(GatewayAction(CancelRelay{Relay->LiveAttempt->Id}));
-    const RelayOutcome Lost =
-        RelayBroken{RelayBroken::Why::Reset, Relay->Began, std::nullopt};
-    const RelayAttempt Ended = this->endAttempt(*Relay, Lost, Now, Out);
-    this->applyVerdict(*Relay, Ended, Lost, Now, Out);
+    this->breakAttempt(*Relay, RelayBroken::Why::Reset, Now, Out);
   }
 }
 
+void RelaysPlugin::memoryIdle(const RequestId &Id, Time Now, Actions &Out) {
+  RunningRelay *Relay = this->Running.find(Id);
+  if (Relay && Relay->LiveAttempt)
+    this->breakAttempt(*Relay, RelayBroken::Why::Silent, Now, Out);
+}
+
+void RelaysPlugin::breakAttempt(RunningRelay &Relay, RelayBroken::Why Reason,
+                                Time Now, Actions &Out) {
+  Out.add(GatewayAction(CancelRelay{Relay.LiveAttempt->Id}));
+  const RelayOutcome Lost = RelayBroken{Reason, Relay.Began, std::nullopt};
+  const RelayAttempt Ended = this->endAttempt(Relay, Lost, Now, Out);
+  this->applyVerdict(Relay, Ended, Lost, Now, Out);
+}
+
 void RelaysPlugin::contentQuarantined(Fingerprint Content, Time, Actions &) {
   // Requests are not ended here, because this may be called while one of their
   // attempts ends.
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -52,6 +52,8 @@
 
   void memoryDecided(const RequestId &Id, std::span<const HelperEngine> Shares,
                      Time Now, Actions &Out) override;
+  /// Ends the attempt whose engine does not run it, and tries another engine.
+  void memoryIdle(const RequestId &Id, Time Now, Actions &Out) override;
 
   void engineRemoved(const UpstreamId &Id, Time, Actions &) override {
     this->LastAnswers.erase(Id);
@@ -115,6 +117,10 @@
   void finishQuarantined(RunningRelay &Relay, Time Now, Actions &Out);
   /// Cancels the live attempt.
   void cancelAttempt(RunningRelay &Relay, Time Now, Actions &Out);
+  /// Cancels the live attempt, which ends as broken for this reason, and sends
+  /// the request elsewhere or ends it.
+  void breakAttempt(RunningRelay &Relay, RelayBroken::Why Reason, Time Now,
+                    Actions &Out);
   void callerGone(const RequestId &Id, Time Now, Actions &Out);
   /// Applies the deadline, the answer timeout and a due dispatch.
   void check(RunningRelay &Relay, Time Now, Actions &Out);
