Repeat the release of memory whose renewal is under way

Cause: an order without an answer may be carried out seconds later. Releases were repeated only where an order was known to be unanswered; a renewal that was still under way when the request ended set the memory aside again, under a name that no request has. Class of fault: an answer that is not awaited is taken for none.

Change: a share remembers that its last order awaits an answer; its release is repeated for late_for, like that of an unanswered order.

Evidence: IsReleasedRepeatedlyWhileARenewalIsUnderWay counted 0 repeated releases in 13 s before; gateway_test: 323 pass, 1 known red as before.

--- a/src/plugins/enginememory/EngineMemoryPlugin.cpp
+++ b/src/plugins/enginememory/EngineMemoryPlugin.cpp
@@ -95,7 +95,7 @@
     // The incarnation number makes the name unique across restarts.
     Helper.Reservation = "b" + std::to_string(this->Self.Life.Value) + "-" +
                          std::to_string(++this->NameCount);
-    Reserved.Shares.push_back({Helper, Stage::Requested, false, Now});
+    Reserved.Shares.push_back({Helper});
   }
   for (Share &Part : Reserved.Shares)
     this->request(Part, Now, Out);
@@ -104,6 +104,7 @@
 void EngineMemoryPlugin::request(Share &Part, Time Now, Actions &Out) {
   Part.NextRequestAt = Now + (Part.Status == Stage::Held ? this->RenewInterval
                                                          : this->AskInterval);
+  Part.AwaitsAnswer = true;
   Out.add(GatewayAction(ReserveMemory{Part.Target.Engine, Part.Target.At,
                                       Part.Target.Reservation,
                                       Part.Target.Tokens, this->Hold, false}));
@@ -138,6 +139,7 @@
         });
     if (Found == Reserved.Shares.end())
       continue;
+    Found->AwaitsAnswer = false;
     switch (Answer.Result) {
     case ReservationResult::Held:
       Found->Status = Stage::Held;
@@ -219,6 +221,7 @@
         continue;
       Part.Status = Stage::Refused;
       Part.Unanswered = false;
+      Part.AwaitsAnswer = false;
       Part.NextRequestAt = Never;
       Affected.push_back(Request);
     }
@@ -236,7 +239,7 @@
     if (!IsCold && (Part.Status != Stage::Refused || Part.Unanswered))
       Out.add(GatewayAction(ReleaseMemory{Part.Target.Engine, Part.Target.At,
                                           Part.Target.Reservation}));
-    if (Part.Unanswered || Part.Status == Stage::Requested)
+    if (Part.mayBeReservedLate())
       this->LateReleases.push_back(
           {Part.Target, Now + this->LateInterval, Now + this->LateFor});
   }
--- a/src/plugins/enginememory/EngineMemoryPlugin.h
+++ b/src/plugins/enginememory/EngineMemoryPlugin.h
@@ -43,9 +43,15 @@
 private:
   enum class Stage { Requested, Waiting, Held, Refused };
   struct Share {
+    /// Whether an order may take effect after a release.
+    bool mayBeReservedLate() const {
+      return this->Unanswered || this->AwaitsAnswer;
+    }
+
     HelperEngine Target;
     Stage Status = Stage::Requested;
-    bool Unanswered = false; ///< An unanswered order may take effect later.
+    bool Unanswered = false;   ///< An unanswered order may take effect later.
+    bool AwaitsAnswer = false; ///< To the last order.
     Time NextRequestAt{};
   };
   struct Reservation {
--- a/tests/auto/gateway/GatewayMemoryTest.cpp
+++ b/tests/auto/gateway/GatewayMemoryTest.cpp
@@ -99,6 +99,17 @@
   EXPECT_GE(this->Bench.all<ReleaseMemory>().size(), Before + 20);
 }
 
+/// Guards against a renewal that is carried out after the release and reserves
+/// the memory again.
+TEST_F(EngineMemory, IsReleasedRepeatedlyWhileARenewalIsUnderWay) {
+  this->answerAll(ReservationResult::Held);
+  this->Bench.advance(milliseconds(800));
+  this->Bench.send(Event(CallerDisconnected{this->Request}));
+  const std::size_t Before = this->Bench.all<ReleaseMemory>().size();
+  this->Bench.advance(seconds(13));
+  EXPECT_GE(this->Bench.all<ReleaseMemory>().size(), Before + 20);
+}
+
 TEST_F(EngineMemory, OfAnEarlierIncarnationIsNeitherRenewedNorReleased) {
   this->answerAll(ReservationResult::Held);
   const HelperEngine Reserving =
