Bound the requests for reports while some engines are dead

What callers saw: where several engines die together, hosts spend their time and the engines' on requests for reports, and confirm the deaths seconds late.

Cause: a refused report makes the service look out of reach, which asks eight engines at once; the first answer ends that, which asks every engine that refused; their refusals make the service look out of reach again. Each answer causes further requests without a pause. Class of fault: feedback without a rate limit.

Change: engines that refused are asked again through DeathCheck, at most once in verify_interval and four times in all, and a suspected partition asks its first engines at most once in probe_interval.

Evidence: AsksDeadEnginesSeldomWhileOthersAnswer, 8 engines of which 3 are dead, counted 16,502 requests in two seconds before; 224 are allowed. gateway_test: 324 pass, 1 known red as before.

--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -189,7 +189,9 @@
       ++Next;
       continue;
     }
-    if (!IsTooOld)
+    // A refused answer may make the service look out of reach again, so the
+    // number of requests is bounded.
+    if (!IsTooOld && this->Check.connectionLost(Engine, Now))
       this->askWhetherAlive(Engine, Now, Out);
     Next = this->Refusals.erase(Next);
   }
--- a/src/plugins/enginereach/EngineReachPlugin.cpp
+++ b/src/plugins/enginereach/EngineReachPlugin.cpp
@@ -144,7 +144,9 @@
   for (auto &[Id, State] : this->Services) {
     const bool Changed = this->updateState(Id, State, Now, Out);
     HasChanged |= Changed;
-    if (Changed && State.WasCutOff)
+    // The state may change with every answer while some engines are dead.
+    const bool MayAsk = Now >= State.ProbedAt + this->ProbeInterval;
+    if (Changed && State.WasCutOff && MayAsk)
       this->askForReports(Id, State, EnginesPerFirstProbe, Now, Out);
     else if (Now >= this->probeDue(State, Now))
       this->askForReports(Id, State, EnginesPerProbe, Now, Out);
--- a/tests/auto/gateway/CrashDetectionTest.cpp
+++ b/tests/auto/gateway/CrashDetectionTest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace banyanpick {
 namespace {
 
@@ -206,5 +208,30 @@
                                          RelayNeverSent::Why::Refused,
                                          RelayNeverSent::Why::Withdrawn));
 
+/// Guards against requests for reports whose answers cause more of them: dead
+/// engines make the service look out of reach, and others end that at once.
+TEST_F(CrashDetection, AsksDeadEnginesSeldomWhileOthersAnswer) {
+  this->Bench.registerEngines("desk", 8);
+  const std::set<UpstreamId> Dead{UpstreamId("e1"), UpstreamId("e2"),
+                                  UpstreamId("e3")};
+  for (int Count = 0; Count < 8; ++Count)
+    this->loseConnection();
+  constexpr int Seconds = 2;
+  std::size_t Answered = 0;
+  for (int Step = 0; Step < Seconds * 500; ++Step) {
+    const auto Asked = this->Bench.all<AskReport>();
+    const std::size_t Until = Asked.size();
+    for (; Answered < Until; ++Answered)
+      if (Dead.contains(Asked[Answered].Engine))
+        this->Bench.send(
+            GatewayEvent(EngineReportFailed{Asked[Answered].Engine, true}));
+      else
+        this->Bench.report(Asked[Answered].Engine);
+    this->Bench.advance(milliseconds(2));
+  }
+  // Each engine at most once in verify_interval and once in probe_interval.
+  EXPECT_LE(this->reportRequests(), 8U * Seconds * (10 + 4));
+}
+
 } // namespace
 } // namespace banyanpick
