Read the parts of prompts and log them

The decisions knew a request only as a whole: nothing read the header that lists the parts of a prompt, and no log told which parts requests share, so crashes of engines could not be put down to a part. The adapter now hands over the fingerprints of the shared parts: 64 at most, without the last one, which is the request's own; entries that can't be read are left out. No decision uses them yet.

CallerHeaders.NameThePartsThatPromptsShare covers spaces, case, empty entries, one part and 1,000 parts.

--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -25,7 +25,10 @@
   std::uint64_t PromptTokens = 0;
   std::uint64_t MaxOutputTokens = 0;
   std::optional<std::uint64_t> LastEvent; ///< The caller resumes after this.
-  Fingerprint Content;      ///< Equal for equal path, caller and body.
+  Fingerprint Content; ///< Equal for equal path, caller and body.
+  /// The parts of its prompt that other requests may share; without the last
+  /// part, which is its own or that of its session.
+  std::vector<Fingerprint> PromptParts;
   bool IsForwarded = false; ///< Another host forwards it.
 
   bool operator==(const RelayHead &) const = default;
@@ -143,6 +146,9 @@
 struct RelayDelivered {
   std::uint32_t Status = 200;
   Duration MaxEventGap{}; ///< Longest time between two reads of the stream.
+  /// The answer ended by its length or its last chunk, so the upstream outlived
+  /// it. An answer that ends with its connection does not show that.
+  bool HasExplicitEnd = false;
 
   bool operator==(const RelayDelivered &) const = default;
 };
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -103,10 +103,12 @@
   std::uint64_t PromptTokens = 0;
   std::uint64_t OutputTokens = 0; ///< Maximum length of the answer.
   Fingerprint Content;
+  std::vector<Fingerprint> PromptParts; ///< See RelayHead.
   Time SentAt{};
   Duration Predicted{};   ///< From sending to the first event; zero: unknown.
   Duration MaxEventGap{}; ///< Between its events; zero: not declared.
   bool Began = false;     ///< The first event was sent to the caller.
+  Time BeganAt = Never;   ///< When that was.
   /// It was forwarded to another host, which Engine names. Observers are not
   /// notified of it.
   bool IsForward = false;
@@ -179,7 +181,7 @@
   virtual bool isDiscouraged(const UpstreamId &Engine, Time Now) const = 0;
 };
 
-/// The contents that crash upstreams.
+/// The contents that crash upstreams: whole requests and parts of prompts.
 class CrashView {
 public:
   virtual ~CrashView() = default;
--- a/src/plugins/relays/RelayDispatch.cpp
+++ b/src/plugins/relays/RelayDispatch.cpp
@@ -46,6 +46,7 @@
   Result.Engine = std::move(Target);
   Result.Service = Relay.Service;
   Result.Content = Relay.Head.Content;
+  Result.PromptParts = Relay.Head.PromptParts;
   Result.SentAt = Now;
   return Result;
 }
--- a/src/plugins/relays/RelayLog.cpp
+++ b/src/plugins/relays/RelayLog.cpp
@@ -3,6 +3,8 @@
 #include "base/EventNumbers.h"
 #include "base/Visitor.h"
 
+#include <algorithm>
+
 namespace banyanpick {
 
 namespace {
@@ -28,6 +30,16 @@
       [](const auto &) { return std::uint32_t(0); });
 }
 
+/// Returns the fingerprints, separated by commas. Only the first ones, so that
+/// the line stays short.
+std::string partsText(std::span<const Fingerprint> Parts) {
+  constexpr std::size_t MaxParts = 8;
+  std::string Result;
+  for (const Fingerprint &Part : Parts.first(std::min(Parts.size(), MaxParts)))
+    Result += (Result.empty() ? "" : ",") + std::to_string(Part.Value);
+  return Result;
+}
+
 } // namespace
 
 void logReceived(const RunningRelay &Relay, std::string_view RouteName,
@@ -36,6 +48,7 @@
               .with("request", Relay.Head.Id.Value)
               .with("caller_attempt", Relay.Head.CallerAttempt)
               .with("content", Relay.Head.Content.Value)
+              .with("parts", partsText(Relay.Head.PromptParts))
               .with("route", RouteName)
               .with("service", Relay.Service.Value)
               .with("team", Relay.Team.Value)
--- a/tests/auto/platformadapter/HeadersTest.cpp
+++ b/tests/auto/platformadapter/HeadersTest.cpp
@@ -45,6 +45,26 @@
   EXPECT_EQ(Head.MaxOutputTokens, 80U);
 }
 
+TEST(CallerHeaders, NameThePartsThatPromptsShare) {
+  const PlatformCallers Callers;
+  const auto PartsOf = [&](const char *Text) {
+    HttpExchange::Request Prompt = callerRequest();
+    Prompt.set("X-Prompt-Prefix", Text);
+    return Callers.readHead(Prompt).PromptParts;
+  };
+  const auto Parts = PartsOf("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+  ASSERT_EQ(Parts.size(), 2U) << "the last part is not shared";
+  EXPECT_NE(Parts[0], Parts[1]);
+  EXPECT_EQ(PartsOf("91BD3F06:7,ab:1"), std::vector{Parts[1]});
+  EXPECT_TRUE(PartsOf("e4402b7d:250").empty());
+  EXPECT_TRUE(PartsOf(",:5,,x").empty());
+  EXPECT_TRUE(Callers.readHead(callerRequest()).PromptParts.empty());
+  std::string Many;
+  for (int Number = 0; Number < 1000; ++Number)
+    Many += std::to_string(Number) + ":1,";
+  EXPECT_LE(PartsOf(Many.c_str()).size(), 64U) << "bounded";
+}
+
 TEST(CallerHeaders, RejectMalformedNumbers) {
   HttpExchange::Request Bad = callerRequest();
   Bad.set("X-Remaining-Milliseconds", "soon");
