Reproduce a prompt part that crashes engines again and again

Hosts in virtual time get prompts that share two of 20 parts each, and among them some that also share a part at which engines crash.

--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -270,6 +270,7 @@
   this->Callers[{Host, Id}].RequestedAt = this->Queue.now();
   this->RequestTimes.push_back(this->Queue.now());
   this->Current.FirstTries[Host] += Origin.HasRetried ? 0 : 1;
+  this->Current.SharingTries += Origin.isHarmlessFirstTry() ? 1 : 0;
   const Duration Patience =
       Origin.IsLong ? Duration(CallerTimeLimit) : CallerTimeout;
   this->Queue.after(Patience, [this, Host, Id] {
@@ -296,8 +297,10 @@
   Head.Remaining =
       CallerTimeLimit - (this->Queue.now() - Origin.FirstRequestAt);
   Head.PromptTokens = Origin.IsLong ? LongPrompt : ShortPrompt;
-  Head.Content =
-      Origin.CrashesEngines ? CrashingContent : Fingerprint(Id.Value);
+  const bool IsSameContent =
+      Origin.CrashesEngines && Origin.PromptParts.empty();
+  Head.Content = IsSameContent ? CrashingContent : Fingerprint(Id.Value);
+  Head.PromptParts = Origin.PromptParts;
   return Head;
 }
 
@@ -354,6 +357,10 @@
   this->RunningByEngine[Engine].push_back(Running);
   const Duration FirstEvent = this->firstEventAfter(Engine);
   if (Found->second.CrashesEngines) {
+    // Engines crash soon after the begin of the answer.
+    if (!Found->second.PromptParts.empty())
+      this->send(Running.Host, Running.Life,
+                 GatewayEvent(RelayBegan{Running.Attempt}));
     this->crashLater(Engine, Running);
     return;
   }
@@ -384,8 +391,10 @@
                   return Other.Attempt == Running.Attempt;
                 });
   this->Connections.keep(Running.Host, Engine, this->Queue.now());
+  RelayDelivered Whole;
+  Whole.HasExplicitEnd = true;
   this->send(Running.Host, Running.Life,
-             GatewayEvent(RelayEnded{Running.Attempt, RelayDelivered{}}));
+             GatewayEvent(RelayEnded{Running.Attempt, Whole}));
   if (!this->endForward(Running.Host, Running.Request, RelayDelivered{}))
     this->Callers.erase({Running.Host, Running.Request});
   --this->BusySlots[Engine];
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -184,6 +184,15 @@
   /// The same with a content that crashes each engine that begins to run it.
   /// The engine returns after some time under a new id.
   void sendCrashing(std::size_t Host);
+  /// Sends a request with a short prompt that shares these parts with others.
+  /// With \p Crashes, each engine that begins to answer it crashes; the rest of
+  /// its content is its own.
+  void sendPrompt(std::size_t Host, std::vector<Fingerprint> Parts,
+                  bool Crashes);
+  /// Ends the engine's process. It returns after some time under a new id.
+  void crashEngine(std::size_t Engine) {
+    this->crash(this->Engines[Engine].Id);
+  }
   /// Returns when engines crashed.
   const std::vector<Time> &crashes() const { return this->Crashes; }
   /// Returns when requests with the crashing content reached engines.
@@ -221,8 +230,11 @@
                                              ///< host.
     std::map<std::size_t, std::size_t> FirstTries;  ///< By host.
     std::map<std::size_t, std::size_t> FirstServed; ///< Of these, answered.
-    std::size_t InTime = 0; ///< Answers that began within the objective.
-    std::size_t Late = 0;   ///< Answers that began after the objective.
+    /// First tries of harmless requests that share parts with others.
+    std::size_t SharingTries = 0;
+    std::size_t SharingServed = 0; ///< Of these, answered.
+    std::size_t InTime = 0;        ///< Answers that began within the objective.
+    std::size_t Late = 0;          ///< Answers that began after the objective.
     std::size_t RetryLaterAnswers = 0; ///< Callers that were asked to retry.
     std::vector<Answered> Answers;
     std::map<UpstreamId, std::size_t> ReportRequests; ///< To each engine.
@@ -266,6 +278,7 @@
     Duration RunsFor{};
     bool IsLong = false;
     bool CrashesEngines = false;
+    std::vector<Fingerprint> PromptParts;
     bool IsUnknownRoute = false;
     /// The attempt of another host that forwarded the request here.
     struct Forwarder {
@@ -276,6 +289,11 @@
     };
     std::optional<Forwarder> ForwardedBy;
     Time RequestedAt{}; ///< The latest request.
+
+    bool isHarmlessFirstTry() const {
+      return !this->HasRetried && !this->CrashesEngines && !this->ForwardedBy &&
+             !this->PromptParts.empty();
+    }
   };
   using CallerKey = std::pair<std::size_t, RequestId>;
   /// One attempt on an engine.
--- a/tests/auto/manyhosts/SimulatedCrashes.cpp
+++ b/tests/auto/manyhosts/SimulatedCrashes.cpp
@@ -11,6 +11,8 @@
 
 /// Time from the start of a run to the crash.
 constexpr milliseconds CrashDelay(50);
+/// Time for which the answer to a short prompt runs.
+constexpr milliseconds AnswerTime(800);
 /// Time from a crash to the start of the engine's next process.
 constexpr milliseconds DownTime(1500);
 /// Time from a crash just after a renewal to the end of the registration.
@@ -33,6 +35,14 @@
   this->submit(Host, Origin);
 }
 
+void HostSimulation::sendPrompt(std::size_t Host,
+                                std::vector<Fingerprint> Parts, bool Crashes) {
+  Caller Origin{this->Queue.now(), false, false, AnswerTime};
+  Origin.PromptParts = std::move(Parts);
+  Origin.CrashesEngines = Crashes;
+  this->submit(Host, Origin);
+}
+
 bool HostSimulation::runsOn(const UpstreamId &Engine,
                             const RunningRequest &Request) const {
   const auto Found = this->RunningByEngine.find(Engine);
--- a/tests/auto/manyhosts/SimulatedPartition.cpp
+++ b/tests/auto/manyhosts/SimulatedPartition.cpp
@@ -58,6 +58,7 @@
 void HostSimulation::noteServed(std::size_t Host, const Caller &Origin) {
   if (!Origin.ForwardedBy) {
     this->Current.FirstServed[Host] += Origin.HasRetried ? 0 : 1;
+    this->Current.SharingServed += Origin.isHarmlessFirstTry() ? 1 : 0;
     return;
   }
   const Caller::Forwarder &By = *Origin.ForwardedBy;
