Quarantine the parts of prompts that crash engines

Cause: crashes were counted by the fingerprint of the whole request, and no two of these requests are alike. Class of fault: evidence that is kept under a key that is too narrow for the cause.

Change: each shared part of a prompt is a content of its own in CrashTracker; only attempts that had not begun, or began less than a second before, suspect their parts. Harmless parts run beside the cause again and again, so a completed answer refutes crashes until three seconds after it began, and ends a wrong quarantine; hosts tell peers of such answers where one more crash could quarantine the content (at most one a second for each content). A peer's report of a crash also confirms what this host lost at that engine. Requests with a quarantined part are refused wherever contents are: at arrival, before every attempt, while they wait, and at once when the verdict falls. An answer that ends with its connection proves nothing; its engine is asked.

--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -212,6 +212,8 @@
     835, LogLevel::Warning, "engines of a service are out of reach"};
 inline constexpr EventKind EnginesInReach{836, LogLevel::Info,
                                           "engines of a service are in reach"};
+inline constexpr EventKind QuarantineRefuted{
+    837, LogLevel::Warning, "quarantined content turned out to be harmless"};
 inline constexpr EventKind MemoryReserved{840, LogLevel::Info,
                                           "engine memory reserved"};
 inline constexpr EventKind MemoryReleased{841, LogLevel::Info,
--- a/src/libs/gateway/RelayedRequest.h
+++ b/src/libs/gateway/RelayedRequest.h
@@ -146,9 +146,12 @@
 struct RelayDelivered {
   std::uint32_t Status = 200;
   Duration MaxEventGap{}; ///< Longest time between two reads of the stream.
-  /// The answer ended by its length or its last chunk, so the upstream outlived
-  /// it. An answer that ends with its connection does not show that.
-  bool HasExplicitEnd = false;
+  /// How the end of the answer was recognized.
+  enum class Ending {
+    Unseen,     ///< The caller did not wait for it.
+    Explicit,   ///< By its length or last chunk: the upstream outlived it.
+    Connection, ///< By the end of the connection, which may be a crash.
+  } End = Ending::Unseen;
 
   bool operator==(const RelayDelivered &) const = default;
 };
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -156,7 +156,7 @@
 /// Announces a fingerprint that crashed upstreams before the log record
 /// arrives.
 struct QuarantineNotice {
-  Fingerprint Content;
+  Fingerprint Content; ///< A whole request or a part of prompts.
   std::uint32_t Crashes = 0;
   Time Until{};
   UpstreamId Upstream; ///< Where an isolated suspect runs now; may be empty.
@@ -396,13 +396,21 @@
   bool operator==(const EngineSignals &) const = default;
 };
 
+/// Reports that an answer to a content that others suspect was completed.
+struct HarmlessContent {
+  Fingerprint Content;
+  Duration BeganAgo{}; ///< Since the answer began.
+
+  bool operator==(const HarmlessContent &) const = default;
+};
+
 using PeerMessageBody =
     std::variant<Heartbeat, WorkSent, TeamUsage, LimitShare, RecordsRelayed,
                  RecordsRequest, CatalogueRelayed, QuarantineNotice,
                  UpstreamNotice, LoadRelayed, StreamHandover, HandoverTaken,
                  RecordsToAppend, ConfigurationRequest, ConfigurationRelayed,
                  EnginesRequest, EnginesRelayed, EngineWork, EngineLimits,
-                 EngineSignals>;
+                 EngineSignals, HarmlessContent>;
 
 /// A message with its sender.
 struct PeerMessage {
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -22,6 +22,12 @@
   return beast::iequals(Type.substr(0, 17), "text/event-stream");
 }
 
+template <class Parser>
+RelayDelivered::Ending endingOf(const Parser &AnswerParser) {
+  return AnswerParser.need_eof() ? RelayDelivered::Ending::Connection
+                                 : RelayDelivered::Ending::Explicit;
+}
+
 } // namespace
 
 EngineRun::EngineRun(const net::any_io_executor &ExecutorGiven,
@@ -210,8 +216,9 @@
     this->Caller->keepFailure(this->Order.Attempt, std::move(Relayed));
     co_return RelayFailed{Status};
   }
+  const RelayDelivered::Ending End = endingOf(AnswerParser);
   co_await this->Caller->deliver(std::move(Relayed));
-  co_return RelayDelivered{Status, Duration(0)};
+  co_return RelayDelivered{Status, Duration(0), End};
 }
 
 Task<RelayOutcome> EngineRun::relayEvents(Parser &AnswerParser,
@@ -245,13 +252,15 @@
     if (this->ReadFailure)
       co_return this->brokenBy(this->ReadFailure);
   }
+  const RelayDelivered::Ending End = endingOf(AnswerParser);
   if (this->Splitter.pendingBytes() > 0)
     co_return this->broken(RelayBroken::Why::Corrupt);
   this->keepLink(AnswerParser);
   if (!this->Caller->hasBegun() && !co_await this->Caller->begin(Head))
     co_return this->broken(RelayBroken::Why::Reset);
   co_await this->Caller->end();
-  co_return RelayDelivered{AnswerParser.get().result_int(), this->MaxEventGap};
+  co_return RelayDelivered{AnswerParser.get().result_int(), this->MaxEventGap,
+                           End};
 }
 
 void EngineRun::recordEventGap() {
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -12,6 +12,9 @@
 namespace wire {
 namespace {
 
+/// Longest time that is read, in microseconds; one day.
+constexpr std::uint64_t OldestUs = 86'400'000'000;
+
 /// Largest port number; ports have 16 bits.
 constexpr std::uint32_t HighestPort = 65535;
 
@@ -144,6 +147,13 @@
   Out.set_upstream_life(Body.UpstreamLife.Value);
 }
 
+void write(const banyanpick::HarmlessContent &Body, Envelope &Envelope) {
+  HarmlessContent &Out = *Envelope.mutable_harmless_content();
+  Out.set_content(Body.Content.Value);
+  Out.set_began_us_ago(
+      static_cast<std::uint64_t>(std::max(Body.BeganAgo, Duration(0)).count()));
+}
+
 void write(const banyanpick::UpstreamNotice &Body, Envelope &Envelope) {
   UpstreamNotice &Out = *Envelope.mutable_upstream_notice();
   Out.set_upstream(Body.Upstream.Value);
@@ -423,7 +433,6 @@
   Result.EnginesDigest = In.engines_digest();
   // Larger values are clamped to one day so that time arithmetic can't
   // overflow. Receivers treat all values above one day alike.
-  constexpr std::uint64_t OldestUs = 86'400'000'000;
   if (In.has_store_age_us())
     Result.StoreAge = Duration(std::min(In.store_age_us(), OldestUs));
   Result.Late = Duration(std::min(In.late_us(), OldestUs));
@@ -550,6 +559,10 @@
     return read(In.engine_limits());
   case Envelope::kEngineSignals:
     return read(In.engine_signals());
+  case Envelope::kHarmlessContent:
+    return banyanpick::HarmlessContent{
+        Fingerprint(In.harmless_content().content()),
+        Duration(std::min(In.harmless_content().began_us_ago(), OldestUs))};
   case Envelope::BODY_NOT_SET:
     break;
   }
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -11,6 +11,18 @@
 
 namespace {
 
+/// An engine that crashes at a content does so soon after it began to answer.
+/// An attempt that has been answered for longer is not the cause.
+constexpr seconds MaxCrashDelay(1);
+
+/// Returns the contents of the attempt: the whole request and the parts of its
+/// prompt.
+std::vector<Fingerprint> contentsOf(const RelayAttempt &Attempt) {
+  std::vector<Fingerprint> Result = Attempt.PromptParts;
+  Result.push_back(Attempt.Content);
+  return Result;
+}
+
 QuarantineNotice makeNotice(const Crash &Observed, Time Until) {
   QuarantineNotice Result;
   Result.Content = Observed.Content;
@@ -35,8 +47,9 @@
   this->SuspicionLifetime = Values.span(SectionName, "suspect_for");
   this->RetentionTime = Values.span(SectionName, "keep_for");
   this->Check = DeathCheck(Values.span(SectionName, "verify_interval"));
-  this->Tracker = CrashTracker(Values.whole(SectionName, "most"),
-                               this->SuspicionLifetime, this->RetentionTime);
+  this->Tracker = CrashTracker({Values.whole(SectionName, "most"),
+                                this->SuspicionLifetime, this->RetentionTime,
+                                Values.span(SectionName, "harmless_for")});
   Context.services().provide<CrashView>(*this);
   Context.services().list<RelayObserver>().add(*this);
   Context.services().list<EngineObserver>().add(*this);
@@ -47,15 +60,17 @@
   match(
       Incoming,
       [&](const PeerMessageReceived &Received) {
-        const auto *Notice =
-            std::get_if<QuarantineNotice>(&Received.Message.Body);
-        if (!Notice)
-          return;
-        const Crash Observed{Notice->Content, Notice->Upstream};
-        if (!this->Tracker.add(Observed, Now))
-          return;
-        this->log(Observed, Received.Message.From.Value, Duration(0), Out);
-        this->noteQuarantine(Observed.Content, Now, Out);
+        match(
+            Received.Message.Body,
+            [&](const QuarantineNotice &Notice) {
+              this->takeNotice(Notice, Received.Message.From, Now, Out);
+            },
+            [&](const HarmlessContent &Cleared) {
+              if (this->Tracker.takeHarmless(Cleared.Content,
+                                             Now - Cleared.BeganAgo, Now))
+                this->endQuarantine(Cleared.Content, Out);
+            },
+            [](const auto &) {});
       },
       [&](const GatewayEvent &Change) {
         this->takeReport(Change, Now, Out);
@@ -68,6 +83,19 @@
     this->askWhetherAlive(Engine, Now, Out);
 }
 
+void CrashesPlugin::takeNotice(const QuarantineNotice &Notice,
+                               const HostId &From, Time Now, Actions &Out) {
+  const Crash Observed{Notice.Content, Notice.Upstream};
+  if (!this->Tracker.add(Observed, Now))
+    return;
+  this->log(Observed, From.Value, Duration(0), Out);
+  this->tellHarmless(Observed.Content, Now, Out);
+  this->noteQuarantine(Observed.Content, Now, Out);
+  // The peer knows that the engine has died. What this host lost there is
+  // confirmed too, although its own requests for a report may be unanswered.
+  this->confirm(Notice.Upstream, Now, Out);
+}
+
 void CrashesPlugin::takeReport(const GatewayEvent &Answer, Time Now,
                                Actions &Out) {
   if (const auto *Reported = std::get_if<EngineReported>(&Answer))
@@ -91,11 +119,16 @@
   match(
       Outcome,
       [&](const RelayBroken &Broken) {
-        if (Broken.Reason != RelayBroken::Why::Reset)
-          return;
-        this->Tracker.addSuspicion({Attempt.Content, Attempt.Engine}, Now);
-        if (this->Check.connectionLost(Attempt.Engine, Now))
-          this->askWhetherAlive(Attempt.Engine, Now, Out);
+        if (Broken.Reason == RelayBroken::Why::Reset)
+          this->suspect(Attempt, Now, Out);
+      },
+      // The end of the connection may be the end of the answer or of the
+      // engine.
+      [&](const RelayDelivered &Delivered) {
+        if (Delivered.End == RelayDelivered::Ending::Explicit)
+          this->clear(Attempt, Now, Out);
+        else if (Delivered.End == RelayDelivered::Ending::Connection)
+          this->suspect(Attempt, Now, Out);
       },
       // A process that does not accept connections has died, with the requests
       // that recently ran there, unless this host's own links fail. No other
@@ -113,6 +146,43 @@
       [](const auto &) {});
 }
 
+void CrashesPlugin::suspect(const RelayAttempt &Attempt, Time Now,
+                            Actions &Out) {
+  this->Tracker.addSuspicion({Attempt.Content, Attempt.Engine}, Now);
+  const bool IsCause =
+      !Attempt.Began || Now < Attempt.BeganAt + Duration(MaxCrashDelay);
+  if (IsCause)
+    for (const Fingerprint &Part : Attempt.PromptParts)
+      this->Tracker.addSuspicion({Part, Attempt.Engine}, Now);
+  if (this->Check.connectionLost(Attempt.Engine, Now))
+    this->askWhetherAlive(Attempt.Engine, Now, Out);
+}
+
+void CrashesPlugin::clear(const RelayAttempt &Attempt, Time Now, Actions &Out) {
+  const Time BeganAt = Attempt.Began ? Attempt.BeganAt : Now;
+  for (const Fingerprint &Content : contentsOf(Attempt)) {
+    if (this->Tracker.noteHarmless(Content, BeganAt, Now))
+      this->endQuarantine(Content, Out);
+    this->tellHarmless(Content, Now, Out);
+  }
+}
+
+void CrashesPlugin::endQuarantine(Fingerprint Content, Actions &Out) const {
+  Out.count("quarantines_refuted");
+  Out.log(logEvent(events::QuarantineRefuted)
+              .with("content", Content.Value)
+              .build());
+  Out.add(GatewayAction(StoreQuarantine{Content, false}));
+}
+
+void CrashesPlugin::tellHarmless(Fingerprint Content, Time Now, Actions &Out) {
+  const std::optional<Time> BeganAt = this->Tracker.takeHarmlessToTell(Content);
+  if (!BeganAt)
+    return;
+  for (const HostId &Peer : this->Members->livePeers())
+    Out.add(SendToPeer{Peer, HarmlessContent{Content, Now - *BeganAt}});
+}
+
 void CrashesPlugin::askWhetherAlive(const UpstreamId &Engine, Time Now,
                                     Actions &Out) const {
   requestReport(Engine, *this->Directory, *this->Gate, *this->Quota, Now, Out);
@@ -167,6 +237,7 @@
     this->Reach->engineDied(Engine);
   for (const auto &[Observed, SuspectedFor] : Crashes) {
     this->log(Observed, "here", SuspectedFor, Out);
+    this->tellHarmless(Observed.Content, Now, Out);
     this->noteQuarantine(Observed.Content, Now, Out);
     for (const HostId &Peer : this->Members->livePeers())
       Out.add(
@@ -235,7 +306,9 @@
   const std::string SectionName = "crashes";
   return {
       {SectionName, "most", SettingKind::Whole, "3",
-       "A content that crashed so many upstreams is not run any more.", 2, 100},
+       "A content, a whole request or a part of prompts, that crashed so many "
+       "upstreams is not run any more.",
+       2, 100},
       {SectionName, "suspect_for", SettingKind::Span, "6s",
        "A connection lost is taken for a crash if the upstream's death shows "
        "within so long: three missed renewals of its registration and a "
@@ -245,6 +318,10 @@
        "An engine that loses connections is asked for a report no more often; "
        "one that refuses the connection has crashed.",
        1e3, 60e6},
+      {SectionName, "harmless_for", SettingKind::Span, "3s",
+       "For so long after the begin of an answer that was completed, its "
+       "contents are not taken for the cause of a crash.",
+       0, 60e6},
       {SectionName, "keep_for", SettingKind::Span, "10min",
        "How long a content is remembered after its last crash.", 1e6, 86400e6},
   };
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -13,6 +13,10 @@
 /// crashes to each host that starts. Notifies QuarantineObserver. Quarantines
 /// are stored, so that they hold on after a restart of all hosts.
 ///
+/// The contents of a request are the request as a whole and each part of its
+/// prompt that other requests may share. Where a crash could quarantine a
+/// content, the hosts whose requests with it were answered tell their peers.
+///
 /// An engine that lost a connection is asked for a report at once: the end of
 /// its registration, which also confirms its death, follows only seconds later,
 /// and its content would crash further engines meanwhile. A refused connection
@@ -36,7 +40,18 @@
   static std::vector<SettingDeclaration> settings();
 
 private:
+  /// Suspects the contents of an attempt whose connection was lost.
+  void suspect(const RelayAttempt &Attempt, Time Now, Actions &Out);
   void confirm(const UpstreamId &Engine, Time Now, Actions &Out);
+  /// Takes a peer's report of a crash.
+  void takeNotice(const QuarantineNotice &Notice, const HostId &From, Time Now,
+                  Actions &Out);
+  /// The contents of an attempt that was answered completely are harmless.
+  void clear(const RelayAttempt &Attempt, Time Now, Actions &Out);
+  /// Releases a content that turned out to be harmless.
+  void endQuarantine(Fingerprint Content, Actions &Out) const;
+  /// Tells peers of harmless answers to a content if they need to know.
+  void tellHarmless(Fingerprint Content, Time Now, Actions &Out);
   /// The engine refused a connection: it has died, or this host's links fail.
   void refused(const UpstreamId &Engine, Time Now, Actions &Out);
   /// Asks engines that refused connections again once links work.
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -8,6 +8,7 @@
 #include "plugins/relays/RelayLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace banyanpick {
 
@@ -186,7 +187,7 @@
 }
 
 void RelaysPlugin::send(RunningRelay &Relay, Time Now, Actions &Out) {
-  if (this->Crashes->isQuarantined(Relay.Head.Content, Now)) {
+  if (this->isQuarantined(Relay.Head, Now)) {
     this->finishQuarantined(Relay, Now, Out);
     return;
   }
@@ -367,6 +368,7 @@
   Relay->Began = true;
   this->LastAnswers[Relay->LiveAttempt->Engine] = Now;
   Relay->LiveAttempt->Began = true;
+  Relay->LiveAttempt->BeganAt = Now;
   Relay->AnswerTimeoutAt = Never;
   this->notifyObservers(*Relay->LiveAttempt, [&](RelayObserver &Observer) {
     Observer.attemptBegan(*Relay->LiveAttempt, Now, Out);
@@ -428,23 +430,30 @@
   this->applyVerdict(Relay, Ended, Lost, Now, Out);
 }
 
-void RelaysPlugin::contentQuarantined(Fingerprint Content, Time, Actions &) {
+void RelaysPlugin::contentQuarantined(Fingerprint, Time, Actions &) {
   // Requests are not ended here, because this may be called while one of their
   // attempts ends.
-  this->NewlyQuarantined.insert(Content);
+  this->HasNewQuarantine = true;
+}
+
+bool RelaysPlugin::isQuarantined(const RelayHead &Head, Time Now) const {
+  const auto IsQuarantined = [&](Fingerprint Content) {
+    return this->Crashes->isQuarantined(Content, Now);
+  };
+  return IsQuarantined(Head.Content) ||
+         std::ranges::any_of(Head.PromptParts, IsQuarantined);
 }
 
 void RelaysPlugin::finishNewlyQuarantined(Time Now, Actions &Out) {
-  if (this->NewlyQuarantined.empty())
+  if (!std::exchange(this->HasNewQuarantine, false))
     return;
   for (const RequestId &Id : this->Running.ids()) {
     RunningRelay *Relay = this->Running.find(Id);
     // An answer that arrives shows that the engine survived the start.
-    if (Relay && this->NewlyQuarantined.contains(Relay->Head.Content) &&
-        !Relay->isAnswerArriving())
+    if (Relay && !Relay->isAnswerArriving() &&
+        this->isQuarantined(Relay->Head, Now))
       this->finishQuarantined(*Relay, Now, Out);
   }
-  this->NewlyQuarantined.clear();
 }
 
 void RelaysPlugin::finishQuarantined(RunningRelay &Relay, Time Now,
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -10,8 +10,6 @@
 #include "plugins/relays/RetryAllowance.h"
 #include "plugins/relays/RunningRelay.h"
 
-#include <set>
-
 namespace banyanpick {
 
 /// The settings of section [relays].
@@ -110,6 +108,8 @@
   /// final only if no newer configuration may allow it.
   void refuseByConfiguration(const RelayHead &Head, RefusalKind Kind,
                              std::string_view Reason, Time Now, Actions &Out);
+  /// Whether the request, or a part of its prompt, crashes engines.
+  bool isQuarantined(const RelayHead &Head, Time Now) const;
   /// Ends the requests with newly quarantined contents, except those whose
   /// answers arrive.
   void finishNewlyQuarantined(Time Now, Actions &Out);
@@ -157,8 +157,8 @@
   /// Time of each engine's last answer.
   std::map<UpstreamId, Time> LastAnswers;
   RunningRelays Running;
-  /// Contents that were quarantined during the present event.
-  std::set<Fingerprint> NewlyQuarantined;
+  /// A content was quarantined during the present event.
+  bool HasNewQuarantine = false;
   std::uint64_t AttemptCount = 0;
   Time StoppingSince = Never;
   Time NextCheck = Never;
--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -392,7 +392,7 @@
                 });
   this->Connections.keep(Running.Host, Engine, this->Queue.now());
   RelayDelivered Whole;
-  Whole.HasExplicitEnd = true;
+  Whole.End = RelayDelivered::Ending::Explicit;
   this->send(Running.Host, Running.Life,
              GatewayEvent(RelayEnded{Running.Attempt, Whole}));
   if (!this->endForward(Running.Host, Running.Request, RelayDelivered{}))
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -195,7 +195,7 @@
 }
 
 PeerMessageBody anyPeerBody() {
-  switch (*rc::gen::inRange(0, 15)) {
+  switch (*rc::gen::inRange(0, 16)) {
   case 0:
     return anyHeartbeat();
   case 1:
@@ -243,6 +243,10 @@
     return anyEngineLimits();
   case 13:
     return anyEngineSignals();
+  case 14:
+    return HarmlessContent{
+        Fingerprint(anyUint64()),
+        Duration(*rc::gen::inRange<std::int64_t>(0, 86'400'000'000))};
   default:
     return RecordsToAppend{anyVector([] { return anyLogRecord(); })};
   }
