Take a stream that ends within an event for a lost connection

Cause: a stream without a length or chunks ends with its connection. Where its engine died within an event, the attempt counted as corrupt, which is no sign of a crash; where it died before the first event, as delivered, and its caller got an empty answer that looked complete. Class of fault: the end of a connection is taken for the end of an answer.

Change: both count as a reset connection. A stream that ends after an event is still complete, but does not show that its engine lives.

Evidence: EndOfStream.WithinAnEventIsALostConnection and BeforeTheFirstEventIsALostConnection failed before; SlowPeers, in whose harness they run, pass as before.

--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -253,6 +253,11 @@
       co_return this->brokenBy(this->ReadFailure);
   }
   const RelayDelivered::Ending End = endingOf(AnswerParser);
+  const bool IsEmpty = !this->HasBegun;
+  // A connection that ends within an event, or before the first one, was lost.
+  if (End == RelayDelivered::Ending::Connection &&
+      (this->Splitter.pendingBytes() > 0 || IsEmpty))
+    co_return this->broken(RelayBroken::Why::Reset);
   if (this->Splitter.pendingBytes() > 0)
     co_return this->broken(RelayBroken::Why::Corrupt);
   this->keepLink(AnswerParser);
--- a/tests/auto/gateway/SlowPeersTest.cpp
+++ b/tests/auto/gateway/SlowPeersTest.cpp
@@ -3,7 +3,9 @@
 /// host with bytes that they do not take.
 #include "relay/EngineRun.h"
 
+#include <array>
 #include <gtest/gtest.h>
+#include <limits>
 #include <optional>
 
 namespace banyanpick {
@@ -89,11 +91,14 @@
   }
 };
 
-/// An engine that writes an endless stream of events as fast as it is read, and
-/// a host that relays it.
+/// An engine that writes a stream of events, without a length, as fast as it is
+/// read, and a host that relays it. The stream is endless by default; otherwise
+/// the engine closes the connection after \p MaxEvents.
 class EndlessStream {
 public:
-  explicit EndlessStream(std::size_t MaxChunks, std::string Event)
+  explicit EndlessStream(
+      std::size_t MaxChunks, std::string Event,
+      std::size_t MaxEvents = std::numeric_limits<std::size_t>::max())
       : Listener(this->Io, {net::ip::address_v4::loopback(), 0}),
         Pool(this->Io.get_executor(), seconds(3), 4),
         Peer(std::make_shared<SlowConnection>(this->Io.get_executor(),
@@ -101,7 +106,7 @@
         Exchange(this->Peer, HttpExchange::Request(http::verb::post, "/x", 11),
                  HttpTarget(), this->Values),
         Caller(std::make_shared<CallerSide>(this->Exchange, RequestId(1))),
-        Event(std::move(Event)) {
+        Event(std::move(Event)), MaxEvents(MaxEvents) {
     this->Limits.ConnectTimeout = seconds(1);
     this->Limits.WholeAnswerBytes = 1024;
     this->Limits.EventBytes = EventBytes;
@@ -148,8 +153,12 @@
     const std::string Head = "HTTP/1.1 200 OK\r\n"
                              "Content-Type: text/event-stream\r\n\r\n";
     ErrorCode Failure;
+    // Bytes that were not read would turn the end of the connection into a
+    // reset.
+    std::array<char, ReadBytes> Request{};
+    co_await Socket.async_read_some(net::buffer(Request), into(Failure));
     co_await net::async_write(Socket, net::buffer(Head), into(Failure));
-    while (!Failure) {
+    for (std::size_t Count = 0; !Failure && Count < this->MaxEvents; ++Count) {
       co_await net::async_write(Socket, net::buffer(this->Event),
                                 into(Failure));
       this->Written += this->Event.size();
@@ -157,6 +166,7 @@
   }
 
   std::string Event;
+  std::size_t MaxEvents;
 };
 
 TEST(SlowPeers, AHostReadsNoFurtherThanItsCallerTakes) {
@@ -182,5 +192,36 @@
   EXPECT_EQ(Stream.Peer->Chunks, 0U);
 }
 
+/// Guards against streams that are called complete although their engine died.
+/// Without a length, only the end of the connection ends them.
+TEST(EndOfStream, WithinAnEventIsALostConnection) {
+  EndlessStream Stream(3, "id: 1\ndata: x\n\nid: 2\nda", 1);
+  Stream.runFor(milliseconds(300));
+  ASSERT_TRUE(Stream.Outcome.has_value());
+  const auto *Broken = std::get_if<RelayBroken>(&*Stream.Outcome);
+  ASSERT_NE(Broken, nullptr);
+  EXPECT_EQ(Broken->Reason, RelayBroken::Why::Reset);
+  EXPECT_TRUE(Broken->Began);
+}
+
+TEST(EndOfStream, BeforeTheFirstEventIsALostConnection) {
+  EndlessStream Stream(3, "", 0);
+  Stream.runFor(milliseconds(300));
+  ASSERT_TRUE(Stream.Outcome.has_value());
+  const auto *Broken = std::get_if<RelayBroken>(&*Stream.Outcome);
+  ASSERT_NE(Broken, nullptr);
+  EXPECT_EQ(Broken->Reason, RelayBroken::Why::Reset);
+  EXPECT_FALSE(Broken->Began);
+}
+
+TEST(EndOfStream, AfterAnEventIsCompleteButNoSignOfLife) {
+  EndlessStream Stream(3, "id: 1\ndata: x\n\n", 1);
+  Stream.runFor(milliseconds(300));
+  ASSERT_TRUE(Stream.Outcome.has_value());
+  const auto *Delivered = std::get_if<RelayDelivered>(&*Stream.Outcome);
+  ASSERT_NE(Delivered, nullptr);
+  EXPECT_EQ(Delivered->End, RelayDelivered::Ending::Connection);
+}
+
 } // namespace
 } // namespace banyanpick
