Take fractions for every setting that a bound of the platform fills

Cause: the platform's bounds come as whole numbers or fractions, and the constant of the retry budget took whole numbers only. The small twin of the whole fleet has a fraction there, so no process of it started.

Change: retry_budget.constant is a fraction.

--- a/src/plugins/relays/RelaysSettings.cpp
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -78,7 +78,7 @@
       {Budget, "ratio", SettingKind::Fraction, "0.2",
        "Requests that a service gets more than once, against all its requests.",
        0, 10},
-      {Budget, "constant", Whole, "100",
+      {Budget, "constant", SettingKind::Fraction, "100",
        "So many more are allowed in a window, over all hosts.", 0, 1e6},
       {Budget, "window", Span, "10s", "The window of the budget.", 100e3,
        3600e6},
@@ -123,8 +123,7 @@
 RetryBudgetLimits retryBudgetLimits(const Settings &Values) {
   RetryBudgetLimits Result;
   Result.Ratio = Values.fraction(BudgetSection, "ratio");
-  Result.Constant =
-      static_cast<double>(Values.whole(BudgetSection, "constant"));
+  Result.Constant = Values.fraction(BudgetSection, "constant");
   Result.Window = Values.span(BudgetSection, "window");
   return Result;
 }
