Start hosts without the store, and read it by turns

Quarantines are read by those that read the store, which tell the others; of the known crashes a few hosts tell a newcomer, not all.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -45,7 +45,6 @@
   this->Server = &CallersServer;
   this->followDeclarations();
   this->followEngines();
-  net::co_spawn(this->Io, this->Hosts.join(), net::detached);
   this->Thread =
       std::thread([this] { runTrafficLoop(this->Io, this->Context.Clock); });
 }
@@ -112,10 +111,7 @@
       [&](const CloseEngines &Item) {
         this->ClosedEngines = {Item.Engines.begin(), Item.Engines.end()};
       },
-      [&](const FollowStore &Item) {
-        this->Declarations->setFollowing(Item.Enabled);
-        this->Engines->setFollowing(Item.Enabled);
-      },
+      [&](const FollowStore &Item) { this->followStore(Item); },
       [&](const StoreQuarantine &Item) {
         net::co_spawn(this->Io, this->Hosts.storeQuarantine(Item),
                       net::detached);
@@ -261,6 +257,15 @@
   }
 }
 
+void GatewayTraffic::followStore(const FollowStore &Order) {
+  this->Engines->setMinInterval(this->Context.Values.Engines.MinInterval *
+                                Order.Turns);
+  this->Declarations->setFollowing(Order.Enabled);
+  this->Engines->setFollowing(Order.Enabled);
+  if (Order.Enabled)
+    net::co_spawn(this->Io, this->Hosts.readQuarantines(), net::detached);
+}
+
 void GatewayTraffic::followDeclarations() {
   KeyedFollower::Listener Callbacks;
   Callbacks.OnRecords = [this](std::span<const KeyedRecord> Records,
--- a/src/app/GatewayTraffic.h
+++ b/src/app/GatewayTraffic.h
@@ -62,6 +62,8 @@
   Task<void> requestReport(AskReport Wanted);
   Task<void> reserve(ReserveMemory Wanted);
   Task<void> release(ReleaseMemory Wanted);
+  /// Begins or ends reading the store.
+  void followStore(const FollowStore &Order);
   void followDeclarations();
   void followEngines();
   void takeEngines(std::span<const KeyedRecord> Records, bool Complete,
--- a/src/app/HostTopic.cpp
+++ b/src/app/HostTopic.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace banyanpick {
 
@@ -17,19 +18,17 @@
 
 } // namespace
 
-Task<void> HostTopic::join() {
-  co_await this->announce(true);
-  co_await this->readQuarantines();
-}
-
 Task<void> HostTopic::announce(bool Present) {
   const Identity &Self = this->Context.Self;
   KeyedRecord Record = writeHostRecord(
       {Self.Host, Self.Zone, Self.Callers, Self.Peers, false, Self.Processor});
   if (Present) {
+    this->IsAnnounced = true;
     co_await this->append(std::move(Record), AnnouncementMetric);
     co_return;
   }
+  if (!this->IsAnnounced)
+    co_return;
   // A failed withdrawal is not retried, because peers detect the death of a
   // stopped host.
   Record.Value.reset();
@@ -70,6 +69,8 @@
 }
 
 Task<void> HostTopic::readQuarantines() {
+  if (std::exchange(this->HasReadQuarantines, true))
+    co_return;
   const std::string First(QuarantineKeyPrefix);
   Duration Retry = this->Context.Values.Engines.InitialRetryDelay;
   auto Records = co_await this->read(First);
--- a/src/app/HostTopic.h
+++ b/src/app/HostTopic.h
@@ -20,12 +20,12 @@
             const GatewayContext &Context)
       : Executor(Executor), Store(Store), Context(Context) {}
 
-  /// Announces this host and reads the quarantined contents, both again until
-  /// the store answers.
-  Task<void> join();
   /// Writes this host's record until the store accepts it, or tries once to
-  /// remove it.
+  /// remove it if it was written.
   Task<void> announce(bool Present);
+  /// Reads the quarantined contents, again until the store answers. Does so
+  /// only once; later quarantines come from peers.
+  Task<void> readQuarantines();
   /// Reads the records of all hosts once.
   Task<void> readHosts();
   /// Writes or removes the record until the store accepts it.
@@ -35,7 +35,6 @@
   /// Returns the records whose keys follow \p After, or nothing if the store
   /// does not answer.
   Task<std::optional<std::vector<KeyedRecord>>> read(std::string After);
-  Task<void> readQuarantines();
   /// Sends the contents of the records to control.
   void takeQuarantines(std::span<const KeyedRecord> Records);
   /// Repeats the append until the store accepts it. Each attempt is counted
@@ -49,6 +48,8 @@
   net::any_io_executor Executor;
   OrderedStore &Store;
   const GatewayContext &Context;
+  bool IsAnnounced = false;
+  bool HasReadQuarantines = false;
 };
 
 } // namespace banyanpick
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -165,8 +165,12 @@
   bool operator==(const CloseEngines &) const = default;
 };
 /// Sets whether this host reads the store or relies on other hosts to read it.
+/// Until the first of these orders it does not read.
 struct FollowStore {
   bool Enabled = true;
+  /// How many hosts read the registry by turns; each of them then reads it so
+  /// many times less often.
+  std::uint32_t Turns = 1;
 
   bool operator==(const FollowStore &) const = default;
 };
--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -119,6 +119,9 @@
   /// When the store was last read successfully by a host whose view this host
   /// has received. The epoch if no host has read it.
   virtual Time storeConfirmedAt() const = 0;
+  /// Whether this host is one of the few that keep a record in the store's host
+  /// list, so that hosts whose seeds are down find some others.
+  virtual bool isListed() const = 0;
 };
 
 /// The zones that the operators evacuate.
@@ -158,6 +161,9 @@
   /// Whether this incarnation has read the host list. Before that, peers() is
   /// incomplete.
   virtual bool knowsHosts() const { return true; }
+  /// Whether this host has no seeds but itself, or is one of them: hosts that
+  /// start then contact it first, and it can't learn from earlier ones.
+  virtual bool isSeed() const { return true; }
 };
 
 /// Notified when the membership state of a host changes.
--- a/src/libs/relay/KeyedFollower.h
+++ b/src/libs/relay/KeyedFollower.h
@@ -19,9 +19,10 @@
   Duration MaxRetryDelay{};
 };
 
-/// Lists the newest records of all keys and then reads the records written
-/// after them. Lists them again when the store has discarded records before
-/// they were read. Retries failed operations without limit.
+/// Once it is told to follow the topic, lists the newest records of all keys
+/// and then reads the records written after them. Lists them again when the
+/// store has discarded records before they were read. Retries failed operations
+/// without limit.
 class KeyedFollower : public std::enable_shared_from_this<KeyedFollower> {
 public:
   /// Callbacks, called on the executor's thread.
@@ -38,8 +39,13 @@
                 StoreTopic Topic, FollowOptions Options, Listener Callbacks);
 
   void start();
-  /// Resumes reading at the last offset, or stops after the read in progress.
+  /// Begins or resumes reading at the last offset, or stops after the read in
+  /// progress.
   void setFollowing(bool Enabled);
+  /// Sets the minimum time between the starts of two reads.
+  void setMinInterval(Duration MinInterval) {
+    this->Options.MinInterval = MinInterval;
+  }
 
 private:
   Task<void> run();
@@ -57,7 +63,7 @@
   FollowOptions Options;
   Listener Callbacks;
   net::steady_timer Timer;
-  bool IsFollowing = true;
+  bool IsFollowing = false;
   bool HasListed = false;
   LogOffset NextOffset = 0;
   std::optional<bool> Reachable;
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -1,6 +1,7 @@
 #include "plugins/crashes/CrashesPlugin.h"
 
 #include "base/EventNumbers.h"
+#include "base/RendezvousHash.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 #include "kernel/ReportRequest.h"
@@ -15,6 +16,10 @@
 /// An attempt that has been answered for longer is not the cause.
 constexpr seconds MaxCrashDelay(1);
 
+/// Hosts that tell a new incarnation of the known crashes. If all did, the
+/// messages to it would grow with the hosts.
+constexpr std::size_t MaxInformers = 8;
+
 /// Returns the contents of the attempt: the whole request and the parts of its
 /// prompt.
 std::vector<Fingerprint> contentsOf(const RelayAttempt &Attempt) {
@@ -23,6 +28,15 @@
   return Result;
 }
 
+/// Returns the notice of a quarantine that was read from the store. The store
+/// does not keep which engines crashed.
+QuarantineNotice makeStoredNotice(Fingerprint Content, Time Until) {
+  QuarantineNotice Result;
+  Result.Content = Content;
+  Result.Until = Until;
+  return Result;
+}
+
 QuarantineNotice makeNotice(const Crash &Observed, Time Until) {
   QuarantineNotice Result;
   Result.Content = Observed.Content;
@@ -85,6 +99,10 @@
 
 void CrashesPlugin::takeNotice(const QuarantineNotice &Notice,
                                const HostId &From, Time Now, Actions &Out) {
+  if (Notice.Upstream.Value.empty()) {
+    this->restore(Notice.Content, Now, Out);
+    return;
+  }
   const Crash Observed{Notice.Content, Notice.Upstream};
   if (!this->Tracker.add(Observed, Now))
     return;
@@ -167,7 +185,8 @@
   }
 }
 
-void CrashesPlugin::endQuarantine(Fingerprint Content, Actions &Out) const {
+void CrashesPlugin::endQuarantine(Fingerprint Content, Actions &Out) {
+  this->StoredContents.erase(Content);
   Out.count("quarantines_refuted");
   Out.log(logEvent(events::QuarantineRefuted)
               .with("content", Content.Value)
@@ -196,6 +215,8 @@
 
 void CrashesPlugin::removeExpired(Time Now, Actions &Out) {
   const std::vector<Fingerprint> Released = this->Tracker.removeExpired(Now);
+  for (const Fingerprint &Content : Released)
+    this->StoredContents.erase(Content);
   // All hosts forget it at about the same time, and one removal is enough.
   const std::vector<HostId> Peers = this->Members->livePeers();
   const bool IsFirst = std::ranges::all_of(
@@ -209,14 +230,36 @@
 void CrashesPlugin::restore(const QuarantinesRead &Read, Time Now,
                             Actions &Out) {
   for (const Fingerprint &Content : Read.Contents) {
-    this->Tracker.restore(Content, Now);
-    Out.log(logEvent(events::QuarantineRestored)
-                .with("content", Content.Value)
-                .build());
-    this->noteQuarantine(Content, Now, Out);
+    this->restore(Content, Now, Out);
+    this->StoredContents.insert(Content);
+    for (const HostId &Peer : this->Members->livePeers())
+      Out.add(SendToPeer{Peer,
+                         makeStoredNotice(Content, Now + this->RetentionTime)});
   }
 }
 
+void CrashesPlugin::restore(Fingerprint Content, Time Now, Actions &Out) {
+  if (this->Tracker.isQuarantined(Content))
+    return;
+  this->Tracker.restore(Content, Now);
+  Out.log(logEvent(events::QuarantineRestored)
+              .with("content", Content.Value)
+              .build());
+  this->noteQuarantine(Content, Now, Out);
+}
+
+bool CrashesPlugin::informs(const HostId &Newcomer) const {
+  const auto WeightOf = [&](const HostId &Host) {
+    return rendezvousWeight(Newcomer.Value, Host.Value);
+  };
+  const std::uint64_t OwnWeight = WeightOf(this->Own);
+  const std::vector<HostId> Peers = this->Members->livePeers();
+  const auto Preferred = std::ranges::count_if(Peers, [&](const HostId &Peer) {
+    return Peer != Newcomer && WeightOf(Peer) > OwnWeight;
+  });
+  return static_cast<std::size_t>(Preferred) < MaxInformers;
+}
+
 void CrashesPlugin::memberChanged(const Member &Changed, Time Now,
                                   Actions &Out) {
   Incarnation &Informed = this->InformedIncarnations[Changed.Listing.Id];
@@ -224,9 +267,14 @@
   if (!IsNew || Changed.State != MemberState::Alive)
     return;
   Informed = Changed.Life;
-  for (const Crash &Observed : this->Tracker.confirmedCrashes())
-    Out.add(SendToPeer{Changed.Listing.Id,
-                       makeNotice(Observed, Now + this->RetentionTime)});
+  const Time Until = Now + this->RetentionTime;
+  for (const Fingerprint &Content : this->StoredContents)
+    Out.add(SendToPeer{Changed.Listing.Id, makeStoredNotice(Content, Until)});
+  const std::vector<Crash> Crashes = this->Tracker.confirmedCrashes();
+  if (Crashes.empty() || !this->informs(Changed.Listing.Id))
+    return;
+  for (const Crash &Observed : Crashes)
+    Out.add(SendToPeer{Changed.Listing.Id, makeNotice(Observed, Until)});
 }
 
 void CrashesPlugin::confirm(const UpstreamId &Engine, Time Now, Actions &Out) {
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -7,11 +7,13 @@
 #include "plugins/crashes/CrashTracker.h"
 #include "plugins/crashes/DeathCheck.h"
 
+#include <set>
+
 namespace banyanpick {
 
-/// Confirms crashes and reports every crash to all peers. Reports all known
-/// crashes to each host that starts. Notifies QuarantineObserver. Quarantines
-/// are stored, so that they hold on after a restart of all hosts.
+/// Confirms crashes and reports every crash to all peers. A few hosts report
+/// all known crashes to each host that starts. Notifies QuarantineObserver.
+/// Quarantines are stored, so that they hold on after a restart of all hosts.
 ///
 /// The contents of a request are the request as a whole and each part of its
 /// prompt that other requests may share. Where a crash could quarantine a
@@ -49,7 +51,7 @@
   /// The contents of an attempt that was answered completely are harmless.
   void clear(const RelayAttempt &Attempt, Time Now, Actions &Out);
   /// Releases a content that turned out to be harmless.
-  void endQuarantine(Fingerprint Content, Actions &Out) const;
+  void endQuarantine(Fingerprint Content, Actions &Out);
   /// Tells peers of harmless answers to a content if they need to know.
   void tellHarmless(Fingerprint Content, Time Now, Actions &Out);
   /// The engine refused a connection: it has died, or this host's links fail.
@@ -62,8 +64,13 @@
   /// Asks the engine for a report to find out whether it has died.
   void askWhetherAlive(const UpstreamId &Engine, Time Now, Actions &Out) const;
   void removeExpired(Time Now, Actions &Out);
-  /// Quarantines contents that an earlier process of any host stored.
+  /// Quarantines contents that an earlier process of any host stored, and tells
+  /// peers, of which most do not read the store.
   void restore(const QuarantinesRead &Read, Time Now, Actions &Out);
+  void restore(Fingerprint Content, Time Now, Actions &Out);
+  /// Whether this host is one of the few that tell a new incarnation of the
+  /// crashes.
+  bool informs(const HostId &Newcomer) const;
   /// If the content is quarantined, notifies the observers and stores that.
   void noteQuarantine(Fingerprint Content, Time Now, Actions &Out);
   /// \p From is the host that confirmed the crash, for logs.
@@ -86,6 +93,8 @@
   DeathCheck Check;
   /// The incarnations that were sent all known crashes.
   std::map<HostId, Incarnation> InformedIncarnations;
+  /// Quarantined contents that this host read from the store.
+  std::set<Fingerprint> StoredContents;
 };
 
 } // namespace banyanpick
--- a/tests/auto/gateway/CrashDetectionTest.cpp
+++ b/tests/auto/gateway/CrashDetectionTest.cpp
@@ -176,6 +176,46 @@
   EXPECT_EQ(this->Bench.last<RefuseRelay>().Kind, RefusalKind::NotRun);
 }
 
+/// Most hosts do not read the store and learn of its quarantines from peers.
+TEST_F(CrashDetection, TellsPeersOfStoredQuarantines) {
+  this->Bench.receive("h2", heartbeatOf("h2", 10));
+  this->Bench.send(GatewayEvent(QuarantinesRead{{this->Content}}));
+  ASSERT_EQ(this->Bench.sent<QuarantineNotice>().size(), 1U);
+  this->Bench.receive("h3", heartbeatOf("h3", 20));
+  ASSERT_EQ(this->Bench.sent<QuarantineNotice>().size(), 2U);
+  GatewayBench Peer;
+  Peer.configure(1);
+  Peer.receive("h1", this->Bench.sent<QuarantineNotice>().back());
+  const RequestId Refused =
+      Peer.arrive("/once/1", 0, seconds(5), this->Content);
+  EXPECT_EQ(Peer.last<RefuseRelay>().Request, Refused);
+  EXPECT_TRUE(Peer.sent<QuarantineNotice>().empty())
+      << "only hosts that read it from the store tell others";
+}
+
+/// Guards against a host that starts among hundreds and gets each crash from
+/// each of them.
+TEST_F(CrashDetection, AHostThatStartsHearsOfCrashesFromFewHosts) {
+  constexpr std::uint16_t Hosts = 100;
+  for (std::uint16_t Index = 0; Index < Hosts; ++Index) {
+    const std::string Name = "p" + std::to_string(Index);
+    this->Bench.receive(Name.c_str(),
+                        heartbeatOf(Name.c_str(), 1000 + Index * 2));
+  }
+  this->Bench.reportCrash(this->Content, "e1");
+  std::size_t Told = 0;
+  for (std::uint16_t Index = 0; Index < Hosts; ++Index) {
+    const std::string Name = "q" + std::to_string(Index);
+    const std::size_t Before = this->Bench.sent<QuarantineNotice>().size();
+    this->Bench.receive(Name.c_str(),
+                        heartbeatOf(Name.c_str(), 2000 + Index * 2));
+    Told += this->Bench.sent<QuarantineNotice>().size() - Before;
+  }
+  // Eight of more than a hundred tell each of the hosts that start.
+  EXPECT_GE(Told, 1U);
+  EXPECT_LE(Told, 20U);
+}
+
 TEST_F(CrashDetection, RemovesAStoredQuarantineWhenItExpires) {
   this->Bench.send(GatewayEvent(QuarantinesRead{{this->Content}}));
   this->Bench.advance(seconds(601));
