Bound the long answers of the registry, and count lost engines

Cause: every host that starts asks whoever it hears for all registrations, every 50 ms until the answer is there; a few hosts then send some 100 KB each to hundreds.

Change: a host that knows no registrations asks every 250 ms, and long answers are sent at a limited rate; the number of hosts that can answer doubles in each round.

--- a/src/libs/kernel/Services.h
+++ b/src/libs/kernel/Services.h
@@ -110,6 +110,8 @@
   /// Digest of the registrations. Hosts with equal digests have the same
   /// registrations.
   virtual std::uint64_t digest() const = 0;
+  /// Increases when an engine that was in use may not get requests any more.
+  virtual std::uint64_t lossCount() const = 0;
 };
 
 /// The maximum age of this host's view of the store.
--- a/src/plugins/engines/EnginesPlugin.cpp
+++ b/src/plugins/engines/EnginesPlugin.cpp
@@ -14,6 +14,19 @@
 /// milliseconds, and peers that announce the same change are not all asked.
 constexpr milliseconds MinRequestInterval(50);
 
+/// The same for a host that knows no registrations yet. The answer names all of
+/// them, and takes a while over a small link.
+constexpr milliseconds FirstRequestInterval(250);
+
+/// A longer answer is sent only at a limited rate. When hundreds of hosts start
+/// together, those that get no answer request it from another peer, and the
+/// number of hosts that can answer doubles with each round.
+constexpr std::size_t MaxShortAnswer = 64;
+
+/// Registrations sent per second in long answers, some 100 bytes each: half of
+/// the smallest link.
+constexpr double MaxRelayedPerSecond = 12000;
+
 } // namespace
 
 void EnginesPlugin::initialize(PluginContext &Context) {
@@ -93,24 +106,43 @@
   match(
       Message.Body,
       [&](const EnginesRequest &Requested) {
-        if (this->KnownTo > Requested.From)
-          Out.add(
-              SendToPeer{Message.From, this->changesFrom(Requested.From, Now)});
+        this->answer(Message.From, Requested, Now, Out);
       },
       [&](const EnginesRelayed &Relayed) {
         this->takeRelayed(Relayed, Message.From, Now, Out);
       },
       [&](const Heartbeat &Beat) {
         // Most hosts learn of changes only from heartbeats.
-        if (!this->isAhead(Beat.EnginesKnownTo, Beat.EnginesDigest) ||
-            Now < this->AskedAt + MinRequestInterval)
-          return;
-        this->AskedAt = Now;
-        Out.add(SendToPeer{Message.From, EnginesRequest{this->KnownTo}});
+        if (this->isAhead(Beat.EnginesKnownTo, Beat.EnginesDigest))
+          this->request(Message.From, Now, Out);
       },
       [](const auto &) {});
 }
 
+void EnginesPlugin::request(const HostId &From, Time Now, Actions &Out) {
+  if (Now < this->NextRequest)
+    return;
+  const bool IsFirst = this->Table.size() == 0;
+  this->NextRequest = Now + (IsFirst ? Duration(FirstRequestInterval)
+                                     : Duration(MinRequestInterval));
+  Out.add(SendToPeer{From, EnginesRequest{this->KnownTo}});
+}
+
+void EnginesPlugin::answer(const HostId &From, const EnginesRequest &Requested,
+                           Time Now, Actions &Out) {
+  if (this->KnownTo <= Requested.From)
+    return;
+  EnginesRelayed Answer = this->changesFrom(Requested.From, Now);
+  const std::size_t Count = Answer.Changes.size();
+  if (Count > MaxShortAnswer) {
+    if (Now < this->NextLongAnswer)
+      return;
+    this->NextLongAnswer =
+        Now + fromSeconds(static_cast<double>(Count) / MaxRelayedPerSecond);
+  }
+  Out.add(SendToPeer{From, std::move(Answer)});
+}
+
 void EnginesPlugin::takeRelayed(const EnginesRelayed &Relayed,
                                 const HostId &From, Time Now, Actions &Out) {
   if (Relayed.UpTo <= this->KnownTo)
@@ -179,6 +211,7 @@
   const RegisteredEngine *Changed = this->Table.find(Id);
   if (!Changed)
     return;
+  this->Losses += Changed->Standing == EngineStanding::Usable ? 0 : 1;
   Out.log(logEvent(events::EngineChanged)
               .with("engine", Id.Value)
               .with("service", Changed->Record.Service.Value)
@@ -192,6 +225,7 @@
 
 void EnginesPlugin::notifyRemoved(const UpstreamId &Id, std::string_view From,
                                   Time Now, Actions &Out) {
+  ++this->Losses;
   Out.log(logEvent(events::EngineChanged)
               .with("engine", Id.Value)
               .with("standing", "gone")
@@ -236,7 +270,7 @@
         (!Best || Peer.EnginesKnownTo > Best->EnginesKnownTo))
       Best = &Peer;
   if (Best)
-    Out.add(SendToPeer{Best->Listing.Id, EnginesRequest{this->KnownTo}});
+    this->request(Best->Listing.Id, Now, Out);
 }
 
 bool EnginesPlugin::isStoreSuspect(Time Now) const {
--- a/src/plugins/engines/EnginesPlugin.h
+++ b/src/plugins/engines/EnginesPlugin.h
@@ -31,6 +31,7 @@
                    Actions &Out) override;
   LogOffset knownTo() const override { return this->KnownTo; }
   std::uint64_t digest() const override { return this->Table.digest(); }
+  std::uint64_t lossCount() const override { return this->Losses; }
 
   static std::vector<SettingDeclaration> settings();
 
@@ -57,6 +58,11 @@
   bool isAhead(LogOffset KnownTo, std::uint64_t Digest);
   /// Requests changes from the most advanced peer.
   void pollPeers(Time Now, Actions &Out);
+  /// Requests changes unless an answer is still expected.
+  void request(const HostId &From, Time Now, Actions &Out);
+  /// Answers a request, unless too many long answers were sent.
+  void answer(const HostId &From, const EnginesRequest &Requested, Time Now,
+              Actions &Out);
   bool isStoreSuspect(Time Now) const;
 
   Services *Registry = nullptr;
@@ -70,7 +76,9 @@
   Duration SuspectFor{};
   Duration SuspectAge{};
   Time NextPoll{};
-  Time AskedAt{};           ///< When a peer was last asked for changes.
+  Time NextRequest{};       ///< When a peer may be asked for changes again.
+  Time NextLongAnswer{};    ///< When a long answer may be sent again.
+  std::uint64_t Losses = 0; ///< Engines that ended or began to leave.
   Time LastFailed = Time{}; ///< When the store last did not answer.
   bool Reachable = false;
 };
