--- a/src/app/ActionRouter.cpp
+++ b/src/app/ActionRouter.cpp
@@ -102,7 +102,7 @@
 }
 
 void ActionRouter::perform(ConnectPeers Wanted) {
-  this->Peers.connect(std::move(Wanted.Peers));
+  this->Peers.connect(std::move(Wanted));
 }
 
 void ActionRouter::perform(const WriteLogLine &Wanted) {
--- a/src/app/GatewayDaemon.cpp
+++ b/src/app/GatewayDaemon.cpp
@@ -37,7 +37,7 @@
         [&](SendToPeer &Item) {
           this->Peers.send(Item.To, std::move(Item.Body));
         },
-        [&](ConnectPeers &Item) { this->Peers.connect(std::move(Item.Peers)); },
+        [&](ConnectPeers &Item) { this->Peers.connect(std::move(Item)); },
         [&](WriteLogLine &Item) { writeLogLine(Item.Line, this->Clock.now()); },
         [&](RecordMeasurement &Item) { this->HostMetrics.record(Item); },
         [&](StopNow &) { this->OnStop(); },
--- a/src/libs/kernel/Action.h
+++ b/src/libs/kernel/Action.h
@@ -173,6 +173,10 @@
 /// Sets the peers and their addresses. Sent when either changes.
 struct ConnectPeers {
   std::vector<HostListing> Peers;
+  /// The peers are new or have a new address, and all others stay. Hundreds of
+  /// hosts that start together are learned one by one, so that the complete
+  /// list each time would cost the square of their number.
+  bool IsUpdate = false;
 
   bool operator==(const ConnectPeers &) const = default;
 };
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -44,6 +44,11 @@
 /// Maximum number of versions in one heartbeat.
 inline constexpr std::size_t MaxRecentVersions = 4;
 
+/// Numbers of buckets into which members are divided by name to compare what
+/// two hosts know. A power of two in between.
+inline constexpr std::size_t MinMemberBuckets = 64;
+inline constexpr std::size_t MaxMemberBuckets = 4096;
+
 /// Announces that the sender is alive, with its state.
 struct Heartbeat {
   std::uint64_t Sequence = 0;
@@ -75,10 +80,35 @@
   std::vector<VersionInForce> RecentVersions;
   /// The sender is partitioned from the engines of a service.
   bool CutOff = false;
+  /// Digest and number of the live members that the sender knows, itself
+  /// included. Equal digests mean equal states.
+  std::uint64_t MembersDigest = 0;
+  std::uint32_t MembersCount = 0;
 
   bool operator==(const Heartbeat &) const = default;
 };
 
+/// Requests the members of which the receiver knows other states.
+struct MembersRequest {
+  /// The sum of the members' digests in each bucket, in its lower half.
+  std::vector<std::uint32_t> Digests;
+
+  bool operator==(const MembersRequest &) const = default;
+};
+
+/// The members of some buckets, as the sender knows them.
+struct MembersRelayed {
+  struct Item {
+    HostListing Listing;
+    MemberUpdate State;
+
+    bool operator==(const Item &) const = default;
+  };
+  std::vector<Item> Members;
+
+  bool operator==(const MembersRelayed &) const = default;
+};
+
 /// The sender's current outstanding work on engines.
 struct WorkSent {
   struct Item {
@@ -410,7 +440,8 @@
                  UpstreamNotice, LoadRelayed, StreamHandover, HandoverTaken,
                  RecordsToAppend, ConfigurationRequest, ConfigurationRelayed,
                  EnginesRequest, EnginesRelayed, EngineWork, EngineLimits,
-                 EngineSignals, HarmlessContent>;
+                 EngineSignals, HarmlessContent, MembersRequest,
+                 MembersRelayed>;
 
 /// A message with its sender.
 struct PeerMessage {
--- a/src/libs/peers/PeerLinks.cpp
+++ b/src/libs/peers/PeerLinks.cpp
@@ -62,6 +62,17 @@
   });
 }
 
+void PeerLinks::addPeers(std::span<const HostListing> Peers) {
+  for (const HostListing &Peer : Peers) {
+    if (Peer.Id == this->Self)
+      continue;
+    this->Addresses[Peer.Id] = Peer.Peers;
+    const auto Open = this->Links.find(Peer.Id);
+    if (Open != this->Links.end() && Open->second.Destination != Peer.Peers)
+      this->Links.erase(Open);
+  }
+}
+
 void PeerLinks::send(const HostId &To, std::string Bytes, Time Now) {
   Link *Connection = this->linkTo(To, Now);
   if (!Connection)
--- a/src/libs/peers/PeerLinks.h
+++ b/src/libs/peers/PeerLinks.h
@@ -31,6 +31,8 @@
   /// Replaces the list of peers. Closes links to hosts that are not in the list
   /// or whose address changed.
   void setPeers(std::span<const HostListing> Peers);
+  /// Adds peers, or changes their addresses. Closes links to old addresses.
+  void addPeers(std::span<const HostListing> Peers);
   /// Sends the message, or queues it until the connection is established. Drops
   /// the message when the peer is unknown, and the oldest queued message when
   /// the queue is full.
--- a/src/libs/peers/PeerNetwork.cpp
+++ b/src/libs/peers/PeerNetwork.cpp
@@ -108,10 +108,12 @@
       std::stoul(Endpoint.substr(Endpoint.rfind(':') + 1)));
 }
 
-void PeerNetwork::connect(std::vector<HostListing> Peers) {
+void PeerNetwork::connect(ConnectPeers Wanted) {
   {
     const std::lock_guard Lock(this->Mutex);
-    this->NewPeers = std::move(Peers);
+    if (!Wanted.IsUpdate)
+      this->NewPeers.clear();
+    this->NewPeers.push_back(std::move(Wanted));
   }
   this->wake();
 }
@@ -184,15 +186,19 @@
   [[maybe_unused]] const auto Ignored =
       read(this->WakeDescriptor, &Count, sizeof(Count));
   std::vector<Outgoing> Messages;
-  std::optional<std::vector<HostListing>> Peers;
+  std::vector<ConnectPeers> Peers;
   {
     const std::lock_guard Lock(this->Mutex);
     Messages.swap(this->OutgoingMessages);
     this->OutgoingBytes = 0;
     Peers.swap(this->NewPeers);
   }
-  if (Peers)
-    this->Links.setPeers(*Peers);
+  for (const ConnectPeers &Change : Peers) {
+    if (Change.IsUpdate)
+      this->Links.addPeers(Change.Peers);
+    else
+      this->Links.setPeers(Change.Peers);
+  }
   for (Outgoing &Message : Messages)
     this->Links.send(Message.To, std::move(Message.Bytes), steadyNow());
 }
--- a/src/libs/peers/PeerNetwork.h
+++ b/src/libs/peers/PeerNetwork.h
@@ -34,8 +34,9 @@
   PeerNetwork &operator=(const PeerNetwork &) = delete;
 
   /// Replaces the list of peers and closes connections to hosts not in the
-  /// list. Connects to a peer when a message is sent to it.
-  void connect(std::vector<HostListing> Peers);
+  /// list, or adds to the list. Connects to a peer when a message is sent to
+  /// it.
+  void connect(ConnectPeers Wanted);
   void send(const HostId &To, PeerMessageBody Body);
   /// Returns the size of the messages that wait for the internal thread.
   std::size_t outgoingBytes();
@@ -73,7 +74,7 @@
   std::mutex Mutex; ///< Protects the members up to Stopping.
   std::vector<Outgoing> OutgoingMessages;
   std::size_t OutgoingBytes = 0;
-  std::optional<std::vector<HostListing>> NewPeers;
+  std::vector<ConnectPeers> NewPeers; ///< In order.
   bool Stopping = false;
 
   std::thread Thread; ///< Last, since it uses all other members.
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -1,9 +1,10 @@
 #include "wire/PeerCodec.h"
 
-#include "base/Milliseconds.h"
 #include "base/Visitor.h"
 #include "peer.pb.h"
+#include "wire/EngineCodec.h"
 #include "wire/LogCodec.h"
+#include "wire/MembershipCodec.h"
 #include "wire/UpstreamCodec.h"
 #include "wire/WireChecks.h"
 
@@ -15,77 +16,32 @@
 /// Longest time that is read, in microseconds; one day.
 constexpr std::uint64_t OldestUs = 86'400'000'000;
 
-/// Largest port number; ports have 16 bits.
-constexpr std::uint32_t HighestPort = 65535;
+void write(const banyanpick::Heartbeat &Body, Envelope &Envelope) {
+  toWire(Body, *Envelope.mutable_heartbeat());
+}
 
-void write(const Address &Source, SocketAddress &Out) {
-  Out.set_ip(Source.Ip);
-  Out.set_port(Source.Port);
+void write(const banyanpick::MembersRequest &Body, Envelope &Envelope) {
+  toWire(Body, *Envelope.mutable_members_asked());
 }
 
-Address read(const SocketAddress &In) {
-  if (In.port() > HighestPort)
-    throwMalformed("a port is out of range");
-  return {In.ip(), static_cast<std::uint16_t>(In.port())};
+void write(const banyanpick::MembersRelayed &Body, Envelope &Envelope) {
+  toWire(Body, *Envelope.mutable_members_relayed());
 }
 
-void write(const HostListing &Source, Listing &Out) {
-  Out.set_host(Source.Id.Value);
-  Out.set_zone(Source.Zone.Value);
-  write(Source.Callers, *Out.mutable_callers());
-  write(Source.Peers, *Out.mutable_peers());
-  Out.set_processor(Source.Processor.Thousandths);
+void write(const banyanpick::EnginesRelayed &Body, Envelope &Envelope) {
+  toWire(Body, *Envelope.mutable_engines_relayed());
 }
 
-HostListing read(const Listing &In) {
-  HostListing Result;
-  Result.Id.Value = In.host();
-  Result.Zone.Value = In.zone();
-  Result.Callers = read(In.callers());
-  Result.Peers = read(In.peers());
-  if (In.processor() > 0)
-    Result.Processor.Thousandths = In.processor();
-  return Result;
+void write(const banyanpick::EngineWork &Body, Envelope &Envelope) {
+  toWire(Body, *Envelope.mutable_engine_work());
 }
 
-void write(const banyanpick::Heartbeat &Body, Envelope &Envelope) {
-  Heartbeat &Out = *Envelope.mutable_heartbeat();
-  Out.set_sequence(Body.Sequence);
-  Out.set_acknowledges(Body.Acknowledges);
-  Out.set_zone(Body.Zone.Value);
-  Out.set_version(Body.Version);
-  Out.set_leaving(Body.Leaving);
-  Out.set_ready(Body.Ready);
-  Out.set_in_force(Body.InForce);
-  Out.set_log_confirmed_at_us(toWire(Body.LogConfirmedAt));
-  for (const MemberUpdate &Update : Body.Updates) {
-    Rumour &Item = *Out.add_rumours();
-    Item.set_host(Update.Host.Value);
-    Item.set_life(Update.Life.Value);
-    Item.set_version(Update.Version);
-    Item.set_state(static_cast<std::uint32_t>(Update.State));
-    Item.set_ready(Update.Ready);
-    Item.set_cut_off(Update.CutOff);
-  }
-  for (const HostListing &Host : Body.KnownHosts)
-    write(Host, *Out.add_known());
-  Out.set_engines_known_to(Body.EnginesKnownTo);
-  Out.set_engines_digest(Body.EnginesDigest);
-  if (Body.StoreAge != Duration::max())
-    Out.set_store_age_us(static_cast<std::uint64_t>(Body.StoreAge.count()));
-  Out.set_late_us(static_cast<std::uint64_t>(Body.Late.count()));
-  for (const EvacuationRecord &Record : Body.Evacuations) {
-    Evacuation &Item = *Out.add_evacuations();
-    Item.set_zone(Record.Zone.Value);
-    Item.set_active(Record.Active);
-    Item.set_offset(Record.Offset);
-  }
-  for (const banyanpick::VersionInForce &Recent : Body.RecentVersions) {
-    VersionInForce &Item = *Out.add_recent_versions();
-    Item.set_version(Recent.Version);
-    Item.set_age_us(static_cast<std::uint64_t>(Recent.Age.count()));
-  }
-  Out.set_cut_off(Body.CutOff);
+void write(const banyanpick::EngineLimits &Body, Envelope &Envelope) {
+  toWire(Body, *Envelope.mutable_engine_limits());
+}
+
+void write(const banyanpick::EngineSignals &Body, Envelope &Envelope) {
+  toWire(Body, *Envelope.mutable_engine_signals());
 }
 
 void write(const banyanpick::WorkSent &Body, Envelope &Envelope) {
@@ -205,255 +161,6 @@
   Envelope.mutable_engines_asked()->set_from_offset(Body.From);
 }
 
-void write(const banyanpick::EnginesRelayed &Body, Envelope &Envelope) {
-  EnginesRelayed &Out = *Envelope.mutable_engines_relayed();
-  Out.set_up_to(Body.UpTo);
-  Out.set_complete(Body.Complete);
-  for (const EngineChange &Update : Body.Changes) {
-    EnginesRelayed::Change &Item = *Out.add_changes();
-    Item.set_id(Update.Engine.Id.Value);
-    Item.set_service(Update.Engine.Service.Value);
-    write(Update.Engine.At, *Item.mutable_at());
-    Item.set_zone(Update.Engine.Zone.Value);
-    Item.set_slots(Update.Engine.Slots);
-    Item.set_draining(Update.Engine.Draining);
-    Item.set_removed(Update.Removed);
-    Item.set_offset(Update.Offset);
-    Item.set_cold_ms(inMilliseconds(Update.Engine.ColdFor));
-    Item.set_cold_unreadable(Update.Engine.ColdUnreadable);
-  }
-}
-
-void write(const banyanpick::EngineWork &Body, Envelope &Envelope) {
-  EngineWork &Out = *Envelope.mutable_engine_work();
-  for (const auto &Work : Body.Items) {
-    EngineWork::Item &Item = *Out.add_items();
-    Item.set_engine(Work.Engine.Value);
-    Item.set_read_ms(static_cast<float>(Work.PrefillMs));
-    Item.set_reading(Work.Prefilling);
-    Item.set_writing(Work.Decoding);
-    Item.set_memory_tokens(Work.MemoryTokens);
-    Item.set_short_running(Work.ShortRunning);
-    for (const auto &Answer : Work.ActiveAnswers) {
-      EngineWork::Answers &AnswerItem = *Item.add_held();
-      AnswerItem.set_pause_ms(static_cast<float>(Answer.PauseMs));
-      AnswerItem.set_value_ms(static_cast<float>(Answer.ValueMs));
-    }
-  }
-  for (const auto &Prompt : Body.QueuedPrompts) {
-    EngineWork::Waiting &Item = *Out.add_in_lane();
-    Item.set_request(Prompt.Request);
-    Item.set_tokens(Prompt.Tokens);
-    Item.set_read_ms(static_cast<float>(Prompt.PrefillMs));
-    Item.set_needed_ms(static_cast<float>(Prompt.NeededMs));
-    Item.set_left_ms(static_cast<float>(Prompt.LeftMs));
-  }
-  for (const auto &Slowdown : Body.Slowdowns) {
-    EngineWork::Pace &Item = *Out.add_paces();
-    Item.set_engine(Slowdown.Engine.Value);
-    Item.set_factor(static_cast<float>(Slowdown.Factor));
-  }
-  for (const auto &Distrusted : Body.Distrusted) {
-    EngineWork::Distrust &Item = *Out.add_distrusted();
-    Item.set_engine(Distrusted.Engine.Value);
-    Item.set_since_ms(static_cast<float>(Distrusted.SinceMs));
-    Item.set_left_ms(static_cast<float>(Distrusted.LeftMs));
-  }
-  Out.set_warming_up(Body.WarmingUp);
-  for (const auto &Load : Body.Loads) {
-    EngineWork::Load &Item = *Out.add_loads();
-    Item.set_engine(Load.Engine.Value);
-    Item.set_running(Load.Running);
-    Item.set_waiting(Load.Waiting);
-    Item.set_memory_tokens(Load.MemoryTokens);
-    Item.set_age_ms(static_cast<float>(Load.AgeMs));
-  }
-}
-
-void write(const banyanpick::EngineLimits &Body, Envelope &Envelope) {
-  EngineLimits &Out = *Envelope.mutable_engine_limits();
-  for (const auto &Report : Body.LimitReports) {
-    EngineLimits::Word &Item = *Out.add_words();
-    Item.set_engine(Report.Engine.Value);
-    if (Report.PerSecond)
-      Item.set_per_second(*Report.PerSecond);
-    Item.set_age_ms(Report.AgeMs);
-  }
-  for (const auto &LeaseRequest : Body.LeaseRequests) {
-    EngineLimits::Ask &Item = *Out.add_asks();
-    Item.set_engine(LeaseRequest.Engine.Value);
-    Item.set_number(LeaseRequest.Number);
-    Item.set_count(LeaseRequest.Count);
-  }
-  for (const auto &Lease : Body.Leases) {
-    EngineLimits::Loan &Item = *Out.add_loans();
-    Item.set_engine(Lease.Engine.Value);
-    Item.set_number(Lease.Number);
-    Item.set_count(Lease.Count);
-    Item.set_later_ms(Lease.RetryAfterMs);
-    Item.set_waited_ms(Lease.WaitedMs);
-  }
-  for (const auto &Returned : Body.Returns) {
-    EngineLimits::Return &Item = *Out.add_returns();
-    Item.set_engine(Returned.Engine.Value);
-    Item.set_number(Returned.Number);
-    Item.set_count(Returned.Count);
-  }
-  for (const auto &Report : Body.ColdReports) {
-    EngineLimits::Cold &Item = *Out.add_cold();
-    Item.set_engine(Report.Engine.Value);
-    Item.set_left_ms(Report.LeftMs);
-    Item.set_turned_cold(Report.TurnedCold);
-  }
-}
-
-void write(const banyanpick::EngineSignals &Body, Envelope &Envelope) {
-  EngineSignals &Out = *Envelope.mutable_engine_signals();
-  for (const auto &Backoff : Body.Backoffs) {
-    EngineSignals::Rest &Item = *Out.add_rests();
-    Item.set_engine(Backoff.Engine.Value);
-    Item.set_left_ms(Backoff.LeftMs);
-  }
-  for (const UpstreamId &Engine : Body.Leaving)
-    Out.add_leaving(Engine.Value);
-}
-
-banyanpick::EnginesRelayed read(const EnginesRelayed &In) {
-  banyanpick::EnginesRelayed Result;
-  Result.UpTo = In.up_to();
-  Result.Complete = In.complete();
-  for (const EnginesRelayed::Change &Update : In.changes()) {
-    EngineChange Item;
-    Item.Engine.Id.Value = Update.id();
-    Item.Engine.Service.Value = Update.service();
-    Item.Engine.At = read(Update.at());
-    Item.Engine.Zone.Value = Update.zone();
-    Item.Engine.Slots = Update.slots();
-    Item.Engine.Draining = Update.draining();
-    Item.Removed = Update.removed();
-    Item.Offset = Update.offset();
-    Item.Engine.ColdFor =
-        fromMilliseconds(checkedMilliseconds(Update.cold_ms()));
-    Item.Engine.ColdUnreadable = Update.cold_unreadable();
-    Result.Changes.push_back(std::move(Item));
-  }
-  return Result;
-}
-
-banyanpick::EngineWork read(const EngineWork &In) {
-  banyanpick::EngineWork Result;
-  for (const EngineWork::Item &Work : In.items()) {
-    Result.Items.push_back({UpstreamId(Work.engine()),
-                            checkedNumber(Work.read_ms()),
-                            Work.reading(),
-                            Work.writing(),
-                            Work.memory_tokens(),
-                            Work.short_running(),
-                            {}});
-    for (const EngineWork::Answers &Answer : Work.held())
-      Result.Items.back().ActiveAnswers.push_back(
-          {checkedNumber(Answer.pause_ms()), checkedNumber(Answer.value_ms())});
-  }
-  for (const EngineWork::Waiting &Prompt : In.in_lane())
-    Result.QueuedPrompts.push_back(
-        {Prompt.request(), Prompt.tokens(), checkedNumber(Prompt.read_ms()),
-         checkedNumber(Prompt.needed_ms()), checkedNumber(Prompt.left_ms())});
-  for (const EngineWork::Pace &Slowdown : In.paces())
-    Result.Slowdowns.push_back(
-        {UpstreamId(Slowdown.engine()), checkedNumber(Slowdown.factor())});
-  for (const EngineWork::Distrust &Distrusted : In.distrusted())
-    Result.Distrusted.push_back({UpstreamId(Distrusted.engine()),
-                                 checkedNumber(Distrusted.since_ms()),
-                                 checkedNumber(Distrusted.left_ms())});
-  Result.WarmingUp = In.warming_up();
-  for (const EngineWork::Load &Load : In.loads())
-    Result.Loads.push_back({UpstreamId(Load.engine()), Load.running(),
-                            Load.waiting(), Load.memory_tokens(),
-                            checkedMilliseconds(Load.age_ms())});
-  return Result;
-}
-
-banyanpick::EngineLimits read(const EngineLimits &In) {
-  banyanpick::EngineLimits Result;
-  for (const EngineLimits::Word &Report : In.words()) {
-    const auto PerSecond =
-        Report.has_per_second()
-            ? std::optional(std::max(checkedNumber(Report.per_second()), 0.0))
-            : std::nullopt;
-    Result.LimitReports.push_back({UpstreamId(Report.engine()), PerSecond,
-                                   checkedMilliseconds(Report.age_ms())});
-  }
-  for (const EngineLimits::Ask &LeaseRequest : In.asks())
-    Result.LeaseRequests.push_back({UpstreamId(LeaseRequest.engine()),
-                                    LeaseRequest.number(),
-                                    LeaseRequest.count()});
-  for (const EngineLimits::Loan &Lease : In.loans())
-    Result.Leases.push_back({UpstreamId(Lease.engine()), Lease.number(),
-                             Lease.count(),
-                             checkedMilliseconds(Lease.later_ms()),
-                             checkedMilliseconds(Lease.waited_ms())});
-  for (const EngineLimits::Return &Returned : In.returns())
-    Result.Returns.push_back(
-        {UpstreamId(Returned.engine()), Returned.number(), Returned.count()});
-  for (const EngineLimits::Cold &Report : In.cold())
-    Result.ColdReports.push_back({UpstreamId(Report.engine()),
-                                  checkedMilliseconds(Report.left_ms()),
-                                  Report.turned_cold()});
-  return Result;
-}
-
-banyanpick::EngineSignals read(const EngineSignals &In) {
-  banyanpick::EngineSignals Result;
-  for (const EngineSignals::Rest &Backoff : In.rests())
-    Result.Backoffs.push_back(
-        {UpstreamId(Backoff.engine()), checkedMilliseconds(Backoff.left_ms())});
-  for (const std::string &Engine : In.leaving())
-    Result.Leaving.emplace_back(Engine);
-  return Result;
-}
-
-banyanpick::Heartbeat read(const Heartbeat &In) {
-  banyanpick::Heartbeat Result;
-  Result.Sequence = In.sequence();
-  Result.Acknowledges = In.acknowledges();
-  Result.Zone.Value = In.zone();
-  Result.Version = In.version();
-  Result.Leaving = In.leaving();
-  Result.Ready = In.ready();
-  Result.InForce = In.in_force();
-  Result.LogConfirmedAt = timeFromWire(In.log_confirmed_at_us());
-  for (const Rumour &Update : In.rumours())
-    Result.Updates.push_back({HostId(Update.host()), Incarnation(Update.life()),
-                              Update.version(),
-                              checkedEnum(Update.state(), MemberState::Leaving),
-                              Update.ready(), Update.cut_off()});
-  for (const Listing &Host : In.known())
-    Result.KnownHosts.push_back(read(Host));
-  Result.EnginesKnownTo = In.engines_known_to();
-  Result.EnginesDigest = In.engines_digest();
-  // Larger values are clamped to one day so that time arithmetic can't
-  // overflow. Receivers treat all values above one day alike.
-  if (In.has_store_age_us())
-    Result.StoreAge = Duration(std::min(In.store_age_us(), OldestUs));
-  Result.Late = Duration(std::min(In.late_us(), OldestUs));
-  const std::size_t Evacuations = std::min<std::size_t>(
-      static_cast<std::size_t>(In.evacuations_size()), MaxEvacuationRecords);
-  for (std::size_t Index = 0; Index < Evacuations; ++Index) {
-    const Evacuation &Item = In.evacuations(static_cast<int>(Index));
-    Result.Evacuations.push_back(
-        {ZoneId(Item.zone()), Item.active(), Item.offset()});
-  }
-  const std::size_t Versions = std::min<std::size_t>(
-      static_cast<std::size_t>(In.recent_versions_size()), MaxRecentVersions);
-  for (std::size_t Index = 0; Index < Versions; ++Index) {
-    const VersionInForce &Item = In.recent_versions(static_cast<int>(Index));
-    Result.RecentVersions.push_back(
-        {Item.version(), Duration(std::min(Item.age_us(), OldestUs))});
-  }
-  Result.CutOff = In.cut_off();
-  return Result;
-}
-
 banyanpick::WorkSent read(const WorkSent &In) {
   banyanpick::WorkSent Result;
   for (const WorkSent::Item &Work : In.items())
@@ -514,7 +221,7 @@
 PeerMessageBody readBody(const Envelope &In) {
   switch (In.body_case()) {
   case Envelope::kHeartbeat:
-    return read(In.heartbeat());
+    return fromWire(In.heartbeat());
   case Envelope::kWorkSent:
     return read(In.work_sent());
   case Envelope::kTeamUsage:
@@ -552,17 +259,21 @@
   case Envelope::kEnginesAsked:
     return banyanpick::EnginesRequest{In.engines_asked().from_offset()};
   case Envelope::kEnginesRelayed:
-    return read(In.engines_relayed());
+    return fromWire(In.engines_relayed());
   case Envelope::kEngineWork:
-    return read(In.engine_work());
+    return fromWire(In.engine_work());
   case Envelope::kEngineLimits:
-    return read(In.engine_limits());
+    return fromWire(In.engine_limits());
   case Envelope::kEngineSignals:
-    return read(In.engine_signals());
+    return fromWire(In.engine_signals());
   case Envelope::kHarmlessContent:
     return banyanpick::HarmlessContent{
         Fingerprint(In.harmless_content().content()),
         Duration(std::min(In.harmless_content().began_us_ago(), OldestUs))};
+  case Envelope::kMembersAsked:
+    return fromWire(In.members_asked());
+  case Envelope::kMembersRelayed:
+    return fromWire(In.members_relayed());
   case Envelope::BODY_NOT_SET:
     break;
   }
--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -19,34 +19,27 @@
 /// makes a new host known to all of sixteen hosts within a few intervals.
 constexpr std::size_t ListingsPerHeartbeat = 2;
 
-/// All pending updates are sent once within this number of heartbeats, however
-/// many there are.
-constexpr std::size_t HeartbeatsToDrainQueue = 2;
-
-/// States of other hosts added to each heartbeat when peers are sampled. They
-/// make up within seconds for updates sent before their receiver knew the host.
-constexpr std::size_t StatesPerHeartbeat = 6;
-
 /// Minimum time between two heartbeats that are sent only for changes in the
 /// registry or new hosts. A dozen upstreams that restart together are reported
 /// in one heartbeat.
 constexpr milliseconds MinUpdateInterval(80);
 
-/// Listings sent to a new host at once.
-constexpr std::size_t ListingsForNewcomer = 32;
+/// Listings sent to a new host at once. It requests the others from the hosts
+/// of these listings, so that hundreds of new hosts do not depend on their
+/// seeds.
+constexpr std::size_t ListingsForNewcomer = 16;
 
 /// Standby hosts serve no callers, so their failure may be detected later, at a
 /// lower cost. Updates are still sent at once.
 constexpr int StandbyIntervalFactor = 2;
 
-/// After this time, hosts that start together have all registered in the list,
-/// so that a read then returns all of them.
-constexpr seconds SecondListReadDelay(2);
+/// Interval at which seeds are contacted that do not answer, while other hosts
+/// are known.
+constexpr Duration SeedRetryInterval = seconds(4);
 
-/// With discovery by gossip, the list is read only for hosts that no peer
-/// reported. The total number of reads must not grow with the hosts, so the
-/// interval is multiplied by the number of hosts divided by this constant.
-constexpr std::size_t HostsPerListRead = 8;
+/// Seeds answer within this time, also where hundreds of hosts start together.
+/// A host that knows nobody after it reads the host list, at first this often.
+constexpr seconds SeedAnswerTime(1);
 
 std::string_view name(MemberState State) {
   switch (State) {
@@ -85,11 +78,12 @@
   this->GossipDiscovery = Values.text(Section, "discovery") == "gossip";
   this->Seeds = SeedContacts(Values.text(Section, "seeds"), this->Self.Peers);
   this->Rng = &Context.random();
+  this->Sync = MemberSync(Context.random());
   Context.services().provide<MembershipView>(*this);
   Context.services().list<StatusContributor>().add(*this);
 }
 
-void MembershipPlugin::start(Time, Actions &Out) {
+void MembershipPlugin::start(Time Now, Actions &Out) {
   this->CatalogueInForce = this->Registry->find<CatalogueView>();
   this->InForce = this->Registry->find<InForceView>();
   this->EngineRegistry = this->Registry->find<RegistryProgress>();
@@ -97,8 +91,11 @@
   this->Store = this->Registry->find<StoreFreshness>();
   this->Evacuations = this->Registry->find<EvacuationView>();
   this->EngineReach = this->Registry->find<EngineReachView>();
-  if (this->GossipDiscovery)
-    this->connect(Out);
+  if (!this->GossipDiscovery)
+    return;
+  this->connect(Out);
+  this->ListRetryDelay = SeedAnswerTime;
+  this->NextListRead = Now + SeedAnswerTime;
 }
 
 void MembershipPlugin::handle(const Event &Incoming, Time Now, Actions &Out) {
@@ -111,8 +108,7 @@
         this->ListReachable = false;
       },
       [&](const PeerMessageReceived &Received) {
-        if (const auto *Beat = std::get_if<Heartbeat>(&Received.Message.Body))
-          this->handleHeartbeat(Received.Message, *Beat, Now, Out);
+        this->handlePeerMessage(Received.Message, Now, Out);
       },
       [&](const StopRequest &) { this->leave(Now, Out); },
       [&](const GatewayEvent &Gateway) {
@@ -121,10 +117,8 @@
               Reload->Values->text("membership", "seeds"), this->Self.Peers);
       },
       [](const auto &) {});
-  if (Now >= this->NextListRead) {
-    this->NextListRead = Now + this->listReadInterval();
-    Out.add(ReadHostList{});
-  }
+  if (Now >= this->NextListRead)
+    this->readHostList(Now, Out);
   this->updateCutOff(Now);
   if (Now >= std::min(this->NextHeartbeat, this->updateDue()))
     this->sendHeartbeats(Now, Out);
@@ -140,22 +134,44 @@
       this->Evacuations->changeCount() != this->SentEvacuations;
   if (ConfigurationChanged || EvacuationsChanged)
     return Time{};
-  const bool EnginesChanged =
-      this->EngineRegistry &&
-      this->EngineRegistry->digest() != this->SentEnginesDigest;
-  return EnginesChanged && this->LastHeartbeat != Never
+  return this->haveEnginesChanged() && this->LastHeartbeat != Never
              ? this->LastHeartbeat + MinUpdateInterval
              : Never;
 }
 
-Duration MembershipPlugin::listReadInterval() {
-  if (!this->GossipDiscovery)
-    return this->ListInterval;
-  if (std::exchange(this->FirstListRead, false))
-    return SecondListReadDelay;
-  const std::size_t Hosts = this->Peers.members().size() + 1;
-  return this->ListInterval *
-         std::max<std::size_t>(1, Hosts / HostsPerListRead);
+bool MembershipPlugin::haveEnginesChanged() const {
+  if (!this->EngineRegistry)
+    return false;
+  // Among many hosts, new engines wait for the next heartbeat. Hundreds of them
+  // register when a deployment starts.
+  return this->Probes.isSampling(this->Peers)
+             ? this->EngineRegistry->lossCount() != this->SentEngineLosses
+             : this->EngineRegistry->digest() != this->SentEnginesDigest;
+}
+
+void MembershipPlugin::readHostList(Time Now, Actions &Out) {
+  if (!this->GossipDiscovery) {
+    this->NextListRead = Now + this->ListInterval;
+    Out.add(ReadHostList{});
+    return;
+  }
+  const bool IsAlone = !this->hasLivePeer();
+  this->NextListRead =
+      Now + (IsAlone ? this->ListRetryDelay : this->ListInterval);
+  // Hosts that found each other through different seeds meet when the few
+  // listed ones of each group read the list.
+  if (!IsAlone && !(this->Store && this->Store->isListed()))
+    return;
+  if (IsAlone)
+    this->ListRetryDelay =
+        std::min(this->ListRetryDelay * 2, this->ListInterval);
+  Out.add(ReadHostList{});
+}
+
+bool MembershipPlugin::hasLivePeer() const {
+  return std::ranges::any_of(this->Peers.members(), [](const Member &Peer) {
+    return Peer.State == MemberState::Alive && Peer.Life != Incarnation();
+  });
 }
 
 Time MembershipPlugin::nextWake() const {
@@ -222,16 +238,37 @@
   this->NextHeartbeat = Now;
 }
 
+void MembershipPlugin::handlePeerMessage(const PeerMessage &Message, Time Now,
+                                         Actions &Out) {
+  match(
+      Message.Body,
+      [&](const Heartbeat &Beat) {
+        this->handleHeartbeat(Message, Beat, Now, Out);
+      },
+      [&](const MembersRequest &Request) {
+        this->answerMembersRequest(Message.From, Request, Now, Out);
+      },
+      [&](const MembersRelayed &Relayed) {
+        this->takeMembers(Relayed, Now, Out);
+      },
+      [](const auto &) {});
+}
+
+std::vector<HostListing>
+MembershipPlugin::addUnknown(std::span<const HostListing> Listings, Time Now) {
+  std::vector<HostListing> Added;
+  for (const HostListing &Listing : Listings)
+    if (!this->Peers.position(Listing.Id) && this->Peers.learn(Listing, Now))
+      Added.push_back(Listing);
+  return Added;
+}
+
 void MembershipPlugin::learn(std::span<const HostListing> Listings, Time Now,
                              Actions &Out) {
-  bool Changed = false;
-  for (const HostListing &Listing : Listings) {
-    if (!this->Peers.position(Listing.Id))
-      Changed |= this->Peers.learn(Listing, Now);
-  }
-  if (!Changed)
+  std::vector<HostListing> Added = this->addUnknown(Listings, Now);
+  if (Added.empty())
     return;
-  this->connect(Out);
+  Out.add(ConnectPeers{std::move(Added), true});
   // Every answer may list more hosts. One heartbeat for each of them would
   // multiply the traffic when hundreds of hosts start together.
   const Time Soon = this->LastHeartbeat == Never
@@ -242,6 +279,7 @@
 
 void MembershipPlugin::connect(Actions &Out) const {
   ConnectPeers Connections;
+  Connections.Peers.reserve(this->Peers.members().size());
   for (const Member &Peer : this->Peers.members())
     Connections.Peers.push_back(Peer.Listing);
   for (HostListing &Listing : this->Seeds.unresolved(this->Peers.members()))
@@ -254,13 +292,21 @@
           this->Self.Peers, false,           this->Self.Processor};
 }
 
-std::vector<HostListing> MembershipPlugin::listingsFor(bool Newcomer) {
+std::vector<HostListing>
+MembershipPlugin::listingsFor(const Introduction &Introduced) {
   std::vector<HostListing> Result;
-  if (!this->GossipDiscovery)
+  // Among many hosts, only those that do not know this host need a listing; the
+  // digests show who lacks others.
+  const bool IsKnown = this->Probes.isSampling(this->Peers) &&
+                       !Introduced.WithOwn && !Introduced.IsNewcomer;
+  if (!this->GossipDiscovery || IsKnown)
     return Result;
   Result.push_back(this->ownListing());
-  for (const std::size_t Index :
-       this->samplePeers(Newcomer ? ListingsForNewcomer : ListingsPerHeartbeat))
+  std::size_t MaxOthers =
+      this->Probes.isSampling(this->Peers) ? 0 : ListingsPerHeartbeat;
+  if (Introduced.IsNewcomer)
+    MaxOthers = ListingsForNewcomer;
+  for (const std::size_t Index : this->samplePeers(MaxOthers))
     Result.push_back(this->Peers.member(Index).Listing);
   return Result;
 }
@@ -297,7 +343,7 @@
     const HostListing &Sender = Beat.KnownHosts.front();
     if (Sender.Id == Message.From && this->Peers.learn(Sender, Now)) {
       Newcomer = true;
-      this->connect(Out);
+      Out.add(ConnectPeers{{Sender}, true});
     }
     this->learn(std::span(Beat.KnownHosts).subspan(1), Now, Out);
   }
@@ -305,11 +351,17 @@
   if (!From)
     return; // Not in the host list yet; the sender will probe again.
   Newcomer = Newcomer || this->Peers.member(*From).Life != Message.FromLife;
+  // Among hosts that start together, most know each other only later.
+  Newcomer = Newcomer && Beat.MembersCount < this->knownMembers().Count;
   this->Peers.handleHeartbeat(*From, Message.FromLife, Beat, Now);
-  for (const MemberUpdate &Update : Beat.Updates)
+  for (const MemberUpdate &Update : Beat.Updates) {
+    this->Updates.noteHeard(Update);
     this->applyUpdate(Update, Now);
+  }
+  this->requestMembers(Message.From, Beat, Now, Out);
   if (!Beat.Acknowledges) {
-    this->send(*From, Beat.Sequence, Newcomer, Now, Out);
+    const bool IsIntroduced = !Beat.KnownHosts.empty();
+    this->send(*From, Beat.Sequence, {IsIntroduced, Newcomer}, Now, Out);
     return;
   }
   ++this->ProbesAnswered;
@@ -380,14 +432,17 @@
   }
   if (this->Evacuations)
     this->SentEvacuations = this->Evacuations->changeCount();
-  if (this->EngineRegistry)
+  if (this->EngineRegistry) {
     this->SentEnginesDigest = this->EngineRegistry->digest();
+    this->SentEngineLosses = this->EngineRegistry->lossCount();
+  }
   this->Peers.detectFailures(this->Health.timeoutMultiplier(), Now);
   this->ProbesSent /= 2;
   this->ProbesAnswered /= 2;
   for (const std::size_t To :
        this->Probes.next(this->Peers, this->Self.Host, this->partners())) {
-    this->send(To, std::nullopt, false, Now, Out);
+    const bool KnowsSelf = this->Peers.record(To).KnowsSelf;
+    this->send(To, std::nullopt, {!KnowsSelf, false}, Now, Out);
     ++this->ProbesSent;
   }
   if (this->GossipDiscovery)
@@ -407,11 +462,17 @@
 }
 
 void MembershipPlugin::contactSeeds(Time Now, Actions &Out) {
+  if (Now < this->NextSeedContact)
+    return;
+  // A seed that is down may never return. Once others are known, it is tried
+  // seldom, to join hosts that know only this seed.
+  this->NextSeedContact =
+      Now + (this->hasLivePeer() ? SeedRetryInterval : this->HeartbeatInterval);
   for (const HostListing &Listing :
        this->Seeds.unresolved(this->Peers.members())) {
     Heartbeat Beat = this->makeHeartbeat(Now);
     Beat.Sequence = ++this->Sequence;
-    Beat.KnownHosts = this->listingsFor(false);
+    Beat.KnownHosts = this->listingsFor({true, false});
     Out.add(SendToPeer{Listing.Id, std::move(Beat)});
   }
 }
@@ -438,6 +499,9 @@
     Beat.Evacuations = this->Evacuations->records();
   if (this->InForce)
     Beat.RecentVersions = this->InForce->recentVersions(Now);
+  const MemberSummary Known = this->knownMembers();
+  Beat.MembersDigest = Known.Digest;
+  Beat.MembersCount = Known.Count;
   Beat.CutOff = this->CutOff;
   Beat.Late = this->Health.lateness();
   if (this->Store && this->Store->storeConfirmedAt() != Time{})
@@ -447,18 +511,19 @@
 
 void MembershipPlugin::send(std::size_t To,
                             std::optional<std::uint64_t> AcknowledgedSequence,
-                            bool Newcomer, Time Now, Actions &Out) {
+                            const Introduction &Introduced, Time Now,
+                            Actions &Out) {
   Heartbeat Beat = this->makeHeartbeat(Now);
   Beat.Acknowledges = AcknowledgedSequence.has_value();
   Beat.Sequence =
       AcknowledgedSequence ? *AcknowledgedSequence : ++this->Sequence;
-  Beat.KnownHosts = this->listingsFor(Newcomer);
+  Beat.KnownHosts = this->listingsFor(Introduced);
   Beat.Updates = this->updatesFor(To);
   // Receivers drop updates about hosts that they do not know yet, so the state
   // of a host is sent together with its listing.
   for (const HostListing &Listing : Beat.KnownHosts)
     if (const auto Index = this->Peers.position(Listing.Id))
-      Beat.Updates.push_back(this->updateOf(*Index));
+      Beat.Updates.push_back(this->Peers.updateOf(*Index));
   if (!AcknowledgedSequence)
     this->Peers.noteProbe(To, Beat.Sequence, Now);
   Out.add(SendToPeer{this->Peers.member(To).Listing.Id, std::move(Beat)});
@@ -467,29 +532,16 @@
 std::vector<MemberUpdate> MembershipPlugin::updatesFor(std::size_t To) {
   const auto Hosts = static_cast<unsigned>(this->Peers.members().size() + 1);
   const std::uint32_t MaxSends = SendsPerDoubling * std::bit_width(Hosts);
-  // When hundreds of hosts start or return together, each causes an update. A
-  // fixed number per heartbeat would take longer than callers wait for them.
-  const std::size_t MaxCount = std::max(
-      this->UpdatesPerHeartbeat, this->Updates.size() / HeartbeatsToDrainQueue);
-  std::vector<MemberUpdate> Result = this->Updates.take(MaxCount, MaxSends);
-  if (this->GossipDiscovery && this->Probes.isSampling(this->Peers))
-    for (const std::size_t Index : this->samplePeers(StatesPerHeartbeat))
-      Result.push_back(this->updateOf(Index));
+  std::vector<MemberUpdate> Result =
+      this->Updates.take(this->UpdatesPerHeartbeat, MaxSends);
   // A suspected host has to receive the suspicion to be able to refute it.
   const PeerRecord &Record = this->Peers.record(To);
   if (Record.MergedState.Status != IncarnationState::Liveness::Alive &&
       this->Peers.member(To).Life != Incarnation())
-    Result.push_back(this->updateOf(To));
+    Result.push_back(this->Peers.updateOf(To));
   return Result;
 }
 
-MemberUpdate MembershipPlugin::updateOf(std::size_t Index) const {
-  const Member &Peer = this->Peers.member(Index);
-  const IncarnationState &MergedState = this->Peers.record(Index).MergedState;
-  return {Peer.Listing.Id,          Peer.Life,         MergedState.Version,
-          memberState(MergedState), MergedState.Ready, MergedState.CutOff};
-}
-
 MemberUpdate MembershipPlugin::ownUpdate() const {
   return {this->Self.Host,
           this->Self.Life,
@@ -504,8 +556,14 @@
     const Member Changed = this->Peers.member(Change.Index);
     if (Change.FalselySuspected)
       this->Health.noteFalseSuspicion(Now);
-    if (Change.Disseminate)
-      this->Updates.add(this->updateOf(Change.Index));
+    if (Change.Disseminate) {
+      this->Updates.add(this->Peers.updateOf(Change.Index));
+      // Callers of a lost host wait for its suspicion.
+      if (Changed.State != MemberState::Alive && this->LastHeartbeat != Never)
+        this->NextHeartbeat =
+            std::min(this->NextHeartbeat,
+                     std::max(Now, this->LastHeartbeat + MinUpdateInterval));
+    }
     if (Change.StateChanged && this->LogLimiter.tryAcquire(Now))
       Out.log(logEvent(events::HostChanged)
                   .with("host", Changed.Listing.Id.Value)
@@ -521,45 +579,6 @@
   }
 }
 
-std::vector<SettingDeclaration> MembershipPlugin::settings() {
-  const std::string Section = "membership";
-  return {{.Section = Section,
-           .Key = "discovery",
-           .Kind = SettingKind::Choice,
-           .Default = "list",
-           .Help = "How entry hosts find each other: only as the host list "
-                   "says, or by hearing of each other from seeds and peers, "
-                   "too.",
-           .Choices = {"list", "gossip"}},
-          {Section, "seeds", SettingKind::Text, "",
-           "Where peers may be found at the start (ip:port, divided by "
-           "commas); for discovery by gossip."},
-          {Section, "host_list_interval", SettingKind::Span, "1s",
-           "How often the platform's host list is read.", 50e3, 60e6},
-          {Section, "heartbeat_interval", SettingKind::Span, "500ms",
-           "How often heartbeats are sent to other entry hosts.", 50e3, 10e6},
-          {Section, "full_mesh_hosts", SettingKind::Whole, "16",
-           "Up to so many entry hosts, each sends heartbeats to every other.",
-           1, 1024},
-          {Section, "fanout", SettingKind::Whole, "2",
-           "With more entry hosts, how many are sent a heartbeat at each "
-           "interval.",
-           1, 64},
-          {Section, "rumours_per_heartbeat", SettingKind::Whole, "4",
-           "How much news of other hosts one heartbeat carries.", 1, 64},
-          {Section, "suspect_after", SettingKind::Span, "2s",
-           "A host that leaves a heartbeat unanswered for so long is "
-           "suspected.",
-           200e3, 60e6},
-          {Section, "dead_after", SettingKind::Span, "3s",
-           "A suspected host that does not answer for so long is taken for "
-           "dead; longer with more than ten hosts.",
-           200e3, 600e6},
-          {Section, "forget_after", SettingKind::Span, "10min",
-           "A dead host out of the host list is forgotten after so long.", 1e6,
-           86400e6}};
-}
-
 namespace {
 
 const PluginRegistration
--- a/src/plugins/membership/MembershipPlugin.h
+++ b/src/plugins/membership/MembershipPlugin.h
@@ -6,6 +6,7 @@
 #include "plugins/membership/GossipQueue.h"
 #include "plugins/membership/LocalHealth.h"
 #include "plugins/membership/LogRateLimiter.h"
+#include "plugins/membership/MemberSync.h"
 #include "plugins/membership/PeerTable.h"
 #include "plugins/membership/ProbeScheduler.h"
 #include "plugins/membership/SeedContacts.h"
@@ -34,6 +35,9 @@
   bool isDead(const HostId &Host, Incarnation Life) const override;
   bool knowsHosts() const override { return this->ListRead; }
   bool hasLeft(const HostId &Host, Incarnation Life) const override;
+  bool isSeed() const override {
+    return !this->GossipDiscovery || this->Seeds.isSelfSeed();
+  }
 
   void contribute(StatusReport &Report, Time Now) const override;
 
@@ -44,10 +48,19 @@
   void applyHostList(const HostListRead &List, Time Now, Actions &Out);
   /// Adds hosts discovered by gossip and reconnects if any is new.
   void learn(std::span<const HostListing> Listings, Time Now, Actions &Out);
+  /// Adds the hosts that were not known, and returns them.
+  std::vector<HostListing> addUnknown(std::span<const HostListing> Listings,
+                                      Time Now);
   void connect(Actions &Out) const;
   HostListing ownListing() const;
-  /// Returns the own listing and some of other hosts, more for \p Newcomer.
-  std::vector<HostListing> listingsFor(bool Newcomer);
+  /// What the receiver of a heartbeat lacks.
+  struct Introduction {
+    bool WithOwn = false;    ///< It may not know this host.
+    bool IsNewcomer = false; ///< It has started, and knows few others.
+  };
+  /// Returns the own listing and some of other hosts, as far as the receiver
+  /// needs them.
+  std::vector<HostListing> listingsFor(const Introduction &Introduced);
   /// Returns the positions of some live peers, a different sample each time.
   std::vector<std::size_t> samplePeers(std::size_t MaxCount);
   Heartbeat makeHeartbeat(Time Now);
@@ -57,12 +70,27 @@
   std::span<const HostId> partners() const;
   /// Returns the time between two heartbeats.
   Duration heartbeatInterval() const;
-  /// Returns the time until the host list is read again.
-  Duration listReadInterval();
+  /// Reads the host list if it is due and needed.
+  void readHostList(Time Now, Actions &Out);
+  /// Whether a peer is alive.
+  bool hasLivePeer() const;
   /// Returns when a change of the configuration in force, of the evacuations or
   /// of the known registrations has to be sent to peers, ahead of the next
   /// heartbeat.
   Time updateDue() const;
+  /// Whether the registrations changed so that peers should hear of it at once.
+  bool haveEnginesChanged() const;
+  void handlePeerMessage(const PeerMessage &Message, Time Now, Actions &Out);
+  /// Returns the digest and number of the live members, with this host.
+  MemberSummary knownMembers() const;
+  /// Returns the sum of the digests in each of \p Buckets.
+  std::vector<std::uint32_t> bucketDigests(std::size_t Buckets) const;
+  /// Requests members from a peer whose digest differs.
+  void requestMembers(const HostId &From, const Heartbeat &Beat, Time Now,
+                      Actions &Out);
+  void answerMembersRequest(const HostId &From, const MembersRequest &Request,
+                            Time Now, Actions &Out);
+  void takeMembers(const MembersRelayed &Relayed, Time Now, Actions &Out);
   void handleHeartbeat(const PeerMessage &Message, const Heartbeat &Beat,
                        Time Now, Actions &Out);
   void applyUpdate(const MemberUpdate &Update, Time Now);
@@ -72,9 +100,8 @@
   void updateCutOff(Time Now);
   void sendHeartbeats(Time Now, Actions &Out);
   void send(std::size_t To, std::optional<std::uint64_t> AcknowledgedSequence,
-            bool Newcomer, Time Now, Actions &Out);
+            const Introduction &Introduced, Time Now, Actions &Out);
   std::vector<MemberUpdate> updatesFor(std::size_t To);
-  MemberUpdate updateOf(std::size_t Index) const;
   MemberUpdate ownUpdate() const;
   void announceChanges(Time Now, Actions &Out);
 
@@ -93,11 +120,12 @@
   bool SentReady = false;
   std::uint64_t SentEvacuations = 0;   ///< Change count of the sent records.
   std::uint64_t SentEnginesDigest = 0; ///< Digest of the registrations.
-  bool FirstListRead = true;           ///< The next read is the first one.
+  std::uint64_t SentEngineLosses = 0;  ///< Count of engines lost until then.
   bool GossipDiscovery = false;        ///< Hosts are discovered by gossip.
   PeerTable Peers;
   ProbeScheduler Probes;
   GossipQueue Updates;
+  MemberSync Sync;
   LocalHealth Health;
   LogRateLimiter LogLimiter;
   Duration ListInterval{};
@@ -105,7 +133,9 @@
   Duration PauseThreshold{}; ///< A heartbeat this late shows a paused process.
   std::size_t UpdatesPerHeartbeat = 0;
   Time NextListRead{};
+  Duration ListRetryDelay{}; ///< Until the next read while no peer is known.
   Time NextHeartbeat{};
+  Time NextSeedContact{};
   Time LastHeartbeat = Never;
   std::uint64_t OwnVersion = 0;
   bool Leaving = false;
--- a/src/plugins/membership/PeerTable.cpp
+++ b/src/plugins/membership/PeerTable.cpp
@@ -133,6 +133,7 @@
   }
   Record.ProbedAt = Never;
   Record.Unanswered = 0;
+  Record.KnowsSelf |= Beat.Acknowledges;
   Record.Late = Beat.Late;
   const bool Differs = Peer.Ready != Beat.Ready || Peer.InForce != Beat.InForce;
   const bool ReadyNow = Beat.Ready && !Beat.Leaving;
@@ -239,6 +240,25 @@
   return Result;
 }
 
+void PeerTable::withholdChanges() {
+  for (auto &[Host, Change] : this->Changes)
+    Change.Disseminate = false;
+}
+
+MemberUpdate PeerTable::updateOf(std::size_t Index) const {
+  const Member &Peer = this->Members[Index];
+  const IncarnationState &MergedState = this->Records[Index].MergedState;
+  return {Peer.Listing.Id,          Peer.Life,         MergedState.Version,
+          memberState(MergedState), MergedState.Ready, MergedState.CutOff};
+}
+
+void PeerTable::updateDigest(std::size_t Index) {
+  std::uint64_t &Counted = this->Records[Index].Digest;
+  const std::uint64_t Next = memberDigest(this->updateOf(Index));
+  this->Digests.replace(Counted, Next);
+  Counted = Next;
+}
+
 std::size_t PeerTable::insert(const HostListing &Listing, Time Now) {
   const auto Found =
       std::ranges::lower_bound(this->Members, Listing.Id, {}, HostIdOf);
@@ -270,6 +290,7 @@
   Record.MergedState = IncarnationState{};
   Record.SuspectedAt = Never;
   Record.SuspectedHere = false;
+  Record.KnowsSelf = false;
   Record.Unanswered = 0;
   Record.Refutations = 0;
   Record.Candidate = Incarnation();
@@ -303,6 +324,7 @@
 }
 
 void PeerTable::updateMember(std::size_t Index) {
+  this->updateDigest(Index);
   Member &Peer = this->Members[Index];
   if (this->Records[Index].MergedState.Ready && !Peer.Ready) {
     Peer.Ready = true;
@@ -334,6 +356,7 @@
     if (Keep)
       continue;
     const auto Position = static_cast<std::ptrdiff_t>(Index);
+    this->Digests.replace(Record.Digest, 0);
     this->Members.erase(this->Members.begin() + Position);
     this->Records.erase(this->Records.begin() + Position);
   }
--- a/src/plugins/membership/PeerTable.h
+++ b/src/plugins/membership/PeerTable.h
@@ -4,6 +4,7 @@
 
 #include "kernel/Plugin.h"
 #include "plugins/membership/IncarnationState.h"
+#include "plugins/membership/MemberDigests.h"
 
 #include <map>
 #include <optional>
@@ -36,6 +37,8 @@
   bool SuspectedHere = false; ///< This host itself detected the failure.
   Time SuspectedAt = Never;
   Time UnlistedAt = Never;
+  bool KnowsSelf = false;   ///< This incarnation has answered this host.
+  std::uint64_t Digest = 0; ///< Of its state, as counted in the sum.
   /// An incarnation that may be newer. It is accepted once it answers a
   /// heartbeat that was sent after this incarnation was first seen.
   /// Incarnations are random numbers, so nothing else distinguishes a message
@@ -99,12 +102,20 @@
 
   /// Returns the changes since the last call, ordered by name.
   std::vector<PeerChange> takeChanges();
+  /// Marks the pending changes as not to be disseminated.
+  void withholdChanges();
+
+  /// Returns the state of the peer as it is sent to others.
+  MemberUpdate updateOf(std::size_t Index) const;
+  /// The digests of the states of all peers.
+  const MemberDigestSum &digestSum() const { return this->Digests; }
 
 private:
   std::size_t insert(const HostListing &Listing, Time Now);
   void changeIncarnation(std::size_t Index, Incarnation Life);
   void joinState(std::size_t Index, const IncarnationState &Update, Time Now);
   void updateMember(std::size_t Index);
+  void updateDigest(std::size_t Index);
   PeerChange &changeOf(const HostId &Host);
   void removeExpired(Time Now);
   Duration deadAfter() const;
@@ -117,6 +128,7 @@
   std::vector<Member> Members;
   std::vector<PeerRecord> Records; ///< In the same order as Members.
   std::map<HostId, PeerChange> Changes;
+  MemberDigestSum Digests;
 };
 
 } // namespace banyanpick
--- a/src/plugins/membership/ProbeScheduler.h
+++ b/src/plugins/membership/ProbeScheduler.h
@@ -28,7 +28,11 @@
 
   /// Returns whether heartbeats are sent only to a sample of the peers.
   bool isSampling(const PeerTable &Peers) const {
-    return Peers.members().size() + 1 > this->Limits.FullMeshHosts;
+    return this->isSampled(Peers.members().size() + 1);
+  }
+  /// The same for this number of hosts.
+  bool isSampled(std::size_t Hosts) const {
+    return Hosts > this->Limits.FullMeshHosts;
   }
 
   /// Returns the positions of the peers to probe now. \p Partners are always
--- a/src/plugins/membership/SeedContacts.cpp
+++ b/src/plugins/membership/SeedContacts.cpp
@@ -17,7 +17,9 @@
     HostListing Contact;
     Contact.Id.Value = "seed " + std::string(Seed);
     Contact.Peers = addressFromText(Seed);
-    if (Contact.Peers != Self)
+    if (Contact.Peers == Self)
+      this->IsSelfListed = true;
+    else
       this->Contacts.push_back(std::move(Contact));
   }
 }
--- a/src/plugins/membership/SeedContacts.h
+++ b/src/plugins/membership/SeedContacts.h
@@ -20,11 +20,16 @@
   /// Throws Error(BadInput) if an address is malformed.
   SeedContacts(std::string_view Text, const Address &Self);
 
+  /// Whether this host is a seed, or there is no other.
+  bool isSelfSeed() const {
+    return this->IsSelfListed || this->Contacts.empty();
+  }
   /// Returns the seeds whose address belongs to no known live host.
   std::vector<HostListing> unresolved(std::span<const Member> KnownPeers) const;
 
 private:
   std::vector<HostListing> Contacts;
+  bool IsSelfListed = false;
 };
 
 } // namespace banyanpick
--- a/tests/auto/daemon/PeerNetworkTest.cpp
+++ b/tests/auto/daemon/PeerNetworkTest.cpp
@@ -88,7 +88,7 @@
                 ignoringListener());
   PeerNetwork B(HostId("b"), Incarnation(2), AnyPort, settingsWith(Keys, ""),
                 InboxOfB.listener());
-  A.connect({listingOf("b", B)});
+  A.connect({{listingOf("b", B)}});
   ASSERT_TRUE(sendUntilReceived(A, "b", InboxOfB, LongTimeout));
   const std::lock_guard Lock(InboxOfB.Mutex);
   EXPECT_EQ(InboxOfB.Received.front(),
@@ -102,7 +102,7 @@
                 ignoringListener());
   PeerNetwork B(HostId("b"), Incarnation(2), AnyPort, Plain,
                 InboxOfB.listener());
-  A.connect({listingOf("b", B)});
+  A.connect({{listingOf("b", B)}});
   EXPECT_TRUE(sendUntilReceived(A, "b", InboxOfB, LongTimeout));
 }
 
@@ -113,7 +113,7 @@
                 ignoringListener());
   PeerNetwork B(HostId("b"), Incarnation(2), AnyPort, Plain,
                 InboxOfB.listener());
-  A.connect({listingOf("b", B)});
+  A.connect({{listingOf("b", B)}});
   A.send(HostId("b"), RecordsRequest{7});
   ASSERT_TRUE(InboxOfB.waitForMessage(LongTimeout))
       << "sent once, before the connection";
@@ -131,7 +131,7 @@
       HostId("a"), Incarnation(1), AnyPort,
       settingsWith(makeCurveKeyPair(), "b " + KeysOfB.PublicKey),
       ignoringListener());
-  Stranger.connect({listingOf("b", B)});
+  Stranger.connect({{listingOf("b", B)}});
   EXPECT_FALSE(sendUntilReceived(Stranger, "b", InboxOfB, ShortTimeout));
 }
 
@@ -145,7 +145,7 @@
   PeerNetwork A(HostId("someone-else"), Incarnation(1), AnyPort,
                 settingsWith(KeysOfA, "b " + KeysOfB.PublicKey),
                 ignoringListener());
-  A.connect({listingOf("b", B)});
+  A.connect({{listingOf("b", B)}});
   while (!InboxOfB.waitForMalformed(std::chrono::milliseconds(20)))
     A.send(HostId("b"), RecordsRequest{7});
   EXPECT_FALSE(InboxOfB.waitForMessage(std::chrono::milliseconds(0)));
@@ -158,7 +158,7 @@
   HostListing Wrong;
   Wrong.Id.Value = "b";
   Wrong.Peers = {"not an address", 1};
-  A.connect({Wrong});
+  A.connect({{Wrong}});
   // The connection to a peer is opened by the first message to it.
   A.send(HostId("b"), RecordsRequest{7});
   EXPECT_TRUE(InboxOfA.waitForMalformed(LongTimeout));
--- a/tests/auto/daemon/SlowPeerTest.cpp
+++ b/tests/auto/daemon/SlowPeerTest.cpp
@@ -62,7 +62,7 @@
   HostListing Listing;
   Listing.Id = HostId("b");
   Listing.Peers = {"127.0.0.1", Receiver.port()};
-  Sender.connect({Listing});
+  Sender.connect({{Listing}});
   const ConfigurationRelayed Chunk{1, std::string(MessageBytes, 'x'), 0,
                                    MessageBytes};
   for (std::size_t Sent = 0; Sent < Messages; ++Sent) {
--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -68,7 +68,8 @@
 } // namespace
 
 HostSimulation::HostSimulation(std::size_t HostCount, std::size_t EngineCount,
-                               std::vector<SettingChange> Changes)
+                               std::vector<SettingChange> Changes,
+                               std::span<const ProcessorShare> Processors)
     : Queue(Begin), SettingChanges(std::move(Changes)) {
   for (std::size_t Index = 0; Index < EngineCount; ++Index) {
     EngineRecord Engine;
@@ -90,6 +91,8 @@
     Self.Zone = ZoneId(fmt::format("z{}", Index % Zones));
     Self.Callers = addressOf(Index);
     Self.Peers = addressOf(Index);
+    if (Index < Processors.size())
+      Self.Processor = Processors[Index];
     this->IndexById[Self.Host] = Index;
     this->start(Index);
   }
@@ -427,6 +430,13 @@
   return this->Hosts[Host].Process->services().get<InForceView>().version();
 }
 
+std::size_t HostSimulation::knownPeers(std::size_t Host) const {
+  const auto &Members =
+      this->Hosts[Host].Process->services().get<MembershipView>();
+  return static_cast<std::size_t>(
+      std::ranges::count(Members.peers(), MemberState::Alive, &Member::State));
+}
+
 bool HostSimulation::knowsLeaving(std::size_t Host, std::size_t Engine) const {
   const auto &Directory =
       this->Hosts[Host].Process->services().get<EngineDirectory>();
@@ -456,14 +466,12 @@
   Started.Process = std::make_unique<Kernel>(Started.Self, Values, Started.Life,
                                              ServingMode::Gateway);
   Started.WakeAt = Never;
-  Started.ReadsStore = true;
+  Started.ReadsStore = false;
   Started.Listed = false;
   Started.Next = 0;
   Started.SeenVersion = 0;
   Started.NextDeclaration = 0;
   this->send(Index, Started.Life, Tick{});
-  this->readStore(Index, Started.Life);
-  this->readQuarantines(Index);
 }
 
 void HostSimulation::send(std::size_t Index, std::uint64_t Life,
@@ -536,7 +544,7 @@
         ++this->Current.ListReads;
         HostListRead Read;
         for (const Host &Listed : this->Hosts)
-          if (Listed.Life != 0)
+          if (Listed.IsListed)
             Read.Hosts.push_back({Listed.Self.Host, Listed.Self.Zone,
                                   Listed.Self.Callers, Listed.Self.Peers, false,
                                   Listed.Self.Processor});
@@ -632,11 +640,18 @@
         if (!this->endForward(Index, Failed.Request, RelayFailed{BadGateway}))
           ++this->Current.Lost[Index];
       },
+      [&](const AnnounceHost &Record) {
+        ++this->Current.Announcements;
+        this->Hosts[Index].IsListed = Record.Present;
+      },
       [&](const FollowStore &Follow) {
         const bool Before =
             std::exchange(this->Hosts[Index].ReadsStore, Follow.Enabled);
-        if (Follow.Enabled && !Before)
-          this->readStore(Index, Life);
+        this->Hosts[Index].Turns = Follow.Turns;
+        if (!Follow.Enabled || Before)
+          return;
+        this->readStore(Index, Life);
+        this->readQuarantines(Index);
       },
       [&](const DecodeConfiguration &Decode) {
         const std::uint64_t NewVersion =
@@ -679,9 +694,10 @@
     return;
   const Host &Sender = this->Hosts[From];
   PeerMessage Message{Sender.Self.Host, Sender.Self.Life, Sent.Body};
-  const std::size_t Bytes = Sender.Available.BytesPerSecond == 0
-                                ? 0
-                                : encodePeerMessage(Message).size();
+  const bool IsMeasured =
+      this->CountsBytes || Sender.Available.BytesPerSecond != 0;
+  const std::size_t Bytes = IsMeasured ? encodePeerMessage(Message).size() : 0;
+  this->countBytes(From, To, Sent.Body, Bytes);
   this->chargeSending(From, Bytes);
   this->Queue.after(
       NetworkDelay + this->transfer(From, To, Bytes),
@@ -691,12 +707,25 @@
       });
 }
 
+void HostSimulation::countBytes(std::size_t From, std::size_t To,
+                                const PeerMessageBody &Body,
+                                std::size_t Bytes) {
+  if (!this->CountsBytes)
+    return;
+  this->Current.Bytes[kindOf(Body)] += Bytes;
+  this->Current.BytesByHost[From] += Bytes;
+  this->Current.BytesByHost[To] += Bytes;
+  if (this->Hosts[From].Self.Zone != this->Hosts[To].Self.Zone)
+    this->Current.BytesToOtherZones += Bytes;
+}
+
 void HostSimulation::readStore(std::size_t Index, std::uint64_t Life) {
   this->Queue.after(StoreDelay, [this, Index, Life] {
     Host &Reader = this->Hosts[Index];
     if (!Reader.Process || Reader.Life != Life || !Reader.ReadsStore)
       return;
     ++this->Current.StoreReads;
+    this->Current.Readers.insert(Index);
     if (this->RefusedReaders.contains(Index)) {
       this->send(Index, Life,
                  GatewayEvent(StoreObserved{StoreObserved::Part::Engines, false,
@@ -725,7 +754,7 @@
         Index, Life,
         GatewayEvent(StoreObserved{StoreObserved::Part::Engines, true, ""}));
     this->send(Index, Life, GatewayEvent(std::move(Read)));
-    this->Queue.after(StoreReadInterval,
+    this->Queue.after(StoreReadInterval * Reader.Turns,
                       [this, Index, Life] { this->readStore(Index, Life); });
   });
 }
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -30,8 +30,10 @@
   /// Starts all hosts at once, distributed over the zones in turn. Three of
   /// them are seeds.
   /// \p Changes are applied to the settings of all hosts.
+  /// \p Processors are those of the first hosts; the others have a whole core.
   HostSimulation(std::size_t Hosts, std::size_t Engines,
-                 std::vector<SettingChange> Changes = {});
+                 std::vector<SettingChange> Changes = {},
+                 std::span<const ProcessorShare> Processors = {});
   ~HostSimulation();
 
   /// The resources of a host. They are unlimited if not set.
@@ -39,6 +41,8 @@
     double Cores = 0;
     double BytesPerSecond = 0; ///< Bandwidth of its link in each direction.
   };
+  /// Counts the encoded size of all messages, which takes time.
+  void countBytes() { this->CountsBytes = true; }
   void setResources(std::size_t Host, const Resources &NewResources) {
     this->Hosts[Host].Available = NewResources;
   }
@@ -213,13 +217,20 @@
   /// The connections from hosts to engines.
   SimulatedConnections &connections() { return this->Connections; }
   std::uint64_t versionAt(std::size_t Host) const;
+  /// Returns how many peers the host regards as alive.
+  std::size_t knownPeers(std::size_t Host) const;
   bool knowsLeaving(std::size_t Host, std::size_t Engine) const;
 
   /// Counts over all hosts since the last call of takeTally().
   struct Tally {
     std::map<std::string, std::uint64_t> Messages; ///< By kind.
+    std::map<std::string, std::uint64_t> Bytes;    ///< Encoded, by kind.
+    std::uint64_t BytesToOtherZones = 0;
+    std::map<std::size_t, std::uint64_t> BytesByHost; ///< Sent and received.
     std::uint64_t StoreReads = 0; ///< Reads of configuration and registry.
     std::uint64_t ListReads = 0;
+    std::uint64_t Announcements = 0;        ///< Writes of host records.
+    std::set<std::size_t> Readers;          ///< Hosts that read the store.
     std::uint64_t Ticks = 0;                ///< Wake-ups without an event.
     std::uint64_t Links = 0;                ///< Pairs of sender and receiver.
     std::map<UpstreamId, std::size_t> Sent; ///< Requests to each engine.
@@ -263,7 +274,9 @@
     std::size_t PeakBufferedBytes = 0;
     Time WakeAt = Never;
     Time PausedUntil{};
-    bool ReadsStore = true;
+    bool ReadsStore = false;
+    std::uint32_t Turns = 1; ///< Hosts that read the store by turns.
+    bool IsListed = false;   ///< The store holds its record.
     bool Listed = false;
     LogOffset Next = 0; ///< Offset of the next read of the registry.
     std::uint64_t SeenVersion = 0;
@@ -380,6 +393,8 @@
   /// Sends the request to its engine.
   void dispatch(std::size_t Index, const DispatchRelay &Dispatch);
   void deliver(std::size_t From, const SendToPeer &Sent);
+  void countBytes(std::size_t From, std::size_t To, const PeerMessageBody &Body,
+                  std::size_t Bytes);
   void scheduleWake(std::size_t Index);
   void readStore(std::size_t Index, std::uint64_t Life);
   void readEvacuations(std::size_t Index);
@@ -451,6 +466,7 @@
   std::set<RequestId> Reached; ///< Requests that reached an engine.
   std::vector<Address> Answer;
   Tally Current;
+  bool CountsBytes = false;
   std::set<std::pair<std::size_t, std::size_t>> Pairs;
 };
 
