Leave small hosts on standby while large ones have the capacity

Cause: of 985 hosts 175 were active, 125 of them with an eighth of a core. Each active host exchanges heartbeats and its work with all others of its part, so the small ones cost as much as large ones and add 15 of 65 cores. Active hosts were chosen again, by sorting all hosts, at each change of any member or engine.

Change: hosts under a quarter of the largest one are active only until two thirds of the required capacity is there. Above least_hosts, active hosts are chosen at most every 100 ms.

--- a/src/plugins/activehosts/ActiveHosts.cpp
+++ b/src/plugins/activehosts/ActiveHosts.cpp
@@ -11,6 +11,14 @@
 
 constexpr double ThousandthsPerCore = 1000;
 
+/// A host with less than this share of the largest host's processor is small.
+constexpr double SmallHostShare = 0.25;
+
+/// Small hosts are selected only up to this share of the required capacity. The
+/// required capacity is used by half with all engines full, so that three
+/// quarters of the processor are used then.
+constexpr double ShareWithSmallHosts = 2.0 / 3;
+
 /// A candidate with its rank in the selection order.
 struct RankedCandidate {
   const ActiveCandidate *Candidate = nullptr;
@@ -44,17 +52,31 @@
   return Result;
 }
 
+/// Returns the processor of the largest candidate, in cores.
+double largestProcessor(std::span<const ActiveCandidate> Candidates) {
+  std::uint32_t Largest = 0;
+  for (const ActiveCandidate &Candidate : Candidates)
+    Largest = std::max(Largest, Candidate.Processor.Thousandths);
+  return Largest / ThousandthsPerCore;
+}
+
 } // namespace
 
 std::vector<HostId> chooseActive(std::span<const ActiveCandidate> Candidates,
                                  const RequiredCapacity &Required) {
   std::vector<HostId> Result;
+  const double SmallBelow = largestProcessor(Candidates) * SmallHostShare;
   double Cores = 0;
   for (const RankedCandidate &Ranked : rankCandidates(Candidates)) {
-    if (Result.size() >= Required.MinHosts && Cores >= Required.Cores)
-      break;
+    const double Processor =
+        Ranked.Candidate->Processor.Thousandths / ThousandthsPerCore;
+    const double Needed = Processor < SmallBelow
+                              ? Required.Cores * ShareWithSmallHosts
+                              : Required.Cores;
+    if (Result.size() >= Required.MinHosts && Cores >= Needed)
+      continue;
     Result.push_back(Ranked.Candidate->Host);
-    Cores += Ranked.Candidate->Processor.Thousandths / ThousandthsPerCore;
+    Cores += Processor;
   }
   std::ranges::sort(Result);
   return Result;
--- a/src/plugins/activehosts/ActiveHosts.h
+++ b/src/plugins/activehosts/ActiveHosts.h
@@ -28,6 +28,10 @@
 /// the same hosts, a host that joins or leaves changes one position, and the
 /// active hosts are spread over the data centres.
 ///
+/// Hosts that are much smaller than the largest one are left out once the
+/// others have most of the capacity: each active host reports its requests to
+/// the others, however few it serves.
+///
 /// Only a part of the hosts is active because of deployments with hundreds of
 /// hosts and few requests each. A deciding host must know the requests of all
 /// others on the engines, so the traffic between hosts grows with the square of
--- a/src/plugins/activehosts/ActiveHostsPlugin.cpp
+++ b/src/plugins/activehosts/ActiveHostsPlugin.cpp
@@ -7,6 +7,14 @@
 
 namespace banyanpick {
 
+namespace {
+
+/// Minimum time between two selections. Hundreds of hosts that start or die
+/// together change one by one, and a selection sorts all of them.
+constexpr milliseconds MinChooseInterval(100);
+
+} // namespace
+
 void ActiveHostsPlugin::initialize(PluginContext &Context) {
   const Settings &Values = Context.settings();
   const std::string_view Section = "active_hosts";
@@ -23,15 +31,25 @@
   Context.services().list<EngineObserver>().add(*this);
 }
 
-void ActiveHostsPlugin::start(Time, Actions &Out) { this->choose(Out); }
+void ActiveHostsPlugin::start(Time Now, Actions &Out) {
+  this->choose(Now, Out);
+}
+
+void ActiveHostsPlugin::handle(const Event &, Time Now, Actions &Out) {
+  const bool ReadinessChanged = this->InForce->isReady() != this->WasReady;
+  const bool AreFew = this->Members->peers().size() < this->MinHosts;
+  const bool MayChoose = AreFew || Now >= this->NextChoice;
+  if (ReadinessChanged || (this->Stale && MayChoose))
+    this->choose(Now, Out);
+}
 
-void ActiveHostsPlugin::handle(const Event &, Time, Actions &Out) {
-  if (this->Stale || this->InForce->isReady() != this->WasReady)
-    this->choose(Out);
+Time ActiveHostsPlugin::nextWake() const {
+  return this->Stale ? this->NextChoice : Never;
 }
 
-void ActiveHostsPlugin::choose(Actions &Out) {
+void ActiveHostsPlugin::choose(Time Now, Actions &Out) {
   this->Stale = false;
+  this->NextChoice = Now + Duration(MinChooseInterval);
   this->WasReady = this->InForce->isReady();
   const std::vector<ActiveCandidate> All = this->candidates();
   RegisteredEngines Engines = this->registeredEngines();
--- a/src/plugins/activehosts/ActiveHostsPlugin.h
+++ b/src/plugins/activehosts/ActiveHostsPlugin.h
@@ -23,6 +23,7 @@
   void initialize(PluginContext &Context) override;
   void start(Time Now, Actions &Out) override;
   void handle(const Event &Incoming, Time Now, Actions &Out) override;
+  Time nextWake() const override;
   void checkInvariants(InvariantMonitor &Monitor, Time Now) const override;
 
   bool isActive() const override { return this->SelfActive; }
@@ -44,7 +45,7 @@
   static std::vector<SettingDeclaration> settings();
 
 private:
-  void choose(Actions &Out);
+  void choose(Time Now, Actions &Out);
   std::vector<ActiveCandidate> candidates() const;
   /// Totals over the registered engines.
   struct RegisteredEngines {
@@ -63,6 +64,7 @@
   Identity Self;
   std::size_t MinHosts = 0;
   double SlotsPerCore = 1;
+  Time NextChoice{};
   bool Stale = true;
   bool WasReady = false;
   bool SelfActive = false;
