Look only at links with queued messages after each event

Cause: while any message waited for a connection, the peer thread went through all links after each event it handled.

Change: the links with queued messages are kept apart; idle links are looked for every five seconds.

--- a/src/libs/peers/PeerLinks.cpp
+++ b/src/libs/peers/PeerLinks.cpp
@@ -21,6 +21,9 @@
 /// these partners stay open.
 constexpr seconds IdleTimeout(20);
 
+/// Interval at which links are checked for that.
+constexpr seconds IdleCheckInterval(5);
+
 /// A message waits this long for its connection to be established. This is a
 /// few round trips, and shorter than the validity of any update between hosts.
 constexpr milliseconds QueueTimeout(500);
@@ -84,40 +87,50 @@
   if (Connection->Queue.size() == MaxQueuedMessages)
     Connection->Queue.pop_front();
   Connection->Queue.push_back({std::move(Bytes), Now});
-  this->HasQueuedMessages = true;
-  this->NextMaintenance = std::min(this->NextMaintenance, Now + QueueTimeout);
+  this->QueuedLinks.insert(To);
 }
 
 void PeerLinks::maintain(Time Now) {
-  if (!this->HasQueuedMessages && Now < this->NextMaintenance)
-    return;
-  for (auto &[Host, Connection] : this->Links)
-    sendQueued(Connection, Now);
+  this->sendQueued(Now);
+  if (Now >= this->NextIdleCheck)
+    this->closeIdleLinks(Now);
+}
+
+void PeerLinks::sendQueued(Time Now) {
+  std::erase_if(this->QueuedLinks, [&](const HostId &Host) {
+    const auto Found = this->Links.find(Host);
+    if (Found == this->Links.end())
+      return true;
+    sendQueued(Found->second, Now);
+    return Found->second.Queue.empty();
+  });
+}
+
+void PeerLinks::closeIdleLinks(Time Now) {
   std::erase_if(this->Links, [&](const auto &Entry) {
     return Now >= Entry.second.LastUsed + IdleTimeout;
   });
-  this->scheduleMaintenance();
+  this->NextIdleCheck =
+      this->Links.empty() ? Never : Now + Duration(IdleCheckInterval);
 }
 
-void PeerLinks::scheduleMaintenance() {
-  this->HasQueuedMessages = false;
-  this->NextMaintenance = Never;
-  for (const auto &[Host, Connection] : this->Links) {
-    Time Due = Connection.LastUsed + IdleTimeout;
-    if (!Connection.Queue.empty()) {
-      this->HasQueuedMessages = true;
-      Due = std::min(Due, Connection.Queue.front().QueuedAt + QueueTimeout);
-    }
-    this->NextMaintenance = std::min(this->NextMaintenance, Due);
+Time PeerLinks::nextMaintenance() const {
+  Time Result = this->NextIdleCheck;
+  for (const HostId &Host : this->QueuedLinks) {
+    const auto Found = this->Links.find(Host);
+    if (Found != this->Links.end() && !Found->second.Queue.empty())
+      Result =
+          std::min(Result, Found->second.Queue.front().QueuedAt + QueueTimeout);
   }
+  return Result;
 }
 
 void PeerLinks::addPollItems(std::vector<zmq::pollitem_t> &Items) {
-  if (!this->HasQueuedMessages)
-    return;
-  for (auto &[Host, Connection] : this->Links)
-    if (!Connection.Queue.empty())
-      Items.push_back({Connection.Socket.handle(), 0, ZMQ_POLLOUT, 0});
+  for (const HostId &Host : this->QueuedLinks) {
+    const auto Found = this->Links.find(Host);
+    if (Found != this->Links.end())
+      Items.push_back({Found->second.Socket.handle(), 0, ZMQ_POLLOUT, 0});
+  }
 }
 
 PeerLinks::Link *PeerLinks::linkTo(const HostId &To, Time Now) {
@@ -132,7 +145,8 @@
                  this->makeSocket(To, FoundAddress->second),
                  {},
                  Now};
-    this->NextMaintenance = std::min(this->NextMaintenance, Now + IdleTimeout);
+    if (this->NextIdleCheck == Never)
+      this->NextIdleCheck = Now + Duration(IdleCheckInterval);
     return &this->Links.emplace(To, std::move(NewLink)).first->second;
   } catch (const zmq::error_t &Failure) {
     // The host list may contain an address that ZeroMQ can't connect to.
--- a/src/libs/peers/PeerLinks.h
+++ b/src/libs/peers/PeerLinks.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <vector>
 #include <zmq.hpp>
@@ -45,7 +46,7 @@
   /// Adds the sockets with queued messages, to be polled for writability.
   void addPollItems(std::vector<zmq::pollitem_t> &Items);
   /// Returns when maintain() is due regardless of socket events.
-  Time nextMaintenance() const { return this->NextMaintenance; }
+  Time nextMaintenance() const;
   std::size_t openLinks() const { return this->Links.size(); }
 
 private:
@@ -62,7 +63,9 @@
 
   Link *linkTo(const HostId &To, Time Now);
   static void sendQueued(Link &Connection, Time Now);
-  void scheduleMaintenance();
+  /// Sends the queued messages of all links that have some.
+  void sendQueued(Time Now);
+  void closeIdleLinks(Time Now);
   zmq::socket_t makeSocket(const HostId &To, const Address &Destination);
   void setCurveKeys(const HostId &To, zmq::socket_t &Socket) const;
 
@@ -72,8 +75,10 @@
   FailureListener OnFailure;
   std::map<HostId, Address> Addresses; ///< Addresses of all peers.
   std::map<HostId, Link> Links;
-  bool HasQueuedMessages = false; ///< At least one link has them.
-  Time NextMaintenance = Never;
+  /// The links with queued messages. A host with hundreds of links must not
+  /// look at all of them after each event because one peer is down.
+  std::set<HostId> QueuedLinks;
+  Time NextIdleCheck = Never;
 };
 
 /// Returns the address as a ZeroMQ endpoint.
