Contact one seed at a time

Cause: every host that starts contacted all seeds in each interval.

Change: an unresolved seed is drawn in each interval, so that the hosts divide themselves among the seeds.

--- a/src/plugins/membership/MembershipPlugin.cpp
+++ b/src/plugins/membership/MembershipPlugin.cpp
@@ -468,13 +468,17 @@
   // seldom, to join hosts that know only this seed.
   this->NextSeedContact =
       Now + (this->hasLivePeer() ? SeedRetryInterval : this->HeartbeatInterval);
-  for (const HostListing &Listing :
-       this->Seeds.unresolved(this->Peers.members())) {
-    Heartbeat Beat = this->makeHeartbeat(Now);
-    Beat.Sequence = ++this->Sequence;
-    Beat.KnownHosts = this->listingsFor({true, false});
-    Out.add(SendToPeer{Listing.Id, std::move(Beat)});
-  }
+  const std::vector<HostListing> Unresolved =
+      this->Seeds.unresolved(this->Peers.members());
+  if (Unresolved.empty())
+    return;
+  // One at a time, so that hundreds of hosts that start together divide
+  // themselves among the seeds. Each connection costs a seed memory.
+  const HostListing &Seed = Unresolved[this->Rng->below(Unresolved.size())];
+  Heartbeat Beat = this->makeHeartbeat(Now);
+  Beat.Sequence = ++this->Sequence;
+  Beat.KnownHosts = this->listingsFor({true, false});
+  Out.add(SendToPeer{Seed.Id, std::move(Beat)});
 }
 
 Heartbeat MembershipPlugin::makeHeartbeat(Time Now) {
