List a host only once its view of the others is stable

In virtual time 16 and 17 of 100 and 300 hosts wrote a record, 15 expected: hosts whose view still grew took themselves for one of the first.

--- a/src/plugins/storereaders/StoreReadersPlugin.cpp
+++ b/src/plugins/storereaders/StoreReadersPlugin.cpp
@@ -175,10 +175,11 @@
 }
 
 void StoreReadersPlugin::updateListing(Time Now, Actions &Out) {
-  // Seeds, too, keep a record only once they know the others.
+  // A record is not urgent, and hosts whose view of the others still changes
+  // would write more of them than needed.
   const bool IsDue =
       !this->IsListed &&
-      Now >= std::max(this->StartedAt, this->GrewAt) + this->SettleTime &&
+      Now >= std::max(this->StartedAt, this->GrewAt) + 2 * this->SettleTime &&
       this->Rank < this->ReaderCount + this->DeputyCount;
   if (!IsDue)
     return;
