Repeat a request on the engine that failed it when no other may run it

Change: a repeatable request whose engines are used up is sent once more to the engine that has just failed it, twice at most and within the retry budget. The route limits the engines of a request, and it still runs on no more of them. Streams are not repeated, as their prompts would be prefilled anew, and no answer that may mean a full engine.

Checks that changed: the failure used to be delivered after the second engine's; now after the repeats, on two engines as before.

--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -30,6 +30,10 @@
   bool WithholdBudgetAtStart = true;
 };
 
+/// A request with less time left is not sent to an upstream. It covers the
+/// network delay and the shortest processing time.
+inline constexpr milliseconds MinAttemptTime(20);
+
 /// Dispatches relayed requests to engines, retries them and ends them. A
 /// request that is not idempotent is retried only if it certainly did not run
 /// before. Every request gets its final answer as soon as no further attempt is
@@ -94,6 +98,9 @@
   /// Removes the live attempt, notifies the observers and returns the attempt.
   RelayAttempt endAttempt(RunningRelay &Relay, const RelayOutcome &Outcome,
                           Time Now, Actions &Out);
+  /// Sends the request once more to an engine that it ran on, if that is open.
+  void repeat(RunningRelay &Relay, const UpstreamId &Engine, Time Now,
+              Actions &Out);
   void applyVerdict(RunningRelay &Relay, const RelayAttempt &Ended,
                     const RelayOutcome &Outcome, Time Now, Actions &Out);
   /// Ends the request without a further attempt. \p RetryAfter is the delay
