--- a/src/plugins/relays/AttemptVerdict.cpp
+++ b/src/plugins/relays/AttemptVerdict.cpp
@@ -63,13 +63,8 @@
         Relay.RanOn.push_back(Attempt.Engine);
         if (!claimsNotRun(Failed.Status))
           Relay.KeptFailure = Attempt.Id;
-        const bool IsOwnFailure = Failed.Status >= FirstServerError;
-        if (IsOwnFailure && Relay.mayRunAgain())
+        if (Failed.Status >= FirstServerError && Relay.mayRunAgain())
           return RetryElsewhere{true};
-        // A status that claims that nothing ran may mean that the engine is
-        // full.
-        if (IsOwnFailure && !claimsNotRun(Failed.Status) && Relay.mayRepeat())
-          return RepeatThere{Attempt.Engine};
         return GiveUp{RefusalKind::OutcomeUnknown};
       },
       [&](const RelayBroken &Broken) -> AttemptVerdict {
--- a/src/plugins/relays/AttemptVerdict.h
+++ b/src/plugins/relays/AttemptVerdict.h
@@ -13,18 +13,12 @@
   bool ReachedUpstream = false; ///< The upstream received the attempt, so the
                                 ///< next attempt counts against the budget.
 };
-/// Repeat the request on the upstream that has just answered with a failure of
-/// its own, because it may run on no other.
-struct RepeatThere {
-  UpstreamId Engine;
-};
 /// No further attempt is allowed; the request ends in its current state.
 struct GiveUp {
   RefusalKind Kind = RefusalKind::NotRun;
 };
 
-using AttemptVerdict =
-    std::variant<RelayCompleted, RetryElsewhere, RepeatThere, GiveUp>;
+using AttemptVerdict = std::variant<RelayCompleted, RetryElsewhere, GiveUp>;
 
 /// Returns what the request's kind allows after \p Outcome. Records in
 /// \p Relay where the request ran or did not run.
--- a/src/plugins/relays/RelayAttempts.cpp
+++ b/src/plugins/relays/RelayAttempts.cpp
@@ -211,30 +211,11 @@
         this->finish(Relay, Relay.refusal(), "the budget of repeats is used up",
                      Now, Out);
       },
-      [&](const RepeatThere &Again) {
-        this->repeat(Relay, Again.Engine, Now, Out);
-      },
       [&](const GiveUp &End) {
         this->finish(Relay, End.Kind, "no other try is allowed", Now, Out);
       });
 }
 
-void RelaysPlugin::repeat(RunningRelay &Relay, const UpstreamId &Engine,
-                          Time Now, Actions &Out) {
-  const RegisteredEngine *Registered = this->Directory->find(Engine);
-  const bool IsOpen = Registered &&
-                      Registered->Standing == EngineStanding::Usable &&
-                      !this->Gate->blocked(Engine, Now);
-  if (!IsOpen || Relay.Deadline - Now < MinAttemptTime ||
-      !this->Allowance.tryAcquire(Relay.Service, this->budgetShare(), Now)) {
-    this->finish(Relay, Relay.refusal(), "no other try is possible", Now, Out);
-    return;
-  }
-  SelectedEngine Again;
-  Again.Engine = Engine;
-  this->dispatch(Relay, Again, Now, Out);
-}
-
 void RelaysPlugin::cancelAttempt(RunningRelay &Relay, Time Now, Actions &Out) {
   Out.add(GatewayAction(CancelRelay{Relay.LiveAttempt->Id}));
   this->notifyObservers(*Relay.LiveAttempt, [&](RelayObserver &Observer) {
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -98,9 +98,6 @@
   /// Removes the live attempt, notifies the observers and returns the attempt.
   RelayAttempt endAttempt(RunningRelay &Relay, const RelayOutcome &Outcome,
                           Time Now, Actions &Out);
-  /// Sends the request once more to an engine that it ran on, if that is open.
-  void repeat(RunningRelay &Relay, const UpstreamId &Engine, Time Now,
-              Actions &Out);
   void applyVerdict(RunningRelay &Relay, const RelayAttempt &Ended,
                     const RelayOutcome &Outcome, Time Now, Actions &Out);
   /// Ends the request without a further attempt. \p RetryAfter is the delay
--- a/src/plugins/relays/RunningRelay.h
+++ b/src/plugins/relays/RunningRelay.h
@@ -9,11 +9,6 @@
 
 namespace banyanpick {
 
-/// How often a request may be repeated on engines that it ran on, once it may
-/// run on no others. The failures of an engine that works are mostly its own
-/// for one request only, and callers would have to begin anew.
-inline constexpr std::size_t MaxRepeats = 2;
-
 /// The terms of the request's route at the time of its arrival.
 struct RelayTerms {
   RequestKind Kind = RequestKind::AtMostOnce;
@@ -82,12 +77,6 @@
   bool mayRunAgain() const {
     return this->isIdempotent() && this->RanOn.size() < this->Terms.Attempts;
   }
-  /// Whether the request may run once more on an upstream that it ran on. The
-  /// route limits the number of upstreams. A prompt would be prefilled anew.
-  bool mayRepeat() const {
-    return this->Terms.Kind == RequestKind::Repeatable &&
-           this->RanOn.size() < this->Terms.Attempts + MaxRepeats;
-  }
 };
 
 /// The running requests, indexed by id and by live attempt.
