--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -161,6 +161,7 @@
     def __init__(self):
         self.topics = {}
         self.changed = asyncio.Condition()
+        self.answered = asyncio.Condition()  # a read of the list of engines
 
     def topic(self, name):
         return self.topics.setdefault(name, {"first": 0, "records": [], "newest": {}})
@@ -204,6 +205,9 @@
                 content = bytes([len(key)]) + key.encode() + (value or b"")
                 body += len(content).to_bytes(4, "big") + content
             writer.write(response(200, [("Content-Type", "application/octet-stream")], body))
+            if q["Topic"] == "keyed.servers":
+                async with self.answered:
+                    self.answered.notify_all()
         elif path == "/log-append":
             data, offset = message.body, end()
             while data:
