Review: the scripts end their hosts also when they are ended themselves

Cause: a SIGTERM to a script left the hosts that it had started running. Change: the script unwinds, which ends them.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -515,6 +515,11 @@
 
 def run_case(play):
     """Runs the case and returns its exit status; 2 if it couldn't run."""
+
+    def end(*_):
+        raise SystemExit(2)  # the hosts are ended on the way out
+
+    signal.signal(signal.SIGTERM, end)
     try:
         return asyncio.run(play())
     except Exception:
