Answer every request before a stopping host exits

Cause: the departure plug-in orders the end of the process when its grace is over, whatever still runs. Nothing ended the requests before, so nothing was left to write in the time that GracefulShutdown waits for answers.

Change: the departure plug-in tells when the final answers are due, 300 ms before the end of the grace (StopSchedule, [departure] final_answers). Then each running request ends: with 503 if it ran nowhere, with 502 if it may have run, and by closing the connection if events of its answer were sent.

--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -305,6 +305,17 @@
   virtual void memoryIdle(const RequestId &, Time, Actions &) {}
 };
 
+/// When this host's planned stop ends what it runs.
+class StopSchedule {
+public:
+  virtual ~StopSchedule() = default;
+  /// Returns when every running request gets its final answer, so that there is
+  /// time to write it before the process exits. Never if no stop was requested.
+  virtual Time finalAnswersAt() const = 0;
+  /// Whether the process is about to exit, so that no request may begin.
+  virtual bool isExiting() const = 0;
+};
+
 /// The number of requests that this gateway is relaying.
 class RelayCount {
 public:
--- a/src/plugins/departure/DeparturePlugin.cpp
+++ b/src/plugins/departure/DeparturePlugin.cpp
@@ -4,6 +4,8 @@
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 
+#include <algorithm>
+
 namespace banyanpick {
 
 void DeparturePlugin::initialize(PluginContext &Context) {
@@ -12,8 +14,10 @@
   this->Registry = &Context.services();
   this->Linger = Values.span(Section, "linger");
   this->Grace = Values.span(Section, "grace");
+  this->FinalAnswers = Values.span(Section, "final_answers");
   this->CheckInterval = Values.span(Section, "look_interval");
   Context.services().provide<DrainView>(*this);
+  Context.services().provide<StopSchedule>(*this);
 }
 
 void DeparturePlugin::start(Time, Actions &) {
@@ -34,6 +38,13 @@
 
 Time DeparturePlugin::nextWake() const { return this->NextCheck; }
 
+Time DeparturePlugin::finalAnswersAt() const {
+  if (!this->isLeaving())
+    return Never;
+  return this->LeavingSince +
+         std::max(this->Grace - this->FinalAnswers, Duration(0));
+}
+
 void DeparturePlugin::leave(Time Now, Actions &Out) {
   this->LeavingSince = Now;
   this->NextCheck = Now;
@@ -72,6 +83,10 @@
        "After so long a stopping host ends even with requests running; less "
        "than what the operator waits before killing it.",
        0, 3600e6},
+      {Section, "final_answers", Span, "300ms",
+       "How long before the end of grace the requests that still run get their "
+       "final answers, which must be written and read before it.",
+       0, 60e6},
       {Section, "look_interval", Span, "50ms",
        "How often a stopping host looks whether it can end.", 1e3, 10e6},
   };
--- a/src/plugins/departure/DeparturePlugin.h
+++ b/src/plugins/departure/DeparturePlugin.h
@@ -9,7 +9,8 @@
 
 /// On a planned stop the host is removed from the directory at once. It serves
 /// callers that still have its address and exits when no request is running.
-class DeparturePlugin : public Plugin, public DrainView {
+/// Requests that outlast the grace period get a final answer before its end.
+class DeparturePlugin : public Plugin, public DrainView, public StopSchedule {
 public:
   void initialize(PluginContext &Context) override;
   void start(Time Now, Actions &Out) override;
@@ -17,6 +18,8 @@
   Time nextWake() const override;
 
   bool isLeaving() const override { return this->LeavingSince != Never; }
+  Time finalAnswersAt() const override;
+  bool isExiting() const override { return this->Ended; }
 
   static std::vector<SettingDeclaration> settings();
 
@@ -28,6 +31,7 @@
   const RelayCount *Running = nullptr;
   Duration Linger{};
   Duration Grace{};
+  Duration FinalAnswers{};
   Duration CheckInterval{};
   Time LeavingSince = Never;
   Time NextCheck = Never;
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -22,6 +22,10 @@
 /// When the caller of a quarantined content should come back.
 constexpr seconds QuarantineRetryAfter(5);
 
+/// When the callers of a stopping host should come back. Another host can serve
+/// them at once.
+constexpr milliseconds StoppingRetryAfter(10);
+
 /// Whether the request will be sent, now or after queued requests.
 bool willBeDispatched(const EngineChoice &Choice) {
   return std::holds_alternative<SelectedEngine>(Choice) ||
@@ -46,6 +50,7 @@
   Context.services().list<QuarantineObserver>().add(*this);
   this->Crashes = &Context.services().get<CrashView>();
   this->Reach = &Context.services().get<EngineReachView>();
+  this->Stop = &Context.services().get<StopSchedule>();
   this->RandomSource = &Context.random();
   this->Options = readRelaySettings(Context.settings());
   this->Allowance = RetryAllowance(retryBudgetLimits(Context.settings()));
@@ -79,6 +84,7 @@
       },
       [&](const StopRequest &) {
         this->StoppingSince = std::min(this->StoppingSince, Now);
+        this->NextCheck = Now;
       },
       [](const auto &) {});
   this->finishNewlyQuarantined(Now, Out);
@@ -164,7 +170,7 @@
     this->Allowance.recordRequest(Relay.Service, Now);
   logReceived(Relay, Route.Name, Now, Out);
   if (this->refusesWhileStopping(Now)) {
-    this->refuse(Head, RefusalKind::NotRun, milliseconds(10),
+    this->refuse(Head, RefusalKind::NotRun, StoppingRetryAfter,
                  "this host stops; ask for another one", Now, Out);
     return;
   }
@@ -340,6 +346,10 @@
                  Now, Out);
     return;
   }
+  if (Now >= this->Stop->finalAnswersAt()) {
+    this->finishBeforeExit(Relay, Now, Out);
+    return;
+  }
   if (Relay.LiveAttempt && Now >= Relay.AnswerTimeoutAt) {
     if (!this->isSlowButAlive(Relay, Now)) {
       this->abandonLiveAttempt(Relay, Now, Out);
@@ -354,6 +364,14 @@
   this->scheduleCheck(Relay, Now);
 }
 
+void RelaysPlugin::finishBeforeExit(RunningRelay &Relay, Time Now,
+                                    Actions &Out) {
+  const bool Sent = Relay.LiveAttempt || Relay.mayHaveRun();
+  this->finish(Relay, Sent ? RefusalKind::OutcomeUnknown : RefusalKind::NotRun,
+               "this host exits before an answer; ask another one", Now, Out,
+               StoppingRetryAfter);
+}
+
 bool RelaysPlugin::isSlowButAlive(const RunningRelay &Relay, Time Now) const {
   const auto Found = this->LastAnswers.find(Relay.LiveAttempt->Engine);
   return Found != this->LastAnswers.end() &&
@@ -388,7 +406,7 @@
                 (Relay.LiveAttempt ? this->Options.DeadlineGrace : Duration(0));
   if (Relay.LiveAttempt)
     Result = std::min(Result, Relay.AnswerTimeoutAt);
-  return Result;
+  return std::min(Result, this->Stop->finalAnswersAt());
 }
 
 void RelaysPlugin::scheduleCheck(const RunningRelay &Relay, Time Now) {
@@ -444,9 +462,9 @@
 
 const PluginRegistration
     Registration({"relays",
-                  {"active_hosts", "crashes", "engine_limits", "engine_load",
-                   "engine_memory", "engine_reach", "engine_signals", "engines",
-                   "membership", "routes"},
+                  {"active_hosts", "crashes", "departure", "engine_limits",
+                   "engine_load", "engine_memory", "engine_reach",
+                   "engine_signals", "engines", "membership", "routes"},
                   RelaysPlugin::settings,
                   []() -> std::unique_ptr<Plugin> {
                     return std::make_unique<RelaysPlugin>();
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -126,6 +126,8 @@
   void breakAttempt(RunningRelay &Relay, RelayBroken::Why Reason, Time Now,
                     Actions &Out);
   void callerGone(const RequestId &Id, Time Now, Actions &Out);
+  /// Ends a request that still runs when this host is about to exit.
+  void finishBeforeExit(RunningRelay &Relay, Time Now, Actions &Out);
   /// Applies the deadline, the answer timeout and a due dispatch.
   void check(RunningRelay &Relay, Time Now, Actions &Out);
   /// Sends the request to another engine if one can take it.
@@ -154,6 +156,7 @@
   const EngineQuota *Quota = nullptr;
   const CrashView *Crashes = nullptr;
   const EngineReachView *Reach = nullptr;
+  const StopSchedule *Stop = nullptr;
   Random *RandomSource = nullptr;
   RelaySettings Options;
   RetryAllowance Allowance;
--- /dev/null
+++ b/tests/auto/gateway/StoppingHostTest.cpp
@@ -0,0 +1,265 @@
+/// \file
+/// Guards against requests without a final answer on a host that stops.
+///
+/// The table below has one row for each state in which a request can be, and
+/// one column for each phase of the host's stop. Each cell becomes one test.
+#include "auto/gateway/GatewayBench.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <ostream>
+#include <set>
+
+namespace banyanpick {
+namespace {
+
+/// What the caller of a request has at some time.
+enum class CallerView {
+  Untested, ///< The table has no entry.
+  Waits,    ///< The request waits at the host.
+  Runs,     ///< It was sent to an engine or another host and has no answer.
+  NotRun,   ///< An answer promises that it did not and will not run.
+  Unknown,  ///< An answer says that it may have run.
+  BrokenOff ///< The connection was closed within an answer.
+};
+
+/// The time that answers on the tested routes take.
+constexpr milliseconds TimeToFirstEvent(1000);
+constexpr milliseconds TimeAfterFirstEvent(3000);
+constexpr seconds RouteTimeLimit(60);
+constexpr seconds FirstRemaining(60);
+/// Clearly less than FirstRemaining, so that the request is a retry of its
+/// caller, who is not asked to come back later.
+constexpr seconds RetryRemaining(30);
+constexpr int DeskEngines = 3;
+/// After the records of the other engines.
+constexpr LogOffset FirstDeskOffset = 100;
+constexpr int RingEngines = 6;
+
+/// A host that has answered requests on each route and has one stream that
+/// nobody ends, so that it does not become idle.
+class StopBench : public GatewayBench {
+public:
+  StopBench() {
+    auto Declared =
+        std::make_shared<GatewayConfiguration>(*gatewayDeclarations(1));
+    for (RouteEntry &Route : Declared->Routes)
+      Route.TimeLimit = RouteTimeLimit;
+    this->send(
+        GatewayEvent(ConfigurationRead{Declared, ConfigurationSource::Store}));
+    this->registerEngines("ring", RingEngines);
+    this->registerDesk();
+    for (const char *Path : {"/safe/", "/once/", "/stream/", "/review/"})
+      this->answerOne(Path);
+    this->arrive("/stream/", 0, FirstRemaining);
+    this->beginLast();
+  }
+
+  void beginLast() {
+    this->send(GatewayEvent(RelayBegan{this->last<DispatchRelay>().Attempt}));
+  }
+  void endLast(RelayOutcome Outcome) {
+    this->endAttempt(this->last<DispatchRelay>().Attempt, std::move(Outcome));
+  }
+  /// Makes all engines of the service `desk` ask for a backoff.
+  void closeDesk() {
+    for (int Number = 1; Number <= DeskEngines; ++Number)
+      this->requestBackoff(UpstreamId("d" + std::to_string(Number)),
+                           seconds(20));
+  }
+  CallerView viewOf(const RequestId &Id) const {
+    if (this->hasAny<BreakRelay>(Id))
+      return CallerView::BrokenOff;
+    if (this->hasAny<DeliverFailure>(Id))
+      return CallerView::Unknown;
+    for (const RefuseRelay &Answer : this->all<RefuseRelay>())
+      if (Answer.Request == Id)
+        return Answer.Kind == RefusalKind::NotRun ? CallerView::NotRun
+                                                  : CallerView::Unknown;
+    return this->hasLiveAttempt(Id) ? CallerView::Runs : CallerView::Waits;
+  }
+
+  std::set<AttemptId> Ended; ///< Attempts that the test ended.
+
+private:
+  void registerDesk() {
+    for (int Number = 1; Number <= DeskEngines; ++Number)
+      this->registerEngineIn("z", ("d" + std::to_string(Number)).c_str(),
+                             FirstDeskOffset + static_cast<LogOffset>(Number));
+  }
+  void answerOne(const char *Path) {
+    this->arrive(Path, 0, FirstRemaining);
+    this->advance(TimeToFirstEvent);
+    if (std::string_view(Path).starts_with("/stream"))
+      this->beginLast();
+    this->advance(TimeAfterFirstEvent);
+    this->endLast(RelayDelivered{});
+  }
+  template <class Kind> bool hasAny(const RequestId &Id) const {
+    return std::ranges::count(this->all<Kind>(), Id, &Kind::Request) > 0;
+  }
+  bool hasLiveAttempt(const RequestId &Id) const {
+    return std::ranges::any_of(
+        this->all<DispatchRelay>(), [&](const DispatchRelay &Sent) {
+          return Sent.Request == Id && !this->Ended.contains(Sent.Attempt);
+        });
+  }
+};
+
+RequestId arriveAtTurn(StopBench &Bench) {
+  Bench.arrive("/review/", 300'000, RetryRemaining);
+  return Bench.arrive("/review/", 300'000, RetryRemaining);
+}
+
+RequestId waitForEngine(StopBench &Bench) {
+  Bench.closeDesk();
+  return Bench.arrive("/once/", 0, RetryRemaining);
+}
+
+RequestId waitForMemory(StopBench &Bench) {
+  return Bench.arrive("/review/", 700'000, RetryRemaining);
+}
+
+RequestId waitForRetry(StopBench &Bench) {
+  const RequestId Id = Bench.arrive("/once/", 0, RetryRemaining);
+  Bench.closeDesk();
+  Bench.Ended.insert(Bench.last<DispatchRelay>().Attempt);
+  Bench.endLast(RelayNotRun{});
+  return Id;
+}
+
+RequestId waitAfterRun(StopBench &Bench) {
+  const RequestId Id = Bench.arrive("/safe/", 0, RetryRemaining);
+  Bench.closeDesk();
+  Bench.Ended.insert(Bench.last<DispatchRelay>().Attempt);
+  Bench.endLast(RelayBroken{RelayBroken::Why::Reset, false, std::nullopt});
+  return Id;
+}
+
+RequestId sendOnce(StopBench &Bench) {
+  return Bench.arrive("/once/", 0, FirstRemaining);
+}
+
+RequestId sendSafe(StopBench &Bench) {
+  return Bench.arrive("/safe/", 0, FirstRemaining);
+}
+
+RequestId sendStream(StopBench &Bench) {
+  return Bench.arrive("/stream/", 0, FirstRemaining);
+}
+
+RequestId beginStream(StopBench &Bench) {
+  const RequestId Id = sendStream(Bench);
+  Bench.beginLast();
+  return Id;
+}
+
+RequestId takeOver(StopBench &Bench) {
+  RelayHead Head = GatewayBench::headOf(RequestId(9000), "/once/");
+  Head.Remaining = FirstRemaining;
+  Head.IsForwarded = true;
+  Bench.send(GatewayEvent(RelayArrived{Head}));
+  return Head.Id;
+}
+
+RequestId forward(StopBench &Bench) {
+  Bench.receive("h2", heartbeatOf("h2", 10));
+  Bench.arrive("/once/", 0, FirstRemaining);
+  Bench.endLast(RelayNeverSent{RelayNeverSent::Why::Refused});
+  Bench.endLast(RelayNeverSent{RelayNeverSent::Why::Refused});
+  const RequestId Id = Bench.arrive("/once/", 0, FirstRemaining);
+  EXPECT_TRUE(Bench.last<DispatchRelay>().IsForward);
+  return Id;
+}
+
+/// The phases of a stop, by the time since it was requested.
+struct Phase {
+  const char *Name;
+  Duration Since;
+};
+
+constexpr std::array Phases{
+    Phase{"Told", milliseconds(500)}, // Callers have its address.
+    Phase{"FinalAnswers", milliseconds(7220)},
+    Phase{"Exiting", milliseconds(7600)}};
+
+/// A state of a request and what its caller has in each phase. The request
+/// enters the state before the stop, or within the phase.
+struct State {
+  const char *Name;
+  RequestId (*Enter)(StopBench &);
+  bool BeforeStop;
+  std::array<CallerView, Phases.size()> Expected;
+};
+
+constexpr CallerView Waits = CallerView::Waits;
+constexpr CallerView Runs = CallerView::Runs;
+constexpr CallerView NotRun = CallerView::NotRun;
+constexpr CallerView Unknown = CallerView::Unknown;
+constexpr CallerView BrokenOff = CallerView::BrokenOff;
+
+// clang-format off
+constexpr std::array States{
+    //                                           Told FinalAnswers Exiting
+    State{"ArrivesOnce", sendOnce, false,       {Runs, NotRun, NotRun}},
+    State{"ArrivesSafe", sendSafe, false,       {Runs, NotRun, NotRun}},
+    State{"ArrivesStream", sendStream, false,   {Runs, NotRun, NotRun}},
+    State{"ArrivesFromHost", takeOver, false,   {Runs, NotRun, NotRun}},
+    State{"WaitsForTurn", arriveAtTurn, true,   {Waits, NotRun, NotRun}},
+    State{"WaitsForEngine", waitForEngine, true,{Waits, NotRun, NotRun}},
+    State{"WaitsForMemory", waitForMemory, true,{Waits, NotRun, NotRun}},
+    State{"WaitsForRetry", waitForRetry, true,  {Waits, NotRun, NotRun}},
+    State{"WaitsAfterRun", waitAfterRun, true,  {Waits, Unknown, Unknown}},
+    State{"SentOnce", sendOnce, true,           {Runs, Unknown, Unknown}},
+    State{"SentSafe", sendSafe, true,           {Runs, Unknown, Unknown}},
+    State{"SentStream", sendStream, true,       {Runs, Unknown, Unknown}},
+    State{"SentToHost", forward, true,          {Runs, Unknown, Unknown}},
+    State{"Streams", beginStream, true,         {Runs, BrokenOff, BrokenOff}}};
+// clang-format on
+
+struct Cell {
+  State Row;
+  std::size_t Column;
+};
+
+std::ostream &operator<<(std::ostream &Out, const Cell &Printed) {
+  return Out << Printed.Row.Name << " when " << Phases[Printed.Column].Name;
+}
+
+std::vector<Cell> cells() {
+  std::vector<Cell> Result;
+  for (const State &Row : States)
+    for (std::size_t Column = 0; Column < Phases.size(); ++Column)
+      Result.push_back({Row, Column});
+  return Result;
+}
+
+std::string cellName(const testing::TestParamInfo<Cell> &Info) {
+  return std::string(Info.param.Row.Name) + "When" +
+         Phases[Info.param.Column].Name;
+}
+
+class StoppingHost : public testing::TestWithParam<Cell> {};
+
+TEST_P(StoppingHost, GivesTheCallerWhatTheTableSays) {
+  const auto &[Row, Column] = GetParam();
+  StopBench Bench;
+  RequestId Id;
+  if (Row.BeforeStop)
+    Id = Row.Enter(Bench);
+  Bench.send(Event(StopRequest{}));
+  Bench.advance(Phases[Column].Since);
+  if (!Row.BeforeStop)
+    Id = Row.Enter(Bench);
+  EXPECT_EQ(Bench.viewOf(Id), Row.Expected[Column]);
+  const bool Exits = std::string_view(Phases[Column].Name) == "Exiting";
+  EXPECT_EQ(Bench.hasStopped(), Exits);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, StoppingHost, testing::ValuesIn(cells()),
+                         cellName);
+
+} // namespace
+} // namespace banyanpick
