Send nothing that can't end before a stopping host does

Callers come so late where they get no new addresses, for example because all hosts stop.

Cause: a request was refused only from a fixed time after the SIGTERM on ([relays] refuse_after_leaving, 6 s), whatever its answer takes. Later decisions (a retry, a turn in the queue, reserved memory, an answer timeout) did not look at the stop at all.

Change: a stopping host knows how long the answers of each route took (AnswerTimes: to the begin and from there to the end, the longest of the last 30 to 60 s). A request is admitted, and sent or left to wait, only if its answer fits, with a quarter on top, before the final answers are due; or if its own deadline is earlier. Otherwise it is refused at once: 503 after 10 ms if it ran nowhere. A silent engine is not given up if another attempt would not fit. The setting refuse_after_leaving is gone.

Forwarding to a peer was weighed: the caller's connection ends with this host, so the peer would have no more time.

CallerRetryDetector and AnswerTimes share RecentMaximum.

--- a/src/plugins/relays/CallerRetryDetector.cpp
+++ b/src/plugins/relays/CallerRetryDetector.cpp
@@ -1,7 +1,5 @@
 #include "plugins/relays/CallerRetryDetector.h"
 
-#include <algorithm>
-
 namespace banyanpick {
 
 namespace {
@@ -22,20 +20,13 @@
                                          Duration Remaining, Time Now) {
   auto Found = this->ByRoute.find(Route);
   if (Found == this->ByRoute.end())
-    Found = this->ByRoute
-                .emplace(std::string(Route),
-                         RouteMaximum{Remaining, Remaining, Now})
-                .first;
-  RouteMaximum &Maximum = Found->second;
-  if (Now >= Maximum.Since + MaximumWindow) {
-    Maximum.Previous = Maximum.Current;
-    Maximum.Current = Remaining;
-    Maximum.Since = Now;
-  }
-  Maximum.Current = std::max(Maximum.Current, Remaining);
+    Found =
+        this->ByRoute.emplace(std::string(Route), RecentMaximum(MaximumWindow))
+            .first;
+  RecentMaximum &Longest = Found->second;
+  Longest.add(Remaining, Now);
   return inSeconds(Remaining) >=
-         inSeconds(std::max(Maximum.Previous, Maximum.Current)) *
-             MinFirstAttemptShare;
+         inSeconds(*Longest.value()) * MinFirstAttemptShare;
 }
 
 } // namespace banyanpick
--- a/src/plugins/relays/CallerRetryDetector.h
+++ b/src/plugins/relays/CallerRetryDetector.h
@@ -2,7 +2,7 @@
 /// Distinguishes first attempts of callers from their retries.
 #pragma once
 
-#include "base/Time.h"
+#include "base/RecentMaximum.h"
 
 #include <map>
 #include <string>
@@ -22,14 +22,8 @@
   bool isFirstAttempt(std::string_view Route, Duration Remaining, Time Now);
 
 private:
-  /// The longest remaining time of the route's recent requests.
-  struct RouteMaximum {
-    Duration Previous{}; ///< In the window before the current one.
-    Duration Current{};
-    Time Since{}; ///< Start of the current window.
-  };
-
-  std::map<std::string, RouteMaximum, std::less<>> ByRoute;
+  /// The longest remaining times of each route's requests.
+  std::map<std::string, RecentMaximum, std::less<>> ByRoute;
 };
 
 } // namespace banyanpick
--- a/src/plugins/relays/RelayAttempts.cpp
+++ b/src/plugins/relays/RelayAttempts.cpp
@@ -84,6 +84,10 @@
   }
   SelectedEngine Chosen = *Relay->PendingReservation;
   Relay->PendingReservation.reset();
+  if (!this->canEndBeforeStop(*Relay, Chosen.Predicted, Now)) {
+    this->finishForStop(*Relay, Now, Out);
+    return;
+  }
   // Since the choice, engines may have been removed or closed.
   const bool Unavailable =
       std::ranges::any_of(Chosen.Helpers, [&](const HelperEngine &Helper) {
@@ -125,6 +129,8 @@
         RecordMeasurement::Kind::Histogram, "relay_first_event_seconds",
         std::string(name(promptSize(Relay->Head.PromptTokens))),
         inSeconds(Now - Relay->ArrivedAt)});
+  this->Durations.recordBegin(Relay->Route, Now - Relay->LiveAttempt->SentAt,
+                              Now);
   Relay->Began = true;
   this->LastAnswers[Relay->LiveAttempt->Engine] = Now;
   Relay->LiveAttempt->Began = true;
@@ -141,6 +147,8 @@
     return;
   if (isAnswer(End.Outcome))
     this->LastAnswers[Relay->LiveAttempt->Engine] = Now;
+  if (std::holds_alternative<RelayDelivered>(End.Outcome))
+    this->recordAnswerTime(*Relay, Now);
   if (const auto *NotRun = std::get_if<RelayNotRun>(&End.Outcome))
     if (NotRun->OtherEngine)
       this->Directory->addressTaken(faultyEngine(*NotRun,
@@ -151,6 +159,14 @@
   this->applyVerdict(*Relay, Ended, End.Outcome, Now, Out);
 }
 
+void RelaysPlugin::recordAnswerTime(const RunningRelay &Relay, Time Now) {
+  const RelayAttempt &Attempt = *Relay.LiveAttempt;
+  if (!Attempt.Began)
+    this->Durations.recordBegin(Relay.Route, Now - Attempt.SentAt, Now);
+  const Time BeganAt = Attempt.Began ? Attempt.BeganAt : Now;
+  this->Durations.recordEnd(Relay.Route, Now - BeganAt, Now);
+}
+
 RelayAttempt RelaysPlugin::endAttempt(RunningRelay &Relay,
                                       const RelayOutcome &Outcome, Time Now,
                                       Actions &Out) {
--- a/src/plugins/relays/RelayLog.cpp
+++ b/src/plugins/relays/RelayLog.cpp
@@ -42,14 +42,13 @@
 
 } // namespace
 
-void logReceived(const RunningRelay &Relay, std::string_view RouteName,
-                 Time Now, Actions &Out) {
+void logReceived(const RunningRelay &Relay, Time Now, Actions &Out) {
   Out.log(logEvent(events::RelayReceived)
               .with("request", Relay.Head.Id.Value)
               .with("caller_attempt", Relay.Head.CallerAttempt)
               .with("content", Relay.Head.Content.Value)
               .with("parts", partsText(Relay.Head.PromptParts))
-              .with("route", RouteName)
+              .with("route", Relay.Route)
               .with("service", Relay.Service.Value)
               .with("team", Relay.Team.Value)
               .with("prompt_tokens", Relay.Head.PromptTokens)
--- a/src/plugins/relays/RelayLog.h
+++ b/src/plugins/relays/RelayLog.h
@@ -10,8 +10,7 @@
 
 namespace banyanpick {
 
-void logReceived(const RunningRelay &Relay, std::string_view RouteName,
-                 Time Now, Actions &Out);
+void logReceived(const RunningRelay &Relay, Time Now, Actions &Out);
 /// Logs a request that is refused before its first attempt. \p Routes decides
 /// with which configuration, and how current that is.
 void logRefused(const RelayHead &Head, RefusalKind Kind,
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -22,9 +22,8 @@
 /// When the caller of a quarantined content should come back.
 constexpr seconds QuarantineRetryAfter(5);
 
-/// When the callers of a stopping host should come back. Another host can serve
-/// them at once.
-constexpr milliseconds StoppingRetryAfter(10);
+/// The time to the first event if no engine is chosen yet.
+constexpr Duration UnknownTime{};
 
 /// Whether the request will be sent, now or after queued requests.
 bool willBeDispatched(const EngineChoice &Choice) {
@@ -82,11 +81,7 @@
       [&](const CallerDisconnected &Gone) {
         this->callerGone(Gone.Request, Now, Out);
       },
-      [&](const StopRequest &) {
-        this->StoppingSince = std::min(this->StoppingSince, Now);
-        this->NextCheck = Now;
-      },
-      [](const auto &) {});
+      [&](const StopRequest &) { this->NextCheck = Now; }, [](const auto &) {});
   this->finishNewlyQuarantined(Now, Out);
   if (Now < this->NextCheck)
     return;
@@ -150,6 +145,7 @@
                  Route.MaxEventGap,
                  {Route.HomeRegions,
                   Owner ? Owner->HomeRegions : std::vector<RegionId>()}};
+  Relay.Route = Route.Name;
   Relay.Service = this->serviceFor(Route);
   Relay.Rank = Owner && Owner->Rank ? *Owner->Rank : Route.Rank;
   if (Owner)
@@ -168,13 +164,12 @@
   // The host to which it is forwarded counts it.
   if (!this->isOutOfReach(Relay, Now))
     this->Allowance.recordRequest(Relay.Service, Now);
-  logReceived(Relay, Route.Name, Now, Out);
-  if (this->refusesWhileStopping(Now)) {
-    this->refuse(Head, RefusalKind::NotRun, StoppingRetryAfter,
-                 "this host stops; ask for another one", Now, Out);
-    return;
-  }
-  this->send(this->Running.add(std::move(Relay)), Now, Out);
+  logReceived(Relay, Now, Out);
+  RunningRelay &Added = this->Running.add(std::move(Relay));
+  if (this->Stop->isExiting())
+    this->finishForStop(Added, Now, Out);
+  else
+    this->send(Added, Now, Out);
 }
 
 void RelaysPlugin::send(RunningRelay &Relay, Time Now, Actions &Out) {
@@ -201,10 +196,16 @@
   match(
       this->Selector->choose(engineRequirements(Relay, Excluded, Now), Now),
       [&](const SelectedEngine &Chosen) {
-        this->dispatchChoice(Relay, Chosen, Now, Out);
+        if (this->canEndBeforeStop(Relay, Chosen.Predicted, Now))
+          this->dispatchChoice(Relay, Chosen, Now, Out);
+        else
+          this->finishForStop(Relay, Now, Out);
       },
       [&](const AwaitTurn &Turn) {
-        this->awaitTurn(Relay, Turn.CheckAfter, Now, Out);
+        if (this->canEndBeforeStop(Relay, UnknownTime, Now))
+          this->awaitTurn(Relay, Turn.CheckAfter, Now, Out);
+        else
+          this->finishForStop(Relay, Now, Out);
       },
       [&](const RetryLater &Refusal) {
         this->finish(Relay, Relay.refusal(), reasonOf(Refusal), Now, Out,
@@ -224,6 +225,10 @@
   // that has used one.
   if (!Peer || Relay.Forwards == MaxForwards || Relay.mayHaveRun())
     return false;
+  if (!this->canEndBeforeStop(Relay, UnknownTime, Now)) {
+    this->finishForStop(Relay, Now, Out);
+    return true;
+  }
   ++Relay.Forwards;
   const RelayAttempt Attempt = makeForward(
       Relay, Peer->Listing.Id, {this->Own.Life, ++this->AttemptCount}, Now);
@@ -245,6 +250,10 @@
       std::max(this->Options.MinHold,
                fromSeconds(inSeconds(Relay.Deadline - Relay.ArrivedAt) *
                            this->Options.HoldShare));
+  if (!this->canEndBeforeStop(Relay, UnknownTime, Now)) {
+    this->finishForStop(Relay, Now, Out);
+    return;
+  }
   if (Now >= Relay.WaitingSince + Hold) {
     this->finish(Relay, Relay.refusal(), "no engine could take it", Now, Out);
     return;
@@ -364,14 +373,6 @@
   this->scheduleCheck(Relay, Now);
 }
 
-void RelaysPlugin::finishBeforeExit(RunningRelay &Relay, Time Now,
-                                    Actions &Out) {
-  const bool Sent = Relay.LiveAttempt || Relay.mayHaveRun();
-  this->finish(Relay, Sent ? RefusalKind::OutcomeUnknown : RefusalKind::NotRun,
-               "this host exits before an answer; ask another one", Now, Out,
-               StoppingRetryAfter);
-}
-
 bool RelaysPlugin::isSlowButAlive(const RunningRelay &Relay, Time Now) const {
   const auto Found = this->LastAnswers.find(Relay.LiveAttempt->Engine);
   return Found != this->LastAnswers.end() &&
@@ -386,7 +387,7 @@
   std::vector<UpstreamId> Excluded = Relay.RanOn;
   Excluded.push_back(Relay.LiveAttempt->Engine);
   // An attempt is only abandoned if the request can run elsewhere.
-  if (!OneMore ||
+  if (!OneMore || !this->canEndBeforeStop(Relay, UnknownTime, Now) ||
       !willBeDispatched(this->Selector->choose(
           engineRequirements(Relay, Excluded, Now), Now)) ||
       !this->Allowance.tryAcquire(Relay.Service, this->budgetShare(), Now)) {
@@ -427,11 +428,6 @@
          this->Options.AnswerTimeoutMargin;
 }
 
-bool RelaysPlugin::refusesWhileStopping(Time Now) const {
-  return this->StoppingSince != Never &&
-         Now >= this->StoppingSince + this->Options.RefuseAfterStopping;
-}
-
 double RelaysPlugin::budgetShare() const {
   return hostShare(*this->Members, *this->Active);
 }
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -4,6 +4,7 @@
 
 #include "kernel/GatewayServices.h"
 #include "kernel/Plugin.h"
+#include "plugins/relays/AnswerTimes.h"
 #include "plugins/relays/AttemptVerdict.h"
 #include "plugins/relays/CallerRetryDetector.h"
 #include "plugins/relays/RelayDispatch.h"
@@ -25,7 +26,6 @@
   Duration MaxAnswerTimeout{};
   StreamSilenceLimits SilenceLimits;
   double AnswerTimeoutFactor = 0;
-  Duration RefuseAfterStopping{};
   std::uint32_t MaxSends = 0;
   bool WithholdBudgetAtStart = true;
 };
@@ -76,8 +76,9 @@
   void send(RunningRelay &Relay, Time Now, Actions &Out);
   /// Whether this host has no path to the engines of the request's service.
   bool isOutOfReach(const RunningRelay &Relay, Time Now) const;
-  /// Forwards the request to another host. Returns false if there is none that
-  /// reaches the engines, or if the request may have run.
+  /// Forwards the request to another host, or ends it if this host stops before
+  /// the answer would end. Returns false if there is no host that reaches the
+  /// engines, or if the request may have run.
   bool forward(RunningRelay &Relay, Time Now, Actions &Out);
   /// Makes \p Attempt the live attempt of the request.
   void beginAttempt(RunningRelay &Relay, const RelayAttempt &Attempt, Time Now,
@@ -95,6 +96,8 @@
   void wait(RunningRelay &Relay, Time Now, Actions &Out);
   void began(const RelayBegan &Begin, Time Now, Actions &Out);
   void ended(const RelayEnded &End, Time Now, Actions &Out);
+  /// Records how long the answer took that has ended.
+  void recordAnswerTime(const RunningRelay &Relay, Time Now);
   /// Removes the live attempt, notifies the observers and returns the attempt.
   RelayAttempt endAttempt(RunningRelay &Relay, const RelayOutcome &Outcome,
                           Time Now, Actions &Out);
@@ -126,6 +129,14 @@
   void breakAttempt(RunningRelay &Relay, RelayBroken::Why Reason, Time Now,
                     Actions &Out);
   void callerGone(const RequestId &Id, Time Now, Actions &Out);
+  /// Whether an answer to the request, if it were sent now, would end before
+  /// this host stops. \p Predicted is the predicted time to its first event;
+  /// zero: unknown.
+  bool canEndBeforeStop(const RunningRelay &Relay, Duration Predicted,
+                        Time Now) const;
+  /// Ends a request that can't end before this host stops, so that its caller
+  /// asks another host.
+  void finishForStop(RunningRelay &Relay, Time Now, Actions &Out);
   /// Ends a request that still runs when this host is about to exit.
   void finishBeforeExit(RunningRelay &Relay, Time Now, Actions &Out);
   /// Applies the deadline, the answer timeout and a due dispatch.
@@ -139,7 +150,6 @@
   void scheduleCheck(const RunningRelay &Relay, Time Now);
   Duration answerTimeout(const RunningRelay &Relay,
                          const SelectedEngine &Chosen) const;
-  bool refusesWhileStopping(Time Now) const;
   /// This host's share of the constant part of the retry budget.
   double budgetShare() const;
   ServiceId serviceFor(const RouteEntry &Route);
@@ -161,13 +171,13 @@
   RelaySettings Options;
   RetryAllowance Allowance;
   CallerRetryDetector RetryDetector;
+  AnswerTimes Durations;
   /// Time of each engine's last answer.
   std::map<UpstreamId, Time> LastAnswers;
   RunningRelays Running;
   /// A content was quarantined during the present event.
   bool HasNewQuarantine = false;
   std::uint64_t AttemptCount = 0;
-  Time StoppingSince = Never;
   Time NextCheck = Never;
 };
 
--- a/src/plugins/relays/RelaysSettings.cpp
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -67,10 +67,6 @@
   const std::string SectionName(Section);
   const std::string Budget(BudgetSection);
   return {
-      {SectionName, "refuse_after_leaving", Span, "6s",
-       "A stopping host that callers still come to after so long refuses, as "
-       "it could not finish.",
-       0, 600e6},
       {SectionName, "most_sends", Whole, "8",
        "A request is handed to connections at most so often, whatever came of "
        "it.",
@@ -112,7 +108,6 @@
   Result.SilenceLimits = {Values.span(Section, "silence_swift"),
                           Values.span(Section, "silence_long")};
   Result.AnswerTimeoutFactor = Values.fraction(Section, "patience_factor");
-  Result.RefuseAfterStopping = Values.span(Section, "refuse_after_leaving");
   Result.WithholdBudgetAtStart =
       Values.flag(BudgetSection, "withhold_at_start");
   Result.MaxSends =
--- a/src/plugins/relays/RunningRelay.h
+++ b/src/plugins/relays/RunningRelay.h
@@ -23,6 +23,7 @@
 struct RunningRelay {
   RelayHead Head;
   RelayTerms Terms;
+  std::string Route; ///< The name of its route.
   ServiceId Service;
   TeamId Team;
   std::uint64_t ConfigurationVersion = 0;
--- a/tests/auto/gateway/StoppingHostTest.cpp
+++ b/tests/auto/gateway/StoppingHostTest.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// Guards against requests without a final answer on a host that stops.
+/// Guards against requests without a final answer, and against requests that
+/// are sent to engines too late to end, on a host that stops.
 ///
 /// The table below has one row for each state in which a request can be, and
 /// one column for each phase of the host's stop. Each cell becomes one test.
@@ -181,7 +182,8 @@
 };
 
 constexpr std::array Phases{
-    Phase{"Told", milliseconds(500)}, // Callers have its address.
+    Phase{"Told", milliseconds(500)},      // Callers have its address.
+    Phase{"TooShort", milliseconds(5000)}, // No time for a whole answer.
     Phase{"FinalAnswers", milliseconds(7220)},
     Phase{"Exiting", milliseconds(7600)}};
 
@@ -202,21 +204,21 @@
 
 // clang-format off
 constexpr std::array States{
-    //                                           Told FinalAnswers Exiting
-    State{"ArrivesOnce", sendOnce, false,       {Runs, NotRun, NotRun}},
-    State{"ArrivesSafe", sendSafe, false,       {Runs, NotRun, NotRun}},
-    State{"ArrivesStream", sendStream, false,   {Runs, NotRun, NotRun}},
-    State{"ArrivesFromHost", takeOver, false,   {Runs, NotRun, NotRun}},
-    State{"WaitsForTurn", arriveAtTurn, true,   {Waits, NotRun, NotRun}},
-    State{"WaitsForEngine", waitForEngine, true,{Waits, NotRun, NotRun}},
-    State{"WaitsForMemory", waitForMemory, true,{Waits, NotRun, NotRun}},
-    State{"WaitsForRetry", waitForRetry, true,  {Waits, NotRun, NotRun}},
-    State{"WaitsAfterRun", waitAfterRun, true,  {Waits, Unknown, Unknown}},
-    State{"SentOnce", sendOnce, true,           {Runs, Unknown, Unknown}},
-    State{"SentSafe", sendSafe, true,           {Runs, Unknown, Unknown}},
-    State{"SentStream", sendStream, true,       {Runs, Unknown, Unknown}},
-    State{"SentToHost", forward, true,          {Runs, Unknown, Unknown}},
-    State{"Streams", beginStream, true,         {Runs, BrokenOff, BrokenOff}}};
+    //                                           Told     TooShort  FinalAns.  Exiting
+    State{"ArrivesOnce", sendOnce, false,       {Runs,    NotRun,   NotRun,    NotRun}},
+    State{"ArrivesSafe", sendSafe, false,       {Runs,    NotRun,   NotRun,    NotRun}},
+    State{"ArrivesStream", sendStream, false,   {Runs,    NotRun,   NotRun,    NotRun}},
+    State{"ArrivesFromHost", takeOver, false,   {Runs,    NotRun,   NotRun,    NotRun}},
+    State{"WaitsForTurn", arriveAtTurn, true,   {Waits,   NotRun,   NotRun,    NotRun}},
+    State{"WaitsForEngine", waitForEngine, true,{Waits,   NotRun,   NotRun,    NotRun}},
+    State{"WaitsForMemory", waitForMemory, true,{Waits,   NotRun,   NotRun,    NotRun}},
+    State{"WaitsForRetry", waitForRetry, true,  {Waits,   NotRun,   NotRun,    NotRun}},
+    State{"WaitsAfterRun", waitAfterRun, true,  {Waits,   Unknown,  Unknown,   Unknown}},
+    State{"SentOnce", sendOnce, true,           {Runs,    Runs,     Unknown,   Unknown}},
+    State{"SentSafe", sendSafe, true,           {Runs,    Runs,     Unknown,   Unknown}},
+    State{"SentStream", sendStream, true,       {Runs,    Runs,     Unknown,   Unknown}},
+    State{"SentToHost", forward, true,          {Runs,    Runs,     Unknown,   Unknown}},
+    State{"Streams", beginStream, true,         {Runs,    Runs,     BrokenOff, BrokenOff}}};
 // clang-format on
 
 struct Cell {
--- a/tests/auto/manyhosts/HostSimulation.cpp
+++ b/tests/auto/manyhosts/HostSimulation.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds RenewInterval(1200);
 constexpr std::size_t Seeds = 3;
 constexpr milliseconds ResetDelay(5);
+/// From the end of a host's stop to the exit of its process.
+constexpr milliseconds ExitDelay(20);
 constexpr milliseconds RefusalDelay(4);
 constexpr std::uint32_t RefusedStatus = 503;
 constexpr std::uint32_t BadGateway = 502;
@@ -115,10 +117,6 @@
   this->Hosts[Host].Process.reset();
 }
 
-void HostSimulation::stop(std::size_t Host) {
-  this->send(Host, this->Hosts[Host].Life, StopRequest{});
-}
-
 void HostSimulation::restart(std::size_t Host) { this->start(Host); }
 
 void HostSimulation::publish(std::uint64_t NewVersion) {
@@ -348,7 +346,9 @@
   ++this->Current.RetryLaterAnswers;
   Origin.HasRetried = true;
   this->Queue.after(Refusal.RetryAfter,
-                    [this, Host, Origin] { this->submit(Host, Origin); });
+                    [this, Next = this->hostForRetry(Host), Origin] {
+                      this->submit(Next, Origin);
+                    });
 }
 
 void HostSimulation::serve(const UpstreamId &Engine,
@@ -464,6 +464,7 @@
 
 void HostSimulation::start(std::size_t Index) {
   Host &Started = this->Hosts[Index];
+  this->Stopping.erase(Index);
   Started.Life = ++this->IncarnationCount;
   Started.Self.Life = Incarnation(1000 + Started.Life);
   Settings Values = simulationSettings(this->SettingChanges);
@@ -546,6 +547,12 @@
       Requested, [&](const SendToPeer &Sent) { this->deliver(Index, Sent); },
       [&](const GatewayAction &Nested) { this->perform(Index, Nested); },
       [&](const AnswerResolve &Result) { this->Answer = Result.Hosts; },
+      [&](const StopNow &) {
+        this->Queue.after(ExitDelay,
+                          [this, Index, Life = this->Hosts[Index].Life] {
+                            this->exit(Index, Life);
+                          });
+      },
       [&](const ReadHostList &) {
         ++this->Current.ListReads;
         HostListRead Read;
@@ -639,8 +646,10 @@
       [&](const StoreQuarantine &Wanted) { this->storeQuarantine(Wanted); },
       [&](const RefuseRelay &Refusal) { this->handleRefusal(Index, Refusal); },
       [&](const BreakRelay &Broken) {
-        if (!this->endForward(Index, Broken.Request, RelayBroken{}))
-          ++this->Current.Lost[Index];
+        if (this->endForward(Index, Broken.Request, RelayBroken{}))
+          return;
+        ++this->Current.Lost[Index];
+        ++this->Current.CutOff;
       },
       [&](const DeliverFailure &Failed) {
         if (!this->endForward(Index, Failed.Request, RelayFailed{BadGateway}))
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -61,7 +61,8 @@
   }
   void run(Duration For);
   void kill(std::size_t Host);
-  /// Asks the host to stop, as an operator does before a restart.
+  /// Asks the host to stop, as an operator does before a restart. Its process
+  /// exits by itself. Callers that it refuses meanwhile retry at another host.
   void stop(std::size_t Host);
   /// Starts a new process on the host, without any state.
   void restart(std::size_t Host);
@@ -243,6 +244,8 @@
     Duration MaxReportDelay{};
     std::map<std::size_t, std::size_t> Lost; ///< Requests without an answer, by
                                              ///< host.
+    /// Requests whose connection was closed without a complete answer.
+    std::size_t CutOff = 0;
     std::map<std::size_t, std::size_t> FirstTries;  ///< By host.
     std::map<std::size_t, std::size_t> FirstServed; ///< Of these, answered.
     /// First tries of harmless requests that share parts with others.
@@ -378,6 +381,10 @@
   void finish(const UpstreamId &Engine, const RunningRequest &Running);
   bool runsOn(const UpstreamId &Engine, const RunningRequest &Request) const;
   void start(std::size_t Index);
+  /// Ends the process of a host that has stopped.
+  void exit(std::size_t Index, std::uint64_t Life);
+  /// Returns the host at which a caller retries that \p Host refused.
+  std::size_t hostForRetry(std::size_t Host);
   void send(std::size_t Index, std::uint64_t Life, const Event &Incoming,
             std::size_t Bytes = 0);
   /// Passes the event to the host's kernel and performs its actions.
@@ -449,6 +456,7 @@
   /// Forwarded attempts and the requests that they became.
   std::map<AttemptId, CallerKey> Forwards;
   std::set<std::size_t> RefusedReaders;
+  std::set<std::size_t> Stopping; ///< Hosts that were asked to stop.
   std::set<std::size_t> Partitioned;
   std::map<UpstreamId, double> Limits;
   double DeclaredColdRate = 0;
--- a/tests/auto/manyhosts/SimulatedRestart.cpp
+++ b/tests/auto/manyhosts/SimulatedRestart.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Kills and restarts all simulated hosts, and reports the load of engines.
+/// Stops, kills and restarts simulated hosts, and reports the load of engines.
 #include "auto/manyhosts/HostSimulation.h"
 
 namespace banyanpick {
@@ -42,6 +42,30 @@
     this->Queue.after(CloseDelay, [this] { this->dropEngineWork(); });
 }
 
+void HostSimulation::stop(std::size_t Host) {
+  this->Stopping.insert(Host);
+  this->send(Host, this->Hosts[Host].Life, StopRequest{});
+}
+
+void HostSimulation::exit(std::size_t Index, std::uint64_t Life) {
+  if (this->Hosts[Index].Life != Life)
+    return;
+  this->kill(Index);
+  this->Current.CutOff += std::erase_if(this->Callers, [&](const auto &Entry) {
+    return Entry.first.first == Index;
+  });
+}
+
+std::size_t HostSimulation::hostForRetry(std::size_t Host) {
+  if (!this->Stopping.contains(Host))
+    return Host;
+  std::vector<std::size_t> Others;
+  for (std::size_t Other = 0; Other < this->Hosts.size(); ++Other)
+    if (Other != Host && this->isRunning(Other))
+      Others.push_back(Other);
+  return Others.empty() ? Host : Others[this->Draws.below(Others.size())];
+}
+
 void HostSimulation::restartAll() {
   this->AllKilled = false;
   for (std::size_t Index = 0; Index < this->Hosts.size(); ++Index)
