Read no request that a host can't answer before it exits

What callers could see: a host whose requests have all ended stops before its grace is over. It then still accepted connections and requests, passed them to engines, and cut them when it had exited a moment later.

Cause: once control had ordered the end, nothing but the end of the process closed the callers' port. The main thread waited for requests that the traffic thread knew, and a refusal that was being written was not among them.

Change: with the order to end, control refuses what still arrives, and the callers' server closes its port and its idle connections; a connection with a request is closed after the answer (HttpServer::stop). The process exits when no connection is open, at the latest after flush_at_stop. So a request is refused or was never read. The server of the own interface ends in the same way.

Evidence: HttpServer.StopAnswersWhatArrivesAndClosesIdleConnections failed before (idle connections stayed open, 20 s) and passes. Children of the process tests no longer inherit the connections of the test, which kept these open when the test closed them.

--- a/src/app/Daemon.cpp
+++ b/src/app/Daemon.cpp
@@ -39,8 +39,10 @@
       Self.Host, Life, Self.Peers, peerSettings(Values),
       peerEvents(this->Events, this->HostMetrics, this->Clock));
   this->Router = std::make_unique<ActionRouter>(
-      this->Threads, *this->Peers, this->HostMetrics, this->Clock,
-      [this] { this->Shutdown.allow(); });
+      this->Threads, *this->Peers, this->HostMetrics, this->Clock, [this] {
+        this->Server->stop();
+        this->Shutdown.allow();
+      });
   this->Handler = std::make_unique<Routes>(this->Threads, this->Events,
                                            this->State, this->HostMetrics);
   this->Tls = makeTlsContext(Http);
@@ -91,7 +93,8 @@
     Thread->post([&] { Size.set_value(Thread->relays().unsentAnswers()); });
     Count += Size.get_future().get();
   }
-  return Count;
+  // Asked last, as the first thread stops the server before it answers.
+  return Count + this->Server->connections();
 }
 
 } // namespace banyanpick
--- a/src/app/Daemon.h
+++ b/src/app/Daemon.h
@@ -33,7 +33,8 @@
 
 private:
   void waitForSignals();
-  /// Returns the number of answers that are not yet written to their callers.
+  /// Returns the number of answers that are not yet written to their callers,
+  /// and of connections on which a request may be under way.
   std::size_t unsentAnswers();
 
   ProcessClock Clock;
--- a/src/app/GatewayDaemon.cpp
+++ b/src/app/GatewayDaemon.cpp
@@ -31,6 +31,7 @@
 
 void GatewayRouter::perform(std::vector<Action> Wanted) {
   std::vector<Action> ForTraffic;
+  bool Stops = false;
   for (Action &NextAction : Wanted)
     match(
         NextAction,
@@ -40,10 +41,14 @@
         [&](ConnectPeers &Item) { this->Peers.connect(std::move(Item)); },
         [&](WriteLogLine &Item) { writeLogLine(Item.Line, this->Clock.now()); },
         [&](RecordMeasurement &Item) { this->HostMetrics.record(Item); },
-        [&](StopNow &) { this->OnStop(); },
+        [&](StopNow &) { Stops = true; },
         [&](auto &Item) { ForTraffic.emplace_back(std::move(Item)); });
   if (!ForTraffic.empty())
     this->Traffic.post(std::move(ForTraffic));
+  // The traffic thread gets the actions of the stop before the main thread asks
+  // it what is still open.
+  if (Stops)
+    this->OnStop();
 }
 
 GatewayDaemon::GatewayDaemon(const Settings &Values, std::string File,
@@ -169,13 +174,13 @@
 
 void GatewayDaemon::run() {
   this->Shutdown.wait(this->Clock, this->Context.Values.FlushAtStop,
-                      [this] { return this->unsentAnswers(); });
+                      [this] { return this->openConnections(); });
 }
 
-std::size_t GatewayDaemon::unsentAnswers() {
-  std::promise<std::size_t> Size;
-  this->Traffic.run([&] { Size.set_value(this->Traffic.openRequests()); });
-  return Size.get_future().get();
+std::size_t GatewayDaemon::openConnections() {
+  std::promise<std::size_t> Count;
+  this->Traffic.run([&] { Count.set_value(this->Callers->connections()); });
+  return Count.get_future().get();
 }
 
 } // namespace banyanpick
--- a/src/app/GatewayDaemon.h
+++ b/src/app/GatewayDaemon.h
@@ -71,8 +71,9 @@
   Task<void> serveMetrics(HttpExchange &Exchange);
   /// Updates the gauges of the memory that the parts of this host use.
   void recordMemoryUse();
-  /// Returns the number of answers that are not yet written to their callers.
-  std::size_t unsentAnswers();
+  /// Returns the number of connections of callers. Once the server has stopped,
+  /// each of them has a request without a complete answer.
+  std::size_t openConnections();
 
   ProcessClock Clock;
   Metrics HostMetrics;
--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -108,6 +108,7 @@
         net::co_spawn(this->Io, this->release(Item), net::detached);
       },
       [&](const CloseCallers &) { this->Server->closeAfterAnswers(); },
+      [&](const StopCallersServer &) { this->Server->stop(); },
       [&](const CloseEngines &Item) {
         this->ClosedEngines = {Item.Engines.begin(), Item.Engines.end()};
       },
--- a/src/app/GatewayTraffic.h
+++ b/src/app/GatewayTraffic.h
@@ -38,7 +38,6 @@
   Task<void> relay(HttpExchange &Exchange);
   /// Answers one request for the addresses of entry hosts.
   Task<void> resolve(HttpExchange &Exchange);
-  std::size_t openRequests() const { return this->Callers.size(); }
 
   /// Runs \p Callback on the traffic thread. Thread-safe.
   template <class Function> void run(Function Callback) {
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -157,6 +157,11 @@
 struct CloseCallers {
   bool operator==(const CloseCallers &) const = default;
 };
+/// Makes the callers' server accept no more connections and close the idle
+/// ones. Requests that it has begun to read are still answered.
+struct StopCallersServer {
+  bool operator==(const StopCallersServer &) const = default;
+};
 /// Sets the engines of evacuated zones. Orders to them that were not sent yet
 /// are returned as never sent.
 struct CloseEngines {
@@ -191,7 +196,7 @@
 using GatewayAction =
     std::variant<DispatchRelay, CancelRelay, RefuseRelay, DeliverFailure,
                  BreakRelay, DecodeConfiguration, LimitCallers, AskReport,
-                 ReserveMemory, ReleaseMemory, CloseCallers, CloseEngines,
-                 FollowStore, StoreQuarantine, AnnounceHost>;
+                 ReserveMemory, ReleaseMemory, CloseCallers, StopCallersServer,
+                 CloseEngines, FollowStore, StoreQuarantine, AnnounceHost>;
 
 } // namespace banyanpick
--- a/src/libs/http/HttpServer.cpp
+++ b/src/libs/http/HttpServer.cpp
@@ -78,9 +78,11 @@
 }
 
 void HttpServer::stop() {
-  net::post(this->Acceptor.get_executor(), [this] {
+  net::dispatch(this->Acceptor.get_executor(), [this] {
     ErrorCode Ignored;
     this->Acceptor.close(Ignored);
+    this->Stopping = true;
+    this->Idle.endAll();
   });
 }
 
@@ -124,19 +126,28 @@
   const ErrorCode Failure =
       co_await Peer->handshake(this->Values.HeaderTimeout);
   bool KeepServing = !Failure;
-  while (KeepServing)
+  while (KeepServing && co_await this->waitForRequest(Peer))
     KeepServing = co_await this->serveOne(Peer);
   co_await Peer->close(this->Values.HeaderTimeout);
 }
 
+Task<bool> HttpServer::waitForRequest(std::shared_ptr<Connection> Peer) {
+  this->Idle.add(*Peer);
+  // A connection that becomes idle after stop() is closed, unless the first
+  // bytes of its next request were read with the previous one.
+  const Duration Timeout =
+      this->Stopping ? Duration(0) : this->Values.IdleTimeout;
+  const ErrorCode Failure = co_await Peer->waitForRequest(Timeout);
+  this->Idle.remove(*Peer);
+  co_return !Failure;
+}
+
 Task<bool> HttpServer::serveOne(std::shared_ptr<Connection> Peer) {
   Connection::Parser Parser;
   Parser.header_limit(static_cast<std::uint32_t>(this->Values.MaxHeaderBytes));
   Parser.body_limit(this->Values.MaxBodyBytes);
-  ErrorCode Failure = co_await Peer->waitForRequest(this->Values.IdleTimeout);
-  if (Failure)
-    co_return false;
-  Failure = co_await Peer->readHeader(Parser, this->Values.HeaderTimeout);
+  const ErrorCode Failure =
+      co_await Peer->readHeader(Parser, this->Values.HeaderTimeout);
   if (Failure) {
     if (canAnswer(Failure))
       co_await this->refuse(*Peer, readFailureAnswer(Failure));
--- a/src/libs/http/HttpServer.h
+++ b/src/libs/http/HttpServer.h
@@ -4,6 +4,7 @@
 
 #include "gateway/Configuration.h"
 #include "http/HttpExchange.h"
+#include "http/IdleConnections.h"
 #include "kernel/Upstream.h"
 
 #include <atomic>
@@ -31,7 +32,10 @@
   /// Returns the port in use. For tests that listen at port 0.
   std::uint16_t port() const { return this->Acceptor.local_endpoint().port(); }
 
-  /// Stops accepting connections. Thread-safe.
+  /// Accepts no further connections, closes the idle ones, and closes each
+  /// other one after the answer to its request. Nothing is read that is not
+  /// answered: when connections() is zero, the server can be destroyed without
+  /// losing a request. Thread-safe.
   void stop();
 
   /// Sets limits for requests read from now on. May be called only on the
@@ -43,12 +47,15 @@
   /// thread.
   void closeAfterAnswers() { this->Values.CloseAfterAnswer = true; }
 
+  /// Returns the number of open connections.
   std::uint64_t connections() const { return this->OpenConnections.load(); }
   std::uint64_t bodyBytes() const { return this->Budget.reservedBytes(); }
 
 private:
   Task<void> acceptConnections();
   Task<void> serveConnection(std::shared_ptr<Connection> Peer);
+  /// Waits for the first byte of a request. Returns false if there is none.
+  Task<bool> waitForRequest(std::shared_ptr<Connection> Peer);
   /// Serves one request. Returns false if the connection must be closed.
   Task<bool> serveOne(std::shared_ptr<Connection> Peer);
   Task<bool> serveBody(std::shared_ptr<Connection> Peer,
@@ -67,6 +74,8 @@
   net::ssl::context *Tls;
   Tcp::acceptor Acceptor;
   BodyBudget Budget;
+  IdleConnections Idle;
+  std::atomic<bool> Stopping = false;
   std::atomic<std::uint64_t> OpenConnections = 0;
 };
 
--- a/src/plugins/departure/DeparturePlugin.cpp
+++ b/src/plugins/departure/DeparturePlugin.cpp
@@ -68,6 +68,7 @@
               .with("running", this->Running->running())
               .with("after_us", (Now - this->LeavingSince).count())
               .build());
+  Out.add(GatewayAction(StopCallersServer{}));
   Out.add(StopNow{});
 }
 
--- a/tests/auto/http/HttpServerTest.cpp
+++ b/tests/auto/http/HttpServerTest.cpp
@@ -96,6 +96,46 @@
   EXPECT_TRUE(stillServes(Server.at()));
 }
 
+/// Guards against a process that exits while its server has a request without
+/// an answer, and against one that waits for connections that nobody uses.
+TEST(HttpServer, StopAnswersWhatArrivesAndClosesIdleConnections) {
+  constexpr seconds LongIdleTimeout(20);
+  HttpSettings Values = smallLimits();
+  Values.IdleTimeout = LongIdleTimeout;
+  Values.BodyTimeout = LongIdleTimeout;
+  LocalServer Server(
+      [](HttpExchange &Exchange) -> Task<void> {
+        net::steady_timer Work(Exchange.executor(), milliseconds(100));
+        co_await Work.async_wait(net::use_awaitable);
+        co_await echo(Exchange);
+      },
+      Values);
+  RawPeer Unused(Server.at());
+  RawPeer Idle(Server.at());
+  Idle.send("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok");
+  EXPECT_TRUE(Idle.readSome().ends_with("ok"));
+  RawPeer Served(Server.at());
+  Served.send("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok");
+  RawPeer HalfRead(Server.at());
+  HalfRead.send(post(4, "ha"));
+  // Both requests must reach the server before it stops.
+  std::this_thread::sleep_for(milliseconds(50));
+  const Address At = Server.at();
+  const auto StoppedAt = std::chrono::steady_clock::now();
+  Server.stop();
+  EXPECT_EQ(Unused.readAll(), "");
+  EXPECT_EQ(Idle.readAll(), "");
+  EXPECT_TRUE(Served.readAll().ends_with("\r\n\r\nok"));
+  EXPECT_GT(Server.server().connections(), 0U);
+  HalfRead.send("lf");
+  EXPECT_TRUE(HalfRead.readAll().ends_with("\r\n\r\nhalf"));
+  while (Server.server().connections() > 0 &&
+         std::chrono::steady_clock::now() < StoppedAt + LongIdleTimeout)
+    std::this_thread::sleep_for(milliseconds(1));
+  EXPECT_LT(std::chrono::steady_clock::now(), StoppedAt + seconds(10));
+  EXPECT_THROW(RawPeer{At}, boost::system::system_error);
+}
+
 RC_GTEST_PROP(HttpServer, KeepsServingAfterAnyBytes,
               (const std::string &Bytes)) {
   static LocalServer Server(echo);
--- a/tests/auto/http/LocalServer.h
+++ b/tests/auto/http/LocalServer.h
@@ -48,6 +48,7 @@
 
   Address at() const { return {"127.0.0.1", this->Server.port()}; }
   const HttpServer &server() const { return this->Server; }
+  void stop() { this->Server.stop(); }
 
 private:
   Function Serve;
--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -23,6 +23,8 @@
   posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, OutputFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
+  // A connection of the test stays open as long as a child has a copy of it.
+  posix_spawn_file_actions_addclosefrom_np(&Files, STDERR_FILENO + 1);
   const int Failure = posix_spawn(&this->Pid, Program.c_str(), &Files, nullptr,
                                   RawArguments.data(), environ);
   posix_spawn_file_actions_destroy(&Files);
--- a/tests/standins/HttpClient.cpp
+++ b/tests/standins/HttpClient.cpp
@@ -17,8 +17,10 @@
 constexpr unsigned HttpVersion = 11;
 constexpr std::uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
 
+} // namespace
+
 /// One connection with a timeout for each step.
-class Connection {
+class KeptConnection::Connection {
 public:
   explicit Connection(Duration Timeout) : Timeout(Timeout) {}
 
@@ -29,12 +31,12 @@
     });
   }
 
-  beast::error_code send(const OutgoingRequest &Req,
-                         const std::string &Address) {
+  beast::error_code send(const OutgoingRequest &Req, const std::string &Address,
+                         bool KeepAlive) {
     http::request<http::string_body> Request(Req.Method, Req.Target,
                                              HttpVersion);
     Request.set(http::field::host, Address);
-    Request.set(http::field::connection, "close");
+    Request.keep_alive(KeepAlive);
     for (const HttpHeader &Header : Req.Headers)
       Request.set(Header.Name, Header.Value);
     Request.body() = Req.Body;
@@ -49,11 +51,11 @@
     http::response_parser<http::string_body> Parser;
     Parser.eager(true);
     Parser.body_limit(MaxBodyBytes);
-    beast::flat_buffer Buffer;
     beast::error_code Failure;
     while (!Failure && !Parser.is_done()) {
       Failure = this->step([&](auto Done) {
-        http::async_read_some(this->Stream, Buffer, Parser, std::move(Done));
+        http::async_read_some(this->Stream, this->Buffer, Parser,
+                              std::move(Done));
       });
       if (!Parser.is_header_done())
         continue;
@@ -63,9 +65,28 @@
         OnPart(std::string_view(Body).substr(Reply.Body.size()));
       Reply.Body.append(Body, Reply.Body.size());
     }
+    this->IsKept = Parser.is_done() && Parser.keep_alive();
     return Parser.is_done() ? beast::error_code() : Failure;
   }
 
+  /// Sends one request and receives its reply.
+  HttpReply exchange(const OutgoingRequest &Req, const std::string &Address,
+                     bool KeepAlive, const PartHandler &OnPart) {
+    HttpReply Reply;
+    Reply.Ended = HttpReply::End::Broken;
+    // A server that refuses early may stop reading. Its reply is still read.
+    const beast::error_code SendFailure = this->send(Req, Address, KeepAlive);
+    const beast::error_code ReceiveFailure = this->receive(Reply, OnPart);
+    const bool Answered =
+        !ReceiveFailure && (!SendFailure || Reply.Status != 0);
+    if (Answered)
+      Reply.Ended = HttpReply::End::Complete;
+    return Reply;
+  }
+
+  /// Whether the connection can be used for another request.
+  bool isKept() const { return this->IsKept; }
+
 private:
   /// Runs one asynchronous step until it ends or times out.
   template <class Begin> beast::error_code step(Begin Start) {
@@ -81,9 +102,28 @@
   Duration Timeout;
   asio::io_context Io;
   beast::tcp_stream Stream{this->Io};
+  beast::flat_buffer Buffer;
+  bool IsKept = false;
 };
 
-} // namespace
+KeptConnection::KeptConnection(std::string AddressGiven, Duration Timeout)
+    : Address(std::move(AddressGiven)), Timeout(Timeout) {}
+
+KeptConnection::~KeptConnection() = default;
+
+HttpReply KeptConnection::exchange(const OutgoingRequest &Req) {
+  if (!this->Link) {
+    this->Link = std::make_unique<Connection>(this->Timeout);
+    if (this->Link->connect(this->Address)) {
+      this->Link.reset();
+      return {};
+    }
+  }
+  HttpReply Reply = this->Link->exchange(Req, this->Address, true, {});
+  if (!this->Link->isKept())
+    this->Link.reset();
+  return Reply;
+}
 
 nlohmann::json HttpReply::parsed() const {
   return nlohmann::json::parse(this->Body, nullptr, false);
@@ -92,18 +132,10 @@
 HttpReply sendHttpRequest(const std::string &Address,
                           const OutgoingRequest &Req, Duration Timeout,
                           const PartHandler &OnPart) {
-  HttpReply Reply;
-  Connection Link(Timeout);
+  KeptConnection::Connection Link(Timeout);
   if (Link.connect(Address))
-    return Reply;
-  Reply.Ended = HttpReply::End::Broken;
-  // A server that refuses early may stop reading. Its reply is still read.
-  const beast::error_code SendFailure = Link.send(Req, Address);
-  const beast::error_code ReceiveFailure = Link.receive(Reply, OnPart);
-  const bool Answered = !ReceiveFailure && (!SendFailure || Reply.Status != 0);
-  if (Answered)
-    Reply.Ended = HttpReply::End::Complete;
-  return Reply;
+    return {};
+  return Link.exchange(Req, Address, false, OnPart);
 }
 
 void EventReader::addPart(std::string_view Part) {
--- a/tests/standins/HttpClient.h
+++ b/tests/standins/HttpClient.h
@@ -7,6 +7,7 @@
 
 #include <boost/beast/http/verb.hpp>
 #include <functional>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -46,6 +47,32 @@
                           const OutgoingRequest &Req, Duration Timeout,
                           const PartHandler &OnPart = {});
 
+/// Sends requests one after the other on one connection. Connects again when
+/// the server has closed the connection or announced that it will.
+class KeptConnection {
+public:
+  /// \p Timeout limits each step: connecting, sending and each read.
+  KeptConnection(std::string Address, Duration Timeout);
+  ~KeptConnection();
+  KeptConnection(const KeptConnection &) = delete;
+  KeptConnection &operator=(const KeptConnection &) = delete;
+
+  HttpReply exchange(const OutgoingRequest &Req);
+  /// Whether the next request is sent on a connection that is open already. The
+  /// server may close it at the same moment.
+  bool isOpen() const { return this->Link != nullptr; }
+
+private:
+  class Connection;
+  friend HttpReply sendHttpRequest(const std::string &Address,
+                                   const OutgoingRequest &Req, Duration Timeout,
+                                   const PartHandler &OnPart);
+
+  std::string Address;
+  Duration Timeout;
+  std::unique_ptr<Connection> Link; ///< Null: not connected.
+};
+
 /// A server-sent event. The name is empty for plain data.
 struct ServerEvent {
   std::string Name;
