Survive a signal to reload the settings during the start

What an operator saw: a host that gets SIGHUP in the milliseconds after it has opened its ports ends, and its callers' connections are reset.

Cause: the handler of SIGHUP is installed after the ports are open, and until then the signal ends the process. Found while looking for what a site with signals for changed settings can lose; nothing shows that it was seen there.

Change: the signal is ignored until it is handled. The host looks at the settings file again by itself (settings_check).

--- a/src/app/Main.cpp
+++ b/src/app/Main.cpp
@@ -32,6 +32,9 @@
 int runDaemon(const Settings &Values) {
   configureLog(Values);
   if (servingFrom(Values) == ServingMode::Gateway) {
+    // A change of the settings may be signalled before the host handles
+    // signals. The host looks at the file again without a signal.
+    std::signal(SIGHUP, SIG_IGN);
     GatewayDaemon Host(Values, FLAGS_settings, Incarnation(randomNumber()),
                        randomNumber());
     Host.run();
--- a/tests/process/GatewayTest.cpp
+++ b/tests/process/GatewayTest.cpp
@@ -163,6 +163,32 @@
   EXPECT_TRUE(Gateway.host(0).Process->isAlive());
 }
 
+/// Waits until the port accepts connections.
+void waitForPort(const std::string &Address) {
+  boost::asio::io_context Io;
+  boost::system::error_code Failure;
+  do {
+    boost::asio::ip::tcp::socket Socket(Io);
+    Socket.connect(standins::parseEndpoint(Address), Failure);
+  } while (Failure);
+}
+
+/// Guards against a host that has callers and that a signal to reload its
+/// settings ends, as it can't handle signals yet.
+TEST(Gateway, SignalsToReloadDoNotEndAHostThatHasJustOpenedItsPort) {
+  GatewayDeployment Gateway({""}, 1);
+  GatewayDeployment::Host &Host = Gateway.host(0);
+  for (int Round = 0; Round < 10; ++Round) {
+    Host.Process->kill();
+    Gateway.startHost(Host);
+    waitForPort(Host.Callers);
+    Host.Process->signal(SIGHUP);
+    std::this_thread::sleep_for(milliseconds(30));
+    ASSERT_TRUE(Host.Process->isAlive()) << "after start " << Round;
+  }
+  EXPECT_TRUE(eventually([&] { return Gateway.readiness(0) == 200; }));
+}
+
 TEST(Gateway, SignalsThatWaitedForAPausedHostDoNotEndIt) {
   GatewayDeployment Gateway({""});
   ChildProcess &Paused = *Gateway.host(0).Process;
