--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -18,6 +18,9 @@
         this->DownHosts.insert(Failure.Host);
         this->Gateway.host(Failure.Host).Process->signal(SIGTERM);
       },
+      [&](const HostReloaded &Failure) {
+        this->Gateway.host(Failure.Host).Process->signal(SIGHUP);
+      },
       [&](const HostKilled &Kill) {
         this->Stopping.erase(Kill.Host);
         this->DownHosts.insert(Kill.Host);
