Take late requests only if they surely end, and name a time to come back

Cause: the time of an answer was judged by the host's own short history, and a refusal always told to come back after 10 ms, also where no host stays.

Change: from three times the directory's ttl on ([departure] late_callers, 3 s) an answer must fit eight times; so few streams are taken. A host that knows no peer that stays tells its callers to come back after 1.5 to 3 s, by when the first host is back; otherwise after 10 ms as before.

--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -312,6 +312,9 @@
   /// Returns when every running request gets its final answer, so that there is
   /// time to write it before the process exits. Never if no stop was requested.
   virtual Time finalAnswersAt() const = 0;
+  /// Returns from when on only callers come that got no new addresses of hosts.
+  /// Never if no stop was requested.
+  virtual Time lateCallersFrom() const = 0;
   /// Whether the process is about to exit, so that no request may begin.
   virtual bool isExiting() const = 0;
 };
--- a/src/plugins/departure/DeparturePlugin.cpp
+++ b/src/plugins/departure/DeparturePlugin.cpp
@@ -12,6 +12,7 @@
   const Settings &Values = Context.settings();
   const std::string_view Section = "departure";
   this->Registry = &Context.services();
+  this->LateCallers = Values.span(Section, "late_callers");
   this->Linger = Values.span(Section, "linger");
   this->Grace = Values.span(Section, "grace");
   this->FinalAnswers = Values.span(Section, "final_answers");
@@ -45,6 +46,10 @@
          std::max(this->Grace - this->FinalAnswers, Duration(0));
 }
 
+Time DeparturePlugin::lateCallersFrom() const {
+  return this->isLeaving() ? this->LeavingSince + this->LateCallers : Never;
+}
+
 void DeparturePlugin::leave(Time Now, Actions &Out) {
   this->LeavingSince = Now;
   this->NextCheck = Now;
@@ -76,6 +81,11 @@
   constexpr auto Span = SettingKind::Span;
   const std::string Section = "departure";
   return {
+      {Section, "late_callers", Span, "3s",
+       "So long after a stop was asked come callers that keep the directory's "
+       "answers: three times its ttl. Later ones have no other host; what they "
+       "ask is taken only if it ends in time even when answers become slow.",
+       0, 600e6},
       {Section, "linger", Span, "3500ms",
        "How long a stopping host goes on taking requests: three times the "
        "directory's ttl, for callers that keep answers long, and a margin.",
--- a/src/plugins/departure/DeparturePlugin.h
+++ b/src/plugins/departure/DeparturePlugin.h
@@ -19,6 +19,7 @@
 
   bool isLeaving() const override { return this->LeavingSince != Never; }
   Time finalAnswersAt() const override;
+  Time lateCallersFrom() const override;
   bool isExiting() const override { return this->Ended; }
 
   static std::vector<SettingDeclaration> settings();
@@ -29,6 +30,7 @@
 
   Services *Registry = nullptr;
   const RelayCount *Running = nullptr;
+  Duration LateCallers{};
   Duration Linger{};
   Duration Grace{};
   Duration FinalAnswers{};
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -134,6 +134,8 @@
   /// zero: unknown.
   bool canEndBeforeStop(const RunningRelay &Relay, Duration Predicted,
                         Time Now) const;
+  /// Returns the delay for callers of this host, which stops.
+  Duration retryAfterStop() const;
   /// Ends a request that can't end before this host stops, so that its caller
   /// asks another host.
   void finishForStop(RunningRelay &Relay, Time Now, Actions &Out);
--- a/src/plugins/relays/StoppingRelays.cpp
+++ b/src/plugins/relays/StoppingRelays.cpp
@@ -1,18 +1,26 @@
 /// \file
 /// The relayed requests of a host that stops.
+#include "plugins/relays/PeerChoice.h"
 #include "plugins/relays/RelaysPlugin.h"
 
 namespace banyanpick {
 
 namespace {
 
-/// When the callers of a stopping host should come back. Another host can serve
-/// them at once.
-constexpr milliseconds StopRetryAfter(10);
-
-/// Answers take this much longer than the longest recent one at most. While
-/// hosts stop, fewer hosts place the work of all callers.
-constexpr double SlowdownAtStop = 1.25;
+/// When the callers of a stopping host should come back if another host can
+/// serve them.
+constexpr milliseconds OtherHostRetryAfter(10);
+/// The same if all known hosts stop. The first of them are back within the
+/// spread, over which callers are distributed.
+constexpr milliseconds RestartRetryAfter(1500);
+constexpr milliseconds RestartRetrySpread(1500);
+
+/// Answers may take this much longer than the longest recent one. While hosts
+/// stop, their callers come to the others.
+constexpr double UsualSlowdown = 1.25;
+/// The same where several hosts stop at once, so that callers find no other
+/// host, and all come again when the first ones are back.
+constexpr double SlowdownOfManyStops = 8;
 
 } // namespace
 
@@ -24,14 +32,23 @@
     return true;
   const std::optional<Duration> Longest =
       this->Durations.longest(Relay.Route, Predicted);
-  return Longest &&
-         Now + fromSeconds(inSeconds(*Longest) * SlowdownAtStop) <= StopAt;
+  const double Slowdown =
+      Now < this->Stop->lateCallersFrom() ? UsualSlowdown : SlowdownOfManyStops;
+  return Longest && Now + fromSeconds(inSeconds(*Longest) * Slowdown) <= StopAt;
+}
+
+Duration RelaysPlugin::retryAfterStop() const {
+  if (choosePeer(this->Members->peers(), this->Own.Zone, {},
+                 *this->RandomSource))
+    return OtherHostRetryAfter;
+  return RestartRetryAfter + fromSeconds(inSeconds(RestartRetrySpread) *
+                                         this->RandomSource->fraction());
 }
 
 void RelaysPlugin::finishForStop(RunningRelay &Relay, Time Now, Actions &Out) {
   this->finish(Relay, Relay.refusal(),
                "this host stops before an answer could end; ask another one",
-               Now, Out, StopRetryAfter);
+               Now, Out, this->retryAfterStop());
 }
 
 void RelaysPlugin::finishBeforeExit(RunningRelay &Relay, Time Now,
@@ -39,7 +56,7 @@
   const bool Sent = Relay.LiveAttempt || Relay.mayHaveRun();
   this->finish(Relay, Sent ? RefusalKind::OutcomeUnknown : RefusalKind::NotRun,
                "this host exits before the answer ended; ask another one", Now,
-               Out, StopRetryAfter);
+               Out, this->retryAfterStop());
 }
 
 } // namespace banyanpick
--- a/tests/auto/gateway/StoppingHostTest.cpp
+++ b/tests/auto/gateway/StoppingHostTest.cpp
@@ -64,6 +64,13 @@
   void endLast(RelayOutcome Outcome) {
     this->endAttempt(this->last<DispatchRelay>().Attempt, std::move(Outcome));
   }
+  /// Sends a request that is answered whole after \p Takes.
+  void answerCall(const char *Path, Duration Takes) {
+    this->arrive(Path, 0, FirstRemaining);
+    const AttemptId Attempt = this->last<DispatchRelay>().Attempt;
+    this->advance(Takes);
+    this->endAttempt(Attempt, RelayDelivered{});
+  }
   /// Makes all engines of the service `desk` ask for a backoff.
   void closeDesk() {
     for (int Number = 1; Number <= DeskEngines; ++Number)
@@ -263,5 +270,42 @@
 INSTANTIATE_TEST_SUITE_P(All, StoppingHost, testing::ValuesIn(cells()),
                          cellName);
 
+/// Guards against late requests that are cut off because engines have become
+/// slow since the host has last seen an answer.
+TEST(StoppingHostLate, TakesOnlyWhatEndsInTimeEvenIfSlow) {
+  constexpr milliseconds LongCall(1500);
+  constexpr milliseconds ShortCall(100);
+  StopBench Bench;
+  Bench.advance(seconds(70)); // The earlier times are forgotten.
+  for (int Round = 0; Round < 2; ++Round) {
+    Bench.answerCall("/once/", LongCall);
+    Bench.answerCall("/safe/", ShortCall);
+    Bench.advance(seconds(31));
+  }
+  Bench.send(Event(StopRequest{}));
+  Bench.advance(milliseconds(2900));
+  EXPECT_EQ(Bench.viewOf(sendOnce(Bench)), CallerView::Runs);
+  Bench.advance(milliseconds(1100));
+  EXPECT_EQ(Bench.viewOf(sendOnce(Bench)), CallerView::NotRun);
+  Bench.advance(milliseconds(2000));
+  EXPECT_EQ(Bench.viewOf(sendSafe(Bench)), CallerView::Runs);
+}
+
+/// Guards against callers that use up their retries at hosts that all stop.
+TEST(StoppingHostRefusal, NamesWhenAHostIsBackIfNoOtherStays) {
+  StopBench Alone;
+  Alone.send(Event(StopRequest{}));
+  Alone.advance(seconds(5));
+  EXPECT_EQ(Alone.viewOf(sendOnce(Alone)), CallerView::NotRun);
+  EXPECT_GE(Alone.last<RefuseRelay>().RetryAfter, seconds(1));
+  EXPECT_LE(Alone.last<RefuseRelay>().RetryAfter, seconds(3));
+  StopBench WithPeer;
+  WithPeer.send(Event(StopRequest{}));
+  WithPeer.advance(seconds(5));
+  WithPeer.receive("h2", heartbeatOf("h2", 10));
+  EXPECT_EQ(WithPeer.viewOf(sendOnce(WithPeer)), CallerView::NotRun);
+  EXPECT_LE(WithPeer.last<RefuseRelay>().RetryAfter, milliseconds(100));
+}
+
 } // namespace
 } // namespace banyanpick
