--- a/src/libs/http/HttpServer.cpp
+++ b/src/libs/http/HttpServer.cpp
@@ -126,8 +126,11 @@
   const ErrorCode Failure =
       co_await Peer->handshake(this->Values.HeaderTimeout);
   bool KeepServing = !Failure;
-  while (KeepServing && co_await this->waitForRequest(Peer))
-    KeepServing = co_await this->serveOne(Peer);
+  while (KeepServing) {
+    KeepServing = co_await this->waitForRequest(Peer);
+    if (KeepServing)
+      KeepServing = co_await this->serveOne(Peer);
+  }
   co_await Peer->close(this->Values.HeaderTimeout);
 }
 
