Grant no hold of memory that an accepted request needs

The dossier is accepted and waits for the end of a step; 12 ms later the engine grants the group of the review a hold of 300,022 of its 400,000 tokens. The dossier then waits for that memory, and the review, which needs no more, waits behind it: each for the other, while five engines are idle. The model of the engine lets the hold overtake an accepted job, which its own rule excludes. Change: a hold gets only memory that no accepted job needs; the host tries another group, as after any refusal. Measured: the new test fails before.

--- a/tests/auto/fakes/EngineModelTest.cpp
+++ b/tests/auto/fakes/EngineModelTest.cpp
@@ -45,6 +45,22 @@
   EXPECT_NEAR(inSeconds(FirstChunkTimes.at(1) - Start), 4.02, 0.01);
 }
 
+/// Guards against two jobs that wait for each other until their deadlines: one
+/// for the memory of a hold, the other, which uses the hold, behind the first.
+TEST(EngineModel, GrantsNoHoldOfMemoryThatAnAcceptedJobNeeds) {
+  constexpr std::uint64_t Prompt = 100'000;
+  constexpr std::uint64_t Rest = 300'022;
+  EngineModel Engine({});
+  Engine.submit(job(1, 1'000, 1), Start);
+  // Waits for the end of the running step.
+  Engine.submit(job(2, Prompt, 1), Start);
+  const HoldId Hold{Incarnation(7), 3};
+  EXPECT_FALSE(Engine.takeHold(Hold, "host-2", Rest, Start + hours(1)));
+  firstChunks(Engine);
+  const Time Later = Start + seconds(10);
+  EXPECT_TRUE(Engine.takeHold(Hold, "host-2", Rest, Later + hours(1)));
+}
+
 TEST(EngineModel, SkipsCachedPrefixAndPublishesEventsAfterLag) {
   EngineModel Engine({});
   EngineJob First = job(1, 4096, 1);
--- a/tests/fakes/EngineModel.cpp
+++ b/tests/fakes/EngineModel.cpp
@@ -138,7 +138,10 @@
                            std::uint64_t Tokens, Time Deadline) {
   if (this->Holds.contains(Hold))
     return true;
-  if (this->Leaving || Tokens > this->Shape.MemoryTokens - this->HeldTokens)
+  // An accepted job is not overtaken: it could wait for the memory of the hold
+  // while the job that uses the hold waits behind it.
+  const std::uint64_t Promised = this->HeldTokens + this->waitingTokens();
+  if (this->Leaving || Promised + Tokens > this->Shape.MemoryTokens)
     return false;
   this->Holds[Hold] = {Owner, Tokens, Deadline};
   this->allocate(Tokens, this->StepBegan);
@@ -180,6 +183,13 @@
                       : TotalTokens;
 }
 
+std::uint64_t EngineModel::waitingTokens() const {
+  std::uint64_t Result = 0;
+  for (const Task &Current : this->Waiting)
+    Result += this->memoryNeeded(Current.Job);
+  return Result;
+}
+
 void EngineModel::allocate(std::uint64_t Tokens, Time Now) {
   this->HeldTokens += Tokens;
   this->Cache.shrinkTo(this->Shape.MemoryTokens - this->HeldTokens, Now);
--- a/tests/fakes/EngineModel.h
+++ b/tests/fakes/EngineModel.h
@@ -83,8 +83,9 @@
   std::vector<CacheEvent> cacheEventsAfter(std::uint64_t Sequence,
                                            Time Now) const;
 
-  /// Allocates memory for a group. Returns false when there is too little free
-  /// memory or the engine is leaving. Idempotent by id.
+  /// Allocates memory for a group. Returns false when there is too little
+  /// memory that is neither allocated nor needed by an accepted job, or the
+  /// engine is leaving. Idempotent by id.
   bool takeHold(const HoldId &Hold, const std::string &Owner,
                 std::uint64_t Tokens, Time Deadline);
   void releaseHold(const HoldId &Hold);
@@ -118,6 +119,8 @@
   };
 
   std::uint64_t memoryNeeded(const EngineJob &Job) const;
+  /// Returns the memory that the waiting jobs need.
+  std::uint64_t waitingTokens() const;
   void allocate(std::uint64_t Tokens, Time Now);
   void admitWaiting(Time Now);
   void startStep(Time Now);
