Draw random numbers in one order on every processor

Cause: two random numbers were drawn in the arguments of one call, whose order of evaluation GCC chooses by processor: from the right on x86-64, from the left on arm64 (by reading; there is no x86-64 machine here). So lives and seeds of the virtual hosts were exchanged. Change: draws have names and an order, that of x86-64. A second place, the routes of the large configuration in manyhosts, is mended the same way. A search of the tests for two draws in one line found no third.

--- a/tests/auto/manyhosts/SimulatedResources.cpp
+++ b/tests/auto/manyhosts/SimulatedResources.cpp
@@ -22,11 +22,16 @@
 std::string routesText(std::size_t Bytes) {
   Random Rng(Bytes);
   std::string Result;
-  while (Result.size() < Bytes)
+  while (Result.size() < Bytes) {
+    // Compilers evaluate arguments in different orders.
+    const std::uint64_t Path = Rng.below(1U << 31U);
+    const std::uint64_t Host = Rng.below(1U << 24U);
+    const std::uint64_t Name = Rng.below(1U << 31U);
     Result += fmt::format(
         R"({{"Name":"{:08x}","Host":"{:06x}.example","PathPrefix":"/{:08x}/",)"
         R"("Kind":"safe","Attempts":2,"TimeoutMs":4000,"Service":"ring"}},)",
-        Rng.below(1U << 31U), Rng.below(1U << 24U), Rng.below(1U << 31U));
+        Name, Host, Path);
+  }
   return Result;
 }
 
--- a/tests/harness/VirtualDeployment.cpp
+++ b/tests/harness/VirtualDeployment.cpp
@@ -244,7 +244,10 @@
 }
 
 void VirtualDeployment::startHost(const std::string &Name) {
-  this->Hosts.at(Name)->start(this->newIncarnation(), this->Rng.below(~0ULL));
+  // Compilers evaluate arguments in different orders.
+  const std::uint64_t Seed = this->Rng.below(~0ULL);
+  const Incarnation Life = this->newIncarnation();
+  this->Hosts.at(Name)->start(Life, Seed);
   this->publishHostList();
 }
 
