Read answers within bounds, and interim answers as what they are

Cause: four readers of answers each had a buffer without a largest size. What the parser needs whole, such as a chunk's extension, its size or trailers, was collected without end. One of them read interim answers with a parser that had ended, which returned at once, for ever. Events were searched from their begin with each read, so the cost grew with the square of their size, and comments counted as events. Change: AnswerReader owns reading an answer: 32 KB unparsed at most, 16 interim answers at most, everything else is an error of that attempt. All four readers use it: relayed requests, reports and orders, the store and the own protocol. EventSplitter searches each byte once, tells events from comments, and withholds comments before the first event; a stream without events for its limit of silence or of bytes is broken.

--- /dev/null
+++ b/src/libs/http/AnswerReader.h
@@ -0,0 +1,87 @@
+/// \file
+/// Reads HTTP answers from servers that may send anything.
+#pragma once
+
+#include "http/Asio.h"
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+
+namespace banyanpick {
+
+/// Maximum number of bytes of an answer that were read and not parsed yet.
+/// Headers, chunk sizes, chunk extensions and trailers are parsed only when
+/// they are complete, so this is also their maximum size.
+inline constexpr std::size_t MaxUnparsedBytes = 32ULL * 1024;
+
+/// Maximum number of interim answers before the final one.
+inline constexpr unsigned MaxInterimAnswers = 16;
+
+/// For bodies whose size the caller limits itself. boost::none does not work:
+/// Beast 1.74 compares it as less than any length.
+inline constexpr std::uint64_t NoBodyLimit =
+    std::numeric_limits<std::uint64_t>::max();
+
+/// The bytes that were read from a connection and not parsed yet.
+class AnswerBuffer : public beast::flat_buffer {
+public:
+  AnswerBuffer() : beast::flat_buffer(MaxUnparsedBytes) {}
+};
+
+/// Returns whether another answer to the same request follows (RFC 9110, 15.2).
+/// Nobody asks to switch protocols, so 101 is a final answer.
+inline bool isInterimStatus(unsigned Status) {
+  constexpr unsigned FirstInterim = 100;
+  constexpr unsigned SwitchingProtocols = 101;
+  constexpr unsigned FirstFinal = 200;
+  return Status >= FirstInterim && Status < FirstFinal &&
+         Status != SwitchingProtocols;
+}
+
+/// Reads one answer with the body type \p Body of Beast. Every read fails as
+/// soon as a limit is exceeded. Timeouts are those of the caller, who closes
+/// the connection.
+template <class Body> class AnswerReader {
+public:
+  using Parser = http::response_parser<Body>;
+
+  /// Reading fails if the body is larger than \p MaxBodyBytes.
+  explicit AnswerReader(std::uint64_t MaxBodyBytes)
+      : MaxBodyBytes(MaxBodyBytes), Answer(std::in_place) {}
+
+  /// Reads the header of the final answer and discards the interim answers
+  /// before it.
+  template <class Stream>
+  Task<ErrorCode> readHead(Stream &Link, AnswerBuffer &Buffer) {
+    for (unsigned Interim = 0; Interim <= MaxInterimAnswers; ++Interim) {
+      this->Answer.emplace();
+      this->Answer->body_limit(this->MaxBodyBytes);
+      ErrorCode Failure;
+      co_await http::async_read_header(Link, Buffer, *this->Answer,
+                                       into(Failure));
+      if (Failure || !isInterimStatus(this->parser().get().result_int()))
+        co_return Failure;
+    }
+    co_return http::make_error_code(http::error::bad_status);
+  }
+
+  /// Reads the header and the complete body of the final answer.
+  template <class Stream>
+  Task<ErrorCode> readWhole(Stream &Link, AnswerBuffer &Buffer) {
+    ErrorCode Failure = co_await this->readHead(Link, Buffer);
+    if (!Failure)
+      co_await http::async_read(Link, Buffer, *this->Answer, into(Failure));
+    co_return Failure;
+  }
+
+  /// Returns the parser of the final answer, which is empty before readHead().
+  Parser &parser() { return *this->Answer; }
+  const Parser &parser() const { return *this->Answer; }
+
+private:
+  std::uint64_t MaxBodyBytes;
+  std::optional<Parser> Answer;
+};
+
+} // namespace banyanpick
--- a/src/libs/http/ClientStream.cpp
+++ b/src/libs/http/ClientStream.cpp
@@ -3,8 +3,6 @@
 #include "http/AddressText.h"
 #include "http/SocketOptions.h"
 
-#include <limits>
-
 namespace banyanpick {
 
 Task<std::optional<ClientFailure>> ClientStream::open(Address At,
@@ -28,10 +26,7 @@
   }
   if (Failure)
     co_return failureAfterSending(Failure);
-  // boost::none does not work: Beast 1.74 compares it as less than any length.
-  this->Parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-  co_await http::async_read_header(this->Link, this->Buffer, this->Parser,
-                                   into(Failure));
+  Failure = co_await this->Reader.readHead(this->Link, this->Buffer);
   if (Failure)
     co_return failureAfterSending(Failure);
   co_return std::nullopt;
@@ -40,7 +35,7 @@
 Task<std::pair<std::string, bool>>
 ClientStream::readRest(std::size_t MaxBytes) {
   std::string Result;
-  while (!this->Parser.is_done() && !this->WasAborted) {
+  while (!this->Reader.parser().is_done() && !this->WasAborted) {
     Result += co_await this->readBodyPart();
     if (Result.size() > MaxBytes)
       co_return std::pair(std::move(Result), false);
@@ -51,7 +46,8 @@
 Task<ClientStream::ReadState>
 ClientStream::readEvents(std::vector<ServerEvent> &Out) {
   const std::size_t Before = Out.size();
-  while (!this->Parser.is_done() && !this->WasAborted && Out.size() == Before) {
+  while (!this->Reader.parser().is_done() && !this->WasAborted &&
+         Out.size() == Before) {
     const std::string_view Bytes = co_await this->readBodyPart();
     this->Events.feed(Bytes, Out);
   }
@@ -66,11 +62,12 @@
 }
 
 Task<std::string_view> ClientStream::readBodyPart() {
-  auto &Body = this->Parser.get().body();
+  auto &Parser = this->Reader.parser();
+  auto &Body = Parser.get().body();
   Body.data = this->ReadBuffer.data();
   Body.size = this->ReadBuffer.size();
   ErrorCode Failure;
-  co_await http::async_read_some(this->Link, this->Buffer, this->Parser,
+  co_await http::async_read_some(this->Link, this->Buffer, Parser,
                                  into(Failure));
   if (Failure == http::error::need_buffer)
     Failure = {};
--- a/src/libs/http/ClientStream.h
+++ b/src/libs/http/ClientStream.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "http/AnswerReader.h"
 #include "http/ClientRequest.h"
 #include "http/EventParser.h"
 #include "kernel/Upstream.h"
@@ -26,7 +27,7 @@
                                           Duration ConnectTimeout,
                                           Duration Timeout);
 
-  unsigned status() const { return this->Parser.get().result_int(); }
+  unsigned status() const { return this->Reader.parser().get().result_int(); }
 
   /// Reads the remaining answer, up to a connection failure or slightly more
   /// than \p MaxBytes. The flag in the result is true if the answer is complete
@@ -51,8 +52,8 @@
   Task<std::string_view> readBodyPart();
 
   beast::tcp_stream Link;
-  beast::flat_buffer Buffer;
-  http::response_parser<http::buffer_body> Parser;
+  AnswerBuffer Buffer;
+  AnswerReader<http::buffer_body> Reader{NoBodyLimit};
   EventParser Events;
   std::array<char, ReadBytes> ReadBuffer{};
   ClientFailure AbortReason = ClientFailure::Lost;
--- a/src/libs/http/HttpClient.cpp
+++ b/src/libs/http/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpClient.h"
 
 #include "http/AddressText.h"
+#include "http/AnswerReader.h"
 #include "http/SocketOptions.h"
 
 #include <array>
@@ -73,12 +74,12 @@
   co_await http::async_write(*Link, Request, into(Failure));
   if (Failure)
     co_return failureAfterSending(Failure);
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(this->MaxAnswerBytes);
-  beast::flat_buffer Buffer;
-  co_await http::async_read(*Link, Buffer, Parser, into(Failure));
+  AnswerReader<http::string_body> Reader(this->MaxAnswerBytes);
+  AnswerBuffer Buffer;
+  Failure = co_await Reader.readWhole(*Link, Buffer);
   if (Failure)
     co_return failureAfterSending(Failure);
+  auto &Parser = Reader.parser();
   ClientAnswer Answer;
   Answer.Status = Parser.get().result_int();
   Answer.Body = std::move(Parser.get().body());
--- a/src/libs/relay/EngineCalls.cpp
+++ b/src/libs/relay/EngineCalls.cpp
@@ -45,11 +45,11 @@
   co_await http::async_write(Link->Socket, Request, into(Failure));
   if (Failure)
     co_return failureAfterSending(Failure);
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(this->MaxAnswerBytes);
-  co_await http::async_read(Link->Socket, Link->Buffer, Parser, into(Failure));
+  AnswerReader<http::string_body> Reader(this->MaxAnswerBytes);
+  Failure = co_await Reader.readWhole(Link->Socket, Link->Buffer);
   if (Failure)
     co_return failureAfterSending(Failure);
+  auto &Parser = Reader.parser();
   Timer.cancel();
   ClientAnswer Answer;
   Answer.Status = Parser.get().result_int();
--- a/src/libs/relay/EngineLinkPool.h
+++ b/src/libs/relay/EngineLinkPool.h
@@ -2,6 +2,7 @@
 /// Pool of idle connections to upstreams.
 #pragma once
 
+#include "http/AnswerReader.h"
 #include "http/ClientRequest.h"
 #include "kernel/Upstream.h"
 
@@ -19,7 +20,7 @@
       : Socket(Executor) {}
 
   Tcp::socket Socket;
-  beast::flat_buffer Buffer;
+  AnswerBuffer Buffer;
   bool IsReused = false; ///< Has served a request before.
   std::chrono::steady_clock::time_point IdleUntil{};
 };
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -5,8 +5,6 @@
 #include "http/SocketOptions.h"
 #include "relay/HopHeaders.h"
 
-#include <limits>
-
 namespace banyanpick {
 
 namespace {
@@ -140,17 +138,6 @@
   co_return true;
 }
 
-Task<ErrorCode> EngineRun::readHead(Parser &HeadParser) {
-  // boost::none does not work: Beast 1.74 compares it as less than any length.
-  HeadParser.body_limit(std::numeric_limits<std::uint64_t>::max());
-  ErrorCode Failure;
-  do {
-    co_await http::async_read_header(this->Link->Socket, this->Link->Buffer,
-                                     HeadParser, into(Failure));
-  } while (!Failure && HeadParser.get().result() == http::status::continue_);
-  co_return Failure;
-}
-
 Task<std::string_view> EngineRun::readBodyPart(Parser &AnswerParser) {
   auto &Body = AnswerParser.get().body();
   Body.data = this->ReadBuffer.data();
@@ -170,10 +157,12 @@
   // A failed write is ignored: an upstream may answer and close the connection
   // before it has read the whole request.
   co_await this->sendRequest(Remaining);
-  Parser Answer;
-  const ErrorCode Failure = co_await this->readHead(Answer);
+  Reader AnswerOfEngine(NoBodyLimit);
+  const ErrorCode Failure =
+      co_await AnswerOfEngine.readHead(this->Link->Socket, this->Link->Buffer);
   if (Failure)
     co_return this->brokenBy(Failure);
+  Parser &Answer = AnswerOfEngine.parser();
   const http::response_header<> &Head = Answer.get();
   const HttpExchange::Request *CallerReq = this->Caller->request();
   if (!CallerReq)
@@ -228,27 +217,14 @@
   removeHopHeaders(Head);
   Head.erase(http::field::content_length);
   while (!AnswerParser.is_done()) {
-    if (this->HasBegun && this->Order.MaxSilence > Duration(0))
-      this->armTimeout(this->Order.MaxSilence);
-    const std::string Events =
-        this->Splitter.feed(co_await this->readBodyPart(AnswerParser));
-    this->TimeoutTimer.cancel();
+    const SplitEvents Part = co_await this->readEvents(AnswerParser);
     if (this->Cancelled)
       co_return this->broken(RelayBroken::Why::Reset);
-    if (!this->Splitter.isInOrder() ||
-        this->Splitter.pendingBytes() > this->Limits.EventBytes)
+    if (this->isStreamCorrupt())
       co_return this->broken(RelayBroken::Why::Corrupt);
-    if (!Events.empty()) {
-      this->recordEventGap();
-      if (!this->Caller->hasBegun() && !co_await this->Caller->begin(Head))
-        co_return this->broken(RelayBroken::Why::Reset);
-      if (!co_await this->Caller->send(Events, this->Splitter.lastId()))
-        co_return this->broken(RelayBroken::Why::Reset);
-      this->Order.LastEvent = this->Splitter.lastId();
-      if (!this->HasBegun)
-        Listener.OnFirstEvent();
-      this->HasBegun = true;
-    }
+    const bool IsOpen = co_await this->forward(Head, Part, Listener);
+    if (!IsOpen)
+      co_return this->broken(RelayBroken::Why::Reset);
     if (this->ReadFailure)
       co_return this->brokenBy(this->ReadFailure);
   }
@@ -263,11 +239,55 @@
   this->keepLink(AnswerParser);
   if (!this->Caller->hasBegun() && !co_await this->Caller->begin(Head))
     co_return this->broken(RelayBroken::Why::Reset);
+  const std::string Comments = this->Splitter.takeWithheld();
+  if (!Comments.empty())
+    co_await this->Caller->send(Comments, this->Splitter.lastId());
   co_await this->Caller->end();
   co_return RelayDelivered{AnswerParser.get().result_int(), this->MaxEventGap,
                            End};
 }
 
+Task<SplitEvents> EngineRun::readEvents(Parser &AnswerParser) {
+  const auto StartedAt = std::chrono::steady_clock::now();
+  if (this->HasBegun && this->Order.MaxSilence > Duration(0))
+    this->armTimeout(this->Order.MaxSilence - this->Silence);
+  const std::string_view Bytes = co_await this->readBodyPart(AnswerParser);
+  this->TimeoutTimer.cancel();
+  SplitEvents Result = this->Splitter.feed(Bytes);
+  const auto Waited = std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now() - StartedAt);
+  this->Silence = Result.HasEvent ? Duration(0) : this->Silence + Waited;
+  co_return Result;
+}
+
+Task<bool> EngineRun::forward(const http::response_header<> &Head,
+                              const SplitEvents &Part,
+                              const EngineRunListener &Listener) {
+  if (Part.Bytes.empty())
+    co_return true;
+  if (Part.HasEvent)
+    this->recordEventGap();
+  if (!this->Caller->hasBegun()) {
+    const bool HasBegun = co_await this->Caller->begin(Head);
+    if (!HasBegun)
+      co_return false;
+  }
+  const bool WasSent =
+      co_await this->Caller->send(Part.Bytes, this->Splitter.lastId());
+  if (!WasSent)
+    co_return false;
+  this->Order.LastEvent = this->Splitter.lastId();
+  if (!this->HasBegun)
+    Listener.OnFirstEvent();
+  this->HasBegun = true;
+  co_return true;
+}
+
+bool EngineRun::isStreamCorrupt() const {
+  return !this->Splitter.isInOrder() ||
+         this->Splitter.bytesSinceEvent() > this->Limits.EventBytes;
+}
+
 void EngineRun::recordEventGap() {
   const auto Now = std::chrono::steady_clock::now();
   if (this->HasBegun)
--- a/src/libs/relay/EngineRun.h
+++ b/src/libs/relay/EngineRun.h
@@ -52,14 +52,14 @@
   }
 
 private:
-  using Parser = http::response_parser<http::buffer_body>;
+  using Reader = AnswerReader<http::buffer_body>;
+  using Parser = Reader::Parser;
 
   /// Returns why there is no connection, or nothing if there is one.
   Task<std::optional<RelayNeverSent::Why>> connect();
   /// Returns false if the connection failed. An answer may have arrived
   /// nevertheless.
   Task<bool> sendRequest(Duration Remaining);
-  Task<ErrorCode> readHead(Parser &HeadParser);
   /// Reads part of the body and returns a view of the bytes. Sets ReadFailure.
   Task<std::string_view> readBodyPart(Parser &AnswerParser);
   Task<RelayOutcome> exchange(Duration Remaining,
@@ -70,6 +70,16 @@
   RelayOutcome broken(RelayBroken::Why Reason) const;
   RelayOutcome brokenBy(const ErrorCode &Failure) const;
   void keepLink(const Parser &AnswerParser);
+  /// Reads the next part of the stream. Sets ReadFailure; the read fails as
+  /// silent if no event arrives for the time limit of the order.
+  Task<SplitEvents> readEvents(Parser &AnswerParser);
+  /// Sends bytes of the stream to the caller, and the header before the first
+  /// ones. Returns false if the caller has disconnected.
+  Task<bool> forward(const http::response_header<> &Head,
+                     const SplitEvents &Part,
+                     const EngineRunListener &Listener);
+  /// Whether the stream violates the protocol or the limits.
+  bool isStreamCorrupt() const;
   void recordEventGap();
   void armTimeout(Duration Limit);
 
@@ -89,7 +99,8 @@
   std::vector<std::string> UnknownNames;
   std::chrono::steady_clock::time_point LastEventsAt{};
   Duration MaxEventGap{};
-  bool Sent = false; ///< The complete request was written.
+  Duration Silence{}; ///< Time spent reading since the last event.
+  bool Sent = false;  ///< The complete request was written.
   bool AnyByteSent = false;
   bool Cancelled = false;
   bool TimedOut = false;
--- a/src/libs/relay/EventSplitter.cpp
+++ b/src/libs/relay/EventSplitter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace banyanpick {
 
@@ -22,6 +23,16 @@
   return Id;
 }
 
+/// Returns whether the line is a field of an event's data.
+bool isData(std::string_view Line) {
+  if (Line.ends_with('\r'))
+    Line.remove_suffix(1);
+  return Line == "data" || Line.starts_with("data:");
+}
+
+/// Longest end of a block: the empty line and the line end before it.
+constexpr std::size_t MaxBoundaryBytes = 3;
+
 /// Returns the position after the last empty line of \p Text, or 0.
 std::size_t lastBoundary(std::string_view Text) {
   const std::size_t AfterLineFeed = Text.rfind("\n\n");
@@ -30,34 +41,68 @@
   if (AfterLineFeed != std::string_view::npos)
     Boundary = AfterLineFeed + 2;
   if (AfterCarriageReturn != std::string_view::npos)
-    Boundary = std::max(Boundary, AfterCarriageReturn + 3);
+    Boundary = std::max(Boundary, AfterCarriageReturn + MaxBoundaryBytes);
   return Boundary;
 }
 
 } // namespace
 
-std::string EventSplitter::feed(std::string_view Bytes) {
+SplitEvents EventSplitter::feed(std::string_view Bytes) {
   this->Pending += Bytes;
-  const std::size_t Boundary = lastBoundary(this->Pending);
-  if (Boundary == 0)
+  SplitEvents Result;
+  Result.Bytes = this->takeComplete();
+  if (Result.Bytes.empty())
+    return Result;
+  Result.HasEvent = this->readLines(Result.Bytes);
+  if (Result.HasEvent)
+    this->BytesWithoutEvent = 0;
+  else
+    this->BytesWithoutEvent += Result.Bytes.size();
+  this->HasBegun = this->HasBegun || Result.HasEvent;
+  if (!this->HasBegun) {
+    this->Withheld += Result.Bytes;
     return {};
+  }
+  if (!this->Withheld.empty())
+    Result.Bytes.insert(0, this->takeWithheld());
+  return Result;
+}
+
+std::string EventSplitter::takeWithheld() {
+  return std::exchange(this->Withheld, {});
+}
+
+std::string EventSplitter::takeComplete() {
+  // A boundary may have begun in the bytes that were searched before.
+  const std::size_t From =
+      this->SearchedBytes - std::min(this->SearchedBytes, MaxBoundaryBytes - 1);
+  const std::size_t Found =
+      lastBoundary(std::string_view(this->Pending).substr(From));
+  const std::size_t Boundary = Found == 0 ? 0 : From + Found;
   std::string Complete = this->Pending.substr(0, Boundary);
   this->Pending.erase(0, Boundary);
-  this->checkIds(Complete);
+  this->SearchedBytes = this->Pending.size();
   return Complete;
 }
 
-void EventSplitter::checkIds(std::string_view Events) {
-  while (!Events.empty()) {
-    const std::size_t End = std::min(Events.find('\n'), Events.size());
-    const auto Id = idOf(Events.substr(0, End));
-    Events.remove_prefix(std::min(End + 1, Events.size()));
-    if (!Id)
-      continue;
-    if (this->LastId && *Id <= *this->LastId)
-      this->InOrder = false;
-    this->LastId = Id;
+bool EventSplitter::readLines(std::string_view Blocks) {
+  bool HasData = false;
+  while (!Blocks.empty()) {
+    const std::size_t End = std::min(Blocks.find('\n'), Blocks.size());
+    const std::string_view Line = Blocks.substr(0, End);
+    Blocks.remove_prefix(std::min(End + 1, Blocks.size()));
+    HasData = HasData || isData(Line);
+    const auto Id = idOf(Line);
+    if (Id)
+      this->checkId(*Id);
   }
+  return HasData;
+}
+
+void EventSplitter::checkId(std::uint64_t Id) {
+  if (this->LastId && Id <= *this->LastId)
+    this->InOrder = false;
+  this->LastId = Id;
 }
 
 } // namespace banyanpick
--- a/tests/auto/http/RawPeer.h
+++ b/tests/auto/http/RawPeer.h
@@ -6,6 +6,7 @@
 #include "kernel/Upstream.h"
 
 #include <array>
+#include <optional>
 #include <string>
 
 namespace banyanpick {
@@ -13,13 +14,21 @@
 /// A blocking connection.
 class RawPeer {
 public:
-  explicit RawPeer(const Address &At) : Socket(this->Io) {
+  /// Without \p ReceiveBuffer, in bytes, the system chooses its size.
+  explicit RawPeer(const Address &At,
+                   std::optional<int> ReceiveBuffer = std::nullopt)
+      : Socket(this->Io, Tcp::v4()) {
+    if (ReceiveBuffer)
+      this->Socket.set_option(
+          net::socket_base::receive_buffer_size(*ReceiveBuffer));
     this->Socket.connect({net::ip::make_address(At.Ip), At.Port});
   }
 
-  void send(std::string_view Bytes) {
-    ErrorCode Ignored;
-    net::write(this->Socket, net::buffer(Bytes.data(), Bytes.size()), Ignored);
+  /// Returns false if the server has closed the connection.
+  bool send(std::string_view Bytes) {
+    ErrorCode Failure;
+    net::write(this->Socket, net::buffer(Bytes.data(), Bytes.size()), Failure);
+    return !Failure;
   }
   void finish() {
     ErrorCode Ignored;
--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -53,6 +54,35 @@
   return this->ExitCode;
 }
 
+std::uint64_t ChildProcess::peakMemoryBytes() const {
+  std::ifstream Status("/proc/" + std::to_string(this->Pid) + "/status");
+  constexpr std::uint64_t KB = 1024;
+  const std::string Field = "VmHWM:";
+  for (std::string Word; Status >> Word;) {
+    if (Word != Field)
+      continue;
+    std::uint64_t Kilobytes = 0;
+    Status >> Kilobytes;
+    return Kilobytes * KB;
+  }
+  return 0;
+}
+
+std::chrono::milliseconds ChildProcess::processorTime() const {
+  std::ifstream Stat("/proc/" + std::to_string(this->Pid) + "/stat");
+  std::string Skipped;
+  // The name of the program, which has no spaces here, is the second field.
+  constexpr int FieldsBeforeTimes = 13;
+  for (int Field = 0; Field < FieldsBeforeTimes; ++Field)
+    Stat >> Skipped;
+  std::int64_t UserTicks = 0;
+  std::int64_t SystemTicks = 0;
+  Stat >> UserTicks >> SystemTicks;
+  constexpr std::int64_t MsPerSecond = 1000;
+  return std::chrono::milliseconds((UserTicks + SystemTicks) * MsPerSecond /
+                                   sysconf(_SC_CLK_TCK));
+}
+
 bool ChildProcess::isAlive() {
   int Status = 0;
   if (!this->HasExited && waitpid(this->Pid, &Status, WNOHANG) == this->Pid) {
--- a/tests/process/ChildProcess.h
+++ b/tests/process/ChildProcess.h
@@ -2,6 +2,8 @@
 /// A child process of a test.
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -27,6 +29,11 @@
   /// signal ended the process.
   int wait();
   bool isAlive();
+  /// Returns the largest resident memory since the start in bytes, or 0 if the
+  /// process has exited.
+  std::uint64_t peakMemoryBytes() const;
+  /// Returns the processor time that the process has used.
+  std::chrono::milliseconds processorTime() const;
 
 private:
   pid_t Pid = 0;
