Refuse strangers at the port for hosts before they send a message

Cause: ZeroMQ takes bytes that are no greeting for its first protocol, which has no handshake. The letters of the request became frames of one message of many parts, which is kept until its last part; the bounds on a message hold for each part. Change: the socket asks for authentication also without encryption, which then allows everybody. ZeroMQ refuses the first protocol where it asks.

--- a/src/libs/peers/PeerNetwork.cpp
+++ b/src/libs/peers/PeerNetwork.cpp
@@ -55,7 +55,8 @@
                          Listener NewCallbacks)
     : Self(std::move(SelfId)), Life(OwnIncarnation),
       Values(std::move(NewValues)), Callbacks(std::move(NewCallbacks)),
-      Authenticator(this->Context, this->Values.Allowed),
+      Authenticator(this->Context, this->Values.Allowed,
+                    this->Values.Encrypted),
       Router(this->Context, zmq::socket_type::router),
       Links(this->Context, this->Values, this->Self,
             this->Callbacks.OnMalformed),
@@ -80,8 +81,8 @@
   if (this->Values.Encrypted) {
     Socket.set(zmq::sockopt::curve_server, true);
     Socket.set(zmq::sockopt::curve_secretkey, this->Values.OwnKeys.SecretKey);
-    Socket.set(zmq::sockopt::zap_domain, "banyanpick");
   }
+  Socket.set(zmq::sockopt::zap_domain, "banyanpick");
   Socket.set(zmq::sockopt::maxmsgsize,
              static_cast<std::int64_t>(this->Values.MaxMessageBytes));
   Socket.set(zmq::sockopt::rcvhwm,
--- a/src/libs/peers/ZapAuthenticator.cpp
+++ b/src/libs/peers/ZapAuthenticator.cpp
@@ -34,8 +34,9 @@
 } // namespace
 
 ZapAuthenticator::ZapAuthenticator(zmq::context_t &Context,
-                                   const AllowedKeys &Allowed)
-    : Allowed(Allowed), Socket(Context, zmq::socket_type::rep) {
+                                   const AllowedKeys &Allowed, bool Encrypted)
+    : Allowed(Allowed), Encrypted(Encrypted),
+      Socket(Context, zmq::socket_type::rep) {
   this->Socket.set(zmq::sockopt::linger, 0);
   this->Socket.bind("inproc://zeromq.zap.01");
 }
@@ -52,7 +53,8 @@
 
 void ZapAuthenticator::reply(const std::vector<zmq::message_t> &Request) {
   const std::string Key = clientKey(Request);
-  const bool IsAllowed = !Key.empty() && this->Allowed.allows(Key);
+  const bool IsAllowed =
+      !this->Encrypted || (!Key.empty() && this->Allowed.allows(Key));
   const auto Host = this->Allowed.hostOf(Key);
   const std::string User = Host ? Host->Value : std::string(AnyHost);
   const auto Echo = [&](std::size_t Frame) {
--- a/src/libs/peers/ZapAuthenticator.h
+++ b/src/libs/peers/ZapAuthenticator.h
@@ -1,6 +1,6 @@
 /// \file
-/// Decides which CURVE clients may connect, by ZeroMQ's authentication
-/// protocol (ZAP, RFC 27).
+/// Decides which clients may connect, by ZeroMQ's authentication protocol (ZAP,
+/// RFC 27).
 #pragma once
 
 #include "peers/CurveKeys.h"
@@ -11,9 +11,15 @@
 
 /// Answers the authentication requests of the context's server sockets. Must be
 /// created before any server socket of the context is bound. Not thread-safe.
+///
+/// Sockets without encryption ask too, because ZeroMQ then refuses clients of
+/// its first protocol. Bytes that are no ZeroMQ at all are taken for that
+/// protocol and could form one message without end.
 class ZapAuthenticator {
 public:
-  ZapAuthenticator(zmq::context_t &Context, const AllowedKeys &Allowed);
+  /// Without encryption any client may connect.
+  ZapAuthenticator(zmq::context_t &Context, const AllowedKeys &Allowed,
+                   bool Encrypted);
 
   zmq::socket_t &socket() { return this->Socket; }
 
@@ -24,6 +30,7 @@
   void reply(const std::vector<zmq::message_t> &Request);
 
   const AllowedKeys &Allowed;
+  bool Encrypted;
   zmq::socket_t Socket;
 };
 
