End no thread and no request with an exception

The coroutine ends silently, control never hears of the end, and the request waits for its deadline. A plug-in that throws ends the control actor: nobody is answered any more, and the process ignores SIGTERM. A reader of the store that throws never reads again. Cause: exceptions of detached coroutines are dropped, and CAF ends an actor at one. Each place relied on handling just the expected kind.

--- a/src/app/Control.cpp
+++ b/src/app/Control.cpp
@@ -1,6 +1,7 @@
 #include "app/Control.h"
 
 #include "app/ControlDelay.h"
+#include "base/EventNumbers.h"
 
 namespace banyanpick {
 
@@ -23,12 +24,29 @@
   /// would schedule another message, and their number would only grow.
   Time WakeAt = Never;
 
+  /// An exception would end the actor, and with it every answer of this host.
+  /// The event that causes one is lost; requests end at their deadlines.
   void handle(const Event &Incoming) {
-    this->Router.perform(this->HostKernel->handle(Incoming, this->Clock.now()));
+    const Time Now = this->Clock.now();
+    try {
+      this->Router.perform(this->HostKernel->handle(Incoming, Now));
+    } catch (const std::exception &Failure) {
+      this->reportThrown(Failure.what());
+    }
     if (const auto *Ended = std::get_if<AttemptEnded>(&Incoming))
       this->Router.forget(Ended->Attempt);
   }
 
+  void reportThrown(std::string_view What) {
+    const std::string Invariant = "plug-ins do not throw: ";
+    Actions Out;
+    Out.log(logEvent(events::InvariantBroken)
+                .with("invariant", Invariant + std::string(What))
+                .build());
+    Out.count("invariants_broken", Invariant);
+    this->Router.perform(Out.take());
+  }
+
   void recordDelay(Time SentAt, std::size_t Bytes) {
     const Time Now = this->Clock.now();
     this->WaitingBytes -= Bytes;
--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -62,15 +62,32 @@
   });
 }
 
+void GatewayTraffic::spawn(Task<void> Work) {
+  net::co_spawn(this->Io, std::move(Work), [this](std::exception_ptr Thrown) {
+    try {
+      if (Thrown)
+        std::rethrow_exception(Thrown);
+    } catch (const std::exception &Failure) {
+      this->reportThrown(Failure.what());
+    }
+  });
+}
+
+void GatewayTraffic::reportThrown(std::string_view What) {
+  const std::string Invariant = "tasks of the traffic thread do not throw: ";
+  writeLogLine(logEvent(events::InvariantBroken)
+                   .with("invariant", Invariant + std::string(What))
+                   .build(),
+               this->Context.Clock.now());
+}
+
 void GatewayTraffic::perform(const Action &Wanted) {
   match(
       Wanted, [&](const GatewayAction &Item) { this->perform(Item); },
       [&](const AnswerResolve &Item) {
         this->ResolveAnswers.answer(Item.Id.Value, Item);
       },
-      [&](const ReadHostList &) {
-        net::co_spawn(this->Io, this->Hosts.readHosts(), net::detached);
-      },
+      [&](const ReadHostList &) { this->spawn(this->Hosts.readHosts()); },
       [](const auto &) {});
 }
 
@@ -98,15 +115,9 @@
         this->decode(Item.Document, ConfigurationSource::Peer);
       },
       [&](const LimitCallers &Item) { this->Server->setLimits(Item.Limits); },
-      [&](const AskReport &Item) {
-        net::co_spawn(this->Io, this->requestReport(Item), net::detached);
-      },
-      [&](const ReserveMemory &Item) {
-        net::co_spawn(this->Io, this->reserve(Item), net::detached);
-      },
-      [&](const ReleaseMemory &Item) {
-        net::co_spawn(this->Io, this->release(Item), net::detached);
-      },
+      [&](const AskReport &Item) { this->spawn(this->requestReport(Item)); },
+      [&](const ReserveMemory &Item) { this->spawn(this->reserve(Item)); },
+      [&](const ReleaseMemory &Item) { this->spawn(this->release(Item)); },
       [&](const CloseCallers &) { this->Server->closeAfterAnswers(); },
       [&](const StopCallersServer &) { this->Server->stop(); },
       [&](const CloseEngines &Item) {
@@ -114,12 +125,10 @@
       },
       [&](const FollowStore &Item) { this->followStore(Item); },
       [&](const StoreQuarantine &Item) {
-        net::co_spawn(this->Io, this->Hosts.storeQuarantine(Item),
-                      net::detached);
+        this->spawn(this->Hosts.storeQuarantine(Item));
       },
       [&](const AnnounceHost &Item) {
-        net::co_spawn(this->Io, this->Hosts.announce(Item.Present),
-                      net::detached);
+        this->spawn(this->Hosts.announce(Item.Present));
       });
 }
 
@@ -176,8 +185,7 @@
                                          this->Links, Protocol,
                                          this->Context.Values.RunLimits);
   this->Runs[Order.Attempt] = Run;
-  net::co_spawn(this->Io, this->runAttempt(std::move(Run), Order),
-                net::detached);
+  this->spawn(this->runAttempt(std::move(Run), Order));
 }
 
 Task<void> GatewayTraffic::runAttempt(std::shared_ptr<EngineRun> Run,
@@ -192,8 +200,14 @@
     this->Context.Events.send(GatewayEvent(RelayBegan{Id}));
   };
   Callbacks.MaySend = [this, &Order] { return this->maySend(Order); };
+  // Control waits for the end of every attempt.
   RelayOutcome Outcome =
-      co_await Run->run(Order.Deadline - SentAt, std::move(Callbacks));
+      RelayBroken{RelayBroken::Why::Malformed, false, std::nullopt};
+  try {
+    Outcome = co_await Run->run(Order.Deadline - SentAt, std::move(Callbacks));
+  } catch (const std::exception &Failure) {
+    this->reportThrown(Failure.what());
+  }
   this->Runs.erase(Order.Attempt);
   this->reportUnknownHeaders(*Run, Order.Engine);
   if (!Run->isCancelled())
@@ -252,7 +266,7 @@
     this->Context.Events.send(GatewayEvent(ConfigurationRead{
         this->Context.Protocol.documents().readConfiguration(Document), From,
         ReadAt}));
-  } catch (const Error &Failure) {
+  } catch (const std::exception &Failure) {
     this->Context.Events.send(
         GatewayEvent(ConfigurationUnreadable{Failure.what()}));
   }
@@ -264,7 +278,7 @@
   this->Declarations->setFollowing(Order.Enabled);
   this->Engines->setFollowing(Order.Enabled);
   if (Order.Enabled)
-    net::co_spawn(this->Io, this->Hosts.readQuarantines(), net::detached);
+    this->spawn(this->Hosts.readQuarantines());
 }
 
 void GatewayTraffic::followDeclarations() {
@@ -358,7 +372,7 @@
             Record.Key, *Record.Value);
         Change.Removed = false;
       }
-    } catch (const Error &Failure) {
+    } catch (const std::exception &Failure) {
       this->count("registrations_malformed", "");
       writeLogLine(logEvent(events::RegistrationUnreadable)
                        .with("engine", Record.Key)
--- a/src/libs/relay/KeyedFollower.cpp
+++ b/src/libs/relay/KeyedFollower.cpp
@@ -43,8 +43,7 @@
     while (!this->IsFollowing)
       co_await this->sleep(std::chrono::hours(1));
     const auto StartedAt = std::chrono::steady_clock::now();
-    const bool Succeeded =
-        this->HasListed ? co_await this->readNext() : co_await this->list();
+    const bool Succeeded = co_await this->readOnce();
     if (!Succeeded) {
       co_await this->sleep(RetryDelay);
       RetryDelay = std::min(RetryDelay * 2, this->Options.MaxRetryDelay);
@@ -58,6 +57,19 @@
   }
 }
 
+Task<bool> KeyedFollower::readOnce() {
+  try {
+    if (this->HasListed)
+      co_return co_await this->readNext();
+    co_return co_await this->list();
+  } catch (const std::exception &Failure) {
+    // The follower must not end, and what it has missed is in the next listing.
+    this->HasListed = false;
+    this->reportFailure({StoreFailure::Why::Malformed, Failure.what()});
+  }
+  co_return false;
+}
+
 Task<bool> KeyedFollower::list() {
   std::vector<KeyedRecord> AllRecords;
   std::optional<LogOffset> UpTo;
--- a/tests/auto/platformadapter/HeadersTest.cpp
+++ b/tests/auto/platformadapter/HeadersTest.cpp
@@ -127,6 +127,16 @@
   EXPECT_EQ(Sent["X-Request-Urgency"], "2");
 }
 
+/// Guards against an attempt that never ends because a header is malformed.
+TEST(EngineAnswers, MayNameAFaultyHelperBadly) {
+  for (const char *Named : {"nowhere", "10.2.64.3:70000", ":", "\xff"}) {
+    http::response_header<> Refused = answer(503);
+    Refused.set("X-Not-Executed", "1");
+    Refused.set("At-Server", Named);
+    EXPECT_TRUE(hasMeaning<NotRunAnswer>(Refused)) << Named;
+  }
+}
+
 TEST(EngineAnswers, MeanWhatTheirHeadersProve) {
   http::response_header<> Good = answer(200);
   EXPECT_TRUE(hasMeaning<InvalidAnswer>(Good)) << "without a seal";
