--- a/src/libs/base/Milliseconds.h
+++ b/src/libs/base/Milliseconds.h
@@ -12,7 +12,7 @@
 }
 
 constexpr Duration fromMilliseconds(double Value) {
-  return Duration(static_cast<Duration::rep>(Value * 1e3));
+  return fromMicroseconds(Value * 1e3);
 }
 
 } // namespace banyanpick
--- a/src/libs/base/Time.h
+++ b/src/libs/base/Time.h
@@ -36,9 +36,26 @@
   return static_cast<double>(Value.count()) / 1e6;
 }
 
-/// Converts floating-point seconds to a duration.
+/// The longest duration that is made of a floating-point number. It can still
+/// be added to any time, some 70,000 years.
+inline constexpr Duration MaxConverted(Duration::rep(1) << 61);
+
+/// Converts floating-point microseconds to a duration. A number beyond
+/// MaxConverted, of either sign, becomes that; no number becomes zero.
+constexpr Duration fromMicroseconds(double Value) {
+  constexpr auto Limit = static_cast<double>(MaxConverted.count());
+  if (Value != Value)
+    return Duration(0);
+  if (Value >= Limit)
+    return MaxConverted;
+  if (Value <= -Limit)
+    return -MaxConverted;
+  return Duration(static_cast<Duration::rep>(Value));
+}
+
+/// Converts floating-point seconds to a duration, see fromMicroseconds().
 constexpr Duration fromSeconds(double Value) {
-  return Duration(static_cast<Duration::rep>(Value * 1e6));
+  return fromMicroseconds(Value * 1e6);
 }
 
 } // namespace banyanpick
--- a/tests/auto/base/BaseTest.cpp
+++ b/tests/auto/base/BaseTest.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <gtest/gtest.h>
+#include <limits>
 #include <rapidcheck/gtest.h>
 #include <unordered_set>
 
@@ -35,6 +36,17 @@
   }
 }
 
+/// Guards against times that differ between processors, as the conversion of a
+/// number out of range does.
+TEST(Time, ConvertsNumbersOutOfRange) {
+  EXPECT_EQ(fromSeconds(1.5), milliseconds(1500));
+  EXPECT_EQ(fromSeconds(1e300), MaxConverted);
+  EXPECT_EQ(fromSeconds(-1e300), -MaxConverted);
+  EXPECT_EQ(fromSeconds(std::numeric_limits<double>::infinity()), MaxConverted);
+  EXPECT_EQ(fromSeconds(std::numeric_limits<double>::quiet_NaN()), Duration(0));
+  EXPECT_GT(Time(hours(24) * 365 * 100) + MaxConverted, Time());
+}
+
 TEST(RendezvousHash, SpreadsEvenlyAndMovesOnlyKeysOfARemovedHost) {
   const std::array<std::string, 4> Hosts{"h1", "h2", "h3", "h4"};
   const auto Best = [&](const std::string &Key, std::size_t Count) {
