Keep the answer of a caller that pauses while it reads

Cause: connections from callers had TCP_USER_TIMEOUT of 2.5 s, meant for peers without power. Linux applies it also to a peer that acknowledges every probe and has no space. Change: no limit on unacknowledged bytes towards callers. An idle dead caller still shows by keep-alive within 3 s; for the others the server's write_timeout and the deadlines of requests hold. Measured: HttpServer.WaitsForACallerThatPausesWhileItReads fails before and passes now.

--- a/src/libs/http/Connection.cpp
+++ b/src/libs/http/Connection.cpp
@@ -150,7 +150,7 @@
 std::shared_ptr<Connection> makeConnection(Tcp::socket Socket,
                                            net::ssl::context *Tls,
                                            std::uint64_t MaxHeaderBytes) {
-  tuneConnection(Socket);
+  tuneCallerConnection(Socket);
   PlainStream Plain(std::move(Socket));
   if (!Tls)
     return std::make_shared<BasicConnection<PlainStream>>(std::move(Plain),
--- a/src/libs/http/SocketOptions.cpp
+++ b/src/libs/http/SocketOptions.cpp
@@ -15,8 +15,9 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 
-/// How long sent bytes may stay unacknowledged, in milliseconds: twenty times
-/// the longest round trip within a region, plus two retransmissions.
+/// How long bytes that were sent to a server may stay unacknowledged, in
+/// milliseconds: twenty times the longest round trip within a region, plus two
+/// retransmissions.
 constexpr int MaxUnacknowledgedMs = 2500;
 
 /// Ignores errors of the system: without an option, a silent peer is detected
@@ -28,14 +29,19 @@
 
 } // namespace
 
-void tuneConnection(Tcp::socket &Socket) {
+void tuneCallerConnection(Tcp::socket &Socket) {
   const int Descriptor = Socket.native_handle();
   setOption(Descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
   setOption(Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   setOption(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
   setOption(Descriptor, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
   setOption(Descriptor, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
-  setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, MaxUnacknowledgedMs);
+}
+
+void tuneConnection(Tcp::socket &Socket) {
+  tuneCallerConnection(Socket);
+  setOption(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+            MaxUnacknowledgedMs);
 }
 
 } // namespace banyanpick
--- a/tests/auto/http/HttpServerTest.cpp
+++ b/tests/auto/http/HttpServerTest.cpp
@@ -136,6 +136,26 @@
   EXPECT_THROW(RawPeer{At}, boost::system::system_error);
 }
 
+/// Guards against a caller that loses its answer because it pauses while it
+/// reads.
+TEST(HttpServer, WaitsForACallerThatPausesWhileItReads) {
+  constexpr std::size_t AnswerBytes = 256ULL * 1024;
+  constexpr int SmallReceiveBuffer = 4096;
+  HttpSettings Values = smallLimits();
+  Values.WriteTimeout = seconds(10);
+  LocalServer Server(
+      [](HttpExchange &Exchange) -> Task<void> {
+        HttpAnswer Answer;
+        Answer.Body = std::string(AnswerBytes, 'x');
+        co_await Exchange.respond(std::move(Answer));
+      },
+      Values);
+  RawPeer Caller(Server.at(), SmallReceiveBuffer);
+  Caller.send(post(0, ""));
+  std::this_thread::sleep_for(seconds(4));
+  EXPECT_GT(Caller.readAll().size(), AnswerBytes);
+}
+
 RC_GTEST_PROP(HttpServer, KeepsServingAfterAnyBytes,
               (const std::string &Bytes)) {
   static LocalServer Server(echo);
