Count crashes of engines that refuse while others answer

Cause, from the logs of a failing run: two dead engines refuse, so their service looks out of reach and their refusals are kept. A living engine answers, the host asks the dead ones again, they refuse again, and the service looks out of reach again: the verdict changes several times in 10 ms, each time the requests for reports are used up, and the crashes are never counted. Change: engines that failed before another one answered are no evidence for a partition while some engine answers, at most 2 s after its answer.

--- a/src/plugins/enginereach/EngineReachPlugin.cpp
+++ b/src/plugins/enginereach/EngineReachPlugin.cpp
@@ -76,7 +76,8 @@
 void EngineReachPlugin::takeReport(const GatewayEvent &Answer, Time Now) {
   if (const auto *Reported = std::get_if<EngineReported>(&Answer)) {
     if (const auto *Engine = this->Directory->find(Reported->Report.Engine))
-      this->noteAnswer(this->Services[Engine->Record.Service], Now);
+      this->noteAnswer(this->Services[Engine->Record.Service],
+                       Reported->Report.Engine, Now);
     return;
   }
   const auto *Failed = std::get_if<EngineReportFailed>(&Answer);
@@ -85,15 +86,16 @@
     return;
   Service &State = this->Services[Engine->Record.Service];
   if (Failed->Answered) {
-    this->noteAnswer(State, Now);
+    this->noteAnswer(State, Failed->Engine, Now);
     return;
   }
   State.Reach.noteFailure(Failed->Engine, Now);
   this->NextProbe = Now;
 }
 
-void EngineReachPlugin::noteAnswer(Service &State, Time Now) {
-  State.Reach.noteAnswer();
+void EngineReachPlugin::noteAnswer(Service &State, const UpstreamId &Engine,
+                                   Time Now) {
+  State.Reach.noteAnswer(Engine, Now);
   if (State.WasCutOff)
     this->NextProbe = Now;
 }
@@ -108,7 +110,7 @@
 
 void EngineReachPlugin::attemptBegan(const RelayAttempt &Attempt, Time Now,
                                      Actions &) {
-  this->noteAnswer(this->Services[Attempt.Service], Now);
+  this->noteAnswer(this->Services[Attempt.Service], Attempt.Engine, Now);
 }
 
 void EngineReachPlugin::attemptEnded(const RelayAttempt &Attempt,
@@ -117,7 +119,7 @@
   Service &State = this->Services[Attempt.Service];
   State.Reach.noteEnded();
   if (isAnswer(Outcome))
-    this->noteAnswer(State, Now);
+    this->noteAnswer(State, Attempt.Engine, Now);
   if (!isLinkFailure(Outcome))
     return;
   State.Reach.noteFailure(Attempt.Engine, Now);
--- a/src/plugins/enginereach/EngineReachPlugin.h
+++ b/src/plugins/enginereach/EngineReachPlugin.h
@@ -49,7 +49,7 @@
   };
 
   void takeReport(const GatewayEvent &Answer, Time Now);
-  void noteAnswer(Service &State, Time Now);
+  void noteAnswer(Service &State, const UpstreamId &Engine, Time Now);
   /// Asks engines of the services that are or may be out of reach for reports.
   void probe(Time Now, Actions &Out);
   /// Asks up to \p MaxCount engines of the service, in turn.
--- a/src/plugins/enginereach/ServiceReach.cpp
+++ b/src/plugins/enginereach/ServiceReach.cpp
@@ -14,8 +14,15 @@
 
 } // namespace
 
-void ServiceReach::noteAnswer() {
+void ServiceReach::noteAnswer(const UpstreamId &Engine, Time Now) {
+  std::erase_if(this->FailedAlone, [&](const auto &Entry) {
+    return Now >= Entry.second + Duration(EvidenceLifetime);
+  });
+  for (const auto &[Failed, At] : this->FailedAt)
+    this->FailedAlone.insert_or_assign(Failed, At);
+  this->FailedAlone.erase(Engine);
   this->FailedAt.clear();
+  this->AnsweredAt = Now;
   this->SilentSince = Never;
 }
 
@@ -26,6 +33,16 @@
   this->FailedAt[Engine] = Now;
 }
 
+void ServiceReach::forget(const UpstreamId &Engine) {
+  this->FailedAt.erase(Engine);
+  this->FailedAlone.erase(Engine);
+}
+
+bool ServiceReach::failsAlone(const UpstreamId &Engine, Time Now) const {
+  return Now < this->AnsweredAt + Duration(EvidenceLifetime) &&
+         this->FailedAlone.contains(Engine);
+}
+
 void ServiceReach::noteSent(Time ExpectedAt) {
   ++this->Waiting;
   this->SilentSince = std::min(this->SilentSince, ExpectedAt);
@@ -39,7 +56,8 @@
 bool ServiceReach::isCutOff(Time Now) const {
   const auto Failed = static_cast<std::size_t>(
       std::ranges::count_if(this->FailedAt, [&](const auto &Entry) {
-        return Now < Entry.second + Duration(EvidenceLifetime);
+        return Now < Entry.second + Duration(EvidenceLifetime) &&
+               !this->failsAlone(Entry.first, Now);
       }));
   return Failed >= MinFailedEngines;
 }
--- a/tests/auto/gateway/CrashDetectionTest.cpp
+++ b/tests/auto/gateway/CrashDetectionTest.cpp
@@ -141,6 +141,27 @@
   EXPECT_EQ(this->crashes(), 2U);
 }
 
+/// Guards against crashes that are not counted because several dead engines,
+/// which refuse again and again, make their service look out of reach.
+TEST_F(CrashDetection, CountsCrashesWhileDeadEnginesRefuseAndOthersAnswer) {
+  this->Bench.registerEngines("desk", 6);
+  std::set<UpstreamId> Dead;
+  for (int Crash = 0; Crash < 3; ++Crash) {
+    this->loseConnection();
+    Dead.insert(this->Bench.last<DispatchRelay>().Engine);
+  }
+  ASSERT_EQ(Dead.size(), 3U);
+  for (int Round = 0; Round < 5; ++Round) {
+    for (const UpstreamId &Engine : Dead)
+      this->Bench.send(GatewayEvent(EngineReportFailed{Engine, true}));
+    for (const char *Name : {"e1", "e2", "e3", "e4", "e5", "e6"})
+      if (!Dead.contains(UpstreamId(Name)))
+        this->Bench.report(UpstreamId(Name));
+    this->Bench.advance(milliseconds(20));
+  }
+  EXPECT_EQ(this->crashes(), 3U);
+}
+
 /// Guards against quarantines that are lost when all hosts restart.
 TEST_F(CrashDetection, StoresAQuarantineOnce) {
   this->Bench.registerEngines("desk", 4);
