Remind hosts that have just started of stored quarantines

Change: a host that becomes known, and all when the store was read, are told once more after 200 ms.

--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -20,6 +20,10 @@
 /// messages to it would grow with the hosts.
 constexpr std::size_t MaxInformers = 8;
 
+/// Until the connection to a host that has just started is established. Its
+/// first callers come when it knows the configuration.
+constexpr milliseconds ReminderDelay(200);
+
 /// Returns the contents of the attempt: the whole request and the parts of its
 /// prompt.
 std::vector<Fingerprint> contentsOf(const RelayAttempt &Attempt) {
@@ -93,6 +97,7 @@
       },
       [](const auto &) {});
   this->verifyRefusals(Now, Out);
+  this->sendReminders(Now, Out);
   for (const UpstreamId &Engine : this->Check.takeDue(Now))
     this->askWhetherAlive(Engine, Now, Out);
 }
@@ -236,6 +241,8 @@
       Out.add(SendToPeer{Peer,
                          makeStoredNotice(Content, Now + this->RetentionTime)});
   }
+  for (const HostId &Peer : this->Members->livePeers())
+    this->remindLater(Peer, Now);
 }
 
 void CrashesPlugin::restore(Fingerprint Content, Time Now, Actions &Out) {
@@ -267,14 +274,40 @@
   if (!IsNew || Changed.State != MemberState::Alive)
     return;
   Informed = Changed.Life;
+  this->inform(Changed.Listing.Id, Now, Out);
+  this->remindLater(Changed.Listing.Id, Now);
+}
+
+void CrashesPlugin::inform(const HostId &Host, Time Now, Actions &Out) {
   const Time Until = Now + this->RetentionTime;
   for (const Fingerprint &Content : this->StoredContents)
-    Out.add(SendToPeer{Changed.Listing.Id, makeStoredNotice(Content, Until)});
+    Out.add(SendToPeer{Host, makeStoredNotice(Content, Until)});
   const std::vector<Crash> Crashes = this->Tracker.confirmedCrashes();
-  if (Crashes.empty() || !this->informs(Changed.Listing.Id))
+  if (Crashes.empty() || !this->informs(Host))
     return;
   for (const Crash &Observed : Crashes)
-    Out.add(SendToPeer{Changed.Listing.Id, makeNotice(Observed, Until)});
+    Out.add(SendToPeer{Host, makeNotice(Observed, Until)});
+}
+
+void CrashesPlugin::remindLater(const HostId &Host, Time Now) {
+  const Time At = Now + ReminderDelay;
+  this->Reminders[Host] = At;
+  this->NextReminder = std::min(this->NextReminder, At);
+}
+
+void CrashesPlugin::sendReminders(Time Now, Actions &Out) {
+  if (Now < this->NextReminder)
+    return;
+  this->NextReminder = Never;
+  std::erase_if(this->Reminders, [&](const auto &Entry) {
+    const auto &[Host, At] = Entry;
+    if (Now >= At) {
+      this->inform(Host, Now, Out);
+      return true;
+    }
+    this->NextReminder = std::min(this->NextReminder, At);
+    return false;
+  });
 }
 
 void CrashesPlugin::confirm(const UpstreamId &Engine, Time Now, Actions &Out) {
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -31,7 +31,9 @@
 public:
   void initialize(PluginContext &Context) override;
   void handle(const Event &Incoming, Time Now, Actions &Out) override;
-  Time nextWake() const override { return this->Check.nextDue(); }
+  Time nextWake() const override {
+    return std::min(this->Check.nextDue(), this->NextReminder);
+  }
 
   bool isQuarantined(Fingerprint Content, Time Now) const override;
   void attemptEnded(const RelayAttempt &Attempt, const RelayOutcome &Outcome,
@@ -71,6 +73,12 @@
   /// Whether this host is one of the few that tell a new incarnation of the
   /// crashes.
   bool informs(const HostId &Newcomer) const;
+  /// Tells the host of the stored quarantines and, if this host informs it, of
+  /// the known crashes.
+  void inform(const HostId &Host, Time Now, Actions &Out);
+  /// Informs the host once more soon.
+  void remindLater(const HostId &Host, Time Now);
+  void sendReminders(Time Now, Actions &Out);
   /// If the content is quarantined, notifies the observers and stores that.
   void noteQuarantine(Fingerprint Content, Time Now, Actions &Out);
   /// \p From is the host that confirmed the crash, for logs.
@@ -93,6 +101,10 @@
   DeathCheck Check;
   /// The incarnations that were sent all known crashes.
   std::map<HostId, Incarnation> InformedIncarnations;
+  /// Hosts that are informed once more, and when. The first messages to a host
+  /// that has just started are lost if its connection is not established.
+  std::map<HostId, Time> Reminders;
+  Time NextReminder = Never; ///< No later than the first of Reminders.
   /// Quarantined contents that this host read from the store.
   std::set<Fingerprint> StoredContents;
 };
