Let deputies read the store in time for the bound on changes

Cause: a deputy began to read 2 s after the last known read, which is the whole bound; nothing was left for the look, the read and its news. Change: [store_readers] change_bound, which the platform's template sets, minus the look, the first read and the news of it, 1.2 s here. Among a hundred hosts and more, and shortly after a start, news may take longer, so deputy_age holds as before. A read of the registry waits 0.8 s, so that its end renews the news.

--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -64,8 +64,10 @@
        "The registry is read no more often, as any renewal ends a waiting "
        "read.",
        1e3, Hour},
-      {SectionName, "engines_wait", Span, "2s",
-       "How long one read of the registry waits for a change.", 0, Hour},
+      {SectionName, "engines_wait", Span, "800ms",
+       "How long one read of the registry waits for a change. Its end tells "
+       "the other hosts that the store is read.",
+       0, Hour},
       {SectionName, "retry_first", Span, "100ms",
        "How soon a store that failed is asked again, at first.", 1e3, Hour},
       {SectionName, "retry_most", Span, "800ms",
--- a/src/plugins/storereaders/StoreReadersPlugin.cpp
+++ b/src/plugins/storereaders/StoreReadersPlugin.cpp
@@ -21,6 +21,21 @@
 /// grow with the hosts.
 constexpr milliseconds DoublingTime(500);
 
+/// Until the first answer of the store to a host that begins to read it: the
+/// connection and the list of all records.
+constexpr milliseconds FirstReadTime(300);
+
+/// Until a change that one host has read is in force at the others: a heartbeat
+/// interval and its way.
+constexpr milliseconds PropagationTime(300);
+
+/// Readers renew their news at least so often, so a younger one says nothing.
+constexpr milliseconds MinDeputyAge(900);
+
+/// Among more hosts the news of a reading may take longer than the bound on
+/// changes allows, so that deputies would read without need.
+constexpr std::size_t MaxQuickNewsHosts = 100;
+
 /// A host that may read the store, with its rank.
 struct Candidate {
   const HostId *Host = nullptr;
@@ -60,6 +75,9 @@
   this->CheckInterval = Values.span(Section, "look_interval");
   this->DeputyCount = Values.whole(Section, "deputies");
   this->DeputyAge = Values.span(Section, "deputy_age");
+  this->QuickDeputyAge =
+      std::min(this->DeputyAge,
+               this->latestTakeover(Values.span(Section, "change_bound")));
   this->MaxAge = Values.span(Section, "most_age");
   this->MaxSilence = Values.span(Section, "most_silence");
   this->SettleTime = Values.span(Section, "settle_time");
@@ -147,12 +165,22 @@
     return this->MaxAge;
   const std::size_t Before = this->ReaderCount + this->DeputyCount;
   if (this->Rank < Before)
-    return this->DeputyAge;
+    return this->hasQuickNews(Now) ? this->QuickDeputyAge : this->DeputyAge;
   const double Doublings = std::log2(static_cast<double>(this->Rank + 1) /
                                      static_cast<double>(Before));
   return this->MaxAge + fromSeconds(inSeconds(DoublingTime) * Doublings);
 }
 
+bool StoreReadersPlugin::hasQuickNews(Time Now) const {
+  return this->Members->peers().size() < MaxQuickNewsHosts &&
+         Now >= std::max(this->StartedAt, this->GrewAt) + 2 * this->SettleTime;
+}
+
+Duration StoreReadersPlugin::latestTakeover(Duration ChangeBound) const {
+  const Duration Needed = this->CheckInterval + FirstReadTime + PropagationTime;
+  return std::max<Duration>(ChangeBound - Needed, MinDeputyAge);
+}
+
 bool StoreReadersPlugin::isSettled(Time Now) const {
   return this->Members->isSeed() ||
          Now >= std::max(this->StartedAt, this->GrewAt) + this->SettleTime;
@@ -228,9 +256,13 @@
        "How many more hosts, the next in order, read the store as soon as it "
        "seems that no reader gets through.",
        0, 10000},
+      {Section, "change_bound", Span, "2s",
+       "Within so long a change that the store has accepted must be in force "
+       "at all hosts, also where the store refuses its readers.",
+       100e3, 600e6},
       {Section, "deputy_age", Span, "2s",
        "A deputy that knows of nobody who read the store for so long reads it "
-       "itself; longer than the news of a reading takes among hundreds.",
+       "itself; sooner if change_bound leaves less time.",
        100e3, 600e6},
       {Section, "most_age", Span, "4s",
        "A host that knows of nobody who read the store for so long reads it "
--- a/src/plugins/storereaders/StoreReadersPlugin.h
+++ b/src/plugins/storereaders/StoreReadersPlugin.h
@@ -58,6 +58,12 @@
   /// Returns the age of the last known read after which this host reads the
   /// store itself.
   Duration ownMaxAge(Time Now) const;
+  /// Whether the news of a reading reaches this host as soon as the bound on
+  /// changes needs: the hosts are few, and it has known them for some time.
+  bool hasQuickNews(Time Now) const;
+  /// Returns the age of the last known read at which a deputy must begin to
+  /// read, so that a change is in force everywhere within \p ChangeBound.
+  Duration latestTakeover(Duration ChangeBound) const;
   bool hearsPeers(Time Now) const;
   /// Lets a host without a configuration read the store for its callers.
   void noteRequest(Time Now);
@@ -70,6 +76,7 @@
   std::size_t DeputyCount = 0;
   Duration CheckInterval{};
   Duration DeputyAge{};
+  Duration QuickDeputyAge{}; ///< Among few hosts.
   Duration MaxAge{};
   Duration MaxSilence{};
   Duration SettleTime{};
