Keep the other plug-ins' work when one throws

Seen by the reviewer: an exception of one plug-in dropped the actions of those that had already changed their state, and the later ones did not get the event, so a request could still end without an answer and a SIGTERM be ignored. Cause: the exception was caught around the whole kernel. Measured: the test of control has a second plug-in, which gets the event.

--- a/src/app/Control.cpp
+++ b/src/app/Control.cpp
@@ -25,7 +25,6 @@
   Time WakeAt = Never;
 
   /// An exception would end the actor, and with it every answer of this host.
-  /// The event that causes one is lost; requests end at their deadlines.
   void handle(const Event &Incoming) {
     const Time Now = this->Clock.now();
     try {
--- a/src/libs/kernel/Kernel.cpp
+++ b/src/libs/kernel/Kernel.cpp
@@ -27,7 +27,7 @@
   if (!this->Started)
     this->start(this->Latest, Out);
   for (const auto &Plugin : this->Plugins)
-    Plugin->handle(Input, this->Latest, Out);
+    this->guard([&] { Plugin->handle(Input, this->Latest, Out); }, Out);
   if (++this->Events % this->Interval == 0)
     this->checkInvariants(this->Latest, Out);
   return Out.take();
@@ -43,12 +43,26 @@
 void Kernel::start(Time Now, Actions &Out) {
   this->Started = true;
   for (const auto &Plugin : this->Plugins)
-    Plugin->start(Now, Out);
+    this->guard([&] { Plugin->start(Now, Out); }, Out);
+}
+
+template <class Function> void Kernel::guard(Function Call, Actions &Out) {
+  try {
+    Call();
+  } catch (const std::exception &Failure) {
+    this->Monitor.require(false, std::string("plug-ins do not throw: ") +
+                                     Failure.what());
+    this->reportBroken(Out);
+  }
 }
 
 void Kernel::checkInvariants(Time Now, Actions &Out) {
   for (const auto &Plugin : this->Plugins)
     Plugin->checkInvariants(this->Monitor, Now);
+  this->reportBroken(Out);
+}
+
+void Kernel::reportBroken(Actions &Out) {
   for (const std::string &Broken : this->Monitor.takeBroken()) {
     Out.log(
         logEvent(events::InvariantBroken).with("invariant", Broken).build());
--- a/src/libs/kernel/Kernel.h
+++ b/src/libs/kernel/Kernel.h
@@ -43,6 +43,10 @@
 private:
   void start(Time Now, Actions &Out);
   void checkInvariants(Time Now, Actions &Out);
+  /// Calls a plug-in. An exception is reported as a broken invariant; the other
+  /// plug-ins still get the event, and their actions are kept.
+  template <class Function> void guard(Function Call, Actions &Out);
+  void reportBroken(Actions &Out);
 
   /// Number of events between two invariant checks in the daemon.
   static constexpr std::uint64_t InvariantInterval = 1024;
--- a/tests/auto/control/ControlTest.cpp
+++ b/tests/auto/control/ControlTest.cpp
@@ -35,6 +35,23 @@
      [] { return std::unique_ptr<Plugin>(std::make_unique<ThrowingPlugin>()); },
      PluginUse::Gateway});
 
+/// Gets each event after the one that throws.
+class LaterPlugin : public Plugin {
+public:
+  void initialize(PluginContext &) override {}
+  void handle(const Event &Input, Time, Actions &Out) override {
+    if (std::holds_alternative<StopRequest>(Input))
+      Out.count("stops");
+  }
+};
+
+const PluginRegistration LaterRegistration(
+    {"later",
+     {"throwing"},
+     [] { return std::vector<SettingDeclaration>(); },
+     [] { return std::unique_ptr<Plugin>(std::make_unique<LaterPlugin>()); },
+     PluginUse::Gateway});
+
 /// Collects the actions of the kernel.
 class Performer : public ActionPerformer {
 public:
@@ -44,6 +61,9 @@
       const auto *Line = std::get_if<WriteLogLine>(&Item);
       if (Line && Line->Line.Number == events::InvariantBroken.Number)
         ++this->BrokenInvariants;
+      const auto *Count = std::get_if<RecordMeasurement>(&Item);
+      if (Count && Count->Name == "stops")
+        ++this->CountedStops;
       this->HasStopped |= std::holds_alternative<StopNow>(Item);
     }
     this->Changed.notify_all();
@@ -58,10 +78,16 @@
     return this->BrokenInvariants;
   }
 
+  int countedStops() {
+    const std::lock_guard Lock(this->Mutex);
+    return this->CountedStops;
+  }
+
 private:
   std::mutex Mutex;
   std::condition_variable Changed;
   int BrokenInvariants = 0;
+  int CountedStops = 0;
   bool HasStopped = false;
 };
 
@@ -78,6 +104,7 @@
   Events.send(CallerDisconnected{RequestId(1)});
   EXPECT_TRUE(Router.waitForStop());
   EXPECT_EQ(Router.brokenInvariants(), 1);
+  EXPECT_EQ(Router.countedStops(), 1) << "the other plug-ins get the event";
 }
 
 } // namespace
