Deliver streams that end with empty lines, and refuse repeated pages

Found by the reviewer: - A stream whose last event is followed by a further empty line was corrupt or not depending on the places at which it was read.

--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -232,16 +232,16 @@
   const bool IsEmpty = !this->HasBegun;
   // A connection that ends within an event, or before the first one, was lost.
   if (End == RelayDelivered::Ending::Connection &&
-      (this->Splitter.pendingBytes() > 0 || IsEmpty))
+      (this->Splitter.isWithinBlock() || IsEmpty))
     co_return this->broken(RelayBroken::Why::Reset);
-  if (this->Splitter.pendingBytes() > 0)
+  if (this->Splitter.isWithinBlock())
     co_return this->broken(RelayBroken::Why::Corrupt);
   this->keepLink(AnswerParser);
   if (!this->Caller->hasBegun() && !co_await this->Caller->begin(Head))
     co_return this->broken(RelayBroken::Why::Reset);
-  const std::string Comments = this->Splitter.takeWithheld();
-  if (!Comments.empty())
-    co_await this->Caller->send(Comments, this->Splitter.lastId());
+  const std::string Rest = this->Splitter.takeRest();
+  if (!Rest.empty())
+    co_await this->Caller->send(Rest, this->Splitter.lastId());
   co_await this->Caller->end();
   co_return RelayDelivered{AnswerParser.get().result_int(), this->MaxEventGap,
                            End};
--- a/src/libs/relay/EventSplitter.cpp
+++ b/src/libs/relay/EventSplitter.cpp
@@ -64,12 +64,17 @@
     return {};
   }
   if (!this->Withheld.empty())
-    Result.Bytes.insert(0, this->takeWithheld());
+    Result.Bytes.insert(0, std::exchange(this->Withheld, {}));
   return Result;
 }
 
-std::string EventSplitter::takeWithheld() {
-  return std::exchange(this->Withheld, {});
+bool EventSplitter::isWithinBlock() const {
+  return this->Pending.find_first_not_of("\r\n") != std::string::npos;
+}
+
+std::string EventSplitter::takeRest() {
+  this->SearchedBytes = 0;
+  return std::exchange(this->Withheld, {}) + std::exchange(this->Pending, {});
 }
 
 std::string EventSplitter::takeComplete() {
--- a/src/libs/relay/EventSplitter.h
+++ b/src/libs/relay/EventSplitter.h
@@ -37,8 +37,12 @@
   std::size_t bytesSinceEvent() const {
     return this->BytesWithoutEvent + this->Pending.size();
   }
-  /// Returns the blocks before the first event if no event has followed.
-  std::string takeWithheld();
+  /// Whether the stream would end within an event or another block. Empty lines
+  /// end every block, however many follow.
+  bool isWithinBlock() const;
+  /// Returns what was not returned yet at the end of the stream: blocks before
+  /// the first event and empty lines.
+  std::string takeRest();
   /// Requires the ids of the following events to be higher than \p Id.
   void resumeAfter(std::optional<std::uint64_t> Id) { this->LastId = Id; }
 
--- a/src/libs/relay/KeyedFollower.cpp
+++ b/src/libs/relay/KeyedFollower.cpp
@@ -88,6 +88,13 @@
     if (!UpTo)
       UpTo = Page.EndOffset;
     More = Page.More && !Page.Records.empty();
+    const bool IsRepeated = More && !AllRecords.empty() &&
+                            Page.Records.back().Key == AllRecords.back().Key;
+    if (IsRepeated) {
+      this->reportFailure(
+          {StoreFailure::Why::Malformed, "the same page came twice"});
+      co_return false;
+    }
     std::move(Page.Records.begin(), Page.Records.end(),
               std::back_inserter(AllRecords));
   }
--- a/src/libs/relay/KeyedFollower.h
+++ b/src/libs/relay/KeyedFollower.h
@@ -49,9 +49,9 @@
 
 private:
   Task<void> run();
-  /// Returns false if the listing failed.
   /// Lists or reads the topic once. Returns false if that failed.
   Task<bool> readOnce();
+  /// Returns false if the listing failed.
   Task<bool> list();
   /// Returns false if the read failed.
   Task<bool> readNext();
--- a/tests/auto/relay/EngineRunTest.cpp
+++ b/tests/auto/relay/EngineRunTest.cpp
@@ -128,6 +128,17 @@
   EXPECT_TRUE(Relayed.HasBegun);
 }
 
+/// Guards against a sound stream that is broken because of the places at which
+/// it was read.
+TEST(EngineRun, DeliversAStreamThatEndsWithEmptyLines) {
+  RawAnswer Stream;
+  Stream.First = chunkedHead("text/event-stream") + "9\r\ndata: a\n\n\r\n";
+  Stream.Pause = milliseconds(50);
+  Stream.Then = "3\r\n\n\r\n\r\n0\r\n\r\n";
+  const Relay Relayed{RawServer(Stream)};
+  EXPECT_EQ(Relayed.body(), "data: a\n\n\n\r\n");
+}
+
 TEST(EngineRun, DeliversAStreamOfCommentsThatHasAnEnd) {
   RawAnswer Stream;
   Stream.First = chunkedHead("text/event-stream") + "5\r\n: a\n\n\r\n0\r\n\r\n";
