--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -4,6 +4,9 @@
 #include "http/AddressText.h"
 #include "native/PlatformSettings.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace banyanpick {
 
 namespace {
@@ -21,7 +24,35 @@
 
 } // namespace
 
-std::vector<SettingDeclaration> gatewaySettingDeclarations() {
+namespace {
+
+/// How the store is read.
+std::vector<SettingDeclaration> storeDeclarations() {
+  constexpr auto Span = SettingKind::Span;
+  constexpr double Hour = 3600e6;
+  const std::string SectionName(Section);
+  return {
+      {SectionName, "declarations_wait", Span, "2s",
+       "How long one read for declarations waits for a change; hosts that do "
+       "not read hear at its end that nothing changed.",
+       0, Hour},
+      {SectionName, "engines_interval", Span, "200ms",
+       "The registry is read no more often, as any renewal ends a waiting "
+       "read.",
+       1e3, Hour},
+      {SectionName, "engines_wait", Span, "800ms",
+       "How long one read of the registry waits for a change. Its end tells "
+       "the other hosts that the store is read.",
+       0, Hour},
+      {SectionName, "retry_first", Span, "100ms",
+       "How soon a store that failed is asked again, at first.", 1e3, Hour},
+      {SectionName, "retry_most", Span, "800ms",
+       "How seldom a store that fails is asked, at most.", 1e3, Hour},
+  };
+}
+
+/// Where the gateway listens and how it reaches upstreams.
+std::vector<SettingDeclaration> relayDeclarations() {
   constexpr auto Span = SettingKind::Span;
   constexpr auto Size = SettingKind::Size;
   constexpr auto Text = SettingKind::Text;
@@ -56,22 +87,6 @@
       {SectionName, "event_bytes", Size, "256KB",
        "Largest event of a stream; half events are not passed on.", KB,
        KB * KB * KB},
-      {SectionName, "declarations_wait", Span, "2s",
-       "How long one read for declarations waits for a change; hosts that do "
-       "not read hear at its end that nothing changed.",
-       0, Hour},
-      {SectionName, "engines_interval", Span, "200ms",
-       "The registry is read no more often, as any renewal ends a waiting "
-       "read.",
-       1e3, Hour},
-      {SectionName, "engines_wait", Span, "800ms",
-       "How long one read of the registry waits for a change. Its end tells "
-       "the other hosts that the store is read.",
-       0, Hour},
-      {SectionName, "retry_first", Span, "100ms",
-       "How soon a store that failed is asked again, at first.", 1e3, Hour},
-      {SectionName, "retry_most", Span, "800ms",
-       "How seldom a store that fails is asked, at most.", 1e3, Hour},
       {SectionName, "link_idle", Span, "3s",
        "How long a connection to an upstream is kept without a request.", 0,
        Hour},
@@ -85,6 +100,15 @@
   };
 }
 
+} // namespace
+
+std::vector<SettingDeclaration> gatewaySettingDeclarations() {
+  std::vector<SettingDeclaration> Result = relayDeclarations();
+  std::vector<SettingDeclaration> Store = storeDeclarations();
+  std::ranges::move(Store, std::back_inserter(Result));
+  return Result;
+}
+
 ServingMode servingFrom(const Settings &Values) {
   return Values.text("host", "serving") == "gateway" ? ServingMode::Gateway
                                                      : ServingMode::Catalogue;
--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -63,14 +63,15 @@
 }
 
 void GatewayTraffic::spawn(Task<void> Work) {
-  net::co_spawn(this->Io, std::move(Work), [this](std::exception_ptr Thrown) {
-    try {
-      if (Thrown)
-        std::rethrow_exception(Thrown);
-    } catch (const std::exception &Failure) {
-      this->reportThrown(Failure.what());
-    }
-  });
+  net::co_spawn(this->Io, std::move(Work),
+                [this](const std::exception_ptr &Thrown) {
+                  try {
+                    if (Thrown)
+                      std::rethrow_exception(Thrown);
+                  } catch (const std::exception &Failure) {
+                    this->reportThrown(Failure.what());
+                  }
+                });
 }
 
 void GatewayTraffic::reportThrown(std::string_view What) {
--- a/tests/auto/http/RawServer.h
+++ b/tests/auto/http/RawServer.h
@@ -37,7 +37,7 @@
       : Answer(std::move(AnswerGiven)),
         Acceptor(this->Io, {net::ip::address_v4::loopback(), 0}),
         Thread([this] { this->acceptAll(); }) {}
-  explicit RawServer(RawAnswer Always)
+  explicit RawServer(const RawAnswer &Always)
       : RawServer([Always](std::string_view) { return Always; }) {}
   ~RawServer() {
     this->Stopping = true;
