Count how answers end on callers' connections

Change: counter caller_answers_ended with the labels complete, caller_left, cut, not_sent and no_answer, for requests for engines. Requests still open when the process is killed are not counted. Measured: the two new tests HttpServer.Tells* and Gateway.ShowsItsMetrics pass once each; the other tests were not run with this commit.

--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -27,6 +27,22 @@
   return {Part, Reachable, std::string(Why)};
 }
 
+std::string_view name(ExchangeEnd End) {
+  switch (End) {
+  case ExchangeEnd::Complete:
+    return "complete";
+  case ExchangeEnd::CallerLeft:
+    return "caller_left";
+  case ExchangeEnd::Cut:
+    return "cut";
+  case ExchangeEnd::NotSent:
+    return "not_sent";
+  case ExchangeEnd::NoAnswer:
+    break;
+  }
+  return "no_answer";
+}
+
 } // namespace
 
 GatewayTraffic::GatewayTraffic(const GatewayContext &Context)
@@ -154,6 +170,7 @@
   co_await Side->waitUntilFinished();
   this->Callers.erase(Id);
   co_await Side->sendFinalAnswer();
+  this->count("caller_answers_ended", name(Exchange.end()));
 }
 
 Task<void> GatewayTraffic::resolve(HttpExchange &Exchange) {
--- a/src/libs/http/HttpExchange.cpp
+++ b/src/libs/http/HttpExchange.cpp
@@ -124,9 +124,23 @@
   this->stopWatching();
   this->Answered = true;
   this->KeepsAlive = false;
+  this->Aborted = true;
   this->Peer->abort();
 }
 
+ExchangeEnd HttpExchange::end() const {
+  if (this->CallerLeft)
+    return ExchangeEnd::CallerLeft;
+  if (!this->Answered)
+    return ExchangeEnd::NoAnswer;
+  // An abort makes running writes fail, so it is looked at first.
+  if (this->Aborted)
+    return ExchangeEnd::Cut;
+  if (this->WriteFailed)
+    return ExchangeEnd::NotSent;
+  return this->EventsOpen ? ExchangeEnd::Cut : ExchangeEnd::Complete;
+}
+
 Task<bool> HttpExchange::sendEvents(std::string_view Formatted) {
   const ErrorCode Failure =
       co_await this->Peer->writeChunk(Formatted, this->Values.WriteTimeout);
@@ -142,8 +156,12 @@
 }
 
 void HttpExchange::onDisconnect(std::function<void()> Callback) {
-  this->Watch =
-      std::make_shared<DisconnectWatch>(DisconnectWatch{std::move(Callback)});
+  // The destructor removes the callback.
+  this->Watch = std::make_shared<DisconnectWatch>(
+      DisconnectWatch{[this, Callback = std::move(Callback)] {
+        this->CallerLeft = true;
+        Callback();
+      }});
   net::co_spawn(this->Peer->executor(), watch(this->Peer, this->Watch),
                 net::detached);
 }
@@ -156,9 +174,11 @@
 }
 
 bool HttpExchange::updateKeepAlive(const ErrorCode &Failure) {
-  if (Failure)
-    this->KeepsAlive = false;
-  return !Failure;
+  if (!Failure)
+    return true;
+  this->KeepsAlive = false;
+  this->WriteFailed = true;
+  return false;
 }
 
 void HttpExchange::stopWatching() {
--- a/src/libs/http/HttpExchange.h
+++ b/src/libs/http/HttpExchange.h
@@ -39,6 +39,15 @@
 /// Returns the answer for a thrown error, with the status for its kind.
 HttpAnswer errorAnswer(const Error &Thrown);
 
+/// How an exchange ended, as far as the sender can tell.
+enum class ExchangeEnd {
+  Complete,   ///< The whole answer was given to the socket.
+  CallerLeft, ///< The caller closed or reset its connection first.
+  Cut,        ///< This process ended the connection within the answer.
+  NotSent,    ///< Writing failed or took longer than the write timeout.
+  NoAnswer,   ///< There was no answer.
+};
+
 /// Gives a handler access to a request and sends the answer. Used on the thread
 /// of the connection only.
 class HttpExchange {
@@ -90,6 +99,8 @@
   void onDisconnect(std::function<void()> Callback);
 
   bool isAnswered() const { return this->Answered; }
+  /// To be called when the answer is complete or has been given up.
+  ExchangeEnd end() const;
   /// Returns whether the connection can be used for another request. It can't
   /// while an event stream has no end.
   bool keepsAlive() const { return this->KeepsAlive && !this->EventsOpen; }
@@ -123,6 +134,9 @@
   bool Answered = false;
   bool KeepsAlive = true;
   bool EventsOpen = false;
+  bool CallerLeft = false;
+  bool Aborted = false;
+  bool WriteFailed = false;
 };
 
 } // namespace banyanpick
--- a/tests/auto/http/HttpServerTest.cpp
+++ b/tests/auto/http/HttpServerTest.cpp
@@ -156,6 +156,71 @@
   EXPECT_GT(Caller.readAll().size(), AnswerBytes);
 }
 
+/// Serves one request with \p Serve and returns how its exchange ended. \p
+/// Calls acts as the caller after the request was sent.
+ExchangeEnd endOf(const LocalServer::Function &Serve,
+                  const std::function<void(RawPeer &)> &Calls) {
+  std::promise<ExchangeEnd> End;
+  LocalServer Server([&](HttpExchange &Exchange) -> Task<void> {
+    co_await Serve(Exchange);
+    End.set_value(Exchange.end());
+  });
+  RawPeer Caller(Server.at());
+  Caller.send(post(2, "ok"));
+  Calls(Caller);
+  return End.get_future().get();
+}
+
+/// Guards against a cut or missing answer that is counted as a complete one.
+TEST(HttpServer, TellsHowExchangesEnd) {
+  const auto Reads = [](RawPeer &Caller) { Caller.readAll(); };
+  EXPECT_EQ(endOf(echo, Reads), ExchangeEnd::Complete);
+  EXPECT_EQ(endOf([](HttpExchange &) -> Task<void> { co_return; }, Reads),
+            ExchangeEnd::NoAnswer);
+  const auto StreamThen = [](bool Ends, bool Aborts) {
+    return [Ends, Aborts](HttpExchange &Exchange) -> Task<void> {
+      co_await Exchange.beginEvents();
+      co_await Exchange.sendEvents("data: x\n\n");
+      if (Ends)
+        co_await Exchange.endEvents();
+      if (Aborts)
+        Exchange.abort();
+    };
+  };
+  EXPECT_EQ(endOf(StreamThen(true, false), Reads), ExchangeEnd::Complete);
+  EXPECT_EQ(endOf(StreamThen(false, false), Reads), ExchangeEnd::Cut);
+  EXPECT_EQ(endOf(StreamThen(false, true), Reads), ExchangeEnd::Cut);
+}
+
+/// Guards against a caller that leaves or does not read being counted as a
+/// fault of the host, or the other way round.
+TEST(HttpServer, TellsCallersThatLeaveFromThoseThatDoNotRead) {
+  const auto WaitsForCaller = [](HttpExchange &Exchange) -> Task<void> {
+    net::steady_timer Left(Exchange.executor(), seconds(5));
+    Exchange.onDisconnect([&] {
+      Left.cancel();
+      Exchange.abort();
+    });
+    ErrorCode Ignored;
+    co_await Left.async_wait(into(Ignored));
+  };
+  EXPECT_EQ(endOf(WaitsForCaller, [](RawPeer &Caller) { Caller.finish(); }),
+            ExchangeEnd::CallerLeft);
+  constexpr std::size_t MoreThanBuffersHold = 64ULL * 1024 * 1024;
+  const auto SendsMuch = [](HttpExchange &Exchange) -> Task<void> {
+    HttpAnswer Answer;
+    Answer.Body = std::string(MoreThanBuffersHold, 'x');
+    co_await Exchange.respond(std::move(Answer));
+  };
+  EXPECT_EQ(endOf(SendsMuch,
+                  [](RawPeer &) {
+                    const Duration Longer =
+                        smallLimits().WriteTimeout + milliseconds(500);
+                    std::this_thread::sleep_for(Longer);
+                  }),
+            ExchangeEnd::NotSent);
+}
+
 RC_GTEST_PROP(HttpServer, KeepsServingAfterAnyBytes,
               (const std::string &Bytes)) {
   static LocalServer Server(echo);
--- a/tests/process/GatewayTest.cpp
+++ b/tests/process/GatewayTest.cpp
@@ -258,6 +258,13 @@
                "banyanpick_relays_ended_total{label=\"delivered\"} 1\n") !=
            std::string::npos;
   })) << Page;
+  // Guards against requests whose end on the caller's connection is not
+  // counted.
+  EXPECT_NE(
+      Page.find(
+          "banyanpick_caller_answers_ended_total{label=\"complete\"} 1\n"),
+      std::string::npos)
+      << Page;
 }
 
 } // namespace
