Keep signals that arrive between two waits

Cause: after a SIGHUP the host made a new signal_set for the next wait. The old set queued the SIGTERM and was destroyed with it. Change: one signal_set for the life of the host. The daemon without a gateway waits only once and is not affected. Measured: Gateway.StopsWhenAReloadWasSignalledDirectlyBefore fails with the binary before (round ended by a time limit of 45 s) and passes now, one run of three rounds each; Gateway.SignalsThatWaitedForAPausedHostDoNotEndIt passes. The other tests were not run with this commit.

--- a/src/app/GatewayDaemon.cpp
+++ b/src/app/GatewayDaemon.cpp
@@ -125,8 +125,11 @@
 }
 
 void GatewayDaemon::waitForSignals() {
-  this->Signals = std::make_unique<net::signal_set>(this->Traffic.context(),
-                                                    SIGTERM, SIGINT, SIGHUP);
+  // The set queues signals that arrive between two waits. A new set for each
+  // wait would drop them, such as a SIGTERM directly after a SIGHUP.
+  if (!this->Signals)
+    this->Signals = std::make_unique<net::signal_set>(this->Traffic.context(),
+                                                      SIGTERM, SIGINT, SIGHUP);
   this->Signals->async_wait([this](const ErrorCode &Failure, int Number) {
     if (Failure)
       return;
--- a/tests/process/GatewayTest.cpp
+++ b/tests/process/GatewayTest.cpp
@@ -244,6 +244,22 @@
   EXPECT_EQ(Gateway.ask(0, "/once/x", "stayed").Status, 200U);
 }
 
+/// Guards against a stop that is lost when a reload is signalled directly
+/// before it, so that the host takes requests until it is killed.
+TEST(Gateway, StopsWhenAReloadWasSignalledDirectlyBefore) {
+  constexpr int Rounds = 3;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    GatewayDeployment Gateway({""}, 1);
+    ASSERT_EQ(Gateway.ask(0, "/safe/x", "before").Status, 200U);
+    ChildProcess &Host = *Gateway.host(0).Process;
+    Host.signal(SIGSTOP); // Both signals wait when the host goes on.
+    Host.signal(SIGHUP);
+    Host.signal(SIGTERM);
+    Host.signal(SIGCONT);
+    EXPECT_TRUE(eventually([&] { return !Host.isAlive(); }));
+  }
+}
+
 TEST(Gateway, ShowsItsMetrics) {
   GatewayDeployment Gateway({""}, 1);
   Gateway.ask(0, "/safe/x", "h1");
