--- a/tests/standins/HttpServer.cpp
+++ b/tests/standins/HttpServer.cpp
@@ -126,7 +126,9 @@
   http::response<http::string_body> Reply(static_cast<http::status>(Status),
                                           HttpVersion);
   Reply.set(http::field::content_type, "application/json");
-  Reply.body() = Body.dump();
+  // Keys of records may be broken UTF-8, which JSON can't hold.
+  Reply.body() =
+      Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   Reply.prepare_payload();
   http::write(this->Socket, Reply);
 }
