Write every odd value under the configuration's key in OddRecords

Only every second value was written under the key config, as the key followed the position; now each is, besides one under another key of the topic.

--- a/tests/process/OddRecordsTest.cpp
+++ b/tests/process/OddRecordsTest.cpp
@@ -183,13 +183,16 @@
         this->Gateway.host(0).Store, Req, seconds(10));
     ASSERT_EQ(Reply.Status, 200U);
   }
+  /// Returns the record, and that of the configuration's key among its topic.
   static std::string frame(const OddTopic &Topic, std::size_t Index) {
     const std::vector<std::string> Keys = oddKeys();
     const std::string &Value = Topic.Values[Index % Topic.Values.size()];
-    std::string Key = Keys[Index % Keys.size()];
-    if (Topic.Name == platform::topic::Declarations && Index % 2 == 0)
-      Key = platform::topic::ConfigurationKey;
-    return platform::writeFrame({Key, Value, 0});
+    std::string Result =
+        platform::writeFrame({Keys[Index % Keys.size()], Value, 0});
+    if (Topic.Name == platform::topic::Declarations)
+      Result += platform::writeFrame(
+          {std::string(platform::topic::ConfigurationKey), Value, 0});
+    return Result;
   }
   bool within(const std::function<bool()> &Condition) {
     const auto Until = std::chrono::steady_clock::now() + MaxDelay;
