--- a/src/app/Control.cpp
+++ b/src/app/Control.cpp
@@ -25,6 +25,7 @@
   Time WakeAt = Never;
 
   /// An exception would end the actor, and with it every answer of this host.
+  /// The kernel guards its plug-ins itself.
   void handle(const Event &Incoming) {
     const Time Now = this->Clock.now();
     try {
@@ -37,7 +38,7 @@
   }
 
   void reportThrown(std::string_view What) {
-    const std::string Invariant = "plug-ins do not throw: ";
+    const std::string Invariant = "control does not throw: ";
     Actions Out;
     Out.log(logEvent(events::InvariantBroken)
                 .with("invariant", Invariant + std::string(What))
--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -22,10 +22,6 @@
   return addressFromText(Text);
 }
 
-} // namespace
-
-namespace {
-
 /// How the store is read.
 std::vector<SettingDeclaration> storeDeclarations() {
   constexpr auto Span = SettingKind::Span;
--- a/src/app/GatewayTraffic.cpp
+++ b/src/app/GatewayTraffic.cpp
@@ -79,23 +79,15 @@
 }
 
 void GatewayTraffic::spawn(Task<void> Work) {
-  net::co_spawn(this->Io, std::move(Work),
-                [this](const std::exception_ptr &Thrown) {
-                  try {
-                    if (Thrown)
-                      std::rethrow_exception(Thrown);
-                  } catch (const std::exception &Failure) {
-                    this->reportThrown(Failure.what());
-                  }
-                });
-}
-
-void GatewayTraffic::reportThrown(std::string_view What) {
-  const std::string Invariant = "tasks of the traffic thread do not throw: ";
-  writeLogLine(logEvent(events::InvariantBroken)
-                   .with("invariant", Invariant + std::string(What))
-                   .build(),
-               this->Context.Clock.now());
+  net::co_spawn(
+      this->Io, std::move(Work), [this](const std::exception_ptr &Thrown) {
+        try {
+          if (Thrown)
+            std::rethrow_exception(Thrown);
+        } catch (const std::exception &Failure) {
+          logTrafficException(Failure.what(), this->Context.Clock.now());
+        }
+      });
 }
 
 void GatewayTraffic::perform(const Action &Wanted) {
@@ -224,7 +216,7 @@
   try {
     Outcome = co_await Run->run(Order.Deadline - SentAt, std::move(Callbacks));
   } catch (const std::exception &Failure) {
-    this->reportThrown(Failure.what());
+    logTrafficException(Failure.what(), this->Context.Clock.now());
   }
   this->Runs.erase(Order.Attempt);
   this->reportUnknownHeaders(*Run, Order.Engine);
--- a/src/app/GatewayTraffic.h
+++ b/src/app/GatewayTraffic.h
@@ -47,7 +47,6 @@
 private:
   /// Runs the coroutine. What it throws is logged and ends nothing else.
   void spawn(Task<void> Work);
-  void reportThrown(std::string_view What);
   void perform(const Action &Wanted);
   void perform(const GatewayAction &Wanted);
   void dispatch(const DispatchRelay &Order);
--- a/src/app/TrafficLoop.cpp
+++ b/src/app/TrafficLoop.cpp
@@ -10,13 +10,17 @@
     try {
       Io.run();
     } catch (const std::exception &Failure) {
-      const std::string Why = "traffic handlers do not throw: ";
-      writeLogLine(logEvent(events::InvariantBroken)
-                       .with("invariant", Why + Failure.what())
-                       .build(),
-                   Clock.now());
+      logTrafficException(Failure.what(), Clock.now());
     }
   }
 }
 
+void logTrafficException(std::string_view What, Time Now) {
+  const std::string Invariant = "traffic handlers do not throw: ";
+  writeLogLine(logEvent(events::InvariantBroken)
+                   .with("invariant", Invariant + std::string(What))
+                   .build(),
+               Now);
+}
+
 } // namespace banyanpick
--- a/src/app/TrafficLoop.h
+++ b/src/app/TrafficLoop.h
@@ -11,4 +11,8 @@
 /// ends that handler only; the other connections of the thread continue.
 void runTrafficLoop(net::io_context &Io, const ProcessClock &Clock);
 
+/// Logs the exception of a handler or task of a traffic thread as a broken
+/// invariant.
+void logTrafficException(std::string_view What, Time Now);
+
 } // namespace banyanpick
--- a/src/plugins/relays/RelaysSettings.cpp
+++ b/src/plugins/relays/RelaysSettings.cpp
@@ -47,9 +47,8 @@
        600e6},
       {SectionName, "silence_swift", Span, "3s",
        "A stream after a short or middle prompt that gives no event for so "
-       "long "
-       "goes on at another engine; beside large reads pauses of 2.4 s were "
-       "seen.",
+       "long goes on at another engine; beside large reads pauses of 2.4 s "
+       "were seen.",
        100e3, 600e6},
       {SectionName, "silence_long", Span, "8s",
        "The same after a long prompt, which takes seconds to read again.",
--- a/tests/auto/gateway/SlowPeersTest.cpp
+++ b/tests/auto/gateway/SlowPeersTest.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Guards against callers and engines that are slow and fill the memory of a
 /// host with bytes that they do not take.
+#include "auto/relay/FakeEngineProtocol.h"
 #include "relay/EngineRun.h"
 
 #include <array>
@@ -60,37 +61,6 @@
   net::steady_timer Aborted;
 };
 
-/// Takes every answer as a success.
-class PlainProtocol : public EngineProtocol {
-public:
-  void writeHeaders(http::fields &, const DispatchRelay &,
-                    Duration) const override {}
-  AnswerClass classifyAnswer(const http::response_header<> &,
-                             const HttpExchange::Request &) const override {
-    return SuccessAnswer{};
-  }
-  AnswerSignals signalsOf(const http::response_header<> &,
-                          const HttpExchange::Request &) const override {
-    return {};
-  }
-  AnswerSignals signalsOf(const http::response_header<> &) const override {
-    return {};
-  }
-  std::vector<std::string>
-  unknownHeaders(const http::response_header<> &) const override {
-    return {};
-  }
-  ClientRequest reportRequest() const override { return {}; }
-  EngineReport readReport(const UpstreamId &, std::string_view) const override {
-    return {};
-  }
-  ClientRequest requestFor(const ReserveMemory &) const override { return {}; }
-  ClientRequest requestFor(const ReleaseMemory &) const override { return {}; }
-  ReservationResult readReservation(const ClientAnswer &) const override {
-    return ReservationResult::Unknown;
-  }
-};
-
 /// An engine that writes a stream of events, without a length, as fast as it is
 /// read, and a host that relays it. The stream is endless by default; otherwise
 /// the engine closes the connection after \p MaxEvents.
@@ -133,7 +103,7 @@
   std::shared_ptr<SlowConnection> Peer;
   HttpExchange Exchange;
   std::shared_ptr<CallerSide> Caller;
-  PlainProtocol Protocol;
+  FakeEngineProtocol Protocol;
   EngineRunLimits Limits;
   std::shared_ptr<EngineRun> Run;
   std::optional<RelayOutcome> Outcome;
--- a/tests/auto/gateway/StoppingHostTest.cpp
+++ b/tests/auto/gateway/StoppingHostTest.cpp
@@ -73,6 +73,16 @@
     this->advance(Takes);
     this->endAttempt(Attempt, RelayDelivered{});
   }
+  /// Replaces the known times of answers, which are kept for two windows, by
+  /// those of the requests that \p AnswerAll sends and answers.
+  template <class Function> void renewAnswerTimes(Function AnswerAll) {
+    constexpr seconds Window(31);
+    this->advance(seconds(70));
+    for (int Round = 0; Round < 2; ++Round) {
+      AnswerAll();
+      this->advance(Window);
+    }
+  }
   /// Makes all engines of the service `desk` ask for a backoff.
   void closeDesk() {
     for (int Number = 1; Number <= DeskEngines; ++Number)
@@ -278,12 +288,10 @@
   constexpr milliseconds LongCall(1500);
   constexpr milliseconds ShortCall(100);
   StopBench Bench;
-  Bench.advance(seconds(70)); // The earlier times are forgotten.
-  for (int Round = 0; Round < 2; ++Round) {
+  Bench.renewAnswerTimes([&] {
     Bench.answerCall("/once/", LongCall);
     Bench.answerCall("/safe/", ShortCall);
-    Bench.advance(seconds(31));
-  }
+  });
   Bench.send(Event(StopRequest{}));
   Bench.advance(milliseconds(2900));
   EXPECT_EQ(Bench.viewOf(sendOnce(Bench)), CallerView::Runs);
@@ -298,11 +306,7 @@
 TEST(StoppingHostLate, TakesNoStreamThatMayOutlastIt) {
   constexpr milliseconds ShortAnswer(10);
   StopBench Bench;
-  Bench.advance(seconds(70)); // The earlier times are forgotten.
-  for (int Round = 0; Round < 2; ++Round) {
-    Bench.answerCall("/stream/", ShortAnswer);
-    Bench.advance(seconds(31));
-  }
+  Bench.renewAnswerTimes([&] { Bench.answerCall("/stream/", ShortAnswer); });
   Bench.send(Event(StopRequest{}));
   Bench.advance(milliseconds(2900));
   EXPECT_EQ(Bench.viewOf(sendStream(Bench)), CallerView::Runs);
@@ -318,11 +322,7 @@
   constexpr milliseconds ShortAnswer(10);
   for (const bool HasPeer : {false, true}) {
     StopBench Bench;
-    Bench.advance(seconds(70)); // The earlier times are forgotten.
-    for (int Round = 0; Round < 2; ++Round) {
-      Bench.answerCall("/once/", ShortAnswer);
-      Bench.advance(seconds(31));
-    }
+    Bench.renewAnswerTimes([&] { Bench.answerCall("/once/", ShortAnswer); });
     Bench.send(Event(StopRequest{}));
     Bench.advance(milliseconds(3200));
     if (HasPeer)
@@ -337,11 +337,7 @@
 TEST(StoppingHostSilence, IsNoReasonToLeaveAnEngine) {
   constexpr milliseconds ShortAnswer(10);
   StopBench Bench;
-  Bench.advance(seconds(70)); // The earlier times are forgotten.
-  for (int Round = 0; Round < 2; ++Round) {
-    Bench.answerCall("/safe/", ShortAnswer);
-    Bench.advance(seconds(31));
-  }
+  Bench.renewAnswerTimes([&] { Bench.answerCall("/safe/", ShortAnswer); });
   Bench.send(Event(StopRequest{}));
   const RequestId Id = sendSafe(Bench);
   const AttemptId Attempt = Bench.last<DispatchRelay>().Attempt;
@@ -375,12 +371,10 @@
 /// answers whose lengths differ by a factor of a thousand.
 RC_GTEST_PROP(StoppingHostProperty, AnswersCompletelyWhatItTakesLate, ()) {
   StopBench Bench;
-  Bench.advance(seconds(70)); // The earlier times are forgotten.
-  for (int Round = 0; Round < 2; ++Round) {
+  Bench.renewAnswerTimes([&] {
     for (const char *Path : {"/stream/", "/safe/", "/once/"})
       Bench.answerCall(Path, milliseconds(*rc::gen::inRange(1, 1000)));
-    Bench.advance(seconds(31));
-  }
+  });
   Bench.send(Event(StopRequest{}));
   Bench.advance(milliseconds(*rc::gen::inRange(3000, 7000)));
   const bool HasPeer = *rc::gen::arbitrary<bool>();
--- a/tests/auto/http/RawServer.h
+++ b/tests/auto/http/RawServer.h
@@ -59,7 +59,6 @@
   Address at() const {
     return {"127.0.0.1", this->Acceptor.local_endpoint().port()};
   }
-  std::uint64_t sentBytes() const { return this->SentBytes; }
 
 private:
   void acceptAll() {
@@ -85,25 +84,25 @@
         return;
       const RawAnswer Wanted = this->Answer(Received.substr(0, Length));
       Received.clear();
-      Failure = this->send(Peer, Wanted);
+      Failure = send(Peer, Wanted);
       if (!Failure && Wanted.Closes)
         Peer.shutdown(Tcp::socket::shutdown_send, Failure);
     }
   }
-  ErrorCode send(Tcp::socket &Peer, const RawAnswer &Wanted) {
-    ErrorCode Failure = this->write(Peer, Wanted.First);
+  static ErrorCode send(Tcp::socket &Peer, const RawAnswer &Wanted) {
+    ErrorCode Failure = write(Peer, Wanted.First);
     std::this_thread::sleep_for(Wanted.Pause);
     if (!Failure)
-      Failure = this->write(Peer, Wanted.Then);
+      Failure = write(Peer, Wanted.Then);
     while (!Failure && !Wanted.Endless.empty()) {
-      Failure = this->write(Peer, Wanted.Endless);
+      Failure = write(Peer, Wanted.Endless);
       std::this_thread::sleep_for(Wanted.PauseBetween);
     }
     return Failure;
   }
-  ErrorCode write(Tcp::socket &Peer, const std::string &Bytes) {
+  static ErrorCode write(Tcp::socket &Peer, const std::string &Bytes) {
     ErrorCode Failure;
-    this->SentBytes += net::write(Peer, net::buffer(Bytes), Failure);
+    net::write(Peer, net::buffer(Bytes), Failure);
     return Failure;
   }
 
@@ -113,7 +112,6 @@
   std::mutex Mutex;
   std::list<Tcp::socket> Peers;
   std::vector<std::thread> Servers;
-  std::atomic<std::uint64_t> SentBytes = 0;
   std::atomic<bool> Stopping = false;
   std::thread Thread;
 };
