--- a/src/libs/http/ClientStream.cpp
+++ b/src/libs/http/ClientStream.cpp
@@ -18,7 +18,7 @@
     co_return failureOfConnect(Failure);
   if (this->Cancelled)
     co_return ClientFailure::NotConnected;
-  tuneConnection(this->Link.socket());
+  tuneServerConnection(this->Link.socket());
   this->Link.expires_after(Timeout);
   {
     const auto Request = beastRequest(std::move(ClientReq), text(At));
--- a/src/libs/http/HttpClient.cpp
+++ b/src/libs/http/HttpClient.cpp
@@ -62,7 +62,7 @@
   co_await Link->async_connect(endpointOf(At), into(Failure));
   if (Failure)
     co_return failureOfConnect(Failure);
-  tuneConnection(Link->socket());
+  tuneServerConnection(Link->socket());
   co_return co_await this->exchange(At, ClientReq, std::move(Link));
 }
 
--- a/src/libs/http/SocketOptions.cpp
+++ b/src/libs/http/SocketOptions.cpp
@@ -38,7 +38,7 @@
   setOption(Descriptor, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
-void tuneConnection(Tcp::socket &Socket) {
+void tuneServerConnection(Tcp::socket &Socket) {
   tuneCallerConnection(Socket);
   setOption(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
             MaxUnacknowledgedMs);
--- a/src/libs/http/SocketOptions.h
+++ b/src/libs/http/SocketOptions.h
@@ -10,7 +10,7 @@
 /// packets and sets timeouts that close the connection when the peer does not
 /// respond. A peer without power or behind a network partition sends nothing,
 /// and a connection to it would otherwise hang for minutes.
-void tuneConnection(Tcp::socket &Socket);
+void tuneServerConnection(Tcp::socket &Socket);
 
 /// Sets the options of a connection from a caller: the same, but without a
 /// limit on unacknowledged bytes. Linux applies that also to a peer that
--- a/src/libs/relay/EngineCalls.cpp
+++ b/src/libs/relay/EngineCalls.cpp
@@ -39,7 +39,7 @@
     co_await Link->Socket.async_connect(endpointOf(At), into(Failure));
     if (Failure)
       co_return failureOfConnect(Failure);
-    tuneConnection(Link->Socket);
+    tuneServerConnection(Link->Socket);
   }
   const auto Request = beastRequest(Wanted, text(At));
   co_await http::async_write(Link->Socket, Request, into(Failure));
--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -90,7 +90,7 @@
     co_return RelayNeverSent::Why::Refused;
   if (Failure || this->Cancelled || this->TimedOut)
     co_return RelayNeverSent::Why::NotConnected;
-  tuneConnection(this->Link->Socket);
+  tuneServerConnection(this->Link->Socket);
   co_return std::nullopt;
 }
 
--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -58,8 +58,8 @@
   std::ifstream Status("/proc/" + std::to_string(this->Pid) + "/status");
   constexpr std::uint64_t KB = 1024;
   const std::string Field = "VmHWM:";
-  for (std::string Word; Status >> Word;) {
-    if (Word != Field)
+  for (std::string Name; Status >> Name;) {
+    if (Name != Field)
       continue;
     std::uint64_t Kilobytes = 0;
     Status >> Kilobytes;
--- a/tests/process/GatewayDeployment.cpp
+++ b/tests/process/GatewayDeployment.cpp
@@ -146,6 +146,13 @@
       this->start(Target.Name, "banyanpickd", {"--settings", File});
 }
 
+void GatewayDeployment::restartAllHosts() {
+  for (Host &Target : this->Hosts)
+    Target.Process->kill();
+  for (Host &Target : this->Hosts)
+    this->startHost(Target);
+}
+
 std::string GatewayDeployment::settingsOf(const Host &ForHost) const {
   return fmt::format(
       "[host]\nname = {}\nzone = east\ncallers = {}\npeers = {}\n"
--- a/tests/process/GatewayDeployment.h
+++ b/tests/process/GatewayDeployment.h
@@ -58,6 +58,9 @@
   /// Starts the process of the host at the same addresses. Only
   /// the first one may use the constant part of the retry budget at once.
   void startHost(Host &Target);
+  /// Kills all hosts and starts them at the same addresses. Does not wait until
+  /// they are ready.
+  void restartAllHosts();
   /// Starts another upstream with a new id at the same address.
   void replaceUpstream(Upstream &Target);
   /// Removes the upstream from the registry.
--- a/tests/process/OddRecordsTest.cpp
+++ b/tests/process/OddRecordsTest.cpp
@@ -286,10 +286,7 @@
       Caller.join();
   }
   void restartAllHosts() {
-    for (std::size_t Host = 0; Host < Hosts; ++Host)
-      this->Gateway.host(Host).Process->kill();
-    for (std::size_t Host = 0; Host < Hosts; ++Host)
-      this->Gateway.startHost(this->Gateway.host(Host));
+    this->Gateway.restartAllHosts();
     for (std::size_t Host = 0; Host < Hosts; ++Host)
       EXPECT_TRUE(eventually([&] {
         return this->Gateway.readiness(Host) == 200 &&
