Test heads that are cut or have broken names

Callers of other systems got answers of engines that stopped within the head, and answers with a blank or a control byte in the name of a field.

Nothing shows here: Beast's parser refuses both.

--- /dev/null
+++ b/tests/auto/http/BrokenAnswersTest.cpp
@@ -0,0 +1,49 @@
+/// \file
+/// Guards against answers that are none in HTTP and were taken for answers: the
+/// status, the body or a header was not what the server meant.
+#include "BrokenAnswers.h"
+#include "LocalServer.h"
+#include "http/ClientStream.h"
+#include "http/HttpClient.h"
+
+#include <gtest/gtest.h>
+
+namespace banyanpick {
+namespace {
+
+constexpr std::size_t MaxAnswerBytes = 64ULL * 1024;
+constexpr seconds Timeout(5);
+
+ClientResult call(const RawServer &Server) {
+  net::io_context Io;
+  HttpClient Client(Io.get_executor(), MaxAnswerBytes);
+  return runTask(Io, Client.call(Server.at(), {}, Timeout));
+}
+
+Task<bool> opens(ClientStream &Stream, Address At) {
+  ClientRequest Wanted;
+  Wanted.Target = "/x";
+  const auto Failure =
+      co_await Stream.open(At, std::move(Wanted), Timeout, Timeout);
+  co_return !Failure;
+}
+
+class BrokenAnswers : public testing::TestWithParam<BrokenAnswer> {};
+
+TEST_P(BrokenAnswers, FailTheCall) {
+  const RawServer Server(GetParam().bytes());
+  EXPECT_TRUE(std::holds_alternative<ClientFailure>(call(Server)));
+}
+
+TEST_P(BrokenAnswers, FailTheStream) {
+  const RawServer Server(GetParam().bytes());
+  net::io_context Io;
+  ClientStream Stream(Io.get_executor(), MaxAnswerBytes);
+  EXPECT_FALSE(runTask(Io, opens(Stream, Server.at())));
+}
+
+INSTANTIATE_TEST_SUITE_P(Name, BrokenAnswers, testing::ValuesIn(brokenNames()));
+INSTANTIATE_TEST_SUITE_P(Cut, BrokenAnswers, testing::ValuesIn(cutHeads()));
+
+} // namespace
+} // namespace banyanpick
