Refuse answers whose status is none

Callers got answers with the statuses 000, 001, 099, 101, 600 and 999 as those of an engine, on every kind of request.

Cause: Beast's parser takes any three digits, and the readers only told interim answers from all others. 101 was taken for a final answer, though nobody asks to switch protocols.

AnswerHead says in one place which statuses an answer may have (RFC 9110, 15: 200 to 599 for a final one), and AnswerReader, which all clients but the command line use, fails with bad_status otherwise. An attempt that is broken this way is malformed: a request that may run twice is sent again, any other one is answered with 502.

Sound statuses, 200 to 599, are answers as before.

--- /dev/null
+++ b/src/libs/http/AnswerHead.cpp
@@ -0,0 +1,25 @@
+#include "http/AnswerHead.h"
+
+namespace banyanpick {
+
+bool isInterimStatus(unsigned Status) {
+  constexpr unsigned FirstInterim = 100;
+  constexpr unsigned SwitchingProtocols = 101;
+  constexpr unsigned LastInterim = 199;
+  return Status >= FirstInterim && Status <= LastInterim &&
+         Status != SwitchingProtocols;
+}
+
+bool isFinalStatus(unsigned Status) {
+  constexpr unsigned FirstFinal = 200;
+  constexpr unsigned LastFinal = 599;
+  return Status >= FirstFinal && Status <= LastFinal;
+}
+
+ErrorCode checkFinalHead(const http::response_header<> &Head) {
+  if (!isFinalStatus(Head.result_int()))
+    return http::make_error_code(http::error::bad_status);
+  return {};
+}
+
+} // namespace banyanpick
--- /dev/null
+++ b/src/libs/http/AnswerHead.h
@@ -0,0 +1,22 @@
+/// \file
+/// Decides which heads of HTTP answers are valid. Servers may send anything,
+/// and Beast's parser accepts more than the protocol allows.
+#pragma once
+
+#include "http/Asio.h"
+
+namespace banyanpick {
+
+/// Returns whether another answer to the same request follows (RFC 9110, 15.2).
+/// Nobody asks to switch protocols, so no answer with status 101 is expected.
+bool isInterimStatus(unsigned Status);
+
+/// Returns whether an answer that is not interim may have this status (RFC
+/// 9110, 15).
+bool isFinalStatus(unsigned Status);
+
+/// Checks the head of the last answer to a request. Returns bad_status if the
+/// status is not final, and no error otherwise.
+ErrorCode checkFinalHead(const http::response_header<> &Head);
+
+} // namespace banyanpick
--- a/src/libs/http/AnswerReader.h
+++ b/src/libs/http/AnswerReader.h
@@ -2,7 +2,7 @@
 /// Reads HTTP answers from servers that may send anything.
 #pragma once
 
-#include "http/Asio.h"
+#include "http/AnswerHead.h"
 
 #include <cstdint>
 #include <limits>
@@ -29,16 +29,6 @@
   AnswerBuffer() : beast::flat_buffer(MaxUnparsedBytes) {}
 };
 
-/// Returns whether another answer to the same request follows (RFC 9110, 15.2).
-/// Nobody asks to switch protocols, so 101 is a final answer.
-inline bool isInterimStatus(unsigned Status) {
-  constexpr unsigned FirstInterim = 100;
-  constexpr unsigned SwitchingProtocols = 101;
-  constexpr unsigned FirstFinal = 200;
-  return Status >= FirstInterim && Status < FirstFinal &&
-         Status != SwitchingProtocols;
-}
-
 /// Reads one answer with the body type \p Body of Beast. Every read fails as
 /// soon as a limit is exceeded. Timeouts are those of the caller, who closes
 /// the connection.
@@ -60,8 +50,10 @@
       ErrorCode Failure;
       co_await http::async_read_header(Link, Buffer, *this->Answer,
                                        into(Failure));
-      if (Failure || !isInterimStatus(this->parser().get().result_int()))
+      if (Failure)
         co_return Failure;
+      if (!isInterimStatus(this->parser().get().result_int()))
+        co_return checkFinalHead(this->parser().get());
     }
     co_return http::make_error_code(http::error::bad_status);
   }
--- a/tests/auto/http/BrokenAnswers.h
+++ b/tests/auto/http/BrokenAnswers.h
@@ -32,6 +32,17 @@
   return "HTTP/1.1 200 OK\r\n" + Lines + "\r\n\r\n" + Body;
 }
 
+/// Statuses that no answer has, or none that was asked for.
+inline std::vector<BrokenAnswer> brokenStatuses() {
+  std::vector<BrokenAnswer> Result;
+  for (const std::string Status :
+       {"000", "001", "099", "101", "600", "999", "20", "2000", "+20", "2x0"})
+    Result.push_back(
+        {"Status" + std::to_string(Result.size()),
+         "HTTP/1.1 " + Status + " Odd\r\nContent-Length: 2\r\n\r\nok"});
+  return Result;
+}
+
 /// Lines whose name holds a byte that a name may not hold, or nothing.
 inline std::vector<BrokenAnswer> brokenNames() {
   using namespace std::string_literals;
--- a/tests/auto/http/BrokenAnswersTest.cpp
+++ b/tests/auto/http/BrokenAnswersTest.cpp
@@ -42,8 +42,22 @@
   EXPECT_FALSE(runTask(Io, opens(Stream, Server.at())));
 }
 
+INSTANTIATE_TEST_SUITE_P(Status, BrokenAnswers,
+                         testing::ValuesIn(brokenStatuses()));
 INSTANTIATE_TEST_SUITE_P(Name, BrokenAnswers, testing::ValuesIn(brokenNames()));
 INSTANTIATE_TEST_SUITE_P(Cut, BrokenAnswers, testing::ValuesIn(cutHeads()));
 
+TEST(SoundAnswers, HaveAnyStatusOfAnAnswer) {
+  for (const unsigned Status : {200U, 299U, 302U, 404U, 421U, 599U}) {
+    RawAnswer Answer;
+    Answer.First = "HTTP/1.1 " + std::to_string(Status) +
+                   " Odd\r\nContent-Length: 2\r\n\r\nok";
+    const RawServer Server(Answer);
+    const ClientResult Result = call(Server);
+    ASSERT_TRUE(std::holds_alternative<ClientAnswer>(Result)) << Status;
+    EXPECT_EQ(std::get<ClientAnswer>(Result).Status, Status);
+  }
+}
+
 } // namespace
 } // namespace banyanpick
--- a/tests/auto/relay/BrokenEngineAnswersTest.cpp
+++ b/tests/auto/relay/BrokenEngineAnswersTest.cpp
@@ -33,6 +33,8 @@
   EXPECT_TRUE(std::holds_alternative<ClientFailure>(Result));
 }
 
+INSTANTIATE_TEST_SUITE_P(Status, BrokenEngineAnswers,
+                         testing::ValuesIn(brokenStatuses()));
 INSTANTIATE_TEST_SUITE_P(Name, BrokenEngineAnswers,
                          testing::ValuesIn(brokenNames()));
 INSTANTIATE_TEST_SUITE_P(Cut, BrokenEngineAnswers,
