Break answers that end with their connection during an upload

An engine answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. Callers got that part as a complete answer; of a stream they got the first events as a complete stream.

Cause: such an answer ends with its connection, and the request is written beside the read on the same socket. The kernel reports the error of a reset once. The blocked write is woken first and takes it, its failure was ignored, and the read after it sees an ordinary end.

EngineRun now takes an answer that ends with the connection for complete only if the request was written before. Otherwise the attempt is broken, as by any reset: a request that may run twice is sent again, a stream is resumed or cut, any other request gets 502. Not written includes an ordinary close during the upload, as the order of close and reset cannot be told from the socket. Answers that come early with a length or in chunks are delivered as before.

Reads and writes run at once only in EngineRun; all other clients write the whole request first, and the read gets the error of a reset.

--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -154,8 +154,8 @@
 
 Task<RelayOutcome> EngineRun::exchange(Duration Remaining,
                                        const EngineRunListener &Listener) {
-  // A failed write is ignored: an upstream may answer and close the connection
-  // before it has read the whole request.
+  // A failed write does not end the attempt: an upstream may answer and close
+  // the connection before it has read the whole request.
   co_await this->sendRequest(Remaining);
   Reader AnswerOfEngine(NoBodyLimit);
   const ErrorCode Failure =
@@ -195,7 +195,7 @@
     if (Relayed.Body.size() > this->Limits.WholeAnswerBytes)
       co_return this->broken(RelayBroken::Why::Corrupt);
   }
-  if (this->Cancelled)
+  if (this->Cancelled || this->endedTooEarly(AnswerParser))
     co_return this->broken(RelayBroken::Why::Reset);
   this->keepLink(AnswerParser);
   const std::uint32_t Status = Relayed.Head.result_int();
@@ -231,8 +231,9 @@
   const RelayDelivered::Ending End = endingOf(AnswerParser);
   const bool IsEmpty = !this->HasBegun;
   // A connection that ends within an event, or before the first one, was lost.
-  if (End == RelayDelivered::Ending::Connection &&
-      (this->Splitter.isWithinBlock() || IsEmpty))
+  if (this->endedTooEarly(AnswerParser) ||
+      (End == RelayDelivered::Ending::Connection &&
+       (this->Splitter.isWithinBlock() || IsEmpty)))
     co_return this->broken(RelayBroken::Why::Reset);
   if (this->Splitter.isWithinBlock())
     co_return this->broken(RelayBroken::Why::Corrupt);
--- a/src/libs/relay/EngineRun.h
+++ b/src/libs/relay/EngineRun.h
@@ -67,6 +67,13 @@
   Task<RelayOutcome> relayWhole(Parser &AnswerParser, bool IsFailure);
   Task<RelayOutcome> relayEvents(Parser &AnswerParser,
                                  const EngineRunListener &Listener);
+  /// Whether the answer ended with its connection before the request was
+  /// written. Nothing tells then that the answer is complete: a write that runs
+  /// beside the read may take the error of a reset, and the read sees an
+  /// ordinary end.
+  bool endedTooEarly(const Parser &AnswerParser) const {
+    return AnswerParser.need_eof() && !this->Sent;
+  }
   RelayOutcome broken(RelayBroken::Why Reason) const;
   RelayOutcome brokenBy(const ErrorCode &Failure) const;
   void keepLink(const Parser &AnswerParser);
--- a/tests/auto/http/RawServer.h
+++ b/tests/auto/http/RawServer.h
@@ -24,10 +24,11 @@
   std::string Endless;     ///< Repeated until the peer closes; empty: not sent.
   Duration PauseBetween{}; ///< Between the repetitions.
   bool Closes = false;     ///< Closes the connection at the end.
+  bool Resets = false;     ///< Resets the connection at the end.
 };
 
 /// Listens on a loopback port, with one thread for each connection, until it is
-/// destroyed.
+/// destroyed. Reads only the header of a request, so a long body stays unread.
 class RawServer {
 public:
   /// Returns the answer to a request with the header \p Head.
@@ -36,7 +37,12 @@
   explicit RawServer(Script AnswerGiven)
       : Answer(std::move(AnswerGiven)),
         Acceptor(this->Io, {net::ip::address_v4::loopback(), 0}),
-        Thread([this] { this->acceptAll(); }) {}
+        Thread([this] { this->acceptAll(); }) {
+    // Small, so that a long body cannot be written while it is unread.
+    constexpr int ReceiveBytes = 8 * 1024;
+    this->Acceptor.set_option(
+        net::socket_base::receive_buffer_size(ReceiveBytes));
+  }
   explicit RawServer(const RawAnswer &Always)
       : RawServer([Always](std::string_view) { return Always; }) {}
   ~RawServer() {
@@ -85,10 +91,23 @@
       const RawAnswer Wanted = this->Answer(Received.substr(0, Length));
       Received.clear();
       Failure = send(Peer, Wanted);
-      if (!Failure && Wanted.Closes)
+      // Does not read on: a long body stays unread.
+      if (!Failure && Wanted.Closes) {
         Peer.shutdown(Tcp::socket::shutdown_send, Failure);
+        return;
+      }
+      if (Wanted.Resets) {
+        this->reset(Peer);
+        return;
+      }
     }
   }
+  void reset(Tcp::socket &Peer) {
+    const std::lock_guard Lock(this->Mutex);
+    ErrorCode Ignored;
+    Peer.set_option(net::socket_base::linger(true, 0), Ignored);
+    Peer.close(Ignored);
+  }
   static ErrorCode send(Tcp::socket &Peer, const RawAnswer &Wanted) {
     ErrorCode Failure = write(Peer, Wanted.First);
     std::this_thread::sleep_for(Wanted.Pause);
