Refuse answers in a coding that nobody asked for

An engine answered with `Transfer-Encoding: chunked, gzip`; the caller got 200 whose body was the raw framing of the chunks, with a Content-Length. With `gzip, chunked`, `identity` and unknown codings it got coded bytes too.

Cause: Transfer-Encoding concerns one connection, so it is taken off the relayed answer, but Beast's parser removes no coding except chunks, and without a last `chunked` it reads the body up to the end of the connection.

checkFinalHead fails with bad_transfer_encoding unless each such header is `chunked`, in any case. No request asks for another coding, so no sound answer has one; the attempt is malformed.

--- a/src/libs/http/AnswerHead.cpp
+++ b/src/libs/http/AnswerHead.cpp
@@ -1,7 +1,20 @@
 #include "http/AnswerHead.h"
 
+#include <algorithm>
+
 namespace banyanpick {
 
+namespace {
+
+bool hasUnknownCoding(const http::response_header<> &Head) {
+  const auto [First, Last] = Head.equal_range(http::field::transfer_encoding);
+  return std::any_of(First, Last, [](const auto &Line) {
+    return !beast::iequals(Line.value(), "chunked");
+  });
+}
+
+} // namespace
+
 bool isInterimStatus(unsigned Status) {
   constexpr unsigned FirstInterim = 100;
   constexpr unsigned SwitchingProtocols = 101;
@@ -19,6 +32,8 @@
 ErrorCode checkFinalHead(const http::response_header<> &Head) {
   if (!isFinalStatus(Head.result_int()))
     return http::make_error_code(http::error::bad_status);
+  if (hasUnknownCoding(Head))
+    return http::make_error_code(http::error::bad_transfer_encoding);
   return {};
 }
 
--- a/src/libs/http/AnswerHead.h
+++ b/src/libs/http/AnswerHead.h
@@ -16,7 +16,9 @@
 bool isFinalStatus(unsigned Status);
 
 /// Checks the head of the last answer to a request. Returns bad_status if the
-/// status is not final, and no error otherwise.
+/// status is not final, bad_transfer_encoding if the body has a coding that
+/// cannot be removed, and no error otherwise. No request asks for a coding, so
+/// chunks are the only one.
 ErrorCode checkFinalHead(const http::response_header<> &Head);
 
 } // namespace banyanpick
--- a/tests/auto/http/BrokenAnswers.h
+++ b/tests/auto/http/BrokenAnswers.h
@@ -43,6 +43,24 @@
   return Result;
 }
 
+/// Bodies in a coding that was not asked for.
+inline std::vector<BrokenAnswer> brokenCodings() {
+  const std::string Chunks = "2\r\nok\r\n0\r\n\r\n";
+  return {{"ChunkedThenOther",
+           answerWith("Transfer-Encoding: chunked, gzip", Chunks)},
+          {"OtherThenChunked",
+           answerWith("Transfer-Encoding: gzip, chunked", Chunks)},
+          {"OtherLineBefore",
+           answerWith("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+                      Chunks)},
+          {"OtherWithLength",
+           answerWith("Transfer-Encoding: gzip\r\nContent-Length: 2", "ok")},
+          {"Unknown", answerWith("Transfer-Encoding: xchunked", Chunks)},
+          {"Identity", answerWith("Transfer-Encoding: identity", "ok")},
+          {"Parameter", answerWith("Transfer-Encoding: chunked;a=b", Chunks)},
+          {"Empty", answerWith("Transfer-Encoding:", Chunks)}};
+}
+
 /// Lines whose name holds a byte that a name may not hold, or nothing.
 inline std::vector<BrokenAnswer> brokenNames() {
   using namespace std::string_literals;
--- a/tests/auto/http/BrokenAnswersTest.cpp
+++ b/tests/auto/http/BrokenAnswersTest.cpp
@@ -44,6 +44,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Status, BrokenAnswers,
                          testing::ValuesIn(brokenStatuses()));
+INSTANTIATE_TEST_SUITE_P(Coding, BrokenAnswers,
+                         testing::ValuesIn(brokenCodings()));
 INSTANTIATE_TEST_SUITE_P(Name, BrokenAnswers, testing::ValuesIn(brokenNames()));
 INSTANTIATE_TEST_SUITE_P(Cut, BrokenAnswers, testing::ValuesIn(cutHeads()));
 
@@ -59,5 +61,15 @@
   }
 }
 
+TEST(SoundAnswers, SpellTheCodingInAnyCase) {
+  RawAnswer Answer;
+  Answer.First =
+      answerWith("transfer-encoding:  Chunked ", "2\r\nok\r\n0\r\n\r\n");
+  const RawServer Server(Answer);
+  const ClientResult Result = call(Server);
+  ASSERT_TRUE(std::holds_alternative<ClientAnswer>(Result));
+  EXPECT_EQ(std::get<ClientAnswer>(Result).Body, "ok");
+}
+
 } // namespace
 } // namespace banyanpick
--- a/tests/auto/relay/BrokenEngineAnswersTest.cpp
+++ b/tests/auto/relay/BrokenEngineAnswersTest.cpp
@@ -37,6 +37,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Status, BrokenEngineAnswers,
                          testing::ValuesIn(brokenStatuses()));
+INSTANTIATE_TEST_SUITE_P(Coding, BrokenEngineAnswers,
+                         testing::ValuesIn(brokenCodings()));
 INSTANTIATE_TEST_SUITE_P(Name, BrokenEngineAnswers,
                          testing::ValuesIn(brokenNames()));
 INSTANTIATE_TEST_SUITE_P(Cut, BrokenEngineAnswers,
