Refuse answers with folded header lines

An engine sent a line that began with a blank, such as ` Transfer-Encoding: chunked` behind another header. Callers got the line as a part of the header before it, and the raw chunks as the body.

Cause: Beast's parser joins a line that begins with a blank or a tab to the one before (obs-fold). The engine, or whoever reads its answer, may mean a header of its own.

RFC 9112, 5.2, lets a gateway refuse such answers. The parser leaves no trace of the joined lines, so AnswerReader now gives it the bytes itself, as http::async_read_header() does, and looks at the lines that it took before they are consumed. A folded line fails with bad_field; the attempt is malformed. Limits, timeouts and the end of the connection act as before.

--- a/src/libs/http/AnswerHead.cpp
+++ b/src/libs/http/AnswerHead.cpp
@@ -29,6 +29,11 @@
   return Status >= FirstFinal && Status <= LastFinal;
 }
 
+bool hasFoldedLine(std::string_view Lines) {
+  return Lines.find("\r\n ") != std::string_view::npos ||
+         Lines.find("\r\n\t") != std::string_view::npos;
+}
+
 ErrorCode checkFinalHead(const http::response_header<> &Head) {
   if (!isFinalStatus(Head.result_int()))
     return http::make_error_code(http::error::bad_status);
--- a/src/libs/http/AnswerHead.h
+++ b/src/libs/http/AnswerHead.h
@@ -15,6 +15,11 @@
 /// 9110, 15).
 bool isFinalStatus(unsigned Status);
 
+/// Returns whether one of the complete header lines in \p Lines continues on
+/// the next one (RFC 9112, 5.2). A receiver that does not join them, or joins
+/// them in another way, finds other headers in the answer.
+bool hasFoldedLine(std::string_view Lines);
+
 /// Checks the head of the last answer to a request. Returns bad_status if the
 /// status is not final, bad_transfer_encoding if the body has a coding that
 /// cannot be removed, and no error otherwise. No request asks for a coding, so
--- a/src/libs/http/AnswerReader.h
+++ b/src/libs/http/AnswerReader.h
@@ -47,9 +47,7 @@
     for (unsigned Interim = 0; Interim <= MaxInterimAnswers; ++Interim) {
       this->Answer.emplace();
       this->Answer->body_limit(this->MaxBodyBytes);
-      ErrorCode Failure;
-      co_await http::async_read_header(Link, Buffer, *this->Answer,
-                                       into(Failure));
+      const ErrorCode Failure = co_await this->readOneHead(Link, Buffer);
       if (Failure)
         co_return Failure;
       if (!isInterimStatus(this->parser().get().result_int()))
@@ -72,6 +70,51 @@
   const Parser &parser() const { return *this->Answer; }
 
 private:
+  /// Reads the header of one answer, final or not. Used in place of
+  /// http::async_read_header(), whose parser joins folded lines and leaves no
+  /// trace of them.
+  template <class Stream>
+  Task<ErrorCode> readOneHead(Stream &Link, AnswerBuffer &Buffer) {
+    ErrorCode Failure = this->parseHead(Buffer);
+    while (Failure == http::error::need_more) {
+      Failure = co_await this->readMore(Link, Buffer);
+      if (!Failure)
+        Failure = this->parseHead(Buffer);
+    }
+    co_return Failure;
+  }
+
+  /// Parses and consumes complete lines of the header. Returns need_more if
+  /// the header does not end within the buffer.
+  ErrorCode parseHead(AnswerBuffer &Buffer) {
+    if (Buffer.size() == 0)
+      return http::make_error_code(http::error::need_more);
+    ErrorCode Failure;
+    const std::size_t Parsed = this->parser().put(Buffer.cdata(), Failure);
+    const std::string_view Lines(
+        static_cast<const char *>(Buffer.cdata().data()), Parsed);
+    const bool IsFolded = hasFoldedLine(Lines);
+    Buffer.consume(Parsed);
+    return IsFolded ? http::make_error_code(http::error::bad_field) : Failure;
+  }
+
+  /// Reads bytes of an incomplete header into the buffer.
+  template <class Stream>
+  Task<ErrorCode> readMore(Stream &Link, AnswerBuffer &Buffer) {
+    const std::size_t MaxBytes = beast::read_size(Buffer, MaxUnparsedBytes);
+    if (MaxBytes == 0)
+      co_return http::make_error_code(http::error::buffer_overflow);
+    ErrorCode Failure;
+    const std::size_t Count =
+        co_await Link.async_read_some(Buffer.prepare(MaxBytes), into(Failure));
+    Buffer.commit(Count);
+    if (Failure == net::error::eof)
+      Failure = this->parser().got_some()
+                    ? http::make_error_code(http::error::partial_message)
+                    : http::make_error_code(http::error::end_of_stream);
+    co_return Failure;
+  }
+
   std::uint64_t MaxBodyBytes;
   std::optional<Parser> Answer;
 };
--- a/tests/auto/http/BrokenAnswers.h
+++ b/tests/auto/http/BrokenAnswers.h
@@ -61,6 +61,21 @@
           {"Empty", answerWith("Transfer-Encoding:", Chunks)}};
 }
 
+/// Lines that begin with a blank, so that they continue the line before them
+/// (RFC 9112, 5.2).
+inline std::vector<BrokenAnswer> foldedLines() {
+  const std::string Sound = answerWith("Content-Length: 2", "ok");
+  return {
+      {"Length", answerWith("X-Seal: s\r\n Content-Length: 1", "ok")},
+      {"Tab", answerWith("X-Seal: s\r\n\tContent-Length: 1", "ok")},
+      {"Coding", answerWith("X-Seal: s\r\n Transfer-Encoding: chunked",
+                            "2\r\nok\r\n0\r\n\r\n")},
+      {"OnlyBlanks", answerWith("Content-Length: 2\r\n ", "ok")},
+      {"AfterNoValue", answerWith("X-Seal:\r\n s\r\nContent-Length: 2", "ok")},
+      {"InAnInterimAnswer",
+       "HTTP/1.1 103 Early Hints\r\nLink: a\r\n b\r\n\r\n" + Sound}};
+}
+
 /// Lines whose name holds a byte that a name may not hold, or nothing.
 inline std::vector<BrokenAnswer> brokenNames() {
   using namespace std::string_literals;
--- a/tests/auto/http/BrokenAnswersTest.cpp
+++ b/tests/auto/http/BrokenAnswersTest.cpp
@@ -46,9 +46,24 @@
                          testing::ValuesIn(brokenStatuses()));
 INSTANTIATE_TEST_SUITE_P(Coding, BrokenAnswers,
                          testing::ValuesIn(brokenCodings()));
+INSTANTIATE_TEST_SUITE_P(Folded, BrokenAnswers,
+                         testing::ValuesIn(foldedLines()));
 INSTANTIATE_TEST_SUITE_P(Name, BrokenAnswers, testing::ValuesIn(brokenNames()));
 INSTANTIATE_TEST_SUITE_P(Cut, BrokenAnswers, testing::ValuesIn(cutHeads()));
 
+TEST(FoldedLines, AreFoundInHeadsThatArriveInParts) {
+  const std::string Bytes = foldedLines().front().Bytes;
+  for (std::size_t Split = 1; Split < Bytes.size(); ++Split) {
+    RawAnswer Answer;
+    Answer.First = Bytes.substr(0, Split);
+    Answer.Pause = milliseconds(5);
+    Answer.Then = Bytes.substr(Split);
+    Answer.Closes = true;
+    const RawServer Server(Answer);
+    EXPECT_TRUE(std::holds_alternative<ClientFailure>(call(Server))) << Split;
+  }
+}
+
 TEST(SoundAnswers, HaveAnyStatusOfAnAnswer) {
   for (const unsigned Status : {200U, 299U, 302U, 404U, 421U, 599U}) {
     RawAnswer Answer;
--- a/tests/auto/relay/BrokenEngineAnswersTest.cpp
+++ b/tests/auto/relay/BrokenEngineAnswersTest.cpp
@@ -39,6 +39,8 @@
                          testing::ValuesIn(brokenStatuses()));
 INSTANTIATE_TEST_SUITE_P(Coding, BrokenEngineAnswers,
                          testing::ValuesIn(brokenCodings()));
+INSTANTIATE_TEST_SUITE_P(Folded, BrokenEngineAnswers,
+                         testing::ValuesIn(foldedLines()));
 INSTANTIATE_TEST_SUITE_P(Name, BrokenEngineAnswers,
                          testing::ValuesIn(brokenNames()));
 INSTANTIATE_TEST_SUITE_P(Cut, BrokenEngineAnswers,
