Read hosts' answers at the command line as elsewhere

The command line has a reader of answers of its own, with Beast's parser alone: a host's answer with the status 000 counted as accepted, since the status is below 400, and an interim answer as the final one.

BeastTransport now reads with AnswerReader, so that it refuses the same answers as all other clients, and what a host sends beside the body is limited. The names of Asio and Beast are those of http/Asio.h.

The stand-ins of the tests keep their own reader.

--- a/src/tools/BeastTransport.cpp
+++ b/src/tools/BeastTransport.cpp
@@ -1,24 +1,17 @@
 #include "tools/BeastTransport.h"
 
 #include "base/Error.h"
+#include "http/AnswerReader.h"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ssl.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
+#include <exception>
 #include <thread>
 
 namespace banyanpick::tools {
 
 namespace {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using boost::system::error_code;
-using Tcp = asio::ip::tcp;
 using TlsStream = beast::ssl_stream<beast::tcp_stream>;
 
 /// Limit of a response body. A catalogue of 36,000 teams is far smaller.
@@ -56,7 +49,7 @@
 /// completion before the next one starts.
 template <class Stream> class Exchange {
 public:
-  Exchange(asio::io_context &IoContext, Stream &Connection)
+  Exchange(net::io_context &IoContext, Stream &Connection)
       : IoContext(IoContext), Connection(Connection) {}
 
   HostReply run(const Address &Host, const HostRequest &Req) {
@@ -68,32 +61,42 @@
     });
     if (this->Failure)
       return this->failedReply(HostReply::ReplyState::Lost);
-    beast::flat_buffer Buffer;
-    http::response_parser<http::string_body> Parser;
-    Parser.body_limit(MaxResponseBytes);
-    this->runOperation([&](auto Handler) {
-      http::async_read(this->Connection, Buffer, Parser, Handler);
-    });
+    AnswerBuffer Buffer;
+    AnswerReader<http::string_body> Reader(MaxResponseBytes);
+    this->runTask(Reader.readWhole(this->Connection, Buffer));
     if (this->Failure)
       return this->failedReply(HostReply::ReplyState::Lost);
     HostReply Result;
     Result.State = HostReply::ReplyState::Complete;
-    Result.Status = Parser.get().result_int();
-    Result.Body = std::move(Parser.get().body());
+    Result.Status = Reader.parser().get().result_int();
+    Result.Body = std::move(Reader.parser().get().body());
     return Result;
   }
 
 private:
+  void runTask(Task<ErrorCode> Work) {
+    std::exception_ptr Thrown;
+    net::co_spawn(this->IoContext, std::move(Work),
+                  [&](std::exception_ptr Exception, ErrorCode Result) {
+                    Thrown = std::move(Exception);
+                    this->Failure = Result;
+                  });
+    this->IoContext.restart();
+    this->IoContext.run();
+    if (Thrown)
+      std::rethrow_exception(Thrown);
+  }
+
   template <class Start> void runOperation(Start &&StartOperation) {
     StartOperation(
-        [this](error_code Result, auto &&...) { this->Failure = Result; });
+        [this](ErrorCode Result, auto &&...) { this->Failure = Result; });
     this->IoContext.restart();
     this->IoContext.run();
   }
 
   bool connect(const Address &Host) {
-    error_code Malformed;
-    const auto Ip = asio::ip::make_address(Host.Ip, Malformed);
+    ErrorCode Malformed;
+    const auto Ip = net::ip::make_address(Host.Ip, Malformed);
     if (Malformed) {
       this->Failure = Malformed;
       return false;
@@ -108,7 +111,7 @@
   bool handshake() {
     if constexpr (std::is_same_v<Stream, TlsStream>)
       this->runOperation([&](auto Handler) {
-        this->Connection.async_handshake(asio::ssl::stream_base::client,
+        this->Connection.async_handshake(net::ssl::stream_base::client,
                                          Handler);
       });
     return !this->Failure;
@@ -121,42 +124,42 @@
     return Result;
   }
 
-  asio::io_context &IoContext;
+  net::io_context &IoContext;
   Stream &Connection;
-  error_code Failure;
+  ErrorCode Failure;
 };
 
 } // namespace
 
 struct BeastTransport::TlsContext {
-  asio::ssl::context Context{asio::ssl::context::tls_client};
+  net::ssl::context Context{net::ssl::context::tls_client};
 };
 
 BeastTransport::BeastTransport(const std::string &CertificatesFile) {
   if (CertificatesFile.empty())
     return;
   this->Tls = std::make_unique<TlsContext>();
-  error_code Failure;
+  ErrorCode Failure;
   this->Tls->Context.load_verify_file(CertificatesFile, Failure);
   if (Failure)
     throw Error(ErrorKind::BadInput,
                 "cannot read certificates from " + CertificatesFile,
                 "give a file in PEM format");
-  this->Tls->Context.set_verify_mode(asio::ssl::verify_peer);
+  this->Tls->Context.set_verify_mode(net::ssl::verify_peer);
 }
 
 BeastTransport::~BeastTransport() = default;
 
 HostReply BeastTransport::ask(const Address &Host, const HostRequest &Req,
                               Duration Timeout) {
-  asio::io_context IoContext;
+  net::io_context IoContext;
   if (!this->Tls) {
     beast::tcp_stream Stream(IoContext);
     Stream.expires_after(Timeout);
     return Exchange<beast::tcp_stream>(IoContext, Stream).run(Host, Req);
   }
   TlsStream Stream(IoContext, this->Tls->Context);
-  Stream.set_verify_callback(asio::ssl::host_name_verification(Host.Ip));
+  Stream.set_verify_callback(net::ssl::host_name_verification(Host.Ip));
   beast::get_lowest_layer(Stream).expires_after(Timeout);
   return Exchange<TlsStream>(IoContext, Stream).run(Host, Req);
 }
