--- a/tests/process/EndlessBytesTest.cpp
+++ b/tests/process/EndlessBytesTest.cpp
@@ -4,11 +4,9 @@
 /// callers ended with it.
 #include "auto/http/EndlessAnswers.h"
 #include "auto/http/RawPeer.h"
-#include "platform/WireNames.h"
 #include "process/Deployment.h"
-#include "process/GatewayDeployment.h"
+#include "process/RawEngine.h"
 
-#include <fmt/format.h>
 #include <future>
 #include <gtest/gtest.h>
 
@@ -21,21 +19,10 @@
 constexpr milliseconds MaxProcessorTime(1500);
 constexpr std::size_t CallersAtOnce = 3;
 
-/// Returns the value of a header of a request.
-std::string headerOf(std::string_view Head, std::string_view Name) {
-  const std::size_t Found = Head.find(std::string(Name) + ": ");
-  if (Found == std::string_view::npos)
-    return {};
-  const std::size_t From = Found + Name.size() + 2;
-  return std::string(Head.substr(From, Head.find('\r', From) - From));
-}
-
 /// Answers with the kind of endless answer at \p Index of the kinds whose heads
 /// answer the request.
 RawAnswer answerTo(std::string_view Head, std::size_t Index, bool Streams) {
-  const std::string Headers = fmt::format(
-      "{}: {}\r\n{}: seal\r\n", platform::header::AttemptId,
-      headerOf(Head, platform::header::AttemptId), platform::header::Seal);
+  const std::string Headers = markedHeaders(Head);
   auto Kinds =
       endlessFramings(Streams ? "text/event-stream" : "text/plain", Headers);
   if (Streams)
@@ -54,13 +41,6 @@
   std::uint64_t growth() {
     return this->host().peakMemoryBytes() - this->IdleMemory;
   }
-  void registerEngine(const std::string &Id, const Address &At) {
-    this->Gateway.put(
-        std::string(platform::topic::Engines), Id,
-        fmt::format(R"({{"Service":"desk","Address":"{}:{}","Zone":"east",)"
-                    R"("Version":"v1","Slots":6,"State":"ready"}})",
-                    At.Ip, At.Port));
-  }
   /// Sends requests at the same time and checks that each gets an answer.
   void askAll(const std::string &Path, const std::string &Name) {
     std::vector<std::future<standins::HttpReply>> Replies;
@@ -74,16 +54,13 @@
   }
   /// Lets an engine give the answer and checks what the host needs for it.
   void playKind(std::size_t Index, bool Streams, const std::string &Name) {
-    const std::string Id = fmt::format("raw-{}", Name);
-    const RawServer Engine(
-        [=](std::string_view Head) { return answerTo(Head, Index, Streams); });
     const milliseconds Before = this->host().processorTime();
-    this->registerEngine(Id, Engine.at());
-    std::this_thread::sleep_for(milliseconds(400));
+    const RawEngine Engine(
+        this->Gateway, fmt::format("raw-{}", Name),
+        [=](std::string_view Head) { return answerTo(Head, Index, Streams); });
     this->askAll(Streams ? "/stream/x" : "/safe/x", Name);
     EXPECT_LT(this->host().processorTime() - Before, MaxProcessorTime) << Name;
     EXPECT_LT(this->growth(), MaxGrowth) << Name;
-    this->Gateway.unregister(Id);
   }
 
   GatewayDeployment Gateway{{}, 1};
--- a/tests/process/GatewayDeployment.cpp
+++ b/tests/process/GatewayDeployment.cpp
@@ -250,7 +250,8 @@
   return Reply["Addresses"].get<std::vector<std::string>>();
 }
 
-void GatewayDeployment::configure(std::uint64_t Version, bool WithExtra) const {
+void GatewayDeployment::configure(std::uint64_t Version, bool WithExtra,
+                                  std::size_t MaxBodyBytes) const {
   json Routes = {route("/safe/", "safe", 2), route("/once/", "unsafe", 1),
                  route("/stream/", "streaming", 2),
                  route("/long/", "streaming", 2, seconds(10))};
@@ -260,7 +261,7 @@
       {"Version", Version},
       {"Routes", Routes},
       {"Services", {{{"Name", "desk"}, {"HealthPath", "/health"}}}},
-      {"Limits", {{"HeaderBytes", 8192}, {"BodyBytes", 65536}}},
+      {"Limits", {{"HeaderBytes", 8192}, {"BodyBytes", MaxBodyBytes}}},
       {"Tenants", {{{"Name", "house"}, {"Credentials", {"demo-key"}}}}}};
   this->put(std::string(platform::topic::Declarations),
             std::string(platform::topic::ConfigurationKey), Document.dump());
--- a/tests/process/GatewayDeployment.h
+++ b/tests/process/GatewayDeployment.h
@@ -102,8 +102,9 @@
   std::vector<std::string> directory(std::size_t Host,
                                      Duration Timeout = seconds(10)) const;
   /// Writes \p Version of the configuration, with or without the route
-  /// `/extra/`.
-  void configure(std::uint64_t Version, bool WithExtra = false) const;
+  /// `/extra/`. Larger bodies than \p MaxBodyBytes are refused.
+  void configure(std::uint64_t Version, bool WithExtra = false,
+                 std::size_t MaxBodyBytes = 64ULL * 1024) const;
   void put(const std::string &Topic, const std::string &Key,
            const std::string &Value) const;
   void control(const std::string &Target) const;
