--- a/tests/process/BrokenAnswersTest.cpp
+++ b/tests/process/BrokenAnswersTest.cpp
@@ -51,9 +51,10 @@
     })) << Name;
     EXPECT_EQ(Runs, 1) << Name;
     EXPECT_EQ(Once.Status, BadGateway) << Name;
-    for (const std::string Kind : {"safe", "stream"}) {
+    for (const std::string_view Kind : {"safe", "stream"}) {
       const auto Reply =
-          this->Gateway.ask(0, "/" + Kind + "/x", Name + "-" + Kind, Body);
+          this->Gateway.ask(0, fmt::format("/{}/x", Kind),
+                            fmt::format("{}-{}", Name, Kind), Body);
       EXPECT_TRUE(!Reply.isComplete() || isOwnFailure(Reply.Status))
           << Name << " " << Kind << " " << Reply.Status;
     }
@@ -86,10 +87,11 @@
   constexpr std::size_t UploadBytes = 4ULL * 1024 * 1024;
   ASSERT_NO_FATAL_FAILURE(this->allowBodies(UploadBytes));
   const std::string Upload(UploadBytes, 'x');
-  for (const std::string Type : {"text/plain", "text/event-stream"}) {
+  for (const std::string_view Type : {"text/plain", "text/event-stream"}) {
     RawAnswer Answer;
-    Answer.First = "HTTP/1.1 200 OK\r\nContent-Type: " + Type +
-                   "\r\n\r\nid: 1\ndata: a\n\n";
+    Answer.First = fmt::format("HTTP/1.1 200 OK\r\nContent-Type: {}\r\n\r\n"
+                               "id: 1\ndata: a\n\n",
+                               Type);
     Answer.Pause = milliseconds(100);
     Answer.Resets = true;
     this->play(Type == "text/plain" ? "whole" : "events", Answer, Upload);
