Report a cut early answer where it is read

The check whether an answer ended with its connection during the upload stood in both functions that relay answers. The function that reads the body now reports such an end as the reset that it may be, and the checks of read failures, which stood there before, serve both. Outcomes stay the same.

A header of the tests has a name of its own instead of one that resembles the users' protocol.

The whole check was not run on this commit.

--- a/src/libs/relay/EngineRun.cpp
+++ b/src/libs/relay/EngineRun.cpp
@@ -147,6 +147,8 @@
                                  AnswerParser, into(Failure));
   if (Failure == http::error::need_buffer)
     Failure = {};
+  if (AnswerParser.is_done() && this->endedTooEarly(AnswerParser))
+    Failure = net::error::connection_reset;
   this->ReadFailure = Failure;
   co_return std::string_view(this->ReadBuffer.data(),
                              this->ReadBuffer.size() - Body.size);
@@ -195,7 +197,7 @@
     if (Relayed.Body.size() > this->Limits.WholeAnswerBytes)
       co_return this->broken(RelayBroken::Why::Corrupt);
   }
-  if (this->Cancelled || this->endedTooEarly(AnswerParser))
+  if (this->Cancelled)
     co_return this->broken(RelayBroken::Why::Reset);
   this->keepLink(AnswerParser);
   const std::uint32_t Status = Relayed.Head.result_int();
@@ -231,9 +233,8 @@
   const RelayDelivered::Ending End = endingOf(AnswerParser);
   const bool IsEmpty = !this->HasBegun;
   // A connection that ends within an event, or before the first one, was lost.
-  if (this->endedTooEarly(AnswerParser) ||
-      (End == RelayDelivered::Ending::Connection &&
-       (this->Splitter.isWithinBlock() || IsEmpty)))
+  if (End == RelayDelivered::Ending::Connection &&
+      (this->Splitter.isWithinBlock() || IsEmpty))
     co_return this->broken(RelayBroken::Why::Reset);
   if (this->Splitter.isWithinBlock())
     co_return this->broken(RelayBroken::Why::Corrupt);
--- a/src/libs/relay/EngineRun.h
+++ b/src/libs/relay/EngineRun.h
@@ -60,7 +60,8 @@
   /// Returns false if the connection failed. An answer may have arrived
   /// nevertheless.
   Task<bool> sendRequest(Duration Remaining);
-  /// Reads part of the body and returns a view of the bytes. Sets ReadFailure.
+  /// Reads part of the body and returns a view of the bytes. Sets ReadFailure,
+  /// to a reset if the answer ended too early.
   Task<std::string_view> readBodyPart(Parser &AnswerParser);
   Task<RelayOutcome> exchange(Duration Remaining,
                               const EngineRunListener &Listener);
--- a/tests/auto/http/BrokenAnswers.h
+++ b/tests/auto/http/BrokenAnswers.h
@@ -66,12 +66,12 @@
 inline std::vector<BrokenAnswer> foldedLines() {
   const std::string Sound = answerWith("Content-Length: 2", "ok");
   return {
-      {"Length", answerWith("X-Seal: s\r\n Content-Length: 1", "ok")},
-      {"Tab", answerWith("X-Seal: s\r\n\tContent-Length: 1", "ok")},
-      {"Coding", answerWith("X-Seal: s\r\n Transfer-Encoding: chunked",
+      {"Length", answerWith("X-Mark: s\r\n Content-Length: 1", "ok")},
+      {"Tab", answerWith("X-Mark: s\r\n\tContent-Length: 1", "ok")},
+      {"Coding", answerWith("X-Mark: s\r\n Transfer-Encoding: chunked",
                             "2\r\nok\r\n0\r\n\r\n")},
       {"OnlyBlanks", answerWith("Content-Length: 2\r\n ", "ok")},
-      {"AfterNoValue", answerWith("X-Seal:\r\n s\r\nContent-Length: 2", "ok")},
+      {"AfterNoValue", answerWith("X-Mark:\r\n s\r\nContent-Length: 2", "ok")},
       {"InAnInterimAnswer",
        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n b\r\n\r\n" + Sound}};
 }
