--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,16 +12,15 @@
 
 PARTS = 70
 BAD_INDEX = 65
-BAD_PART = "badc0de1:60"
+BAD_PART = "badc0de1:62"
 STABILITY_S = 3.0
 
 
 def prompt(bad):
-    parts = ["%08x:60" % (0x5c1e0000 + index) for index in range(PARTS - 1)]
+    # No two prompts are alike: each has its own conversation.
+    parts = ["%08x:62" % random.getrandbits(32) for _ in range(PARTS)]
     if bad:
         parts[BAD_INDEX] = BAD_PART
-    # The last part belongs to the request itself.
-    parts.append("%08x:200" % random.getrandbits(32))
     return ",".join(parts)
 
 
@@ -68,7 +67,8 @@
             ("X-Model", "m"), ("X-Token-Counts", "4340,80"),
             ("X-Prompt-Prefix", prompt(bad)),
             ("X-Remaining-Milliseconds", "10000"),
-            ("Authorization", "Bearer " + lab.KEY)], b"{}", 10)
+            ("Authorization", "Bearer " + lab.KEY)],
+            b'{"question":"%s"}' % attempt.encode(), 10)
         status = answer.status if answer else 0
         if not bad:
             sound_ends.append(status)
--- a/review/lib-2/lab.py
+++ b/review/lib-2/lab.py
@@ -666,14 +666,14 @@
 TENANTS = [{"Name": "hule930", "Credentials": [KEY], "Priority": 1}]
 
 
-def run(main, folder):
+def run(main, folder, hosts=3):
     """Runs main(deployment, trouble) and exits with its result."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
         deployment = None
         try:
-            deployment = Deployment(folder)
+            deployment = Deployment(folder, hosts)
             result = await asyncio.wait_for(main(deployment, trouble), 115)
             deployment.record("result %d" % result)
             return result
