--- a/review/lib-2/lab.py
+++ b/review/lib-2/lab.py
@@ -133,6 +133,18 @@
             return probe.getsockname()[1]
 
 
+def free_ports(count):
+    """Returns ports that are free on all addresses."""
+    probes = [socket.socket() for _ in range(count)]
+    try:
+        for probe in probes:
+            probe.bind(("", 0))
+        return [probe.getsockname()[1] for probe in probes]
+    finally:
+        for probe in probes:
+            probe.close()
+
+
 # --- store ------------------------------------------------------------------
 
 
@@ -474,10 +486,11 @@
         self.index = index
         self.ip = net.ip()
         # Ports are the same on all machines.
-        self.front = "%s:%d" % (self.ip, 8227)
-        self.ready = "%s:%d" % (self.ip, 8220)
-        self.control = "%s:%d" % (self.ip, 8229)
-        self.directory = "%s:%d" % (self.ip, 8224)
+        ports = deployment.ports
+        self.front = "%s:%d" % (self.ip, ports[0])
+        self.ready = "%s:%d" % (self.ip, ports[1])
+        self.control = "%s:%d" % (self.ip, ports[2])
+        self.directory = "%s:%d" % (self.ip, ports[3])
         self.process = None
         self.starts = 0
         self.store_address = deployment.store.address
@@ -516,6 +529,8 @@
         name = os.path.join(folder, "host-%d.ini" % self.index)
         with open(os.path.join(ROOT, "platform/settings.ini.template")) as f:
             text = render(f.read(), self.settings())
+        # The template's port of the metrics may be in use on this machine.
+        text = text.replace(":9464", ":%d" % self.deployment.ports[4])
         with open(name, "w") as f:
             f.write(text)
         command = self.deployment.command()
@@ -543,6 +558,7 @@
         self.record = Record(os.path.join(folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = Net()
+        self.ports = free_ports(5)
         self.store = Store(self.net, self.record)
         self.hosts = []
         self.engines = []
@@ -672,6 +688,10 @@
 
     async def play():
         deployment = None
+        # A script that is ended itself ends its hosts.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(
+                number, asyncio.current_task().cancel)
         try:
             deployment = Deployment(folder, hosts)
             result = await asyncio.wait_for(main(deployment, trouble), 115)
@@ -683,7 +703,7 @@
 
     try:
         result = asyncio.run(play())
-    except Exception as failure:  # The case couldn't run.
+    except BaseException as failure:  # The case couldn't run.
         print("could not run: %r" % failure, file=sys.stderr)
         result = 2
     sys.stdout.flush()
