--- a/review/5/case.py
+++ b/review/5/case.py
@@ -23,12 +23,13 @@
 async def main(deployment, trouble):
     record = deployment.record
     await deployment.store.start()
-    deployment.configure({
+    configuration = {
         "Version": 7, "Limits": lab.LIMITS, "Tenants": lab.TENANTS,
         "Services": [lab.llm_service("huvo11a")],
         "Routes": [lab.route("r-query", "/lohu930/", "streaming", "huvo11a",
                              attempts=2, resumable=True, sticky=True,
-                             target=300, gap=250)]})
+                             target=300, gap=250)]}
+    deployment.configure(configuration)
 
     async def behave(engine, request, writer):
         engine.note_run(request)
@@ -88,6 +89,8 @@
     served_later, sent_later = await send(20, 0.25)
     record("%d of %d served after all engines are back" % (
         served_later, sent_later))
+    # The final fault comes right after a configuration is acknowledged.
+    deployment.configure(dict(configuration, Version=8))
     if trouble:
         for host in deployment.hosts:
             host.signal(signal.SIGKILL)
