--- a/src/app/QuarantineRecord.cpp
+++ b/src/app/QuarantineRecord.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// The value of a record. The key holds all that is needed.
-constexpr std::string_view PresentValue = "quarantined";
+/// The values of a record. Any other value counts as a suspicion.
+constexpr std::string_view SuspectedValue = "quarantined";
+constexpr std::string_view ProvenValue = "proven";
 
 } // namespace
 
@@ -17,7 +18,7 @@
   Result.Key =
       std::string(QuarantineKeyPrefix) + fingerprintText(Wanted.Content);
   if (Wanted.Present)
-    Result.Value = std::string(PresentValue);
+    Result.Value = std::string(Wanted.IsProven ? ProvenValue : SuspectedValue);
   return Result;
 }
 
@@ -25,12 +26,15 @@
   return Record.Value && Record.Key.starts_with(QuarantineKeyPrefix);
 }
 
-std::optional<Fingerprint> readQuarantineRecord(const KeyedRecord &Record) {
+std::optional<StoredQuarantine>
+readQuarantineRecord(const KeyedRecord &Record) {
   if (!isQuarantineRecord(Record))
     return std::nullopt;
   try {
-    return parseFingerprint(
-        std::string_view(Record.Key).substr(QuarantineKeyPrefix.size()));
+    const std::string_view Key = Record.Key;
+    return StoredQuarantine{
+        parseFingerprint(Key.substr(QuarantineKeyPrefix.size())),
+        *Record.Value == ProvenValue};
   } catch (const Error &) {
     return std::nullopt;
   }
--- a/src/app/QuarantineRecord.h
+++ b/src/app/QuarantineRecord.h
@@ -20,6 +20,6 @@
 bool isQuarantineRecord(const KeyedRecord &Record);
 
 /// Returns nothing when the record is malformed or no such record.
-std::optional<Fingerprint> readQuarantineRecord(const KeyedRecord &Record);
+std::optional<StoredQuarantine> readQuarantineRecord(const KeyedRecord &Record);
 
 } // namespace banyanpick
--- a/src/libs/base/EventNumbers.h
+++ b/src/libs/base/EventNumbers.h
@@ -214,6 +214,8 @@
                                           "engines of a service are in reach"};
 inline constexpr EventKind QuarantineRefuted{
     837, LogLevel::Warning, "quarantined content turned out to be harmless"};
+inline constexpr EventKind ContentProbed{
+    838, LogLevel::Warning, "request sent as a probe of suspected contents"};
 inline constexpr EventKind MemoryReserved{840, LogLevel::Info,
                                           "engine memory reserved"};
 inline constexpr EventKind MemoryReleased{841, LogLevel::Info,
--- a/src/libs/gateway/GatewayEvent.h
+++ b/src/libs/gateway/GatewayEvent.h
@@ -97,9 +97,16 @@
   std::string Name;
   ReservationResult Result = ReservationResult::Unknown;
 };
+/// A quarantined content in the store.
+struct StoredQuarantine {
+  Fingerprint Content;
+  bool IsProven = false; ///< It crashed upstreams again and again.
+
+  bool operator==(const StoredQuarantine &) const = default;
+};
 /// The quarantined contents in the store, read at the start.
 struct QuarantinesRead {
-  std::vector<Fingerprint> Contents;
+  std::vector<StoredQuarantine> Contents;
 };
 /// The settings file has changed and is valid.
 struct SettingsReloaded {
@@ -183,6 +190,7 @@
 struct StoreQuarantine {
   Fingerprint Content;
   bool Present = true;
+  bool IsProven = false; ///< It crashed upstreams again and again.
 
   bool operator==(const StoreQuarantine &) const = default;
 };
--- a/src/libs/kernel/GatewayServices.h
+++ b/src/libs/kernel/GatewayServices.h
@@ -181,11 +181,24 @@
   virtual bool isDiscouraged(const UpstreamId &Engine, Time Now) const = 0;
 };
 
+/// Whether a request may be sent, with regard to contents that crash upstreams.
+enum class ContentDecision {
+  Send,
+  Wait,   ///< A content of it is suspected; a decision is expected soon.
+  Refuse, ///< A content of it crashes upstreams.
+};
+
 /// The contents that crash upstreams: whole requests and parts of prompts.
 class CrashView {
 public:
   virtual ~CrashView() = default;
-  virtual bool isQuarantined(Fingerprint Content, Time Now) const = 0;
+  /// Decides on the next attempt of the request. The request may be the probe
+  /// of its suspected contents; it is then to be sent at once, and counts as
+  /// the probe until its attempt ends.
+  virtual ContentDecision decide(const RelayHead &Head, Time Now) = 0;
+  /// Whether the request is to be ended at once, also if it was sent: it would
+  /// crash its upstream, and is not a probe.
+  virtual bool mustEnd(const RelayHead &Head) const = 0;
 };
 
 /// Notified when a content is quarantined.
--- a/src/libs/kernel/PeerMessage.h
+++ b/src/libs/kernel/PeerMessage.h
@@ -183,6 +183,13 @@
   bool operator==(const CatalogueRelayed &) const = default;
 };
 
+/// How a request probed contents that were suspected when it was sent.
+enum class ProbeKind {
+  None,     ///< It was no probe.
+  Alone,    ///< One content of it was suspected.
+  Together, ///< Several were; a crash does not tell them apart.
+};
+
 /// Announces a fingerprint that crashed upstreams before the log record
 /// arrives.
 struct QuarantineNotice {
@@ -191,6 +198,11 @@
   Time Until{};
   UpstreamId Upstream; ///< Where an isolated suspect runs now; may be empty.
   Incarnation UpstreamLife;
+  /// Of gateways: since the attempt lost its connection, and since it was sent.
+  Duration CrashedAgo{};
+  Duration SentAgo{};
+  ProbeKind Probe = ProbeKind::None; ///< Of gateways.
+  bool IsProven = false; ///< Of gateways: a stored quarantine that was proven.
 
   bool operator==(const QuarantineNotice &) const = default;
 };
--- a/src/libs/wire/PeerCodec.cpp
+++ b/src/libs/wire/PeerCodec.cpp
@@ -16,6 +16,14 @@
 /// Longest time that is read, in microseconds; one day.
 constexpr std::uint64_t OldestUs = 86'400'000'000;
 
+std::uint64_t agoToWire(Duration Ago) {
+  return static_cast<std::uint64_t>(std::max(Ago, Duration(0)).count());
+}
+
+Duration agoFromWire(std::uint64_t Ago) {
+  return Duration(std::min(Ago, OldestUs));
+}
+
 void write(const banyanpick::Heartbeat &Body, Envelope &Envelope) {
   toWire(Body, *Envelope.mutable_heartbeat());
 }
@@ -101,13 +109,16 @@
   Out.set_until_us(toWire(Body.Until));
   Out.set_upstream(Body.Upstream.Value);
   Out.set_upstream_life(Body.UpstreamLife.Value);
+  Out.set_crashed_us_ago(agoToWire(Body.CrashedAgo));
+  Out.set_sent_us_ago(agoToWire(Body.SentAgo));
+  Out.set_probe(static_cast<std::uint32_t>(Body.Probe));
+  Out.set_proven(Body.IsProven);
 }
 
 void write(const banyanpick::HarmlessContent &Body, Envelope &Envelope) {
   HarmlessContent &Out = *Envelope.mutable_harmless_content();
   Out.set_content(Body.Content.Value);
-  Out.set_began_us_ago(
-      static_cast<std::uint64_t>(std::max(Body.BeganAgo, Duration(0)).count()));
+  Out.set_began_us_ago(agoToWire(Body.BeganAgo));
 }
 
 void write(const banyanpick::UpstreamNotice &Body, Envelope &Envelope) {
@@ -195,9 +206,27 @@
   return Result;
 }
 
+ProbeKind probeFromWire(std::uint32_t Value) {
+  switch (Value) {
+  case static_cast<std::uint32_t>(ProbeKind::Alone):
+    return ProbeKind::Alone;
+  case static_cast<std::uint32_t>(ProbeKind::Together):
+    return ProbeKind::Together;
+  default:
+    return ProbeKind::None;
+  }
+}
+
 QuarantineNotice read(const Quarantine &In) {
-  return {Fingerprint(In.content()), In.crashes(), timeFromWire(In.until_us()),
-          UpstreamId(In.upstream()), Incarnation(In.upstream_life())};
+  return {Fingerprint(In.content()),
+          In.crashes(),
+          timeFromWire(In.until_us()),
+          UpstreamId(In.upstream()),
+          Incarnation(In.upstream_life()),
+          agoFromWire(In.crashed_us_ago()),
+          agoFromWire(In.sent_us_ago()),
+          probeFromWire(In.probe()),
+          In.proven()};
 }
 
 banyanpick::UpstreamNotice read(const UpstreamNotice &In) {
@@ -269,7 +298,7 @@
   case Envelope::kHarmlessContent:
     return banyanpick::HarmlessContent{
         Fingerprint(In.harmless_content().content()),
-        Duration(std::min(In.harmless_content().began_us_ago(), OldestUs))};
+        agoFromWire(In.harmless_content().began_us_ago())};
   case Envelope::kMembersAsked:
     return fromWire(In.members_asked());
   case Envelope::kMembersRelayed:
--- a/src/plugins/crashes/CrashTracker.cpp
+++ b/src/plugins/crashes/CrashTracker.cpp
@@ -10,147 +10,280 @@
 /// How much newer a harmless answer must be than the one that peers know of.
 constexpr seconds MinTellInterval(1);
 
+/// So many more crashes are needed of a content that was answered without harm
+/// a moment before them.
+constexpr std::size_t ExtraCrashes = 2;
+
+/// From a suspicion to its first probe. Attempts that were under way decide
+/// most suspicions earlier.
+constexpr milliseconds FirstProbeDelay(1500);
+
+/// The same after the start of a host, which must learn of its peers first, so
+/// that only one of them sends a probe.
+constexpr seconds RestoredProbeDelay(4);
+
+/// How much longer a probe waits for each further suspected content in it. A
+/// request without the others may come meanwhile.
+constexpr seconds FurtherSuspectDelay(3);
+
+/// From a proof, or the crash of a probe, to the next probe; later ones wait
+/// so many times longer.
+constexpr seconds RepeatedProbeDelay(120);
+constexpr std::size_t ProbeDelayFactor = 4;
+constexpr std::size_t MaxCountedProbes = 3;
+
+/// Returns the length of the longest sequence of crashes, the oldest first, in
+/// which each attempt was sent after the crash before.
+template <class Crashes> std::size_t countRepetitions(const Crashes &Sorted) {
+  std::size_t Result = 0;
+  Time LastCrash = Time::min();
+  for (const auto &Found : Sorted) {
+    if (Found.Evidence.SentAt < LastCrash)
+      continue;
+    ++Result;
+    LastCrash = Found.Evidence.CrashedAt;
+  }
+  return Result;
+}
+
+Duration delayAfterProbes(std::size_t Failed) {
+  Duration Result = RepeatedProbeDelay;
+  for (std::size_t Count = 1; Count < std::min(Failed, MaxCountedProbes);
+       ++Count)
+    Result *= ProbeDelayFactor;
+  return Result;
+}
+
 } // namespace
 
-void CrashTracker::addSuspicion(const Crash &Observed, Time Now) {
-  this->Suspicions[Observed] = Now;
+void CrashTracker::addSuspicion(const Crash &Observed,
+                                const CrashEvidence &Evidence) {
+  const auto [Entry, IsNew] = this->Suspicions.try_emplace(Observed, Evidence);
+  if (IsNew)
+    return;
+  // Of several attempts with the content the last one was sent after most of
+  // the other crashes.
+  CrashEvidence &Known = Entry->second;
+  Known.SentAt = std::max(Known.SentAt, Evidence.SentAt);
+  Known.CrashedAt = Evidence.CrashedAt;
+  if (Evidence.Probe != ProbeKind::None)
+    Known.Probe = Evidence.Probe;
 }
 
 std::vector<ConfirmedCrash> CrashTracker::confirm(const UpstreamId &Engine,
                                                   Time Now) {
   std::vector<ConfirmedCrash> Result;
-  for (const auto &[Observed, At] : this->Suspicions)
-    if (Observed.Engine == Engine && Now <= At + this->Limits.SuspicionLifetime)
-      Result.push_back({Observed, Now - At});
+  for (const auto &[Observed, Evidence] : this->Suspicions)
+    if (Observed.Engine == Engine &&
+        Now <= Evidence.CrashedAt + this->Limits.SuspicionLifetime)
+      Result.push_back({Observed, Evidence});
   std::erase_if(this->Suspicions, [&](const auto &Entry) {
     return Entry.first.Engine == Engine;
   });
   std::erase_if(Result, [&](const ConfirmedCrash &Found) {
-    return !this->add(Found.Observed, Now - Found.SuspectedFor, Now);
+    return !this->add(Found, Now);
   });
   for (const ConfirmedCrash &Found : Result)
     this->Records[Found.Observed.Content].IsFoundHere = true;
   return Result;
 }
 
-bool CrashTracker::add(const Crash &Observed, Time Now) {
-  return this->add(Observed, Now, Now);
-}
-
-bool CrashTracker::add(const Crash &Observed, Time CrashedAt, Time Now) {
-  Record &Entry = this->Records[Observed.Content];
+bool CrashTracker::add(const ConfirmedCrash &Found, Time Now) {
+  this->limitRecords();
+  const Fingerprint Content = Found.Observed.Content;
+  Record &Entry = this->Records[Content];
   Entry.LastAt = Now;
-  return Entry.CrashedAt.try_emplace(Observed.Engine, CrashedAt).second;
+  const bool IsNew =
+      Entry.Crashes.try_emplace(Found.Observed.Engine, Found.Evidence).second;
+  if (Entry.Crashes.size() >= this->Limits.QuarantineThreshold)
+    this->Candidates.insert(Content);
+  return IsNew;
 }
 
-bool CrashTracker::noteHarmless(Fingerprint Content, Time BeganAt, Time Now) {
-  this->removeOldAnswers(Now);
+bool CrashTracker::noteHarmless(Fingerprint Content, Time BeganAt) {
   const bool WasQuarantined = this->isQuarantined(Content);
-  Harmless &Known = this->HarmlessAnswers[Content];
-  Known.BeganAt = std::max(Known.BeganAt, BeganAt);
-  const auto Found = this->Records.find(Content);
-  if (!WasQuarantined ||
-      this->countOf(Content, Found->second) >= this->Limits.QuarantineThreshold)
+  this->Harmless.note(Content, BeganAt);
+  if (!WasQuarantined)
     return false;
-  Found->second.IsRestored = false;
-  Found->second.IsStored = false;
-  return true;
+  Record &Entry = this->Records[Content];
+  // Older answers came before the crashes that an earlier process counted.
+  if (BeganAt >= Entry.RestoredAt &&
+      this->crashCount(Content) < this->Limits.QuarantineThreshold)
+    Entry.Restored = CrashVerdict::Sound;
+  return !this->isQuarantined(Content);
 }
 
-bool CrashTracker::takeHarmless(Fingerprint Content, Time BeganAt, Time Now) {
-  Harmless &Known = this->HarmlessAnswers[Content];
-  Known.ToldAt = std::max(Known.ToldAt, BeganAt);
-  return this->noteHarmless(Content, BeganAt, Now);
+bool CrashTracker::takeHarmless(Fingerprint Content, Time BeganAt) {
+  const bool IsReleased = this->noteHarmless(Content, BeganAt);
+  this->Harmless.setTold(Content, BeganAt);
+  return IsReleased;
 }
 
 std::optional<Time> CrashTracker::takeHarmlessToTell(Fingerprint Content) {
   const auto Entry = this->Records.find(Content);
-  const auto Known = this->HarmlessAnswers.find(Content);
-  if (Entry == this->Records.end() || Known == this->HarmlessAnswers.end())
+  const HarmlessAnswers::Answers *Known = this->Harmless.find(Content);
+  if (Entry == this->Records.end() || !Known)
     return std::nullopt;
-  Harmless &Answers = Known->second;
-  if (Entry->second.CrashedAt.size() + 1 < this->Limits.QuarantineThreshold ||
-      Answers.BeganAt < Answers.ToldAt + Duration(MinTellInterval))
+  const Time BeganAt = Known->NewestBeganAt;
+  if (Entry->second.Crashes.size() + 1 < this->Limits.QuarantineThreshold ||
+      (Known->ToldAt && BeganAt < *Known->ToldAt + Duration(MinTellInterval)))
     return std::nullopt;
-  Answers.ToldAt = Answers.BeganAt;
-  return Answers.BeganAt;
+  this->Harmless.setTold(Content, BeganAt);
+  return BeganAt;
 }
 
-std::size_t CrashTracker::countOf(Fingerprint Content,
-                                  const Record &Entry) const {
-  const auto Known = this->HarmlessAnswers.find(Content);
-  if (Known == this->HarmlessAnswers.end())
-    return Entry.CrashedAt.size();
-  const Time Until = Known->second.BeganAt + this->Limits.HarmlessLifetime;
-  return static_cast<std::size_t>(
-      std::ranges::count_if(Entry.CrashedAt, [&](const auto &Crashed) {
-        return Crashed.second > Until;
-      }));
+std::vector<CrashTracker::OpenCrash>
+CrashTracker::openCrashes(Fingerprint Content, const Record &Entry) const {
+  const HarmlessAnswers::Answers *Known = this->Harmless.find(Content);
+  std::vector<OpenCrash> Result;
+  for (const auto &[Engine, Evidence] : Entry.Crashes)
+    if (!Known || Evidence.CrashedAt > Known->NewestBeganAt)
+      Result.push_back({Engine, Evidence});
+  std::ranges::stable_sort(Result, {}, [](const OpenCrash &Found) {
+    return Found.Evidence.CrashedAt;
+  });
+  // A content that was harmless a moment ago has turned bad if it crashes
+  // upstreams again and again with no harmless answer meanwhile.
+  const bool HasTurnedBad =
+      Result.size() >= this->Limits.QuarantineThreshold + ExtraCrashes &&
+      countRepetitions(Result) >= this->Limits.QuarantineThreshold;
+  if (!Known || HasTurnedBad)
+    return Result;
+  const Time RefutedUntil =
+      Known->NewestBeganAt + this->Limits.HarmlessLifetime;
+  std::erase_if(Result, [&](const OpenCrash &Found) {
+    return Found.Evidence.CrashedAt <= RefutedUntil;
+  });
+  return Result;
+}
+
+Judgement CrashTracker::judge(Fingerprint Content) const {
+  Judgement Result;
+  const auto Found = this->Records.find(Content);
+  if (Found == this->Records.end())
+    return Result;
+  const Record &Entry = Found->second;
+  Result.Verdict = Entry.Restored;
+  const std::vector<OpenCrash> Open = this->openCrashes(Content, Entry);
+  Result.Crashes = Open.size();
+  Result.Repetitions = countRepetitions(Open);
+  Result.FailedAsProbe = std::ranges::any_of(Open, [](const OpenCrash &Each) {
+    return Each.Evidence.Probe == ProbeKind::Alone;
+  });
+  const bool IsCandidate = Open.size() >= this->Limits.QuarantineThreshold;
+  const bool IsRepeated =
+      IsCandidate && Result.Repetitions >= this->Limits.QuarantineThreshold &&
+      !this->Harmless.find(Content);
+  const bool IsSuspected = IsCandidate || Entry.Restored != CrashVerdict::Sound;
+  if (IsRepeated || (IsSuspected && Result.FailedAsProbe))
+    Result.Verdict = CrashVerdict::Proven;
+  else if (IsCandidate && Result.Verdict == CrashVerdict::Sound)
+    Result.Verdict = CrashVerdict::Suspected;
+  return Result;
 }
 
 std::size_t CrashTracker::crashCount(Fingerprint Content) const {
   const auto Found = this->Records.find(Content);
-  return Found == this->Records.end() ? 0
-                                      : this->countOf(Content, Found->second);
+  if (Found == this->Records.end())
+    return 0;
+  return this->openCrashes(Content, Found->second).size();
+}
+
+Time CrashTracker::quarantinedAt(const Record &Entry,
+                                 const std::vector<OpenCrash> &Open) const {
+  if (Entry.Restored != CrashVerdict::Sound)
+    return Entry.RestoredAt;
+  if (Open.size() < this->Limits.QuarantineThreshold)
+    return Never;
+  return Open[this->Limits.QuarantineThreshold - 1].Evidence.CrashedAt;
 }
 
-bool CrashTracker::isQuarantined(Fingerprint Content) const {
+Time CrashTracker::nextProbeAt(Fingerprint Content, std::size_t Others) const {
   const auto Found = this->Records.find(Content);
-  return Found != this->Records.end() &&
-         this->isQuarantined(Content, Found->second);
+  if (Found == this->Records.end())
+    return Time{};
+  const std::vector<OpenCrash> Open = this->openCrashes(Content, Found->second);
+  std::size_t Failed = 0;
+  Time LastFailure{};
+  for (const OpenCrash &Each : Open) {
+    const ProbeKind Probe = Each.Evidence.Probe;
+    if (Probe == ProbeKind::Alone ||
+        (Others > 0 && Probe == ProbeKind::Together)) {
+      ++Failed;
+      LastFailure = Each.Evidence.CrashedAt;
+    }
+  }
+  if (Failed > 0)
+    return LastFailure + delayAfterProbes(Failed);
+  Duration First = FirstProbeDelay;
+  if (Found->second.Restored != CrashVerdict::Sound)
+    First = RestoredProbeDelay;
+  if (this->judge(Content).Verdict == CrashVerdict::Proven)
+    First = RepeatedProbeDelay;
+  return this->quarantinedAt(Found->second, Open) + First +
+         Duration(FurtherSuspectDelay) * Others;
 }
 
-bool CrashTracker::isQuarantined(Fingerprint Content,
-                                 const Record &Entry) const {
-  return Entry.IsRestored ||
-         this->countOf(Content, Entry) >= this->Limits.QuarantineThreshold;
+std::optional<CrashVerdict> CrashTracker::takeToStore(Fingerprint Content) {
+  const auto Found = this->Records.find(Content);
+  if (Found == this->Records.end() || !Found->second.IsFoundHere)
+    return std::nullopt;
+  const CrashVerdict Verdict = this->judge(Content).Verdict;
+  if (Verdict <= Found->second.Stored)
+    return std::nullopt;
+  Found->second.Stored = Verdict;
+  return Verdict;
 }
 
-bool CrashTracker::takeToStore(Fingerprint Content) {
+bool CrashTracker::takeStored(Fingerprint Content) {
   const auto Found = this->Records.find(Content);
-  if (Found == this->Records.end() ||
-      !this->isQuarantined(Content, Found->second))
+  if (Found == this->Records.end())
     return false;
-  Record &Entry = Found->second;
-  return Entry.IsFoundHere && !std::exchange(Entry.IsStored, true);
+  return std::exchange(Found->second.Stored, CrashVerdict::Sound) !=
+         CrashVerdict::Sound;
 }
 
-void CrashTracker::restore(Fingerprint Content, Time Now) {
+void CrashTracker::restore(Fingerprint Content, CrashVerdict Verdict,
+                           Time Now) {
   Record &Entry = this->Records[Content];
-  Entry.IsRestored = true;
+  Entry.Restored = Verdict;
+  Entry.RestoredAt = Now;
   Entry.LastAt = Now;
 }
 
-std::vector<Crash> CrashTracker::confirmedCrashes() const {
-  std::vector<Crash> Result;
+std::vector<ConfirmedCrash> CrashTracker::openCrashes() const {
+  std::vector<ConfirmedCrash> Result;
   for (const auto &[Content, Entry] : this->Records)
-    for (const auto &[Engine, At] : Entry.CrashedAt)
-      Result.push_back({Content, Engine});
+    for (const OpenCrash &Found : this->openCrashes(Content, Entry))
+      Result.push_back({{Content, Found.Engine}, Found.Evidence});
   return Result;
 }
 
 std::vector<Fingerprint> CrashTracker::removeExpired(Time Now) {
   std::vector<Fingerprint> Released;
   std::erase_if(this->Suspicions, [&](const auto &Entry) {
-    return Now > Entry.second + this->Limits.SuspicionLifetime;
-  });
-  std::erase_if(this->Records, [&](const auto &Entry) {
-    const bool IsExpired =
-        Now > Entry.second.LastAt + this->Limits.RetentionTime;
-    if (IsExpired && this->isQuarantined(Entry.first, Entry.second))
-      Released.push_back(Entry.first);
-    return IsExpired;
+    return Now > Entry.second.CrashedAt + this->Limits.SuspicionLifetime;
   });
+  std::vector<Fingerprint> Expired;
+  for (const auto &[Content, Entry] : this->Records)
+    if (Now > Entry.LastAt + this->Limits.RetentionTime)
+      Expired.push_back(Content);
+  for (const Fingerprint &Content : Expired)
+    if (this->isQuarantined(Content))
+      Released.push_back(Content);
+  for (const Fingerprint &Content : Expired) {
+    this->Records.erase(Content);
+    this->Candidates.erase(Content);
+  }
   return Released;
 }
 
-void CrashTracker::removeOldAnswers(Time Now) {
-  if (Now < this->AnswersRemovedAt + this->Limits.HarmlessLifetime)
+void CrashTracker::limitRecords() {
+  if (this->Records.size() < MaxContents)
     return;
-  this->AnswersRemovedAt = Now;
-  std::erase_if(this->HarmlessAnswers, [&](const auto &Entry) {
-    return Now > Entry.second.BeganAt + this->Limits.HarmlessLifetime &&
-           !this->Records.contains(Entry.first);
+  std::erase_if(this->Records, [&](const auto &Entry) {
+    return !this->Candidates.contains(Entry.first) &&
+           Entry.second.Restored == CrashVerdict::Sound;
   });
 }
 
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -1,55 +1,30 @@
 #include "plugins/crashes/CrashesPlugin.h"
 
 #include "base/EventNumbers.h"
-#include "base/RendezvousHash.h"
 #include "base/Visitor.h"
 #include "kernel/PluginRegistry.h"
 #include "kernel/ReportRequest.h"
+#include "plugins/crashes/CrashNotices.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace banyanpick {
 
 namespace {
 
-/// An engine that crashes at a content does so soon after it began to answer.
-/// An attempt that has been answered for longer is not the cause.
-constexpr seconds MaxCrashDelay(1);
-
-/// Hosts that tell a new incarnation of the known crashes. If all did, the
-/// messages to it would grow with the hosts.
-constexpr std::size_t MaxInformers = 8;
-
-/// Delay of the first reminder to a host that has just started; each following
-/// one is double. With the last one a host on a busy machine is connected.
-constexpr milliseconds FirstReminderDelay(200);
-constexpr milliseconds LastReminderDelay(1600);
-
-/// Returns the contents of the attempt: the whole request and the parts of its
-/// prompt.
-std::vector<Fingerprint> contentsOf(const RelayAttempt &Attempt) {
-  std::vector<Fingerprint> Result = Attempt.PromptParts;
-  Result.push_back(Attempt.Content);
-  return Result;
-}
-
-/// Returns the notice of a quarantine that was read from the store. The store
-/// does not keep which engines crashed.
-QuarantineNotice makeStoredNotice(Fingerprint Content, Time Until) {
-  QuarantineNotice Result;
-  Result.Content = Content;
-  Result.Until = Until;
-  return Result;
-}
-
-QuarantineNotice makeNotice(const Crash &Observed, Time Until) {
-  QuarantineNotice Result;
-  Result.Content = Observed.Content;
-  Result.Crashes = 1;
-  Result.Until = Until;
-  Result.Upstream = Observed.Engine;
-  return Result;
+/// How long a request waits for the decision on a suspected content.
+constexpr seconds MaxDecisionTime(3);
+
+std::string_view nameOf(CrashVerdict Verdict) {
+  switch (Verdict) {
+  case CrashVerdict::Sound:
+    return "sound";
+  case CrashVerdict::Suspected:
+    return "suspected";
+  case CrashVerdict::Proven:
+    return "proven";
+  }
+  return "";
 }
 
 } // namespace
@@ -86,9 +61,7 @@
               this->takeNotice(Notice, Received.Message.From, Now, Out);
             },
             [&](const HarmlessContent &Cleared) {
-              if (this->Tracker.takeHarmless(Cleared.Content,
-                                             Now - Cleared.BeganAgo, Now))
-                this->endQuarantine(Cleared.Content, Out);
+              this->takeHarmless(Cleared, Now, Out);
             },
             [](const auto &) {});
       },
@@ -98,29 +71,13 @@
           this->restore(*Read, Now, Out);
       },
       [](const auto &) {});
+  this->clearRunningAnswers(Now, Out);
   this->verifyRefusals(Now, Out);
   this->sendReminders(Now, Out);
   for (const UpstreamId &Engine : this->Check.takeDue(Now))
     this->askWhetherAlive(Engine, Now, Out);
 }
 
-void CrashesPlugin::takeNotice(const QuarantineNotice &Notice,
-                               const HostId &From, Time Now, Actions &Out) {
-  if (Notice.Upstream.Value.empty()) {
-    this->restore(Notice.Content, Now, Out);
-    return;
-  }
-  const Crash Observed{Notice.Content, Notice.Upstream};
-  if (!this->Tracker.add(Observed, Now))
-    return;
-  this->log(Observed, From.Value, Duration(0), Out);
-  this->tellHarmless(Observed.Content, Now, Out);
-  this->noteQuarantine(Observed.Content, Now, Out);
-  // The peer knows that the engine has died. What this host lost there is
-  // confirmed too, although its own requests for a report may be unanswered.
-  this->confirm(Notice.Upstream, Now, Out);
-}
-
 void CrashesPlugin::takeReport(const GatewayEvent &Answer, Time Now,
                                Actions &Out) {
   if (const auto *Reported = std::get_if<EngineReported>(&Answer))
@@ -134,26 +91,95 @@
     this->Check.reportLost(Failed->Engine, Now);
 }
 
-bool CrashesPlugin::isQuarantined(Fingerprint Content, Time) const {
-  return this->Tracker.isQuarantined(Content);
+Time CrashesPlugin::nextWake() const {
+  const Time Due = std::min(this->Check.nextDue(), this->NextReminder);
+  // Running answers matter only while there are crashes that they may refute.
+  return this->Tracker.isEmpty() ? Due : std::min(Due, this->Answers.nextDue());
+}
+
+ContentDecision CrashesPlugin::decide(const RelayHead &Head, Time Now) {
+  if (this->Tracker.isEmpty())
+    return ContentDecision::Send;
+  ProbeRequest Probe;
+  Probe.Request = Head.Id;
+  bool IsProven = false;
+  const auto Judge = [&](Fingerprint Content) {
+    const Judgement Found = this->Tracker.judge(Content);
+    if (Found.Verdict != CrashVerdict::Sound)
+      Probe.Suspects.push_back(Content);
+    else if (Found.Crashes > 0)
+      ++Probe.Others;
+    IsProven = IsProven || Found.Verdict == CrashVerdict::Proven;
+  };
+  std::ranges::for_each(Head.PromptParts, Judge);
+  Judge(Head.Content);
+  if (Probe.Suspects.empty())
+    return ContentDecision::Send;
+  const std::size_t Others = Probe.Suspects.size() - 1 + Probe.Others;
+  for (const Fingerprint &Content : Probe.Suspects)
+    Probe.EarliestAt =
+        std::max(Probe.EarliestAt, this->Tracker.nextProbeAt(Content, Others));
+  if (this->Probes.claim(Probe, this->Own, this->Members->livePeers(), Now))
+    return ContentDecision::Send;
+  if (IsProven || Probe.EarliestAt > Now + Duration(MaxDecisionTime))
+    return ContentDecision::Refuse;
+  return ContentDecision::Wait;
+}
+
+bool CrashesPlugin::mustEnd(const RelayHead &Head) const {
+  if (this->Tracker.isEmpty() ||
+      this->Probes.kindOf(Head.Id) != ProbeKind::None)
+    return false;
+  // What runs with a part that is only suspected decides the suspicion.
+  return this->Tracker.isQuarantined(Head.Content) ||
+         std::ranges::any_of(Head.PromptParts, [&](Fingerprint Part) {
+           return this->Tracker.judge(Part).Verdict == CrashVerdict::Proven;
+         });
+}
+
+void CrashesPlugin::attemptSent(const RelayAttempt &Attempt, Time,
+                                Actions &Out) {
+  const ProbeKind Kind = this->Probes.kindOf(Attempt.Request);
+  if (Kind == ProbeKind::None)
+    return;
+  this->Probes.sent(Attempt.Request);
+  Out.count("content_probes");
+  Out.log(logEvent(events::ContentProbed)
+              .with("id", Attempt.Request.Value)
+              .with("engine", Attempt.Engine.Value)
+              .with("alone", Kind == ProbeKind::Alone ? "true" : "false")
+              .build());
+}
+
+void CrashesPlugin::attemptBegan(const RelayAttempt &Attempt, Time, Actions &) {
+  this->Answers.began(Attempt);
+}
+
+void CrashesPlugin::attemptCancelled(const RelayAttempt &Attempt, Time Now,
+                                     Actions &) {
+  this->Answers.ended(Attempt.Id);
+  this->Probes.ended(Attempt.Request, false, Now);
 }
 
 void CrashesPlugin::attemptEnded(const RelayAttempt &Attempt,
                                  const RelayOutcome &Outcome, Time Now,
                                  Actions &Out) {
+  // An answer that is cut off late has shown that its begin did no harm.
+  this->clearRunningAnswers(Now, Out);
+  this->Answers.ended(Attempt.Id);
+  bool IsLost = false;
   match(
       Outcome,
       [&](const RelayBroken &Broken) {
-        if (Broken.Reason == RelayBroken::Why::Reset)
-          this->suspect(Attempt, Now, Out);
+        IsLost = Broken.Reason == RelayBroken::Why::Reset;
       },
       // The end of the connection may be the end of the answer or of the
       // engine.
       [&](const RelayDelivered &Delivered) {
         if (Delivered.End == RelayDelivered::Ending::Explicit)
-          this->clear(Attempt, Now, Out);
-        else if (Delivered.End == RelayDelivered::Ending::Connection)
-          this->suspect(Attempt, Now, Out);
+          this->clear(contentsOf(Attempt),
+                      Attempt.Began ? Attempt.BeganAt : Now, Now, Out);
+        IsLost = Delivered.End == RelayDelivered::Ending::Connection;
       },
       // A process that does not accept connections has died, with the requests
       // that recently ran there, unless this host's own links fail. No other
@@ -169,44 +195,40 @@
                         Now, Out);
       },
       [](const auto &) {});
+  if (IsLost)
+    this->suspect(Attempt, Now, Out);
+  this->Probes.ended(Attempt.Request, IsLost, Now);
 }
 
 void CrashesPlugin::suspect(const RelayAttempt &Attempt, Time Now,
                             Actions &Out) {
-  this->Tracker.addSuspicion({Attempt.Content, Attempt.Engine}, Now);
+  const CrashEvidence Evidence{Attempt.SentAt, Now,
+                               this->Probes.kindOf(Attempt.Request)};
+  this->Tracker.addSuspicion({Attempt.Content, Attempt.Engine}, Evidence);
   const bool IsCause =
       !Attempt.Began || Now < Attempt.BeganAt + Duration(MaxCrashDelay);
   if (IsCause)
     for (const Fingerprint &Part : Attempt.PromptParts)
-      this->Tracker.addSuspicion({Part, Attempt.Engine}, Now);
+      this->Tracker.addSuspicion({Part, Attempt.Engine}, Evidence);
   if (this->Check.connectionLost(Attempt.Engine, Now))
     this->askWhetherAlive(Attempt.Engine, Now, Out);
 }
 
-void CrashesPlugin::clear(const RelayAttempt &Attempt, Time Now, Actions &Out) {
-  const Time BeganAt = Attempt.Began ? Attempt.BeganAt : Now;
-  for (const Fingerprint &Content : contentsOf(Attempt)) {
-    if (this->Tracker.noteHarmless(Content, BeganAt, Now))
-      this->endQuarantine(Content, Out);
-    this->tellHarmless(Content, Now, Out);
-  }
+void CrashesPlugin::clearRunningAnswers(Time Now, Actions &Out) {
+  for (const RunningAnswers::Answer &Found : this->Answers.takeHarmless(Now))
+    this->clear(Found.Contents, Found.BeganAt, Now, Out);
 }
 
-void CrashesPlugin::endQuarantine(Fingerprint Content, Actions &Out) {
-  this->StoredContents.erase(Content);
-  Out.count("quarantines_refuted");
-  Out.log(logEvent(events::QuarantineRefuted)
-              .with("content", Content.Value)
-              .build());
-  Out.add(GatewayAction(StoreQuarantine{Content, false}));
-}
-
-void CrashesPlugin::tellHarmless(Fingerprint Content, Time Now, Actions &Out) {
-  const std::optional<Time> BeganAt = this->Tracker.takeHarmlessToTell(Content);
-  if (!BeganAt)
-    return;
-  for (const HostId &Peer : this->Members->livePeers())
-    Out.add(SendToPeer{Peer, HarmlessContent{Content, Now - *BeganAt}});
+void CrashesPlugin::clear(std::span<const Fingerprint> Contents, Time BeganAt,
+                          Time Now, Actions &Out) {
+  for (const Fingerprint &Content : Contents) {
+    if (this->Tracker.noteHarmless(Content, BeganAt)) {
+      this->endQuarantine(Content, Now, Out);
+      this->sendToPeers(HarmlessContent{Content, Now - BeganAt}, Out);
+    } else {
+      this->tellHarmless(Content, Now, Out);
+    }
+  }
 }
 
 void CrashesPlugin::askWhetherAlive(const UpstreamId &Engine, Time Now,
@@ -234,98 +256,17 @@
     Out.add(GatewayAction(StoreQuarantine{Content, false}));
 }
 
-void CrashesPlugin::restore(const QuarantinesRead &Read, Time Now,
-                            Actions &Out) {
-  for (const Fingerprint &Content : Read.Contents) {
-    this->restore(Content, Now, Out);
-    this->StoredContents.insert(Content);
-    for (const HostId &Peer : this->Members->livePeers())
-      Out.add(SendToPeer{Peer,
-                         makeStoredNotice(Content, Now + this->RetentionTime)});
-  }
-  for (const HostId &Peer : this->Members->livePeers())
-    this->remindLater(Peer, FirstReminderDelay, Now);
-}
-
-void CrashesPlugin::restore(Fingerprint Content, Time Now, Actions &Out) {
-  if (this->Tracker.isQuarantined(Content))
-    return;
-  this->Tracker.restore(Content, Now);
-  Out.log(logEvent(events::QuarantineRestored)
-              .with("content", Content.Value)
-              .build());
-  this->noteQuarantine(Content, Now, Out);
-}
-
-bool CrashesPlugin::informs(const HostId &Newcomer) const {
-  const auto WeightOf = [&](const HostId &Host) {
-    return rendezvousWeight(Newcomer.Value, Host.Value);
-  };
-  const std::uint64_t OwnWeight = WeightOf(this->Own);
-  const std::vector<HostId> Peers = this->Members->livePeers();
-  const auto Preferred = std::ranges::count_if(Peers, [&](const HostId &Peer) {
-    return Peer != Newcomer && WeightOf(Peer) > OwnWeight;
-  });
-  return static_cast<std::size_t>(Preferred) < MaxInformers;
-}
-
-void CrashesPlugin::memberChanged(const Member &Changed, Time Now,
-                                  Actions &Out) {
-  Incarnation &Informed = this->InformedIncarnations[Changed.Listing.Id];
-  const bool IsNew = Changed.Life != Incarnation() && Changed.Life != Informed;
-  if (!IsNew || Changed.State != MemberState::Alive)
-    return;
-  Informed = Changed.Life;
-  this->inform(Changed.Listing.Id, Now, Out);
-  this->remindLater(Changed.Listing.Id, FirstReminderDelay, Now);
-}
-
-void CrashesPlugin::inform(const HostId &Host, Time Now, Actions &Out) {
-  const Time Until = Now + this->RetentionTime;
-  for (const Fingerprint &Content : this->StoredContents)
-    Out.add(SendToPeer{Host, makeStoredNotice(Content, Until)});
-  const std::vector<Crash> Crashes = this->Tracker.confirmedCrashes();
-  if (Crashes.empty() || !this->informs(Host))
-    return;
-  for (const Crash &Observed : Crashes)
-    Out.add(SendToPeer{Host, makeNotice(Observed, Until)});
-}
-
-void CrashesPlugin::remindLater(const HostId &Host, Duration Delay, Time Now) {
-  this->Reminders[Host] = {Now + Delay, Delay};
-  this->NextReminder = std::min(this->NextReminder, Now + Delay);
-}
-
-void CrashesPlugin::sendReminders(Time Now, Actions &Out) {
-  if (Now < this->NextReminder)
-    return;
-  this->NextReminder = Never;
-  const auto Pending = std::exchange(this->Reminders, {});
-  for (const auto &[Host, Due] : Pending) {
-    if (Now < Due.At) {
-      this->Reminders[Host] = Due;
-      this->NextReminder = std::min(this->NextReminder, Due.At);
-      continue;
-    }
-    this->inform(Host, Now, Out);
-    if (Due.Delay < LastReminderDelay)
-      this->remindLater(Host, 2 * Due.Delay, Now);
-  }
-}
-
 void CrashesPlugin::confirm(const UpstreamId &Engine, Time Now, Actions &Out) {
   this->Check.remove(Engine);
   const std::vector<ConfirmedCrash> Crashes =
       this->Tracker.confirm(Engine, Now);
   if (!Crashes.empty())
     this->Reach->engineDied(Engine);
-  for (const auto &[Observed, SuspectedFor] : Crashes) {
-    this->log(Observed, "here", SuspectedFor, Out);
-    this->tellHarmless(Observed.Content, Now, Out);
-    this->noteQuarantine(Observed.Content, Now, Out);
-    for (const HostId &Peer : this->Members->livePeers())
-      Out.add(
-          SendToPeer{Peer, makeNotice(Observed, Now + this->RetentionTime)});
+  for (const ConfirmedCrash &Found : Crashes) {
+    this->log(Found, "here", Now, Out);
+    this->tellHarmless(Found.Observed.Content, Now, Out);
+    this->noteQuarantine(Found.Observed.Content, Now, Out);
+    this->sendToPeers(makeNotice(Found, Now, Now + this->RetentionTime), Out);
   }
 }
 
@@ -367,23 +308,33 @@
   // Each host that confirmed a crash of the content stores the quarantine. One
   // of them would not suffice: where crashes are confirmed at the same moment,
   // every host learns of the last one from a peer.
-  if (this->Tracker.takeToStore(Content))
-    Out.add(GatewayAction(StoreQuarantine{Content, true}));
+  if (const auto Verdict = this->Tracker.takeToStore(Content))
+    Out.add(GatewayAction(
+        StoreQuarantine{Content, true, *Verdict == CrashVerdict::Proven}));
 }
 
-void CrashesPlugin::log(const Crash &Observed, std::string_view From,
-                        Duration SuspectedFor, Actions &Out) const {
+void CrashesPlugin::log(const ConfirmedCrash &Found, std::string_view From,
+                        Time Now, Actions &Out) const {
+  const Fingerprint Content = Found.Observed.Content;
+  const Judgement Result = this->Tracker.judge(Content);
+  const HarmlessAnswers::Answers *Harmless =
+      this->Tracker.harmlessAnswers(Content);
+  auto Line =
+      logEvent(events::ContentCrashed)
+          .with("content", Content.Value)
+          .with("engine", Found.Observed.Engine.Value)
+          .with("crashes", Result.Crashes)
+          .with("repetitions", Result.Repetitions)
+          .with("verdict", nameOf(Result.Verdict))
+          .with("quarantined",
+                Result.Verdict == CrashVerdict::Sound ? "false" : "true")
+          .with("harmless_answers", Harmless ? Harmless->Count : 0)
+          .with("from", From)
+          .with("suspected_us", (Now - Found.Evidence.CrashedAt).count());
+  if (Harmless)
+    Line.with("harmless_us_ago", (Now - Harmless->NewestBeganAt).count());
   Out.count("content_crashes");
-  Out.log(logEvent(events::ContentCrashed)
-              .with("content", Observed.Content.Value)
-              .with("engine", Observed.Engine.Value)
-              .with("crashes", this->Tracker.crashCount(Observed.Content))
-              .with("quarantined", this->Tracker.isQuarantined(Observed.Content)
-                                       ? "true"
-                                       : "false")
-              .with("from", From)
-              .with("suspected_us", SuspectedFor.count())
-              .build());
+  Out.log(Line.build());
 }
 
 std::vector<SettingDeclaration> CrashesPlugin::settings() {
@@ -391,7 +342,7 @@
   return {
       {SectionName, "most", SettingKind::Whole, "3",
        "A content, a whole request or a part of prompts, that crashed so many "
-       "upstreams is not run any more.",
+       "upstreams is suspected; it is run only as a probe.",
        2, 100},
       {SectionName, "suspect_for", SettingKind::Span, "6s",
        "A connection lost is taken for a crash if the upstream's death shows "
@@ -403,7 +354,7 @@
        "one that refuses the connection has crashed.",
        1e3, 60e6},
       {SectionName, "harmless_for", SettingKind::Span, "3s",
-       "For so long after the begin of an answer that was completed, its "
+       "For so long after the begin of an answer that did no harm, its "
        "contents are not taken for the cause of a crash.",
        0, 60e6},
       {SectionName, "keep_for", SettingKind::Span, "10min",
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -6,8 +6,10 @@
 #include "kernel/Plugin.h"
 #include "plugins/crashes/CrashTracker.h"
 #include "plugins/crashes/DeathCheck.h"
+#include "plugins/crashes/ProbeClaims.h"
+#include "plugins/crashes/RunningAnswers.h"
 
-#include <set>
+#include <span>
 
 namespace banyanpick {
 
@@ -19,6 +21,10 @@
 /// prompt that other requests may share. Where a crash could quarantine a
 /// content, the hosts whose requests with it were answered tell their peers.
 ///
+/// Requests with a suspected content wait while answers that are under way, or
+/// a probe, decide. No verdict is final: also a proven one is probed, but
+/// seldom.
+///
 /// An engine that lost a connection is asked for a report at once: the end of
 /// its registration, which also confirms its death, follows only seconds later,
 /// and its content would crash further engines meanwhile. A refused connection
@@ -31,11 +37,16 @@
 public:
   void initialize(PluginContext &Context) override;
   void handle(const Event &Incoming, Time Now, Actions &Out) override;
-  Time nextWake() const override {
-    return std::min(this->Check.nextDue(), this->NextReminder);
-  }
+  Time nextWake() const override;
 
-  bool isQuarantined(Fingerprint Content, Time Now) const override;
+  ContentDecision decide(const RelayHead &Head, Time Now) override;
+  bool mustEnd(const RelayHead &Head) const override;
+  void attemptSent(const RelayAttempt &Attempt, Time Now,
+                   Actions &Out) override;
+  void attemptBegan(const RelayAttempt &Attempt, Time Now,
+                    Actions &Out) override;
+  void attemptCancelled(const RelayAttempt &Attempt, Time Now,
+                        Actions &Out) override;
   void attemptEnded(const RelayAttempt &Attempt, const RelayOutcome &Outcome,
                     Time Now, Actions &Out) override;
   void engineRemoved(const UpstreamId &Id, Time Now, Actions &Out) override;
@@ -50,12 +61,18 @@
   /// Takes a peer's report of a crash.
   void takeNotice(const QuarantineNotice &Notice, const HostId &From, Time Now,
                   Actions &Out);
-  /// The contents of an attempt that was answered completely are harmless.
-  void clear(const RelayAttempt &Attempt, Time Now, Actions &Out);
+  /// An answer to the contents that began at \p BeganAt did no harm.
+  void clear(std::span<const Fingerprint> Contents, Time BeganAt, Time Now,
+             Actions &Out);
+  /// Clears the contents of answers that have been arriving for long enough.
+  void clearRunningAnswers(Time Now, Actions &Out);
+  /// Takes a peer's report of an answer that did no harm.
+  void takeHarmless(const HarmlessContent &Cleared, Time Now, Actions &Out);
   /// Releases a content that turned out to be harmless.
-  void endQuarantine(Fingerprint Content, Actions &Out);
+  void endQuarantine(Fingerprint Content, Time Now, Actions &Out);
   /// Tells peers of harmless answers to a content if they need to know.
   void tellHarmless(Fingerprint Content, Time Now, Actions &Out);
+  void sendToPeers(const PeerMessageBody &Body, Actions &Out) const;
   /// The engine refused a connection: it has died, or this host's links fail.
   void refused(const UpstreamId &Engine, Time Now, Actions &Out);
   /// Asks engines that refused connections again once links work.
@@ -69,7 +86,7 @@
   /// Quarantines contents that an earlier process of any host stored, and tells
   /// peers, of which most do not read the store.
   void restore(const QuarantinesRead &Read, Time Now, Actions &Out);
-  void restore(Fingerprint Content, Time Now, Actions &Out);
+  void restore(const StoredQuarantine &Stored, Time Now, Actions &Out);
   /// Whether this host is one of the few that tell a new incarnation of the
   /// crashes.
   bool informs(const HostId &Newcomer) const;
@@ -81,8 +98,9 @@
   void sendReminders(Time Now, Actions &Out);
   /// If the content is quarantined, notifies the observers and stores that.
   void noteQuarantine(Fingerprint Content, Time Now, Actions &Out);
-  /// \p From is the host that confirmed the crash, for logs.
-  void log(const Crash &Observed, std::string_view From, Duration SuspectedFor,
+  /// Logs a crash with the evidence for and against its content. \p From is the
+  /// host that confirmed it.
+  void log(const ConfirmedCrash &Found, std::string_view From, Time Now,
            Actions &Out) const;
 
   Services *Registry = nullptr;
@@ -99,6 +117,8 @@
   Duration SuspicionLifetime{};
   Duration RetentionTime{};
   DeathCheck Check;
+  RunningAnswers Answers;
+  ProbeClaims Probes;
   /// The incarnations that were sent all known crashes.
   std::map<HostId, Incarnation> InformedIncarnations;
   struct Reminder {
@@ -110,7 +130,7 @@
   std::map<HostId, Reminder> Reminders;
   Time NextReminder = Never; ///< No later than the first of Reminders.
   /// Quarantined contents that this host read from the store.
-  std::set<Fingerprint> StoredContents;
+  std::map<Fingerprint, StoredQuarantine> StoredContents;
 };
 
 } // namespace banyanpick
--- a/src/plugins/relays/RelayAttempts.cpp
+++ b/src/plugins/relays/RelayAttempts.cpp
@@ -37,6 +37,7 @@
                                 Actions &Out) {
   Relay.AwaitsTurn = false;
   Relay.WaitingSince = Never;
+  Relay.UndecidedSince = Never;
   ++Relay.Sends;
   Relay.LiveAttempt = Attempt;
   this->Running.link(Attempt.Id, Relay.Head.Id);
@@ -84,6 +85,10 @@
   }
   SelectedEngine Chosen = *Relay->PendingReservation;
   Relay->PendingReservation.reset();
+  if (!this->passQuarantine(*Relay, Now, Out)) {
+    this->Memory->release(Id, Now, Out);
+    return;
+  }
   if (!this->canEndBeforeStop(*Relay, Chosen.Predicted, Now)) {
     this->finishForStop(*Relay, Now, Out);
     return;
--- a/src/plugins/relays/RelaysPlugin.cpp
+++ b/src/plugins/relays/RelaysPlugin.cpp
@@ -22,6 +22,10 @@
 /// When the caller of a quarantined content should come back.
 constexpr seconds QuarantineRetryAfter(5);
 
+/// How long a request waits until it is known whether its contents crash
+/// engines. Most suspicions are decided by then.
+constexpr seconds MaxUndecidedWait(3);
+
 /// The time to the first event if no engine is chosen yet.
 constexpr Duration UnknownTime{};
 
@@ -173,10 +177,8 @@
 }
 
 void RelaysPlugin::send(RunningRelay &Relay, Time Now, Actions &Out) {
-  if (this->isQuarantined(Relay.Head, Now)) {
-    this->finishQuarantined(Relay, Now, Out);
+  if (!this->passQuarantine(Relay, Now, Out))
     return;
-  }
   if (Relay.Sends >= this->Options.MaxSends ||
       Relay.Deadline - Now < MinAttemptTime) {
     this->finish(Relay, Relay.refusal(), "tries or time used up", Now, Out);
@@ -269,12 +271,36 @@
   this->HasNewQuarantine = true;
 }
 
-bool RelaysPlugin::isQuarantined(const RelayHead &Head, Time Now) const {
-  const auto IsQuarantined = [&](Fingerprint Content) {
-    return this->Crashes->isQuarantined(Content, Now);
-  };
-  return IsQuarantined(Head.Content) ||
-         std::ranges::any_of(Head.PromptParts, IsQuarantined);
+bool RelaysPlugin::passQuarantine(RunningRelay &Relay, Time Now, Actions &Out) {
+  switch (this->Crashes->decide(Relay.Head, Now)) {
+  case ContentDecision::Send:
+    Relay.UndecidedSince = Never;
+    return true;
+  case ContentDecision::Wait:
+    this->awaitDecision(Relay, Now, Out);
+    return false;
+  case ContentDecision::Refuse:
+    this->finishQuarantined(Relay, Now, Out);
+    return false;
+  }
+  return true;
+}
+
+void RelaysPlugin::awaitDecision(RunningRelay &Relay, Time Now, Actions &Out) {
+  Relay.AwaitsTurn = false;
+  if (Relay.UndecidedSince == Never)
+    Relay.UndecidedSince = Now;
+  if (Now >= Relay.UndecidedSince + MaxUndecidedWait ||
+      Relay.Deadline - Now < MinAttemptTime) {
+    this->finishQuarantined(Relay, Now, Out);
+    return;
+  }
+  if (!this->canEndBeforeStop(Relay, UnknownTime, Now)) {
+    this->finishForStop(Relay, Now, Out);
+    return;
+  }
+  Relay.NextAttemptAt = Now + this->Options.WaitRetryInterval;
+  this->scheduleCheck(Relay, Now);
 }
 
 void RelaysPlugin::finishNewlyQuarantined(Time Now, Actions &Out) {
@@ -284,7 +310,7 @@
     RunningRelay *Relay = this->Running.find(Id);
     // An answer that arrives shows that the engine survived the start.
     if (Relay && !Relay->isAnswerArriving() &&
-        this->isQuarantined(Relay->Head, Now))
+        this->Crashes->mustEnd(Relay->Head))
       this->finishQuarantined(*Relay, Now, Out);
   }
 }
--- a/src/plugins/relays/RelaysPlugin.h
+++ b/src/plugins/relays/RelaysPlugin.h
@@ -115,10 +115,14 @@
   /// final only if no newer configuration may allow it.
   void refuseByConfiguration(const RelayHead &Head, RefusalKind Kind,
                              std::string_view Reason, Time Now, Actions &Out);
-  /// Whether the request, or a part of its prompt, crashes engines.
-  bool isQuarantined(const RelayHead &Head, Time Now) const;
+  /// Lets the request wait, or ends it, if one of its contents may crash
+  /// engines. Returns whether it may be sent.
+  bool passQuarantine(RunningRelay &Relay, Time Now, Actions &Out);
+  /// Lets the request wait until it is known whether its contents crash
+  /// engines.
+  void awaitDecision(RunningRelay &Relay, Time Now, Actions &Out);
   /// Ends the requests with newly quarantined contents, except those whose
-  /// answers arrive.
+  /// answers arrive and those that decide whether the contents crash engines.
   void finishNewlyQuarantined(Time Now, Actions &Out);
   /// Ends a request whose content is quarantined without a further attempt.
   void finishQuarantined(RunningRelay &Relay, Time Now, Actions &Out);
@@ -169,7 +173,7 @@
   MemoryReserver *Memory = nullptr;
   const EngineGate *Gate = nullptr;
   const EngineQuota *Quota = nullptr;
-  const CrashView *Crashes = nullptr;
+  CrashView *Crashes = nullptr;
   const EngineReachView *Reach = nullptr;
   const StopSchedule *Stop = nullptr;
   Random *RandomSource = nullptr;
--- a/src/plugins/relays/RunningRelay.h
+++ b/src/plugins/relays/RunningRelay.h
@@ -53,6 +53,8 @@
   Time NextAttemptAt{};                   ///< Not before this time.
   bool AwaitsTurn = false;   ///< Other prompts are dispatched first.
   Time WaitingSince = Never; ///< Since when no upstream accepts it.
+  /// Since when it waits until it is known whether its contents crash engines.
+  Time UndecidedSince = Never;
 
   /// Whether the request may run more than once.
   bool isIdempotent() const {
@@ -62,7 +64,8 @@
   /// Whether the request has no upstream and waits to be sent to one.
   bool awaitsSending() const {
     return !this->LiveAttempt && !this->PendingReservation &&
-           (this->AwaitsTurn || this->WaitingSince != Never);
+           (this->AwaitsTurn || this->WaitingSince != Never ||
+            this->UndecidedSince != Never);
   }
   /// Whether events of the live attempt have reached the caller.
   bool isAnswerArriving() const {
--- a/tests/auto/daemon/QuarantineRecordTest.cpp
+++ b/tests/auto/daemon/QuarantineRecordTest.cpp
@@ -13,9 +13,13 @@
 TEST(QuarantineRecord, IsReadAsItWasWritten) {
   for (const std::uint64_t Value : {0ULL, 5ULL, ~0ULL}) {
     const Fingerprint Content(Value);
-    const KeyedRecord Record = writeQuarantineRecord({Content, true});
-    EXPECT_EQ(readQuarantineRecord(Record), Content);
-    EXPECT_FALSE(readHostRecord(Record)) << "no host has this record";
+    for (const bool IsProven : {false, true}) {
+      const KeyedRecord Record =
+          writeQuarantineRecord({Content, true, IsProven});
+      EXPECT_EQ(readQuarantineRecord(Record),
+                (StoredQuarantine{Content, IsProven}));
+      EXPECT_FALSE(readHostRecord(Record)) << "no host has this record";
+    }
   }
 }
 
--- a/tests/auto/gateway/CrashDetectionTest.cpp
+++ b/tests/auto/gateway/CrashDetectionTest.cpp
@@ -185,12 +185,14 @@
     this->Bench.reportCrash(this->Content, Name);
   ASSERT_EQ(this->Bench.all<StoreQuarantine>().size(), 1U);
   EXPECT_EQ(this->Bench.last<StoreQuarantine>(),
-            (StoreQuarantine{this->Content, true}));
+            (StoreQuarantine{this->Content, true, true}))
+      << "each crash came after the content was sent again";
 }
 
 TEST_F(CrashDetection, RefusesAContentWhoseQuarantineWasStored) {
   const RequestId Before = this->arrive();
-  this->Bench.send(GatewayEvent(QuarantinesRead{{this->Content}}));
+  this->Bench.send(
+      GatewayEvent(QuarantinesRead{{StoredQuarantine{this->Content, true}}}));
   EXPECT_EQ(this->Bench.last<RefuseRelay>().Request, Before);
   const RequestId After = this->arrive();
   EXPECT_EQ(this->Bench.last<RefuseRelay>().Request, After);
@@ -200,7 +202,8 @@
 /// Most hosts do not read the store and learn of its quarantines from peers.
 TEST_F(CrashDetection, TellsPeersOfStoredQuarantines) {
   this->Bench.receive("h2", heartbeatOf("h2", 10));
-  this->Bench.send(GatewayEvent(QuarantinesRead{{this->Content}}));
+  this->Bench.send(
+      GatewayEvent(QuarantinesRead{{StoredQuarantine{this->Content, true}}}));
   ASSERT_EQ(this->Bench.sent<QuarantineNotice>().size(), 1U);
   this->Bench.receive("h3", heartbeatOf("h3", 20));
   ASSERT_EQ(this->Bench.sent<QuarantineNotice>().size(), 2U);
@@ -214,11 +217,51 @@
       << "only hosts that read it from the store tell others";
 }
 
+/// Guards against a stored quarantine that nothing ends, as no request with its
+/// content is sent any more.
+TEST_F(CrashDetection, ProbesAContentWhoseQuarantineWasOnlySuspected) {
+  this->Bench.send(
+      GatewayEvent(QuarantinesRead{{StoredQuarantine{this->Content}}}));
+  this->Bench.advance(seconds(3));
+  this->arrive();
+  this->arrive();
+  EXPECT_TRUE(this->Bench.all<DispatchRelay>().empty());
+  this->Bench.advance(milliseconds(1100));
+  ASSERT_EQ(this->Bench.all<DispatchRelay>().size(), 1U) << "one is the probe";
+  EXPECT_EQ(this->Bench.logged(events::ContentProbed), 1U);
+  RelayDelivered Whole;
+  Whole.End = RelayDelivered::Ending::Explicit;
+  this->end(Whole);
+  EXPECT_EQ(this->Bench.logged(events::QuarantineRefuted), 1U);
+  EXPECT_EQ(this->Bench.last<StoreQuarantine>(),
+            (StoreQuarantine{this->Content, false}));
+  this->Bench.advance(milliseconds(100));
+  EXPECT_EQ(this->Bench.all<DispatchRelay>().size(), 2U);
+}
+
+TEST_F(CrashDetection, RefusesAContentWhoseProbeCrashed) {
+  this->Bench.registerEngines("desk", 3);
+  this->Bench.send(
+      GatewayEvent(QuarantinesRead{{StoredQuarantine{this->Content}}}));
+  this->Bench.advance(milliseconds(4100));
+  const RequestId Probe = this->arrive();
+  ASSERT_EQ(this->Bench.all<DispatchRelay>().size(), 1U);
+  const UpstreamId Probed = this->Bench.last<DispatchRelay>().Engine;
+  this->end(RelayBroken{RelayBroken::Why::Reset, false, std::nullopt});
+  this->Bench.send(GatewayEvent(EngineReportFailed{Probed, true}));
+  const RequestId Next = this->arrive();
+  EXPECT_EQ(this->Bench.last<RefuseRelay>().Request, Next);
+  this->Bench.advance(seconds(10));
+  EXPECT_EQ(this->Bench.all<DispatchRelay>().size(), 1U)
+      << "the probe is not tried twice: " << Probe.Value;
+}
+
 /// Guards against a host that starts and does not learn of a quarantine,
 /// because the first message to it is lost.
 TEST_F(CrashDetection, TellsAHostThatStartsAgain) {
   this->Bench.receive("h2", heartbeatOf("h2", 10));
-  this->Bench.send(GatewayEvent(QuarantinesRead{{this->Content}}));
+  this->Bench.send(
+      GatewayEvent(QuarantinesRead{{StoredQuarantine{this->Content}}}));
   const std::size_t Before = this->Bench.sent<QuarantineNotice>().size();
   this->Bench.advance(milliseconds(300));
   EXPECT_EQ(this->Bench.sent<QuarantineNotice>().size(), Before + 1);
@@ -250,7 +293,8 @@
 }
 
 TEST_F(CrashDetection, RemovesAStoredQuarantineWhenItExpires) {
-  this->Bench.send(GatewayEvent(QuarantinesRead{{this->Content}}));
+  this->Bench.send(
+      GatewayEvent(QuarantinesRead{{StoredQuarantine{this->Content}}}));
   this->Bench.advance(seconds(601));
   EngineChange Removal;
   Removal.Engine.Id = this->Engine;
--- a/tests/auto/manyhosts/HostSimulation.h
+++ b/tests/auto/manyhosts/HostSimulation.h
@@ -467,7 +467,7 @@
   std::map<UpstreamId, std::vector<Arrival>> Arrived;
   /// The requests that each engine runs.
   std::map<UpstreamId, std::vector<RunningRequest>> RunningByEngine;
-  std::set<Fingerprint> StoredQuarantines;
+  std::map<Fingerprint, StoredQuarantine> StoredQuarantines;
   std::set<std::size_t> Down; ///< Engines without a process.
   std::set<AttemptId> Cancelled;
   std::vector<Time> Crashes;
--- a/tests/auto/manyhosts/SimulatedCrashes.cpp
+++ b/tests/auto/manyhosts/SimulatedCrashes.cpp
@@ -97,7 +97,8 @@
 void HostSimulation::storeQuarantine(const StoreQuarantine &Wanted) {
   this->Queue.after(StoreDelay, [this, Wanted] {
     if (Wanted.Present)
-      this->StoredQuarantines.insert(Wanted.Content);
+      this->StoredQuarantines[Wanted.Content] = {Wanted.Content,
+                                                 Wanted.IsProven};
     else
       this->StoredQuarantines.erase(Wanted.Content);
   });
@@ -107,8 +108,9 @@
   // A host announces itself first, and then reads.
   this->Queue.after(
       2 * StoreDelay, [this, Index, Life = this->Hosts[Index].Life] {
-        const std::vector<Fingerprint> Contents(this->StoredQuarantines.begin(),
-                                                this->StoredQuarantines.end());
+        std::vector<StoredQuarantine> Contents;
+        for (const auto &[Content, Stored] : this->StoredQuarantines)
+          Contents.push_back(Stored);
         if (!Contents.empty())
           this->send(Index, Life, GatewayEvent(QuarantinesRead{Contents}));
       });
--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -20,6 +20,10 @@
 double anyDouble() { return *rc::gen::inRange(-1000000, 1000000) / 64.0; }
 Duration anyDuration() { return Duration(*rc::gen::arbitrary<std::int64_t>()); }
 Time anyTime() { return Time(anyDuration()); }
+/// A time that has passed, up to the longest that is read, one day.
+Duration anyAge() {
+  return Duration(*rc::gen::inRange<std::int64_t>(0, 86'400'000'000));
+}
 template <class Id> Id anyId() { return Id(anyText()); }
 Incarnation anyIncarnation() { return Incarnation(anyUint64()); }
 template <class Enum> Enum anyEnumerator(Enum Last) {
@@ -222,8 +226,15 @@
   case 6:
     return CatalogueRelayed{anyUint64(), anyText()};
   case 7:
-    return QuarantineNotice{Fingerprint(anyUint64()), anyUint32(), anyTime(),
-                            anyId<UpstreamId>(), anyIncarnation()};
+    return QuarantineNotice{Fingerprint(anyUint64()),
+                            anyUint32(),
+                            anyTime(),
+                            anyId<UpstreamId>(),
+                            anyIncarnation(),
+                            anyAge(),
+                            anyAge(),
+                            anyEnumerator(ProbeKind::Together),
+                            anyBool()};
   case 8:
     return UpstreamNotice{anyId<UpstreamId>(), anyIncarnation(), anyBool(),
                           anyBool()};
@@ -244,9 +255,7 @@
   case 13:
     return anyEngineSignals();
   case 14:
-    return HarmlessContent{
-        Fingerprint(anyUint64()),
-        Duration(*rc::gen::inRange<std::int64_t>(0, 86'400'000'000))};
+    return HarmlessContent{Fingerprint(anyUint64()), anyAge()};
   default:
     return RecordsToAppend{anyVector([] { return anyLogRecord(); })};
   }
