Suspect no content for crashes that another one explains better

Cause: crashes were counted for each part by itself, although one part explains them all, and the answers that spoke for the sound part were forgotten after three seconds.

Change: a content is not suspected for crashes that a better suspect explains, one that was never answered without harm or whose last such answer is clearly older; two crashes that remain unexplained suspect it all the same.

--- a/src/plugins/crashes/CrashTracker.cpp
+++ b/src/plugins/crashes/CrashTracker.cpp
@@ -10,6 +10,10 @@
 /// How much newer a harmless answer must be than the one that peers know of.
 constexpr seconds MinTellInterval(1);
 
+/// A content for whose crashes there is a better suspect is suspected too if so
+/// many of them remain unexplained.
+constexpr std::size_t MinUnexplained = 2;
+
 /// So many more crashes are needed of a content that was answered without harm
 /// a moment before them.
 constexpr std::size_t ExtraCrashes = 2;
@@ -171,9 +175,15 @@
     return Each.Evidence.Probe == ProbeKind::Alone;
   });
   const bool IsCandidate = Open.size() >= this->Limits.QuarantineThreshold;
+  if (IsCandidate) {
+    const std::size_t Unexplained =
+        this->compareWithOthers(Content, Open, Result);
+    if (Result.BetterSuspect && Unexplained < MinUnexplained)
+      return Result;
+  }
   const bool IsRepeated =
       IsCandidate && Result.Repetitions >= this->Limits.QuarantineThreshold &&
-      !this->Harmless.find(Content);
+      !this->Harmless.find(Content) && !Result.HasEqualSuspect;
   const bool IsSuspected = IsCandidate || Entry.Restored != CrashVerdict::Sound;
   if (IsRepeated || (IsSuspected && Result.FailedAsProbe))
     Result.Verdict = CrashVerdict::Proven;
@@ -182,6 +192,46 @@
   return Result;
 }
 
+std::size_t CrashTracker::compareWithOthers(Fingerprint Content,
+                                            const std::vector<OpenCrash> &Open,
+                                            Judgement &Result) const {
+  std::set<UpstreamId> Explained;
+  for (const Fingerprint &Other : this->Candidates) {
+    if (Other == Content)
+      continue;
+    const std::vector<OpenCrash> OtherOpen =
+        this->openCrashes(Other, this->Records.at(Other));
+    if (OtherOpen.size() < this->Limits.QuarantineThreshold)
+      continue;
+    std::set<UpstreamId> Shared;
+    for (const OpenCrash &Found : OtherOpen)
+      if (std::ranges::find(Open, Found.Engine, &OpenCrash::Engine) !=
+          Open.end())
+        Shared.insert(Found.Engine);
+    const bool ExplainsAsWell =
+        Open.size() - Shared.size() < this->Limits.QuarantineThreshold;
+    if (this->isBetterSuspect(Other, Content)) {
+      if (!Shared.empty())
+        Result.BetterSuspect = Other;
+      Explained.merge(Shared);
+    } else if (!Shared.empty() && ExplainsAsWell &&
+               !this->isBetterSuspect(Content, Other)) {
+      Result.HasEqualSuspect = true;
+    }
+  }
+  return Open.size() - Explained.size();
+}
+
+bool CrashTracker::isBetterSuspect(Fingerprint First,
+                                   Fingerprint Second) const {
+  const HarmlessAnswers::Answers *OfSecond = this->Harmless.find(Second);
+  if (!OfSecond)
+    return false;
+  const HarmlessAnswers::Answers *OfFirst = this->Harmless.find(First);
+  return !OfFirst || OfFirst->NewestBeganAt + this->Limits.HarmlessLifetime <=
+                         OfSecond->NewestBeganAt;
+}
+
 std::size_t CrashTracker::crashCount(Fingerprint Content) const {
   const auto Found = this->Records.find(Content);
   if (Found == this->Records.end())
--- a/src/plugins/crashes/CrashTracker.h
+++ b/src/plugins/crashes/CrashTracker.h
@@ -49,7 +49,10 @@
   /// Of these, in sequence, those whose attempt was sent after the crash
   /// before.
   std::size_t Repetitions = 0;
-  bool FailedAsProbe = false; ///< A probe of this content alone crashed.
+  /// A content that was less often harmless and explains the crashes as well.
+  std::optional<Fingerprint> BetterSuspect;
+  bool HasEqualSuspect = false; ///< Another content explains them as well.
+  bool FailedAsProbe = false;   ///< A probe of this content alone crashed.
 };
 
 /// Limits of a CrashTracker.
@@ -69,8 +72,9 @@
 /// Crashes alone prove nothing. Upstreams also die of other causes, several at
 /// once, and contents that many requests share, such as the first parts of
 /// prompts, run beside the cause of every crash. So the crashes of a content
-/// count only from the last answer to it that did no harm, and crashes are
-/// independent only if the content was sent again after each one.
+/// count only from the last answer to it that did no harm; a crash that a
+/// content with less harmless answers explains as well does not count; and
+/// crashes are independent only if the content was sent again after each one.
 ///
 /// A verdict prevents its own refutation, as nothing that it concerns is sent.
 /// So probes are sent: one request with the content at a time, seldom if it
@@ -155,6 +159,13 @@
   /// Returns the open crashes of the content, the oldest first.
   std::vector<OpenCrash> openCrashes(Fingerprint Content,
                                      const Record &Entry) const;
+  /// Compares the content with others that explain its crashes. Returns how
+  /// many of them no better suspect explains.
+  std::size_t compareWithOthers(Fingerprint Content,
+                                const std::vector<OpenCrash> &Open,
+                                Judgement &Result) const;
+  /// Whether \p First is a better explanation of crashes than \p Second.
+  bool isBetterSuspect(Fingerprint First, Fingerprint Second) const;
   /// Since when the content has been quarantined, if it is.
   Time quarantinedAt(const Record &Entry,
                      const std::vector<OpenCrash> &Open) const;
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -333,6 +333,8 @@
           .with("suspected_us", (Now - Found.Evidence.CrashedAt).count());
   if (Harmless)
     Line.with("harmless_us_ago", (Now - Harmless->NewestBeganAt).count());
+  if (Result.BetterSuspect)
+    Line.with("better_suspect", Result.BetterSuspect->Value);
   Out.count("content_crashes");
   Out.log(Line.build());
 }
--- a/tests/auto/gateway/CrashTrackerTest.cpp
+++ b/tests/auto/gateway/CrashTrackerTest.cpp
@@ -141,6 +141,41 @@
   EXPECT_EQ(Tracker.judge(FaultyContent).Verdict, CrashVerdict::Proven);
 }
 
+/// Guards against a sound content that is refused with the cause, as its
+/// harmless answers were too long ago to refute the crashes.
+TEST(CrashTracker, PrefersASuspectThatWasNeverHarmless) {
+  CrashTracker Tracker = makeTracker();
+  Tracker.noteHarmless(UnaffectedContent, at(-20));
+  crashThree(Tracker, UnaffectedContent, 0);
+  EXPECT_EQ(Tracker.judge(UnaffectedContent).Verdict, CrashVerdict::Suspected);
+  crashThree(Tracker, FaultyContent, 0);
+  EXPECT_EQ(Tracker.judge(UnaffectedContent).Verdict, CrashVerdict::Sound);
+  EXPECT_EQ(Tracker.judge(UnaffectedContent).BetterSuspect, FaultyContent);
+  EXPECT_EQ(Tracker.judge(FaultyContent).Verdict, CrashVerdict::Proven);
+}
+
+/// Guards against a cause that hides behind another content.
+TEST(CrashTracker, SuspectsAContentWithCrashesThatNothingElseExplains) {
+  CrashTracker Tracker = makeTracker();
+  Tracker.noteHarmless(FaultyContent, at(-20));
+  crashThree(Tracker, UnaffectedContent, 0);
+  crashThree(Tracker, FaultyContent, 0);
+  ASSERT_FALSE(Tracker.isQuarantined(FaultyContent));
+  Tracker.add(crashOf(FaultyContent, "x1", at(10)), at(10));
+  EXPECT_FALSE(Tracker.isQuarantined(FaultyContent));
+  Tracker.add(crashOf(FaultyContent, "x2", at(11)), at(11));
+  EXPECT_TRUE(Tracker.isQuarantined(FaultyContent));
+}
+
+TEST(CrashTracker, ProvesNothingWhileTwoContentsExplainTheSameCrashes) {
+  CrashTracker Tracker = makeTracker();
+  crashThree(Tracker, UnaffectedContent, 0);
+  crashThree(Tracker, FaultyContent, 0);
+  EXPECT_EQ(Tracker.judge(FaultyContent).Verdict, CrashVerdict::Suspected);
+  EXPECT_TRUE(Tracker.noteHarmless(UnaffectedContent, at(3)));
+  EXPECT_EQ(Tracker.judge(FaultyContent).Verdict, CrashVerdict::Proven);
+}
+
 /// Guards against a content that turns bad under load and crashes many engines
 /// before its last harmless answer is old enough.
 TEST(CrashTracker, SuspectsAContentAfterFiveCrashesSoonAfterAnAnswer) {
--- a/tests/auto/manyhosts/SuspectedPartTest.cpp
+++ b/tests/auto/manyhosts/SuspectedPartTest.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Guards against sound parts of prompts that are refused because engines died
-/// while they ran.
+/// while they ran, and against crashing parts that hide among them: in pauses
+/// of callers, beside deaths of another cause, across restarts of hosts.
 #include "auto/manyhosts/SimulationLoad.h"
 
 #include <algorithm>
@@ -10,8 +11,20 @@
 namespace banyanpick {
 namespace {
 
-/// Least share of the prompts whose answers begin at the first attempt once all
-/// engines are back, of the share before.
+/// How long after the fifth crash requests with the part may still be sent
+/// freely, and how often later.
+constexpr seconds Allowance(3);
+constexpr std::ptrdiff_t MaxLaterSends = 3;
+
+/// After the fifth crash, or the last one, sound requests are served again
+/// within this time.
+constexpr seconds RecoveryTime(6);
+
+/// Least share of the sound requests whose answers begin at the first attempt,
+/// while requests with a crashing part still come. The promise is half of the
+/// share without them.
+constexpr double MinServedShare = 0.5;
+/// The same share if no part crashes engines and none is down, of that before.
 constexpr double UndisturbedShare = 0.95;
 
 const Fingerprint FirstPart(7); ///< All prompts share it.
@@ -124,6 +137,11 @@
   Simulation.run(seconds(2));
 }
 
+std::ptrdiff_t sendsAfter(const HostSimulation &Simulation, Time Since) {
+  return std::ranges::count_if(Simulation.crashingArrivals(),
+                               [&](Time At) { return At > Since; });
+}
+
 class SuspectedPartAtSize : public testing::TestWithParam<SimulationSize> {
 protected:
   /// Time for which an engine prefills each prompt.
@@ -178,6 +196,104 @@
   EXPECT_GE(this->Prompts.servedShare(), Undisturbed * UndisturbedShare);
 }
 
+/// Guards against a sound first part that is refused with the part that crashes
+/// engines, because its callers had paused before.
+TEST_P(SuspectedPartAtSize, IsServedBesideABadPartAfterAPause) {
+  this->Prompts.offer(Load::Sound, seconds(4));
+  this->Simulation.run(seconds(4));
+  this->Prompts.offerBadAlone(Load::WithOneBadPart);
+  this->Simulation.run(seconds(6));
+  this->Simulation.takeTally();
+  this->Prompts.offer(Load::WithOneBadPart, seconds(8));
+  EXPECT_GE(this->Prompts.servedShare(), MinServedShare);
+  EXPECT_LE(
+      sendsAfter(this->Simulation, this->Simulation.crashes()[2] + Allowance),
+      MaxLaterSends);
+}
+
+/// Guards against a first part that is never tried without the bad one, as
+/// nothing tells them apart.
+TEST_P(SuspectedPartAtSize, IsServedBesideABadPartThatItAlwaysCameWith) {
+  this->Prompts.offerBadAlone(Load::WithOneBadPart);
+  this->Prompts.offer(Load::WithOneBadPart, seconds(6));
+  this->Simulation.takeTally();
+  this->Prompts.offer(Load::WithOneBadPart, seconds(8));
+  EXPECT_GE(this->Prompts.servedShare(), UndisturbedShare);
+  EXPECT_LE(
+      sendsAfter(this->Simulation, this->Simulation.crashes()[2] + Allowance),
+      MaxLaterSends);
+}
+
+/// The course of a random run.
+struct Course {
+  explicit Course(std::uint64_t Seed) : Draws(Seed) {}
+
+  Random Draws{0};
+  Load Kind = static_cast<Load>(this->Draws.below(3));
+  bool HadSoundPrompts = this->Draws.below(4) > 0;
+  /// The bad part was sound at first.
+  bool TurnedBad = this->Draws.below(4) == 0;
+  Duration Pause = seconds(this->Draws.below(4) * 5);
+  /// Long prefills would let sound prompts with that part still run later.
+  Duration Prefill =
+      milliseconds(this->TurnedBad ? 0 : this->Draws.below(3) * 50);
+  bool HasWave = this->Draws.below(2) == 0;
+  /// After the pause; in half of the runs at once.
+  Duration WaveAfter =
+      milliseconds(this->Draws.below(2) * this->Draws.below(4000));
+  /// Prompts with a bad part come before all others after the pause.
+  bool BeginsWithBad = this->Kind != Load::Sound && this->Draws.below(2) == 0;
+  std::uint64_t KilledHosts = this->Draws.below(3); ///< 2: all.
+};
+
+/// Guards against the class of both faults, with random courses of events.
+TEST_P(SuspectedPartAtSize, IsJudgedByItsOwnEvidenceInRandomRuns) {
+  for (std::uint64_t Seed = 0; Seed < seedCount(); ++Seed) {
+    SCOPED_TRACE(Seed);
+    Course Drawn(Seed + 1);
+    HostSimulation Run(this->Size.Hosts, this->Size.Engines);
+    PromptLoad Sent(Run, this->Size);
+    Run.publish(1);
+    Run.run(seconds(25) + milliseconds(37) * Seed);
+    Run.setPrefill(Drawn.Prefill);
+    if (Drawn.HadSoundPrompts)
+      Sent.offer(Load::Sound, seconds(3));
+    if (Drawn.HadSoundPrompts && Drawn.TurnedBad)
+      Sent.sendWhileStillSound(5);
+    Run.run(Drawn.Pause);
+    if (Drawn.BeginsWithBad)
+      Sent.offerBadAlone(Drawn.Kind);
+    Sent.offer(Drawn.Kind, Drawn.WaveAfter);
+    std::size_t Wave = 0;
+    if (Drawn.HasWave) {
+      Sent.burst();
+      for (; Wave < this->Size.Engines / 5; ++Wave)
+        Run.crashEngine(Wave);
+    }
+    Sent.offer(Drawn.Kind, seconds(5));
+    if (Drawn.KilledHosts == 2) {
+      restartAll(Run);
+    } else if (Drawn.KilledHosts == 1) {
+      Run.kill(1);
+      Run.run(seconds(1));
+      Run.restart(1);
+    }
+    Sent.offer(Drawn.Kind, RecoveryTime);
+    Run.takeTally();
+    Sent.offer(Drawn.Kind, seconds(8));
+    EXPECT_GE(Sent.servedShare(),
+              Drawn.Kind == Load::Sound ? UndisturbedShare : MinServedShare);
+    const std::vector<Time> &Crashes = Run.crashes();
+    const std::size_t PerPart = Drawn.Kind == Load::WithTwoBadParts ? 2 : 1;
+    const std::size_t Fifth = Wave + 5 * PerPart;
+    if (Crashes.size() < Fifth)
+      continue;
+    EXPECT_LE(sendsAfter(Run, Crashes[Fifth - 1] + Allowance),
+              MaxLaterSends * static_cast<std::ptrdiff_t>(PerPart))
+        << Crashes.size() << " crashes";
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(All, SuspectedPartAtSize,
                          testing::Values(StandardSizes[0], StandardSizes[1]),
                          [](const auto &Info) { return sizeName(Info); });
