Remove records of explained contents, and allow for unequal delays of notices

A content whose crashes another one explained a few microseconds later, with the next notice of the same engine, had been stored as suspected, and nothing removed that record: hosts that started later would have held it until a probe. It is removed with the next answer to the content.

A cause was only suspected, and probed once, at a host that got the notice of its first crash a little later than that of the next: the time at which the attempt was sent again seemed to lie before the first crash. 20 ms are allowed for.

CrashDetection.RemovesTheRecordOfAContentWithABetterSuspect and CrashTracker.ProvesACauseThoughNoticesAreDelayedUnequally guard against both.

--- a/src/plugins/crashes/CrashMessages.cpp
+++ b/src/plugins/crashes/CrashMessages.cpp
@@ -68,8 +68,14 @@
     Line.with("harmless_answers", Harmless->Count)
         .with("harmless_us_ago", (Now - Harmless->NewestBeganAt).count());
   Out.log(Line.build());
-  const bool IsStoredHere = this->Tracker.takeStored(Content);
-  if (this->StoredContents.erase(Content) > 0 || IsStoredHere)
+  this->removeEnded(Content, Out);
+}
+
+void CrashesPlugin::removeEnded(Fingerprint Content, Actions &Out) {
+  const bool IsStoredHere = this->Tracker.takeEnded(Content);
+  const bool WasRead = !this->Tracker.isQuarantined(Content) &&
+                       this->StoredContents.erase(Content) > 0;
+  if (IsStoredHere || WasRead)
     Out.add(GatewayAction(StoreQuarantine{Content, false}));
 }
 
--- a/src/plugins/crashes/CrashTracker.cpp
+++ b/src/plugins/crashes/CrashTracker.cpp
@@ -1,7 +1,6 @@
 #include "plugins/crashes/CrashTracker.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace banyanpick {
 
@@ -36,13 +35,17 @@
 constexpr std::size_t ProbeDelayFactor = 4;
 constexpr std::size_t MaxCountedProbes = 3;
 
+/// Times that peers report differ by the delay of their messages. A host sends
+/// a request again as soon as it has lost it.
+constexpr milliseconds MaxJitter(20);
+
 /// Returns the length of the longest sequence of crashes, the oldest first, in
 /// which each attempt was sent after the crash before.
 template <class Crashes> std::size_t countRepetitions(const Crashes &Sorted) {
   std::size_t Result = 0;
   Time LastCrash = Time::min();
   for (const auto &Found : Sorted) {
-    if (Found.Evidence.SentAt < LastCrash)
+    if (Found.Evidence.SentAt + Duration(MaxJitter) < LastCrash)
       continue;
     ++Result;
     LastCrash = Found.Evidence.CrashedAt;
@@ -285,12 +288,14 @@
   return Verdict;
 }
 
-bool CrashTracker::takeStored(Fingerprint Content) {
+bool CrashTracker::takeEnded(Fingerprint Content) {
   const auto Found = this->Records.find(Content);
-  if (Found == this->Records.end())
+  if (Found == this->Records.end() ||
+      Found->second.Stored == CrashVerdict::Sound ||
+      this->isQuarantined(Content))
     return false;
-  return std::exchange(Found->second.Stored, CrashVerdict::Sound) !=
-         CrashVerdict::Sound;
+  Found->second.Stored = CrashVerdict::Sound;
+  return true;
 }
 
 void CrashTracker::restore(Fingerprint Content, CrashVerdict Verdict,
--- a/src/plugins/crashes/CrashTracker.h
+++ b/src/plugins/crashes/CrashTracker.h
@@ -127,9 +127,9 @@
   /// Returns the verdict that this host is to store, once for each verdict: the
   /// content is quarantined, and this host found one of its crashes.
   std::optional<CrashVerdict> takeToStore(Fingerprint Content);
-  /// Called when the quarantine has ended. Returns, once, whether this host has
-  /// stored it.
-  bool takeStored(Fingerprint Content);
+  /// Returns, once, whether this host has stored a quarantine of the content
+  /// that has ended.
+  bool takeEnded(Fingerprint Content);
   /// Quarantines a content whose crashes an earlier process counted.
   void restore(Fingerprint Content, CrashVerdict Verdict, Time Now);
   /// Returns the crashes that no harmless answer refutes.
--- a/src/plugins/crashes/CrashesPlugin.cpp
+++ b/src/plugins/crashes/CrashesPlugin.cpp
@@ -227,6 +227,8 @@
       this->sendToPeers(HarmlessContent{Content, Now - BeganAt}, Out);
     } else {
       this->tellHarmless(Content, Now, Out);
+      // A better suspect, which was found later, ends a quarantine too.
+      this->removeEnded(Content, Out);
     }
   }
 }
--- a/src/plugins/crashes/CrashesPlugin.h
+++ b/src/plugins/crashes/CrashesPlugin.h
@@ -70,6 +70,8 @@
   void takeHarmless(const HarmlessContent &Cleared, Time Now, Actions &Out);
   /// Releases a content that turned out to be harmless.
   void endQuarantine(Fingerprint Content, Time Now, Actions &Out);
+  /// Removes the quarantine of a content from the store if it has ended.
+  void removeEnded(Fingerprint Content, Actions &Out);
   /// Tells peers of harmless answers to a content if they need to know.
   void tellHarmless(Fingerprint Content, Time Now, Actions &Out);
   void sendToPeers(const PeerMessageBody &Body, Actions &Out) const;
--- a/tests/auto/gateway/CrashDetectionTest.cpp
+++ b/tests/auto/gateway/CrashDetectionTest.cpp
@@ -217,6 +217,29 @@
       << "only hosts that read it from the store tell others";
 }
 
+/// Guards against a record of a content that another one explained a moment
+/// later, which hosts that start would take for a suspicion.
+TEST_F(CrashDetection, RemovesTheRecordOfAContentWithABetterSuspect) {
+  RelayDelivered Whole;
+  Whole.End = RelayDelivered::Ending::Explicit;
+  this->arrive();
+  this->end(Whole);
+  this->Bench.advance(seconds(4));
+  this->loseConnection();
+  this->Bench.send(GatewayEvent(EngineReportFailed{this->Engine, true}));
+  for (const char *Name : {"x1", "x2"})
+    this->Bench.reportCrash(this->Content, Name);
+  ASSERT_EQ(this->Bench.last<StoreQuarantine>(),
+            (StoreQuarantine{this->Content, true}));
+  for (const char *Name : {"e1", "x1", "x2"})
+    this->Bench.reportCrash(Fingerprint(6), Name);
+  this->Bench.registerEngines("desk", 2, 40);
+  this->arrive();
+  this->end(Whole);
+  EXPECT_EQ(this->Bench.last<StoreQuarantine>(),
+            (StoreQuarantine{this->Content, false}));
+}
+
 /// Guards against a stored quarantine that nothing ends, as no request with its
 /// content is sent any more.
 TEST_F(CrashDetection, ProbesAContentWhoseQuarantineWasOnlySuspected) {
--- a/tests/auto/gateway/CrashTrackerTest.cpp
+++ b/tests/auto/gateway/CrashTrackerTest.cpp
@@ -141,6 +141,21 @@
   EXPECT_EQ(Tracker.judge(FaultyContent).Verdict, CrashVerdict::Proven);
 }
 
+/// Guards against a cause that is probed at once, as the notice of its first
+/// crash took longer than that of the next one.
+TEST(CrashTracker, ProvesACauseThoughNoticesAreDelayedUnequally) {
+  CrashTracker Tracker = makeTracker();
+  for (int Number = 0; Number < 3; ++Number) {
+    const Time SentAt = at(0) + milliseconds(50) * Number;
+    const Time CrashedAt = SentAt + milliseconds(50);
+    const Duration Delay = milliseconds(5 * (3 - Number));
+    Tracker.add({{FaultyContent, UpstreamId("e" + std::to_string(Number))},
+                 {SentAt + Delay, CrashedAt + Delay, ProbeKind::None}},
+                CrashedAt + Delay);
+  }
+  EXPECT_EQ(Tracker.judge(FaultyContent).Verdict, CrashVerdict::Proven);
+}
+
 /// Guards against a sound content that is refused with the cause, as its
 /// harmless answers were too long ago to refute the crashes.
 TEST(CrashTracker, PrefersASuspectThatWasNeverHarmless) {
