Draw the course of random runs in a fixed order

Two draws stood in one product, whose operands are evaluated in an order that differs between compilers, so that a seed would have played other runs on arm64.

--- a/tests/auto/manyhosts/SuspectedPartTest.cpp
+++ b/tests/auto/manyhosts/SuspectedPartTest.cpp
@@ -238,9 +238,9 @@
   Duration Prefill =
       milliseconds(this->TurnedBad ? 0 : this->Draws.below(3) * 50);
   bool HasWave = this->Draws.below(2) == 0;
-  /// After the pause; in half of the runs at once.
+  bool IsWaveAtOnce = this->Draws.below(2) == 0; ///< Right after the pause.
   Duration WaveAfter =
-      milliseconds(this->Draws.below(2) * this->Draws.below(4000));
+      milliseconds(this->IsWaveAtOnce ? 0 : this->Draws.below(4000));
   /// Prompts with a bad part come before all others after the pause.
   bool BeginsWithBad = this->Kind != Load::Sound && this->Draws.below(2) == 0;
   std::uint64_t KilledHosts = this->Draws.below(3); ///< 2: all.
