--- a/tests/auto/wire/WireTest.cpp
+++ b/tests/auto/wire/WireTest.cpp
@@ -198,6 +198,18 @@
   return Result;
 }
 
+QuarantineNotice anyQuarantineNotice() {
+  return QuarantineNotice{Fingerprint(anyUint64()),
+                          anyUint32(),
+                          anyTime(),
+                          anyId<UpstreamId>(),
+                          anyIncarnation(),
+                          anyAge(),
+                          anyAge(),
+                          anyEnumerator(ProbeKind::Together),
+                          anyBool()};
+}
+
 PeerMessageBody anyPeerBody() {
   switch (*rc::gen::inRange(0, 16)) {
   case 0:
@@ -226,15 +238,7 @@
   case 6:
     return CatalogueRelayed{anyUint64(), anyText()};
   case 7:
-    return QuarantineNotice{Fingerprint(anyUint64()),
-                            anyUint32(),
-                            anyTime(),
-                            anyId<UpstreamId>(),
-                            anyIncarnation(),
-                            anyAge(),
-                            anyAge(),
-                            anyEnumerator(ProbeKind::Together),
-                            anyBool()};
+    return anyQuarantineNotice();
   case 8:
     return UpstreamNotice{anyId<UpstreamId>(), anyIncarnation(), anyBool(),
                           anyBool()};
